--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# make build | test | lint | format | demo | bench | slopes | soak | install
+JOBS ?= $(shell nproc)
+BUILD ?= build
+
+.PHONY: packages build test asan tsan lint format demo bench slopes soak install clean
+
+packages:
+	scripts/packages.sh
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+# What CI runs: every test, plain and under the sanitizers, then format and lint.
+test: build
+	scripts/test.sh $(BUILD)
+
+asan: packages
+	cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DFESCUESILL_SANITIZE=address,undefined >/dev/null
+	cmake --build $(BUILD)-asan -j $(JOBS)
+
+tsan: packages
+	cmake -S . -B $(BUILD)-tsan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DFESCUESILL_SANITIZE=thread >/dev/null
+	cmake --build $(BUILD)-tsan -j $(JOBS)
+
+lint: build
+	scripts/format.sh --check
+	scripts/lint.sh $(BUILD)
+
+format:
+	scripts/format.sh
+
+install: build
+	cmake --install $(BUILD)
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-tsan
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# test.sh BUILD_DIR: every check that decides whether the tree is green, in the order that fails fastest.
+# Seeds are fixed and no check reads a clock to pass or fail, so the verdict is the same on every run.
+# Tests named in KNOWN-RED.txt are passed over and printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=$1
+export RC_PARAMS="seed=20261202"
+
+known_red=$(grep -vE '^\s*(#|$)' KNOWN-RED.txt 2>/dev/null | cut -d: -f1 | paste -sd: || true)
+if [ -n "$known_red" ]; then
+    echo "known red, passed over:"
+    grep -vE '^\s*(#|$)' KNOWN-RED.txt
+    export GTEST_FILTER="-$known_red"
+fi
+
+echo "== format and lint"
+scripts/format.sh --check
+scripts/lint.sh "$build"
+
+echo "== tests"
+ctest --test-dir "$build" --output-on-failure
+
+echo "== tests under address and undefined behaviour sanitizers"
+make --no-print-directory asan
+ctest --test-dir "$build-asan" --output-on-failure
+
+echo "== threaded parts under the thread sanitizer"
+make --no-print-directory tsan
+ctest --test-dir "$build-tsan" --output-on-failure -R '^(wire|proof)$' --no-tests=ignore
+
+if compgen -G 'testing/process/test_*.py' >/dev/null; then
+    echo "== process tests"
+    FESCUESILL_BUILD="$build" python3 -m unittest discover -v -s testing/process -p 'test_*.py'
+fi
