--- /dev/null
+++ b/decide/cellscheduler.cpp
@@ -0,0 +1,1 @@
+#include "decide/cellscheduler.h"
