--- /dev/null
+++ b/promise/attempt.h
@@ -0,0 +1,186 @@
+#pragma once
+
+// The life of one call that may run at most once, from the caller's request to the answer in the ledger.
+//
+//     Attempt attempt(call, options);
+//     AttemptAction action = attempt.on(attempt_event::Start{}, sharedNow());
+//     while (!std::holds_alternative<attempt_action::Stop>(action)) {
+//         const AttemptEvent event = perform(action, yield);      // exactly one event for each action
+//         action = attempt.on(event, sharedNow());
+//     }
+//
+// Time is shared time: Instant counted from the Unix epoch. The caller's leaving does not end an attempt: run it on to
+// Stop, so that a repeat finds the answer. Reply comes once and is not the last action.
+
+#include "fescuesill/errors.h"
+#include "promise/ledgerrecord.h"
+#include "promise/tablerow.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace fescuesill
+{
+
+struct AttemptCall {
+    ServiceId service;
+    WorkspaceId workspace;
+    std::string idempotencyKey;
+    std::string bodyDigest;
+    AttemptId attempt; // fresh and never used again
+    HostId entry;
+    bool resultQuery = false; // the endpoint can be asked for the result of a key
+    // The caller says that it sent this key before. Then "not run" is never said while the ledger cannot be read.
+    bool repeat = false;
+    Duration endpointDeadline{2s};
+};
+
+namespace attempt_event
+{
+struct Start {
+};
+// The endpoint's whole answer.
+struct Answered {
+    EndpointAnswer answer;
+};
+// Surely no byte of the call reached the endpoint: no connection, or sendBy had passed before the first write.
+struct NeverSent {
+};
+// Some of the call was sent and no whole answer came.
+struct AnswerLost {
+};
+struct ResultFound {
+    EndpointAnswer answer;
+};
+// The endpoint knows no result under the key (yet).
+struct ResultAbsent {
+};
+struct ResultUnknown {
+};
+struct Replied {
+};
+struct Woken {
+};
+} // namespace attempt_event
+
+using AttemptEvent = std::variant<attempt_event::Start, table::Written, table::Conflict, table::Refused, table::NoReply,
+                                  table::RowRead, table::ReadFailed, attempt_event::Answered, attempt_event::NeverSent,
+                                  attempt_event::AnswerLost, attempt_event::ResultFound, attempt_event::ResultAbsent,
+                                  attempt_event::ResultUnknown, attempt_event::Replied, attempt_event::Woken>;
+
+namespace attempt_action
+{
+// Feed back Written, Conflict, Refused or NoReply.
+struct Write {
+    TableWrite write;
+};
+// Feed back RowRead or ReadFailed.
+struct Read {
+    std::string key;
+};
+// Compare the clock with sendBy once more right before the first byte. Feed back Answered, NeverSent or AnswerLost.
+struct Send {
+    Instant sendBy;
+};
+// GET /results/KEY. Feed back ResultFound, ResultAbsent or ResultUnknown.
+struct QueryResult {
+};
+// Answer the caller; ran says whether the answer is a repeat's. Feed back Replied, also when the caller has gone.
+struct Reply {
+    std::variant<EndpointAnswer, Refusal> with;
+};
+// Feed back Woken after the duration.
+struct Wait {
+    Duration duration;
+};
+// Nothing is left to do.
+struct Stop {
+};
+} // namespace attempt_action
+
+using AttemptAction =
+    std::variant<attempt_action::Write, attempt_action::Read, attempt_action::Send, attempt_action::QueryResult,
+                 attempt_action::Reply, attempt_action::Wait, attempt_action::Stop>;
+
+class Attempt
+{
+public:
+    struct Options {
+        // How long after the start the call may still be sent; an entry frozen for longer does not send.
+        Duration sendWindow{2s};
+        // The most that two hosts' clocks differ; platforms with time service stay far below.
+        Duration clockMargin{500ms};
+        // How long a row is kept. Callers may repeat a key this long.
+        Duration keep{24h};
+        // How long a row with an unknown outcome is kept, for operators to settle it.
+        Duration keepOpen{168h};
+        // Larger answers reach the caller but are not kept: a row must stay small for the table.
+        Bytes maxKeptAnswer{64 * 1024};
+        // Table calls before the caller is answered. Two cover one lost reply; more only add to a store in trouble.
+        int triesBefore = 3;
+        // Table calls after the caller was answered, to complete or release the row: with retryWait about 10 minutes.
+        int triesAfter = 120;
+        Duration retryWait{5s};
+        // When to come back in an outage of the table.
+        Duration storeRetryAfter{3s};
+    };
+
+    Attempt(AttemptCall call, Options options);
+
+    // One event in, the one next action out. An event that does not fit the state throws std::logic_error.
+    AttemptAction on(const AttemptEvent &event, Instant now);
+
+    // Whether the call may have reached an endpoint through this attempt.
+    bool maySent() const;
+
+private:
+    enum class State {
+        New,
+        Inserting,
+        ReadingBack,
+        Sending,
+        AskingOwnResult,
+        AskingOtherResult,
+        AskingInOutage,
+        Replying,
+        Settling, // writing the answer or the release
+        SettlingReadBack,
+        SettlingWait,
+        Stopped,
+    };
+
+    AttemptAction insert(RowVersion ifVersion, Instant now);
+    AttemptAction onInserting(const AttemptEvent &event, Instant now);
+    AttemptAction onReadingBack(const AttemptEvent &event, Instant now);
+    AttemptAction onRow(const std::optional<TableRow> &row, Instant now);
+    AttemptAction onOtherRecord(const LedgerRecord &record, RowVersion version, Instant now);
+    AttemptAction onOwnInsert(RowVersion version, Instant now);
+    AttemptAction onSending(const AttemptEvent &event, Instant now);
+    AttemptAction onAsked(const AttemptEvent &event, Instant now);
+    AttemptAction onOutageAsked(const AttemptEvent &event);
+    AttemptAction onSettling(const AttemptEvent &event);
+    AttemptAction onSettlingReadBack(const AttemptEvent &event);
+    AttemptAction storeDown(bool insertMayLand);
+    AttemptAction refuseForStore();
+    AttemptAction reply(std::variant<EndpointAnswer, Refusal> with);
+    AttemptAction replyRan(const EndpointAnswer &answer);
+    AttemptAction settle();
+    AttemptAction settleLater();
+    AttemptAction stop();
+
+    AttemptCall call;
+    Options options;
+    State state = State::New;
+    std::string key;
+    LedgerRecord record;
+    Instant sendBy;
+    // The version of the row as last known; absent when none is.
+    RowVersion rowVersion;
+    int tries = 0;
+    bool sent = false;
+    // What is to be written to the row after the reply; none when nothing is.
+    std::optional<LedgerRecord> settlement;
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/promise/membership.h
@@ -0,0 +1,159 @@
+#pragma once
+
+// Which hosts are live, and small facts that spread with it (SWIM: random probes, suspicion, piggy-backed deltas).
+//
+//     Membership membership(self, options, seed, now);
+//     membership.onHostList(platformHosts, now);                       // the platform's lagging list, when it comes
+//     for (const ProbeMessage &m : membership.tick(now)) { send(m); }   // every few tens of milliseconds
+//     for (const ProbeMessage &m : membership.onMessage(in, now)) { send(m); }
+//     membership.publish("cell/motor-7b/athens", version, bytes);      // newest version spreads to all
+//     membership.facts(); membership.members(); membership.reach();
+//
+// Messages go to `to`; the address stands in the member.
+
+#include "fescuesill/ids.h"
+#include "fescuesill/units.h"
+#include "promise/configstore.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fescuesill
+{
+
+enum class MemberState {
+    Alive,
+    Leaving, // alive, takes no new work
+    Suspect,
+    Dead,
+};
+
+struct MemberInfo {
+    HostId host;
+    DataCentreId dataCentre;
+    std::string address;
+    MemberState state = MemberState::Alive;
+    // Raised only by the host itself, to refute a suspicion or to say that it leaves.
+    std::uint64_t incarnation = 0;
+};
+
+// A small value under a name that spreads to every host; the highest version wins.
+struct Fact {
+    std::string name;
+    std::uint64_t version = 0;
+    std::string bytes;
+};
+
+enum class ProbeKind {
+    Probe,
+    Ack,
+    IndirectProbe, // please probe `target` for me
+    IndirectAck, // `target` answered
+};
+
+struct ProbeMessage {
+    ProbeKind kind = ProbeKind::Probe;
+    HostId from;
+    HostId to;
+    HostId target; // with the indirect kinds
+    std::uint64_t sequence = 0;
+    std::vector<MemberInfo> members;
+    std::vector<Fact> facts;
+};
+
+class Membership
+{
+public:
+    struct Options {
+        // One probe a period: in a fleet of 340 each host is then probed once a second on average.
+        Duration period{1s};
+        // Within a period; the rest of it goes to indirect probes. Data centres are a few milliseconds apart.
+        Duration ackWait{300ms};
+        int indirectProbes = 2;
+        // A suspected host has this long to refute: several times the spread of a rumour over 340 hosts.
+        Duration suspicion{4s};
+        // A dead host is forgotten after this long, so that a late rumour does not bring it back.
+        Duration forget{60s};
+        // Deltas and facts in one message. A host sends and gets about four messages a second: under 2 KB/s in all.
+        Bytes mostPiggyback{300};
+        // Every rumour is sent retransmit * log2(hosts) times by each host that hears it.
+        int retransmit = 3;
+        // The two-year fleet and a margin; more are ignored.
+        std::size_t mostMembers = 1024;
+        // One per cell and a few for the configuration.
+        std::size_t mostFacts = 512;
+        Bytes mostFactBytes{128};
+    };
+
+    Membership(MemberInfo self, Options options, std::uint64_t seed, Instant now);
+
+    // Seeds members that are not known, and marks hosts that the platform says are leaving.
+    void onHostList(const std::vector<MemberInfo> &hosts, Instant now);
+    std::vector<ProbeMessage> tick(Instant now);
+    std::vector<ProbeMessage> onMessage(const ProbeMessage &message, Instant now);
+    void publish(const std::string &name, std::uint64_t version, std::string bytes);
+    // Says to all that this host leaves.
+    void leave(Instant now);
+
+    const MemberInfo &self() const;
+    std::vector<MemberInfo> members() const;
+    // Hosts of the data centre that can own cells: alive or only suspected, not leaving; this one included.
+    std::vector<HostId> owners(const DataCentreId &dataCentre) const;
+    PeerReach reach() const;
+    std::vector<Fact> facts() const;
+    // Bytes that a message takes on the wire, the frame left out.
+    static std::size_t sizeOf(const ProbeMessage &message);
+
+private:
+    struct Peer {
+        MemberInfo info;
+        Instant since; // when the state was entered
+        int sent = 0; // times that this delta was passed on
+    };
+    struct HeldFact {
+        Fact fact;
+        int sent = 0;
+    };
+    struct Pending {
+        HostId target;
+        Instant sentAt;
+        std::uint64_t sequence = 0;
+        bool indirect = false;
+    };
+    struct Relay {
+        HostId asker;
+        std::uint64_t askerSequence = 0;
+        Instant since;
+    };
+
+    ProbeMessage message(ProbeKind kind, const HostId &to, std::uint64_t sequence);
+    void fill(ProbeMessage &message);
+    int timesToSend() const;
+    void apply(const MemberInfo &info, Instant now);
+    void applySelf(const MemberInfo &info);
+    void applyFact(const Fact &fact);
+    void onAck(const ProbeMessage &message, Instant now);
+    void setState(Peer &peer, MemberState state, Instant now);
+    void expire(Instant now);
+    void checkPending(Instant now, std::vector<ProbeMessage> &out);
+    void startProbe(Instant now, std::vector<ProbeMessage> &out);
+    std::optional<HostId> nextTarget();
+
+    MemberInfo me;
+    int meSent = 0;
+    Options options;
+    std::mt19937_64 random;
+    std::map<HostId, Peer> peers;
+    std::map<std::string, HeldFact> held;
+    std::vector<HostId> order; // this round's targets, shuffled
+    std::optional<Pending> pending;
+    std::map<std::uint64_t, Relay> relays; // bounded by the probes in flight of others: see expire()
+    Instant nextProbe;
+    std::uint64_t sequence = 0;
+};
+
+} // namespace fescuesill
