Read settings and declarations, every fault at once

Both are INI read by inih. inih reports only the first malformed line, has no line numbers, cuts off long lines and names silently and makes no call for an empty section, so initext feeds it line by line and notes these itself. A line that begins with a blank continues the value above (inih's rule); an indented "key = value", which inih would swallow as a continuation, is refused.

SectionReader reads keys by type and puts the allowed values together where it checks them. Settings are a set of such sections; a declaration is read section by section and then checked as a whole: references, addresses and routes used twice, dependencies that are missing, leaving or form a cycle, a GET that may not be repeated, a class without a target.

Left out: a parser of our own (inih is the known library), an index for look-ups (600 engines, replaced whole on a change).

--- a/declare/declaration.h
+++ b/declare/declaration.h
@@ -5,14 +5,15 @@
 //     const auto declaration = Declaration::parse(text, "services.ini");
 //     if (!declaration) {
 //         for (const Fault &fault : declaration.error().faults) {
-//             print(fault.line());       // services.ini:14: [service bookings] method: 'PUSH'; allowed: GET, POST,
-//             PUT, DELETE
+//             print(fault.line());
 //         }
 //     }
 //     const Service *service = declaration->findService(ServiceId("bookings"));
 //
-// Section names are "[kind NAME]". Every fault of the text is reported, not only the first.
+// Section names are "[kind NAME]". Every fault of the text is reported, not only the first. canonicalText() of
+// declare/declarationtext.h writes one back.
 
+#include "declare/fault.h"
 #include "fescuesill/ids.h"
 #include "fescuesill/units.h"
 
@@ -25,23 +26,6 @@
 namespace fescuesill
 {
 
-// One fault of a text of settings or of a declaration.
-struct Fault {
-    std::string file;
-    int lineNumber = 0;
-    std::string section;
-    std::string key;
-    std::string given;
-    std::string allowed;
-
-    // FILE:LINE: [SECTION] KEY: 'GIVEN'; allowed: ALLOWED
-    std::string line() const;
-};
-
-struct DeclareError {
-    std::vector<Fault> faults;
-};
-
 enum class EngineRole {
     Prefill,
     Decode,
--- a/declare/settings.h
+++ b/declare/settings.h
@@ -10,30 +10,26 @@
 // A getter never fails: it notes the fault and returns the default. finish() adds a fault for each key that no getter
 // asked for, so an unknown or misspelt key is never silently ignored.
 
-#include "declare/declaration.h"
+#include "declare/sectionreader.h"
+
+#include <tl/expected.hpp>
 
 #include <map>
-#include <optional>
 
 namespace fescuesill
 {
 
-template<typename T>
-struct Range {
-    T least;
-    T most;
-};
-
 class SettingsReader
 {
 public:
+    // Refused only where the file can't be read; every other fault comes from finish().
     static tl::expected<SettingsReader, DeclareError> fromFile(const std::string &path);
     static tl::expected<SettingsReader, DeclareError> fromText(std::string_view text, const std::string &file);
 
     // A key that must be there.
     std::string text(const std::string &section, const std::string &key);
     std::string text(const std::string &section, const std::string &key, const std::string &fallback);
-    // IP:PORT that must be there.
+    // IP:PORT that must be there; port 0 lets the kernel choose.
     std::string address(const std::string &section, const std::string &key);
     // A comma-separated list of IP:PORT; may be missing.
     std::vector<std::string> addresses(const std::string &section, const std::string &key);
@@ -49,20 +45,12 @@
     std::vector<Fault> finish();
 
 private:
-    struct Entry {
-        std::string value;
-        int lineNumber = 0;
-        bool asked = false;
-    };
-
     SettingsReader() = default;
-    Entry *find(const std::string &section, const std::string &key);
-    void fault(const std::string &section, const std::string &key, const std::string &given, int lineNumber,
-               const std::string &allowed);
+    SectionReader &section(const std::string &name);
 
     std::string file;
-    std::map<std::pair<std::string, std::string>, Entry> entries;
-    std::vector<Fault> faults;
+    std::map<std::string, SectionReader> sections;
+    std::vector<Fault> malformed;
 };
 
 } // namespace fescuesill
