--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -105,10 +105,10 @@
 
     int status() const;
     // The rest of the body whole, for replies that are not 200.
-    std::string readAll(Duration deadline, asio::yield_context yield);
+    std::string readAll(Duration deadline, const asio::yield_context &yield);
     // Waits for at least one whole line and gives all that have arrived, each with its line feed. False at the end of
     // the body; a last line without a line feed is dropped. Throws Timeout when no byte comes within the limit.
-    bool read(std::string &lines, Duration limit, asio::yield_context yield);
+    bool read(std::string &lines, Duration limit, const asio::yield_context &yield);
     // Closes the connection; a read that waits in another coroutine or handler ends with Closed.
     void close();
 
@@ -138,14 +138,16 @@
 
     // Throws HttpError. Any status is a reply.
     HttpResponse call(const std::string &address, const HttpRequest &request, const CallOptions &options,
-                      asio::yield_context yield);
+                      const asio::yield_context &yield);
     LineStream open(const std::string &address, const HttpRequest &request, const CallOptions &options,
-                    asio::yield_context yield);
+                    const asio::yield_context &yield);
 
     std::size_t openConnections() const;
 
 private:
+    friend class HttpConnection;
     struct Pool;
+
     std::shared_ptr<Pool> pool;
 };
 
--- a/wire/platformclient.h
+++ b/wire/platformclient.h
@@ -11,6 +11,7 @@
 //         if (error.mayHaveTakenEffect()) { ... read the row back before doing anything else ... }
 //     }
 
+#include "fescuesill/ids.h"
 #include "wire/httpclient.h"
 
 #include <optional>
@@ -96,18 +97,18 @@
     PlatformClient(asio::io_context &io, const Options &options);
 
     // All throw PlatformError.
-    std::optional<Row> get(const std::string &key, asio::yield_context yield);
+    std::optional<Row> get(const std::string &key, const asio::yield_context &yield);
     // All writes or none; the new versions, in the order of the writes.
-    std::vector<RowVersion> commit(const std::vector<RowWrite> &writes, asio::yield_context yield);
+    std::vector<RowVersion> commit(const std::vector<RowWrite> &writes, const asio::yield_context &yield);
     std::vector<Row> rows(const std::string &prefix, const std::string &after, std::size_t limit,
-                          asio::yield_context yield);
-    void putObject(const std::string &name, const std::string &content, asio::yield_context yield);
-    std::optional<std::string> getObject(const std::string &name, asio::yield_context yield);
-    std::vector<std::string> listObjects(const std::string &prefix, asio::yield_context yield);
-    std::vector<PlatformHost> hosts(asio::yield_context yield);
+                          const asio::yield_context &yield);
+    void putObject(const std::string &name, const std::string &content, const asio::yield_context &yield);
+    std::optional<std::string> getObject(const std::string &name, const asio::yield_context &yield);
+    std::vector<std::string> listObjects(const std::string &prefix, const asio::yield_context &yield);
+    std::vector<PlatformHost> hosts(const asio::yield_context &yield);
 
 private:
-    HttpResponse call(const HttpRequest &request, asio::yield_context yield);
+    HttpResponse call(const HttpRequest &request, const asio::yield_context &yield);
 
     std::string address;
     Duration deadline;
