--- /dev/null
+++ b/testing/process/standin.py
@@ -0,0 +1,104 @@
+"""Starts a stand-in or a product binary, talks to it, and ends it by its process id.
+
+    with Process(binary("fakeplatform"), "--listen", "127.0.0.1:0") as platform:
+        status, body = call("GET", platform.address, "/table/rows?prefix=call/")
+"""
+
+import http.client
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+START_SECONDS = 20
+WAIT_SECONDS = 30
+
+
+def binary(name):
+    build = os.environ.get("FESCUESILL_BUILD", "build")
+    return str((ROOT / build / name).resolve())
+
+
+def call(method, address, target, body=None, headers=None, timeout=10):
+    """Returns the status and the body, parsed where it is JSON. Raises OSError or http.client.HTTPException."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        data = body if body is None or isinstance(body, (str, bytes)) else json.dumps(body)
+        connection.request(method, target, data, headers or {})
+        reply = connection.getresponse()
+        text = reply.read()
+        try:
+            return reply.status, json.loads(text)
+        except ValueError:
+            return reply.status, text.decode(errors="replace")
+    finally:
+        connection.close()
+
+
+def wait_until(condition, what, seconds=WAIT_SECONDS):
+    """Waits until condition() is true; a generous limit stands for "never"."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            result = condition()
+            if result:
+                return result
+        except (OSError, http.client.HTTPException, KeyError, TypeError):
+            pass  # not there yet
+        time.sleep(0.02)
+    raise AssertionError(f"never came: {what}")
+
+
+class Process:
+    """One running binary. Its standard error goes to a file that is shown when a test fails."""
+
+    def __init__(self, *command):
+        self.command = [str(part) for part in command]
+        self.errors = tempfile.NamedTemporaryFile(prefix="fescuesill-", suffix=".log", delete=False)
+        self.process = subprocess.Popen(self.command, stdout=subprocess.PIPE, stderr=self.errors)
+        self.pid = self.process.pid
+        self.address = None
+
+    def read_address(self):
+        """Of a stand-in: waits for the line that names its address."""
+        line = self.process.stdout.readline().decode()
+        found = re.search(r"listening on (\S+)", line)
+        if not found:
+            raise AssertionError(f"{self.command[0]} did not start: {line}{self.log()}")
+        self.address = found.group(1)
+        return self
+
+    def log(self):
+        return pathlib.Path(self.errors.name).read_text(errors="replace")
+
+    def is_running(self):
+        return self.process.poll() is None
+
+    def send(self, number):
+        os.kill(self.pid, number)
+
+    def kill(self):
+        if self.is_running():
+            self.process.kill()
+        self.process.wait()
+
+    def end(self):
+        """Ends it, also when it is frozen, and waits until it is gone."""
+        if self.is_running():
+            self.send(signal.SIGCONT)
+        self.kill()
+        self.process.stdout.close()
+        self.errors.close()
+        os.unlink(self.errors.name)
+
+    def __enter__(self):
+        return self.read_address()
+
+    def __exit__(self, *unused):
+        self.end()
