--- /dev/null
+++ b/wire/adminserver.cpp
@@ -0,0 +1,194 @@
+#include "wire/adminserver.h"
+
+#include "wire/address.h"
+#include "wire/log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <prometheus/text_serializer.h>
+
+#include <atomic>
+#include <sstream>
+#include <thread>
+
+// One thread, one coroutine for each connection. Readiness is an atomic flag set by the process; the status and drain
+// functions belong to the process and must be safe to call from this thread.
+
+namespace fescuesill
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+// Scrapes and operators are few. The bound keeps a broken scraper that never closes from taking all descriptors.
+constexpr int maxConnections = 64;
+// No admin request has a body of note; a larger one is a caller on the wrong port.
+constexpr std::size_t maxBody = 4096;
+// A connection that says nothing is closed, so that dead scrapers free their place.
+constexpr auto idleLimit = std::chrono::seconds(30);
+constexpr auto acceptPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+struct AdminServer::Impl {
+    explicit Impl(Options given, std::shared_ptr<prometheus::Registry> metrics)
+        : options(std::move(given))
+        , registry(std::move(metrics))
+        , acceptor(context)
+    {
+    }
+
+    void listen()
+    {
+        const auto address = Address::parse(this->options.address);
+        if (!address) {
+            throw WireError(address.error());
+        }
+        const tcp::endpoint endpoint(asio::ip::make_address(address->ip), address->port);
+        this->acceptor.open(endpoint.protocol());
+        this->acceptor.set_option(asio::socket_base::reuse_address(true));
+        this->acceptor.bind(endpoint);
+        this->acceptor.listen();
+    }
+
+    void start()
+    {
+        asio::spawn(this->context, [this](const asio::yield_context &yield) { this->accept(yield); });
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    void stop()
+    {
+        this->context.stop();
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
+    }
+
+    void accept(const asio::yield_context &yield)
+    {
+        for (;;) {
+            boost::system::error_code failed;
+            auto socket = std::make_shared<tcp::socket>(this->context);
+            this->acceptor.async_accept(*socket, yield[failed]);
+            if (failed) {
+                Log::warning("admin_accept_failed", {{"error", failed.message()}});
+                asio::steady_timer pause(this->context, acceptPause);
+                pause.async_wait(yield[failed]);
+            } else if (this->connections < maxConnections) {
+                asio::spawn(this->context, [this, socket](const asio::yield_context &inner) {
+                    this->serve(std::move(*socket), inner);
+                });
+            }
+        }
+    }
+
+    void serve(tcp::socket socket, const asio::yield_context &yield)
+    {
+        ++this->connections;
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        boost::system::error_code failed;
+        for (;;) {
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(maxBody);
+            stream.expires_after(idleLimit);
+            http::async_read(stream, buffer, parser, yield[failed]);
+            if (failed) {
+                break;
+            }
+            HttpResponse response = this->answer(parser.get());
+            response.keep_alive(parser.get().keep_alive());
+            response.prepare_payload();
+            http::async_write(stream, response, yield[failed]);
+            if (failed || !response.keep_alive()) {
+                break;
+            }
+        }
+        stream.socket().shutdown(tcp::socket::shutdown_both, failed);
+        --this->connections;
+    }
+
+    HttpResponse answer(const HttpRequest &request)
+    {
+        HttpResponse response(http::status::ok, request.version());
+        response.set(http::field::content_type, "text/plain; charset=utf-8");
+        const auto target = request.target();
+        if (target == "/healthz") {
+            response.body() = "alive\n";
+        } else if (target == "/readyz") {
+            const bool isReady = this->ready;
+            response.result(isReady ? http::status::ok : http::status::service_unavailable);
+            response.body() = isReady ? "ready\n" : "not ready\n";
+        } else if (target == "/metrics") {
+            response.body() = this->metrics();
+        } else if (target == "/status") {
+            response.set(http::field::content_type, "application/json");
+            response.body() = this->options.status();
+        } else if (target == "/drain" && request.method() == http::verb::post) {
+            this->options.drain();
+            response.body() = "draining\n";
+        } else {
+            response.result(http::status::not_found);
+            response.body() = "GET /healthz /readyz /metrics /status, POST /drain\n";
+        }
+        return response;
+    }
+
+    std::string metrics() const
+    {
+        std::ostringstream out;
+        const prometheus::TextSerializer serializer;
+        serializer.Serialize(out, this->registry->Collect());
+        return out.str();
+    }
+
+    Options options;
+    std::shared_ptr<prometheus::Registry> registry;
+    asio::io_context context{1};
+    tcp::acceptor acceptor;
+    std::atomic<bool> ready{false};
+    int connections = 0;
+    std::thread thread;
+};
+
+AdminServer::AdminServer(std::unique_ptr<Impl> made)
+    : impl(std::move(made))
+{
+}
+
+AdminServer::~AdminServer()
+{
+    this->impl->stop();
+}
+
+tl::expected<std::unique_ptr<AdminServer>, WireError>
+AdminServer::create(Options options, std::shared_ptr<prometheus::Registry> registry)
+{
+    const std::string address = options.address;
+    auto made = std::make_unique<Impl>(std::move(options), std::move(registry));
+    try {
+        made->listen();
+    } catch (const std::exception &failed) {
+        return tl::unexpected(WireError("admin port " + address + ": " + failed.what()));
+    }
+    made->start();
+    return std::unique_ptr<AdminServer>(new AdminServer(std::move(made)));
+}
+
+void AdminServer::setReady(bool ready)
+{
+    this->impl->ready = ready;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/wire/adminserver.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// The admin port of a process: health, readiness, metrics, status, planned stop. It has a thread of its own, so it
+// still answers when every other duty is busy.
+//
+//     AdminServer::Options options;
+//     options.address = "127.0.0.1:8082";
+//     options.status = [&] { return statusJson(); };
+//     options.drain = [&] { beginDraining(); };
+//     auto admin = AdminServer::create(std::move(options), registry).value();
+//     admin->setReady(true);
+
+#include "wire/wireerror.h"
+
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace fescuesill
+{
+
+class AdminServer
+{
+public:
+    struct Options {
+        std::string address; // IP:PORT
+        std::function<std::string()> status; // JSON; called on the admin thread
+        std::function<void()> drain; // called on the admin thread
+    };
+
+    static tl::expected<std::unique_ptr<AdminServer>, WireError> create(Options options,
+                                                                        std::shared_ptr<prometheus::Registry> registry);
+    ~AdminServer();
+    AdminServer(const AdminServer &) = delete;
+    AdminServer &operator=(const AdminServer &) = delete;
+
+    // What /readyz answers: 200 or 503. Safe on any thread.
+    void setReady(bool ready);
+
+private:
+    struct Impl;
+    explicit AdminServer(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/wire/messages.h
@@ -0,0 +1,180 @@
+#pragma once
+
+// The messages between our processes, each a struct, and their CBOR form.
+//
+//     const std::string bytes = peer::encodeMessage(peer::Submit{...});
+//     const auto message = peer::decodeMessage(bytes);             // WireError for anything that is not a message
+//     std::visit(Overloaded{[](const peer::Placed &placed) { ... }, [](const auto &) { ... }}, *message);
+//
+// Times travel as remaining durations, never as clock readings: two hosts' clocks need not agree.
+
+#include "decide/cellmessages.h"
+#include "fescuesill/errors.h"
+#include "fescuesill/ids.h"
+#include "fescuesill/units.h"
+#include "wire/wireerror.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace fescuesill::peer
+{
+
+// The first message of each side of a link.
+struct Hello {
+    HostId host;
+    DataCentreId dataCentre;
+    bool isEntry = false;
+};
+
+// Entry to the owner of a cell: find engines for this request.
+struct Submit {
+    RequestId request;
+    CellId cell;
+    ServiceId service;
+    WorkspaceId workspace;
+    Tokens prompt;
+    Tokens maxOutput;
+    std::vector<std::uint64_t> prefix; // hashes of the prompt's leading blocks
+    Duration waited{0}; // since the caller's request arrived
+};
+
+// Read the prompt at one engine, decode at the other. Not ready: wait for StartDecode, at most until expiry.
+struct Placed {
+    RequestId request;
+    EngineId prefillEngine;
+    std::string prefillAddress;
+    EngineId decodeEngine;
+    std::string decodeAddress;
+    bool decodeReady = true;
+    Duration expiry{0};
+};
+
+struct StartDecode {
+    RequestId request;
+    EngineId decodeEngine;
+    std::string decodeAddress;
+};
+
+// The request is given up. Final.
+struct Refused {
+    RequestId request;
+    Refusal refusal;
+};
+
+struct PrefillDone {
+    RequestId request;
+    Tokens read;
+    Tokens reused;
+    Duration keep{0};
+};
+
+struct PrefillFailed {
+    RequestId request;
+    PrefillFault fault = PrefillFault::Unreachable;
+};
+
+// Output so far; the first one says that the first token is out.
+struct OutputProgress {
+    RequestId request;
+    Tokens output;
+};
+
+// The owner answers with StartDecode while the prefill result is held, else with Placed or Refused.
+struct DecodeFailed {
+    RequestId request;
+    DecodeFault fault = DecodeFault::Unreachable;
+    bool kvHeld = false;
+};
+
+enum class RequestOutcome {
+    Completed,
+    Cancelled, // the caller has gone and the engine has confirmed the cancellation
+    Failed,
+};
+
+struct Finished {
+    RequestId request;
+    RequestOutcome outcome = RequestOutcome::Completed;
+    Tokens output;
+};
+
+// One request that an entry runs, said again to a new owner or after a reconnect.
+struct Held {
+    RequestId request;
+    CellId cell;
+    ServiceId service;
+    WorkspaceId workspace;
+    StreamId stream;
+    EngineId decodeEngine;
+    Tokens prompt;
+    Tokens output;
+    Tokens maxOutput;
+};
+
+struct Holding {
+    std::vector<Held> requests;
+};
+
+// The configuration in force at the sender: an encoded ConfigRecord, empty where there is none yet.
+struct ConfigInForce {
+    std::string record;
+    bool serving = false; // the sender may take new work with it
+};
+
+// Asks for ConfigInForce.
+struct FetchConfig {
+};
+
+struct LiveHost {
+    HostId host;
+    DataCentreId dataCentre;
+    std::string schedulerAddress;
+    bool leaving = false;
+};
+
+// The live hosts, as the sender sees them.
+struct LiveHosts {
+    std::vector<LiveHost> hosts;
+};
+
+// What an entry needs to choose a cell and to place in it without its owner.
+struct CellNews {
+    CellId cell;
+    HostId owner;
+    std::string ownerAddress;
+    Duration queueDelay{0};
+    Duration prefillPerToken{0};
+    double memoryUse = 0;
+    Pieces freePieces;
+    bool accepting = true;
+};
+
+struct AllCells {
+    std::vector<CellNews> cells;
+};
+
+using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
+                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells>;
+
+std::string encodeMessage(const Message &message);
+tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
+
+} // namespace fescuesill::peer
+
+namespace fescuesill
+{
+
+// A visitor made of lambdas.
+template<typename... Lambdas>
+struct Overloaded : Lambdas... {
+    using Lambdas::operator()...;
+};
+template<typename... Lambdas>
+Overloaded(Lambdas...) -> Overloaded<Lambdas...>;
+
+} // namespace fescuesill
--- /dev/null
+++ b/wire/peernode.cpp
@@ -0,0 +1,363 @@
+#include "wire/peernode.h"
+
+#include "wire/address.h"
+#include "wire/log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <thread>
+
+// One event loop carries the listening endpoint and the connecting endpoint. Everything below runs on its thread; the
+// public calls post to it. An outgoing link keeps its LinkId over reconnects, so its user never handles connections.
+//
+// Heartbeat: every link is pinged each `heartbeat`, and whatever arrives counts as a sign of life. A link without one
+// for `silence` is terminated without the closing handshake (its peer would not answer it) and reported closed. An
+// outgoing link is then opened on a new connection, which is what mends a connection that some box between the two ends
+// has forgotten.
+
+namespace fescuesill
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Handle = websocketpp::connection_hdl;
+using Clock = std::chrono::steady_clock;
+using websocketpp::lib::error_code;
+
+struct Link {
+    std::string address; // outgoing only
+    bool isOutgoing = false;
+    bool isOpen = false;
+    Handle handle;
+    Clock::time_point lastHeard;
+};
+
+} // namespace
+
+struct PeerNode::Impl {
+    Impl(Options given, Handlers callbacks)
+        : options(std::move(given))
+        , handlers(std::move(callbacks))
+        , timer(context)
+    {
+        this->prepare(this->server);
+        this->prepare(this->client);
+        this->server.set_reuse_addr(true);
+        this->server.set_validate_handler(
+            [this](const Handle &) { return this->links.size() < this->options.maxLinks; });
+    }
+
+    template<typename Endpoint>
+    void prepare(Endpoint &endpoint)
+    {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint.init_asio(&this->context);
+        endpoint.set_max_message_size(this->options.maxMessageBytes);
+        endpoint.set_open_handler([this](const Handle &handle) { this->onOpen(handle); });
+        endpoint.set_close_handler([this](const Handle &handle) { this->onClose(handle); });
+        endpoint.set_fail_handler([this](const Handle &handle) { this->onClose(handle); });
+        endpoint.set_message_handler([this](const Handle &handle, const typename Endpoint::message_ptr &message) {
+            this->onMessage(handle, message->get_payload());
+        });
+        endpoint.set_ping_handler([this](const Handle &handle, const std::string &) {
+            this->heard(handle);
+            return true;
+        });
+        endpoint.set_pong_handler([this](const Handle &handle, const std::string &) { this->heard(handle); });
+    }
+
+    void listen()
+    {
+        if (this->options.listen.empty()) {
+            return;
+        }
+        const auto address = Address::parse(this->options.listen);
+        if (!address) {
+            throw WireError(address.error());
+        }
+        this->server.listen(asio::ip::tcp::endpoint(asio::ip::make_address(address->ip), address->port));
+        this->server.start_accept();
+    }
+
+    void run()
+    {
+        this->beat();
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    void stop()
+    {
+        this->context.stop();
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
+    }
+
+    LinkId newLink()
+    {
+        return static_cast<LinkId>(this->nextLink.fetch_add(1));
+    }
+
+    Link *find(LinkId id)
+    {
+        const auto found = this->links.find(id);
+        return found == this->links.end() ? nullptr : &found->second;
+    }
+
+    void open(LinkId id)
+    {
+        Link *link = this->find(id);
+        if (link == nullptr) {
+            return;
+        }
+        error_code failed;
+        const auto connection = this->client.get_connection("ws://" + link->address, failed);
+        if (failed) {
+            Log::warning("peer_address_bad", {{"address", link->address}, {"error", failed.message()}});
+            return;
+        }
+        link->handle = connection->get_handle();
+        link->lastHeard = Clock::now();
+        this->byHandle[link->handle] = id;
+        this->client.connect(connection);
+    }
+
+    void openLater(LinkId id)
+    {
+        auto pause = std::make_shared<asio::steady_timer>(this->context, this->options.reconnectPause);
+        pause->async_wait([this, id, pause](const boost::system::error_code &failed) {
+            if (!failed) {
+                this->open(id);
+            }
+        });
+    }
+
+    void onOpen(const Handle &handle)
+    {
+        auto found = this->byHandle.find(handle);
+        if (found == this->byHandle.end()) {
+            const LinkId id = this->newLink();
+            found = this->byHandle.emplace(handle, id).first;
+            this->links[id].handle = handle;
+        }
+        Link &link = this->links[found->second];
+        link.isOpen = true;
+        link.lastHeard = Clock::now();
+        this->handlers.opened(found->second);
+    }
+
+    void onClose(const Handle &handle)
+    {
+        const auto found = this->byHandle.find(handle);
+        if (found == this->byHandle.end()) {
+            return;
+        }
+        const LinkId id = found->second;
+        this->byHandle.erase(found);
+        Link *link = this->find(id);
+        if (link == nullptr) {
+            return;
+        }
+        const bool wasOpen = link->isOpen;
+        link->isOpen = false;
+        if (link->isOutgoing) {
+            this->openLater(id);
+        } else {
+            this->links.erase(id);
+        }
+        if (wasOpen) {
+            this->handlers.closed(id);
+        }
+    }
+
+    void heard(const Handle &handle)
+    {
+        const auto found = this->byHandle.find(handle);
+        if (found != this->byHandle.end()) {
+            this->links[found->second].lastHeard = Clock::now();
+        }
+    }
+
+    void onMessage(const Handle &handle, const std::string &payload)
+    {
+        this->heard(handle);
+        const auto found = this->byHandle.find(handle);
+        if (found == this->byHandle.end()) {
+            return;
+        }
+        auto message = peer::decodeMessage(payload);
+        if (!message) {
+            Log::warning("peer_message_bad", {{"error", message.error().what()}});
+            this->terminate(found->second);
+            return;
+        }
+        this->handlers.received(found->second, std::move(*message));
+    }
+
+    template<typename Action>
+    void withConnection(const Link &link, Action action)
+    {
+        error_code failed;
+        if (link.isOutgoing) {
+            const auto connection = this->client.get_con_from_hdl(link.handle, failed);
+            if (!failed && connection) {
+                action(*connection);
+            }
+        } else {
+            const auto connection = this->server.get_con_from_hdl(link.handle, failed);
+            if (!failed && connection) {
+                action(*connection);
+            }
+        }
+    }
+
+    // Drops the connection at once and reports the link closed. Not the closing handshake: a silent peer never ends it.
+    void terminate(LinkId id)
+    {
+        const Link *link = this->find(id);
+        if (link == nullptr) {
+            return;
+        }
+        const Handle handle = link->handle;
+        this->withConnection(*link, [](auto &connection) {
+            connection.terminate(websocketpp::error::make_error_code(websocketpp::error::general));
+        });
+        this->onClose(handle);
+    }
+
+    void send(LinkId id, const std::string &bytes)
+    {
+        const Link *link = this->find(id);
+        if (link == nullptr || !link->isOpen) {
+            return;
+        }
+        bool isSlow = false;
+        this->withConnection(*link, [this, &bytes, &isSlow](auto &connection) {
+            isSlow = connection.get_buffered_amount() > this->options.maxQueuedBytes;
+            if (!isSlow) {
+                connection.send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+            }
+        });
+        if (isSlow) {
+            Log::warning("peer_too_slow", {{"link", static_cast<std::uint64_t>(id)}});
+            this->terminate(id);
+        }
+    }
+
+    void beat()
+    {
+        const auto now = Clock::now();
+        std::vector<LinkId> silent;
+        for (const auto &[id, link] : this->links) {
+            if (link.isOpen && now - link.lastHeard > this->options.silence) {
+                silent.push_back(id);
+            } else if (link.isOpen) {
+                this->withConnection(link, [](auto &connection) {
+                    error_code ignored;
+                    connection.ping("", ignored);
+                });
+            }
+        }
+        for (const LinkId id : silent) {
+            Log::warning("peer_silent", {{"link", static_cast<std::uint64_t>(id)}});
+            this->terminate(id);
+        }
+        this->timer.expires_after(this->options.heartbeat);
+        this->timer.async_wait([this](const boost::system::error_code &failed) {
+            if (!failed) {
+                this->beat();
+            }
+        });
+    }
+
+    Options options;
+    Handlers handlers;
+    asio::io_context context{1};
+    Server server;
+    Client client;
+    asio::steady_timer timer;
+    std::atomic<std::uint64_t> nextLink{1};
+    std::map<LinkId, Link> links;
+    std::map<Handle, LinkId, std::owner_less<Handle>> byHandle;
+    std::thread thread;
+};
+
+PeerNode::PeerNode(std::unique_ptr<Impl> made)
+    : impl(std::move(made))
+{
+}
+
+PeerNode::~PeerNode()
+{
+    this->impl->stop();
+}
+
+tl::expected<std::unique_ptr<PeerNode>, WireError> PeerNode::create(Options options, Handlers handlers)
+{
+    const std::string address = options.listen;
+    auto made = std::make_unique<Impl>(std::move(options), std::move(handlers));
+    try {
+        made->listen();
+    } catch (const std::exception &failed) {
+        return tl::unexpected(WireError("peer port " + address + ": " + failed.what()));
+    }
+    return std::unique_ptr<PeerNode>(new PeerNode(std::move(made)));
+}
+
+void PeerNode::start()
+{
+    this->impl->run();
+}
+
+LinkId PeerNode::connect(const std::string &address)
+{
+    const LinkId id = this->impl->newLink();
+    asio::post(this->impl->context, [impl = this->impl.get(), id, address] {
+        Link &link = impl->links[id];
+        link.address = address;
+        link.isOutgoing = true;
+        impl->open(id);
+    });
+    return id;
+}
+
+void PeerNode::disconnect(LinkId link)
+{
+    asio::post(this->impl->context, [impl = this->impl.get(), link] {
+        Link *found = impl->find(link);
+        if (found == nullptr) {
+            return;
+        }
+        impl->byHandle.erase(found->handle);
+        impl->withConnection(*found, [](auto &connection) {
+            error_code ignored;
+            connection.close(websocketpp::close::status::normal, "", ignored);
+        });
+        impl->links.erase(link);
+    });
+}
+
+void PeerNode::send(LinkId link, const peer::Message &message)
+{
+    asio::post(this->impl->context,
+               [impl = this->impl.get(), link, bytes = peer::encodeMessage(message)] { impl->send(link, bytes); });
+}
+
+asio::io_context &PeerNode::context()
+{
+    return this->impl->context;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/wire/testing/messages_test.cpp
@@ -0,0 +1,74 @@
+#include "wire/messages.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace fescuesill::peer
+{
+namespace
+{
+
+const CellId someCell{ModelId("m"), DataCentreId("d")};
+
+std::vector<Message> oneOfEach()
+{
+    return {
+        Hello{HostId("h"), DataCentreId("d"), true},
+        Submit{RequestId("r"), someCell, ServiceId("s"), WorkspaceId("w"), Tokens(9000), Tokens(200), {1, ~0ULL}, 5ms},
+        Placed{RequestId("r"), EngineId("p"), "127.0.0.1:1", EngineId("e"), "127.0.0.1:2", false, 1s},
+        StartDecode{RequestId("r"), EngineId("e"), "127.0.0.1:2"},
+        Refused{RequestId("r"), {RefusalCode::Overloaded, RunState::NotRun, "full", 800ms}},
+        Refused{RequestId("r"), {RefusalCode::Internal, RunState::MayHaveRun, "", std::nullopt}},
+        PrefillDone{RequestId("r"), Tokens(9000), Tokens(4096), 800ms},
+        PrefillFailed{RequestId("r"), PrefillFault::QueueFull},
+        OutputProgress{RequestId("r"), Tokens(7)},
+        DecodeFailed{RequestId("r"), DecodeFault::KvGone, true},
+        Finished{RequestId("r"), RequestOutcome::Cancelled, Tokens(3)},
+        Holding{{Held{RequestId("r"), someCell, ServiceId("s"), WorkspaceId("w"), StreamId("t"), EngineId("e"),
+                      Tokens(1), Tokens(2), Tokens(3)}}},
+        ConfigInForce{"record", true},
+        FetchConfig{},
+        LiveHosts{{LiveHost{HostId("h"), DataCentreId("d"), "127.0.0.1:3", true}}},
+        AllCells{{CellNews{someCell, HostId("h"), "127.0.0.1:3", 12ms, 75us, 0.25, Pieces(5), false}}},
+    };
+}
+
+TEST(Messages, EveryKindSurvivesTheWire)
+{
+    for (const Message &message : oneOfEach()) {
+        const std::string bytes = encodeMessage(message);
+        const auto back = decodeMessage(bytes);
+        ASSERT_TRUE(back) << message.index() << ": " << back.error().what();
+        EXPECT_EQ(back->index(), message.index());
+        EXPECT_EQ(encodeMessage(*back), bytes) << message.index();
+    }
+}
+
+TEST(Messages, AMessageCutShortIsRefused)
+{
+    for (const Message &message : oneOfEach()) {
+        const std::string bytes = encodeMessage(message);
+        for (std::size_t length = 0; length < bytes.size(); ++length) {
+            EXPECT_FALSE(decodeMessage(std::string_view(bytes).substr(0, length))) << message.index() << " " << length;
+        }
+    }
+}
+
+RC_GTEST_PROP(Messages, NonsenseIsRefusedWithoutACrash, (const std::string &bytes))
+{
+    const auto message = decodeMessage(bytes);
+    if (message) {
+        RC_ASSERT(message->index() < std::variant_size_v<Message>);
+    }
+}
+
+RC_GTEST_PROP(Messages, AFlippedByteNeverCrashes, (std::uint8_t kind, std::uint8_t position, std::uint8_t value))
+{
+    const auto all = oneOfEach();
+    std::string bytes = encodeMessage(all[kind % all.size()]);
+    bytes[position % bytes.size()] = static_cast<char>(value);
+    decodeMessage(bytes);
+}
+
+} // namespace
+} // namespace fescuesill::peer
--- /dev/null
+++ b/wire/testing/peernode_test.cpp
@@ -0,0 +1,152 @@
+#include "wire/peernode.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <future>
+#include <optional>
+
+namespace fescuesill
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+// A free port: bound by the kernel and given back at once.
+std::string freeAddress()
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+// What one node saw, to be waited for.
+struct Seen {
+    std::promise<LinkId> opened;
+    std::promise<peer::Message> received;
+    std::promise<LinkId> closed;
+};
+
+template<typename T>
+void setOnce(std::promise<T> &promise, T value)
+{
+    try {
+        promise.set_value(std::move(value));
+    } catch (const std::future_error &) {
+        return;
+    }
+}
+
+PeerNode::Handlers handlersOf(Seen &seen)
+{
+    PeerNode::Handlers handlers;
+    handlers.opened = [&seen](LinkId link) {
+        setOnce(seen.opened, link);
+    };
+    handlers.received = [&seen](LinkId, peer::Message message) {
+        setOnce(seen.received, std::move(message));
+    };
+    handlers.closed = [&seen](LinkId link) {
+        setOnce(seen.closed, link);
+    };
+    return handlers;
+}
+
+PeerNode::Options quickOptions(const std::string &listen)
+{
+    PeerNode::Options options;
+    options.listen = listen;
+    options.heartbeat = 20ms;
+    options.silence = 200ms;
+    options.reconnectPause = 10ms;
+    return options;
+}
+
+TEST(PeerNode, CarriesAMessageAndItsAnswer)
+{
+    const std::string address = freeAddress();
+    Seen serverSeen;
+    Seen clientSeen;
+    auto server = PeerNode::create(quickOptions(address), handlersOf(serverSeen)).value();
+    auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
+    server->start();
+    client->start();
+    const LinkId link = client->connect(address);
+    EXPECT_EQ(clientSeen.opened.get_future().get(), link);
+    client->send(link, peer::Hello{HostId("a"), DataCentreId("d"), true});
+    EXPECT_EQ(std::get<peer::Hello>(serverSeen.received.get_future().get()).host, HostId("a"));
+    server->send(serverSeen.opened.get_future().get(), peer::FetchConfig{});
+    EXPECT_TRUE(std::holds_alternative<peer::FetchConfig>(clientSeen.received.get_future().get()));
+}
+
+// A peer restarts: its side of the link is gone. The caller of connect() does nothing; the link opens again by itself,
+// because an outgoing link keeps its id over reconnects.
+TEST(PeerNode, AnOutgoingLinkComesBackAfterThePeerRestarts)
+{
+    const std::string address = freeAddress();
+    Seen firstSeen;
+    Seen secondSeen;
+    Seen clientSeen;
+    auto server = PeerNode::create(quickOptions(address), handlersOf(firstSeen)).value();
+    auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
+    server->start();
+    client->start();
+    const LinkId link = client->connect(address);
+    clientSeen.opened.get_future().get();
+    server.reset();
+    EXPECT_EQ(clientSeen.closed.get_future().get(), link);
+    server = PeerNode::create(quickOptions(address), handlersOf(secondSeen)).value();
+    server->start();
+    secondSeen.opened.get_future().get();
+}
+
+// A peer takes the connection, completes nothing and stays silent, as when a box in between has forgotten the
+// connection. A link to such a peer must not count as open, and other links must go on working.
+TEST(PeerNode, ASilentPeerDoesNotHoldUpOthers)
+{
+    asio::io_context context;
+    tcp::acceptor silent(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const std::string address = freeAddress();
+    Seen serverSeen;
+    Seen clientSeen;
+    auto server = PeerNode::create(quickOptions(address), handlersOf(serverSeen)).value();
+    auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
+    server->start();
+    client->start();
+    client->connect("127.0.0.1:" + std::to_string(silent.local_endpoint().port()));
+    const LinkId link = client->connect(address);
+    EXPECT_EQ(clientSeen.opened.get_future().get(), link);
+}
+
+// Something that is not one of our processes connects to the internal port and talks nonsense, then a real peer comes:
+// the node drops the one and serves the other.
+TEST(PeerNode, NonsenseOnThePortIsDropped)
+{
+    const std::string address = freeAddress();
+    Seen serverSeen;
+    Seen clientSeen;
+    auto server = PeerNode::create(quickOptions(address), handlersOf(serverSeen)).value();
+    server->start();
+    asio::io_context context;
+    tcp::socket socket(context);
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+    asio::write(socket, asio::buffer(std::string("\x00\xff nonsense \r\n\r\n", 16)));
+    std::array<char, 512> answer{};
+    boost::system::error_code failed;
+    while (!failed) {
+        socket.read_some(asio::buffer(answer), failed);
+    }
+    auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
+    client->start();
+    client->connect(address);
+    clientSeen.opened.get_future().get();
+}
+
+} // namespace
+} // namespace fescuesill
