Decide placing, queueing and refusing of a cell as a pure core

The parts stand alone (queue by rank, workspace and request; decode memory with a forecast of releases; prefill queues with measured speeds; prefix index; outliers; admission with Retry-After; role shift; cell choice; retry budget; degraded placing) and CellState joins them behind CellScheduler.

--- /dev/null
+++ b/decide/cellplacing.cpp
@@ -0,0 +1,321 @@
+// The decisions, in the order in which poll makes them:
+//
+//   1. engines that are stalled or slow stop getting work;
+//   2. results that have expired on their prefill engine go back to the queue;
+//   3. results that are ready get the decode memory that is free: most urgent first, then by expiry;
+//   4. requests that can no longer meet their target are refused;
+//   5. the head of the queue is placed, as long as a prefill engine has room and its decode memory is foreseen;
+//   6. what waits beyond what can be served in time is refused, the last of the order first;
+//   7. a role change is proposed when one pool has been short for long.
+//
+// Reserve before reading. Load: decode memory near full. Harm prevented: a prompt is read, finds no place, its result
+// expires after less than a second, and the read was wasted: at the peak that would be every tenth prompt and more. A
+// request waits before its read, where waiting costs nothing, until its pieces are free or foreseen to come free by the
+// end of the read plus a share of the time that the result is kept.
+//
+// Late binding. With memory short the decode engine is named only when the read has ended. Bound at once a place stands
+// empty through read and transfer, a twelfth of its time; foreseen, the next place to come free on any engine is taken,
+// and one slow engine holds up nothing but itself.
+
+#include "decide/cellstate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescuesill
+{
+
+constexpr Duration refreshInterval = 20ms; // of figures that change slowly: a tenth of the outliers' interval
+// Results looked at in one poll for a place. They are in the order of urgency; beyond these none would find one.
+constexpr int mostReadyTried = 64;
+constexpr double worthWaiting = 0.6;
+constexpr int noUrgency = 1 << 20;
+
+std::vector<Action> CellState::poll(Instant now)
+{
+    if (now >= this->lastRefresh + refreshInterval) {
+        this->lastRefresh = now;
+        this->checkStalls(now);
+    }
+    this->prefills.measureBusy(now);
+    this->expireReady(now);
+    this->startReady(now);
+    this->refuseExpired(now);
+    while (this->placeHead(now)) { }
+    this->refuseExcess(now);
+    if (this->options.shiftRoles) {
+        this->shiftRoles(now);
+    }
+    this->lastPoll = now;
+    return std::exchange(this->actions, {});
+}
+
+// A stalled engine tells nothing, so its silence is what shows. Its requests go elsewhere; when it wakes and reports
+// them done, they are no longer its own and the report is ignored.
+void CellState::checkStalls(Instant now)
+{
+    this->decodeOutliers.evaluate(now);
+    for (const EngineSlot slot : this->decodeSlots) {
+        this->refreshDecode(slot, now);
+    }
+    this->prefillOutliers.evaluate(now);
+    for (const EngineSlot slot : this->prefillSlots) {
+        this->refreshPrefill(slot, now);
+        if (!this->prefills.overdue(slot, now)) {
+            continue;
+        }
+        this->prefillOutliers.onStall(slot, now);
+        this->refreshPrefill(slot, now);
+        for (const std::uint64_t key : this->prefills.jobs(slot)) {
+            this->requeue(*this->byKey[key], this->counters.wastedRedone, RefusalCode::EndpointFailed, now);
+        }
+    }
+}
+
+void CellState::expireReady(Instant now)
+{
+    std::vector<std::uint64_t> expired;
+    for (const ReadyOrder &order : this->ready) {
+        if (this->byKey[order.key]->keepUntil <= now) {
+            expired.push_back(order.key);
+        }
+    }
+    for (const std::uint64_t key : expired) {
+        this->requeue(*this->byKey[key], this->counters.wastedExpired, RefusalCode::Overloaded, now);
+    }
+}
+
+EngineSlot CellState::mostFree(EngineSlot except) const
+{
+    EngineSlot best = noEngine;
+    for (const EngineSlot slot : this->decodeSlots) {
+        const bool more = best == noEngine || this->memory.free(slot) > this->memory.free(best);
+        if (slot != except && more && this->takesWork(slot)) {
+            best = slot;
+        }
+    }
+    return best;
+}
+
+// The engine with the most free memory has the smallest batch, so it writes fastest and is the last to run full. An
+// engine that comes back after it was slow is tried with what is not urgent.
+EngineSlot CellState::chooseDecode(Pieces pieces, bool urgent, Instant now) const
+{
+    EngineSlot best = noEngine;
+    for (const EngineSlot slot : this->decodeSlots) {
+        const auto allowance = this->decodeOutliers.allowance(slot, now);
+        if (allowance) {
+            const bool probe = !urgent && this->takesWork(slot) && this->engines[slot].running < *allowance;
+            if (probe) {
+                return slot;
+            }
+            continue;
+        }
+        const Pieces free = this->memory.free(slot);
+        if (free >= pieces && (best == noEngine || free > this->memory.free(best))) {
+            best = slot;
+        }
+    }
+    return best;
+}
+
+void CellState::startReady(Instant now)
+{
+    std::vector<std::uint64_t> keys;
+    for (const ReadyOrder &order : this->ready) {
+        keys.push_back(order.key);
+        if (keys.size() >= mostReadyTried) {
+            break;
+        }
+    }
+    // The first that needs more pieces than any engine has free gets the engine with the most: were the next ones let
+    // by, they would take each single piece as it comes free, and the large one would expire.
+    EngineSlot kept = noEngine;
+    for (const std::uint64_t key : keys) {
+        Record &record = *this->byKey[key];
+        ++this->counters.steps;
+        const EngineSlot slot = this->chooseDecode(record.pieces, record.request.requestClass.rank == 0, now);
+        if (slot == noEngine && kept == noEngine) {
+            kept = this->mostFree(noEngine);
+        }
+        if (slot == noEngine || slot == kept) {
+            continue;
+        }
+        this->leaveReady(record);
+        this->holdDecode(record, slot, now);
+        this->startDecoding(record, now);
+        this->actions.emplace_back(StartDecode{record.request.request, this->table.name(slot)});
+    }
+}
+
+void CellState::refuseExpired(Instant now)
+{
+    for (const QueueItem &item : this->queue.takeExpired(now)) {
+        this->refuse(item.request, RefusalCode::Overloaded, "the target can no longer be met", now);
+    }
+}
+
+// Refuse early. Load: more work than the cell can do. Harm prevented: requests that wait out their patience and are
+// refused at its end, when their callers could long have gone elsewhere, and a queue so long that all in it are late.
+void CellState::refuseExcess(Instant now)
+{
+    for (const auto &[rank, window] : this->windows) {
+        Admission &admission = this->admissionOf(rank);
+        while (admission.expectedWait(this->queue.backlogAt(rank)) > window) {
+            const auto last = this->queue.takeLast(rank);
+            if (!last) {
+                break;
+            }
+            this->refuse(last->request, RefusalCode::Overloaded, "the queue is longer than this class waits", now);
+        }
+    }
+}
+
+// Prefix affinity with a limit: the score is the time until the prompt is read and its link is free, plus what the read
+// costs the others while work waits. An engine that holds the prefix wins as long as its queue costs less than reading
+// the prefix again; past that the prefix is read on another engine too and has one more holder. So a hot preamble
+// spreads by itself to as many engines as its load needs.
+CellState::PrefillChoice CellState::choosePrefill(const Record &record, Instant now)
+{
+    this->counters.steps += this->prefixes.match(record.request.prefix, this->matches);
+    for (const PrefixIndex::Match &match : this->matches) {
+        this->matchedBlocks[match.slot] = match.blocks;
+    }
+    const Tokens context = this->contextOf(record);
+    const double pressure = this->queue.size() > 1 ? this->prefills.busyShare() : 0;
+    PrefillChoice best;
+    Duration bestOfAll = Duration::max();
+    for (const EngineSlot slot : this->prefillSlots) {
+        ++this->counters.steps;
+        if (!this->prefills.usable(slot)) {
+            continue;
+        }
+        const Duration ahead = this->prefills.ahead(slot, record.rank, now);
+        const std::size_t matched = this->matchedBlocks[slot];
+        const Tokens known(static_cast<std::int64_t>(matched) * this->options.prefixBlock.value());
+        const Duration nominal = this->readTime(std::max(Tokens(0), context - known));
+        const auto read = std::chrono::duration_cast<Duration>(nominal * this->prefills.slowness(slot));
+        const Instant end = now + ahead + read;
+        const Duration linkWait = std::max(Duration(0), this->links.freeAt(this->engines[slot].link) - end);
+        const Duration score = ahead + read + linkWait + std::chrono::duration_cast<Duration>(nominal * pressure);
+        bestOfAll = std::min(bestOfAll, score);
+        if (ahead > this->options.prefillAhead) {
+            continue;
+        }
+        const bool better = best.slot == noEngine || score < best.score
+            || (score == best.score && this->engines[slot].lastPlaced < this->engines[best.slot].lastPlaced);
+        if (better) {
+            best = PrefillChoice{slot, matched, ahead, read, score};
+        }
+    }
+    for (const PrefixIndex::Match &match : this->matches) {
+        this->matchedBlocks[match.slot] = 0;
+    }
+    // A slow engine is free when the others are not. What would be done much sooner by waiting for them waits.
+    if (best.slot != noEngine && bestOfAll < std::chrono::duration_cast<Duration>(best.score * worthWaiting)) {
+        return PrefillChoice();
+    }
+    return best;
+}
+
+// Pieces free by then that nobody has been promised. The forecast is a count of random releases, so its spread is about
+// the root of its mean; the class says how many spreads are held back.
+double CellState::foreseenPieces(const Record &record, Duration until) const
+{
+    const double expected = this->memory.expectedReleases(until);
+    const double caution = this->options.caution * record.request.requestClass.wasteWeight;
+    const double safe = std::max(0.0, expected - caution * std::sqrt(expected));
+    return static_cast<double>((this->memory.totalFree() - this->promised).value()) + safe;
+}
+
+bool CellState::placeHead(Instant now)
+{
+    const QueueItem *head = this->queue.head();
+    if (head == nullptr || this->records.size() - this->queue.size() >= this->options.maxRunning) {
+        return false;
+    }
+    Record &record = this->records.find(head->request)->second;
+    const PrefillChoice choice = this->choosePrefill(record, now);
+    if (choice.slot == noEngine) {
+        return false;
+    }
+    const Pieces unpromised = this->memory.totalFree() - this->promised;
+    const double early = this->options.bindEarly * static_cast<double>(this->memory.total().value());
+    EngineSlot decode = noEngine;
+    if (static_cast<double>(unpromised.value()) >= early) {
+        decode = this->chooseDecode(record.pieces, record.request.requestClass.rank == 0, now);
+    }
+    if (decode == noEngine) {
+        const auto wait = std::chrono::duration_cast<Duration>(this->options.keep * this->options.keepShare);
+        const double foreseen = this->foreseenPieces(record, choice.ahead + choice.read + wait);
+        if (foreseen < static_cast<double>(record.pieces.value())) {
+            return false;
+        }
+    }
+    this->queue.pop();
+    this->place(record, choice, decode, now);
+    return true;
+}
+
+void CellState::place(Record &record, const PrefillChoice &choice, EngineSlot decode, Instant now)
+{
+    ++this->counters.placed;
+    ++this->counters.decisions;
+    this->admissionOf(record.rank).onPlaced(record.cost, this->queue.backlogAt(record.rank) > Duration(0), now);
+    record.stage = Stage::Reading;
+    record.prefill = choice.slot;
+    record.matched = choice.matched;
+    const Tokens known(static_cast<std::int64_t>(choice.matched) * this->options.prefixBlock.value());
+    const Tokens context = this->contextOf(record);
+    this->prefills.add(choice.slot, record.key, record.rank, this->readTime(std::max(Tokens(0), context - known)), now);
+    const double transfer = this->transferMicros * static_cast<double>(context.value());
+    record.transfer = Duration(static_cast<Duration::rep>(transfer));
+    EngineState &engine = this->engines[choice.slot];
+    engine.lastPlaced = now;
+    const Instant end = now + choice.ahead + choice.read;
+    record.linkAlone = this->links.freeAt(engine.link) <= end;
+    this->links.reserve(engine.link, end, record.transfer);
+    const bool bound = decode != noEngine;
+    if (bound) {
+        this->holdDecode(record, decode, now);
+    } else {
+        this->promised += record.pieces;
+        decode = this->mostFree(noEngine);
+    }
+    const EngineId decodeName = decode == noEngine ? EngineId() : this->table.name(decode);
+    this->actions.emplace_back(
+        Place{record.request.request, this->table.name(choice.slot), decodeName, bound, end + this->options.keep});
+}
+
+void CellState::shiftRoles(Instant now)
+{
+    RoleShift::View view;
+    view.prefillBusy = this->prefills.busyShare();
+    view.waiting = this->queue.size() > 0;
+    view.prefillEngines = static_cast<int>(this->prefillSlots.size());
+    view.decodeEngines = static_cast<int>(this->decodeSlots.size());
+    const auto total = static_cast<double>(this->memory.total().value());
+    view.decodeUse = total > 0 ? 1 - static_cast<double>(this->memory.totalFree().value()) / total : 0;
+    const auto pool = this->roles.observe(view, now);
+    if (!pool) {
+        return;
+    }
+    // The engine of the other pool with the least to finish.
+    EngineSlot chosen = noEngine;
+    if (*pool == Pool::Prefill) {
+        chosen = this->mostFree(noEngine);
+    } else {
+        for (const EngineSlot slot : this->prefillSlots) {
+            const bool less = chosen == noEngine
+                || this->prefills.ahead(slot, noUrgency, now) < this->prefills.ahead(chosen, noUrgency, now);
+            chosen = this->takesWork(slot) && less ? slot : chosen;
+        }
+    }
+    if (chosen != noEngine) {
+        this->engines[chosen].changing = true;
+        this->refreshPools(now);
+        this->actions.emplace_back(ChangeRole{this->table.name(chosen), *pool});
+    }
+}
+
+} // namespace fescuesill
--- a/decide/cellscheduler.h
+++ b/decide/cellscheduler.h
@@ -16,7 +16,15 @@
 // Every submitted request ends in exactly one of: onFinished or onCancelled told by the caller, or a Refuse action.
 // Events about a request that is not known are ignored: reports may be late, doubled or out of order.
 
+#include "decide/admission.h"
 #include "decide/cellmessages.h"
+#include "decide/classqueue.h"
+#include "decide/decodememory.h"
+#include "decide/outlierdetector.h"
+#include "decide/prefillqueues.h"
+#include "decide/prefixindex.h"
+#include "decide/retrybudget.h"
+#include "decide/roleshift.h"
 
 #include <memory>
 #include <tl/expected.hpp>
@@ -43,8 +51,10 @@
         std::size_t maxRunning = 20000;
         // Rates until measured.
         Duration prefillPerToken{75us};
+        Duration prefillBase{5ms};
         Duration decodeStep{50ms};
         Duration transferPerToken{40us};
+        Tokens outputLength{100};
         // Prefill work given to an engine ahead of what it reads now: enough to cover a report's way there and back.
         // More would take the choice of order away from the queue.
         Duration prefillAhead{60ms};
@@ -55,12 +65,28 @@
         // Share of `keep` that a placed request may be expected to wait for decode memory. The rest covers errors of
         // the forecast.
         double keepShare = 0.3;
+        // Standard deviations of the forecast of releases that are held back, for a class of waste weight 1. More
+        // wastes less prefill and leaves more places empty. Each class scales it by its waste weight.
+        double caution = 1.0;
+        // Share of the decode memory that must be free for a request to be bound to its decode engine at once. Below it
+        // the engine is named when the prefill ends: a place bound early stands empty through the read.
+        double bindEarly = 0.3;
         // Tries of one request over all its engines, the first included.
         int attempts = 3;
+        // An engine that writes for somebody and reports no progress for this long is stalled: twenty steps.
+        Duration decodeStall{1s};
+        // Between two polls while requests wait: a tenth of the shortest read.
+        Duration pollInterval{5ms};
         // Proposes role changes when true.
         bool shiftRoles = true;
-        // Seed of tie breaks.
-        std::uint64_t seed = 1;
+        ClassQueue::Options queue;
+        DecodeMemory::Options memory;
+        PrefillQueues::Options prefill;
+        OutlierDetector::Options outliers;
+        PrefixIndex::Options prefixes;
+        Admission::Options admission;
+        RoleShift::Options roles;
+        RetryBudget::Options retries;
     };
 
     static tl::expected<CellScheduler, DecideError> create(const Options &options);
--- /dev/null
+++ b/decide/cellstate.cpp
@@ -0,0 +1,386 @@
+// Engines and requests of a cell. Every request is a Record in one Stage; the helpers here move a record from one stage
+// to the next and keep the tables that belong to a stage in step with it:
+//
+//     Waiting   in the queue
+//     Reading   a job of a prefill engine; its pieces are promised, or held if it was bound at once
+//     Ready     in `ready`; its pieces are promised
+//     Decoding  its pieces are held on one engine
+//
+// Work done for a record that has to start again is counted as wasted prefill by its cause, once, where it leaves the
+// stage.
+
+#include "decide/cellstate.h"
+
+#include <algorithm>
+
+namespace fescuesill
+{
+
+constexpr double outputWeight = 0.05; // of one answer in the learnt output length of its class
+constexpr double outputMargin = 2.0; // mean distances above the mean that are reserved: some 95% of answers fit
+constexpr int resumedRank = -1; // work that was begun and has to be placed again: most of its cost is already paid
+constexpr int hopelessRankStep = 1000;
+constexpr Duration refreshInterval = 20ms; // of figures that change slowly: a tenth of the outliers' interval
+
+CellState::CellState(const CellScheduler::Options &options)
+    : options(options)
+    , queue(options.queue)
+    , memory(options.memory)
+    , prefills(options.prefill)
+    , prefillOutliers(options.outliers)
+    , decodeOutliers(options.outliers)
+    , prefixes(options.prefixes)
+    , roles(options.roles)
+    , retries(options.retries)
+    , transferMicros(static_cast<double>(options.transferPerToken.count()))
+    , stepMicros(static_cast<double>(options.decodeStep.count()))
+{
+}
+
+CellState::EngineState &CellState::engineAt(EngineSlot slot)
+{
+    if (slot >= this->engines.size()) {
+        this->engines.resize(slot + 1);
+        this->matchedBlocks.resize(slot + 1);
+    }
+    return this->engines[slot];
+}
+
+bool CellState::takesWork(EngineSlot slot) const
+{
+    const EngineState &engine = this->engines[slot];
+    return engine.listed && !engine.lost && !engine.spec.leaving && !engine.changing;
+}
+
+void CellState::setEngines(const std::vector<EngineSpec> &specs, Instant now)
+{
+    std::vector<bool> named(this->engines.size());
+    for (const EngineSpec &spec : specs) {
+        const EngineSlot slot = this->table.slotOf(spec.engine);
+        EngineState &engine = this->engineAt(slot);
+        named.resize(this->engines.size());
+        named[slot] = true;
+        const bool changedRole = engine.listed && engine.spec.pool != spec.pool;
+        engine.spec = spec;
+        engine.listed = true;
+        engine.changing = engine.changing && !changedRole;
+        engine.link = this->links.linkOf(spec.link.empty() ? "engine " + spec.engine.value() : spec.link);
+    }
+    for (EngineSlot slot = 0; slot < this->engines.size(); ++slot) {
+        if (this->engines[slot].listed && !named[slot]) {
+            this->engines[slot].listed = false;
+            this->loseEngine(slot, now);
+        }
+    }
+    this->refreshPools(now);
+}
+
+void CellState::refreshPools(Instant now)
+{
+    this->prefillSlots.clear();
+    this->decodeSlots.clear();
+    for (EngineSlot slot = 0; slot < this->engines.size(); ++slot) {
+        const EngineState &engine = this->engines[slot];
+        const bool prefill = engine.listed && engine.spec.pool == Pool::Prefill;
+        const bool decode = engine.listed && engine.spec.pool == Pool::Decode;
+        if (prefill) {
+            this->prefillSlots.push_back(slot);
+        }
+        if (decode) {
+            this->decodeSlots.push_back(slot);
+        }
+        this->prefillOutliers.setMember(slot, prefill);
+        this->decodeOutliers.setMember(slot, decode);
+        this->refreshPrefill(slot, now);
+        this->refreshDecode(slot, now);
+    }
+}
+
+void CellState::refreshPrefill(EngineSlot slot, Instant now)
+{
+    const EngineState &engine = this->engines[slot];
+    const auto allowance = this->prefillOutliers.allowance(slot, now);
+    const bool allowed = !allowance || static_cast<int>(this->prefills.jobCount(slot)) < *allowance;
+    this->prefills.setEngine(slot, engine.spec.pool == Pool::Prefill && this->takesWork(slot) && allowed);
+}
+
+void CellState::refreshDecode(EngineSlot slot, Instant now)
+{
+    const EngineState &engine = this->engines[slot];
+    const bool stalled = engine.decoding > 0 && now > engine.progressAt + this->options.decodeStall;
+    const bool usable = engine.spec.pool == Pool::Decode && this->takesWork(slot) && !stalled
+        && !this->decodeOutliers.allowance(slot, now);
+    this->memory.setEngine(slot, engine.spec.memory, usable);
+}
+
+void CellState::loseEngine(EngineSlot slot, Instant now)
+{
+    EngineState &engine = this->engines[slot];
+    engine.lost = true;
+    engine.lostAt = now;
+    this->prefixes.removeEngine(slot);
+    for (const std::uint64_t key : this->prefills.jobs(slot)) {
+        this->requeue(*this->byKey[key], this->counters.wastedRedone, RefusalCode::EndpointFailed, now);
+    }
+    // What decodes there is reported by its entry, which knows whether the prefill result still exists. What was only
+    // to decode there is free to go elsewhere.
+    for (auto &[request, record] : this->records) {
+        if (record.decode == slot && record.stage == Stage::Reading) {
+            this->releaseDecode(record, now);
+            this->promised += record.pieces;
+        }
+    }
+    this->refreshPools(now);
+}
+
+CellState::Record *CellState::find(const RequestId &request)
+{
+    const auto found = this->records.find(request);
+    return found == this->records.end() ? nullptr : &found->second;
+}
+
+Duration CellState::readTime(Tokens tokens) const
+{
+    return this->options.prefillBase + this->options.prefillPerToken * tokens.value();
+}
+
+Tokens CellState::contextOf(const Record &record) const
+{
+    return record.request.prompt + record.output;
+}
+
+CellState::OutputLength CellState::outputLength(const PlaceRequest &request) const
+{
+    const auto found = this->outputs.find(request.requestClass.name);
+    if (found != this->outputs.end()) {
+        return found->second;
+    }
+    const auto mean = static_cast<double>(this->options.outputLength.value());
+    return OutputLength{mean, mean / 2};
+}
+
+void CellState::learnOutput(const PlaceRequest &request, Tokens output)
+{
+    OutputLength length = this->outputLength(request);
+    const double error = static_cast<double>(output.value()) - length.mean;
+    length.mean += outputWeight * error;
+    length.spread += outputWeight * (std::abs(error) - length.spread);
+    this->outputs[request.requestClass.name] = length;
+}
+
+// Memory grows as the answer lengthens. Load: full engines. Harm prevented: an answer that finds no piece for its next
+// token stalls, and with it goes its per-token target. So what nearly all answers of the class need is held from the
+// start; it is rarely one piece more than the prompt takes.
+Pieces CellState::piecesOf(const Record &record) const
+{
+    const OutputLength length = this->outputLength(record.request);
+    const auto likely = static_cast<std::int64_t>(length.mean + outputMargin * length.spread);
+    const Tokens output(std::min(likely, record.request.maxOutput.value()));
+    const Pieces need = piecesFor(record.request.prompt + std::max(output, record.output + Tokens(1)));
+    const Pieces largest = this->memory.largest();
+    return largest > Pieces(0) ? std::min(need, largest) : need;
+}
+
+// The share of the cell's time that a request takes: of the prefill engines' and of the decode memory's.
+Duration CellState::costOf(const Record &record) const
+{
+    const auto prefillCount = static_cast<Duration::rep>(std::max<std::size_t>(1, this->prefillSlots.size()));
+    const Duration read = this->readTime(this->contextOf(record)) / prefillCount;
+    const double hold = this->outputLength(record.request).mean * this->stepMicros;
+    const double share = static_cast<double>(record.pieces.value())
+        / static_cast<double>(std::max<std::int64_t>(1, this->memory.total().value()));
+    return read + Duration(static_cast<Duration::rep>(hold * share));
+}
+
+// From the start of the read to the first token, with nothing in the way.
+Duration CellState::serviceTime(const PlaceRequest &request) const
+{
+    const double transfer = this->transferMicros * static_cast<double>(request.prompt.value());
+    return this->readTime(request.prompt) + Duration(static_cast<Duration::rep>(transfer + this->stepMicros));
+}
+
+void CellState::submit(const PlaceRequest &request, Instant now)
+{
+    if (this->records.count(request.request) != 0) {
+        return;
+    }
+    ++this->counters.submitted;
+    if (this->records.size() >= this->options.maxRunning + this->options.maxWaiting) {
+        this->refuse(request.request, RefusalCode::Overloaded, "the cell holds as many requests as it can", now);
+        return;
+    }
+    Record &record = this->records[request.request];
+    record.key = this->nextKey++;
+    record.request = request;
+    this->byKey[record.key] = &record;
+    this->enqueue(record, request.requestClass.rank, now);
+    while (this->queue.size() > this->options.maxWaiting) {
+        const auto last = this->queue.takeLast(*this->queue.lastRank());
+        this->refuse(last->request, RefusalCode::Overloaded, "the queue is full", now);
+    }
+}
+
+void CellState::enqueue(Record &record, int rank, Instant now)
+{
+    const RequestClass &requestClass = record.request.requestClass;
+    record.stage = Stage::Waiting;
+    record.pieces = this->piecesOf(record);
+    record.cost = this->costOf(record);
+    record.rank = rank;
+    const Duration service = this->serviceTime(record.request);
+    if (record.answered) {
+        record.latest = now + requestClass.patience;
+    } else if (service > requestClass.firstToken) {
+        // No cell could meet this target. Refused it would be refused for ever, and served by rank it would cost others
+        // theirs: it goes last, as long as its caller waits.
+        record.latest = record.request.arrival + requestClass.patience;
+        record.rank = rank == resumedRank ? rank : rank + hopelessRankStep;
+    } else {
+        record.latest = record.request.arrival + std::min(requestClass.patience, requestClass.firstToken - service);
+    }
+    this->windows[record.rank] = std::max(Duration(1), record.latest - now);
+    this->queue.push({record.request.request, record.request.workspace, record.rank, record.cost,
+                      record.request.arrival, record.latest});
+}
+
+void CellState::leavePrefill(Record &record, Instant now)
+{
+    this->prefills.remove(record.prefill, record.key, now);
+    if (record.decode == noEngine) {
+        this->promised -= record.pieces;
+    }
+    this->links.giveBack(this->engines[record.prefill].link, record.transfer, now);
+}
+
+void CellState::makeReady(Record &record)
+{
+    record.stage = Stage::Ready;
+    this->promised += record.pieces;
+    const RequestClass &requestClass = record.request.requestClass;
+    const Instant target = record.request.arrival + requestClass.firstToken - record.transfer;
+    const bool late = record.answered || target > record.keepUntil;
+    record.readyOrder = {requestClass.rank > 0 ? 1 : 0, late ? record.keepUntil : target, record.key};
+    this->ready.insert(record.readyOrder);
+}
+
+void CellState::startDecoding(Record &record, Instant now)
+{
+    record.stage = Stage::Decoding;
+    record.begun = true;
+    record.decodeSince = now;
+    EngineState &engine = this->engines[record.decode];
+    engine.progressAt = engine.decoding == 0 ? now : engine.progressAt;
+    ++engine.decoding;
+}
+
+void CellState::leaveReady(Record &record)
+{
+    this->ready.erase(record.readyOrder);
+    this->promised -= record.pieces;
+}
+
+void CellState::holdDecode(Record &record, EngineSlot slot, Instant now)
+{
+    record.decode = slot;
+    record.heldSince = now;
+    this->memory.hold(slot, record.pieces, now);
+    ++this->engines[slot].running;
+}
+
+void CellState::releaseDecode(Record &record, Instant now)
+{
+    this->memory.release(record.decode, record.pieces, now - record.heldSince, now);
+    EngineState &engine = this->engines[record.decode];
+    --engine.running;
+    engine.decoding -= record.stage == Stage::Decoding ? 1 : 0;
+    record.decode = noEngine;
+}
+
+// Begins again from the prompt. The budget bounds it: a cell whose engines all fail must not read every prompt again
+// and again.
+void CellState::requeue(Record &record, Tokens &wasted, RefusalCode code, Instant now)
+{
+    if (record.stage == Stage::Reading) {
+        this->leavePrefill(record, now);
+    } else if (record.stage == Stage::Ready) {
+        this->leaveReady(record);
+    }
+    if (record.decode != noEngine) {
+        this->releaseDecode(record, now);
+    }
+    wasted += record.read;
+    record.read = Tokens(0);
+    record.prefill = noEngine;
+    const bool inTime = record.answered || now <= record.latest;
+    if (++record.attempts >= this->options.attempts || !inTime || !this->retries.take()) {
+        this->refuse(record.request.request, code, "placed again too often or too late", now);
+        return;
+    }
+    ++this->counters.replaced;
+    this->enqueue(record, resumedRank, now);
+}
+
+void CellState::refuse(const RequestId &request, RefusalCode code, const char *text, Instant now)
+{
+    ++this->counters.refused;
+    Refusal refusal{code, RunState::NotRun, text, std::nullopt};
+    if (Record *record = this->find(request)) {
+        refusal.run = record->begun ? RunState::MayHaveRun : RunState::NotRun;
+        Admission &admission = this->admissionOf(record->rank);
+        refusal.retryAfter = admission.retryAfter(this->queue.backlogAt(record->rank), record->cost, now);
+        this->erase(*record);
+    } else {
+        refusal.retryAfter = this->options.admission.soonest;
+    }
+    this->actions.emplace_back(Refuse{request, refusal});
+}
+
+void CellState::erase(Record &record)
+{
+    this->byKey.erase(record.key);
+    this->records.erase(record.request.request);
+}
+
+Admission &CellState::admissionOf(int rank)
+{
+    return this->admissions.try_emplace(rank, this->options.admission).first->second;
+}
+
+std::optional<Instant> CellState::nextWake() const
+{
+    if (this->queue.size() > 0 || !this->ready.empty()) {
+        return this->lastPoll + this->options.pollInterval;
+    }
+    if (!this->records.empty()) {
+        return this->lastPoll + refreshInterval;
+    }
+    return std::nullopt;
+}
+
+CellSummary CellState::summary(Instant now) const
+{
+    CellSummary summary;
+    Duration backlog{0};
+    if (const auto last = this->queue.lastRank()) {
+        backlog = this->queue.backlog(*last);
+    }
+    Duration least = Duration::max();
+    for (const EngineSlot slot : this->prefillSlots) {
+        if (this->prefills.usable(slot)) {
+            ++summary.prefillEngines;
+            least = std::min(least, this->prefills.ahead(slot, hopelessRankStep, now));
+        }
+    }
+    summary.queueDelay = summary.prefillEngines > 0 ? backlog + least : Duration(0);
+    summary.prefillPerToken = this->options.prefillPerToken;
+    summary.freePieces = std::max(Pieces(0), this->memory.totalFree() - this->promised);
+    summary.decodeEngines = this->memory.usableEngines();
+    if (this->memory.total() > Pieces(0)) {
+        summary.memoryUse =
+            1 - static_cast<double>(summary.freePieces.value()) / static_cast<double>(this->memory.total().value());
+    }
+    summary.accepting = summary.prefillEngines > 0 && summary.decodeEngines > 0;
+    return summary;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/decide/cellstate.h
@@ -0,0 +1,191 @@
+#pragma once
+
+// The state behind CellScheduler. cellstate.cpp keeps engines and requests, cellevents.cpp takes the events, and
+// cellplacing.cpp makes the decisions.
+
+#include "decide/cellscheduler.h"
+#include "decide/linkschedule.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace fescuesill
+{
+
+class CellState
+{
+public:
+    explicit CellState(const CellScheduler::Options &options);
+
+    void setEngines(const std::vector<EngineSpec> &specs, Instant now);
+    void onLoadReport(const EngineId &engine, const LoadReport &report, Instant now);
+    void onCacheEvents(const EngineId &engine, const std::vector<CacheEvent> &events, bool gap);
+    void onEngineLost(const EngineId &engine, Instant now);
+
+    void submit(const PlaceRequest &request, Instant now);
+    void onPrefillDone(const RequestId &request, const PrefillResult &result, Instant now);
+    void onPrefillFailed(const RequestId &request, PrefillFault fault, Instant now);
+    void onFirstToken(const RequestId &request, Instant now);
+    void onProgress(const RequestId &request, Tokens output, Instant now);
+    void onDecodeFailed(const RequestId &request, DecodeFault fault, bool kvHeld, Instant now);
+    void onFinished(const RequestId &request, Instant now);
+    void onCancelled(const RequestId &request, Instant now);
+    void adopt(const HeldRequest &held, Instant now);
+
+    std::vector<Action> poll(Instant now);
+    std::optional<Instant> nextWake() const;
+    CellSummary summary(Instant now) const;
+
+    CellCounters counters;
+
+private:
+    enum class Stage {
+        Waiting, // before prefill, in the queue
+        Reading, // placed on a prefill engine
+        Ready, // read; waits for decode memory
+        Decoding,
+    };
+
+    struct ReadyOrder {
+        int rank = 0; // 0 for urgent, 1 for all others
+        Instant by; // when it expires or misses its target
+        std::uint64_t key = 0;
+
+        friend bool operator<(const ReadyOrder &a, const ReadyOrder &b)
+        {
+            return std::tie(a.rank, a.by, a.key) < std::tie(b.rank, b.by, b.key);
+        }
+    };
+
+    struct Record {
+        std::uint64_t key = 0;
+        PlaceRequest request;
+        Stage stage = Stage::Waiting;
+        Pieces pieces;
+        Instant latest;
+        Duration cost{0};
+        int rank = 0;
+        int attempts = 0;
+        EngineSlot prefill = noEngine;
+        EngineSlot decode = noEngine; // with pieces held there
+        std::size_t matched = 0; // blocks expected in the prefill engine's cache
+        Tokens read; // tokens of the last read
+        Duration transfer{0}; // counted on the link
+        Instant keepUntil;
+        ReadyOrder readyOrder;
+        Instant heldSince;
+        Instant decodeSince;
+        Instant progressAt;
+        Tokens output;
+        bool begun = false; // a decode was started
+        bool answered = false; // has had a first token
+        bool linkAlone = false; // its transfer had the link for itself
+    };
+
+    struct EngineState {
+        EngineSpec spec;
+        std::size_t link = 0;
+        bool listed = false; // in the declaration
+        bool lost = false; // no word from it since lostAt
+        Instant lostAt;
+        bool changing = false; // a role change was proposed
+        std::string instance;
+        int running = 0; // with pieces held here
+        int decoding = 0;
+        Instant progressAt;
+        Instant lastPlaced;
+    };
+
+    struct OutputLength {
+        double mean = 0;
+        double spread = 0; // mean distance from the mean
+    };
+
+    struct PrefillChoice {
+        EngineSlot slot = noEngine;
+        std::size_t matched = 0;
+        Duration ahead{0};
+        Duration read{0};
+        Duration score{0};
+    };
+
+    // Engines.
+    EngineState &engineAt(EngineSlot slot);
+    bool takesWork(EngineSlot slot) const;
+    void refreshPools(Instant now);
+    void refreshDecode(EngineSlot slot, Instant now);
+    void refreshPrefill(EngineSlot slot, Instant now);
+    void loseEngine(EngineSlot slot, Instant now);
+
+    // Requests.
+    Record *find(const RequestId &request);
+    Duration serviceTime(const PlaceRequest &request) const;
+    Duration readTime(Tokens tokens) const;
+    Pieces piecesOf(const Record &record) const;
+    Duration costOf(const Record &record) const;
+    Tokens contextOf(const Record &record) const;
+    OutputLength outputLength(const PlaceRequest &request) const;
+    void learnOutput(const PlaceRequest &request, Tokens output);
+    void enqueue(Record &record, int rank, Instant now);
+    void requeue(Record &record, Tokens &wasted, RefusalCode code, Instant now);
+    void refuse(const RequestId &request, RefusalCode code, const char *text, Instant now);
+    void erase(Record &record);
+    void leavePrefill(Record &record, Instant now);
+    void makeReady(Record &record);
+    void startDecoding(Record &record, Instant now);
+    void leaveReady(Record &record);
+    void holdDecode(Record &record, EngineSlot slot, Instant now);
+    void releaseDecode(Record &record, Instant now);
+    void sampleStep(Record &record, Tokens output, Instant now);
+
+    // Decisions.
+    void checkStalls(Instant now);
+    void expireReady(Instant now);
+    void startReady(Instant now);
+    void refuseExpired(Instant now);
+    void refuseExcess(Instant now);
+    bool placeHead(Instant now);
+    PrefillChoice choosePrefill(const Record &record, Instant now);
+    EngineSlot chooseDecode(Pieces pieces, bool urgent, Instant now) const;
+    EngineSlot mostFree(EngineSlot except) const;
+    double foreseenPieces(const Record &record, Duration until) const;
+    void place(Record &record, const PrefillChoice &choice, EngineSlot decode, Instant now);
+    void shiftRoles(Instant now);
+    Admission &admissionOf(int rank);
+
+    CellScheduler::Options options;
+    EngineTable table;
+    std::vector<EngineState> engines;
+    std::vector<EngineSlot> prefillSlots; // listed and in this pool
+    std::vector<EngineSlot> decodeSlots;
+
+    ClassQueue queue;
+    DecodeMemory memory;
+    PrefillQueues prefills;
+    OutlierDetector prefillOutliers; // stalls and refused connections; slowness is in the forecast
+    OutlierDetector decodeOutliers;
+    PrefixIndex prefixes;
+    LinkSchedule links;
+    RoleShift roles;
+    RetryBudget retries;
+    std::map<int, Admission> admissions; // by rank
+    std::map<int, Duration> windows; // by rank: how long the last one submitted could wait
+
+    std::unordered_map<RequestId, Record> records;
+    std::unordered_map<std::uint64_t, Record *> byKey;
+    std::set<ReadyOrder> ready;
+    Pieces promised; // to requests that read or are ready and hold nothing yet
+    std::uint64_t nextKey = 1;
+    std::map<std::string, OutputLength> outputs; // by class name, from the declaration
+
+    double transferMicros; // for each token, measured
+    double stepMicros; // of decode engines, measured
+    std::vector<Action> actions;
+    std::vector<PrefixIndex::Match> matches;
+    std::vector<std::size_t> matchedBlocks; // by slot, all 0 between uses
+    Instant lastPoll;
+    Instant lastRefresh;
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/decide/classqueue.cpp
@@ -0,0 +1,204 @@
+// Three levels: rank, workspace, request.
+//
+// Ranks: the most urgent rank with work goes first. Load: urgent and live work together above capacity. Harm prevented:
+// patient work starves. Each placed request credits every less urgent waiting rank with a share of its cost; a rank
+// whose credit covers the cost of its head goes next. So in any interval a waiting rank gets at least that share of the
+// work, less one request, and a more urgent one loses no more than that. (Deadlines alone do not do it: patient work
+// would only be served when already late.)
+//
+// Workspaces: start-time fair queueing. Load: one workspace sends far more than the others. Harm prevented: its
+// requests fill the queue and those of the others miss their targets. Each workspace has a virtual time, the work
+// placed for it; the smallest goes next. One that was away starts no earlier than the rank's virtual time: it saves
+// nothing up.
+//
+// Requests of one workspace: by arrival plus a multiple of the cost (see Options::shortFirst).
+//
+// Dropping takes the last request of the workspace with the most work waiting, so a flood displaces itself.
+
+#include "decide/classqueue.h"
+
+#include <algorithm>
+
+namespace fescuesill
+{
+
+// Workspaces remembered while they have nothing waiting. Beyond it one is only treated as new, which costs fairness for
+// a moment; the names come from callers, so there must be a bound.
+constexpr std::size_t maxAhead = 10000;
+
+void ClassQueue::setBacklog(Rank &rank, const WorkspaceId &workspace, Flow &flow, Duration backlog)
+{
+    rank.byBacklog.erase({flow.backlog, workspace});
+    rank.backlog += backlog - flow.backlog;
+    flow.backlog = backlog;
+    rank.byBacklog.insert({flow.backlog, workspace});
+}
+
+void ClassQueue::push(const QueueItem &item)
+{
+    const auto stretch = std::chrono::duration_cast<Duration>(item.cost * this->options.shortFirst);
+    const Position position{item.arrival + stretch, this->nextSequence++};
+    if (!this->items.emplace(item.request, Entry{item, position}).second) {
+        return;
+    }
+    Rank &rank = this->ranks[item.rank];
+    const auto [found, added] = rank.flows.try_emplace(item.workspace);
+    Flow &flow = found->second;
+    if (added) {
+        const auto ahead = rank.ahead.find(item.workspace);
+        flow.served = ahead == rank.ahead.end() ? rank.virtualTime : std::max(rank.virtualTime, ahead->second);
+        rank.byServed.insert({flow.served, item.workspace});
+    }
+    flow.waiting.emplace(position, item.request);
+    this->setBacklog(rank, item.workspace, flow, flow.backlog + item.cost);
+    this->byLatest.insert({item.latest, item.request});
+}
+
+void ClassQueue::take(Items::iterator entry)
+{
+    const QueueItem item = entry->second.item;
+    Rank &rank = this->ranks[item.rank];
+    const auto found = rank.flows.find(item.workspace);
+    Flow &flow = found->second;
+    flow.waiting.erase(entry->second.position);
+    this->setBacklog(rank, item.workspace, flow, flow.backlog - item.cost);
+    if (flow.waiting.empty()) {
+        rank.byServed.erase({flow.served, item.workspace});
+        rank.byBacklog.erase({flow.backlog, item.workspace});
+        if (flow.served > rank.virtualTime && rank.ahead.size() < maxAhead) {
+            rank.ahead[item.workspace] = flow.served;
+        }
+        rank.flows.erase(found);
+    }
+    if (rank.flows.empty()) {
+        rank.credit = Duration(0);
+        rank.ahead.clear();
+    }
+    this->byLatest.erase({item.latest, item.request});
+    this->items.erase(entry);
+}
+
+bool ClassQueue::remove(const RequestId &request)
+{
+    const auto found = this->items.find(request);
+    if (found == this->items.end()) {
+        return false;
+    }
+    this->take(found);
+    return true;
+}
+
+const QueueItem *ClassQueue::headOf(const Rank &rank) const
+{
+    const Flow &flow = rank.flows.find(rank.byServed.begin()->second)->second;
+    return &this->items.find(flow.waiting.begin()->second)->second.item;
+}
+
+int ClassQueue::rankToServe() const
+{
+    std::optional<int> chosen;
+    for (const auto &[number, rank] : this->ranks) {
+        if (rank.flows.empty()) {
+            continue;
+        }
+        if (!chosen) {
+            chosen = number;
+        } else if (rank.credit >= this->headOf(rank)->cost) {
+            return number;
+        }
+    }
+    return chosen.value_or(0);
+}
+
+const QueueItem *ClassQueue::head() const
+{
+    if (this->items.empty()) {
+        return nullptr;
+    }
+    return this->headOf(this->ranks.find(this->rankToServe())->second);
+}
+
+void ClassQueue::pop()
+{
+    if (this->items.empty()) {
+        return;
+    }
+    const int served = this->rankToServe();
+    Rank &rank = this->ranks[served];
+    const QueueItem item = *this->headOf(rank);
+    Flow &flow = rank.flows.find(item.workspace)->second;
+    rank.virtualTime = flow.served;
+    rank.byServed.erase({flow.served, item.workspace});
+    flow.served += item.cost;
+    rank.byServed.insert({flow.served, item.workspace});
+    bool owed = false;
+    for (auto &[number, other] : this->ranks) {
+        if (number == served) {
+            // Served on its credit while a more urgent rank waited.
+            other.credit = owed ? other.credit - item.cost : other.credit;
+        } else if (number > served && !other.flows.empty()) {
+            other.credit += std::chrono::duration_cast<Duration>(item.cost * this->options.lowRankShare);
+        }
+        owed = owed || !other.flows.empty();
+    }
+    this->take(this->items.find(item.request));
+}
+
+std::vector<QueueItem> ClassQueue::takeExpired(Instant now)
+{
+    std::vector<QueueItem> expired;
+    while (!this->byLatest.empty() && this->byLatest.begin()->first < now) {
+        const auto found = this->items.find(this->byLatest.begin()->second);
+        expired.push_back(found->second.item);
+        this->take(found);
+    }
+    return expired;
+}
+
+std::optional<QueueItem> ClassQueue::takeLast(int rank)
+{
+    const auto found = this->ranks.find(rank);
+    if (found == this->ranks.end() || found->second.flows.empty()) {
+        return std::nullopt;
+    }
+    const Flow &flow = found->second.flows.find(found->second.byBacklog.rbegin()->second)->second;
+    const auto last = this->items.find(flow.waiting.rbegin()->second);
+    QueueItem item = last->second.item;
+    this->take(last);
+    return item;
+}
+
+Duration ClassQueue::backlog(int rank) const
+{
+    Duration sum{0};
+    for (auto entry = this->ranks.begin(); entry != this->ranks.end() && entry->first <= rank; ++entry) {
+        sum += entry->second.backlog;
+    }
+    return sum;
+}
+
+Duration ClassQueue::backlogAt(int rank) const
+{
+    const auto found = this->ranks.find(rank);
+    return found == this->ranks.end() ? Duration(0) : found->second.backlog;
+}
+
+std::optional<int> ClassQueue::lastRank() const
+{
+    for (auto entry = this->ranks.rbegin(); entry != this->ranks.rend(); ++entry) {
+        if (!entry->second.flows.empty()) {
+            return entry->first;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Instant> ClassQueue::nextExpiry() const
+{
+    if (this->byLatest.empty()) {
+        return std::nullopt;
+    }
+    return this->byLatest.begin()->first;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/decide/classqueue.h
@@ -0,0 +1,117 @@
+#pragma once
+
+// Requests that wait before prefill, in the order in which they are to be placed.
+//
+//     ClassQueue queue(ClassQueue::Options{});
+//     queue.push({request, workspace, rank, cost, arrival, latest});
+//     while (const QueueItem *item = queue.head()) { ... queue.pop(); }
+//     for (const QueueItem &item : queue.takeExpired(now)) { ... refuse ... }
+//     while (queue.backlog(rank) > limit) { ... refuse queue.takeLast(rank) ... }
+
+#include "fescuesill/ids.h"
+#include "fescuesill/units.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace fescuesill
+{
+
+struct QueueItem {
+    RequestId request;
+    WorkspaceId workspace;
+    int rank = 0; // lower goes first
+    Duration cost{0}; // of the cell's time: what placing this one takes from the others
+    Instant arrival;
+    Instant latest; // placed later than this it misses its target
+};
+
+class ClassQueue
+{
+public:
+    struct Options {
+        // Share of the placed work that each less urgent rank gets while more urgent ones have work waiting. At twice
+        // the capacity with urgent work alone above it, patient work still completes; urgent work pays at most this
+        // share.
+        double lowRankShare = 0.05;
+        // Within a workspace a request goes by arrival plus this many times its cost. 0 is first come, first served. In
+        // overload a larger one completes more requests by refusing long ones first; age still brings each to the
+        // front.
+        double shortFirst = 0;
+    };
+
+    explicit ClassQueue(const Options &options)
+        : options(options)
+    {
+    }
+
+    void push(const QueueItem &item);
+    bool remove(const RequestId &request);
+    // The next to place; null when nothing waits.
+    const QueueItem *head() const;
+    void pop();
+    // Removes those whose latest start has passed.
+    std::vector<QueueItem> takeExpired(Instant now);
+    // Removes the one that goes last within a rank, from the workspace with the most work waiting.
+    std::optional<QueueItem> takeLast(int rank);
+
+    std::size_t size() const
+    {
+        return this->items.size();
+    }
+    // Work waiting at this rank and at more urgent ones.
+    Duration backlog(int rank) const;
+    // Work waiting at this rank alone.
+    Duration backlogAt(int rank) const;
+    std::optional<int> lastRank() const;
+    std::optional<Instant> nextExpiry() const;
+
+private:
+    // Position within a workspace: by key, then by order of arrival.
+    struct Position {
+        Instant key;
+        std::uint64_t sequence = 0;
+
+        friend bool operator<(const Position &a, const Position &b)
+        {
+            return a.key != b.key ? a.key < b.key : a.sequence < b.sequence;
+        }
+    };
+    struct Flow {
+        std::map<Position, RequestId> waiting;
+        Duration served{0}; // virtual time: work placed, never behind that of the rank
+        Duration backlog{0};
+    };
+    struct Rank {
+        std::map<WorkspaceId, Flow> flows; // only those with work waiting
+        std::set<std::pair<Duration, WorkspaceId>> byServed;
+        std::set<std::pair<Duration, WorkspaceId>> byBacklog;
+        // Virtual times of workspaces with nothing waiting that are ahead of the rank's: one that sends its requests
+        // one by one gets no more than one that sends them together. Forgotten when the rank runs empty.
+        std::map<WorkspaceId, Duration> ahead;
+        Duration virtualTime{0};
+        Duration backlog{0};
+        Duration credit{0}; // work owed to this rank while more urgent ones were placed
+    };
+    struct Entry {
+        QueueItem item;
+        Position position;
+    };
+    using Items = std::unordered_map<RequestId, Entry>;
+
+    void take(Items::iterator entry);
+    const QueueItem *headOf(const Rank &rank) const;
+    int rankToServe() const;
+    void setBacklog(Rank &rank, const WorkspaceId &workspace, Flow &flow, Duration backlog);
+
+    Options options;
+    Items items;
+    std::map<int, Rank> ranks;
+    std::set<std::pair<Instant, RequestId>> byLatest;
+    std::uint64_t nextSequence = 0;
+};
+
+} // namespace fescuesill
