--- a/testing/standin/ratelimit.h
+++ b/testing/standin/ratelimit.h
@@ -18,7 +18,8 @@
 
     explicit RateLimit(double perSecond)
         : rate(perSecond)
-        , saved(perSecond * burstSeconds)
+        , most(std::max(1.0, perSecond * burstSeconds))
+        , saved(most)
     {
     }
 
@@ -26,7 +27,7 @@
     bool take(TimePoint now)
     {
         const double passed = std::chrono::duration<double>(now - this->last).count();
-        this->saved = std::min(this->saved + passed * this->rate, std::max(1.0, this->rate * burstSeconds));
+        this->saved = std::min(this->saved + passed * this->rate, this->most);
         this->last = now;
         if (this->saved < 1) {
             return false;
@@ -39,6 +40,7 @@
     static constexpr double burstSeconds = 0.25;
 
     double rate;
+    double most;
     double saved;
     TimePoint last = std::chrono::steady_clock::now();
 };
