--- /dev/null
+++ b/promise/cancellation.h
@@ -0,0 +1,54 @@
+#pragma once
+
+// The cancelling of one stream at its engine, until the engine confirms that the memory is free.
+//
+//     Cancellation cancellation(options, now);
+//     CancelStep step = cancellation.start();
+//     while (step.kind == CancelStep::Delete) {
+//         step = deleteStream(stream) ? cancellation.onConfirmed() : cancellation.onFailed(now);
+//         if (step.kind == CancelStep::Wait) { sleep(step.wait); step = cancellation.onWoken(); }
+//     }
+//
+// DELETE answered with 200 or 404 confirms. LeaveToOwner: the owner of the cell removes it by the engine's list.
+
+#include "fescuesill/units.h"
+
+namespace fescuesill
+{
+
+struct CancelStep {
+    enum Kind {
+        Delete,
+        Wait,
+        Confirmed,
+        LeaveToOwner,
+    };
+    Kind kind = Delete;
+    Duration wait{0};
+};
+
+class Cancellation
+{
+public:
+    struct Options {
+        Duration firstWait{50ms};
+        // Doubling stops here: memory is scarce, and an engine back from a restart must hear soon.
+        Duration longestWait{2s};
+        // After this the owner of the cell has long seen the stream as an orphan; entries keep no endless list.
+        Duration giveUpAfter{60s};
+    };
+
+    Cancellation(Options options, Instant now);
+
+    CancelStep start() const;
+    CancelStep onConfirmed();
+    CancelStep onFailed(Instant now);
+    CancelStep onWoken() const;
+
+private:
+    Options options;
+    Instant began;
+    Duration wait;
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/promise/engineordering.cpp
@@ -0,0 +1,198 @@
+#include "promise/engineordering.h"
+
+#include <stdexcept>
+#include <utility>
+
+// The row holds the highest number given out, who may order under it and until when. Numbers come from compare-and-set
+// on the row, so no two orders have the same one, and each is higher than all before.
+//
+// Engines that check numbers: a new holder may order at once, since its higher number shuts the old one out.
+//
+// Engines that ignore numbers: only time keeps two holders apart. A holder sends only while its own lease runs, and a
+// new one takes the row only when the old lease has been over for the clock margin. What remains is a holder frozen
+// between its last look at the clock and the first byte: its order arrives late and the engine takes it. It shows as an
+// engine that leaves the desired state by itself. Nothing can prevent that at an engine that checks nothing, so it is
+// repaired: orders are level-triggered, and the holder orders again when the report differs from the wish.
+//
+// An order whose reply is lost is not a case of its own: the engine's report says what is so.
+
+namespace fescuesill
+{
+namespace
+{
+
+[[noreturn]] void throwMisfit()
+{
+    throw std::logic_error("order: the event does not answer the action");
+}
+
+} // namespace
+
+EngineOrdering::EngineOrdering(OrderRequest request, Options options)
+    : request(std::move(request))
+    , options(options)
+{
+}
+
+OrderAction EngineOrdering::on(const OrderEvent &event, Instant now)
+{
+    const bool woken = std::holds_alternative<order_event::Woken>(event);
+    switch (this->state) {
+    case State::New:
+        if (!std::holds_alternative<order_event::Start>(event)) {
+            throwMisfit();
+        }
+        return this->read();
+    case State::Reading:
+        return this->onRead(event, now);
+    case State::Writing:
+        return this->onWritten(event, now);
+    case State::Sending:
+        return this->onSent(event);
+    case State::Asking:
+        return this->onReported(event);
+    case State::WaitingOutLease:
+        if (!woken) {
+            throwMisfit();
+        }
+        this->tries = 0;
+        return this->read();
+    case State::WaitingForReport:
+        if (!woken) {
+            throwMisfit();
+        }
+        return this->onReportWait(now);
+    case State::Finished:
+        break;
+    }
+    throwMisfit();
+}
+
+OrderAction EngineOrdering::read()
+{
+    if (++this->tries > this->options.tableTries) {
+        return this->finish(OrderOutcome::StoreUnavailable);
+    }
+    this->state = State::Reading;
+    return order_action::Read{orderKey(this->request.engine)};
+}
+
+OrderAction EngineOrdering::onRead(const OrderEvent &event, Instant now)
+{
+    if (const auto *got = std::get_if<table::RowRead>(&event)) {
+        return got->row ? this->onRow(*got->row, now) : this->take(FencingNumber(0), absent, now);
+    }
+    if (!std::holds_alternative<table::ReadFailed>(event)) {
+        throwMisfit();
+    }
+    return this->read();
+}
+
+OrderAction EngineOrdering::onRow(const TableRow &row, Instant now)
+{
+    const auto found = decodeOrderRecord(row.value);
+    if (!found) {
+        return this->finish(OrderOutcome::Malformed);
+    }
+    if (found->orderId == this->request.orderId) {
+        // The write took effect and its reply was lost.
+        this->own = *found;
+        return this->send(now);
+    }
+    const Instant free = found->leaseEnd + this->options.clockMargin;
+    const bool mustWait = !this->request.checksFencing && found->holder != this->request.holder && now < free;
+    if (!mustWait) {
+        return this->take(found->fencing, row.version, now);
+    }
+    if (this->waited) {
+        return this->finish(OrderOutcome::HeldByOther);
+    }
+    if (free - now > this->options.lease + 2 * this->options.clockMargin) {
+        return this->finish(OrderOutcome::HeldByOther); // a lease that long is not one of ours
+    }
+    this->waited = true; // waits once: who is overtaken while it waits leaves the engine to the other
+    this->state = State::WaitingOutLease;
+    return order_action::Wait{free - now};
+}
+
+OrderAction EngineOrdering::take(FencingNumber seen, RowVersion version, Instant now)
+{
+    this->own = OrderRecord{seen + FencingNumber(1),   this->request.holder, this->request.orderId,
+                            now + this->options.lease, this->request.kind,   this->request.value};
+    this->state = State::Writing;
+    return order_action::Write{{orderKey(this->request.engine), encode(this->own), version}};
+}
+
+OrderAction EngineOrdering::onWritten(const OrderEvent &event, Instant now)
+{
+    if (std::holds_alternative<table::Written>(event)) {
+        return this->send(now);
+    }
+    const bool failed = std::holds_alternative<table::Conflict>(event) || std::holds_alternative<table::Refused>(event)
+        || std::holds_alternative<table::NoReply>(event);
+    if (!failed) {
+        throwMisfit();
+    }
+    return this->read();
+}
+
+OrderAction EngineOrdering::send(Instant now)
+{
+    // Failure: the holder was frozen past its lease and still believes that it holds it. It shows as two holders'
+    // orders mixed at one engine. The time is taken after the write, so a frozen holder sees that its lease is over.
+    if (now >= this->own.leaseEnd) {
+        return this->finish(OrderOutcome::LeaseLost);
+    }
+    this->state = State::Sending;
+    return order_action::SendOrder{this->own.fencing, this->own.leaseEnd};
+}
+
+OrderAction EngineOrdering::onSent(const OrderEvent &event)
+{
+    if (std::holds_alternative<order_event::Stale>(event)) {
+        return this->finish(OrderOutcome::HeldByOther);
+    }
+    const bool answers =
+        std::holds_alternative<order_event::Taken>(event) || std::holds_alternative<order_event::NotTaken>(event);
+    if (!answers) {
+        throwMisfit();
+    }
+    this->state = State::Asking;
+    return order_action::ReadReported{};
+}
+
+OrderAction EngineOrdering::onReported(const OrderEvent &event)
+{
+    const auto *reported = std::get_if<order_event::Reported>(&event);
+    if (reported == nullptr && !std::holds_alternative<order_event::ReportFailed>(event)) {
+        throwMisfit();
+    }
+    if (reported != nullptr && reported->value == this->request.value) {
+        return this->finish(OrderOutcome::InForce);
+    }
+    if (++this->reports >= this->options.reports) {
+        return this->finish(OrderOutcome::EngineUnavailable);
+    }
+    this->state = State::WaitingForReport;
+    return order_action::Wait{this->options.reportWait};
+}
+
+// An order that was taken may need longer than the lease to come into force: only the report is asked for again. One
+// whose reply was lost is sent again while the lease runs, with the same number and value, so a second arrival changes
+// nothing.
+OrderAction EngineOrdering::onReportWait(Instant now)
+{
+    if (!this->taken) {
+        return this->send(now);
+    }
+    this->state = State::Asking;
+    return order_action::ReadReported{};
+}
+
+OrderAction EngineOrdering::finish(OrderOutcome outcome)
+{
+    this->state = State::Finished;
+    return order_action::Finish{outcome};
+}
+
+} // namespace fescuesill
