Add the HTTP server, and tests of server and clients

One coroutine a connection on the plain executor: asio::spawn's strand guards nothing where one thread runs a context.

--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -4,67 +4,19 @@
 //
 // A pooled connection can turn out to be closed by the other end only after the write. Where reuse is allowed the call
 // may be repeated, so it is, once, on a fresh connection; where it is not, every call has a connection of its own.
-//
-// The body is parsed into a scratch buffer that belongs to the thread: parsing is synchronous, so no other coroutine
-// can come between. Reading through Beast's own composed operation was rejected: it needs a buffer for each stream for
-// as long as it waits, which at 10,000 streams is most of their memory.
 
 #include "wire/httpclient.h"
 
-#include <array>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <chrono>
-#include <deque>
+#include "wire/address.h"
+#include "wire/httpconnection.h"
+
 #include <fmt/format.h>
-#include <optional>
-#include <unordered_map>
 
 namespace fescuesill
 {
-
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
-using SteadyTime = std::chrono::steady_clock::time_point;
-
 namespace
 {
 
-constexpr std::size_t readSize = 4096; // of one read: a burst of some 80 decode lines
-constexpr std::size_t scratchSize = 16384;
-constexpr std::uint32_t headerLimit = 16 << 10; // of a reply; ours and common servers' take under 1 KB
-
-std::array<char, scratchSize> &scratch()
-{
-    thread_local std::array<char, scratchSize> buffer;
-    return buffer;
-}
-
-std::optional<tcp::endpoint> parseAddress(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    std::string host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-    }
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(host, error);
-    const long port = std::strtol(address.c_str() + colon + 1, nullptr, 10);
-    if (error || port <= 0 || port > 65535) {
-        return std::nullopt;
-    }
-    return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
-}
-
 bool hasControl(std::string_view text)
 {
     return std::any_of(text.begin(), text.end(), [](char c) { return static_cast<unsigned char>(c) < 0x20; });
@@ -101,11 +53,6 @@
     return text;
 }
 
-HttpFault faultOf(const boost::system::error_code &error)
-{
-    return error == beast::error::timeout ? HttpFault::Timeout : HttpFault::Closed;
-}
-
 } // namespace
 
 std::string_view HttpResponse::header(std::string_view name) const
@@ -135,209 +82,6 @@
     return this->notSent;
 }
 
-struct Idle {
-    std::unique_ptr<HttpConnection> connection;
-    SteadyTime since;
-};
-
-struct HttpClient::Pool : std::enable_shared_from_this<HttpClient::Pool> {
-    Pool(asio::io_context &context, const Options &limits)
-        : io(context)
-        , options(limits)
-    {
-    }
-
-    std::unique_ptr<HttpConnection> take(const std::string &address);
-    void giveBack(std::unique_ptr<HttpConnection> connection);
-    std::unique_ptr<HttpConnection> connect(const std::string &address, SteadyTime deadline,
-                                            const asio::yield_context &yield);
-    std::unique_ptr<HttpConnection> exchange(const std::string &address, const std::string &request, bool isHead,
-                                             const CallOptions &options, SteadyTime deadline,
-                                             const asio::yield_context &yield);
-
-    asio::io_context &io;
-    Options options;
-    std::size_t open = 0;
-    // One queue for each endpoint or engine that was ever called; they come from the declaration, so they are few.
-    std::unordered_map<std::string, std::deque<Idle>> idle;
-};
-
-// One connection and the reply being read from it.
-class HttpConnection
-{
-public:
-    HttpConnection(std::shared_ptr<HttpClient::Pool> owner, std::string peer)
-        : pool(std::move(owner))
-        , address(std::move(peer))
-        , stream(this->pool->io)
-    {
-        ++this->pool->open;
-    }
-    ~HttpConnection()
-    {
-        --this->pool->open;
-    }
-    HttpConnection(const HttpConnection &) = delete;
-    HttpConnection &operator=(const HttpConnection &) = delete;
-
-    void connect(const tcp::endpoint &endpoint, SteadyTime deadline, const asio::yield_context &yield);
-    void send(const std::string &request, bool isHead, SteadyTime deadline, const asio::yield_context &yield);
-    void readHeader(SteadyTime deadline, const asio::yield_context &yield);
-    // Appends what has arrived of the body; false where the body is whole.
-    bool readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield);
-    HttpResponse response() const;
-
-    // An idle connection with something to read was closed, or speaks out of turn.
-    bool isQuiet();
-    bool mayBeKept() const
-    {
-        return this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0;
-    }
-
-    std::shared_ptr<HttpClient::Pool> pool;
-    std::string address;
-    std::string partial; // the start of a line whose end has not come yet
-    bool reused = false;
-    bool replied = false; // at least one byte of a reply came
-
-    int status() const
-    {
-        return static_cast<int>(this->parser->get().result_int());
-    }
-    void close()
-    {
-        boost::system::error_code ignored;
-        this->stream.socket().close(ignored);
-    }
-
-private:
-    void fill(SteadyTime deadline, const asio::yield_context &yield);
-    void parse(std::string &out);
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    std::optional<http::response_parser<http::buffer_body>> parser;
-    bool atEnd = false;
-};
-
-void HttpConnection::connect(const tcp::endpoint &endpoint, SteadyTime deadline, const asio::yield_context &yield)
-{
-    boost::system::error_code error;
-    this->stream.expires_at(deadline);
-    this->stream.async_connect(endpoint, yield[error]);
-    if (error) {
-        throw HttpError(HttpFault::Connect, true, fmt::format("connect {}: {}", this->address, error.message()));
-    }
-    this->stream.socket().set_option(tcp::no_delay(true), error);
-}
-
-void HttpConnection::send(const std::string &request, bool isHead, SteadyTime deadline,
-                          const asio::yield_context &yield)
-{
-    this->parser.emplace();
-    this->parser->header_limit(headerLimit);
-    this->parser->body_limit(boost::none);
-    this->parser->eager(true);
-    this->parser->skip(isHead);
-    this->replied = false;
-    this->atEnd = false;
-    this->partial.clear();
-
-    boost::system::error_code error;
-    this->stream.expires_at(deadline);
-    const std::size_t sent = asio::async_write(this->stream, asio::buffer(request), yield[error]);
-    if (error) {
-        throw HttpError(faultOf(error), sent == 0, fmt::format("send {}: {}", this->address, error.message()));
-    }
-}
-
-void HttpConnection::fill(SteadyTime deadline, const asio::yield_context &yield)
-{
-    boost::system::error_code error;
-    this->stream.expires_at(deadline);
-    const std::size_t count = this->stream.async_read_some(this->buffer.prepare(readSize), yield[error]);
-    this->buffer.commit(count);
-    this->replied = this->replied || count > 0;
-    if (error == asio::error::eof) {
-        this->atEnd = true;
-        return;
-    }
-    if (error) {
-        throw HttpError(faultOf(error), false, fmt::format("read {}: {}", this->address, error.message()));
-    }
-}
-
-void HttpConnection::parse(std::string &out)
-{
-    boost::system::error_code error;
-    auto &space = scratch();
-    bool more = true;
-    while (more && this->buffer.size() > 0 && !this->parser->is_done()) {
-        auto &body = this->parser->get().body();
-        body.data = space.data();
-        body.size = space.size();
-        body.more = true;
-        const std::size_t used = this->parser->put(this->buffer.data(), error);
-        this->buffer.consume(used);
-        out.append(space.data(), space.size() - body.size);
-        more = used > 0 && (!error || error == http::error::need_buffer);
-        if (error && error != http::error::need_buffer && error != http::error::need_more) {
-            throw HttpError(HttpFault::Malformed, false, fmt::format("{}: {}", this->address, error.message()));
-        }
-    }
-    if (this->atEnd && !this->parser->is_done()) {
-        this->parser->put_eof(error);
-        if (error || !this->parser->is_done()) {
-            throw HttpError(HttpFault::Closed, false, fmt::format("{}: reply cut short", this->address));
-        }
-    }
-}
-
-void HttpConnection::readHeader(SteadyTime deadline, const asio::yield_context &yield)
-{
-    while (!this->parser->is_header_done()) {
-        this->fill(deadline, yield);
-        this->parse(this->partial);
-    }
-}
-
-bool HttpConnection::readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield)
-{
-    if (this->parser->is_done()) {
-        return false;
-    }
-    if (this->buffer.size() == 0 && !this->atEnd) {
-        this->fill(deadline, yield);
-    }
-    const std::size_t before = this->buffer.size();
-    this->parse(out);
-    // A chunk's header cut in two leaves bytes that parse no further until more come.
-    if (before > 0 && this->buffer.size() == before && !this->parser->is_done()) {
-        this->fill(deadline, yield);
-        this->parse(out);
-    }
-    return true;
-}
-
-HttpResponse HttpConnection::response() const
-{
-    HttpResponse response;
-    response.status = this->status();
-    for (const auto &field : this->parser->get()) {
-        response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    return response;
-}
-
-bool HttpConnection::isQuiet()
-{
-    char byte = 0;
-    boost::system::error_code error;
-    this->stream.socket().non_blocking(true, error);
-    this->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-}
-
 std::unique_ptr<HttpConnection> HttpClient::Pool::take(const std::string &address)
 {
     const auto found = this->idle.find(address);
@@ -381,12 +125,13 @@
     if (this->open >= this->options.connections) {
         throw HttpError(HttpFault::Busy, true, "bound on connections reached");
     }
-    const auto endpoint = parseAddress(address);
-    if (!endpoint) {
+    const auto parsed = Address::parse(address);
+    if (!parsed) {
         throw HttpError(HttpFault::Connect, true, fmt::format("not an address: {}", address));
     }
+    const tcp::endpoint endpoint(asio::ip::make_address(parsed->ip), parsed->port);
     auto connection = std::make_unique<HttpConnection>(this->shared_from_this(), address);
-    connection->connect(*endpoint, std::min(deadline, std::chrono::steady_clock::now() + this->options.connectLimit),
+    connection->connect(endpoint, std::min(deadline, std::chrono::steady_clock::now() + this->options.connectLimit),
                         yield);
     return connection;
 }
--- /dev/null
+++ b/wire/httpconnection.cpp
@@ -0,0 +1,154 @@
+// The body is parsed into a scratch buffer that belongs to the thread: parsing is synchronous, so no other coroutine
+// can come between. Reading through Beast's own composed operation was rejected: it needs a buffer for each stream for
+// as long as it waits, which at 10,000 streams is most of their memory.
+
+#include "wire/httpconnection.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+constexpr std::size_t readSize = 4096; // of one read: a burst of some 80 decode lines
+constexpr std::size_t scratchSize = 16384;
+constexpr std::uint32_t headerLimit = 16 << 10; // of a reply; ours and common servers' take under 1 KB
+
+std::array<char, scratchSize> &scratch()
+{
+    thread_local std::array<char, scratchSize> buffer;
+    return buffer;
+}
+
+HttpFault faultOf(const boost::system::error_code &error)
+{
+    return error == beast::error::timeout ? HttpFault::Timeout : HttpFault::Closed;
+}
+
+} // namespace
+
+void HttpConnection::connect(const tcp::endpoint &endpoint, SteadyTime deadline, const asio::yield_context &yield)
+{
+    boost::system::error_code error;
+    this->stream.expires_at(deadline);
+    this->stream.async_connect(endpoint, yield[error]);
+    if (error) {
+        throw HttpError(HttpFault::Connect, true, fmt::format("connect {}: {}", this->address, error.message()));
+    }
+    this->stream.socket().set_option(tcp::no_delay(true), error);
+}
+
+void HttpConnection::send(const std::string &request, bool isHead, SteadyTime deadline,
+                          const asio::yield_context &yield)
+{
+    this->parser.emplace();
+    this->parser->header_limit(headerLimit);
+    this->parser->body_limit(boost::none);
+    this->parser->eager(true);
+    this->parser->skip(isHead);
+    this->replied = false;
+    this->atEnd = false;
+    this->partial.clear();
+
+    boost::system::error_code error;
+    this->stream.expires_at(deadline);
+    const std::size_t sent = asio::async_write(this->stream, asio::buffer(request), yield[error]);
+    if (error) {
+        throw HttpError(faultOf(error), sent == 0, fmt::format("send {}: {}", this->address, error.message()));
+    }
+}
+
+void HttpConnection::fill(SteadyTime deadline, const asio::yield_context &yield)
+{
+    boost::system::error_code error;
+    this->stream.expires_at(deadline);
+    const std::size_t count = this->stream.async_read_some(this->buffer.prepare(readSize), yield[error]);
+    this->buffer.commit(count);
+    this->replied = this->replied || count > 0;
+    if (error == asio::error::eof) {
+        this->atEnd = true;
+        return;
+    }
+    if (error) {
+        throw HttpError(faultOf(error), false, fmt::format("read {}: {}", this->address, error.message()));
+    }
+}
+
+void HttpConnection::parse(std::string &out)
+{
+    boost::system::error_code error;
+    auto &space = scratch();
+    bool more = true;
+    while (more && this->buffer.size() > 0 && !this->parser->is_done()) {
+        auto &body = this->parser->get().body();
+        body.data = space.data();
+        body.size = space.size();
+        body.more = true;
+        const std::size_t used = this->parser->put(this->buffer.data(), error);
+        this->buffer.consume(used);
+        out.append(space.data(), space.size() - body.size);
+        more = used > 0 && (!error || error == http::error::need_buffer);
+        if (error && error != http::error::need_buffer && error != http::error::need_more) {
+            throw HttpError(HttpFault::Malformed, false, fmt::format("{}: {}", this->address, error.message()));
+        }
+    }
+    if (this->atEnd && !this->parser->is_done()) {
+        // The parser takes an end before the first byte of a header for a whole reply.
+        const bool hasHeader = this->parser->is_header_done();
+        this->parser->put_eof(error);
+        if (error || !hasHeader || !this->parser->is_done()) {
+            throw HttpError(HttpFault::Closed, false, fmt::format("{}: reply cut short", this->address));
+        }
+    }
+}
+
+void HttpConnection::readHeader(SteadyTime deadline, const asio::yield_context &yield)
+{
+    while (!this->parser->is_header_done()) {
+        this->fill(deadline, yield);
+        this->parse(this->partial);
+    }
+}
+
+bool HttpConnection::readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield)
+{
+    if (this->parser->is_done()) {
+        return false;
+    }
+    if (this->buffer.size() == 0 && !this->atEnd) {
+        this->fill(deadline, yield);
+    }
+    const std::size_t before = this->buffer.size();
+    this->parse(out);
+    // A chunk's header cut in two leaves bytes that parse no further until more come.
+    if (before > 0 && this->buffer.size() == before && !this->parser->is_done()) {
+        this->fill(deadline, yield);
+        this->parse(out);
+    }
+    return true;
+}
+
+HttpResponse HttpConnection::response() const
+{
+    HttpResponse response;
+    response.status = this->status();
+    for (const auto &field : this->parser->get()) {
+        response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return response;
+}
+
+bool HttpConnection::isQuiet()
+{
+    char byte = 0;
+    boost::system::error_code error;
+    this->stream.socket().non_blocking(true, error);
+    this->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/wire/httpserver.cpp
@@ -0,0 +1,243 @@
+// Listening, and the writing of answers; what one connection does is in serverconnection.cpp. Answers are formatted by
+// hand: their headers are a handful of fixed lines, and a stream's chunks are two lines around a piece.
+
+#include "wire/httpserver.h"
+
+#include "wire/address.h"
+#include "wire/refusaljson.h"
+#include "wire/serverconnection.h"
+
+#include <fmt/format.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+constexpr int listenBacklog = 1024; // connections that arrive in one burst, before the accept loop runs
+constexpr auto acceptPause = std::chrono::milliseconds(50); // after a failed accept: descriptors may be free by then
+
+constexpr std::string_view reasonOf(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 202:
+        return "Accepted";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Payload Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 503:
+        return "Service Unavailable";
+    default:
+        return "Status";
+    }
+}
+
+void appendHeaders(std::string &out, const std::vector<HttpHeader> &headers)
+{
+    for (const HttpHeader &header : headers) {
+        fmt::format_to(std::back_inserter(out), "{}: {}\r\n", header.name, header.value);
+    }
+}
+
+} // namespace
+
+std::string_view HttpCall::header(std::string_view name) const
+{
+    for (const HttpHeader &header : this->headers) {
+        if (beast::iequals({header.name.data(), header.name.size()}, {name.data(), name.size()})) {
+            return header.value;
+        }
+    }
+    return {};
+}
+
+CallerGone::CallerGone()
+    : std::runtime_error("caller gone")
+{
+}
+
+HttpReply::HttpReply(ServerConnection &owner)
+    : connection(owner)
+{
+}
+
+void HttpReply::send(int status, std::string_view body, const asio::yield_context &yield,
+                     const std::vector<HttpHeader> &headers)
+{
+    std::string text;
+    text.reserve(body.size() + 256);
+    fmt::format_to(std::back_inserter(text),
+                   "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nX-Request-Id: {}\r\n",
+                   status, reasonOf(status), body.size(), this->connection.id.value());
+    appendHeaders(text, headers);
+    text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+    text += body;
+    this->connection.started = true;
+    this->connection.send(text, yield);
+}
+
+void HttpReply::refuse(const Refusal &refusal, const asio::yield_context &yield)
+{
+    this->connection.refuse(refusal, yield);
+}
+
+void HttpReply::startStream(int status, const asio::yield_context &yield, const std::vector<HttpHeader> &headers)
+{
+    std::string text;
+    fmt::format_to(
+        std::back_inserter(text),
+        "HTTP/1.1 {} {}\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\nX-Request-Id: {}\r\n", status,
+        reasonOf(status), this->connection.id.value());
+    appendHeaders(text, headers);
+    if (this->connection.isChunked) {
+        text += "Transfer-Encoding: chunked\r\n";
+    } else {
+        this->connection.keepAlive = false;
+    }
+    text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+    this->connection.started = true;
+    this->connection.send(text, yield);
+}
+
+void HttpReply::write(std::string_view piece, const asio::yield_context &yield)
+{
+    if (piece.empty()) {
+        return; // a chunk of no length would end the body
+    }
+    if (!this->connection.isChunked) {
+        this->connection.send(piece, yield);
+        return;
+    }
+    std::string chunk;
+    chunk.reserve(piece.size() + 16);
+    fmt::format_to(std::back_inserter(chunk), "{:x}\r\n", piece.size());
+    chunk += piece;
+    chunk += "\r\n";
+    this->connection.send(chunk, yield);
+}
+
+void HttpReply::finish(const asio::yield_context &yield)
+{
+    if (this->connection.isChunked) {
+        this->connection.send("0\r\n\r\n", yield);
+    }
+}
+
+void HttpReply::onGone(std::function<void()> callback)
+{
+    this->connection.watch(std::move(callback));
+}
+
+bool HttpReply::isStarted() const
+{
+    return this->connection.started;
+}
+
+void HttpServer::State::accept()
+{
+    this->acceptor.async_accept(
+        [self = this->shared_from_this()](const boost::system::error_code &error, tcp::socket socket) {
+            if (!self->acceptor.is_open()) {
+                return;
+            }
+            if (!error) {
+                self->take(std::move(socket));
+                self->accept();
+                return;
+            }
+            // Out of descriptors: accepting again at once would spin without an end.
+            self->pause.expires_after(acceptPause);
+            self->pause.async_wait([self](const boost::system::error_code &) {
+                if (self->acceptor.is_open()) {
+                    self->accept();
+                }
+            });
+        });
+}
+
+void HttpServer::State::take(tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto connection = std::make_shared<ServerConnection>(this->shared_from_this(), std::move(socket));
+    if (this->connections.size() <= this->options.connections) {
+        startCoroutine(this->io, [connection](const asio::yield_context &yield) { connection->serve(yield); });
+        return;
+    }
+    startCoroutine(this->io, [connection](const asio::yield_context &yield) {
+        connection->id = connection->newRequestId();
+        connection->keepAlive = false;
+        try {
+            connection->refuse({RefusalCode::Overloaded, RunState::NotRun, "too many connections", Duration(1s)},
+                               yield);
+        } catch (const CallerGone &) {
+            connection->close();
+        }
+    });
+}
+
+tl::expected<std::unique_ptr<HttpServer>, WireError> HttpServer::create(asio::io_context &io, Options options,
+                                                                        Handler handler)
+{
+    const auto address = Address::parse(options.address);
+    if (!address) {
+        return tl::make_unexpected(address.error());
+    }
+    const auto state = std::make_shared<State>(io, std::move(options), std::move(handler));
+    try {
+        const tcp::endpoint endpoint(asio::ip::make_address(address->ip), address->port);
+        state->acceptor.open(endpoint.protocol());
+        state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        if (state->options.isShared) {
+            state->acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+        }
+        state->acceptor.bind(endpoint);
+        state->acceptor.listen(listenBacklog);
+    } catch (const boost::system::system_error &error) {
+        return tl::make_unexpected(WireError(fmt::format("listen on {}: {}", state->options.address, error.what())));
+    }
+    state->accept();
+    return std::unique_ptr<HttpServer>(new HttpServer(state));
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> created)
+    : state(std::move(created))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->close();
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return this->state->acceptor.local_endpoint().port();
+}
+
+std::size_t HttpServer::openConnections() const
+{
+    return this->state->connections.size();
+}
+
+void HttpServer::close()
+{
+    boost::system::error_code ignored;
+    this->state->acceptor.close(ignored);
+    this->state->pause.cancel();
+    for (ServerConnection *connection : this->state->connections) {
+        connection->close();
+    }
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/wire/testing/httpclient_test.cpp
@@ -0,0 +1,180 @@
+#include "wire/httpclient.h"
+
+#include "wire/platformclient.h"
+#include "wire/testing/servedthread.h"
+#include "wire/url.h"
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+std::optional<HttpError> faultOf(const std::string &address, const HttpRequest &request, const CallOptions &options)
+{
+    std::optional<HttpError> fault;
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        HttpClient client(io, {});
+        try {
+            client.call(address, request, options, yield);
+        } catch (const HttpError &error) {
+            fault = error;
+        }
+    });
+    return fault;
+}
+
+TEST(Url, EncodesAndDecodes)
+{
+    EXPECT_EQ(percentEncode("call/a b"), "call%2Fa%20b");
+    EXPECT_EQ(percentDecode("call%2Fa%20b"), "call/a b");
+    EXPECT_FALSE(percentDecode("%2"));
+    EXPECT_FALSE(percentDecode("%zz"));
+    const Target target = parseTarget("/v1/streams/s1?from=7&entry=a%2Db&bad=%z");
+    EXPECT_EQ(target.path, "/v1/streams/s1");
+    EXPECT_EQ(target.query("entry"), "a-b");
+    EXPECT_FALSE(target.query("bad"));
+}
+
+TEST(HttpClient, ReusesAConnectionOnlyWhereItMay)
+{
+    const ServedThread served(
+        {}, [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) { reply.send(200, "ok", yield); });
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        HttpClient client(io, {});
+        EXPECT_EQ(client.call(served.address(), {}, {}, yield).body, "ok");
+        EXPECT_EQ(client.openConnections(), 1U);
+        EXPECT_EQ(client.call(served.address(), {}, {}, yield).body, "ok");
+        EXPECT_EQ(client.openConnections(), 1U);
+        EXPECT_EQ(client.call(served.address(), {}, {2s, Reuse::Never}, yield).body, "ok");
+        EXPECT_EQ(client.openConnections(), 2U);
+    });
+}
+
+// Whether a booking may be tried elsewhere hangs on one question: did any of it leave this process?
+TEST(HttpClient, KnowsWhatWasNotSent)
+{
+    std::uint16_t closedPort = 0;
+    {
+        const ServedThread gone({}, [](HttpCall &, HttpReply &, const asio::yield_context &) {});
+        closedPort = gone.port();
+    }
+    const auto refused = faultOf("127.0.0.1:" + std::to_string(closedPort), {"POST", "/", "x"}, {});
+    ASSERT_TRUE(refused);
+    EXPECT_TRUE(refused->isKnownNotSent());
+    EXPECT_EQ(refused->fault(), HttpFault::Connect);
+
+    const auto split = faultOf("127.0.0.1:1", {"POST", "/a\r\nX: y", "x"}, {});
+    ASSERT_TRUE(split);
+    EXPECT_TRUE(split->isKnownNotSent());
+}
+
+// The endpoint takes the call and says nothing, or hangs up: the call may have run.
+TEST(HttpClient, NeverCallsASentRequestNotSent)
+{
+    const ServedThread silent({}, [](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+        if (call.target == "/hang-up") {
+            throw CallerGone();
+        }
+        asio::steady_timer timer(asio::get_associated_executor(yield.handler_), std::chrono::milliseconds(300));
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+        reply.send(200, "late", yield);
+    });
+    const auto timeout = faultOf(silent.address(), {"POST", "/", "x"}, {100ms, Reuse::Never});
+    ASSERT_TRUE(timeout);
+    EXPECT_FALSE(timeout->isKnownNotSent());
+    EXPECT_EQ(timeout->fault(), HttpFault::Timeout);
+    const auto closed = faultOf(silent.address(), {"POST", "/hang-up", "x"}, {2s, Reuse::Never});
+    ASSERT_TRUE(closed);
+    EXPECT_FALSE(closed->isKnownNotSent());
+}
+
+TEST(HttpClient, ReadsLinesHoweverTheyAreCut)
+{
+    const ServedThread served({}, [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        reply.startStream(200, yield);
+        for (const char *piece : {"{\"a\":1}\n{\"b\"", ":2}\n", "{\"c\":3}\n", "no line feed"}) {
+            reply.write(piece, yield);
+        }
+        reply.finish(yield);
+    });
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        HttpClient client(io, {});
+        LineStream stream = client.open(served.address(), {}, {}, yield);
+        EXPECT_EQ(stream.status(), 200);
+        std::string all;
+        std::string lines;
+        while (stream.read(lines, 1s, yield)) {
+            EXPECT_EQ(lines.back(), '\n');
+            all += lines;
+        }
+        EXPECT_EQ(all, "{\"a\":1}\n{\"b\":2}\n{\"c\":3}\n");
+    });
+}
+
+struct PlatformCase {
+    const char *name;
+    int status;
+    const char *body;
+    std::size_t fault; // index in PlatformFault
+    bool mayHaveTakenEffect;
+};
+
+// The platform answers a commit with something else than its contract. Each answer is told apart, since what the
+// ledger may say afterwards depends on whether the write can have taken effect.
+TEST(PlatformClient, TellsFaultsOfACommitApart)
+{
+    const std::vector<PlatformCase> cases = {
+        {"outage", 503, "{}", 0, false},
+        {"over the rate", 429, "{}", 1, false},
+        {"conflict", 409, R"({"conflict":0,"key":"k","version":3,"value":"other"})", 3, false},
+        {"not JSON", 200, "<html>", 4, true},
+        {"other JSON", 200, R"({"versions":"x"})", 4, true},
+        {"too few versions", 200, R"({"versions":[]})", 4, true},
+    };
+    for (const PlatformCase &given : cases) {
+        SCOPED_TRACE(given.name);
+        const ServedThread served({}, [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+            reply.send(given.status, given.body, yield);
+        });
+        runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+            PlatformClient platform(io, {served.address()});
+            try {
+                platform.commit({RowWrite::put("k", "v", RowVersion(0))}, yield);
+                ADD_FAILURE();
+            } catch (const PlatformError &error) {
+                EXPECT_EQ(error.fault().index(), given.fault);
+                EXPECT_EQ(error.mayHaveTakenEffect(), given.mayHaveTakenEffect);
+            }
+        });
+    }
+}
+
+// The store carries the write out and its reply is lost on the way. One commit must reach it: a second could report a
+// conflict with the first.
+TEST(PlatformClient, CallsALostReplyLost)
+{
+    std::atomic<int> commits{0};
+    const ServedThread served({}, [&](HttpCall &, HttpReply &, const asio::yield_context &) {
+        ++commits;
+        throw CallerGone();
+    });
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        PlatformClient platform(io, {served.address()});
+        try {
+            platform.commit({RowWrite::put("k", "v")}, yield);
+            ADD_FAILURE();
+        } catch (const PlatformError &error) {
+            EXPECT_TRUE(std::holds_alternative<ReplyLost>(error.fault()));
+            EXPECT_TRUE(error.mayHaveTakenEffect());
+        }
+    });
+    EXPECT_EQ(commits, 1);
+}
+
+} // namespace
+} // namespace fescuesill
--- /dev/null
+++ b/wire/testing/httpserver_test.cpp
@@ -0,0 +1,167 @@
+#include "wire/httpserver.h"
+
+#include "wire/testing/servedthread.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <future>
+#include <gtest/gtest.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+HttpServer::Options smallLimits()
+{
+    HttpServer::Options options;
+    options.headerLimit = Bytes(512);
+    options.bodyLimit = Bytes(64);
+    options.headerLimitTime = 200ms;
+    options.bodyLimitTime = 200ms;
+    options.newRequestId = [] {
+        return RequestId("r1");
+    };
+    return options;
+}
+
+void echo(HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
+{
+    reply.send(200, call.method + " " + call.target + " " + call.body, yield);
+}
+
+struct BadInputCase {
+    const char *name;
+    std::string sent;
+    bool finishes; // the caller closes its sending half
+    std::string status;
+    std::string code;
+};
+
+// A caller sends something that is not a request. It is told what is wrong at once, its connection is closed, nothing
+// is left behind, and the next caller is served.
+TEST(HttpServer, RefusesBadInputAndLivesOn)
+{
+    const std::vector<BadInputCase> cases = {
+        {"oversized header", "GET / HTTP/1.1\r\nX: " + std::string(600, 'x') + "\r\n\r\n", false, "413", "too_large"},
+        {"oversized body", "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'x'), false, "413",
+         "too_large"},
+        {"oversized chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + std::string(65, 'x'), false,
+         "413", "too_large"},
+        {"chunked body cut short", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nabc", true, "400",
+         "bad_request"},
+        {"body cut short", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", true, "400", "bad_request"},
+        {"not HTTP", "\x16\x03\x01 hello there\r\n\r\n", false, "400", "bad_request"},
+        {"negative length", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", false, "400", "bad_request"},
+        {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", false, "400",
+         "bad_request"},
+        {"header dripped", "GET / HT", false, "408", "timeout"},
+        {"body dripped", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", false, "408", "timeout"},
+    };
+    const ServedThread served(smallLimits(), echo);
+    for (const BadInputCase &badInput : cases) {
+        SCOPED_TRACE(badInput.name);
+        RawConnection raw(served.port());
+        raw.send(badInput.sent);
+        if (badInput.finishes) {
+            raw.finishSending();
+        }
+        const std::string answer = raw.readToEnd();
+        EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 " + badInput.status) << answer;
+        EXPECT_NE(answer.find("\"code\":\"" + badInput.code + "\""), std::string::npos) << answer;
+        EXPECT_NE(answer.find(R"("run":"not_run","request_id":"r1")"), std::string::npos) << answer;
+    }
+    RawConnection next(served.port());
+    next.send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    EXPECT_NE(next.readToEnd().find("GET /a "), std::string::npos);
+}
+
+TEST(HttpServer, ServesSeveralRequestsOnOneConnection)
+{
+    const ServedThread served(smallLimits(), echo);
+    RawConnection raw(served.port());
+    raw.send("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_NE(raw.readUntil("POST /a hi").find("200 OK"), std::string::npos);
+    raw.send("GET /b HTTP/1.1\r\n\r\n");
+    EXPECT_NE(raw.readUntil("GET /b ").find("200 OK"), std::string::npos);
+}
+
+TEST(HttpServer, WritesAStreamInChunksWithAnEnd)
+{
+    const ServedThread served(smallLimits(), [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        reply.startStream(200, yield);
+        reply.write("data: a\n\n", yield);
+        reply.write("", yield);
+        reply.write("data: b\n\n", yield);
+        reply.finish(yield);
+    });
+    RawConnection raw(served.port());
+    raw.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string answer = raw.readToEnd();
+    EXPECT_NE(answer.find("9\r\ndata: a\n\n\r\n9\r\ndata: b\n\n\r\n0\r\n\r\n"), std::string::npos) << answer;
+}
+
+// A caller hangs up while the engine is silent. The handler must hear of it then, not at the next write, or the
+// engine's memory stays held for a caller that has gone.
+TEST(HttpServer, TellsTheHandlerThatTheCallerHasGone)
+{
+    std::promise<void> gone;
+    const ServedThread served(smallLimits(), [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        asio::steady_timer silentEngine(asio::get_associated_executor(yield.handler_), std::chrono::hours(1));
+        reply.onGone([&] { silentEngine.cancel(); });
+        reply.startStream(200, yield);
+        boost::system::error_code cancelled;
+        silentEngine.async_wait(yield[cancelled]);
+        gone.set_value();
+    });
+    {
+        RawConnection raw(served.port());
+        raw.send("GET / HTTP/1.1\r\n\r\n");
+        raw.readUntil("\r\n\r\n");
+    }
+    gone.get_future().get();
+}
+
+// A slow reader takes nothing while the stream goes on. The writer waits instead of buffering, and gives the caller up
+// after the stall limit.
+TEST(HttpServer, GivesUpACallerThatReadsNothing)
+{
+    std::promise<std::size_t> written;
+    HttpServer::Options options = smallLimits();
+    options.stallLimit = 100ms;
+    const ServedThread served(options, [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        const std::string piece(1 << 16, 'x');
+        std::size_t count = 0;
+        try {
+            reply.startStream(200, yield);
+            while (true) {
+                reply.write(piece, yield);
+                ++count;
+            }
+        } catch (const CallerGone &) {
+            written.set_value(count);
+            throw;
+        }
+    });
+    const RawConnection raw(served.port());
+    raw.send("GET / HTTP/1.1\r\n\r\n");
+    constexpr std::size_t kernelBuffersAtMost = 256; // 16 MiB
+    EXPECT_LT(written.get_future().get(), kernelBuffersAtMost);
+}
+
+TEST(HttpServer, RefusesConnectionsOverItsBound)
+{
+    HttpServer::Options options = smallLimits();
+    options.connections = 1;
+    const ServedThread served(options, echo);
+    RawConnection first(served.port());
+    first.send("GET /a HTTP/1.1\r\n\r\n");
+    EXPECT_NE(first.readUntil("GET /a ").find("200 OK"), std::string::npos);
+    RawConnection second(served.port());
+    second.send("GET /b HTTP/1.1\r\n\r\n");
+    const std::string answer = second.readToEnd();
+    EXPECT_NE(answer.find("\"code\":\"overloaded\""), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Retry-After: 1"), std::string::npos) << answer;
+}
+
+} // namespace
+} // namespace fescuesill
