--- a/wire/platformclient.cpp
+++ b/wire/platformclient.cpp
@@ -82,6 +82,8 @@
     host.dataCentre = DataCentreId(json.at("data_centre").get<std::string>());
     host.entry = json.at("entry").get<std::string>();
     host.scheduler = json.at("scheduler").get<std::string>();
+    host.entryAdmin = json.value("entry_admin", "");
+    host.schedulerAdmin = json.value("scheduler_admin", "");
     host.state = json.at("state").get<std::string>() == "leaving" ? HostState::Leaving : HostState::Live;
     return host;
 }
--- a/wire/platformclient.h
+++ b/wire/platformclient.h
@@ -47,6 +47,8 @@
     std::string entry; // IP:PORT
     std::string scheduler; // IP:PORT
     HostState state = HostState::Live;
+    std::string entryAdmin = {}; // IP:PORT; empty where the platform does not say
+    std::string schedulerAdmin = {};
 };
 
 // It answers that it is down, or nothing could be sent to it. Nothing took effect.
