--- /dev/null
+++ b/wire/engineclient.h
@@ -0,0 +1,199 @@
+#pragma once
+
+// Model engines, for the coroutines of one io_context.
+//
+//     EngineClient engines(io, EngineClient::Options{});
+//     const PrefillAnswer kv = engines.prefill("127.0.0.1:8201", prefillCall, yield);
+//     DecodeStream stream = engines.decode("127.0.0.1:8202", decodeCall, yield);
+//     std::vector<DecodeLine> lines;
+//     while (stream.read(lines, 1s, yield)) { ... std::visit(...) each ... }
+//     engines.cancel("127.0.0.1:8202", decodeCall.stream, yield);
+//
+// Every call throws EngineError.
+
+#include "fescuesill/ids.h"
+#include "wire/httpclient.h"
+
+#include <optional>
+#include <tl/expected.hpp>
+#include <variant>
+
+namespace fescuesill
+{
+
+// 503: it takes no more prompts now.
+struct QueueFull {
+};
+// 503: no decode memory; the prefill result is still held.
+struct NoMemory {
+};
+// 410: the prefill result has expired or is gone with its engine.
+struct KvGone {
+};
+// 404: it holds no such stream.
+struct NoStream {
+};
+// 409: it has seen a higher fencing number.
+struct StaleFencing {
+    FencingNumber seen;
+};
+// No answer. Where the call was not sent, nothing of it runs there.
+struct Unreachable {
+    HttpFault fault = HttpFault::Connect;
+    bool isKnownNotSent = false;
+    std::string text;
+};
+// An answer that is not in the contract.
+struct BadEngineReply {
+    std::string text;
+};
+
+using EngineFault = std::variant<QueueFull, NoMemory, KvGone, NoStream, StaleFencing, Unreachable, BadEngineReply>;
+
+class EngineError : public std::runtime_error
+{
+public:
+    explicit EngineError(EngineFault fault);
+
+    const EngineFault &fault() const;
+
+private:
+    EngineFault cause;
+};
+
+struct PrefillCall {
+    RequestId request;
+    std::string prompt;
+    Tokens promptTokens;
+    std::vector<std::uint64_t> prefix;
+    int priority = 0;
+};
+
+struct PrefillAnswer {
+    KvId kv;
+    Tokens read;
+    Tokens reused;
+    Duration keep{0};
+};
+
+struct DecodeCall {
+    StreamId stream;
+    RequestId request;
+    HostId entry;
+    std::string kvAddress;
+    KvId kv;
+    Tokens promptTokens;
+    Tokens maxTokens;
+    int priority = 0;
+};
+
+struct DecodeFragment {
+    Offset offset;
+    std::string json; // the text as a JSON string with its quotes, as it goes on to the caller
+    std::string text;
+};
+
+struct DecodeEnd {
+    Offset length;
+    std::string digest;
+    Tokens prompt;
+    Tokens output;
+};
+
+using DecodeLine = std::variant<DecodeFragment, DecodeEnd>;
+
+struct DecodeLineError {
+    std::string text;
+};
+
+tl::expected<DecodeLine, DecodeLineError> parseDecodeLine(std::string_view line);
+
+// Lines of one generation as they come.
+class DecodeStream
+{
+public:
+    explicit DecodeStream(LineStream lines);
+
+    // Waits for one line and gives all that have arrived. False where the connection ended.
+    bool read(std::vector<DecodeLine> &lines, Duration limit, const asio::yield_context &yield);
+    // A read that waits ends with Unreachable.
+    void close();
+
+private:
+    LineStream stream;
+    std::string text;
+};
+
+struct RunningStream {
+    StreamId stream;
+    RequestId request;
+    HostId entry;
+    bool isAttached = false;
+    Duration idle{0};
+    Pieces pieces;
+    Offset offset;
+};
+
+struct EngineLoad {
+    std::string role;
+    Pieces piecesTotal;
+    Pieces piecesUsed;
+    int running = 0;
+    Tokens queued;
+    double tokensPerSecond = 0;
+    Duration age{0};
+    std::string instance;
+};
+
+struct EngineCacheEvent {
+    std::int64_t sequence = 0;
+    bool isAdded = true;
+    std::uint64_t prefix = 0;
+};
+
+struct EngineCacheEvents {
+    std::vector<EngineCacheEvent> events;
+    std::int64_t next = 0;
+};
+
+enum class OrderKind {
+    Role,
+    Model,
+};
+
+class EngineClient
+{
+public:
+    struct Options {
+        HttpClient::Options http = {};
+        Duration prefillDeadline{20s}; // 9,000 tokens take under 1 s; the rest is the engine's queue
+        Duration attachDeadline{2s}; // to the first byte of a stream: the transfer of the KV is within it
+        Duration cancelDeadline{1s};
+        Duration reportDeadline{1s};
+    };
+
+    EngineClient(asio::io_context &io, const Options &options);
+
+    PrefillAnswer prefill(const std::string &address, const PrefillCall &call, const asio::yield_context &yield);
+    DecodeStream decode(const std::string &address, const DecodeCall &call, const asio::yield_context &yield);
+    // Always on a new connection: the reason to resume may be that something forgot the old ones.
+    DecodeStream resume(const std::string &address, const StreamId &stream, Offset from, const HostId &entry,
+                        const asio::yield_context &yield);
+    // Returns once the engine has confirmed that the memory is free.
+    void cancel(const std::string &address, const StreamId &stream, const asio::yield_context &yield);
+    std::vector<RunningStream> list(const std::string &address, const asio::yield_context &yield);
+    EngineLoad load(const std::string &address, const asio::yield_context &yield);
+    EngineCacheEvents cacheEvents(const std::string &address, std::int64_t after, const asio::yield_context &yield);
+    void order(const std::string &address, FencingNumber fencing, OrderKind kind, const std::string &value,
+               const asio::yield_context &yield);
+
+private:
+    HttpResponse call(const std::string &address, const HttpRequest &request, const CallOptions &limits,
+                      const asio::yield_context &yield);
+    DecodeStream open(const std::string &address, const HttpRequest &request, const asio::yield_context &yield);
+
+    Options options;
+    HttpClient client;
+};
+
+} // namespace fescuesill
