--- a/promise/attempt.cpp
+++ b/promise/attempt.cpp
@@ -137,6 +137,7 @@
 AttemptAction Attempt::readBack()
 {
     this->state = State::ReadingBack;
+    ++this->tries;
     return attempt_action::Read{this->key};
 }
 
@@ -174,7 +175,6 @@
     if (!is<table::ReadFailed>(event)) {
         throwMisfit();
     }
-    ++this->tries;
     return triesLeft ? this->readBack() : this->storeDown(now);
 }
 
--- a/promise/attempt.h
+++ b/promise/attempt.h
@@ -118,8 +118,8 @@
         Duration keepOpen{168h};
         // Larger answers reach the caller but are not kept: a row must stay small for the table.
         Bytes maxKeptAnswer{64 * 1024};
-        // Table calls before the caller is answered. Two cover one lost reply; more only add to a store in trouble.
-        int triesBefore = 3;
+        // Table calls before the caller is answered: insert and read back, twice. More only add to a store in trouble.
+        int triesBefore = 4;
         // Table calls after the caller was answered, to complete or release the row: with retryWait about 10 minutes.
         int triesAfter = 120;
         Duration retryWait{5s};
--- a/promise/configstore.cpp
+++ b/promise/configstore.cpp
@@ -63,7 +63,8 @@
 void ConfigStore::onReach(PeerReach newReach, Instant now)
 {
     this->reach = newReach;
-    const bool hearsMost = newReach.alive > 0 && 2 * (newReach.alive + 1) > newReach.known + 1;
+    // This host counts as one that answers: with four of nine hosts lost, five are still most.
+    const bool hearsMost = newReach.answered > 0 && 2 * (newReach.answered + 1) > newReach.probed + 1;
     if (hearsMost) {
         this->noteContact(now);
     }
--- a/promise/configstore.h
+++ b/promise/configstore.h
@@ -6,7 +6,7 @@
 //     store.onTableRead(record, now);                 // or onTableFailed(now)
 //     store.onPeerVersion(peer, version, now);        // a peer that serves says what it has in force
 //     if (store.wanted()) { ... fetch it: store.onPeerRecord(peer, record, now) ... }
-//     store.onReach(PeerReach{alive, known}, now);    // from membership, every probe period
+//     store.onReach(membership.reach(), now);          // every probe period
 //     if (store.service(now) == ConfigService::Serving) { ... takes new work ... }
 //     store.inForce();                                // nullptr until the first version is known
 //
@@ -27,10 +27,12 @@
     CutOff, // neither the table nor most peers heard within the freshness limit
 };
 
-// How much of the fleet this node hears, itself left out.
+// How much of the fleet this node hears, itself left out: of the last few probes of hosts picked at random, how many
+// were answered.
 struct PeerReach {
-    int alive = 0;
-    int known = 0;
+    int answered = 0;
+    int probed = 0;
+    int known = 0; // hosts
 };
 
 class ConfigStore
--- a/promise/engineordering.cpp
+++ b/promise/engineordering.cpp
@@ -152,9 +152,8 @@
     if (std::holds_alternative<order_event::Stale>(event)) {
         return this->finish(OrderOutcome::HeldByOther);
     }
-    const bool answers =
-        std::holds_alternative<order_event::Taken>(event) || std::holds_alternative<order_event::NotTaken>(event);
-    if (!answers) {
+    this->taken = std::holds_alternative<order_event::Taken>(event);
+    if (!this->taken && !std::holds_alternative<order_event::NotTaken>(event)) {
         throwMisfit();
     }
     this->state = State::Asking;
--- a/promise/membership.cpp
+++ b/promise/membership.cpp
@@ -145,7 +145,7 @@
         break;
     case ProbeKind::IndirectAck:
         if (this->pending && this->pending->sequence == in.sequence && this->pending->target == in.target) {
-            this->pending.reset();
+            this->noteProbe(true);
         }
         break;
     }
@@ -197,10 +197,9 @@
 PeerReach Membership::reach() const
 {
     PeerReach reach;
-    for (const auto &[host, peer] : this->peers) {
-        ++reach.known;
-        reach.alive += peer.heard && isHeardAlive(peer.info.state) ? 1 : 0;
-    }
+    reach.answered = static_cast<int>(std::count(this->recentProbes.begin(), this->recentProbes.end(), true));
+    reach.probed = static_cast<int>(this->recentProbes.size());
+    reach.known = static_cast<int>(this->peers.size());
     return reach;
 }
 
@@ -396,7 +395,7 @@
 void Membership::onAck(const ProbeMessage &ack, std::vector<ProbeMessage> &out)
 {
     if (this->pending && this->pending->sequence == ack.sequence && this->pending->target == ack.from) {
-        this->pending.reset();
+        this->noteProbe(true);
         return;
     }
     const auto relay = this->relays.find(ack.sequence);
@@ -430,6 +429,7 @@
 void Membership::forgive(Instant now)
 {
     this->pending.reset();
+    this->recentProbes.clear();
     this->nextProbe = now;
     for (auto &[host, peer] : this->peers) {
         if (peer.info.state == MemberState::Suspect) {
@@ -455,13 +455,22 @@
     }
 }
 
+void Membership::noteProbe(bool answered)
+{
+    this->pending.reset();
+    this->recentProbes.push_back(answered);
+    if (this->recentProbes.size() > this->options.reachProbes) {
+        this->recentProbes.pop_front();
+    }
+}
+
 void Membership::suspectPending(Instant now)
 {
     if (!this->pending) {
         return;
     }
     const auto peer = this->peers.find(this->pending->target);
-    this->pending.reset();
+    this->noteProbe(false);
     if (peer != this->peers.end() && isHeardAlive(peer->second.info.state)) {
         this->setState(peer->second, MemberState::Suspect, now);
     }
--- a/promise/membership.h
+++ b/promise/membership.h
@@ -17,6 +17,7 @@
 #include "promise/configstore.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -89,6 +90,8 @@
         // One per cell and a few for the configuration; the one that has not changed for longest goes first.
         std::size_t mostFacts = 512;
         Bytes mostFactBytes{128};
+        // Probes that reach() counts: a cut shows after half as many periods.
+        std::size_t reachProbes = 8;
         // Probes made for others at once; a host is asked for some two a period.
         std::size_t mostRelays = 64;
     };
@@ -154,6 +157,7 @@
     void setState(Peer &peer, MemberState state, Instant now);
     void forgive(Instant now);
     void expire(Instant now);
+    void noteProbe(bool answered);
     void suspectPending(Instant now);
     void askOthers(std::vector<ProbeMessage> &out);
     void startProbe(Instant now, std::vector<ProbeMessage> &out);
@@ -166,6 +170,7 @@
     std::map<std::string, HeldFact> held;
     std::vector<HostId> order; // this round's targets, shuffled
     std::optional<Pending> pending;
+    std::deque<bool> recentProbes; // answered or not
     std::map<std::uint64_t, Relay> relays;
     Instant nextProbe;
     Instant lastTick;
