Add the scheduler: cells, membership, spread of the configuration, engines

The thin path needs an owner for each cell. Decisions, probes, platform reads and engine calls are a thread each, joined by bounded rings; CellDirector holds the cells and has no I/O. A full ring refuses a new request at once and closes the link for anything else, since a lost Finished would leave a reservation that nobody frees. Each host reads the small row config/version every second rather than the record of some 100 KB; the probes carry the version as well, for hosts that cannot reach the table. Ruled out: waiting for the probes alone, whose spread over 340 hosts takes most of the 6 s.

--- /dev/null
+++ b/programs/scheduler/peerduty.cpp
@@ -0,0 +1,568 @@
+#include "programs/scheduler/peerduty.h"
+
+#include "programs/scheduler/cellboard.h"
+#include "wire/clock.h"
+#include "wire/log.h"
+#include "wire/ring.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <random>
+
+// Everything here runs on the thread of the PeerNode; other duties reach it through the ring.
+//
+// Configuration: the platform's duty reads the table every second. The version in force also rides on the probes as the
+// fact "config", with the address of a host that has it, so that hosts that cannot reach the table learn that there is
+// more and fetch it from there. A host that starts, or was cut off, asks a few live hosts directly before it serves.
+//
+// Ownership: each tick looks whether members or declaration changed what this host owns and tells the decider.
+//
+// A full ring to the decider: a new request is refused at once, anything else closes the link. A lost Finished or
+// PrefillDone would leave a reservation that nobody frees; after a reconnect the entry says again what it holds.
+
+namespace fescuesill
+{
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr const char *configFact = "config";
+// A host to fetch from that has not answered by then is given up; another is asked.
+constexpr Duration fetchLimit = 2s;
+// Fetches at once: one for the version wanted, and those that a starting host needs.
+constexpr std::size_t mostFetches = 4;
+constexpr Duration fetchPause = 200ms;
+constexpr Duration ownershipEvery = 200ms;
+constexpr Duration overloadRetry = 500ms;
+
+struct Fetch {
+    HostId host;
+    Instant since;
+};
+
+MemberInfo memberOf(const PlatformHost &host)
+{
+    MemberInfo member;
+    member.host = host.host;
+    member.dataCentre = host.dataCentre;
+    member.address = host.scheduler;
+    member.state = host.state == HostState::Leaving ? MemberState::Leaving : MemberState::Alive;
+    return member;
+}
+
+MemberInfo memberOf(const peer::LiveHost &host)
+{
+    MemberInfo member;
+    member.host = host.host;
+    member.dataCentre = host.dataCentre;
+    member.address = host.schedulerAddress;
+    member.state = host.leaving ? MemberState::Leaving : MemberState::Alive;
+    return member;
+}
+
+bool isLive(const MemberInfo &member)
+{
+    return member.state != MemberState::Dead;
+}
+
+MemberInfo selfInfo(const PeerDuty::Options &options)
+{
+    MemberInfo self;
+    self.host = options.host;
+    self.dataCentre = options.dataCentre;
+    self.address = options.address;
+    // A host that starts anew must outrank what is still said of its earlier life.
+    self.incarnation = static_cast<std::uint64_t>(sharedNow().time_since_epoch() / 1ms);
+    return self;
+}
+
+bool sameHosts(const std::vector<peer::LiveHost> &a, const std::vector<peer::LiveHost> &b)
+{
+    return peer::encodeMessage(peer::LiveHosts{a}) == peer::encodeMessage(peer::LiveHosts{b});
+}
+
+} // namespace
+
+struct PeerDuty::Impl {
+    Impl(Options given, Decide callback)
+        : options(std::move(given))
+        , decide(std::move(callback))
+        , random(std::random_device()())
+        , membership(selfInfo(options), options.membership, random(), steadyNow())
+        , store(options.config, steadyNow())
+    {
+    }
+
+    void open()
+    {
+        PeerNode::Options node;
+        node.listen = this->options.address;
+        PeerNode::Handlers handlers;
+        handlers.opened = [this](LinkId link) {
+            this->onOpened(link);
+        };
+        handlers.received = [this](LinkId link, peer::Message message) {
+            this->onReceived(link, std::move(message));
+        };
+        handlers.closed = [this](LinkId link) {
+            this->onClosed(link);
+        };
+        auto made = PeerNode::create(node, std::move(handlers));
+        if (!made) {
+            throw WireError(made.error());
+        }
+        this->node = std::move(*made);
+        auto socket = ProbeSocket::create(this->node->context(), this->options.address,
+                                          [this](const ProbeMessage &probe) { this->onProbe(probe); });
+        if (!socket) {
+            throw WireError(socket.error());
+        }
+        this->probes = std::move(*socket);
+        this->timer = std::make_unique<asio::steady_timer>(this->node->context());
+        this->ring = std::make_unique<Ring<PeerEvent>>(
+            this->options.ring, [this] { asio::post(this->node->context(), [this] { this->drainRing(); }); });
+    }
+
+    void start()
+    {
+        for (const std::string &seed : this->options.seeds) {
+            this->fetchFrom(HostId(seed), seed);
+        }
+        asio::post(this->node->context(), [this] { this->tick(); });
+        this->node->start();
+    }
+
+    void tick()
+    {
+        const Instant now = steadyNow();
+        this->sendProbes(this->membership.tick(now));
+        this->store.onReach(this->membership.reach(), now);
+        this->dropOldFetches(now);
+        this->fetchWhatIsMissing(now);
+        this->tellPendingClosed();
+        if (now >= this->nextOwnership) {
+            this->nextOwnership = now + ownershipEvery;
+            this->refreshOwnership();
+            this->publishStatus(now);
+        }
+        if (now >= this->nextNews) {
+            this->nextNews = now + this->options.news;
+            this->tellEntries();
+        }
+        this->timer->expires_after(this->options.tick);
+        this->timer->async_wait([this](const boost::system::error_code &failed) {
+            if (!failed) {
+                this->tick();
+            }
+        });
+    }
+
+    void drainRing()
+    {
+        while (auto event = this->ring->tryPop()) {
+            std::visit([this](const auto &alternative) { this->handle(alternative); }, *event);
+        }
+    }
+
+    void handle(const TableConfig &read)
+    {
+        this->tableReachable = true;
+        if (this->store.onTableRead(read.record, steadyNow())) {
+            this->putInForce("table");
+        }
+    }
+
+    void handle(const TableUnchanged & /*read*/)
+    {
+        this->tableReachable = true;
+        this->store.onTableRead(std::nullopt, steadyNow());
+    }
+
+    void handle(const TableFailed & /*failed*/)
+    {
+        this->tableReachable = false;
+        this->store.onTableFailed(steadyNow());
+    }
+
+    void handle(const HostList &list)
+    {
+        std::vector<MemberInfo> hosts;
+        for (const PlatformHost &host : list.hosts) {
+            hosts.push_back(memberOf(host));
+        }
+        this->membership.onHostList(hosts, steadyNow());
+    }
+
+    void handle(const PublishSummary &summary)
+    {
+        // Whoever owned the cell before may have a clock ahead of ours by the clock margin; that costs as much delay.
+        const auto version = static_cast<std::uint64_t>(sharedNow().time_since_epoch() / 1ms);
+        this->membership.publish(CellBoard::factName(summary.cell), version, CellBoard::encode(summary.summary),
+                                 steadyNow());
+    }
+
+    void handle(const LeaveFleet & /*leave*/)
+    {
+        this->membership.leave();
+        this->refreshOwnership();
+    }
+
+    void onProbe(const ProbeMessage &probe)
+    {
+        this->sendProbes(this->membership.onMessage(probe, steadyNow()));
+    }
+
+    void sendProbes(const std::vector<ProbeMessage> &messages)
+    {
+        for (const ProbeMessage &message : messages) {
+            const std::string address = this->addressOf(message.to);
+            if (!address.empty()) {
+                this->probes->send(address, message);
+            }
+        }
+    }
+
+    std::string addressOf(const HostId &host) const
+    {
+        for (const MemberInfo &member : this->membership.members()) {
+            if (member.host == host) {
+                return member.address;
+            }
+        }
+        return {};
+    }
+
+    void onOpened(LinkId link)
+    {
+        ++this->links;
+        if (this->fetches.count(link) != 0) {
+            this->node->send(link, peer::Hello{this->options.host, this->options.dataCentre, false});
+            this->node->send(link, peer::FetchConfig{});
+        }
+    }
+
+    void onClosed(LinkId link)
+    {
+        --this->links;
+        if (this->fetches.erase(link) != 0) {
+            this->node->disconnect(link);
+        }
+        if (this->entries.erase(link) != 0 && !this->decide(LinkClosed{link})) {
+            this->pendingClosed.push_back(link);
+        }
+    }
+
+    void tellPendingClosed()
+    {
+        while (!this->pendingClosed.empty() && this->decide(LinkClosed{this->pendingClosed.back()})) {
+            this->pendingClosed.pop_back();
+        }
+    }
+
+    void onReceived(LinkId link, peer::Message message)
+    {
+        if (std::holds_alternative<peer::FetchConfig>(message)) {
+            this->node->send(link, peer::LiveHosts{this->liveHosts()});
+            this->node->send(link, this->configInForce(true));
+        } else if (const auto *hosts = std::get_if<peer::LiveHosts>(&message)) {
+            this->onLiveHosts(*hosts);
+        } else if (const auto *config = std::get_if<peer::ConfigInForce>(&message)) {
+            this->onFetched(link, *config);
+        } else {
+            this->onFromEntry(link, std::move(message));
+        }
+    }
+
+    void onFromEntry(LinkId link, peer::Message message)
+    {
+        const auto *hello = std::get_if<peer::Hello>(&message);
+        if (hello != nullptr) {
+            if (!hello->isEntry) {
+                return;
+            }
+            this->entries.insert(link);
+        }
+        std::optional<RequestId> asked;
+        if (const auto *submit = std::get_if<peer::Submit>(&message)) {
+            asked = submit->request;
+        }
+        const bool isNew = hello != nullptr;
+        if (!this->decide(FromEntry{link, std::move(message)})) {
+            this->onDeciderFull(link, asked);
+        } else if (isNew) {
+            this->node->send(link, this->configInForce(true));
+            this->node->send(link, peer::LiveHosts{this->liveHosts()});
+            this->node->send(link, peer::AllCells{this->board.news()});
+        }
+    }
+
+    void onDeciderFull(LinkId link, const std::optional<RequestId> &asked)
+    {
+        if (asked) {
+            Refusal refusal{RefusalCode::Overloaded, RunState::NotRun, "the decider has too many events waiting",
+                            overloadRetry};
+            this->node->send(link, peer::Refused{*asked, std::move(refusal)});
+            return;
+        }
+        Log::warning("decider_full", {{"link", static_cast<std::uint64_t>(link)}});
+        this->entries.erase(link);
+        this->pendingClosed.push_back(link);
+        this->node->disconnect(link);
+    }
+
+    void onLiveHosts(const peer::LiveHosts &live)
+    {
+        std::vector<MemberInfo> hosts;
+        for (const peer::LiveHost &host : live.hosts) {
+            hosts.push_back(memberOf(host));
+        }
+        this->membership.onHostList(hosts, steadyNow());
+    }
+
+    void onFetched(LinkId link, const peer::ConfigInForce &config)
+    {
+        const auto fetch = this->fetches.find(link);
+        if (fetch == this->fetches.end()) {
+            return;
+        }
+        const HostId host = fetch->second.host;
+        this->fetches.erase(fetch);
+        this->node->disconnect(link);
+        const auto record = decodeConfigRecord(config.record);
+        if (!record || !config.serving) {
+            return;
+        }
+        if (this->store.onPeerRecord(host, *record, steadyNow())) {
+            this->putInForce("peer");
+        }
+    }
+
+    void fetchFrom(const HostId &host, const std::string &address)
+    {
+        if (address.empty() || this->fetches.size() >= mostFetches) {
+            return;
+        }
+        this->fetches[this->node->connect(address)] = Fetch{host, steadyNow()};
+    }
+
+    void dropOldFetches(Instant now)
+    {
+        for (auto fetch = this->fetches.begin(); fetch != this->fetches.end();) {
+            const bool isOld = now - fetch->second.since > fetchLimit;
+            if (isOld) {
+                this->node->disconnect(fetch->first);
+            }
+            fetch = isOld ? this->fetches.erase(fetch) : std::next(fetch);
+        }
+    }
+
+    void fetchWhatIsMissing(Instant now)
+    {
+        if (now < this->nextFetch) {
+            return;
+        }
+        this->nextFetch = now + fetchPause;
+        for (const Fact &fact : this->membership.facts()) {
+            if (fact.name == configFact && fact.version > static_cast<std::uint64_t>(this->store.version().value())) {
+                this->fetchFrom(HostId(fact.bytes), fact.bytes);
+            }
+        }
+        if (this->store.service(now) != ConfigService::Serving || this->store.wanted()) {
+            this->fetchFromAnyone();
+        }
+    }
+
+    void fetchFromAnyone()
+    {
+        std::vector<MemberInfo> others;
+        for (const MemberInfo &member : this->membership.members()) {
+            if (member.host != this->options.host && isLive(member)) {
+                others.push_back(member);
+            }
+        }
+        if (!others.empty()) {
+            const MemberInfo &chosen = others[this->random() % others.size()];
+            this->fetchFrom(chosen.host, chosen.address);
+        }
+    }
+
+    // Failure: a text that does not parse reaches the table past fescuesillctl. It shows as a fleet that loses its
+    // services at once. So what was in force stays in force here, and the status says so.
+    void putInForce(const char *source)
+    {
+        const ConfigRecord &record = *this->store.inForce();
+        const std::string name = "version " + std::to_string(record.version.value());
+        auto parsed = Declaration::parse(record.text, name);
+        if (!parsed) {
+            Log::error("declaration_malformed",
+                       {{"version", record.version.value()},
+                        {"fault", parsed.error().faults.empty() ? "" : parsed.error().faults.front().line()}});
+            return;
+        }
+        this->declaration = std::make_shared<const Declaration>(std::move(*parsed));
+        Log::info("config_in_force",
+                  {{"version", record.version.value()},
+                   {"from", source},
+                   {"author", record.author},
+                   {"change", record.changeId}});
+        this->membership.publish(configFact, static_cast<std::uint64_t>(record.version.value()), this->options.address,
+                                 steadyNow());
+        this->isDeclarationTold = false;
+        for (const LinkId link : this->entries) {
+            this->node->send(link, this->configInForce(true));
+        }
+        this->refreshOwnership();
+    }
+
+    peer::ConfigInForce configInForce(bool withRecord) const
+    {
+        peer::ConfigInForce message;
+        const ConfigRecord *record = this->store.inForce();
+        if (withRecord && record != nullptr) {
+            message.record = encode(*record);
+        }
+        message.serving = this->store.service(steadyNow()) == ConfigService::Serving;
+        return message;
+    }
+
+    std::vector<peer::LiveHost> liveHosts() const
+    {
+        std::vector<peer::LiveHost> live;
+        for (const MemberInfo &member : this->membership.members()) {
+            if (isLive(member)) {
+                live.push_back(peer::LiveHost{member.host, member.dataCentre, member.address,
+                                              member.state == MemberState::Leaving});
+            }
+        }
+        return live;
+    }
+
+    void refreshOwnership()
+    {
+        if (!this->declaration) {
+            return;
+        }
+        if (!this->isDeclarationTold) {
+            this->isDeclarationTold = this->decide(NewDeclaration{this->declaration});
+        }
+        this->board = CellBoard::build(*this->declaration, this->membership);
+        const auto live = this->liveHosts();
+        const auto owned = this->board.ownedBy(this->options.host);
+        const bool isChanged = owned != this->toldOwned || !sameHosts(live, this->toldLive);
+        if (!isChanged || !this->isDeclarationTold) {
+            return;
+        }
+        Ownership ownership;
+        ownership.cells = owned;
+        for (const peer::LiveHost &host : live) {
+            ownership.liveHosts.insert(host.host);
+        }
+        if (!this->decide(std::move(ownership))) {
+            return;
+        }
+        this->toldOwned = owned;
+        this->toldLive = live;
+        for (const LinkId link : this->entries) {
+            this->node->send(link, peer::LiveHosts{live});
+            this->node->send(link, peer::AllCells{this->board.news()});
+        }
+    }
+
+    void tellEntries()
+    {
+        for (const LinkId link : this->entries) {
+            this->node->send(link, this->configInForce(false));
+            this->node->send(link, peer::AllCells{this->board.news()});
+        }
+    }
+
+    void publishStatus(Instant now)
+    {
+        PeerStatus made;
+        made.version = this->store.version();
+        made.service = this->store.service(now);
+        made.members = this->membership.members();
+        made.cells = this->board.news();
+        made.owned = this->toldOwned.size();
+        made.links = this->links;
+        made.traffic = this->probes->traffic();
+        made.tableReachable = this->tableReachable;
+        const std::lock_guard<std::mutex> lock(this->statusMutex);
+        this->status = std::move(made);
+    }
+
+    Options options;
+    Decide decide;
+    std::mt19937_64 random;
+    Membership membership;
+    ConfigStore store;
+    std::shared_ptr<const Declaration> declaration;
+    CellBoard board;
+    std::set<CellId> toldOwned;
+    std::vector<peer::LiveHost> toldLive;
+    bool isDeclarationTold = false;
+    bool tableReachable = false;
+    std::set<LinkId> entries;
+    std::vector<LinkId> pendingClosed; // at most the links that were open
+    std::map<LinkId, Fetch> fetches;
+    std::size_t links = 0;
+    Instant nextOwnership;
+    Instant nextNews;
+    Instant nextFetch;
+    mutable std::mutex statusMutex;
+    PeerStatus status;
+    std::unique_ptr<Ring<PeerEvent>> ring;
+    // Stopped before anything is destroyed; the socket and the timer live in its event loop.
+    std::unique_ptr<PeerNode> node;
+    std::unique_ptr<ProbeSocket> probes;
+    std::unique_ptr<asio::steady_timer> timer;
+};
+
+PeerDuty::PeerDuty(std::unique_ptr<Impl> made)
+    : impl(std::move(made))
+{
+}
+
+PeerDuty::~PeerDuty()
+{
+    this->impl->node->stop();
+}
+
+tl::expected<std::unique_ptr<PeerDuty>, WireError> PeerDuty::create(Options options, Decide decide)
+{
+    auto made = std::make_unique<Impl>(std::move(options), std::move(decide));
+    try {
+        made->open();
+    } catch (const WireError &failed) {
+        return tl::unexpected(failed);
+    }
+    return std::unique_ptr<PeerDuty>(new PeerDuty(std::move(made)));
+}
+
+void PeerDuty::start()
+{
+    this->impl->start();
+}
+
+bool PeerDuty::push(PeerEvent &&event)
+{
+    return this->impl->ring->tryPush(std::move(event));
+}
+
+void PeerDuty::send(LinkId link, const peer::Message &message)
+{
+    this->impl->node->send(link, message);
+}
+
+PeerStatus PeerDuty::status() const
+{
+    const std::lock_guard<std::mutex> lock(this->impl->statusMutex);
+    return this->impl->status;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/scheduler/schedulersettings.cpp
@@ -0,0 +1,34 @@
+#include "programs/scheduler/schedulersettings.h"
+
+namespace fescuesill
+{
+
+tl::expected<SchedulerSettings, DeclareError> SchedulerSettings::fromFile(const std::string &path)
+{
+    auto reader = SettingsReader::fromFile(path);
+    if (!reader) {
+        return tl::unexpected(reader.error());
+    }
+    SchedulerSettings settings;
+    settings.host = HostId(reader->text("process", "host"));
+    settings.dataCentre = DataCentreId(reader->text("process", "data_centre"));
+    settings.peers = reader->address("listen", "peers");
+    settings.admin = reader->address("listen", "admin");
+    settings.platform = reader->address("platform", "address");
+    settings.versionPoll = reader->duration("platform", "version_poll", 1s, {50ms, 1min});
+    settings.hostListPoll = reader->duration("platform", "host_list_poll", 5s, {50ms, 5min});
+    settings.seeds = reader->addresses("peers", "seeds");
+    settings.probePeriod = reader->duration("peers", "probe_period", 1s, {100ms, 1min});
+    settings.freshness = reader->duration("peers", "freshness", 10s, {1s, 10min});
+    settings.enginePoll = reader->duration("engines", "load_poll", 250ms, {10ms, 10s});
+    settings.streamPoll = reader->duration("engines", "stream_poll", 2s, {50ms, 1min});
+    settings.resumeGrace = reader->duration("resume", "grace", 15s, {100ms, 10min});
+    settings.drainLimit = reader->duration("drain", "limit", 60s, {1s, 1h});
+    settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
+    if (auto faults = reader->finish(); !faults.empty()) {
+        return tl::unexpected(DeclareError{std::move(faults)});
+    }
+    return settings;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/scheduler/schedulerstatus.cpp
@@ -0,0 +1,175 @@
+#include "programs/scheduler/schedulerstatus.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescuesill
+{
+namespace
+{
+
+using Json = nlohmann::json;
+using Labels = std::map<std::string, std::string>;
+
+const char *serviceName(ConfigService service)
+{
+    switch (service) {
+    case ConfigService::Learning:
+        return "learning";
+    case ConfigService::Serving:
+        return "serving";
+    case ConfigService::CutOff:
+        return "cut_off";
+    }
+    return "learning";
+}
+
+const char *stateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Json degradedModes(const PeerStatus &peers, bool isDraining)
+{
+    Json modes = Json::array();
+    if (!peers.tableReachable) {
+        modes.push_back("platform_unreachable");
+    }
+    if (peers.service != ConfigService::Serving) {
+        modes.push_back(serviceName(peers.service));
+    }
+    if (isDraining) {
+        modes.push_back("draining");
+    }
+    return modes;
+}
+
+Json ownedCells(const DirectorStatus &director)
+{
+    Json cells = Json::array();
+    for (const auto &[id, cell] : director.cells) {
+        cells.push_back({{"model", id.model.value()},
+                         {"data_centre", id.dataCentre.value()},
+                         {"requests", cell.requests},
+                         {"queue_ms", cell.summary.queueDelay / 1ms},
+                         {"free_pieces", cell.summary.freePieces.value()},
+                         {"placed", cell.counters.placed},
+                         {"refused", cell.counters.refused},
+                         {"decisions", cell.counters.decisions}});
+    }
+    return cells;
+}
+
+Json allMembers(const PeerStatus &peers)
+{
+    Json members = Json::array();
+    for (const MemberInfo &member : peers.members) {
+        members.push_back({{"host", member.host.value()},
+                           {"data_centre", member.dataCentre.value()},
+                           {"address", member.address},
+                           {"state", stateName(member.state)}});
+    }
+    return members;
+}
+
+Json allOwners(const PeerStatus &peers)
+{
+    Json owners = Json::array();
+    for (const peer::CellNews &cell : peers.cells) {
+        owners.push_back({{"model", cell.cell.model.value()},
+                          {"data_centre", cell.cell.dataCentre.value()},
+                          {"owner", cell.owner.value()}});
+    }
+    return owners;
+}
+
+prometheus::Family<prometheus::Gauge> &family(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+std::string schedulerStatusJson(const SchedulerSettings &settings, const PeerStatus &peers,
+                                const DirectorStatus &director, bool isDraining)
+{
+    const Json status = {
+        {"process", "scheduler"},
+        {"host", settings.host.value()},
+        {"data_centre", settings.dataCentre.value()},
+        {"version", peers.version.value()},
+        {"serving", peers.service == ConfigService::Serving && !isDraining},
+        {"draining", isDraining},
+        {"degraded", degradedModes(peers, isDraining)},
+        {"cells", ownedCells(director)},
+        {"owners", allOwners(peers)},
+        {"members", allMembers(peers)},
+        {"entries", director.entries},
+        {"requests", director.requests},
+    };
+    return status.dump();
+}
+
+SchedulerMetrics::SchedulerMetrics(const std::shared_ptr<prometheus::Registry> &registry)
+    : registry(registry)
+    , version(family(*registry, "fescuesill_config_version", "Version of the declaration in force here").Add({}))
+    , serving(family(*registry, "fescuesill_serving", "1 where new work is taken").Add({}))
+    , members(family(*registry, "fescuesill_members", "Hosts that are not dead, as seen here").Add({}))
+    , probeSentBytes(family(*registry, "fescuesill_probe_sent_bytes", "Bytes of probes sent since the start").Add({}))
+    , probeReceivedBytes(
+          family(*registry, "fescuesill_probe_received_bytes", "Bytes of probes received since the start").Add({}))
+    , cellRequests(family(*registry, "fescuesill_cell_requests", "Requests waiting or running in an owned cell"))
+    , cellFreePieces(family(*registry, "fescuesill_cell_free_pieces", "Decode memory neither used nor reserved"))
+    , cellQueueSeconds(family(*registry, "fescuesill_cell_queue_seconds", "Expected wait of a new request"))
+    , cellRefused(family(*registry, "fescuesill_cell_refused", "Requests refused since the cell was taken over"))
+    , cellPlaced(family(*registry, "fescuesill_cell_placed", "Requests placed since the cell was taken over"))
+    , cellWasted(family(*registry, "fescuesill_cell_wasted_prefill_tokens",
+                        "Prefill tokens thrown away since the cell was taken over, by cause"))
+{
+}
+
+void SchedulerMetrics::update(const PeerStatus &peers, const DirectorStatus &director)
+{
+    this->version.Set(static_cast<double>(peers.version.value()));
+    this->serving.Set(peers.service == ConfigService::Serving ? 1 : 0);
+    double live = 0;
+    for (const MemberInfo &member : peers.members) {
+        live += member.state == MemberState::Dead ? 0 : 1;
+    }
+    this->members.Set(live);
+    this->probeSentBytes.Set(static_cast<double>(peers.traffic.sentBytes));
+    this->probeReceivedBytes.Set(static_cast<double>(peers.traffic.receivedBytes));
+    for (const auto &[id, cell] : director.cells) {
+        const Labels labels{{"model", id.model.value()}, {"data_centre", id.dataCentre.value()}};
+        this->cellRequests.Add(labels).Set(static_cast<double>(cell.requests));
+        this->cellFreePieces.Add(labels).Set(static_cast<double>(cell.summary.freePieces.value()));
+        this->cellQueueSeconds.Add(labels).Set(seconds(cell.summary.queueDelay));
+        this->cellRefused.Add(labels).Set(static_cast<double>(cell.counters.refused));
+        this->cellPlaced.Add(labels).Set(static_cast<double>(cell.counters.placed));
+        const auto wasted = [&](const char *cause, Tokens tokens) {
+            Labels withCause = labels;
+            withCause["cause"] = cause;
+            this->cellWasted.Add(withCause).Set(static_cast<double>(tokens.value()));
+        };
+        wasted("expired", cell.counters.wastedExpired);
+        wasted("redone", cell.counters.wastedRedone);
+        wasted("cancelled", cell.counters.wastedCancelled);
+        wasted("no_place", cell.counters.wastedNoPlace);
+    }
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/scheduler/schedulerstatus.h
@@ -0,0 +1,45 @@
+#pragma once
+
+// What the scheduler shows of itself: the /status page and the metrics.
+
+#include "programs/scheduler/directormessages.h"
+#include "programs/scheduler/peerduty.h"
+#include "programs/scheduler/schedulersettings.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+namespace fescuesill
+{
+
+std::string schedulerStatusJson(const SchedulerSettings &settings, const PeerStatus &peers,
+                                const DirectorStatus &director, bool isDraining);
+
+class SchedulerMetrics
+{
+public:
+    explicit SchedulerMetrics(const std::shared_ptr<prometheus::Registry> &registry);
+
+    void update(const PeerStatus &peers, const DirectorStatus &director);
+
+private:
+    std::shared_ptr<prometheus::Registry> registry;
+    prometheus::Gauge &version;
+    prometheus::Gauge &serving;
+    prometheus::Gauge &members;
+    prometheus::Gauge &probeSentBytes;
+    prometheus::Gauge &probeReceivedBytes;
+    prometheus::Family<prometheus::Gauge> &cellRequests;
+    prometheus::Family<prometheus::Gauge> &cellFreePieces;
+    prometheus::Family<prometheus::Gauge> &cellQueueSeconds;
+    prometheus::Family<prometheus::Gauge> &cellRefused;
+    prometheus::Family<prometheus::Gauge> &cellPlaced;
+    prometheus::Family<prometheus::Gauge> &cellWasted;
+};
+
+} // namespace fescuesill
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -109,7 +109,7 @@
     CellId cell;
     ServiceId service;
     WorkspaceId workspace;
-    StreamId stream;
+    StreamId stream; // empty while the prompt is read
     EngineId decodeEngine;
     Tokens prompt;
     Tokens output;
--- a/wire/peernode.cpp
+++ b/wire/peernode.cpp
@@ -321,6 +321,11 @@
     this->impl->run();
 }
 
+void PeerNode::stop()
+{
+    this->impl->stop();
+}
+
 LinkId PeerNode::connect(const std::string &address)
 {
     const LinkId id = this->impl->newLink();
--- a/wire/peernode.h
+++ b/wire/peernode.h
@@ -58,6 +58,8 @@
 
     // Starts the thread; handlers are called from now on.
     void start();
+    // Ends the thread; no handler is called after it.
+    void stop();
 
     // All safe on any thread.
     LinkId connect(const std::string &address);
--- /dev/null
+++ b/wire/probecodec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+// Probes between schedulers as datagrams.
+//
+//     const std::string bytes = encodeProbe(message);
+//     const auto message = decodeProbe(bytes);          // WireError for anything that is not a probe
+
+#include "promise/membership.h"
+#include "wire/wireerror.h"
+
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace fescuesill
+{
+
+std::string encodeProbe(const ProbeMessage &message);
+tl::expected<ProbeMessage, WireError> decodeProbe(std::string_view bytes);
+
+} // namespace fescuesill
