Read a reply whose header comes in a packet of its own

A call failed with 'body limit exceeded' when the endpoint sent header and body apart, and the caller of a booking that had run was told that it is in doubt. Cause: the parser was given no body limit (boost::none), and Boost 1.74 compares a Content-Length with the empty optional, which is always 'greater'. With body bytes in the same packet the error is overwritten, so most replies passed.

Shown first: the new test fails without the change with that error and passes with it.

--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <limits>
 
 namespace fescuesill
 {
@@ -47,7 +48,8 @@
 {
     this->parser.emplace();
     this->parser->header_limit(headerLimit);
-    this->parser->body_limit(boost::none);
+    // Not boost::none: Boost 1.74 takes every length for over that limit when the header comes in a packet of its own.
+    this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     this->parser->eager(true);
     this->parser->skip(isHead);
     this->replied = false;
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -5,7 +5,9 @@
 #include "wire/url.h"
 
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 namespace fescuesill
@@ -93,6 +95,27 @@
     EXPECT_FALSE(closed->isKnownNotSent());
 }
 
+// An endpoint writes the header and the body of its answer in two packets. The client reads the header alone, calls it
+// over a limit that it has not got, and a booking that was made is told to its caller as in doubt.
+TEST(HttpClient, ReadsABodyThatComesAfterItsHeader)
+{
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+        asio::spawn(io, [&](const asio::yield_context &inner) {
+            asio::ip::tcp::socket socket(io);
+            acceptor.async_accept(socket, inner);
+            asio::async_write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")),
+                              inner);
+            asio::steady_timer pause(io, std::chrono::milliseconds(50));
+            pause.async_wait(inner);
+            asio::async_write(socket, asio::buffer(std::string_view("body")), inner);
+        });
+        HttpClient client(io, {});
+        const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        EXPECT_EQ(client.call(address, {}, {}, yield).body, "body");
+    });
+}
+
 TEST(HttpClient, ReadsLinesHoweverTheyAreCut)
 {
     const ServedThread served({}, [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
