--- /dev/null
+++ b/programs/ctl/commands.cpp
@@ -0,0 +1,106 @@
+#include "commands.h"
+
+#include "declare/settings.h"
+#include "declare/values.h"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <filesystem>
+
+namespace fescuesill::ctl
+{
+
+namespace
+{
+
+constexpr const char *defaultSettings = "/etc/fescuesill/fescuesillctl.ini";
+
+const Option platformOption{"platform", "IP:PORT", "The platform's address"};
+const Option configOption{"config", "FILE", "Settings: [platform] address"};
+const Option yesOption{"yes", "", "Accept a change that lowers declared capacity"};
+const Option authorOption{"author", "NAME", "Who changes it (needed)"};
+const Option reasonOption{"reason", "TEXT", "Why (needed)"};
+const Option waitOption{"wait", "", "Return when every live process has it in force; name those that do not"};
+const Option limitOption{"limit", "DURATION", "How long --wait waits, by default 30s"};
+const Option changeIdOption{"change-id", "ID", "Repeat a change whose outcome was unknown, under its own id"};
+
+std::vector<Option> withPlatform(std::vector<Option> options)
+{
+    options.push_back(platformOption);
+    options.push_back(configOption);
+    return options;
+}
+
+std::string addressFrom(const std::string &path)
+{
+    std::string address;
+    std::string lines;
+    auto reader = SettingsReader::fromFile(path);
+    if (reader) {
+        address = reader->address("platform", "address");
+    }
+    for (const Fault &fault : reader ? reader->finish() : reader.error().faults) {
+        lines += (lines.empty() ? "" : "\n") + fault.line();
+    }
+    if (!lines.empty()) {
+        throw CommandError(ExitCode::BadInput, lines);
+    }
+    return address;
+}
+
+} // namespace
+
+const std::vector<Command> &commands()
+{
+    static const std::vector<Command> table{
+        {"check", "FILE", "Read a declaration and report every fault in it.", 1, 1, {}, runCheck},
+        {"diff", "FILE", "Show what a declaration changes for whom, against the one in force or another file.", 1, 1,
+         withPlatform({{"against", "FILE", "Compare with this file; asks no platform"}}), runDiff},
+        {"apply", "FILE", "Put a declaration in force as a new version.", 1, 1,
+         withPlatform({authorOption,
+                       reasonOption,
+                       yesOption,
+                       waitOption,
+                       limitOption,
+                       changeIdOption,
+                       {"base", "VERSION",
+                        "The version that the change started from; by default the version line of "
+                        "the file, else the one in force now"}}),
+         runApply},
+        {"rollback", "VERSION", "Put the text of an earlier version in force again, as a new version.", 1, 1,
+         withPlatform({authorOption, reasonOption, yesOption, waitOption, limitOption, changeIdOption}), runRollback},
+        {"show", "", "Print the declaration in force, with its version line.", 0, 0,
+         withPlatform({{"version", "VERSION", "An earlier one"}}), runShow},
+        {"history", "", "List the versions: number, change id with its time, author, reason.", 0, 0, withPlatform({}),
+         runHistory},
+        {"status", "", "Show every process, the version in force there, cells and owners, degraded modes.", 0, 0,
+         withPlatform({}), runStatus},
+        {"drain", "HOST", "Begin the planned stop of a host: no new work, nothing in progress is cut off.", 1, 1,
+         withPlatform({{"wait", "", "Return when both processes have ended"}, limitOption}), runDrain},
+        {"completion", "", "Print the completion script for bash.", 0, 0, {}, runCompletion},
+    };
+    return table;
+}
+
+std::string platformAddress(const CommandLine &line)
+{
+    std::string address = line.text("platform");
+    const char *environment = std::getenv("FESCUESILL_PLATFORM");
+    if (address.empty() && line.has("config")) {
+        address = addressFrom(line.text("config"));
+    } else if (address.empty() && environment != nullptr) {
+        address = environment;
+    } else if (address.empty() && std::filesystem::exists(defaultSettings)) {
+        address = addressFrom(defaultSettings);
+    }
+    if (!isAddress(address, false)) {
+        throw CommandError(ExitCode::BadInput,
+                           fmt::format("platform address: '{}'; allowed: IP:PORT from --platform, --config, "
+                                       "FESCUESILL_PLATFORM or {}",
+                                       address, defaultSettings));
+    }
+    return address;
+}
+
+} // namespace fescuesill::ctl
--- /dev/null
+++ b/programs/ctl/session.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// Calls to the platform and to the processes of the fleet, one after the other, for a command that waits for each.
+//
+//     Session session("10.30.0.9:9000");
+//     const std::optional<Row> row = session.get("config/current");           // throws PlatformError
+//     for (const Answer &answer : session.ask(questions)) { ... }             // all at once; a failure is in the
+//     answer
+
+#include "wire/httpclient.h"
+#include "wire/platformclient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+namespace fescuesill::ctl
+{
+
+struct Question {
+    std::string address;
+    std::string method;
+    std::string target;
+};
+
+struct Answer {
+    int status = 0; // 0: none
+    std::string body;
+    std::string error; // why there is none
+};
+
+class Session
+{
+public:
+    explicit Session(const std::string &platformAddress);
+
+    std::optional<Row> get(const std::string &key);
+    std::vector<Row> rows(const std::string &prefix);
+    void commit(const std::vector<RowWrite> &writes);
+    std::vector<PlatformHost> hosts();
+    // Answers in the order of the questions.
+    std::vector<Answer> ask(const std::vector<Question> &questions);
+    void pause(Duration duration);
+
+private:
+    void run(const std::function<void(const asio::yield_context &)> &work);
+
+    asio::io_context io;
+    PlatformClient platform;
+    HttpClient client;
+};
+
+} // namespace fescuesill::ctl
