Use one engine client; poll the row of the next version; say since when a mode is degraded

Two clients for the same engine calls had been written side by side; the scheduler now uses wire/engineclient. The row config/version that it polled was written by nobody: a change commits config/current and config/history/VERSION, so a host at version N polls config/history/N+1, which is absent and a few bytes until there is a change.

--- a/programs/scheduler/celldirector.cpp
+++ b/programs/scheduler/celldirector.cpp
@@ -171,7 +171,7 @@
     this->watchEngines();
 }
 
-void CellDirector::handle(const EngineLoad &event, Instant now)
+void CellDirector::handle(const LoadReported &event, Instant now)
 {
     const auto cell = this->cellByEngine.find(event.engine);
     if (cell != this->cellByEngine.end()) {
@@ -179,7 +179,7 @@
     }
 }
 
-void CellDirector::handle(const EngineCache &event, Instant /*now*/)
+void CellDirector::handle(const CacheReported &event, Instant /*now*/)
 {
     const auto cell = this->cellByEngine.find(event.engine);
     if (cell != this->cellByEngine.end()) {
--- a/programs/scheduler/celldirector.h
+++ b/programs/scheduler/celldirector.h
@@ -63,8 +63,8 @@
     void handle(const LinkClosed &event, Instant now);
     void handle(const Ownership &event, Instant now);
     void handle(const NewDeclaration &event, Instant now);
-    void handle(const EngineLoad &event, Instant now);
-    void handle(const EngineCache &event, Instant now);
+    void handle(const LoadReported &event, Instant now);
+    void handle(const CacheReported &event, Instant now);
     void handle(const EngineSilent &event, Instant now);
     void handle(const EngineStreams &event, Instant now);
 
--- a/programs/scheduler/directormessages.h
+++ b/programs/scheduler/directormessages.h
@@ -34,12 +34,12 @@
     std::shared_ptr<const Declaration> declaration;
 };
 
-struct EngineLoad {
+struct LoadReported {
     EngineId engine;
     LoadReport report;
 };
 
-struct EngineCache {
+struct CacheReported {
     EngineId engine;
     std::vector<CacheEvent> events;
     bool gap = false;
@@ -55,7 +55,7 @@
     std::vector<EngineStream> streams;
 };
 
-using DirectorEvent = std::variant<FromEntry, LinkClosed, Ownership, NewDeclaration, EngineLoad, EngineCache,
+using DirectorEvent = std::variant<FromEntry, LinkClosed, Ownership, NewDeclaration, LoadReported, CacheReported,
                                    EngineSilent, EngineStreams>;
 
 struct ToEntry {
--- a/programs/scheduler/engineduty.cpp
+++ b/programs/scheduler/engineduty.cpp
@@ -3,7 +3,7 @@
 #include "programs/scheduler/engineorders.h"
 #include "wire/clock.h"
 #include "wire/coroutine.h"
-#include "wire/enginecontrol.h"
+#include "wire/engineclient.h"
 #include "wire/log.h"
 #include "wire/ring.h"
 
@@ -28,6 +28,41 @@
 
 // Cancellations under way at once for one scheduler; more come again with the next list of the engine.
 constexpr std::size_t mostCancellations = 512;
+constexpr const char *prefillRole = "prefill";
+
+LoadReport reportOf(const EngineLoad &load)
+{
+    LoadReport report;
+    report.piecesUsed = load.piecesUsed;
+    report.running = load.running;
+    report.queued = load.queued;
+    report.age = load.age;
+    report.instance = load.instance;
+    return report;
+}
+
+CacheReported cacheReported(const EngineId &engine, const EngineCacheEvents &read, std::int64_t after)
+{
+    CacheReported reported;
+    reported.engine = engine;
+    std::int64_t expected = after + 1;
+    for (const EngineCacheEvent &event : read.events) {
+        reported.gap = reported.gap || event.sequence != expected;
+        expected = event.sequence + 1;
+        const auto kind = event.isAdded ? CacheEvent::Kind::Added : CacheEvent::Kind::Evicted;
+        reported.events.push_back(CacheEvent{kind, PrefixHash{event.prefix}});
+    }
+    return reported;
+}
+
+std::vector<EngineStream> streamsOf(const std::vector<RunningStream> &running)
+{
+    std::vector<EngineStream> streams;
+    for (const RunningStream &stream : running) {
+        streams.push_back(EngineStream{stream.stream, stream.entry, stream.isAttached});
+    }
+    return streams;
+}
 
 } // namespace
 
@@ -35,9 +70,8 @@
     Impl(Options given, Output callback)
         : options(std::move(given))
         , output(std::move(callback))
-        , client(context, HttpClient::Options{})
-        , control(client, options.callLimit)
-        , orders(context, control, EngineOrders::Options{options.host, options.platform})
+        , client(context, EngineClient::Options{})
+        , orders(context, client, EngineOrders::Options{options.host, options.platform})
         , ring(options.ring, [this] { asio::post(this->context, [this] { this->drainRing(); }); })
     {
     }
@@ -87,7 +121,7 @@
     void cancel(const CancelStream &cancel, const std::string &address, const asio::yield_context &yield)
     {
         try {
-            this->control.cancel(address, cancel.stream, yield);
+            this->client.cancel(address, cancel.stream, yield);
             Log::info("orphan_cancelled", {{"stream", cancel.stream.value()}, {"engine", cancel.engine.value()}});
         } catch (const EngineError &failed) {
             Log::warning(
@@ -118,14 +152,14 @@
     void pollLoad(const EngineId &id, std::uint64_t generation, const asio::yield_context &yield)
     {
         int failures = 0;
-        std::uint64_t cacheSequence = 0;
+        std::int64_t cacheSequence = 0;
         while (const Engine *engine = this->watchedBy(id, generation)) {
             const std::string address = engine->address;
             try {
-                const EngineLoadReply reply = this->control.load(address, yield);
+                const EngineLoad load = this->client.load(address, yield);
                 failures = 0;
-                this->output(EngineLoad{id, reply.report});
-                if (reply.pool == Pool::Prefill) {
+                this->output(LoadReported{id, reportOf(load)});
+                if (load.role == prefillRole) {
                     cacheSequence = this->readCacheEvents(id, address, cacheSequence, yield);
                 }
             } catch (const EngineError &failed) {
@@ -139,14 +173,14 @@
         }
     }
 
-    std::uint64_t readCacheEvents(const EngineId &id, const std::string &address, std::uint64_t after,
-                                  const asio::yield_context &yield)
+    std::int64_t readCacheEvents(const EngineId &id, const std::string &address, std::int64_t after,
+                                 const asio::yield_context &yield)
     {
-        CacheEventsReply reply = this->control.cacheEvents(address, after, yield);
-        if (!reply.events.empty()) {
-            this->output(EngineCache{id, std::move(reply.events), reply.gap});
+        const EngineCacheEvents read = this->client.cacheEvents(address, after, yield);
+        if (!read.events.empty()) {
+            this->output(cacheReported(id, read, after));
         }
-        return reply.next;
+        return read.next;
     }
 
     void pollStreams(const EngineId &id, std::uint64_t generation, const asio::yield_context &yield)
@@ -154,7 +188,7 @@
         while (const Engine *engine = this->watchedBy(id, generation)) {
             const std::string address = engine->address;
             try {
-                this->output(EngineStreams{id, this->control.streams(address, yield)});
+                this->output(EngineStreams{id, streamsOf(this->client.list(address, yield))});
             } catch (const EngineError &failed) {
                 Log::debug("streams_not_read", {{"engine", id.value()}, {"error", failed.what()}});
             }
@@ -177,8 +211,7 @@
     Options options;
     Output output;
     asio::io_context context{1};
-    HttpClient client;
-    EngineControl control;
+    EngineClient client;
     EngineOrders orders;
     std::map<EngineId, Watched> watched;
     std::uint64_t lastGeneration = 0;
--- a/programs/scheduler/engineduty.h
+++ b/programs/scheduler/engineduty.h
@@ -31,7 +31,6 @@
         // An engine that has not answered for this many polls is lost, and its work goes elsewhere. Fewer would take a
         // pause of an engine for its death.
         int silentPolls = 4;
-        Duration callLimit{1s};
         // One list of orphans of a whole cell at once.
         std::size_t ring = 4096;
     };
--- a/programs/scheduler/engineorders.cpp
+++ b/programs/scheduler/engineorders.cpp
@@ -43,6 +43,14 @@
     return "malformed";
 }
 
+OrderEvent sendFailure(const EngineError &failed)
+{
+    if (const auto *stale = std::get_if<StaleFencing>(&failed.fault())) {
+        return order_event::Stale{stale->seen};
+    }
+    return order_event::NotTaken{};
+}
+
 OrderEvent writeFailure(const PlatformError &failed)
 {
     if (const auto *conflict = std::get_if<Conflict>(&failed.fault())) {
@@ -57,9 +65,9 @@
 
 } // namespace
 
-EngineOrders::EngineOrders(asio::io_context &context, EngineControl &control, const Options &options)
+EngineOrders::EngineOrders(asio::io_context &context, EngineClient &engines, const Options &options)
     : context(context)
-    , control(control)
+    , engines(engines)
     , options(options)
     , platform(context, PlatformClient::Options{options.platform})
 {
@@ -123,14 +131,10 @@
         return order_event::NotTaken{};
     }
     try {
-        const OrderReply reply =
-            this->control.order(order.engine.address, send.fencing, roleKind, roleName(order.pool), yield);
-        if (const auto *stale = std::get_if<OrderStale>(&reply)) {
-            return order_event::Stale{stale->seen};
-        }
+        this->engines.order(order.engine.address, send.fencing, OrderKind::Role, roleName(order.pool), yield);
         return order_event::Taken{};
-    } catch (const EngineError &) {
-        return order_event::NotTaken{};
+    } catch (const EngineError &failed) {
+        return sendFailure(failed);
     }
 }
 
@@ -138,7 +142,7 @@
                                  const asio::yield_context &yield)
 {
     try {
-        return order_event::Reported{roleName(this->control.load(order.engine.address, yield).pool)};
+        return order_event::Reported{this->engines.load(order.engine.address, yield).role};
     } catch (const EngineError &) {
         return order_event::ReportFailed{};
     }
--- a/programs/scheduler/engineorders.h
+++ b/programs/scheduler/engineorders.h
@@ -2,14 +2,14 @@
 
 // Carries out orders to engines under their fencing numbers: EngineOrdering with its I/O.
 //
-//     EngineOrders orders(io, control, options);
+//     EngineOrders orders(io, engines, options);
 //     orders.carryOut(order, yield);          // returns when the engine reports it, or it cannot be done now
 //
 // The decider proposes again what is not yet so: nothing is kept here between two orders.
 
 #include "programs/scheduler/directormessages.h"
 #include "promise/engineordering.h"
-#include "wire/enginecontrol.h"
+#include "wire/engineclient.h"
 #include "wire/platformclient.h"
 
 #include <set>
@@ -25,7 +25,7 @@
         std::string platform;
     };
 
-    EngineOrders(asio::io_context &context, EngineControl &control, const Options &options);
+    EngineOrders(asio::io_context &context, EngineClient &engines, const Options &options);
 
     void carryOut(const OrderRole &order, const asio::yield_context &yield);
 
@@ -39,7 +39,7 @@
     OrderEvent perform(const order_action::Finish &finish, const OrderRole &order, const asio::yield_context &yield);
 
     asio::io_context &context;
-    EngineControl &control;
+    EngineClient &engines;
     Options options;
     PlatformClient platform;
     std::set<EngineId> busy; // at most one order to an engine at a time
--- a/programs/scheduler/platformduty.cpp
+++ b/programs/scheduler/platformduty.cpp
@@ -8,12 +8,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <random>
 #include <thread>
 
-// Two loops on one thread. The version loop reads the small row config/version and, only where that is higher than what
-// was read before, the whole record: reading 100 KB every second on every host would take the platform's bandwidth for
-// nothing. Pauses are spread by a fifth so that hosts which start together do not read together for ever.
+// Two loops on one thread. The record in force is some 100 KB at the two-year size: reading it every second on every
+// host would take the platform's bandwidth for nothing. A change writes config/current and config/history/VERSION in
+// one commit, so a host at version 7 reads the row of version 8: absent, a few bytes, until there is a change. Every
+// fullEvery reads it reads config/current all the same, for a host that was away while old history was cleared.
+// Pauses are spread by a fifth so that hosts which start together do not read together for ever.
 
 namespace fescuesill
 {
@@ -22,7 +25,7 @@
 
 namespace asio = boost::asio;
 
-constexpr const char *versionKey = "config/version";
+constexpr int fullEvery = 30;
 constexpr double spread = 0.2;
 
 } // namespace
@@ -47,20 +50,20 @@
     void readVersion(const asio::yield_context &yield)
     {
         try {
-            const auto row = this->client.get(versionKey, yield);
-            if (row && row->value == this->lastVersion) {
+            const ConfigVersion next = this->highest + ConfigVersion(1);
+            const bool isFull = this->reads++ % fullEvery == 0;
+            if (!isFull && !this->client.get(configHistoryKey(next), yield)) {
                 this->output(TableUnchanged{});
                 return;
             }
-            this->readRecord(yield);
-            this->lastVersion = row ? row->value : std::string();
+            this->readCurrent(yield);
         } catch (const PlatformError &failed) {
             Log::debug("table_unreachable", {{"error", failed.what()}});
             this->output(TableFailed{});
         }
     }
 
-    void readRecord(const asio::yield_context &yield)
+    void readCurrent(const asio::yield_context &yield)
     {
         const auto row = this->client.get(configCurrentKey, yield);
         if (!row) {
@@ -73,6 +76,7 @@
             this->output(TableFailed{});
             return;
         }
+        this->highest = std::max(this->highest, record->version);
         this->output(TableConfig{*record});
     }
 
@@ -101,7 +105,8 @@
     asio::io_context context{1};
     PlatformClient client;
     std::mt19937_64 random;
-    std::string lastVersion;
+    ConfigVersion highest; // read so far
+    int reads = 0;
     std::thread thread;
 };
 
--- a/programs/scheduler/schedulerprogram.cpp
+++ b/programs/scheduler/schedulerprogram.cpp
@@ -126,7 +126,7 @@
         AdminServer::Options options;
         options.address = this->settings.admin;
         options.status = [this] {
-            return schedulerStatusJson(this->settings, this->peers->status(), this->decisions.status(),
+            return schedulerStatusJson(this->settings, this->peers->status(), this->decisions.status(), this->degraded,
                                        this->isDraining);
         };
         options.drain = [this] {
@@ -160,6 +160,8 @@
             const PeerStatus peerStatus = this->peers->status();
             const DirectorStatus directorStatus = this->decisions.status();
             this->metrics.update(peerStatus, directorStatus);
+            this->degraded.set("table_unreachable", !peerStatus.tableReachable);
+            this->degraded.set("not_serving", peerStatus.service != ConfigService::Serving);
             const Instant now = steadyNow();
             if ((stopSignal != 0 || this->isDrainAsked) && !this->isDraining) {
                 this->beginDraining(now);
@@ -191,6 +193,7 @@
     std::unique_ptr<PeerDuty> peers;
     PlatformDuty platform;
     SchedulerMetrics metrics;
+    DegradedModes degraded;
     std::unique_ptr<AdminServer> admin;
     std::atomic<bool> isDrainAsked{false};
     std::atomic<bool> isDraining{false};
--- a/programs/scheduler/schedulerstatus.cpp
+++ b/programs/scheduler/schedulerstatus.cpp
@@ -10,8 +10,11 @@
 using Json = nlohmann::json;
 using Labels = std::map<std::string, std::string>;
 
-const char *serviceName(ConfigService service)
+const char *serviceName(ConfigService service, bool isDraining)
 {
+    if (isDraining) {
+        return "draining";
+    }
     switch (service) {
     case ConfigService::Learning:
         return "learning";
@@ -43,27 +46,22 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-Json degradedModes(const PeerStatus &peers, bool isDraining)
+Json degradedModes(const DegradedModes &degraded)
 {
     Json modes = Json::array();
-    if (!peers.tableReachable) {
-        modes.push_back("platform_unreachable");
-    }
-    if (peers.service != ConfigService::Serving) {
-        modes.push_back(serviceName(peers.service));
-    }
-    if (isDraining) {
-        modes.push_back("draining");
+    for (const DegradedMode &mode : degraded.list()) {
+        modes.push_back({{"mode", mode.mode}, {"since", mode.since}});
     }
     return modes;
 }
 
-Json ownedCells(const DirectorStatus &director)
+Json ownedCells(const HostId &self, const DirectorStatus &director)
 {
     Json cells = Json::array();
     for (const auto &[id, cell] : director.cells) {
         cells.push_back({{"model", id.model.value()},
                          {"data_centre", id.dataCentre.value()},
+                         {"owner", self.value()},
                          {"requests", cell.requests},
                          {"queue_ms", cell.summary.queueDelay / 1ms},
                          {"free_pieces", cell.summary.freePieces.value()},
@@ -105,17 +103,16 @@
 } // namespace
 
 std::string schedulerStatusJson(const SchedulerSettings &settings, const PeerStatus &peers,
-                                const DirectorStatus &director, bool isDraining)
+                                const DirectorStatus &director, const DegradedModes &degraded, bool isDraining)
 {
     const Json status = {
         {"process", "scheduler"},
         {"host", settings.host.value()},
         {"data_centre", settings.dataCentre.value()},
         {"version", peers.version.value()},
-        {"serving", peers.service == ConfigService::Serving && !isDraining},
-        {"draining", isDraining},
-        {"degraded", degradedModes(peers, isDraining)},
-        {"cells", ownedCells(director)},
+        {"state", serviceName(peers.service, isDraining)},
+        {"degraded", degradedModes(degraded)},
+        {"cells", ownedCells(settings.host, director)},
         {"owners", allOwners(peers)},
         {"members", allMembers(peers)},
         {"entries", director.entries},
--- a/programs/scheduler/schedulerstatus.h
+++ b/programs/scheduler/schedulerstatus.h
@@ -5,6 +5,7 @@
 #include "programs/scheduler/directormessages.h"
 #include "programs/scheduler/peerduty.h"
 #include "programs/scheduler/schedulersettings.h"
+#include "wire/degradedmodes.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -18,7 +19,7 @@
 {
 
 std::string schedulerStatusJson(const SchedulerSettings &settings, const PeerStatus &peers,
-                                const DirectorStatus &director, bool isDraining);
+                                const DirectorStatus &director, const DegradedModes &degraded, bool isDraining);
 
 class SchedulerMetrics
 {
