--- a/promise/attempt.cpp
+++ b/promise/attempt.cpp
@@ -14,8 +14,9 @@
 //
 // Why at most once. An attempt sends only after it knows that the row holds its own token, and sends once. The row goes
 // from one token to another only through `released`, which only the attempt that wrote it may set, and only if it never
-// sent and by its state never will; or through expiry, hours after sendBy. Two attempts under one key therefore never
-// both send. No clock is part of this but for the expiry.
+// sent and by its state never will; or through the expiry of a settled row, days after. Two attempts under one key
+// therefore never both send. An open row does not expire: its caller may come back at any time. No clock is part of
+// this but for the expiry of settled rows.
 //
 // The insert is the mark "may have been sent". A second write ("sending") between insert and send was rejected: an
 // entry that dies between the second write and the send leaves the same doubt as one that dies between insert and send,
@@ -87,7 +88,7 @@
         this->record.entry = this->call.entry;
         this->record.bodyDigest = this->call.bodyDigest;
         this->record.deadline = this->sendBy + this->call.endpointDeadline;
-        this->record.expiry = now + this->options.keepOpen;
+        this->record.expiry = now + this->options.keep;
         return this->insert(absent);
     case State::Inserting:
         return this->onInserting(event, now);
--- a/promise/attempt.h
+++ b/promise/attempt.h
@@ -112,10 +112,9 @@
         Duration sendWindow{2s};
         // The most that two hosts' clocks differ; platforms with time service stay far below.
         Duration clockMargin{500ms};
-        // How long a row is kept. Callers may repeat a key this long.
-        Duration keep{24h};
-        // How long a row with an unknown outcome is kept, for operators to settle it.
-        Duration keepOpen{168h};
+        // How long a settled row is kept. Callers may repeat a key this long. A row in doubt is kept until an operator
+        // settles it.
+        Duration keep{168h};
         // Larger answers reach the caller but are not kept: a row must stay small for the table.
         Bytes maxKeptAnswer{64 * 1024};
         // Table calls before the caller is answered: insert and read back, twice. More only add to a store in trouble.
--- a/promise/ledgerrecord.cpp
+++ b/promise/ledgerrecord.cpp
@@ -201,7 +201,9 @@
 
 bool mayDelete(const LedgerRecord &record, Instant now, Duration clockMargin)
 {
-    return now > record.expiry + clockMargin;
+    // Failure: a row in doubt expires, its caller comes back days later with the same key, and the call runs a second
+    // time. Whoever does not know whether it ran must not forget that it may have.
+    return record.state != LedgerState::Open && now > record.expiry + clockMargin;
 }
 
 } // namespace fescuesill
--- a/promise/ledgerrecord.h
+++ b/promise/ledgerrecord.h
@@ -42,7 +42,7 @@
     LedgerState state = LedgerState::Open;
     // Shared time after which the attempt has either its answer or an unknown outcome.
     Instant deadline;
-    // Shared time after which a sweeper may delete the row.
+    // Shared time after which a sweeper may delete the row, unless it is open: only a person settles a doubt.
     Instant expiry;
     // With Done. None where the answer was larger than the ledger keeps.
     std::optional<EndpointAnswer> answer;
--- a/promise/testing/ledgerrecord_test.cpp
+++ b/promise/testing/ledgerrecord_test.cpp
@@ -63,6 +63,9 @@
     const LedgerRecord record = doneRecord();
     EXPECT_FALSE(mayDelete(record, record.expiry + 500ms, 500ms));
     EXPECT_TRUE(mayDelete(record, record.expiry + 501ms, 500ms));
+    LedgerRecord doubtful = record;
+    doubtful.state = LedgerState::Open;
+    EXPECT_FALSE(mayDelete(doubtful, record.expiry + 24h * 365, 500ms));
 }
 
 RC_GTEST_PROP(Base64Url, EveryTextHasOneForm, (const std::string &bytes))
