Add the entry: model requests, plain calls through the ledger, resume, planned stop

The whole path as processes: a caller's completion is placed by the cell's owner (by power of two choices where no owner is reachable), read at one engine, written by another, streamed with resume tokens and an explicit end; plain calls are repeated within the budget or run through the at-most-once ledger on a thread of their own. Run by hand against the stand-ins and the scheduler: a completion, a streamed chat, a job card, a booking (its repeat gets the stored answer, another body under its key is refused). Failures are not tested yet.

--- /dev/null
+++ b/programs/entry/entrysettings.cpp
@@ -0,0 +1,36 @@
+#include "programs/entry/entrysettings.h"
+
+namespace fescuesill
+{
+
+tl::expected<EntrySettings, DeclareError> EntrySettings::fromFile(const std::string &path)
+{
+    auto reader = SettingsReader::fromFile(path);
+    if (!reader) {
+        return tl::make_unexpected(reader.error());
+    }
+    EntrySettings settings;
+    settings.host = HostId(reader->text("process", "host"));
+    settings.dataCentre = DataCentreId(reader->text("process", "data_centre"));
+    settings.callers = reader->address("listen", "callers");
+    settings.admin = reader->address("listen", "admin");
+    settings.platform = reader->address("platform", "address");
+    settings.scheduler = reader->address("scheduler", "address");
+    settings.ioThreads = static_cast<std::size_t>(reader->number("threads", "io", 2, {1, 64}));
+    settings.connections = static_cast<std::size_t>(reader->number("limits", "connections", 20000, {10, 30000}));
+    settings.requests = static_cast<std::size_t>(reader->number("limits", "requests", 10000, {1, 20000}));
+    settings.bodyLimit = Bytes(reader->number("limits", "body_bytes", 4 << 20, {1024, 64 << 20}));
+    settings.stallLimit = reader->duration("limits", "stall", 20s, {100ms, 10min});
+    settings.silence = reader->duration("engines", "silence", 1s, {50ms, 1min});
+    settings.freshness = reader->duration("scheduler", "freshness", 10s, {1s, 10min});
+    settings.resumeLimit = reader->duration("resume", "limit", 10min, {1s, 1h});
+    settings.announce = reader->duration("drain", "announce", 3s, {0s, 1min});
+    settings.drainLimit = reader->duration("drain", "limit", 60s, {0s, 1h});
+    settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
+    if (auto faults = reader->finish(); !faults.empty()) {
+        return tl::make_unexpected(DeclareError{std::move(faults)});
+    }
+    return settings;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/entry/placing.cpp
@@ -0,0 +1,268 @@
+// With an owner every decision is the owner's. Without one (its link is down or breaks while we wait) the entry places
+// by power of two choices among the declared engines: it does not know their queues, so an engine may refuse, and then
+// another is tried within the retry budget. Such placings are counted and logged; they cost quality, never safety, as
+// an engine checks its own memory.
+
+#include "programs/entry/placing.h"
+
+#include "wire/clock.h"
+#include "wire/log.h"
+
+namespace fescuesill
+{
+namespace
+{
+
+constexpr int triesHere = 3;
+constexpr Duration overloadedRetry{1s};
+
+Pool poolOf(EngineRole role)
+{
+    return role == EngineRole::Prefill ? Pool::Prefill : Pool::Decode;
+}
+
+CellSummary summaryOf(const peer::CellNews &news)
+{
+    CellSummary summary;
+    summary.queueDelay = news.queueDelay;
+    summary.prefillPerToken = news.prefillPerToken;
+    summary.memoryUse = news.memoryUse;
+    summary.freePieces = news.freePieces;
+    summary.accepting = news.accepting;
+    summary.decodeEngines = 1; // at least: the owner says that the cell accepts
+    summary.prefillEngines = 1;
+    return summary;
+}
+
+void feedPlacers(ShardServices &services, const Declaration &declaration)
+{
+    std::map<CellId, std::vector<EngineSpec>> engines;
+    for (const Engine &engine : declaration.engines) {
+        EngineSpec spec;
+        spec.engine = engine.id;
+        spec.pool = poolOf(engine.role);
+        spec.memory = engine.memory;
+        spec.dataCentre = engine.dataCentre;
+        spec.leaving = engine.leaving;
+        engines[CellId{engine.model, engine.dataCentre}].push_back(spec);
+    }
+    services.degradedPlacers.clear();
+    for (const auto &[cell, specs] : engines) {
+        const std::uint64_t seed = std::hash<CellId>()(cell) + services.shard;
+        services.degradedPlacers.emplace(cell, PowerOfChoice(seed)).first->second.setEngines(specs);
+    }
+}
+
+} // namespace
+
+void feedChoosers(ShardServices &services, const std::shared_ptr<const EntryView> &view)
+{
+    if (services.fedFrom == view) {
+        return;
+    }
+    const Instant now = steadyNow();
+    for (const CellRoute &route : view->cells) {
+        services.cellChoice.onSummary(route.news.cell, summaryOf(route.news), now);
+    }
+    const bool isNewText = !services.fedFrom || services.fedFrom->declaration != view->declaration;
+    if (isNewText && view->declaration) {
+        feedPlacers(services, *view->declaration);
+    }
+    services.fedFrom = view;
+}
+
+Placing::Placing(ShardServices &shared, PlacingJob given, std::shared_ptr<const EntryView> seen)
+    : services(shared)
+    , job(std::move(given))
+    , view(std::move(seen))
+    , box(shared.mailbox, job.request)
+{
+}
+
+Placing::~Placing()
+{
+    this->services.held.remove(this->job.request);
+}
+
+const CellId &Placing::cell() const
+{
+    return this->chosen;
+}
+
+bool Placing::isDegraded() const
+{
+    return !this->owner;
+}
+
+void Placing::chooseCell(Instant now)
+{
+    if (const auto cell = this->services.cellChoice.choose(this->job.model, this->job.prompt, now)) {
+        this->chosen = *cell;
+        return;
+    }
+    // No summary is fresh: the cell of this data centre, else any that has engines of the model.
+    this->chosen = {this->job.model, this->services.settings.dataCentre};
+    if (this->services.degradedPlacers.count(this->chosen) != 0) {
+        return;
+    }
+    for (const auto &[cell, placer] : this->services.degradedPlacers) {
+        if (cell.model == this->job.model) {
+            this->chosen = cell;
+            return;
+        }
+    }
+}
+
+void Placing::submit()
+{
+    const Instant now = steadyNow();
+    this->chooseCell(now);
+    const CellRoute *const route = this->view->findRoute(this->chosen);
+    this->owner = route != nullptr ? route->owner : std::nullopt;
+    this->box.expect(this->owner);
+    if (!this->owner) {
+        this->placeHere();
+        return;
+    }
+    peer::Submit submit;
+    submit.request = this->job.request;
+    submit.cell = this->chosen;
+    submit.service = this->job.service;
+    submit.workspace = this->job.workspace;
+    submit.prompt = this->job.prompt;
+    submit.maxOutput = this->job.maxOutput;
+    submit.prefix = this->job.prefix;
+    submit.waited = now - this->job.arrival;
+    this->send(submit);
+}
+
+void Placing::placeHere()
+{
+    ++this->tries;
+    if (this->tries == 1) {
+        this->services.metrics.onDegradedPlacing();
+        Log::warning("degraded_placing", {{"request", this->job.request.value()}, {"model", this->job.model.value()}});
+    }
+    if (this->tries > 1 && (this->tries > triesHere || !this->services.retries.take())) {
+        this->here = this->refuseHere("no engine takes this request, and no owner of its cell is reachable");
+        return;
+    }
+    const auto placer = this->services.degradedPlacers.find(this->chosen);
+    const auto pair =
+        placer == this->services.degradedPlacers.end() ? std::nullopt : placer->second.place(this->job.prompt);
+    const Engine *const prefill = pair ? this->view->declaration->findEngine(pair->prefill) : nullptr;
+    const Engine *const decode = pair ? this->view->declaration->findEngine(pair->decode) : nullptr;
+    if (prefill == nullptr || decode == nullptr) {
+        this->here = this->refuseHere("no pair of engines for this model");
+        return;
+    }
+    peer::Placed placed;
+    placed.request = this->job.request;
+    placed.prefillEngine = prefill->id;
+    placed.prefillAddress = prefill->address;
+    placed.decodeEngine = decode->id;
+    placed.decodeAddress = decode->address;
+    this->here = placed;
+}
+
+Placing::Answer Placing::refuseHere(const char *text) const
+{
+    return peer::Refused{this->job.request, {RefusalCode::Overloaded, RunState::NotRun, text, overloadedRetry}};
+}
+
+std::optional<Placing::Answer> Placing::wait(Duration limit, const asio::yield_context &yield)
+{
+    if (this->owner) {
+        auto message = this->box.wait(limit, yield);
+        if (message) {
+            return std::visit(
+                [](auto &given) -> std::optional<Answer> {
+                    if constexpr (std::is_constructible_v<Answer, decltype(given)>) {
+                        return Answer(std::move(given));
+                    } else {
+                        return std::nullopt;
+                    }
+                },
+                *message);
+        }
+        if (!this->box.isLinkLost()) {
+            return std::nullopt;
+        }
+        // The owner died while we waited for it; the next one is told by Holding what we hold.
+        this->owner.reset();
+        this->placeHere();
+    }
+    return std::exchange(this->here, std::nullopt);
+}
+
+void Placing::interrupt()
+{
+    this->box.interrupt();
+}
+
+void Placing::send(const peer::Message &message)
+{
+    if (!this->owner) {
+        return;
+    }
+    // The cell may have a new owner by now, which knows this request from Holding.
+    const auto current = this->services.links.view();
+    const CellRoute *const route = current->findRoute(this->chosen);
+    if (route != nullptr && route->owner && route->owner != this->owner) {
+        this->owner = route->owner;
+        this->box.expect(this->owner);
+    }
+    this->services.links.send(*this->owner, message);
+}
+
+void Placing::prefillDone(const PrefillAnswer &answer)
+{
+    this->send(peer::PrefillDone{this->job.request, answer.read, answer.reused, answer.keep});
+}
+
+void Placing::prefillFailed(PrefillFault fault)
+{
+    this->send(peer::PrefillFailed{this->job.request, fault});
+    if (!this->owner) {
+        this->placeHere();
+    }
+}
+
+void Placing::decoding(const StreamId &stream, const EngineId &engine, Tokens output)
+{
+    peer::Held held;
+    held.request = this->job.request;
+    held.cell = this->chosen;
+    held.service = this->job.service;
+    held.workspace = this->job.workspace;
+    held.stream = stream;
+    held.decodeEngine = engine;
+    held.prompt = this->job.prompt;
+    held.output = output;
+    held.maxOutput = this->job.maxOutput;
+    this->services.held.put(held);
+    if (output > Tokens(0)) {
+        this->send(peer::OutputProgress{this->job.request, output});
+    }
+}
+
+void Placing::decodeFailed(DecodeFault fault, bool kvHeld)
+{
+    this->send(peer::DecodeFailed{this->job.request, fault, kvHeld});
+    if (this->owner) {
+        return;
+    }
+    this->placeHere();
+    const auto *placed = this->here ? std::get_if<peer::Placed>(&*this->here) : nullptr;
+    if (kvHeld && placed != nullptr) {
+        this->here = peer::StartDecode{this->job.request, placed->decodeEngine, placed->decodeAddress};
+    }
+}
+
+void Placing::finished(peer::RequestOutcome outcome, Tokens output)
+{
+    this->services.held.remove(this->job.request);
+    this->send(peer::Finished{this->job.request, outcome, output});
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/entry/placing.h
@@ -0,0 +1,72 @@
+#pragma once
+
+// Where one request is to run: asks the owner of a cell, or decides here while no owner can be reached.
+//
+//     Placing placing(services, job);
+//     placing.submit();
+//     while (const auto answer = placing.wait(limit, yield)) { ... Placed, StartDecode or Refused ... }
+//     placing.decodeFailed(DecodeFault::NoMemory, true);     // then wait() again
+
+#include "programs/entry/shardservices.h"
+
+#include <boost/asio/spawn.hpp>
+
+namespace fescuesill
+{
+
+struct PlacingJob {
+    RequestId request;
+    ModelId model;
+    ServiceId service;
+    WorkspaceId workspace;
+    Tokens prompt;
+    Tokens maxOutput;
+    std::vector<std::uint64_t> prefix;
+    Instant arrival;
+};
+
+class Placing
+{
+public:
+    using Answer = std::variant<peer::Placed, peer::StartDecode, peer::Refused>;
+
+    Placing(ShardServices &services, PlacingJob job, std::shared_ptr<const EntryView> view);
+    ~Placing();
+    Placing(const Placing &) = delete;
+    Placing &operator=(const Placing &) = delete;
+
+    void submit();
+    // None where the owner says nothing in time.
+    std::optional<Answer> wait(Duration limit, const asio::yield_context &yield);
+    // Ends a wait: the caller has gone.
+    void interrupt();
+
+    void prefillDone(const PrefillAnswer &answer);
+    void prefillFailed(PrefillFault fault);
+    void decoding(const StreamId &stream, const EngineId &engine, Tokens output);
+    void decodeFailed(DecodeFault fault, bool kvHeld);
+    void finished(peer::RequestOutcome outcome, Tokens output);
+
+    const CellId &cell() const;
+    bool isDegraded() const;
+
+private:
+    void chooseCell(Instant now);
+    void send(const peer::Message &message);
+    void placeHere();
+    Answer refuseHere(const char *text) const;
+
+    ShardServices &services;
+    PlacingJob job;
+    std::shared_ptr<const EntryView> view;
+    CellId chosen;
+    std::optional<LinkId> owner; // none: decided here
+    OwnerMailbox::Box box;
+    std::optional<Answer> here; // an answer of our own
+    int tries = 0;
+};
+
+// Gives the choosers of this thread the view's summaries and engines, once for each view.
+void feedChoosers(ShardServices &services, const std::shared_ptr<const EntryView> &view);
+
+} // namespace fescuesill
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -7,6 +7,7 @@
 #include "wire/refusaljson.h"
 #include "wire/serverconnection.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace fescuesill
@@ -75,9 +76,13 @@
 {
     std::string text;
     text.reserve(body.size() + 256);
-    fmt::format_to(std::back_inserter(text),
-                   "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nX-Request-Id: {}\r\n",
-                   status, reasonOf(status), body.size(), this->connection.id.value());
+    fmt::format_to(std::back_inserter(text), "HTTP/1.1 {} {}\r\nContent-Length: {}\r\nX-Request-Id: {}\r\n", status,
+                   reasonOf(status), body.size(), this->connection.id.value());
+    const bool hasType = std::any_of(headers.begin(), headers.end(),
+                                     [](const HttpHeader &header) { return header.name == "Content-Type"; });
+    if (!hasType) {
+        text += "Content-Type: application/json\r\n";
+    }
     appendHeaders(text, headers);
     text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
     text += body;
