--- /dev/null
+++ b/testing/bench/main.cpp
@@ -0,0 +1,151 @@
+#include "simulation.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+using namespace fescuesill;
+using namespace fescuesill::bench;
+using nlohmann::json;
+
+static json timesOf(const std::vector<double> &values)
+{
+    return {{"p50", percentile(values, 0.5)}, {"p95", percentile(values, 0.95)}, {"p99", percentile(values, 0.99)}};
+}
+
+static json groupOf(const Group &group)
+{
+    const double share = group.offered > 0 ? static_cast<double>(group.good) / group.offered : 0;
+    return {{"offered", group.offered},
+            {"goodput", group.good},
+            {"goodput_share", share},
+            {"late", group.late},
+            {"refused", group.refused},
+            {"unfinished", group.unfinished},
+            {"refusals", group.refusals},
+            {"first_token_ms", timesOf(group.firstToken)},
+            {"per_token_ms", timesOf(group.perToken)}};
+}
+
+static json resultOf(const Workload &workload, const std::string &policy, const Result &result)
+{
+    const auto read = static_cast<double>(std::max<std::int64_t>(1, result.waste.read.value()));
+    const auto share = [read](Tokens tokens) {
+        return static_cast<double>(tokens.value()) / read;
+    };
+    json out{{"scenario", workload.settings.scenario},
+             {"policy", policy},
+             {"seed", workload.settings.seed},
+             {"load", workload.settings.load},
+             {"engines", workload.settings.engines},
+             {"cells", workload.settings.cells},
+             {"prefill_engines_per_cell", workload.prefillPerCell},
+             {"decode_engines_per_cell", workload.decodePerCell},
+             {"all", groupOf(result.all)},
+             {"bound", result.bound},
+             {"goodput_of_bound", result.all.good / result.bound},
+             {"prompt_tokens_read", result.waste.read.value()},
+             {"prompt_tokens_reused", result.waste.reused.value()},
+             {"wasted_prefill_share",
+              {{"all", result.wastedShare()},
+               {"expired", share(result.waste.expired)},
+               {"redone", share(result.waste.redone)},
+               {"cancelled", share(result.waste.cancelled)},
+               {"no_place", share(result.waste.noPlace)}}},
+             {"decode_memory_use", result.memoryUse},
+             {"busiest_prefill_to_mean", result.prefillSkew},
+             {"decisions", result.calls},
+             {"decisions_per_second", result.decisionsPerSecond}};
+    for (const auto &[name, group] : result.groups) {
+        out["classes"][name] = groupOf(group);
+    }
+    for (const auto &[name, group] : result.customers) {
+        out["customers"][name] = groupOf(group);
+    }
+    return out;
+}
+
+static void printLine(const Workload &workload, const std::string &policy, const Result &result)
+{
+    const auto share = [](const Group &group) {
+        return group.offered > 0 ? 100.0 * group.good / group.offered : 0.0;
+    };
+    double urgent = 100;
+    double patient = 100;
+    for (const auto &[name, group] : result.groups) {
+        urgent = name.find("urgent") != std::string::npos ? std::min(urgent, share(group)) : urgent;
+        patient = name.find("patient") != std::string::npos ? std::min(patient, share(group)) : patient;
+    }
+    fmt::print("{:<14} {:<14} load {:<4} seed {:<3} good {:5.1f}% of offered {:5.1f}% of bound, least urgent {:6.2f}% "
+               "patient {:5.1f}%, late {:4}, wasted {:5.2f}%, memory {:4.1f}%, skew {:4.2f}\n",
+               workload.settings.scenario, policy, workload.settings.load, workload.settings.seed, share(result.all),
+               100 * result.all.good / result.bound, urgent, patient, result.all.late, 100 * result.wastedShare(),
+               100 * result.memoryUse, result.prefillSkew);
+}
+
+static std::string joined(const std::vector<std::string> &names)
+{
+    return fmt::format("{}", fmt::join(names, ", "));
+}
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("fescuesill-bench", "Decisions under load, in virtual time, against baselines");
+    auto add = options.add_options();
+    add("scenario", joined(scenarioNames()) + ", or decisions",
+        cxxopts::value<std::string>()->default_value("saturation"));
+    add("policy", joined(policyNames()), cxxopts::value<std::string>()->default_value("ours"));
+    add("seed", "seed of the load", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("load", "share of the capacity that is asked for; 0: the scenario's own",
+        cxxopts::value<double>()->default_value("0"));
+    add("engines", "over all cells", cxxopts::value<int>()->default_value("13"));
+    add("cells", "data centres", cxxopts::value<int>()->default_value("1"));
+    add("prefill", "prefill engines in each cell; 0: as the mix needs", cxxopts::value<int>()->default_value("0"));
+    add("without", "faulty engines leave in a planned way instead");
+    add("caution", "forecast spreads held back; below 0: default", cxxopts::value<double>()->default_value("-1"));
+    add("waste-weight", "for all classes; below 0: as declared", cxxopts::value<double>()->default_value("-1"));
+    add("short-first", "see ClassQueue::Options; below 0: default", cxxopts::value<double>()->default_value("-1"));
+    add("json", "print JSON");
+    add("help", "print this");
+    try {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") != 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        Settings settings;
+        settings.scenario = given["scenario"].as<std::string>();
+        settings.load = given["load"].as<double>();
+        settings.seed = given["seed"].as<std::uint64_t>();
+        settings.engines = given["engines"].as<int>();
+        settings.cells = given["cells"].as<int>();
+        settings.prefillEngines = given["prefill"].as<int>();
+        settings.without = given.count("without") != 0;
+        settings.caution = given["caution"].as<double>();
+        settings.wasteWeight = given["waste-weight"].as<double>();
+        settings.shortFirst = given["short-first"].as<double>();
+        const std::string name = given["policy"].as<std::string>();
+        const auto kind = policyNamed(name);
+        if (!kind) {
+            fmt::print(stderr, "--policy: '{}'; allowed: {}\n", name, joined(policyNames()));
+            return 2;
+        }
+        const auto workload = makeWorkload(settings);
+        if (!workload) {
+            fmt::print(stderr, "{}; allowed: {}\n", workload.error(), joined(scenarioNames()));
+            return 2;
+        }
+        const Result result = simulate(*workload, *kind);
+        if (given.count("json") != 0) {
+            std::cout << resultOf(*workload, name, result).dump(2) << '\n';
+        } else {
+            printLine(*workload, name, result);
+        }
+        return 0;
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "{}\n", error.what());
+        return 2;
+    }
+}
