Hold back what more urgent work will take, one transfer at a time on a link

Patient requests were promised the releases that live ones then took. Now the forecast of a rank leaves out what more urgent ranks are being placed at, transfers that can wait go one by one on a link, and the deadline in the queue counts the delay that was measured.

--- a/decide/cellevents.cpp
+++ b/decide/cellevents.cpp
@@ -8,6 +8,8 @@
 namespace fescuesill
 {
 
+constexpr double delayWeight = 0.02; // of one request in the learnt delay: a second or two of a cell's work
+constexpr Duration hurried = 1s; // first-token targets up to this are those whose delay is learnt
 constexpr double stepWeight = 0.01; // of one sample in the cell's decode step
 constexpr double transferWeight = 0.05; // of one transfer in the measured rate
 // A transfer is measured from the start of the decode to the first token, less a step; samples beyond this many times
@@ -116,18 +118,36 @@
     record.progressAt = now;
 }
 
+// What the way to the first token took beyond its nominal time, for the class that is in most of a hurry: reads that go
+// ahead, places that come free late, links that are shared.
+void CellState::learnDelay(const Record &record, Instant now)
+{
+    if (record.request.requestClass.firstToken > hurried) {
+        return;
+    }
+    const auto took = static_cast<double>((now - record.placedAt).count());
+    const double extra = took - static_cast<double>(this->serviceTime(record.request).count());
+    const double error = extra - this->delayMicros;
+    this->delayMicros += delayWeight * error;
+    this->delaySpread += delayWeight * (std::abs(error) - this->delaySpread);
+}
+
 void CellState::onFirstToken(const RequestId &request, Instant now)
 {
     Record *record = this->find(request);
     if (record == nullptr || record->stage != Stage::Decoding) {
         return;
     }
-    const auto moved = static_cast<double>((now - record->decodeSince).count()) - this->stepMicros;
+    const auto moved = static_cast<double>((now - record->decodeSince).count()) - 1.5 * this->stepMicros;
     const double sample = std::max(0.0, moved / static_cast<double>(this->contextOf(*record).value()));
     if (record->linkAlone && !record->answered && sample < wildTransfer * this->transferMicros) {
         this->transferMicros += transferWeight * (sample - this->transferMicros);
     }
+    if (!record->answered && record->attempts == 0) {
+        this->learnDelay(*record, now);
+    }
     record->answered = true;
+    this->endMove(*record);
     this->sampleStep(*record, std::max(Tokens(1), record->output), now);
 }
 
@@ -138,6 +158,7 @@
         return;
     }
     record->answered = true;
+    this->endMove(*record);
     this->sampleStep(*record, output, now);
     // The answer has outgrown what was reserved for it.
     const Pieces need = piecesFor(this->contextOf(*record));
--- a/decide/cellplacing.cpp
+++ b/decide/cellplacing.cpp
@@ -28,9 +28,17 @@
 constexpr Duration refreshInterval = 20ms; // of figures that change slowly: a tenth of the outliers' interval
 // Results looked at in one poll for a place. They are in the order of urgency; beyond these none would find one.
 constexpr int mostReadyTried = 64;
+constexpr Duration pressedTime = 200ms; // about a step and a transfer
+constexpr int mostMoving = 3; // on one link; with more none would arrive in time
+constexpr Duration rateWindow = 1s; // of the rate at which a rank is placed: some fifty requests
 constexpr double worthWaiting = 0.6;
 constexpr int noUrgency = 1 << 20;
 
+static double fading(Duration age)
+{
+    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(rateWindow.count()));
+}
+
 std::vector<Action> CellState::poll(Instant now)
 {
     if (now >= this->lastRefresh + refreshInterval) {
@@ -119,6 +127,16 @@
     return best;
 }
 
+// One transfer at a time on a link, as long as the others can wait. Load: links near their rate. Harm prevented:
+// transfers that share a link all end late, each holding decode memory meanwhile. One that would miss its target, or
+// expire, shares.
+bool CellState::linkAllows(const Record &record, Instant now) const
+{
+    const int moving = this->links.moving(this->engines[record.prefill].link);
+    const bool pressed = record.readyOrder.by - now < pressedTime;
+    return moving == 0 || (pressed && moving < mostMoving);
+}
+
 void CellState::startReady(Instant now)
 {
     std::vector<std::uint64_t> keys;
@@ -134,6 +152,9 @@
     for (const std::uint64_t key : keys) {
         Record &record = *this->byKey[key];
         ++this->counters.steps;
+        if (!this->linkAllows(record, now)) {
+            continue;
+        }
         const EngineSlot slot = this->chooseDecode(record.pieces, record.request.requestClass.rank == 0, now);
         if (slot == noEngine && kept == noEngine) {
             kept = this->mostFree(noEngine);
@@ -218,14 +239,36 @@
     return best;
 }
 
+// Rate of pieces placed, each placing fading with the time since.
+void CellState::notePlaced(const Record &record, Instant now)
+{
+    PlacedRate &placed = this->placedRates[record.rank];
+    placed.rate = placed.rate * fading(now - placed.since)
+        + static_cast<double>(record.pieces.value()) / static_cast<double>(rateWindow.count());
+    placed.since = now;
+}
+
+// More urgent requests that are placed from now on will be ready before one of this rank and take the pieces first.
+// Load: live work in a cell that patient work fills. Harm prevented: patient results wait for places that live ones
+// take, and expire, or take them in their last moment, and the live ones are late.
+double CellState::urgentDemand(int rank, Duration until, Instant now) const
+{
+    double rate = 0;
+    for (auto entry = this->placedRates.begin(); entry != this->placedRates.end() && entry->first < rank; ++entry) {
+        rate += entry->second.rate * fading(now - entry->second.since);
+    }
+    return rate * static_cast<double>(until.count());
+}
+
 // Pieces free by then that nobody has been promised. The forecast is a count of random releases, so its spread is about
 // the root of its mean; the class says how many spreads are held back.
-double CellState::foreseenPieces(const Record &record, Duration until) const
+double CellState::foreseenPieces(const Record &record, Duration until, Instant now) const
 {
     const double expected = this->memory.expectedReleases(until);
     const double caution = this->options.caution * record.request.requestClass.wasteWeight;
     const double safe = std::max(0.0, expected - caution * std::sqrt(expected));
-    return static_cast<double>((this->memory.totalFree() - this->promised).value()) + safe;
+    const double demand = this->urgentDemand(record.rank, until, now);
+    return static_cast<double>((this->memory.totalFree() - this->promised).value()) + safe - demand;
 }
 
 bool CellState::placeHead(Instant now)
@@ -247,7 +290,7 @@
     }
     if (decode == noEngine) {
         const auto wait = std::chrono::duration_cast<Duration>(this->options.keep * this->options.keepShare);
-        const double foreseen = this->foreseenPieces(record, choice.ahead + choice.read + wait);
+        const double foreseen = this->foreseenPieces(record, choice.ahead + choice.read + wait, now);
         if (foreseen < static_cast<double>(record.pieces.value())) {
             return false;
         }
@@ -260,6 +303,8 @@
 void CellState::place(Record &record, const PrefillChoice &choice, EngineSlot decode, Instant now)
 {
     ++this->counters.placed;
+    record.placedAt = now;
+    this->notePlaced(record, now);
     ++this->counters.decisions;
     this->admissionOf(record.rank).onPlaced(record.cost, this->queue.backlogAt(record.rank) > Duration(0), now);
     record.stage = Stage::Reading;
--- a/decide/cellstate.cpp
+++ b/decide/cellstate.cpp
@@ -18,6 +18,9 @@
 
 constexpr double outputWeight = 0.05; // of one answer in the learnt output length of its class
 constexpr double outputMargin = 2.0; // mean distances above the mean that are reserved: some 95% of answers fit
+// A request joins a batch in the middle of a step and has its first token at the end of the next.
+constexpr double stepsToFirstToken = 1.5;
+constexpr double delayMargin = 1.0; // spreads above the mean delay that are kept for the way to the first token
 constexpr int resumedRank = -1; // work that was begun and has to be placed again: most of its cost is already paid
 constexpr int hopelessRankStep = 1000;
 constexpr Duration refreshInterval = 20ms; // of figures that change slowly: a tenth of the outliers' interval
@@ -196,7 +199,8 @@
 Duration CellState::serviceTime(const PlaceRequest &request) const
 {
     const double transfer = this->transferMicros * static_cast<double>(request.prompt.value());
-    return this->readTime(request.prompt) + Duration(static_cast<Duration::rep>(transfer + this->stepMicros));
+    const double step = stepsToFirstToken * this->stepMicros;
+    return this->readTime(request.prompt) + Duration(static_cast<Duration::rep>(transfer + step));
 }
 
 void CellState::submit(const PlaceRequest &request, Instant now)
@@ -227,10 +231,12 @@
     record.pieces = this->piecesOf(record);
     record.cost = this->costOf(record);
     record.rank = rank;
-    const Duration service = this->serviceTime(record.request);
+    const double late = std::max(0.0, this->delayMicros + delayMargin * this->delaySpread);
+    const Duration least = this->serviceTime(record.request);
+    const Duration service = least + Duration(static_cast<Duration::rep>(late));
     if (record.answered) {
         record.latest = now + requestClass.patience;
-    } else if (service > requestClass.firstToken) {
+    } else if (least > requestClass.firstToken) {
         // No cell could meet this target. Refused it would be refused for ever, and served by rank it would cost others
         // theirs: it goes last, as long as its caller waits.
         record.latest = record.request.arrival + requestClass.patience;
@@ -268,6 +274,8 @@
     record.stage = Stage::Decoding;
     record.begun = true;
     record.decodeSince = now;
+    record.moving = true;
+    this->links.begin(this->engines[record.prefill].link);
     EngineState &engine = this->engines[record.decode];
     engine.progressAt = engine.decoding == 0 ? now : engine.progressAt;
     ++engine.decoding;
@@ -287,10 +295,19 @@
     ++this->engines[slot].running;
 }
 
+void CellState::endMove(Record &record)
+{
+    if (record.moving) {
+        record.moving = false;
+        this->links.end(this->engines[record.prefill].link);
+    }
+}
+
 void CellState::releaseDecode(Record &record, Instant now)
 {
     this->memory.release(record.decode, record.pieces, now - record.heldSince, now);
     EngineState &engine = this->engines[record.decode];
+    this->endMove(record);
     --engine.running;
     engine.decoding -= record.stage == Stage::Decoding ? 1 : 0;
     record.decode = noEngine;
--- a/decide/cellstate.h
+++ b/decide/cellstate.h
@@ -74,10 +74,12 @@
         Duration transfer{0}; // counted on the link
         Instant keepUntil;
         ReadyOrder readyOrder;
+        Instant placedAt;
         Instant heldSince;
         Instant decodeSince;
         Instant progressAt;
         Tokens output;
+        bool moving = false; // its prefill result is on the link
         bool begun = false; // a decode was started
         bool answered = false; // has had a first token
         bool linkAlone = false; // its transfer had the link for itself
@@ -137,6 +139,9 @@
     void leaveReady(Record &record);
     void holdDecode(Record &record, EngineSlot slot, Instant now);
     void releaseDecode(Record &record, Instant now);
+    void endMove(Record &record);
+    bool linkAllows(const Record &record, Instant now) const;
+    void learnDelay(const Record &record, Instant now);
     void sampleStep(Record &record, Tokens output, Instant now);
 
     // Decisions.
@@ -149,7 +154,9 @@
     PrefillChoice choosePrefill(const Record &record, Instant now);
     EngineSlot chooseDecode(Pieces pieces, bool urgent, Instant now) const;
     EngineSlot mostFree(EngineSlot except) const;
-    double foreseenPieces(const Record &record, Duration until) const;
+    double foreseenPieces(const Record &record, Duration until, Instant now) const;
+    double urgentDemand(int rank, Duration until, Instant now) const;
+    void notePlaced(const Record &record, Instant now);
     void place(Record &record, const PrefillChoice &choice, EngineSlot decode, Instant now);
     void shiftRoles(Instant now);
     Admission &admissionOf(int rank);
@@ -181,6 +188,14 @@
 
     double transferMicros; // for each token, measured
     double stepMicros; // of decode engines, measured
+    // Pieces placed for each rank, by microsecond: what more urgent work will take meanwhile.
+    struct PlacedRate {
+        double rate = 0;
+        Instant since;
+    };
+    std::map<int, PlacedRate> placedRates;
+    double delayMicros = 0; // from placing to the first token, beyond the nominal service time
+    double delaySpread = 0;
     std::vector<Action> actions;
     std::vector<PrefixIndex::Match> matches;
     std::vector<std::size_t> matchedBlocks; // by slot, all 0 between uses
--- a/decide/linkschedule.h
+++ b/decide/linkschedule.h
@@ -27,6 +27,7 @@
         const auto [entry, added] = this->links.emplace(name, this->ends.size());
         if (added) {
             this->ends.emplace_back();
+            this->underWay.push_back(0);
         }
         return entry->second;
     }
@@ -39,6 +40,19 @@
         this->ends[link] = std::max(this->ends[link], earliest) + length;
         return this->ends[link];
     }
+    // Transfers under way, as opposed to those reserved.
+    int moving(std::size_t link) const
+    {
+        return this->underWay[link];
+    }
+    void begin(std::size_t link)
+    {
+        ++this->underWay[link];
+    }
+    void end(std::size_t link)
+    {
+        --this->underWay[link];
+    }
     // A transfer that was counted did not take place.
     void giveBack(std::size_t link, Duration length, Instant now)
     {
@@ -49,6 +63,7 @@
     // Names come from the declaration.
     std::unordered_map<std::string, std::size_t> links;
     std::vector<Instant> ends;
+    std::vector<int> underWay;
 };
 
 } // namespace fescuesill
--- a/testing/bench/baseline.cpp
+++ b/testing/bench/baseline.cpp
@@ -167,13 +167,20 @@
     this->queued[running.place] = running.request.request;
 }
 
+// Until the first token on an idle cell.
+static Duration serviceTime(const EngineModel &model, const PlaceRequest &request)
+{
+    return (model.prefillPerToken + model.transferPerToken) * request.prompt.value() + 2 * model.stepBase;
+}
+
 void Baseline::dispatch()
 {
     const Instant now = this->cell->clock().now();
     for (auto entry = this->queue.begin(); entry != this->queue.end();) {
         Running &running = this->running.at(this->queued.at(entry->second));
         const RequestClass &targets = running.request.requestClass;
-        const bool late = now > running.request.arrival + std::min(targets.patience, targets.firstToken);
+        const Duration service = serviceTime(this->cell->load().model, running.request);
+        const bool late = now > running.request.arrival + std::min(targets.patience, targets.firstToken - service);
         const std::size_t none = this->engines.size();
         const std::size_t engine = late ? none : this->pickPrefill(running.request).value_or(none);
         if (!late && engine == none) {
--- a/testing/bench/bound.cpp
+++ b/testing/bench/bound.cpp
@@ -60,12 +60,23 @@
     return value;
 }
 
-double goodputBound(const Workload &workload)
+double goodputBound(const Workload &workload, Lengths lengths)
 {
+    std::map<std::string, std::pair<double, int>> outputs; // sum and count by class
+    for (const Job &job : workload.jobs) {
+        auto &[sum, count] = outputs[job.targets.name];
+        sum += static_cast<double>(job.output.value());
+        ++count;
+    }
     std::vector<Vector> costs;
     for (const Job &job : workload.jobs) {
+        Job priced = job;
+        if (lengths == Lengths::Unknown) {
+            const auto &[sum, count] = outputs[job.targets.name];
+            priced.output = Tokens(static_cast<std::int64_t>(sum / count));
+        }
         const Vector cost{leastPrefillSeconds(workload.model, job), leastLinkSeconds(workload.model, job),
-                          leastDecodeSeconds(workload.model, job)};
+                          leastDecodeSeconds(workload.model, priced)};
         const double firstToken = cost[0] + cost[1] + seconds(workload.model.stepBase);
         const double alone = seconds(workload.model.stepBase) * static_cast<double>(job.output.value());
         const bool inTime = seconds(job.arrival.time_since_epoch()) + cost[0] + cost[1] + alone
--- a/testing/bench/cell.cpp
+++ b/testing/bench/cell.cpp
@@ -159,6 +159,7 @@
     }
     attempt->stage = Stage::Reading;
     attempt->run = this->nextRun++;
+    attempt->outcome.placed = this->events.now();
     attempt->read = Tokens(0);
     attempt->prefill = index;
     this->events.after(this->workload.model.hop, [this, request, index, run = attempt->run] {
@@ -189,6 +190,7 @@
         return;
     }
     attempt->stage = Stage::Read;
+    attempt->outcome.read = this->events.now();
     attempt->read = result.read;
     attempt->kvUntil = this->events.now() + result.keep;
     this->events.after(this->workload.model.hop, [this, request, run, result] {
@@ -202,6 +204,7 @@
 {
     Attempt *attempt = this->find(request);
     if (attempt != nullptr) {
+        attempt->outcome.decodeAsked = this->events.now();
         this->events.after(this->workload.model.hop, [this, request, index, run = attempt->run] {
             if (this->find(request, run) != nullptr) {
                 this->arriveDecode(request, index);
--- a/testing/bench/cell.h
+++ b/testing/bench/cell.h
@@ -31,6 +31,10 @@
     Instant arrival;
     bool completed = false;
     std::optional<Duration> retryAfter;
+    // When the parts of the way to the first token began; the last of each.
+    Instant placed;
+    Instant read;
+    Instant decodeAsked;
     Duration firstToken{0};
     Duration perToken{0};
 };
--- a/testing/bench/fakes.cpp
+++ b/testing/bench/fakes.cpp
@@ -142,12 +142,51 @@
     return sum;
 }
 
+void FakeLink::advance()
+{
+    const auto passed = static_cast<double>((this->events.now() - this->advanced).count());
+    this->advanced = this->events.now();
+    for (Transfer &transfer : this->transfers) {
+        transfer.left -= passed / static_cast<double>(this->transfers.size());
+    }
+}
+
+void FakeLink::schedule()
+{
+    ++this->epoch;
+    if (this->transfers.empty()) {
+        return;
+    }
+    double least = this->transfers.front().left;
+    for (const Transfer &transfer : this->transfers) {
+        least = std::min(least, transfer.left);
+    }
+    const double wait = std::max(0.0, least) * static_cast<double>(this->transfers.size());
+    this->events.after(Duration(static_cast<Duration::rep>(wait) + 1), [this, epoch = this->epoch] {
+        if (epoch != this->epoch) {
+            return;
+        }
+        this->advance();
+        for (auto transfer = this->transfers.begin(); transfer != this->transfers.end();) {
+            if (transfer->left > 0) {
+                ++transfer;
+                continue;
+            }
+            const auto jitter = static_cast<Duration::rep>(
+                this->random() % static_cast<std::uint64_t>(1 + this->model.transferJitter.count()));
+            this->events.after(Duration(jitter), std::move(transfer->arrived));
+            transfer = this->transfers.erase(transfer);
+        }
+        this->schedule();
+    });
+}
+
 void FakeLink::move(Tokens context, std::function<void()> arrived)
 {
-    const auto jitter =
-        static_cast<Duration::rep>(this->random() % static_cast<std::uint64_t>(1 + this->model.transferJitter.count()));
-    this->freeAt = std::max(this->freeAt, this->events.now()) + this->model.transferPerToken * context.value();
-    this->events.at(this->freeAt + Duration(jitter), std::move(arrived));
+    this->advance();
+    const auto size = static_cast<double>((this->model.transferPerToken * context.value()).count());
+    this->transfers.push_back(Transfer{size, std::move(arrived)});
+    this->schedule();
 }
 
 void FakeDecode::setUsed(Pieces pieces)
--- a/testing/bench/fakes.h
+++ b/testing/bench/fakes.h
@@ -81,7 +81,7 @@
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cache;
 };
 
-// Transfers of one prefill engine, one after another at a limited rate, each with some jitter.
+// Transfers of one prefill engine share its limited rate equally; each has some jitter besides.
 class FakeLink
 {
 public:
@@ -96,8 +96,18 @@
 private:
     EventQueue &events;
     const EngineModel &model;
+    struct Transfer {
+        double left = 0; // microseconds at the full rate
+        std::function<void()> arrived;
+    };
+
+    void advance();
+    void schedule();
+
     std::mt19937_64 random;
-    Instant freeAt;
+    std::list<Transfer> transfers;
+    Instant advanced;
+    std::uint64_t epoch = 0;
 };
 
 // Continuous batching: one step gives each sequence a token. Memory in pieces grows with the context; a sequence that
--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -18,7 +18,17 @@
 static json groupOf(const Group &group)
 {
     const double share = group.offered > 0 ? static_cast<double>(group.good) / group.offered : 0;
-    return {{"offered", group.offered},
+    json phases;
+    const std::array<const char *, 4> names{"queue", "read", "place", "move"};
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        std::vector<double> times;
+        for (const auto &late : group.latePhases) {
+            times.push_back(late[i]);
+        }
+        phases[names[i]] = percentile(times, 0.5);
+    }
+    return {{"late_median_ms", phases},
+            {"offered", group.offered},
             {"goodput", group.good},
             {"goodput_share", share},
             {"late", group.late},
@@ -44,8 +54,11 @@
              {"prefill_engines_per_cell", workload.prefillPerCell},
              {"decode_engines_per_cell", workload.decodePerCell},
              {"all", groupOf(result.all)},
+             {"goodput", result.good},
              {"bound", result.bound},
-             {"goodput_of_bound", result.all.good / result.bound},
+             {"bound_unknown_lengths", result.boundUnknownLengths},
+             {"goodput_of_bound_unknown_lengths", result.good / result.boundUnknownLengths},
+             {"goodput_of_bound", result.good / result.bound},
              {"prompt_tokens_read", result.waste.read.value()},
              {"prompt_tokens_reused", result.waste.reused.value()},
              {"wasted_prefill_share",
@@ -54,6 +67,8 @@
                {"redone", share(result.waste.redone)},
                {"cancelled", share(result.waste.cancelled)},
                {"no_place", share(result.waste.noPlace)}}},
+             {"least_prefill_of_good", result.goodPrefill},
+             {"least_decode_of_good", result.goodDecode},
              {"decode_memory_use", result.memoryUse},
              {"busiest_prefill_to_mean", result.prefillSkew},
              {"decisions", result.calls},
@@ -78,11 +93,12 @@
         urgent = name.find("urgent") != std::string::npos ? std::min(urgent, share(group)) : urgent;
         patient = name.find("patient") != std::string::npos ? std::min(patient, share(group)) : patient;
     }
-    fmt::print("{:<14} {:<14} load {:<4} seed {:<3} good {:5.1f}% of offered {:5.1f}% of bound, least urgent {:6.2f}% "
+    fmt::print("{:<14} {:<14} load {:<4} seed {:<3} good {:5.1f}% of offered {:5.1f}% of bound ({:5.1f}%), least "
+               "urgent {:6.2f}% "
                "patient {:5.1f}%, late {:4}, wasted {:5.2f}%, memory {:4.1f}%, skew {:4.2f}\n",
                workload.settings.scenario, policy, workload.settings.load, workload.settings.seed, share(result.all),
-               100 * result.all.good / result.bound, urgent, patient, result.all.late, 100 * result.wastedShare(),
-               100 * result.memoryUse, result.prefillSkew);
+               100 * result.good / result.bound, 100 * result.good / result.boundUnknownLengths, urgent, patient,
+               result.all.late, 100 * result.wastedShare(), 100 * result.memoryUse, result.prefillSkew);
 }
 
 static std::string joined(const std::vector<std::string> &names)
--- a/testing/bench/simulation.cpp
+++ b/testing/bench/simulation.cpp
@@ -65,6 +65,7 @@
         bool cancelled = false;
         Duration firstToken{0};
         Duration perToken{0};
+        std::array<double, 4> phases{};
     };
 
     void ask(const Job &job);
@@ -130,6 +131,12 @@
         state.completed = true;
         state.firstToken = outcome.firstToken;
         state.perToken = outcome.perToken;
+        const auto milliseconds = [](Duration time) {
+            return static_cast<double>(time.count()) / 1000;
+        };
+        state.phases = {milliseconds(outcome.placed - outcome.arrival), milliseconds(outcome.read - outcome.placed),
+                        milliseconds(outcome.decodeAsked - outcome.read),
+                        milliseconds(outcome.arrival + outcome.firstToken - outcome.decodeAsked)};
         state.good = outcome.firstToken <= job.targets.firstToken && outcome.perToken <= job.targets.perToken;
         return;
     }
@@ -195,6 +202,9 @@
     group.refusals += state.refusals;
     if (state.completed) {
         ++(state.good ? group.good : group.late);
+        if (!state.good) {
+            group.latePhases.push_back(state.phases);
+        }
         group.firstToken.push_back(static_cast<double>(state.firstToken.count()) / 1000);
         group.perToken.push_back(static_cast<double>(state.perToken.count()) / 1000);
     } else {
@@ -210,6 +220,17 @@
         if (state.cancelled) {
             continue;
         }
+        if (state.good) {
+            const double time = std::chrono::duration<double>(this->workload.end.time_since_epoch()).count()
+                * this->workload.settings.cells;
+            const EngineModel &model = this->workload.model;
+            result.goodPrefill += leastPrefillSeconds(model, job) / (time * this->workload.prefillPerCell);
+            result.goodDecode += leastDecodeSeconds(model, job) / (time * this->workload.decodePerCell);
+        }
+        result.good += state.good ? 1 : 0;
+        if (job.arrival > this->workload.end - settleTime) {
+            continue;
+        }
         this->count(result.all, state);
         this->count(result.groups[job.targets.name], state);
         this->count(result.customers[this->workload.customers[static_cast<std::size_t>(job.customer)].name], state);
@@ -239,7 +260,8 @@
     result.prefillSkew =
         *std::max_element(use.begin(), use.end()) / std::max(1e-9, sum / static_cast<double>(use.size()));
     result.decisionsPerSecond = seconds > 0 ? static_cast<double>(result.calls) / seconds : 0;
-    result.bound = goodputBound(this->workload);
+    result.bound = goodputBound(this->workload, Lengths::Known);
+    result.boundUnknownLengths = goodputBound(this->workload, Lengths::Unknown);
     return result;
 }
 
--- a/testing/bench/simulation.h
+++ b/testing/bench/simulation.h
@@ -7,9 +7,15 @@
 
 #include "cell.h"
 
+#include <array>
+
 namespace fescuesill::bench
 {
 
+// Of the jobs that arrive at least `settleTime` before the end; later ones may still be running then, for no fault of
+// the policy.
+constexpr Duration settleTime = 10s;
+
 struct Group {
     int offered = 0;
     int good = 0; // complete within both targets
@@ -19,14 +25,21 @@
     int refusals = 0; // answers, several for a caller that comes back
     std::vector<double> firstToken; // milliseconds, of complete ones
     std::vector<double> perToken;
+    // Of late ones, milliseconds in each part of the way: queue, read, place, move and first step.
+    std::vector<std::array<double, 4>> latePhases;
 };
 
 struct Result {
     std::map<std::string, Group> groups; // by class
     std::map<std::string, Group> customers;
     Group all;
+    int good = 0; // of all jobs, also those too late to be in a group
     Waste waste;
     double bound = 0;
+    double boundUnknownLengths = 0; // in expectation, for policies that do not know how long an answer will be
+    // Least cost of the good requests against what the pools have: what the policy made of them.
+    double goodPrefill = 0;
+    double goodDecode = 0;
     double memoryUse = 0;
     double prefillSkew = 0; // the busiest prefill engine against the mean
     double decisionsPerSecond = 0;
@@ -41,6 +54,10 @@
 double percentile(std::vector<double> values, double share);
 
 // No policy can complete more requests of this workload within their targets.
-double goodputBound(const Workload &workload);
+enum class Lengths {
+    Known,
+    Unknown,
+};
+double goodputBound(const Workload &workload, Lengths lengths);
 
 } // namespace fescuesill::bench
--- a/testing/bench/workload.cpp
+++ b/testing/bench/workload.cpp
@@ -12,7 +12,7 @@
 namespace fescuesill::bench
 {
 
-constexpr Duration length = 120s;
+constexpr Duration length = 300s;
 constexpr double ignoringShare = 0.2; // of callers come back at once whatever they are told
 constexpr double burstFactor = 3;
 constexpr Duration burstPeriod = 10500ms;
@@ -205,26 +205,30 @@
 static void addFaults(Workload &workload)
 {
     const std::string &name = workload.settings.scenario;
+    // In 120ths of the run.
+    const auto at = [&workload](int part) {
+        return Instant(workload.end.time_since_epoch() * part / 120);
+    };
     const auto kind = [&](Fault::Kind wanted) {
         return workload.settings.without ? Fault::Kind::Leaving : wanted;
     };
     if (name == "slow-endpoint") {
-        workload.faults.push_back(fault(kind(Fault::Kind::Slow), Pool::Decode, 0, Instant(30s), Instant(90s), 4));
-        workload.faults.push_back(fault(kind(Fault::Kind::Slow), Pool::Prefill, 1, Instant(50s), Instant(90s), 4));
+        workload.faults.push_back(fault(kind(Fault::Kind::Slow), Pool::Decode, 0, at(30), at(90), 4));
+        workload.faults.push_back(fault(kind(Fault::Kind::Slow), Pool::Prefill, 1, at(50), at(90), 4));
     }
     if (name == "engine-death" || name == "mixed") {
-        workload.faults.push_back(fault(kind(Fault::Kind::Dead), Pool::Decode, 0, Instant(30s), Instant(60s)));
-        workload.faults.push_back(fault(kind(Fault::Kind::Dead), Pool::Prefill, 0, Instant(70s), Instant(90s)));
+        workload.faults.push_back(fault(kind(Fault::Kind::Dead), Pool::Decode, 0, at(30), at(60)));
+        workload.faults.push_back(fault(kind(Fault::Kind::Dead), Pool::Prefill, 0, at(70), at(90)));
     }
     if (name == "mixed") {
-        workload.faults.push_back(fault(kind(Fault::Kind::Slow), Pool::Decode, 1, Instant(70s), Instant(100s), 4));
+        workload.faults.push_back(fault(kind(Fault::Kind::Slow), Pool::Decode, 1, at(70), at(100), 4));
     }
     if (name == "zone-loss") {
-        workload.faults.push_back(fault(Fault::Kind::Dead, Pool::Decode, -1, Instant(40s), Instant(80s)));
-        workload.faults.push_back(fault(Fault::Kind::Dead, Pool::Prefill, -1, Instant(40s), Instant(80s)));
+        workload.faults.push_back(fault(Fault::Kind::Dead, Pool::Decode, -1, at(40), at(80)));
+        workload.faults.push_back(fault(Fault::Kind::Dead, Pool::Prefill, -1, at(40), at(80)));
     }
     if (name == "cancel-storm" || name == "mixed") {
-        workload.cancelStorm = Instant(45s);
+        workload.cancelStorm = at(45);
     }
 }
 
