--- a/decide/classqueue.cpp
+++ b/decide/classqueue.cpp
@@ -11,7 +11,9 @@
 // placed for it; the smallest goes next. One that was away starts no earlier than the rank's virtual time: it saves
 // nothing up.
 //
-// Requests of one workspace: by arrival plus a multiple of the cost (see Options::shortFirst).
+// Requests of one workspace: by arrival plus a stretch that grows with the cost (see Options::shortFirst). Load: more
+// work than the cell can do. Harm prevented: one long prompt takes the places of several short ones, whose callers are
+// refused.
 //
 // Dropping takes the last request of the workspace with the most work waiting, so a flood displaces itself.
 
@@ -22,6 +24,7 @@
 namespace fescuesill
 {
 
+constexpr double meanWeight = 0.02; // of one request in the mean cost of its rank
 // Workspaces remembered while they have nothing waiting. Beyond it one is only treated as new, which costs fairness for
 // a moment; the names come from callers, so there must be a bound.
 constexpr std::size_t maxAhead = 10000;
@@ -34,14 +37,23 @@
     rank.byBacklog.insert({flow.backlog, workspace});
 }
 
+Duration ClassQueue::stretch(Rank &rank, const QueueItem &item) const
+{
+    const auto cost = static_cast<double>(item.cost.count());
+    rank.meanCost += rank.meanCost > 0 ? meanWeight * (cost - rank.meanCost) : cost;
+    const double share = cost / std::max(1.0, cost + rank.meanCost);
+    const auto window = static_cast<double>((item.latest - item.arrival).count());
+    return Duration(static_cast<Duration::rep>(std::max(0.0, window) * share * this->options.shortFirst));
+}
+
 void ClassQueue::push(const QueueItem &item)
 {
-    const auto stretch = std::chrono::duration_cast<Duration>(item.cost * this->options.shortFirst);
-    const Position position{item.arrival + stretch, this->nextSequence++};
-    if (!this->items.emplace(item.request, Entry{item, position}).second) {
+    if (this->items.count(item.request) != 0) {
         return;
     }
     Rank &rank = this->ranks[item.rank];
+    const Position position{item.arrival + this->stretch(rank, item), this->nextSequence++};
+    this->items.emplace(item.request, Entry{item, position});
     const auto [found, added] = rank.flows.try_emplace(item.workspace);
     Flow &flow = found->second;
     if (added) {
--- a/decide/classqueue.h
+++ b/decide/classqueue.h
@@ -37,10 +37,11 @@
         // the capacity with urgent work alone above it, patient work still completes; urgent work pays at most this
         // share.
         double lowRankShare = 0.05;
-        // Within a workspace a request goes by arrival plus this many times its cost. 0 is first come, first served. In
-        // overload a larger one completes more requests by refusing long ones first; age still brings each to the
-        // front.
-        double shortFirst = 0;
+        // Within a workspace a request goes by its arrival plus up to this share of the time it may wait: none for a
+        // cheap one, half of it for one of mean cost, nearly all for a dear one. 0 is first come, first served. In
+        // overload this completes more requests, since the dear ones are refused first; below 1 age still brings each
+        // to the front.
+        double shortFirst = 0.9;
     };
 
     explicit ClassQueue(const Options &options)
@@ -94,6 +95,7 @@
         std::map<WorkspaceId, Duration> ahead;
         Duration virtualTime{0};
         Duration backlog{0};
+        double meanCost = 0; // microseconds, of those that came in
         Duration credit{0}; // work owed to this rank while more urgent ones were placed
     };
     struct Entry {
@@ -102,6 +104,7 @@
     };
     using Items = std::unordered_map<RequestId, Entry>;
 
+    Duration stretch(Rank &rank, const QueueItem &item) const;
     void take(Items::iterator entry);
     const QueueItem *headOf(const Rank &rank) const;
     int rankToServe() const;
--- a/decide/testing/classqueue_test.cpp
+++ b/decide/testing/classqueue_test.cpp
@@ -13,6 +13,13 @@
     return {RequestId(std::to_string(number)), WorkspaceId(workspace), rank, cost, Instant(1ms * number), latest};
 }
 
+static ClassQueue::Options inOrderOfArrival()
+{
+    ClassQueue::Options options;
+    options.shortFirst = 0;
+    return options;
+}
+
 // Work popped for each workspace, out of `pops` requests.
 static std::map<std::string, Duration> served(ClassQueue &queue, int pops)
 {
@@ -27,7 +34,7 @@
 
 TEST(ClassQueue, UrgentWorkGoesFirstAndPatientWorkIsNotStarved)
 {
-    ClassQueue queue(ClassQueue::Options{});
+    ClassQueue queue(inOrderOfArrival());
     for (int i = 0; i < 2000; ++i) {
         queue.push(item(i, "urgent", 0, 10ms));
         queue.push(item(10000 + i, "patient", 2, 30ms));
@@ -41,7 +48,7 @@
 
 TEST(ClassQueue, AFloodOfOneWorkspaceDoesNotDelayAnother)
 {
-    ClassQueue queue(ClassQueue::Options{});
+    ClassQueue queue(inOrderOfArrival());
     for (int i = 0; i < 1000; ++i) {
         queue.push(item(i, "flood", 1, 20ms));
     }
@@ -54,7 +61,7 @@
 
 TEST(ClassQueue, SendingOneByOneGainsNothing)
 {
-    ClassQueue queue(ClassQueue::Options{});
+    ClassQueue queue(inOrderOfArrival());
     for (int i = 0; i < 100; ++i) {
         queue.push(item(i, "together", 1, 10ms));
     }
@@ -71,6 +78,24 @@
     EXPECT_LE(single, 51);
 }
 
+// Long prompts go after short ones of the same moment, but not after all that ever come.
+TEST(ClassQueue, ShortOnesGoFirstAndLongOnesAreNotStarved)
+{
+    ClassQueue queue(ClassQueue::Options{});
+    queue.push(item(0, "a", 1, 400ms, Instant(4s)));
+    int popped = 0;
+    for (int i = 1; i < 5000; ++i) {
+        queue.push({RequestId(std::to_string(i)), WorkspaceId("a"), 1, 10ms, Instant(1ms * i), Instant(1ms * i + 4s)});
+        if (queue.head()->request == RequestId("0")) {
+            break;
+        }
+        queue.pop();
+        ++popped;
+    }
+    EXPECT_GT(popped, 100);
+    EXPECT_LT(popped, 4000);
+}
+
 // The obvious queue: a list, searched from end to end for each question.
 struct SlowQueue {
     struct Flow {
@@ -122,7 +147,7 @@
 // Any mix of arrivals, placings and cancellations of one rank gives the same order as the obvious queue.
 RC_GTEST_PROP(ClassQueueProperty, SameOrderAsTheObviousQueue, (const std::vector<std::uint16_t> &script))
 {
-    ClassQueue queue(ClassQueue::Options{});
+    ClassQueue queue(inOrderOfArrival());
     SlowQueue slow;
     int number = 0;
     for (const std::uint16_t step : script) {
@@ -154,7 +179,7 @@
 
 TEST(ClassQueue, TakesWhatCanNoLongerMeetItsTarget)
 {
-    ClassQueue queue(ClassQueue::Options{});
+    ClassQueue queue(inOrderOfArrival());
     queue.push(item(1, "a", 1, 1ms, Instant(10ms)));
     queue.push(item(2, "a", 1, 1ms, Instant(20ms)));
     EXPECT_EQ(queue.nextExpiry(), Instant(10ms));
