--- a/decide/cellevents.cpp
+++ b/decide/cellevents.cpp
@@ -9,11 +9,11 @@
 {
 
 constexpr double delayWeight = 0.02; // of one request in the learnt delay: a second or two of a cell's work
-constexpr Duration hurried = 1s; // first-token targets up to this are those whose delay is learnt
 constexpr double stepWeight = 0.01; // of one sample in the cell's decode step
 constexpr double transferWeight = 0.05; // of one transfer in the measured rate
 // A transfer is measured from the start of the decode to the first token, less a step; samples beyond this many times
 // the estimate were waiting for something else.
+constexpr double leastTransfer = 0.1; // microseconds a token: ten times faster than any link of today
 constexpr double wildTransfer = 20;
 
 void CellState::onLoadReport(const EngineId &name, const LoadReport &report, Instant now)
@@ -132,17 +132,30 @@
     this->delaySpread += delayWeight * (std::abs(error) - this->delaySpread);
 }
 
+// Sums of times and of tokens fade alike; their quotient is not bent by short prompts, whose time is mostly the wait
+// for a step.
+void CellState::learnTransfer(const Record &record, Instant now)
+{
+    if (!record.linkAlone || record.answered) {
+        return;
+    }
+    const double moved = static_cast<double>((now - record.decodeSince).count()) - stepsToFirstToken * this->stepMicros;
+    const auto tokens = static_cast<double>(this->contextOf(record).value());
+    if (moved > wildTransfer * this->transferMicros * tokens) {
+        return;
+    }
+    this->movedMicros += transferWeight * (moved - this->movedMicros);
+    this->movedTokens += transferWeight * (tokens - this->movedTokens);
+    this->transferMicros = std::max(leastTransfer, this->movedMicros / this->movedTokens);
+}
+
 void CellState::onFirstToken(const RequestId &request, Instant now)
 {
     Record *record = this->find(request);
     if (record == nullptr || record->stage != Stage::Decoding) {
         return;
     }
-    const auto moved = static_cast<double>((now - record->decodeSince).count()) - 1.5 * this->stepMicros;
-    const double sample = std::max(0.0, moved / static_cast<double>(this->contextOf(*record).value()));
-    if (record->linkAlone && !record->answered && sample < wildTransfer * this->transferMicros) {
-        this->transferMicros += transferWeight * (sample - this->transferMicros);
-    }
+    this->learnTransfer(*record, now);
     if (!record->answered && record->attempts == 0) {
         this->learnDelay(*record, now);
     }
--- a/decide/cellplacing.cpp
+++ b/decide/cellplacing.cpp
@@ -133,7 +133,9 @@
 bool CellState::linkAllows(const Record &record, Instant now) const
 {
     const int moving = this->links.moving(this->engines[record.prefill].link);
-    const bool pressed = record.readyOrder.by - now < pressedTime;
+    // A class in a hurry never waits for the link.
+    const bool hurry = record.request.requestClass.firstToken <= hurried;
+    const bool pressed = hurry || record.readyOrder.by - now < pressedTime;
     return moving == 0 || (pressed && moving < mostMoving);
 }
 
@@ -226,7 +228,7 @@
         const bool better = best.slot == noEngine || score < best.score
             || (score == best.score && this->engines[slot].lastPlaced < this->engines[best.slot].lastPlaced);
         if (better) {
-            best = PrefillChoice{slot, matched, ahead, read, score};
+            best = PrefillChoice{slot, matched, ahead, read, linkWait, score};
         }
     }
     for (const PrefixIndex::Match &match : this->matches) {
@@ -290,7 +292,7 @@
     }
     if (decode == noEngine) {
         const auto wait = std::chrono::duration_cast<Duration>(this->options.keep * this->options.keepShare);
-        const double foreseen = this->foreseenPieces(record, choice.ahead + choice.read + wait, now);
+        const double foreseen = this->foreseenPieces(record, choice.ahead + choice.read + choice.linkWait + wait, now);
         if (foreseen < static_cast<double>(record.pieces.value())) {
             return false;
         }
--- a/decide/cellstate.cpp
+++ b/decide/cellstate.cpp
@@ -18,9 +18,8 @@
 
 constexpr double outputWeight = 0.05; // of one answer in the learnt output length of its class
 constexpr double outputMargin = 2.0; // mean distances above the mean that are reserved: some 95% of answers fit
-// A request joins a batch in the middle of a step and has its first token at the end of the next.
-constexpr double stepsToFirstToken = 1.5;
 constexpr double delayMargin = 1.0; // spreads above the mean delay that are kept for the way to the first token
+constexpr double firstTransferTokens = 2000; // of the assumed transfer before any was measured
 constexpr int resumedRank = -1; // work that was begun and has to be placed again: most of its cost is already paid
 constexpr int hopelessRankStep = 1000;
 constexpr Duration refreshInterval = 20ms; // of figures that change slowly: a tenth of the outliers' interval
@@ -36,6 +35,8 @@
     , roles(options.roles)
     , retries(options.retries)
     , transferMicros(static_cast<double>(options.transferPerToken.count()))
+    , movedMicros(firstTransferTokens * static_cast<double>(options.transferPerToken.count()))
+    , movedTokens(firstTransferTokens)
     , stepMicros(static_cast<double>(options.decodeStep.count()))
 {
 }
@@ -265,7 +266,8 @@
     const RequestClass &requestClass = record.request.requestClass;
     const Instant target = record.request.arrival + requestClass.firstToken - record.transfer;
     const bool late = record.answered || target > record.keepUntil;
-    record.readyOrder = {requestClass.rank > 0 ? 1 : 0, late ? record.keepUntil : target, record.key};
+    const int hurry = requestClass.firstToken > hurried ? 2 : 1;
+    record.readyOrder = {requestClass.rank == 0 ? 0 : hurry, late ? record.keepUntil : target, record.key};
     this->ready.insert(record.readyOrder);
 }
 
--- a/decide/cellstate.h
+++ b/decide/cellstate.h
@@ -13,6 +13,12 @@
 namespace fescuesill
 {
 
+// A request joins a batch in the middle of a step and has its first token at the end of the next.
+constexpr double stepsToFirstToken = 1.5;
+
+// A class with a first-token target up to this is in a hurry: what it waits for on its way decides whether it is met.
+constexpr Duration hurried = 1s;
+
 class CellState
 {
 public:
@@ -48,7 +54,7 @@
     };
 
     struct ReadyOrder {
-        int rank = 0; // 0 for urgent, 1 for all others
+        int rank = 0; // 0 for urgent, 1 for other classes in a hurry, 2 for patient ones
         Instant by; // when it expires or misses its target
         std::uint64_t key = 0;
 
@@ -109,6 +115,7 @@
         std::size_t matched = 0;
         Duration ahead{0};
         Duration read{0};
+        Duration linkWait{0};
         Duration score{0};
     };
 
@@ -141,6 +148,7 @@
     void releaseDecode(Record &record, Instant now);
     void endMove(Record &record);
     bool linkAllows(const Record &record, Instant now) const;
+    void learnTransfer(const Record &record, Instant now);
     void learnDelay(const Record &record, Instant now);
     void sampleStep(Record &record, Tokens output, Instant now);
 
@@ -186,7 +194,9 @@
     std::uint64_t nextKey = 1;
     std::map<std::string, OutputLength> outputs; // by class name, from the declaration
 
-    double transferMicros; // for each token, measured
+    double transferMicros; // for each token, measured as movedMicros / movedTokens
+    double movedMicros;
+    double movedTokens;
     double stepMicros; // of decode engines, measured
     // Pieces placed for each rank, by microsecond: what more urgent work will take meanwhile.
     struct PlacedRate {
--- a/testing/bench/fakes.cpp
+++ b/testing/bench/fakes.cpp
@@ -252,9 +252,15 @@
 
 void FakeDecode::schedule()
 {
-    const auto active = std::count_if(this->sequences.begin(), this->sequences.end(),
-                                      [](const auto &entry) { return entry.second.active; });
-    if (this->stepping || active == 0) {
+    if (this->stepping) {
+        return;
+    }
+    int active = 0;
+    for (auto &[key, sequence] : this->sequences) {
+        sequence.inStep = sequence.active;
+        active += sequence.active ? 1 : 0;
+    }
+    if (active == 0) {
         return;
     }
     this->stepping = true;
@@ -289,7 +295,7 @@
     std::vector<RunKey> ended;
     bool wrote = false;
     for (auto &[key, sequence] : this->sequences) {
-        if (!sequence.active || !this->writeToken(sequence)) {
+        if (!sequence.inStep || !this->writeToken(sequence)) {
             continue;
         }
         wrote = true;
--- a/testing/bench/fakes.h
+++ b/testing/bench/fakes.h
@@ -153,6 +153,7 @@
         Tokens output;
         Pieces pieces;
         bool active = false;
+        bool inStep = false; // joins at the next step
         Listener listener;
     };
 
