Reserve link time before reading; time a decision against the number of engines

Patient prompts were read whatever their link had to do, and were bound to a decode engine early, so their transfers started together with live ones. Now a patient prompt is read only on an engine whose link will be free within a share of the keep time, nothing is bound early to a busy link, and hurried transfers share.

--- a/decide/cellevents.cpp
+++ b/decide/cellevents.cpp
@@ -155,12 +155,12 @@
     if (record == nullptr || record->stage != Stage::Decoding) {
         return;
     }
+    this->endMove(*record);
     this->learnTransfer(*record, now);
     if (!record->answered && record->attempts == 0) {
         this->learnDelay(*record, now);
     }
     record->answered = true;
-    this->endMove(*record);
     this->sampleStep(*record, std::max(Tokens(1), record->output), now);
 }
 
@@ -238,6 +238,7 @@
         break;
     case Stage::Ready:
         this->leaveReady(*record);
+        this->endMove(*record);
         break;
     case Stage::Decoding:
         break;
--- a/decide/cellplacing.cpp
+++ b/decide/cellplacing.cpp
@@ -206,6 +206,7 @@
     }
     const Tokens context = this->contextOf(record);
     const double pressure = this->queue.size() > 1 ? this->prefills.busyShare() : 0;
+    const bool hurry = record.request.requestClass.firstToken <= hurried;
     PrefillChoice best;
     Duration bestOfAll = Duration::max();
     for (const EngineSlot slot : this->prefillSlots) {
@@ -218,11 +219,10 @@
         const Tokens known(static_cast<std::int64_t>(matched) * this->options.prefixBlock.value());
         const Duration nominal = this->readTime(std::max(Tokens(0), context - known));
         const auto read = std::chrono::duration_cast<Duration>(nominal * this->prefills.slowness(slot));
-        const Instant end = now + ahead + read;
-        const Duration linkWait = std::max(Duration(0), this->links.freeAt(this->engines[slot].link) - end);
+        const Duration linkWait = this->linkWait(record, slot, ahead + read);
         const Duration score = ahead + read + linkWait + std::chrono::duration_cast<Duration>(nominal * pressure);
         bestOfAll = std::min(bestOfAll, score);
-        if (ahead > this->options.prefillAhead) {
+        if (ahead > this->options.prefillAhead || (!hurry && linkWait > this->options.keep * this->options.keepShare)) {
             continue;
         }
         const bool better = best.slot == noEngine || score < best.score
@@ -241,6 +241,20 @@
     return best;
 }
 
+// How long the transfer of this request would wait for those reserved on the engine's link, if its read ended in
+// `ready`. A class in a hurry shares the link instead, which costs it at most its own length for each of the few
+// others. Load: links near their rate. Harm prevented: prompts are read whose results then expire while they wait for
+// the link.
+Duration CellState::linkWait(const Record &record, EngineSlot slot, Duration ready) const
+{
+    const Duration wait = this->links.waitIn(this->engines[slot].link, ready);
+    if (record.request.requestClass.firstToken > hurried) {
+        return wait;
+    }
+    const double own = this->transferMicros * static_cast<double>(this->contextOf(record).value());
+    return std::min(wait, Duration(static_cast<Duration::rep>(own * (mostMoving - 1))));
+}
+
 // Rate of pieces placed, each placing fading with the time since.
 void CellState::notePlaced(const Record &record, Instant now)
 {
@@ -287,7 +301,7 @@
     const Pieces unpromised = this->memory.totalFree() - this->promised;
     const double early = this->options.bindEarly * static_cast<double>(this->memory.total().value());
     EngineSlot decode = noEngine;
-    if (static_cast<double>(unpromised.value()) >= early) {
+    if (static_cast<double>(unpromised.value()) >= early && choice.linkWait == Duration(0)) {
         decode = this->chooseDecode(record.pieces, record.request.requestClass.rank == 0, now);
     }
     if (decode == noEngine) {
@@ -315,13 +329,11 @@
     const Tokens known(static_cast<std::int64_t>(choice.matched) * this->options.prefixBlock.value());
     const Tokens context = this->contextOf(record);
     this->prefills.add(choice.slot, record.key, record.rank, this->readTime(std::max(Tokens(0), context - known)), now);
-    const double transfer = this->transferMicros * static_cast<double>(context.value());
-    record.transfer = Duration(static_cast<Duration::rep>(transfer));
+
     EngineState &engine = this->engines[choice.slot];
     engine.lastPlaced = now;
     const Instant end = now + choice.ahead + choice.read;
-    record.linkAlone = this->links.freeAt(engine.link) <= end;
-    this->links.reserve(engine.link, end, record.transfer);
+    this->reserveMove(record);
     const bool bound = decode != noEngine;
     if (bound) {
         this->holdDecode(record, decode, now);
--- a/decide/cellstate.cpp
+++ b/decide/cellstate.cpp
@@ -256,7 +256,7 @@
     if (record.decode == noEngine) {
         this->promised -= record.pieces;
     }
-    this->links.giveBack(this->engines[record.prefill].link, record.transfer, now);
+    this->endMove(record);
 }
 
 void CellState::makeReady(Record &record)
@@ -276,8 +276,11 @@
     record.stage = Stage::Decoding;
     record.begun = true;
     record.decodeSince = now;
+    this->reserveMove(record);
     record.moving = true;
-    this->links.begin(this->engines[record.prefill].link);
+    const std::size_t link = this->engines[record.prefill].link;
+    this->links.begin(link);
+    record.linkAlone = this->links.moving(link) == 1;
     EngineState &engine = this->engines[record.decode];
     engine.progressAt = engine.decoding == 0 ? now : engine.progressAt;
     ++engine.decoding;
@@ -297,12 +300,30 @@
     ++this->engines[slot].running;
 }
 
+void CellState::reserveMove(Record &record)
+{
+    if (!record.reserved) {
+        record.reserved = true;
+        const double transfer = this->transferMicros * static_cast<double>(this->contextOf(record).value());
+        record.transfer = Duration(static_cast<Duration::rep>(transfer));
+        this->links.reserve(this->engines[record.prefill].link, record.transfer);
+    }
+}
+
 void CellState::endMove(Record &record)
 {
+    if (!record.reserved) {
+        return;
+    }
+    const std::size_t link = this->engines[record.prefill].link;
     if (record.moving) {
-        record.moving = false;
-        this->links.end(this->engines[record.prefill].link);
+        record.linkAlone = record.linkAlone && this->links.moving(link) == 1;
+        this->links.end(link, record.transfer);
+    } else {
+        this->links.giveBack(link, record.transfer);
     }
+    record.reserved = false;
+    record.moving = false;
 }
 
 void CellState::releaseDecode(Record &record, Instant now)
@@ -327,6 +348,9 @@
     if (record.decode != noEngine) {
         this->releaseDecode(record, now);
     }
+    if (record.prefill != noEngine) {
+        this->endMove(record);
+    }
     wasted += record.read;
     record.read = Tokens(0);
     record.prefill = noEngine;
--- a/decide/cellstate.h
+++ b/decide/cellstate.h
@@ -85,7 +85,8 @@
         Instant decodeSince;
         Instant progressAt;
         Tokens output;
-        bool moving = false; // its prefill result is on the link
+        bool reserved = false; // its transfer is reserved on the link
+        bool moving = false; // and under way
         bool begun = false; // a decode was started
         bool answered = false; // has had a first token
         bool linkAlone = false; // its transfer had the link for itself
@@ -146,7 +147,9 @@
     void leaveReady(Record &record);
     void holdDecode(Record &record, EngineSlot slot, Instant now);
     void releaseDecode(Record &record, Instant now);
+    void reserveMove(Record &record);
     void endMove(Record &record);
+    Duration linkWait(const Record &record, EngineSlot slot, Duration ready) const;
     bool linkAllows(const Record &record, Instant now) const;
     void learnTransfer(const Record &record, Instant now);
     void learnDelay(const Record &record, Instant now);
--- a/decide/linkschedule.h
+++ b/decide/linkschedule.h
@@ -1,11 +1,13 @@
 #pragma once
 
-// When the links that prefill results move over are next free.
+// The transfers of prefill results that are reserved or under way on each link.
 //
 //     LinkSchedule links;
 //     const std::size_t link = links.linkOf("rack-7");
-//     links.freeAt(link);
-//     links.reserve(link, earliest, 80ms);      // returns the end of the transfer
+//     links.reserve(link, 80ms);
+//     links.waitIn(link, 100ms);       // how long a transfer that is ready in 100 ms would wait for the others
+//     links.begin(link);
+//     links.end(link, 80ms);
 
 #include "fescuesill/units.h"
 
@@ -17,53 +19,57 @@
 namespace fescuesill
 {
 
-// Transfers on one link are counted one after another. Really they share its rate, but the last of a group ends at the
-// same time either way, and the sum of the work is what a new one waits for.
+// Only the sum of the work is kept: whether transfers follow one another or share the rate, a new one that waits for
+// the others waits for that sum. What is left of those under way is not known and counts in full, an error of half a
+// transfer to the safe side. Each end corrects the sum, so errors do not add up.
 class LinkSchedule
 {
 public:
     std::size_t linkOf(const std::string &name)
     {
-        const auto [entry, added] = this->links.emplace(name, this->ends.size());
+        const auto [entry, added] = this->names.emplace(name, this->links.size());
         if (added) {
-            this->ends.emplace_back();
-            this->underWay.push_back(0);
+            this->links.emplace_back();
         }
         return entry->second;
     }
-    Instant freeAt(std::size_t link) const
+    Duration waitIn(std::size_t link, Duration ready) const
     {
-        return this->ends[link];
+        return std::max(Duration(0), this->links[link].work - ready);
     }
-    Instant reserve(std::size_t link, Instant earliest, Duration length)
+    int moving(std::size_t link) const
     {
-        this->ends[link] = std::max(this->ends[link], earliest) + length;
-        return this->ends[link];
+        return this->links[link].underWay;
     }
-    // Transfers under way, as opposed to those reserved.
-    int moving(std::size_t link) const
+
+    void reserve(std::size_t link, Duration length)
     {
-        return this->underWay[link];
+        this->links[link].work += length;
     }
-    void begin(std::size_t link)
+    // A reserved transfer does not take place.
+    void giveBack(std::size_t link, Duration length)
     {
-        ++this->underWay[link];
+        this->links[link].work -= length;
     }
-    void end(std::size_t link)
+    void begin(std::size_t link)
     {
-        --this->underWay[link];
+        ++this->links[link].underWay;
     }
-    // A transfer that was counted did not take place.
-    void giveBack(std::size_t link, Duration length, Instant now)
+    void end(std::size_t link, Duration length)
     {
-        this->ends[link] = std::max(now, this->ends[link] - length);
+        --this->links[link].underWay;
+        this->links[link].work -= length;
     }
 
 private:
+    struct Link {
+        Duration work{0};
+        int underWay = 0;
+    };
+
     // Names come from the declaration.
-    std::unordered_map<std::string, std::size_t> links;
-    std::vector<Instant> ends;
-    std::vector<int> underWay;
+    std::unordered_map<std::string, std::size_t> names;
+    std::vector<Link> links;
 };
 
 } // namespace fescuesill
--- a/decide/testing/tables_test.cpp
+++ b/decide/testing/tables_test.cpp
@@ -96,11 +96,17 @@
     LinkSchedule links;
     const std::size_t rack = links.linkOf("rack");
     EXPECT_EQ(links.linkOf("rack"), rack);
-    EXPECT_EQ(links.reserve(rack, Instant(10ms), 80ms), Instant(90ms));
-    EXPECT_EQ(links.reserve(rack, Instant(50ms), 80ms), Instant(170ms));
-    links.giveBack(rack, 80ms, Instant(60ms));
-    EXPECT_EQ(links.freeAt(rack), Instant(90ms));
-    EXPECT_EQ(links.freeAt(links.linkOf("other")), Instant());
+    links.reserve(rack, 80ms);
+    links.reserve(rack, 60ms);
+    EXPECT_EQ(links.waitIn(rack, 30ms), 110ms);
+    EXPECT_EQ(links.waitIn(rack, 200ms), 0ms);
+    EXPECT_EQ(links.waitIn(links.linkOf("other"), 0ms), 0ms);
+    links.begin(rack);
+    EXPECT_EQ(links.moving(rack), 1);
+    links.end(rack, 80ms);
+    links.giveBack(rack, 60ms);
+    EXPECT_EQ(links.moving(rack), 0);
+    EXPECT_EQ(links.waitIn(rack, 0ms), 0ms);
 }
 
 // A prompt of `depth` blocks of one of a few families; all prompts of a family share their leading blocks.
--- a/testing/bench/bound.cpp
+++ b/testing/bench/bound.cpp
@@ -81,7 +81,8 @@
         const double alone = seconds(workload.model.stepBase) * static_cast<double>(job.output.value());
         const bool inTime = seconds(job.arrival.time_since_epoch()) + cost[0] + cost[1] + alone
             <= seconds(workload.end.time_since_epoch());
-        if (inTime && firstToken <= seconds(job.targets.firstToken) && !job.cancelAfter) {
+        const bool leaves = job.cancelAfter && seconds(*job.cancelAfter) < cost[0] + cost[1] + alone;
+        if (inTime && !leaves && firstToken <= seconds(job.targets.firstToken)) {
             costs.push_back(cost);
         }
     }
--- a/testing/bench/cell.cpp
+++ b/testing/bench/cell.cpp
@@ -322,7 +322,7 @@
     });
 }
 
-void Cell::cancelMany(std::uint64_t seed)
+std::vector<RequestId> Cell::cancelMany(std::uint64_t seed)
 {
     std::vector<RequestId> all;
     for (const auto &[request, attempt] : this->attempts) {
@@ -330,11 +330,14 @@
     }
     std::sort(all.begin(), all.end());
     std::mt19937_64 random(seed);
+    const auto stays = [&random](const RequestId &) {
+        return random() % 5 >= 2;
+    };
+    all.erase(std::remove_if(all.begin(), all.end(), stays), all.end());
     for (const RequestId &request : all) {
-        if (random() % 5 < 2) {
-            this->cancel(request);
-        }
+        this->cancel(request);
     }
+    return all;
 }
 
 void Cell::kill(std::size_t index)
--- a/testing/bench/cell.h
+++ b/testing/bench/cell.h
@@ -47,8 +47,8 @@
 
     void submit(const Job &job, int attempt);
     void cancel(const RequestId &request);
-    // Half of all callers leave at once.
-    void cancelMany(std::uint64_t seed);
+    // Two of five callers leave at once.
+    std::vector<RequestId> cancelMany(std::uint64_t seed);
     void apply(const Fault &fault, bool begins);
 
     // What a policy may do; each takes one hop to arrive.
--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "decisionbench.h"
 #include "simulation.h"
 
 #include <cxxopts.hpp>
@@ -101,6 +102,27 @@
                result.all.late, 100 * result.wastedShare(), 100 * result.memoryUse, result.prefillSkew);
 }
 
+static void printDecisions(std::uint64_t seed, bool asJson)
+{
+    const auto costs = measureDecisions({13, 50, 150, 300, 600}, seed);
+    json out{{"scenario", "decisions"}, {"microseconds_per_engine", slopeOf(costs)}, {"sizes", json::array()}};
+    for (const DecisionCost &cost : costs) {
+        out["sizes"].push_back({{"engines", cost.engines},
+                                {"microseconds_per_decision", cost.perDecision},
+                                {"microseconds_per_request", cost.microseconds},
+                                {"steps_per_placing", cost.steps}});
+        if (!asJson) {
+            fmt::print("{:4} engines: {:6.2f} us a decision, {:6.2f} us a request in all, {:6.1f} steps a placing\n",
+                       cost.engines, cost.perDecision, cost.microseconds, cost.steps);
+        }
+    }
+    if (asJson) {
+        std::cout << out.dump(2) << '\n';
+    } else {
+        fmt::print("slope: {:.4f} us a decision for each engine\n", slopeOf(costs));
+    }
+}
+
 static std::string joined(const std::vector<std::string> &names)
 {
     return fmt::format("{}", fmt::join(names, ", "));
@@ -142,6 +164,10 @@
         settings.caution = given["caution"].as<double>();
         settings.wasteWeight = given["waste-weight"].as<double>();
         settings.shortFirst = given["short-first"].as<double>();
+        if (settings.scenario == "decisions") {
+            printDecisions(settings.seed, given.count("json") != 0);
+            return 0;
+        }
         const std::string name = given["policy"].as<std::string>();
         const auto kind = policyNamed(name);
         if (!kind) {
--- a/testing/bench/simulation.cpp
+++ b/testing/bench/simulation.cpp
@@ -187,7 +187,9 @@
     if (this->workload.cancelStorm) {
         this->events.at(*this->workload.cancelStorm, [this] {
             for (const auto &cell : this->cells) {
-                cell->cancelMany(this->workload.settings.seed);
+                for (const RequestId &request : cell->cancelMany(this->workload.settings.seed)) {
+                    this->states[std::stoul(request.value())].cancelled = true;
+                }
             }
         });
     }
