--- a/programs/ctl/commandline.cpp
+++ b/programs/ctl/commandline.cpp
@@ -70,7 +70,7 @@
 
 std::string CommandLine::required(const std::string &option) const
 {
-    const std::string value = this->text(option);
+    std::string value = this->text(option);
     if (value.empty()) {
         throw CommandError(ExitCode::BadInput, fmt::format("--{} is needed", option));
     }
--- a/programs/ctl/fleet.cpp
+++ b/programs/ctl/fleet.cpp
@@ -17,6 +17,24 @@
     return found != json.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
+bool flagAt(const Json &json, const char *name)
+{
+    const auto found = json.find(name);
+    return found != json.end() && found->is_boolean() && found->get<bool>();
+}
+
+std::string stateOf(const Json &json)
+{
+    std::string state = textAt(json, "state");
+    if (!state.empty()) {
+        return state;
+    }
+    if (flagAt(json, "draining")) {
+        return "draining";
+    }
+    return flagAt(json, "serving") ? "serving" : "not serving";
+}
+
 Json listAt(const Json &json, const char *name)
 {
     const auto found = json.find(name);
@@ -62,12 +80,14 @@
     if (version != json.end() && version->is_number_integer()) {
         status.version = version->get<std::int64_t>();
     }
-    status.state = textAt(json, "state");
+    status.state = stateOf(json);
     for (const Json &cell : listAt(json, "cells")) {
         status.cells.push_back({textAt(cell, "model"), textAt(cell, "data_centre"), textAt(cell, "owner")});
     }
     for (const Json &mode : listAt(json, "degraded")) {
-        status.degraded.push_back({textAt(mode, "mode"), textAt(mode, "since")});
+        // A process that does not keep the time gives the bare name.
+        const bool bare = mode.is_string();
+        status.degraded.push_back({bare ? mode.get<std::string>() : textAt(mode, "mode"), textAt(mode, "since")});
     }
     return status;
 }
--- a/programs/ctl/statuscommand.cpp
+++ b/programs/ctl/statuscommand.cpp
@@ -85,7 +85,7 @@
         fmt::print("{}: {}, version {}{}\n", process.name(), status->state, status->version,
                    process.leaving ? ", leaving" : "");
         for (const DegradedMode &mode : status->degraded) {
-            fmt::print("    degraded: {} since {}\n", mode.mode, mode.since);
+            fmt::print("    degraded: {}{}\n", mode.mode, mode.since.empty() ? "" : " since " + mode.since);
         }
     }
     printCells(processes);
--- a/testing/process/test_ctl.py
+++ b/testing/process/test_ctl.py
@@ -92,6 +92,14 @@
         self.assertEqual(ctl("diff", EXAMPLE, "--against", EXAMPLE)[:2], (0, "no change\n"))
 
 
+class ExampleSettingsTest(unittest.TestCase):
+    def test_settings_in_examples_pass_the_check_of_their_binary(self):
+        for process in ("scheduler",):
+            done = subprocess.run([binary("fescuesill-" + process), "--config",
+                                   str(ROOT / "examples" / (process + ".ini")), "--check"], timeout=60)
+            self.assertEqual(done.returncode, 0)
+
+
 class ApplyTest(unittest.TestCase):
     def setUp(self):
         self.platform = Process(binary("fakeplatform"), "--host-lag-ms", "0").read_address()
