Report service-level burn and tell the life of a request

fescuesillctl report samples every process's counters, keeps the samples in the object store and reckons burn over 5 minutes, 1 hour and 6 hours, with the usual multi-window alerts. A process that can't be reached is named in every form and makes the command end with 1. Windows in each process were ruled out: a replaced host takes its window with it. A class gets objective_percent, 99 by default.

fescuesillctl explain gathers the lines of one request from logs.

--- a/declare/declaration.h
+++ b/declare/declaration.h
@@ -62,6 +62,7 @@
     Duration perToken{71ms};
     Duration patience{5s}; // how long a request of this class may wait in a queue before it is refused
     double wasteWeight = 1.0; // price of one wasted prefill token against one token of goodput
+    double objectivePercent = 99.0; // share of requests that has to be within the targets; the rest is the error budget
 };
 
 // A service answered by a model's pools.
--- a/declare/declarationreader.cpp
+++ b/declare/declarationreader.cpp
@@ -25,6 +25,8 @@
 constexpr Range<Duration> patienceRange{0s, 1h};
 constexpr Range<std::int64_t> rankRange{0, 9};
 constexpr Range<double> wasteWeightRange{0.0, 1000.0};
+// An objective of 100 leaves no error budget to burn.
+constexpr Range<double> objectiveRange{50.0, 99.99};
 constexpr Range<std::int64_t> piecesRange{1, 65536};
 constexpr Range<std::int64_t> outputRange{1, 131072};
 // A retry budget of over half of the successes would let retries carry on an overload by themselves.
@@ -214,6 +216,7 @@
     item.perToken = reader.duration("per_token", item.perToken, targetRange);
     item.patience = reader.duration("patience", item.patience, patienceRange);
     item.wasteWeight = reader.fraction("waste_weight", item.wasteWeight, wasteWeightRange);
+    item.objectivePercent = reader.fraction("objective_percent", item.objectivePercent, objectiveRange);
     this->result.classes.push_back(std::move(item));
 }
 
--- a/declare/declarationtext.cpp
+++ b/declare/declarationtext.cpp
@@ -77,9 +77,10 @@
 
 std::string classText(const ServiceClass &item)
 {
-    return fmt::format("[class {}]\nrank = {}\nfirst_token = {}\nper_token = {}\npatience = {}\nwaste_weight = {}\n\n",
+    return fmt::format("[class {}]\nrank = {}\nfirst_token = {}\nper_token = {}\npatience = {}\nwaste_weight = {}\n"
+                       "objective_percent = {}\n\n",
                        item.name, item.rank, formatDuration(item.firstToken), formatDuration(item.perToken),
-                       formatDuration(item.patience), item.wasteWeight);
+                       formatDuration(item.patience), item.wasteWeight, item.objectivePercent);
 }
 
 std::string serviceText(const Service &service)
--- a/programs/ctl/changecommands.cpp
+++ b/programs/ctl/changecommands.cpp
@@ -23,6 +23,8 @@
 
 constexpr Duration pollPause = 500ms;
 constexpr Duration defaultLimit = 30s;
+// 420 changes a day: a year and a half of them.
+constexpr std::size_t mostVersions = 200000;
 
 // Unique to one change, and in it the time, which the table does not keep.
 std::string newChangeId()
@@ -183,7 +185,7 @@
 {
     Session session(platformAddress(line));
     std::vector<ConfigRecord> records;
-    for (const Row &row : session.rows("config/history/")) {
+    for (const Row &row : session.rows("config/history/", mostVersions)) {
         auto record = decodeConfigRecord(row.value);
         if (!record) {
             fmt::print(stderr, "row {} does not parse: {}\n", row.key, record.error().text);
--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -16,6 +16,8 @@
 
 constexpr const char *defaultSettings = "/etc/fescuesill/fescuesillctl.ini";
 
+constexpr std::size_t mostLogFiles = 4096;
+
 const Option platformOption{"platform", "IP:PORT", "The platform's address"};
 const Option configOption{"config", "FILE", "Settings: [platform] address"};
 const Option yesOption{"yes", "", "Accept a change that lowers declared capacity"};
@@ -78,6 +80,15 @@
          withPlatform({}), runStatus},
         {"drain", "HOST", "Begin the planned stop of a host: no new work, nothing in progress is cut off.", 1, 1,
          withPlatform({{"wait", "", "Return when both processes have ended"}, limitOption}), runDrain},
+        {"report", "", "Service-level burn of every service and class, from all processes.", 0, 0,
+         withPlatform({{"json", "", "As JSON"}, {"html", "FILE", "As one page with plots"}}), runReport},
+        {"explain",
+         "REQUEST-ID LOGFILE…",
+         "Tell the life of a request from logs; - is standard input.",
+         2,
+         mostLogFiles,
+         {},
+         runExplain},
         {"completion", "", "Print the completion script for bash.", 0, 0, {}, runCompletion},
     };
     return table;
--- a/programs/ctl/session.cpp
+++ b/programs/ctl/session.cpp
@@ -18,7 +18,8 @@
 constexpr Duration askDeadline = 2s;
 // Enough that a dead data centre of 120 hosts costs few waits of two seconds, few enough not to be a burst.
 constexpr std::size_t questionsAtOnce = 64;
-constexpr std::size_t rowsPerPage = 20; // a row can hold a whole declaration
+// Rows of the ledger are small; a declaration of some 100 KB comes to 5 MB a page.
+constexpr std::size_t rowsPerPage = 50;
 
 } // namespace
 
@@ -52,7 +53,7 @@
     return row;
 }
 
-std::vector<Row> Session::rows(const std::string &prefix)
+std::vector<Row> Session::rows(const std::string &prefix, std::size_t most)
 {
     std::vector<Row> all;
     this->run([&](const asio::yield_context &yield) {
@@ -60,7 +61,7 @@
         do {
             page = this->platform.rows(prefix, all.empty() ? "" : all.back().key, rowsPerPage, yield);
             all.insert(all.end(), page.begin(), page.end());
-        } while (page.size() == rowsPerPage);
+        } while (page.size() == rowsPerPage && all.size() < most);
     });
     return all;
 }
@@ -77,6 +78,25 @@
     return hosts;
 }
 
+std::optional<std::string> Session::getObject(const std::string &name)
+{
+    std::optional<std::string> content;
+    this->run([&](const asio::yield_context &yield) { content = this->platform.getObject(name, yield); });
+    return content;
+}
+
+void Session::putObject(const std::string &name, const std::string &content)
+{
+    this->run([&](const asio::yield_context &yield) { this->platform.putObject(name, content, yield); });
+}
+
+std::vector<std::string> Session::listObjects(const std::string &prefix)
+{
+    std::vector<std::string> names;
+    this->run([&](const asio::yield_context &yield) { names = this->platform.listObjects(prefix, yield); });
+    return names;
+}
+
 std::vector<Answer> Session::ask(const std::vector<Question> &questions)
 {
     std::vector<Answer> answers(questions.size());
--- a/programs/ctl/session.h
+++ b/programs/ctl/session.h
@@ -34,9 +34,13 @@
     explicit Session(const std::string &platformAddress);
 
     std::optional<Row> get(const std::string &key);
-    std::vector<Row> rows(const std::string &prefix);
+    // At most this many, read page by page.
+    std::vector<Row> rows(const std::string &prefix, std::size_t most);
     void commit(const std::vector<RowWrite> &writes);
     std::vector<PlatformHost> hosts();
+    std::optional<std::string> getObject(const std::string &name);
+    void putObject(const std::string &name, const std::string &content);
+    std::vector<std::string> listObjects(const std::string &prefix);
     // Answers in the order of the questions.
     std::vector<Answer> ask(const std::vector<Question> &questions);
     void pause(Duration duration);
--- a/testing/process/test_ctl.py
+++ b/testing/process/test_ctl.py
@@ -3,6 +3,7 @@
 import http.server
 import json
 import os
+import pathlib
 import subprocess
 import threading
 import unittest
@@ -25,12 +26,13 @@
 
     def __init__(self, status):
         self.status = status
+        self.metrics = ""
         self.drained = False
         admin = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
             def do_GET(self):
-                self.answer(json.dumps(admin.status))
+                self.answer(admin.metrics if self.path == "/metrics" else json.dumps(admin.status))
 
             def do_POST(self):
                 admin.drained = self.path == "/drain"
@@ -194,6 +196,37 @@
         self.assertTrue(good.drained and behind.drained)
         self.assertEqual(self.ctl("drain", "nobody")[0], 2)
 
+    def test_report_counts_between_samples_and_names_the_unreachable(self):
+        metrics = 'fescuesill_requests_total{service="diagnoses",class="patient",outcome="completed"} %d\n' \
+                  'fescuesill_within_target_total{service="diagnoses",class="patient"} %d\n'
+        entry = Admin({})
+        self.addCleanup(entry.end)
+        entry.metrics = metrics % (1000, 1000)
+        host = {"host": "a", "data_centre": "athens", "entry": "x", "scheduler": "x", "state": "live",
+                "entry_admin": entry.address, "scheduler_admin": "127.0.0.1:1"}
+        call("POST", self.platform.address, "/hosts", {"hosts": [host], "lag_ms": 0})
+        self.assertEqual(self.ctl("report")[0], 1)  # nothing is in force
+        self.ctl("apply", EXAMPLE, *WHO)
+        self.assertEqual(self.ctl("report")[0], 1)
+        entry.metrics = metrics % (1100, 1090)
+        code, out, _ = self.ctl("report", "--json")
+        report = json.loads(out)
+        self.assertEqual(code, 1)
+        self.assertIn("a scheduler (127.0.0.1:1)", report["unreachable"][0])
+        window = next(s for s in report["services"] if s["service"] == "diagnoses")["windows"]["6h"]
+        self.assertEqual((window["good"], window["total"]), (90, 100))
+        page = self.path + ".html"
+        self.addCleanup(lambda: os.path.exists(page) and os.unlink(page))
+        self.ctl("report", "--html", page)
+        self.assertIn("<svg", pathlib.Path(page).read_text(encoding="utf-8"))
+
+    def test_explain_reads_logs(self):
+        log = self.write("time=2026-01-02T03:04:05.000Z level=info process=entry event=ended request=r1 outcome=completed\n")
+        code, out, _ = self.ctl("explain", "r1", log)
+        self.assertEqual((code, out.split()[2]), (0, "ended"))
+        self.assertEqual(self.ctl("explain", "r2", log)[0], 1)
+        self.assertEqual(self.ctl("explain", "r1", "/nowhere")[0], 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/process/test_pages.py
+++ b/testing/process/test_pages.py
@@ -47,6 +47,8 @@
             pathlib.Path(folder, "services.ini").write_text(EXAMPLE, encoding="utf-8")
             pathlib.Path(folder, "leaving.ini").write_text(
                 EXAMPLE.replace("role = decode\n", "role = decode\nleaving = yes\n", 1), encoding="utf-8")
+            pathlib.Path(folder, "entry.log").write_text(
+                "time=2026-01-02T03:04:05.000Z level=info process=entry event=call_failed request=r-17\n", encoding="utf-8")
             environment = dict(os.environ, FESCUESILL_PLATFORM=platform.address)
             if not any("first declaration" in line for line, _, _ in commands):
                 self.run_command(["apply", "services.ini", "--author", "t", "--reason", "t"], 0, folder, environment, "set up")
