--- /dev/null
+++ b/decide/testing/cellscheduler_test.cpp
@@ -0,0 +1,214 @@
+#include "decide/cellscheduler.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace fescuesill
+{
+
+static EngineSpec engine(const std::string &name, Pool pool)
+{
+    return EngineSpec{EngineId(name), pool, Pieces(4), DataCentreId("a"), "", false};
+}
+
+static PlaceRequest request(const std::string &name, int rank = 1, Duration firstToken = 5s)
+{
+    PlaceRequest place;
+    place.request = RequestId(name);
+    place.workspace = WorkspaceId("w");
+    place.requestClass.name = "c" + std::to_string(rank);
+    place.requestClass.rank = rank;
+    place.requestClass.firstToken = firstToken;
+    place.prompt = Tokens(1000);
+    return place;
+}
+
+template<typename Kind>
+static std::vector<Kind> only(const std::vector<Action> &actions)
+{
+    std::vector<Kind> found;
+    for (const Action &action : actions) {
+        if (const auto *one = std::get_if<Kind>(&action)) {
+            found.push_back(*one);
+        }
+    }
+    return found;
+}
+
+static CellScheduler smallCell(CellScheduler::Options options = {})
+{
+    auto cell = CellScheduler::create(options).value();
+    cell.setEngines({engine("p1", Pool::Prefill), engine("p2", Pool::Prefill), engine("d1", Pool::Decode),
+                     engine("d2", Pool::Decode)},
+                    Instant(1s));
+    return cell;
+}
+
+TEST(CellScheduler, RefusesOptionsOutOfRange)
+{
+    CellScheduler::Options options;
+    options.keepShare = 2;
+    EXPECT_EQ(CellScheduler::create(options).error().option, "keepShare");
+}
+
+TEST(CellScheduler, PlacesOnAnIdleCellAtOnce)
+{
+    auto cell = smallCell();
+    cell.submit(request("r"), Instant(1s));
+    const auto places = only<Place>(cell.poll(Instant(1s)));
+    ASSERT_EQ(places.size(), 1U);
+    EXPECT_TRUE(places.front().decodeReady);
+    cell.onPrefillDone(RequestId("r"), {Tokens(1000), Tokens(0), 800ms}, Instant(1100ms));
+    cell.onFirstToken(RequestId("r"), Instant(1200ms));
+    EXPECT_EQ(cell.summary(Instant(1200ms)).freePieces, Pieces(7));
+    cell.onFinished(RequestId("r"), Instant(2s));
+    EXPECT_EQ(cell.summary(Instant(2s)).freePieces, Pieces(8));
+    EXPECT_EQ(cell.nextWake(), std::nullopt);
+}
+
+// Story: the decode engine dies just after the prefill result has moved there. The result is still on its prefill
+// engine, so the request goes on at the other decode engine and the prompt is not read again.
+TEST(CellScheduler, ResumesFromAHeldPrefillResultWhenTheDecodeEngineDies)
+{
+    auto cell = smallCell();
+    cell.submit(request("r"), Instant(1s));
+    const EngineId first = only<Place>(cell.poll(Instant(1s))).front().decodeEngine;
+    cell.onPrefillDone(RequestId("r"), {Tokens(1000), Tokens(0), 800ms}, Instant(1100ms));
+    cell.onEngineLost(first, Instant(1200ms));
+    cell.onDecodeFailed(RequestId("r"), DecodeFault::Unreachable, true, Instant(1201ms));
+    const auto actions = cell.poll(Instant(1201ms));
+    const auto starts = only<StartDecode>(actions);
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_FALSE(starts.front().decodeEngine == first);
+    EXPECT_TRUE(only<Place>(actions).empty());
+    EXPECT_EQ(cell.counters().resumed, 1U);
+    EXPECT_EQ(cell.counters().wastedRedone, Tokens(0));
+}
+
+// Story: the prefill engine stops answering in the middle of a read. Nothing is reported. The request is placed on the
+// other engine, and the late report of the first one changes nothing.
+TEST(CellScheduler, MovesAReadAwayFromAStalledEngine)
+{
+    auto cell = smallCell();
+    cell.submit(request("r"), Instant(1s));
+    const EngineId first = only<Place>(cell.poll(Instant(1s))).front().prefillEngine;
+    std::vector<Place> again;
+    for (Instant now(1s); now < Instant(3s) && again.empty(); now += 10ms) {
+        again = only<Place>(cell.poll(now));
+    }
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_FALSE(again.front().prefillEngine == first);
+}
+
+TEST(CellScheduler, LeavingEnginesGetNothingNew)
+{
+    auto cell = smallCell();
+    auto leaving = engine("p1", Pool::Prefill);
+    leaving.leaving = true;
+    cell.setEngines({leaving, engine("p2", Pool::Prefill), engine("d1", Pool::Decode)}, Instant(1s));
+    for (int i = 0; i < 4; ++i) {
+        cell.submit(request(std::to_string(i)), Instant(1s));
+    }
+    for (const Place &place : only<Place>(cell.poll(Instant(1s)))) {
+        EXPECT_EQ(place.prefillEngine, EngineId("p2"));
+        EXPECT_EQ(place.decodeEngine, EngineId("d1"));
+    }
+}
+
+// Story: the owner of the cell dies with the cell full. The new owner hears from the entries what they hold, and places
+// nothing on top of it.
+TEST(CellScheduler, ANewOwnerCountsWhatEntriesHold)
+{
+    auto cell = smallCell();
+    for (int i = 0; i < 8; ++i) {
+        cell.adopt({request("held" + std::to_string(i)), EngineId(i < 4 ? "d1" : "d2"), Tokens(10)}, Instant(1s));
+    }
+    EXPECT_EQ(cell.summary(Instant(1s)).freePieces, Pieces(0));
+    cell.submit(request("new", 1, 400ms), Instant(1s));
+    EXPECT_TRUE(only<StartDecode>(cell.poll(Instant(1s))).empty());
+    cell.onCancelled(RequestId("held0"), Instant(1s));
+    EXPECT_EQ(cell.summary(Instant(1s)).freePieces, Pieces(1));
+}
+
+// Any order of events, also doubled ones and ones that do not fit: every request ends once, memory is given back, and
+// nothing is left waiting.
+TEST(CellScheduler, EveryRequestEndsOnceUnderRandomEvents)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        std::mt19937_64 random(seed);
+        CellScheduler::Options options;
+        options.shiftRoles = false;
+        auto cell = smallCell(options);
+        std::map<RequestId, int> ends;
+        std::vector<RequestId> open;
+        Instant now(1s);
+        const auto take = [&](const std::vector<Action> &actions) {
+            for (const Refuse &refuse : only<Refuse>(actions)) {
+                ++ends[refuse.request];
+                EXPECT_TRUE(refuse.refusal.retryAfter.has_value());
+            }
+        };
+        const auto end = [&](const RequestId &id, bool finished) {
+            const auto before = cell.counters();
+            finished ? cell.onFinished(id, now) : cell.onCancelled(id, now);
+            const auto &after = cell.counters();
+            ends[id] += static_cast<int>(after.finished + after.cancelled - before.finished - before.cancelled);
+        };
+        for (int i = 0; i < 3000; ++i) {
+            now += Duration(random() % 20000);
+            if (open.empty() || random() % 4 == 0) {
+                open.emplace_back(std::to_string(i));
+                PlaceRequest place = request(open.back().value(), static_cast<int>(random() % 3));
+                place.arrival = now;
+                cell.submit(place, now);
+            }
+            const RequestId id = open[random() % open.size()];
+            switch (random() % 9) {
+            case 0:
+            case 1:
+                cell.onPrefillDone(id, {Tokens(800), Tokens(200), 800ms}, now);
+                break;
+            case 2:
+                cell.onFirstToken(id, now);
+                break;
+            case 3:
+                cell.onProgress(id, Tokens(static_cast<std::int64_t>(random() % 200)), now);
+                break;
+            case 4:
+            case 5:
+                end(id, true);
+                break;
+            case 6:
+                end(id, false);
+                break;
+            case 7:
+                cell.onDecodeFailed(id, static_cast<DecodeFault>(random() % 3), random() % 2 == 0, now);
+                break;
+            case 8:
+                cell.onPrefillFailed(id, static_cast<PrefillFault>(random() % 2), now);
+                break;
+            }
+            take(cell.poll(now));
+        }
+        for (const RequestId &id : open) {
+            end(id, false);
+            take(cell.poll(now));
+        }
+        for (const RequestId &id : open) {
+            EXPECT_EQ(ends[id], 1) << "seed " << seed << " request " << id;
+        }
+        EXPECT_EQ(cell.nextWake(), std::nullopt) << seed;
+        for (int i = 0; i < 200; ++i) {
+            now += 1s;
+            for (const char *name : {"p1", "p2", "d1", "d2"}) {
+                cell.onLoadReport(EngineId(name), LoadReport{}, now);
+            }
+            take(cell.poll(now));
+        }
+        EXPECT_EQ(cell.summary(now).freePieces.value() % 4, 0) << seed;
+    }
+}
+
+} // namespace fescuesill
--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -141,6 +141,7 @@
     add("engines", "over all cells", cxxopts::value<int>()->default_value("13"));
     add("cells", "data centres", cxxopts::value<int>()->default_value("1"));
     add("prefill", "prefill engines in each cell; 0: as the mix needs", cxxopts::value<int>()->default_value("0"));
+    add("seconds", "of virtual time", cxxopts::value<int>()->default_value("300"));
     add("without", "faulty engines leave in a planned way instead");
     add("caution", "forecast spreads held back; below 0: default", cxxopts::value<double>()->default_value("-1"));
     add("waste-weight", "for all classes; below 0: as declared", cxxopts::value<double>()->default_value("-1"));
@@ -160,6 +161,7 @@
         settings.engines = given["engines"].as<int>();
         settings.cells = given["cells"].as<int>();
         settings.prefillEngines = given["prefill"].as<int>();
+        settings.length = std::chrono::seconds(given["seconds"].as<int>());
         settings.without = given.count("without") != 0;
         settings.caution = given["caution"].as<double>();
         settings.wasteWeight = given["waste-weight"].as<double>();
--- a/testing/bench/workload.cpp
+++ b/testing/bench/workload.cpp
@@ -12,7 +12,6 @@
 namespace fescuesill::bench
 {
 
-constexpr Duration length = 300s;
 constexpr double ignoringShare = 0.2; // of callers come back at once whatever they are told
 constexpr double burstFactor = 3;
 constexpr Duration burstPeriod = 10500ms;
@@ -283,7 +282,7 @@
         workload.settings.engines = std::max(settings.engines, 21);
     }
     workload.settings.load = settings.load > 0 ? settings.load : scenario->second;
-    workload.end = Instant(length);
+    workload.end = Instant(settings.length);
     workload.customers = bothCustomers();
     shape(workload);
     addFaults(workload);
--- a/testing/bench/workload.h
+++ b/testing/bench/workload.h
@@ -99,6 +99,7 @@
     double wasteWeight = -1; // for all classes; below 0: as declared
     double shortFirst = -1;
     int prefillEngines = 0; // in each cell; 0: as many as the mix needs
+    Duration length{300s};
 };
 
 struct Workload {
