--- a/decide/cellstate.cpp
+++ b/decide/cellstate.cpp
@@ -276,11 +276,7 @@
     record.stage = Stage::Decoding;
     record.begun = true;
     record.decodeSince = now;
-    this->reserveMove(record);
-    record.moving = true;
-    const std::size_t link = this->engines[record.prefill].link;
-    this->links.begin(link);
-    record.linkAlone = this->links.moving(link) == 1;
+    this->beginMove(record);
     EngineState &engine = this->engines[record.decode];
     engine.progressAt = engine.decoding == 0 ? now : engine.progressAt;
     ++engine.decoding;
@@ -310,6 +306,19 @@
     }
 }
 
+void CellState::beginMove(Record &record)
+{
+    // One taken over from another owner has moved already, and from where is not known.
+    if (record.prefill == noEngine) {
+        return;
+    }
+    this->reserveMove(record);
+    record.moving = true;
+    const std::size_t link = this->engines[record.prefill].link;
+    this->links.begin(link);
+    record.linkAlone = this->links.moving(link) == 1;
+}
+
 void CellState::endMove(Record &record)
 {
     if (!record.reserved) {
@@ -348,9 +357,7 @@
     if (record.decode != noEngine) {
         this->releaseDecode(record, now);
     }
-    if (record.prefill != noEngine) {
-        this->endMove(record);
-    }
+    this->endMove(record);
     wasted += record.read;
     record.read = Tokens(0);
     record.prefill = noEngine;
@@ -363,7 +370,7 @@
     this->enqueue(record, resumedRank, now);
 }
 
-void CellState::refuse(const RequestId &request, RefusalCode code, const char *text, Instant now)
+void CellState::refuse(RequestId request, RefusalCode code, const char *text, Instant now)
 {
     ++this->counters.refused;
     Refusal refusal{code, RunState::NotRun, text, std::nullopt};
@@ -375,7 +382,7 @@
     } else {
         refusal.retryAfter = this->options.admission.soonest;
     }
-    this->actions.emplace_back(Refuse{request, refusal});
+    this->actions.emplace_back(Refuse{std::move(request), refusal});
 }
 
 void CellState::erase(Record &record)
--- a/decide/cellstate.h
+++ b/decide/cellstate.h
@@ -139,7 +139,8 @@
     void learnOutput(const PlaceRequest &request, Tokens output);
     void enqueue(Record &record, int rank, Instant now);
     void requeue(Record &record, Tokens &wasted, RefusalCode code, Instant now);
-    void refuse(const RequestId &request, RefusalCode code, const char *text, Instant now);
+    // By value: the id may be part of the record that is erased.
+    void refuse(RequestId request, RefusalCode code, const char *text, Instant now);
     void erase(Record &record);
     void leavePrefill(Record &record, Instant now);
     void makeReady(Record &record);
@@ -148,6 +149,7 @@
     void holdDecode(Record &record, EngineSlot slot, Instant now);
     void releaseDecode(Record &record, Instant now);
     void reserveMove(Record &record);
+    void beginMove(Record &record);
     void endMove(Record &record);
     Duration linkWait(const Record &record, EngineSlot slot, Duration ready) const;
     bool linkAllows(const Record &record, Instant now) const;
