End connections of a stopping entry, bound the ledger's attempts, measure the path

A stopping entry answers with Connection: close, so that a caller's next request goes elsewhere instead of to a connection that is about to end. Attempts under way at the ledger are bounded. A fault of ours in a request cancels its generation.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 format:
 	scripts/format.sh
 
+# JSON: latency that an entry adds, requests and tokens a second, memory of a stream.
+bench: build
+	FESCUESILL_BUILD=$(BUILD) scripts/bench_path.py
+
 install: build
 	cmake --install $(BUILD)
 
--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -25,6 +25,10 @@
 
 // A few seconds of the most bookings that the store takes; more would wait longer than their callers.
 constexpr std::size_t mostJobs = 1024;
+// Attempts under way, those that only settle their row after the answer included: an outage of ten minutes at several
+// bookings a second.
+constexpr std::size_t mostRunning = 4096;
+constexpr Duration overloadRetry{3s};
 constexpr Duration keysEvery{10s}; // a rotated key is known everywhere long before the old one goes
 constexpr Duration keysRetry{500ms};
 constexpr const char *resumeKeyRow = "key/resume";
@@ -94,9 +98,16 @@
 void LedgerDuty::drainRing()
 {
     while (auto job = this->jobs.tryPop()) {
+        if (this->running >= mostRunning) {
+            job->reply(Refusal{RefusalCode::StoreUnavailable, RunState::NotRun, "too many calls wait for the store",
+                               overloadRetry});
+            continue;
+        }
         startCoroutine(this->io, [this, taken = std::move(*job)](const asio::yield_context &yield) {
             const EntryState::Duty duty(this->state);
+            ++this->running;
             this->run(taken, yield);
+            --this->running;
         });
     }
 }
--- a/programs/entry/ledgerduty.h
+++ b/programs/entry/ledgerduty.h
@@ -61,6 +61,7 @@
     HttpClient endpoints;
     LedgerTable table;
     Ring<LedgerJob> jobs;
+    std::size_t running = 0; // only touched on the ledger's thread
     std::thread thread;
 };
 
--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -48,25 +48,6 @@
 
 } // namespace
 
-StreamId streamIdOf(const RequestId &request, int generation, ModelRequest::Kind kind)
-{
-    const char *const suffix = kind == ModelRequest::Kind::Chat ? ".chat" : ".text";
-    return StreamId(request.value() + "." + std::to_string(generation) + suffix);
-}
-
-std::optional<ModelRequest::Kind> kindOf(const StreamId &stream)
-{
-    const std::string &text = stream.value();
-    const std::string suffix = text.substr(std::min(text.size(), text.rfind('.')));
-    if (suffix == ".chat") {
-        return ModelRequest::Kind::Chat;
-    }
-    if (suffix == ".text") {
-        return ModelRequest::Kind::Completion;
-    }
-    return std::nullopt;
-}
-
 ModelCall::ModelCall(ShardServices &shared, std::shared_ptr<const EntryView> seen, const Service &of,
                      const WorkspaceId &caller, ModelRequest parsed, const RequestId &requestId, HttpReply &answer)
     : services(shared)
@@ -109,6 +90,12 @@
     } catch (const CallerGone &) {
         // Only refusals and ends are written outside the pump; what ran was settled before them.
         this->isGone = true;
+    } catch (const std::exception &) {
+        // A fault of ours: whatever it was, no engine may go on holding memory for this request.
+        if (!this->stream.isEmpty()) {
+            this->cancelStream(peer::RequestOutcome::Failed);
+        }
+        throw;
     }
 }
 
--- a/programs/entry/modelcall.h
+++ b/programs/entry/modelcall.h
@@ -7,6 +7,7 @@
 //     call.run(yield);
 
 #include "programs/entry/placing.h"
+#include "programs/entry/streamids.h"
 #include "programs/entry/streampump.h"
 
 namespace fescuesill
@@ -74,8 +75,4 @@
     bool isRead = false; // the prompt was read and its result not used yet
 };
 
-// Stream ids end with the kind of their request, so that whoever resumes one writes the right shape.
-StreamId streamIdOf(const RequestId &request, int generation, ModelRequest::Kind kind);
-std::optional<ModelRequest::Kind> kindOf(const StreamId &stream);
-
 } // namespace fescuesill
--- a/programs/entry/resumecall.cpp
+++ b/programs/entry/resumecall.cpp
@@ -5,7 +5,8 @@
 #include "programs/entry/resumecall.h"
 
 #include "programs/entry/canceller.h"
-#include "programs/entry/modelcall.h"
+#include "programs/entry/streamids.h"
+#include "programs/entry/streampump.h"
 #include "wire/clock.h"
 #include "wire/log.h"
 
--- a/programs/entry/shard.cpp
+++ b/programs/entry/shard.cpp
@@ -211,6 +211,9 @@
 
 void Shard::route(HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
 {
+    if (this->services.state.isDraining()) {
+        reply.closeAfter();
+    }
     const std::shared_ptr<const EntryView> view = this->services.links.view();
     if (const auto refusal = this->refusalForNew(*view)) {
         reply.refuse(*refusal, yield);
--- a/testing/pathbench/main.cpp
+++ b/testing/pathbench/main.cpp
@@ -11,6 +11,7 @@
 #include "wire/engineclient.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -34,6 +35,7 @@
     int promptBytes = 400;
     int rounds = 10;
     int seconds = 0;
+    int spreadMicroseconds = 0; // between the starts of two streams
 };
 
 struct Samples {
@@ -97,7 +99,8 @@
         const Instant begin = steadyNow();
         const Instant end = begin + std::chrono::seconds(this->options.seconds);
         for (int i = 0; i < this->options.streams; ++i) {
-            startCoroutine(this->io, [this, &samples, end](const asio::yield_context &yield) {
+            startCoroutine(this->io, [this, &samples, end, i](const asio::yield_context &yield) {
+                this->pause(i, yield);
                 while (steadyNow() < end) {
                     this->one(samples, false, yield);
                 }
@@ -125,7 +128,8 @@
     void runAll(Samples &samples, bool isDirect)
     {
         for (int i = 0; i < this->options.streams; ++i) {
-            startCoroutine(this->io, [this, &samples, isDirect](const asio::yield_context &yield) {
+            startCoroutine(this->io, [this, &samples, isDirect, i](const asio::yield_context &yield) {
+                this->pause(i, yield);
                 this->one(samples, isDirect, yield);
             });
         }
@@ -133,6 +137,14 @@
         this->io.run();
     }
 
+    void pause(int index, const asio::yield_context &yield)
+    {
+        asio::steady_timer timer(this->io,
+                                 Duration(static_cast<std::int64_t>(this->options.spreadMicroseconds) * index));
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+
     void one(Samples &samples, bool isDirect, const asio::yield_context &yield)
     {
         Timing timing;
@@ -246,6 +258,7 @@
     options.promptBytes = given["prompt-bytes"].as<int>();
     options.rounds = given["rounds"].as<int>();
     options.seconds = given["seconds"].as<int>();
+    options.spreadMicroseconds = given["spread-us"].as<int>();
     return options;
 }
 
@@ -262,6 +275,7 @@
     flags.add_options()("tokens", "of one answer", cxxopts::value<int>()->default_value("50"));
     flags.add_options()("prompt-bytes", "of one prompt", cxxopts::value<int>()->default_value("400"));
     flags.add_options()("rounds", "of both kinds", cxxopts::value<int>()->default_value("10"));
+    flags.add_options()("spread-us", "between two starts", cxxopts::value<int>()->default_value("0"));
     flags.add_options()("seconds", "keep going through the entry", cxxopts::value<int>()->default_value("0"));
     try {
         const BenchOptions options = readOptions(flags.parse(argc, argv));
--- a/testing/process/smallfleet.py
+++ b/testing/process/smallfleet.py
@@ -31,15 +31,18 @@
 
 
 class SmallFleet:
-    """Two prefill and two decode engines, two application servers, one platform, one scheduler, one entry."""
+    """Two prefill and some decode engines, two application servers, one platform, one scheduler, one entry."""
 
-    def __init__(self, speed=5, io_threads=2, settings="", engine_options=()):
+    def __init__(self, speed=5, io_threads=2, settings="", engine_options=(), pieces=20, decodes=2):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="fescuesill-"))
         self.running = []
         self.settings = settings
         self.io_threads = io_threads
         self.engines = {}
-        for name, role in (("p1", "prefill"), ("p2", "prefill"), ("d1", "decode"), ("d2", "decode")):
+        self.pieces = pieces
+        names = ["p1", "p2"] + [f"d{number + 1}" for number in range(decodes)]
+        for name in names:
+            role = "prefill" if name.startswith("p") else "decode"
             self.engines[name] = self.standin(
                 "fakeengine", "--role", role, "--model", "verdict", "--speed", speed, *engine_options
             )
@@ -60,7 +63,7 @@
             role = "prefill" if name.startswith("p") else "decode"
             text += (
                 f"\n[engine {name}]\naddress = {engine.address}\ndata_centre = athens\nmodel = verdict\n"
-                f"role = {role}\npieces = 20\n"
+                f"role = {role}\npieces = {self.pieces}\n"
             )
         for name, app in self.apps.items():
             text += f"\n[endpoint {name}]\naddress = {app.address}\ndata_centre = athens\n"
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -99,9 +99,11 @@
         }
     }
     if (this->atEnd && !this->parser->is_done()) {
-        // The parser takes an end before the first byte of a header for a whole reply.
+        // The parser takes an end before the first byte of a header for a whole reply, so it is not asked then.
         const bool hasHeader = this->parser->is_header_done();
-        this->parser->put_eof(error);
+        if (hasHeader) {
+            this->parser->put_eof(error);
+        }
         if (error || !hasHeader || !this->parser->is_done()) {
             throw HttpError(HttpFault::Closed, false, fmt::format("{}: reply cut short", this->address));
         }
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -142,6 +142,11 @@
     this->connection.watch(std::move(callback));
 }
 
+void HttpReply::closeAfter()
+{
+    this->connection.keepAlive = false;
+}
+
 bool HttpReply::isStarted() const
 {
     return this->connection.started;
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -68,6 +68,8 @@
     // sending half, which callers of this protocol do not do. Reset by an empty function.
     void onGone(std::function<void()> callback);
     bool isStarted() const;
+    // The connection ends with this answer: its caller opens the next one, at a host that is not stopping.
+    void closeAfter();
 
 private:
     ServerConnection &connection;
