Name no time for writes that wait behind one of their own key

WriteBatch::due() gave a time in the past while every waiting key was under way; a program that waits by it would have spun until the commit came back.

--- a/promise/testing/writebatch_test.cpp
+++ b/promise/testing/writebatch_test.cpp
@@ -26,6 +26,19 @@
     EXPECT_EQ(batch.take(start + 3ms)->writes.size(), 64U);
 }
 
+TEST(WriteBatch, AWriteBehindOneOfItsKeyWaitsForTheResult)
+{
+    WriteBatch batch({});
+    batch.add(1, {"a", "first", absent}, start);
+    batch.add(2, {"a", "second", absent}, start);
+    const auto commit = batch.take(start + 3ms);
+    EXPECT_EQ(commit->writes.size(), 1U);
+    EXPECT_FALSE(batch.due());
+    EXPECT_FALSE(batch.take(start + 1s));
+    batch.onCommitted(commit->id, {RowVersion(1)});
+    EXPECT_EQ(batch.take(start + 1s)->writes.front().value, "second");
+}
+
 TEST(WriteBatch, RefusesWhatItCannotKeep)
 {
     WriteBatch::Options options;
--- a/promise/writebatch.cpp
+++ b/promise/writebatch.cpp
@@ -51,9 +51,6 @@
         items.push_back(std::move(*item));
         item = this->waiting.erase(item);
     }
-    if (items.empty()) {
-        return std::nullopt; // every key waits for a commit under way
-    }
     commit.id = ++this->lastId;
     this->inFlight.emplace(commit.id, std::move(items));
     return commit;
@@ -61,13 +58,17 @@
 
 std::optional<Instant> WriteBatch::due() const
 {
-    if (this->waiting.empty() || this->inFlight.size() >= this->options.mostInFlight) {
+    if (this->inFlight.size() >= this->options.mostInFlight) {
         return std::nullopt;
     }
-    if (this->waiting.size() >= this->limit) {
-        return Instant::min();
+    // Writes behind one of the same key that is under way wait for its result, not for a time: a program that was told
+    // a time in the past would ask in a tight loop.
+    const auto free = std::find_if(this->waiting.begin(), this->waiting.end(),
+                                   [this](const Item &item) { return this->keysInFlight.count(item.write.key) == 0; });
+    if (free == this->waiting.end()) {
+        return std::nullopt;
     }
-    return this->waiting.front().due;
+    return this->waiting.size() >= this->limit ? Instant::min() : free->due;
 }
 
 std::vector<BatchResult> WriteBatch::onCommitted(std::uint64_t id, const std::vector<RowVersion> &versions)
