--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,10 @@
 bench: build
 	FESCUESILL_BUILD=$(BUILD) scripts/bench_path.py
 
+# The figures of docs/CAPACITY.md.
+slopes: build
+	scripts/slopes.sh $(BUILD)
+
 install: build
 	cmake --install $(BUILD)
 
--- /dev/null
+++ b/testing/slopes/main.cpp
@@ -0,0 +1,224 @@
+// fescuesill-slopes [HOSTS…]: what the pure cores cost as the fleet grows, one JSON line for each size.
+//
+// Membership runs in virtual time, every host of the fleet in this one process, with messages that arrive one tick
+// later. Processor time is this process's own; it depends on the machine, its growth with the size much less.
+
+#include "declare/declaration.h"
+#include "declare/difference.h"
+#include "promise/membership.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <ctime>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <unistd.h>
+
+using namespace fescuesill;
+
+namespace
+{
+
+constexpr Duration tick = 50ms;
+constexpr int warmUpTicks = 20 * 600; // ten minutes: the rumours of a fleet that starts all at once have been passed on
+constexpr int measuredTicks = 20 * 20;
+constexpr int dataCentres = 6;
+constexpr int cellFactBytes = 20; // a summary in CBOR
+
+double cpuSeconds()
+{
+    timespec spent{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
+    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) * 1e-9;
+}
+
+double residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+class Fleet
+{
+public:
+    Fleet(int size, int cells)
+        : cells(cells)
+    {
+        std::vector<MemberInfo> all;
+        for (int i = 0; i < size; ++i) {
+            MemberInfo info;
+            info.host = HostId(fmt::format("host-{:03}", i));
+            info.dataCentre = DataCentreId(fmt::format("dc-{}", i % dataCentres));
+            info.incarnation = 1;
+            info.address = fmt::format("10.0.{}.{}:8090", i / 200, i % 200 + 1);
+            all.push_back(info);
+        }
+        for (int i = 0; i < size; ++i) {
+            const auto seed = static_cast<std::uint64_t>(i) + 1;
+            this->hosts.push_back(std::make_unique<Membership>(all[i], Membership::Options{}, seed, this->now));
+            this->hosts.back()->onHostList(all, this->now);
+        }
+    }
+
+    void run(int ticks)
+    {
+        for (int i = 0; i < ticks; ++i) {
+            this->now += tick;
+            if (++this->ticks % 20 == 0) {
+                this->publishCells();
+            }
+            std::vector<ProbeMessage> out;
+            for (const ProbeMessage &message : this->flying) {
+                this->take(this->at(message.to).onMessage(message, this->now), out);
+            }
+            for (const auto &host : this->hosts) {
+                this->take(host->tick(this->now), out);
+            }
+            this->flying = std::move(out);
+        }
+    }
+
+    // Ticks until a fact of one host is known to all; -1 where a minute is not enough.
+    int spread(const std::string &name)
+    {
+        this->hosts.front()->publish(name, 1, std::string(16, 'x'), this->now);
+        for (int count = 1; count < 20 * 60; ++count) {
+            this->run(1);
+            if (std::all_of(this->hosts.begin(), this->hosts.end(),
+                            [&](const auto &host) { return knows(*host, name); })) {
+                return count;
+            }
+        }
+        return -1;
+    }
+
+    std::int64_t bytes = 0;
+    std::int64_t messages = 0;
+
+private:
+    static bool knows(const Membership &host, const std::string &name)
+    {
+        const std::vector<Fact> facts = host.facts();
+        return std::any_of(facts.begin(), facts.end(), [&](const Fact &fact) { return fact.name == name; });
+    }
+
+    Membership &at(const HostId &host)
+    {
+        return *this->hosts[std::stoul(host.value().substr(5))];
+    }
+
+    void take(std::vector<ProbeMessage> fresh, std::vector<ProbeMessage> &out)
+    {
+        for (ProbeMessage &message : fresh) {
+            ++this->messages;
+            this->bytes += static_cast<std::int64_t>(sizeOf(message));
+            out.push_back(std::move(message));
+        }
+    }
+
+    void publishCells()
+    {
+        for (int cell = 0; cell < this->cells; ++cell) {
+            const auto owner = static_cast<std::size_t>(cell) % this->hosts.size();
+            this->hosts[owner]->publish(fmt::format("cell/model-{}/dc-{}", cell / dataCentres, cell % dataCentres),
+                                        static_cast<std::uint64_t>(this->ticks), std::string(cellFactBytes, 'x'),
+                                        this->now);
+        }
+    }
+
+    std::vector<std::unique_ptr<Membership>> hosts;
+    std::vector<ProbeMessage> flying;
+    int cells;
+    Instant now{1000s};
+    int ticks = 0;
+};
+
+void measureMembership(int size, int cells)
+{
+    const double before = residentBytes();
+    Fleet fleet(size, cells);
+    fleet.run(warmUpTicks);
+    const double memory = (residentBytes() - before) / size;
+    const std::int64_t bytes = fleet.bytes;
+    const std::int64_t messages = fleet.messages;
+    const double start = cpuSeconds();
+    fleet.run(measuredTicks);
+    const double spent = cpuSeconds() - start;
+    const std::int64_t sentBytes = fleet.bytes - bytes;
+    const std::int64_t sentMessages = fleet.messages - messages;
+    const double hostSeconds = size * std::chrono::duration<double>(tick).count() * measuredTicks;
+    const int spread = fleet.spread("config");
+    fmt::print("{{\"core\":\"membership\",\"hosts\":{},\"cells\":{},\"core_percent_per_host\":{:.4f},\"sent_bytes_per_"
+               "second\":{:.0f},"
+               "\"sent_messages_per_second\":{:.2f},\"resident_kb_per_host\":{:.0f},\"fact_to_all_seconds\":{:.2f}}}\n",
+               size, cells, 100 * spent / hostSeconds, static_cast<double>(sentBytes) / hostSeconds,
+               static_cast<double>(sentMessages) / hostSeconds, memory / 1024,
+               spread < 0 ? spread : spread * std::chrono::duration<double>(tick).count());
+}
+
+std::string declarationOf(int engines)
+{
+    std::string text = "[class patient]\nrank = 2\nfirst_token = 5s\n";
+    for (int i = 0; i < dataCentres; ++i) {
+        text += fmt::format("[data_centre dc-{}]\nregion = r{}\n", i, i % 3);
+    }
+    for (int i = 0; i < engines; ++i) {
+        text += fmt::format("[engine engine-{}]\naddress = 10.{}.{}.{}:8000\ndata_centre = dc-{}\nmodel = model-{}\n"
+                            "role = {}\npieces = 20\nchecks_fencing = yes\n",
+                            i, i / 10000, i / 100 % 100, i % 100 + 1, i % dataCentres, i % 8,
+                            i / 8 % 3 == 0 ? "prefill" : "decode");
+    }
+    for (int i = 0; i < 8; ++i) {
+        text += fmt::format("[service service-{}]\nclass = patient\nkind = model\nmodel = model-{}\n", i, i);
+    }
+    return text;
+}
+
+void measureDeclaration(int engines)
+{
+    constexpr int rounds = 20;
+    const std::string text = declarationOf(engines);
+    const double start = cpuSeconds();
+    for (int i = 0; i < rounds; ++i) {
+        if (!Declaration::parse(text, "slopes")) {
+            fmt::print(stderr, "the generated declaration has a fault\n");
+            std::exit(1);
+        }
+    }
+    const double parsed = cpuSeconds();
+    const Declaration declaration = Declaration::parse(text, "slopes").value();
+    const double compare = cpuSeconds();
+    for (int i = 0; i < rounds; ++i) {
+        Difference::between(declaration, declaration);
+    }
+    fmt::print(
+        "{{\"core\":\"declaration\",\"engines\":{},\"text_kb\":{:.0f},\"parse_ms\":{:.2f},\"difference_ms\":{:.2f}}}\n",
+        engines, static_cast<double>(text.size()) / 1024, 1000 * (parsed - start) / rounds,
+        1000 * (cpuSeconds() - compare) / rounds);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::vector<int> sizes(argc - 1);
+    std::transform(argv + 1, argv + argc, sizes.begin(), [](const char *text) { return std::atoi(text); });
+    if (sizes.empty()) {
+        sizes = {3, 9, 36, 85, 170, 340};
+    }
+    for (const int hosts : sizes) {
+        for (const int cells : {3, 48}) {
+            measureMembership(hosts, cells);
+        }
+    }
+    for (const int engines : {24, 75, 150, 300, 600}) {
+        measureDeclaration(engines);
+    }
+    return 0;
+}
