--- a/programs/scheduler/engineduty.cpp
+++ b/programs/scheduler/engineduty.cpp
@@ -58,6 +58,7 @@
 std::vector<EngineStream> streamsOf(const std::vector<RunningStream> &running)
 {
     std::vector<EngineStream> streams;
+    streams.reserve(running.size());
     for (const RunningStream &stream : running) {
         streams.push_back(EngineStream{stream.stream, stream.entry, stream.isAttached});
     }
--- a/programs/scheduler/peerduty.cpp
+++ b/programs/scheduler/peerduty.cpp
@@ -399,11 +399,14 @@
         const std::string name = "version " + std::to_string(record.version.value());
         auto parsed = Declaration::parse(record.text, name);
         if (!parsed) {
+            this->isDeclarationMalformed = true;
             Log::error("declaration_malformed",
                        {{"version", record.version.value()},
                         {"fault", parsed.error().faults.empty() ? "" : parsed.error().faults.front().line()}});
             return;
         }
+        this->isDeclarationMalformed = false;
+        this->versionInForce = record.version;
         this->declaration = std::make_shared<const Declaration>(std::move(*parsed));
         Log::info("config_in_force",
                   {{"version", record.version.value()},
@@ -484,7 +487,8 @@
     void publishStatus(Instant now)
     {
         PeerStatus made;
-        made.version = this->store.version();
+        made.version = this->versionInForce;
+        made.isDeclarationMalformed = this->isDeclarationMalformed;
         made.service = this->store.service(now);
         made.members = this->membership.members();
         made.cells = this->board.news();
@@ -505,6 +509,8 @@
     CellBoard board;
     std::set<CellId> toldOwned;
     std::vector<peer::LiveHost> toldLive;
+    ConfigVersion versionInForce;
+    bool isDeclarationMalformed = false; // of the highest version known here
     bool isDeclarationTold = false;
     bool tableReachable = false;
     std::set<LinkId> entries;
--- a/programs/scheduler/peerduty.h
+++ b/programs/scheduler/peerduty.h
@@ -43,7 +43,8 @@
 using PeerEvent = std::variant<TableConfig, TableUnchanged, TableFailed, HostList, PublishSummary, LeaveFleet>;
 
 struct PeerStatus {
-    ConfigVersion version;
+    ConfigVersion version; // in force here
+    bool isDeclarationMalformed = false; // a higher one is known and cannot be read
     ConfigService service = ConfigService::Learning;
     std::vector<MemberInfo> members;
     std::vector<peer::CellNews> cells;
--- a/programs/scheduler/schedulerprogram.cpp
+++ b/programs/scheduler/schedulerprogram.cpp
@@ -161,6 +161,7 @@
             const DirectorStatus directorStatus = this->decisions.status();
             this->metrics.update(peerStatus, directorStatus);
             this->degraded.set("table_unreachable", !peerStatus.tableReachable);
+            this->degraded.set("declaration_malformed", peerStatus.isDeclarationMalformed);
             this->degraded.set("not_serving", peerStatus.service != ConfigService::Serving);
             const Instant now = steadyNow();
             if ((stopSignal != 0 || this->isDrainAsked) && !this->isDraining) {
