Publish the summary of a cell when it has changed, else every ten seconds

Summaries only help to choose between data centres, so one that changes no choice is said again every ten seconds. Measured: a quiet cell publishes 6 times a minute, 60 before.

--- a/programs/scheduler/celldirector.cpp
+++ b/programs/scheduler/celldirector.cpp
@@ -1,6 +1,7 @@
 #include "programs/scheduler/celldirector.h"
 
 #include <algorithm>
+#include <cmath>
 
 // Ownership is soft. Two owners of a cell for a few seconds place into the same engines without knowing of each other:
 // the engines refuse what does not fit, and the requests are placed again. No owner: entries place by themselves. So
@@ -43,6 +44,17 @@
     return spec;
 }
 
+// Whether an entry might choose another data centre by the new summary.
+bool changesChoice(const CellSummary &before, const CellSummary &now)
+{
+    constexpr Duration delayStep = 50ms; // a tenth of the time to the first token
+    constexpr double memoryStep = 0.1;
+    const Duration delayChange =
+        now.queueDelay > before.queueDelay ? now.queueDelay - before.queueDelay : before.queueDelay - now.queueDelay;
+    return before.accepting != now.accepting || delayChange >= delayStep
+        || std::abs(now.memoryUse - before.memoryUse) >= memoryStep;
+}
+
 bool isInCell(const Engine &engine, const CellId &cell)
 {
     return engine.model == cell.model && engine.dataCentre == cell.dataCentre;
@@ -78,7 +90,7 @@
 
 Instant CellDirector::nextWake(Instant now) const
 {
-    Instant wake = now + this->options.summaryEvery;
+    Instant wake = now + this->options.summaryChanged;
     for (const auto &[id, cell] : this->cells) {
         wake = std::min(wake, cell.nextSummary);
         const std::optional<Instant> next = cell.scheduler.nextWake();
@@ -151,7 +163,7 @@
         if (this->cells.count(id) == 0) {
             this->cells.emplace(id,
                                 OwnedCell{CellScheduler::create(this->options.cell).value(),
-                                          OrphanFinder(this->options.orphans, now), now});
+                                          OrphanFinder(this->options.orphans, now), now, Instant(), CellSummary()});
             this->setEngines(id, now);
             isChanged = true;
         }
@@ -506,9 +518,16 @@
 
 void CellDirector::summarise(const CellId &id, OwnedCell &cell, Instant now)
 {
-    if (now >= cell.nextSummary) {
-        cell.nextSummary = now + this->options.summaryEvery;
-        this->outputs.emplace_back(PublishSummary{id, cell.scheduler.summary(now)});
+    if (now < cell.nextSummary) {
+        return;
+    }
+    cell.nextSummary = now + this->options.summaryChanged;
+    const CellSummary summary = cell.scheduler.summary(now);
+    const bool isDue = now - cell.summarisedAt >= this->options.summaryUnchanged;
+    if (isDue || changesChoice(cell.published, summary)) {
+        cell.summarisedAt = now;
+        cell.published = summary;
+        this->outputs.emplace_back(PublishSummary{id, summary});
     }
 }
 
--- a/programs/scheduler/celldirector.h
+++ b/programs/scheduler/celldirector.h
@@ -29,8 +29,10 @@
     struct Options {
         CellScheduler::Options cell;
         OrphanFinder::Options orphans;
-        // How often other hosts get a new summary of a cell; an entry uses it only to choose between data centres.
-        Duration summaryEvery{1s};
+        // A summary that has changed enough to change a choice between data centres is published after this long;
+        Duration summaryChanged{1s};
+        // any other after this long. Membership spreads some ten facts a second, and 48 cells share them.
+        Duration summaryUnchanged{10s};
     };
 
     CellDirector(Options options, HostId self);
@@ -46,6 +48,8 @@
         CellScheduler scheduler;
         OrphanFinder orphans;
         Instant nextSummary;
+        Instant summarisedAt;
+        CellSummary published;
     };
 
     struct Tracked {
--- a/programs/scheduler/testing/celldirector_test.cpp
+++ b/programs/scheduler/testing/celldirector_test.cpp
@@ -178,6 +178,22 @@
     EXPECT_EQ(this->director.status(this->now).requests, 0U);
 }
 
+// A quiet cell says nothing new every second: the summaries of 48 cells share the few bytes that ride on probes, and
+// crowd out what matters.
+TEST_F(CellDirectorTest, AnUnchangedSummaryIsPublishedSeldom)
+{
+    int published = 0;
+    constexpr int seconds = 60;
+    for (int i = 0; i < seconds; ++i) {
+        this->pass(1s);
+        for (const DirectorOutput &output : this->outputs()) {
+            published += std::holds_alternative<PublishSummary>(output) ? 1 : 0;
+        }
+    }
+    EXPECT_GE(published, 5);
+    EXPECT_LE(published, 7);
+}
+
 // The link to an entry breaks and comes back while its request writes. The entry says again what it holds; nothing is
 // cancelled and the reservation stays.
 TEST_F(CellDirectorTest, AnEntryThatComesBackKeepsWhatItHolds)
