--- a/decide/cellplacing.cpp
+++ b/decide/cellplacing.cpp
@@ -25,7 +25,6 @@
 namespace fescuesill
 {
 
-constexpr Duration refreshInterval = 20ms; // of figures that change slowly: a tenth of the outliers' interval
 // Results looked at in one poll for a place. They are in the order of urgency; beyond these none would find one.
 constexpr int mostReadyTried = 64;
 constexpr Duration pressedTime = 200ms; // about a step and a transfer
--- a/decide/cellstate.cpp
+++ b/decide/cellstate.cpp
@@ -1,4 +1,4 @@
-// Engines and requests of a cell. Every request is a Record in one Stage; the helpers here move a record from one stage
+// Requests of a cell. Every request is a Record in one Stage; the helpers here move a record from one stage
 // to the next and keep the tables that belong to a stage in step with it:
 //
 //     Waiting   in the queue
@@ -22,7 +22,6 @@
 constexpr double firstTransferTokens = 2000; // of the assumed transfer before any was measured
 constexpr int resumedRank = -1; // work that was begun and has to be placed again: most of its cost is already paid
 constexpr int hopelessRankStep = 1000;
-constexpr Duration refreshInterval = 20ms; // of figures that change slowly: a tenth of the outliers' interval
 
 CellState::CellState(const CellScheduler::Options &options)
     : options(options)
@@ -41,102 +40,6 @@
 {
 }
 
-CellState::EngineState &CellState::engineAt(EngineSlot slot)
-{
-    if (slot >= this->engines.size()) {
-        this->engines.resize(slot + 1);
-        this->matchedBlocks.resize(slot + 1);
-    }
-    return this->engines[slot];
-}
-
-bool CellState::takesWork(EngineSlot slot) const
-{
-    const EngineState &engine = this->engines[slot];
-    return engine.listed && !engine.lost && !engine.spec.leaving && !engine.changing;
-}
-
-void CellState::setEngines(const std::vector<EngineSpec> &specs, Instant now)
-{
-    std::vector<bool> named(this->engines.size());
-    for (const EngineSpec &spec : specs) {
-        const EngineSlot slot = this->table.slotOf(spec.engine);
-        EngineState &engine = this->engineAt(slot);
-        named.resize(this->engines.size());
-        named[slot] = true;
-        const bool changedRole = engine.listed && engine.spec.pool != spec.pool;
-        engine.spec = spec;
-        engine.listed = true;
-        engine.changing = engine.changing && !changedRole;
-        engine.link = this->links.linkOf(spec.link.empty() ? "engine " + spec.engine.value() : spec.link);
-    }
-    for (EngineSlot slot = 0; slot < this->engines.size(); ++slot) {
-        if (this->engines[slot].listed && !named[slot]) {
-            this->engines[slot].listed = false;
-            this->loseEngine(slot, now);
-        }
-    }
-    this->refreshPools(now);
-}
-
-void CellState::refreshPools(Instant now)
-{
-    this->prefillSlots.clear();
-    this->decodeSlots.clear();
-    for (EngineSlot slot = 0; slot < this->engines.size(); ++slot) {
-        const EngineState &engine = this->engines[slot];
-        const bool prefill = engine.listed && engine.spec.pool == Pool::Prefill;
-        const bool decode = engine.listed && engine.spec.pool == Pool::Decode;
-        if (prefill) {
-            this->prefillSlots.push_back(slot);
-        }
-        if (decode) {
-            this->decodeSlots.push_back(slot);
-        }
-        this->prefillOutliers.setMember(slot, prefill);
-        this->decodeOutliers.setMember(slot, decode);
-        this->refreshPrefill(slot, now);
-        this->refreshDecode(slot, now);
-    }
-}
-
-void CellState::refreshPrefill(EngineSlot slot, Instant now)
-{
-    const EngineState &engine = this->engines[slot];
-    const auto allowance = this->prefillOutliers.allowance(slot, now);
-    const bool allowed = !allowance || static_cast<int>(this->prefills.jobCount(slot)) < *allowance;
-    this->prefills.setEngine(slot, engine.spec.pool == Pool::Prefill && this->takesWork(slot) && allowed);
-}
-
-void CellState::refreshDecode(EngineSlot slot, Instant now)
-{
-    const EngineState &engine = this->engines[slot];
-    const bool stalled = engine.decoding > 0 && now > engine.progressAt + this->options.decodeStall;
-    const bool usable = engine.spec.pool == Pool::Decode && this->takesWork(slot) && !stalled
-        && !this->decodeOutliers.allowance(slot, now);
-    this->memory.setEngine(slot, engine.spec.memory, usable);
-}
-
-void CellState::loseEngine(EngineSlot slot, Instant now)
-{
-    EngineState &engine = this->engines[slot];
-    engine.lost = true;
-    engine.lostAt = now;
-    this->prefixes.removeEngine(slot);
-    for (const std::uint64_t key : this->prefills.jobs(slot)) {
-        this->requeue(*this->byKey[key], this->counters.wastedRedone, RefusalCode::EndpointFailed, now);
-    }
-    // What decodes there is reported by its entry, which knows whether the prefill result still exists. What was only
-    // to decode there is free to go elsewhere.
-    for (auto &[request, record] : this->records) {
-        if (record.decode == slot && record.stage == Stage::Reading) {
-            this->releaseDecode(record, now);
-            this->promised += record.pieces;
-        }
-    }
-    this->refreshPools(now);
-}
-
 CellState::Record *CellState::find(const RequestId &request)
 {
     const auto found = this->records.find(request);
--- a/decide/cellstate.h
+++ b/decide/cellstate.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// The state behind CellScheduler. cellstate.cpp keeps engines and requests, cellevents.cpp takes the events, and
-// cellplacing.cpp makes the decisions.
+// The state behind CellScheduler. cellengines.cpp keeps the engines, cellstate.cpp the requests, cellevents.cpp takes
+// the events, and cellplacing.cpp makes the decisions.
 
 #include "decide/cellscheduler.h"
 #include "decide/linkschedule.h"
@@ -16,6 +16,7 @@
 // A request joins a batch in the middle of a step and has its first token at the end of the next.
 constexpr double stepsToFirstToken = 1.5;
 
+constexpr Duration refreshInterval = 20ms; // of figures that change slowly: a tenth of the outliers' interval
 // A class with a first-token target up to this is in a hurry: what it waits for on its way decides whether it is met.
 constexpr Duration hurried = 1s;
 
--- a/testing/bench/baseline.cpp
+++ b/testing/bench/baseline.cpp
@@ -12,39 +12,6 @@
 constexpr Duration comeBack = 1s;
 constexpr Duration downTime = 3s; // an engine that failed is left alone for this long
 
-static const std::map<std::string, PolicyKind> &kinds()
-{
-    static const std::map<std::string, PolicyKind> all{{"ours", PolicyKind::Ours},
-                                                       {"round-robin", PolicyKind::RoundRobin},
-                                                       {"least-loaded", PolicyKind::LeastLoaded},
-                                                       {"prefix-only", PolicyKind::PrefixOnly},
-                                                       {"prefill-first", PolicyKind::PrefillFirst}};
-    return all;
-}
-
-std::optional<PolicyKind> policyNamed(const std::string &name)
-{
-    const auto found = kinds().find(name);
-    return found == kinds().end() ? std::nullopt : std::make_optional(found->second);
-}
-
-std::vector<std::string> policyNames()
-{
-    std::vector<std::string> names;
-    for (const auto &[name, kind] : kinds()) {
-        names.push_back(name);
-    }
-    return names;
-}
-
-Policy makePolicy(PolicyKind kind, Cell &cell)
-{
-    if (kind == PolicyKind::Ours) {
-        return OurPolicy(cell);
-    }
-    return Baseline(cell, kind);
-}
-
 Baseline::Baseline(Cell &cell, PolicyKind kind)
     : cell(&cell)
     , kind(kind)
