--- a/testing/process/test_ctl.py
+++ b/testing/process/test_ctl.py
@@ -96,7 +96,7 @@
 
 class ExampleSettingsTest(unittest.TestCase):
     def test_settings_in_examples_pass_the_check_of_their_binary(self):
-        for process in ("scheduler",):
+        for process in ("entry", "scheduler"):
             done = subprocess.run([binary("fescuesill-" + process), "--config",
                                    str(ROOT / "examples" / (process + ".ini")), "--check"], timeout=60)
             self.assertEqual(done.returncode, 0)
