--- a/wire/peernode.cpp
+++ b/wire/peernode.cpp
@@ -63,6 +63,15 @@
     {
         endpoint.clear_access_channels(websocketpp::log::alevel::all);
         endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        // Failure: every other message waits up to 40 ms, as Nagle's algorithm holds a small one back until the last is
+        // acknowledged and the other end delays its acknowledgement. It shows as first tokens that are late by that.
+        endpoint.set_tcp_post_init_handler([&endpoint](const Handle &handle) {
+            websocketpp::lib::error_code gone;
+            if (const auto connection = endpoint.get_con_from_hdl(handle, gone)) {
+                boost::system::error_code ignored;
+                connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            }
+        });
         endpoint.init_asio(&this->context);
         endpoint.set_max_message_size(this->options.maxMessageBytes);
         endpoint.set_open_handler(onOpen);
