Let the version of the declaration ride on every probe and be pushed on at once

With the table up it does not show; in an outage of the table a host that had not read the version would go on under the old text. Ruled out: older of two equally told rumours first (tried before, no help); larger messages (three times the bytes would use the whole budget and only move the limit). Change: an urgent fact has a place in every message and, when it turns newer, is pushed to three random hosts at once. At most two facts may be urgent and they are never evicted.

--- a/promise/factboard.cpp
+++ b/promise/factboard.cpp
@@ -14,26 +14,42 @@
 {
 }
 
-void FactBoard::apply(const Fact &fact, Instant now)
+bool FactBoard::apply(const Fact &fact, Instant now)
 {
     if (fact.bytes.size() > static_cast<std::size_t>(this->options.mostBytes.value())) {
-        return;
+        return false;
     }
     const auto found = this->held.find(fact.name);
     if (found != this->held.end() && fact.version <= found->second.fact.version) {
-        return;
+        return false;
+    }
+    const bool isNewUrgent = fact.urgent && (found == this->held.end() || !found->second.fact.urgent);
+    if (isNewUrgent && this->urgent().size() >= this->options.mostUrgent) {
+        return false;
     }
     if (found == this->held.end() && this->held.size() >= this->options.most) {
         this->evictOldest();
     }
     this->held[fact.name] = Held{fact, now, 0};
+    return true;
+}
+
+std::vector<Fact> FactBoard::urgent() const
+{
+    std::vector<Fact> facts;
+    for (const auto &[name, entry] : this->held) {
+        if (entry.fact.urgent) {
+            facts.push_back(entry.fact);
+        }
+    }
+    return facts;
 }
 
 std::vector<FactBoard::Held *> FactBoard::rumours(int limit)
 {
     std::vector<Held *> fresh;
     for (auto &[name, entry] : this->held) {
-        if (entry.sent < limit) {
+        if (entry.sent < limit && !entry.fact.urgent) {
             fresh.push_back(&entry);
         }
     }
@@ -74,8 +90,11 @@
 
 void FactBoard::evictOldest()
 {
-    const auto oldest = std::min_element(this->held.begin(), this->held.end(),
-                                         [](const auto &a, const auto &b) { return a.second.since < b.second.since; });
+    // An urgent fact is never the oldest: a declaration that has stood for months is still the one in force.
+    const auto oldest = std::min_element(this->held.begin(), this->held.end(), [](const auto &a, const auto &b) {
+        return std::make_pair(a.second.fact.urgent, a.second.since)
+            < std::make_pair(b.second.fact.urgent, b.second.since);
+    });
     this->held.erase(oldest);
 }
 
--- a/promise/factboard.h
+++ b/promise/factboard.h
@@ -24,6 +24,8 @@
         // One per cell and a few for the configuration; the one that has not changed for longest goes first.
         std::size_t most = 512;
         Bytes mostBytes{128};
+        // Urgent ones ride on every message of 300 bytes; a peer that calls all urgent must not fill them.
+        std::size_t mostUrgent = 2;
     };
     struct Held {
         Fact fact;
@@ -33,8 +35,10 @@
 
     explicit FactBoard(Options options);
 
-    void apply(const Fact &fact, Instant now);
-    // Those that were passed on fewer times than the limit.
+    // Whether it was newer than what was held.
+    bool apply(const Fact &fact, Instant now);
+    std::vector<Fact> urgent() const;
+    // Those that were passed on fewer times than the limit; the urgent ones left out.
     std::vector<Held *> rumours(int limit);
     // The next one round, where it has room; nullptr otherwise.
     const Fact *nextInTurn(std::size_t room);
--- a/promise/membership.cpp
+++ b/promise/membership.cpp
@@ -83,6 +83,7 @@
     }
     this->lastTick = now;
     this->expire(now);
+    this->pushUrgent(out);
     if (this->pending && !this->pending->indirect && now - this->pending->sentAt >= this->options.ackWait) {
         this->askOthers(out);
     }
@@ -104,7 +105,7 @@
         this->apply(info, now);
     }
     for (const Fact &fact : in.facts) {
-        this->board.apply(fact, now);
+        this->applyFact(fact, now);
     }
     switch (in.kind) {
     case ProbeKind::Probe:
@@ -127,7 +128,38 @@
 
 void Membership::publish(const std::string &name, std::uint64_t version, std::string bytes, Instant now)
 {
-    this->board.apply(Fact{name, version, std::move(bytes)}, now);
+    this->applyFact(Fact{name, version, std::move(bytes), false}, now);
+}
+
+void Membership::publishUrgent(const std::string &name, std::uint64_t version, std::string bytes, Instant now)
+{
+    this->applyFact(Fact{name, version, std::move(bytes), true}, now);
+}
+
+void Membership::applyFact(const Fact &fact, Instant now)
+{
+    const bool isNewer = this->board.apply(fact, now);
+    this->hasUrgentNews = this->hasUrgentNews || (isNewer && fact.urgent);
+}
+
+// Failure: the table fails right after a change, and one probe a second with room for a few facts is all that tells the
+// others. It shows as hosts that work under the old text for minutes. A push is a probe to a random host that nobody
+// waits for: its answer brings that host's news back.
+void Membership::pushUrgent(std::vector<ProbeMessage> &out)
+{
+    if (!this->hasUrgentNews || this->peers.empty()) {
+        return;
+    }
+    this->hasUrgentNews = false;
+    std::vector<HostId> targets;
+    for (const auto &[host, peer] : this->peers) {
+        targets.push_back(host);
+    }
+    std::shuffle(targets.begin(), targets.end(), this->random);
+    targets.resize(std::min(targets.size(), static_cast<std::size_t>(this->options.urgentPushes)));
+    for (const HostId &target : targets) {
+        out.push_back(this->message(ProbeKind::Probe, target, ++this->lastSequence));
+    }
 }
 
 void Membership::leave()
--- a/promise/membership.h
+++ b/promise/membership.h
@@ -7,7 +7,8 @@
 //     for (const ProbeMessage &m : membership.tick(now)) { send(m); }   // every few tens of milliseconds
 //     for (const ProbeMessage &m : membership.onMessage(in, now)) { send(m); }
 //     membership.publish("cell/motor-7b/athens", version, bytes, now); // newest version spreads to all
-//     membership.facts(); membership.members(); membership.reach();
+//     membership.publishUrgent("config", version, bytes, now);         // pushed on at once, by every host that hears
+//     it membership.facts(); membership.members(); membership.reach();
 //
 // Messages go to `to`; the address stands in the member. Start with an incarnation that grows over restarts (seconds of
 // the Unix epoch), so that a new process is believed over what is said of the old one.
@@ -47,6 +48,9 @@
         // Every rumour is sent retransmit * log2(hosts) times by each host that hears it. Two cover one lost packet in
         // two; what is missed all the same comes in turn, in the room that rumours leave.
         int retransmit = 2;
+        // Hosts that are told at once when an urgent fact turns newer. Each tells as many, so 340 hosts have it after
+        // some five hops; a few hundred changes a day cost nothing.
+        int urgentPushes = 3;
         // The two-year fleet and a margin; more are ignored.
         std::size_t mostMembers = 1024;
         FactBoard::Options facts;
@@ -64,6 +68,7 @@
     std::vector<ProbeMessage> onMessage(const ProbeMessage &message, Instant now);
     // Ignored where the version is not higher than the one held.
     void publish(const std::string &name, std::uint64_t version, std::string bytes, Instant now);
+    void publishUrgent(const std::string &name, std::uint64_t version, std::string bytes, Instant now);
     // Says to all that this host leaves. There is no way back but a new process.
     void leave();
 
@@ -98,12 +103,15 @@
 
     ProbeMessage message(ProbeKind kind, const HostId &to, std::uint64_t sequence);
     void fill(ProbeMessage &message);
+    void fillUrgent(ProbeMessage &message, std::size_t &room);
     void fillRumours(ProbeMessage &message, std::size_t &room);
     void fillInTurn(ProbeMessage &message, std::size_t &room);
     bool fillMemberInTurn(ProbeMessage &message, std::size_t &room);
     int timesToSend() const;
     void apply(const MemberInfo &info, Instant now);
     void applySelf(const MemberInfo &info);
+    void applyFact(const Fact &fact, Instant now);
+    void pushUrgent(std::vector<ProbeMessage> &out);
     void onAck(const ProbeMessage &ack, std::vector<ProbeMessage> &out);
     void onIndirectProbe(const ProbeMessage &request, Instant now, std::vector<ProbeMessage> &out);
     void setState(Peer &peer, MemberState state, Instant now);
@@ -127,6 +135,7 @@
     Instant nextProbe;
     Instant lastTick;
     std::uint64_t lastSequence = 0;
+    bool hasUrgentNews = false; // not yet pushed on
     HostId memberTurn; // the last member that was sent in turn
 };
 
--- a/promise/membershipmessages.cpp
+++ b/promise/membershipmessages.cpp
@@ -36,10 +36,22 @@
         used += sizeOf(info);
     }
     std::size_t room = most > used ? most - used : 0;
+    this->fillUrgent(message, room);
     this->fillRumours(message, room);
     this->fillInTurn(message, room);
 }
 
+void Membership::fillUrgent(ProbeMessage &message, std::size_t &room)
+{
+    for (const Fact &fact : this->board.urgent()) {
+        const std::size_t size = sizeOf(fact);
+        if (size <= room) {
+            room -= size;
+            message.facts.push_back(fact);
+        }
+    }
+}
+
 // What was passed on least goes first; members before facts.
 void Membership::fillRumours(ProbeMessage &message, std::size_t &room)
 {
--- a/promise/probemessage.h
+++ b/promise/probemessage.h
@@ -34,6 +34,9 @@
     std::string name;
     std::uint64_t version = 0;
     std::string bytes;
+    // Rides on every message and is pushed on at once. For the version of the declaration alone: each takes its bytes
+    // from everything else.
+    bool urgent = false;
 };
 
 enum class ProbeKind {
--- a/promise/testing/membership_test.cpp
+++ b/promise/testing/membership_test.cpp
@@ -215,6 +215,37 @@
     }
 }
 
+// The platform's table fails right after a change was accepted, and the hosts that have read it must tell the others.
+// The summaries of 48 cells, new every second, fill every message; without a place of its own the version of the
+// declaration stays behind them, and hosts go on under the old text for minutes.
+TEST(Membership, AnUrgentFactOvertakesTheSummariesOf48Cells)
+{
+    for (const int size : {9, 36, 340}) {
+        Fleet fleet(size, 11, 0.05);
+        int round = 0;
+        const auto runSeconds = [&](int seconds) {
+            for (int second = 0; second < seconds; ++second) {
+                ++round;
+                for (int cell = 0; cell < 48; ++cell) {
+                    fleet.hosts[cell % size]->publish("cell/" + std::to_string(cell), round, std::string(24, 'x'),
+                                                      fleet.now);
+                }
+                fleet.run(1s);
+            }
+        };
+        runSeconds(20);
+        fleet.hosts[0]->publishUrgent("config", 7, "10.0.0.1:7000", fleet.now);
+        runSeconds(3);
+        for (const auto &host : fleet.hosts) {
+            const auto facts = host->facts();
+            const auto isConfig = [](const Fact &fact) {
+                return fact.name == "config" && fact.version == 7;
+            };
+            EXPECT_EQ(std::count_if(facts.begin(), facts.end(), isConfig), 1) << size << " " << host->self().host;
+        }
+    }
+}
+
 TEST(CellOwner, OnlyTheCellsOfALeavingHostMove)
 {
     std::vector<HostId> hosts;
--- a/wire/probecodec.cpp
+++ b/wire/probecodec.cpp
@@ -35,6 +35,7 @@
     NameField,
     VersionField,
     BytesField,
+    UrgentField,
     FactFieldCount,
 };
 
@@ -77,7 +78,7 @@
 Json toJson(const Fact &fact)
 {
     const auto *const data = reinterpret_cast<const std::uint8_t *>(fact.bytes.data());
-    return Json::array({fact.name, fact.version, Json::binary({data, data + fact.bytes.size()})});
+    return Json::array({fact.name, fact.version, Json::binary({data, data + fact.bytes.size()}), fact.urgent});
 }
 
 MemberInfo memberOf(const Json &item)
@@ -99,7 +100,8 @@
         throw WireError("bytes were expected");
     }
     const auto &bytes = item[BytesField].get_binary();
-    return Fact{textOf(item[NameField]), unsignedOf(item[VersionField]), std::string(bytes.begin(), bytes.end())};
+    return Fact{textOf(item[NameField]), unsignedOf(item[VersionField]), std::string(bytes.begin(), bytes.end()),
+                item[UrgentField].get_ref<const Json::boolean_t &>()};
 }
 
 } // namespace
