Name the workspace when an endpoint is asked for a result

Cause: GET /results/KEY went out without X-Workspace, which docs/ARCHITECTURE.md promises. An endpoint that keeps two workspaces' equal keys apart then answered 404 for a booking that ran, and its caller was left with outcome_unknown; one that does not keep them apart could have answered with another workspace's booking. It showed once the stand-in kept them apart.

Measured: test_a_lost_reply_is_not_run_again fails before with the strict stand-in (504 outcome_unknown) and passes after.

--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -186,7 +186,9 @@
 AttemptEvent LedgerDuty::queryResult(const LedgerJob &job, const asio::yield_context &yield)
 {
     bool isAbsent = !job.endpoints.empty();
-    const HttpRequest request{"GET", "/results/" + percentEncode(job.call.idempotencyKey)};
+    HttpRequest request{"GET", "/results/" + percentEncode(job.call.idempotencyKey)};
+    // Two workspaces may choose the same key; the endpoint must answer for this one's.
+    request.headers.push_back({"X-Workspace", job.call.workspace.value()});
     for (const std::string &address : job.endpoints) {
         try {
             const HttpResponse response =
