--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,10 @@
 slopes: build
 	scripts/slopes.sh $(BUILD)
 
+# Three entry hosts, a mixed load, one entry killed; green only if nothing was lost or doubled.
+demo: build
+	scripts/demo.sh $(BUILD)
+
 install: build
 	cmake --install $(BUILD)
 
--- a/testing/fakeengine/application.cpp
+++ b/testing/fakeengine/application.cpp
@@ -18,6 +18,12 @@
 
 constexpr std::string_view resultsRoute = "/results/";
 
+// A key is its workspace's own: two workspaces may choose the same one.
+std::string resultName(const HttpRequest &request, const std::string &key)
+{
+    return request.header("x-workspace") + "\n" + key;
+}
+
 } // namespace
 
 Application::Application(const EngineOptions &options, FaultScript &faults)
@@ -50,6 +56,7 @@
     json listed = json::array();
     for (const Execution &execution : this->executions) {
         listed.push_back({{"key", execution.key},
+                          {"workspace", execution.workspace},
                           {"method", execution.method},
                           {"path", execution.path},
                           {"body_hash", execution.bodyHash},
@@ -63,8 +70,8 @@
     const std::string key = request.header("idempotency-key");
     const std::string hash = hexadecimal(XXH3_64bits(request.body.data(), request.body.size()));
     const auto time = std::chrono::steady_clock::now().time_since_epoch();
-    this->executions.push_back(
-        {key, request.method, request.path, hash, std::chrono::duration_cast<Microseconds>(time).count()});
+    this->executions.push_back({key, request.header("x-workspace"), request.method, request.path, hash,
+                                std::chrono::duration_cast<Microseconds>(time).count()});
     json answer{{"path", request.path}, {"method", request.method}};
     if (request.method != "GET") {
         answer["number"] = this->executions.size();
@@ -72,14 +79,15 @@
         answer["body_hash"] = hash;
     }
     if (!key.empty()) {
-        this->results[key] = answer.dump();
+        this->results[resultName(request, key)] = answer.dump();
     }
     return answer.dump();
 }
 
 void Application::answerResult(Exchange &exchange) const
 {
-    const auto found = this->results.find(exchange.request().path.substr(resultsRoute.size()));
+    const std::string key = exchange.request().path.substr(resultsRoute.size());
+    const auto found = this->results.find(resultName(exchange.request(), key));
     if (found == this->results.end()) {
         exchange.reply(404, R"({"error":"never_ran"})");
     } else {
--- a/testing/fakeengine/application.h
+++ b/testing/fakeengine/application.h
@@ -30,6 +30,7 @@
 private:
     struct Execution {
         std::string key;
+        std::string workspace;
         std::string method;
         std::string path;
         std::string bodyHash;
--- a/testing/fakeengine/decoder.cpp
+++ b/testing/fakeengine/decoder.cpp
@@ -67,9 +67,10 @@
     std::int64_t output = 0;
     std::uint64_t reader = 0; // number of the latest reader; older ones give way
     bool isAttached = false;
-    bool isStalled = false; // waits for memory
+    bool isStalled = false; // waits for memory; with no pieces it was preempted
+    SteadyTime readyAt; // after a preemption: when its context is read again
     bool isFinished = false;
-    bool isGone = false; // cancelled or given up
+    bool isGone = false; // cancelled
     SteadyTime idleSince = std::chrono::steady_clock::now();
 };
 
@@ -183,7 +184,11 @@
     this->forgetOld();
     auto stream = std::make_shared<Stream>(this->io, body);
     stream->pieces = contextPieces(stream->promptTokens, 1);
-    if (this->pieces + stream->pieces > this->options.pieces) {
+    const auto isPreempted = [](const StreamPointer &other) {
+        return other->isStalled && other->pieces == 0;
+    };
+    const bool isWaitedFor = std::any_of(this->writing.begin(), this->writing.end(), isPreempted);
+    if (isWaitedFor || this->pieces + stream->pieces > this->options.pieces) {
         return nullptr;
     }
     this->pieces += stream->pieces;
@@ -286,20 +291,24 @@
 void Decoder::step()
 {
     if (!this->faults.isFrozen()) {
-        std::size_t advanced = 0;
+        bool isAllStalled = true;
         for (const StreamPointer &stream : this->writing) {
-            if (stream->isGone || !this->grow(*stream)) {
+            if (stream->isGone) {
+                continue;
+            }
+            const bool hasGrown = this->grow(*stream);
+            isAllStalled = isAllStalled && stream->isStalled;
+            if (!hasGrown) {
                 continue;
             }
-            ++advanced;
             ++stream->output;
             if (stream->output >= stream->maxTokens) {
                 this->finish(stream);
             }
             stream->waker.wake();
         }
-        if (advanced == 0) {
-            this->failYoungestWaiting();
+        if (isAllStalled) {
+            this->preemptYoungest();
         }
         const auto isOver = [](const StreamPointer &stream) {
             return stream->isGone || stream->isFinished;
@@ -311,23 +320,28 @@
 
 bool Decoder::grow(Stream &stream)
 {
+    const auto now = std::chrono::steady_clock::now();
     const std::int64_t more = contextPieces(stream.promptTokens, stream.output + 1) - stream.pieces;
     stream.isStalled = more > 0 && this->pieces + more > this->options.pieces;
     if (!stream.isStalled && more > 0) {
+        if (stream.pieces == 0) {
+            stream.readyAt =
+                now + this->options.scaled(this->options.promptToken * (stream.promptTokens + stream.output));
+        }
         stream.pieces += more;
         this->pieces += more;
     }
-    return !stream.isStalled;
+    return !stream.isStalled && stream.readyAt <= now;
 }
 
-void Decoder::failYoungestWaiting()
+void Decoder::preemptYoungest()
 {
     const auto isWaiting = [](const StreamPointer &stream) {
-        return stream->isStalled && !stream->isGone;
+        return stream->isStalled && stream->pieces > 0;
     };
     const auto youngest = std::find_if(this->writing.rbegin(), this->writing.rend(), isWaiting);
     if (youngest != this->writing.rend()) {
-        this->cancel((*youngest)->id);
+        this->release(**youngest);
     }
 }
 
--- a/testing/fakeengine/decoder.h
+++ b/testing/fakeengine/decoder.h
@@ -53,7 +53,7 @@
     void scheduleStep();
     void step();
     bool grow(Stream &stream);
-    void failYoungestWaiting();
+    void preemptYoungest();
     void release(Stream &stream);
     void finish(const StreamPointer &stream);
     void forgetOld();
--- a/testing/loadtool/caller.cpp
+++ b/testing/loadtool/caller.cpp
@@ -302,10 +302,11 @@
     if (record.kind == CallKind::Lookup) {
         return {"GET", options.lookupRoute + "/" + record.key, {}, {{"X-Workspace", record.workspace}}};
     }
-    return {"POST",
-            options.bookingRoute,
-            json{{"item", record.key}, {"workspace", record.workspace}}.dump(),
-            {{"X-Workspace", record.workspace}, {"Idempotency-Key", record.key}}};
+    std::map<std::string, std::string> headers{{"X-Workspace", record.workspace}, {"Idempotency-Key", record.key}};
+    if (this->mayHaveRun) {
+        headers["X-Repeat"] = "1";
+    }
+    return {"POST", options.bookingRoute, json{{"item", record.key}, {"workspace", record.workspace}}.dump(), headers};
 }
 
 Attempt Caller::beginAttempt(CallRecord &record, bool isResume)
