Let only the last reader of a stream cancel it

Cancellations now name the reader they speak for, also those of orphans, whose reader is that of the engine's list; the stand-in engine answers 409 other_reader, which settles the cancellation.

--- a/programs/entry/canceller.cpp
+++ b/programs/entry/canceller.cpp
@@ -43,7 +43,7 @@
             continue;
         }
         try {
-            this->services.engines.cancel(task.address, task.stream, yield);
+            this->services.engines.cancel(task.address, task.stream, this->services.settings.host, yield);
             step = cancellation.onConfirmed();
         } catch (const EngineError &) {
             step = cancellation.onFailed(steadyNow());
--- a/programs/scheduler/celldirector.cpp
+++ b/programs/scheduler/celldirector.cpp
@@ -214,8 +214,12 @@
         return;
     }
     OrphanFinder &orphans = this->cells.at(cell->second).orphans;
+    std::map<StreamId, HostId> readers;
+    for (const EngineStream &stream : event.streams) {
+        readers[stream.stream] = stream.entry;
+    }
     for (const StreamId &stream : orphans.onStreams(event.engine, event.streams, now)) {
-        this->outputs.emplace_back(CancelStream{event.engine, stream});
+        this->outputs.emplace_back(CancelStream{event.engine, stream, readers[stream]});
     }
 }
 
--- a/programs/scheduler/directormessages.h
+++ b/programs/scheduler/directormessages.h
@@ -72,6 +72,7 @@
 struct CancelStream {
     EngineId engine;
     StreamId stream;
+    HostId reader; // the entry that last read it, as the engine's list said
 };
 
 struct OrderRole {
--- a/programs/scheduler/engineduty.cpp
+++ b/programs/scheduler/engineduty.cpp
@@ -122,7 +122,7 @@
     void cancel(const CancelStream &cancel, const std::string &address, const asio::yield_context &yield)
     {
         try {
-            this->client.cancel(address, cancel.stream, yield);
+            this->client.cancel(address, cancel.stream, cancel.reader, yield);
             Log::info("orphan_cancelled", {{"stream", cancel.stream.value()}, {"engine", cancel.engine.value()}});
         } catch (const EngineError &failed) {
             Log::warning(
--- a/programs/scheduler/testing/celldirector_test.cpp
+++ b/programs/scheduler/testing/celldirector_test.cpp
@@ -115,6 +115,7 @@
         std::vector<StreamId> cancelled;
         for (const DirectorOutput &output : this->outputs()) {
             if (const auto *cancel = std::get_if<CancelStream>(&output)) {
+                EXPECT_EQ(cancel->reader, entryHost);
                 cancelled.push_back(cancel->stream);
             }
         }
--- a/testing/fakeengine/decoder.cpp
+++ b/testing/fakeengine/decoder.cpp
@@ -115,6 +115,12 @@
     this->write(stream, std::max<std::int64_t>(exchange.request().number("from", 0), 0), exchange);
 }
 
+bool Decoder::isReadByOther(const std::string &id, const std::string &entry) const
+{
+    const auto found = this->streams.find(id);
+    return found != this->streams.end() && !entry.empty() && found->second->entry != entry;
+}
+
 bool Decoder::cancel(const std::string &id)
 {
     const StreamPointer stream = this->find(id);
--- a/testing/fakeengine/decoder.h
+++ b/testing/fakeengine/decoder.h
@@ -30,6 +30,8 @@
     void resume(Exchange &exchange, const std::string &id);
     // False where there is no such stream.
     bool cancel(const std::string &id);
+    // Whether an entry other than this one was the last to read the stream; false where none is named.
+    bool isReadByOther(const std::string &id, const std::string &entry) const;
     // Wakes the writers of all streams, so that they see a new script of faults.
     void wakeAll();
 
--- a/testing/fakeengine/engine.cpp
+++ b/testing/fakeengine/engine.cpp
@@ -107,6 +107,8 @@
     const std::string id = exchange.request().path.substr(streamRoute.size());
     if (exchange.request().method != "DELETE") {
         this->decoder.resume(exchange, id);
+    } else if (this->decoder.isReadByOther(id, exchange.request().parameter("entry", ""))) {
+        exchange.reply(409, R"({"error":"other_reader"})");
     } else if (this->decoder.cancel(id)) {
         exchange.reply(200, R"({"state":"cancelled"})");
     } else {
--- a/testing/process/test_fakeengine.py
+++ b/testing/process/test_fakeengine.py
@@ -87,6 +87,16 @@
         self.assertEqual(self.streams(), [])
         self.assertEqual(call("DELETE", self.decode, "/v1/streams/s1")[0], 404)
 
+    def test_only_the_last_reader_cancels(self):
+        self.fault(self.decode, cut_after=1)
+        read_lines(self.write("s1", output=ENDLESS)[1])
+        connection, _ = open_stream(self.decode, "GET", "/v1/streams/s1?from=0&entry=h2")
+        self.addCleanup(connection.close)
+        refused = call("DELETE", self.decode, "/v1/streams/s1?entry=h1")
+        self.assertEqual(refused, (409, {"error": "other_reader"}))
+        self.assertEqual(len(self.streams()), 1)
+        self.assertEqual(call("DELETE", self.decode, "/v1/streams/s1?entry=h2")[0], 200)
+
     def test_memory_is_limited(self):
         self.assertEqual(self.write("s1", tokens=80000, output=ENDLESS)[1].status, 200)
         self.assertEqual(self.write("s2", tokens=4000)[1].status, 503)
--- a/wire/engineclient.cpp
+++ b/wire/engineclient.cpp
@@ -20,6 +20,7 @@
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
 
 std::string describe(const EngineFault &fault)
 {
@@ -257,11 +258,20 @@
     return this->open(address, {"GET", target}, yield);
 }
 
-void EngineClient::cancel(const std::string &address, const StreamId &stream, const asio::yield_context &yield)
+// Failure: an entry that was frozen, or slow to notice that its caller has gone, cancels a stream that the caller has
+// resumed through another entry. It shows as an answer that stops in the middle. So a cancellation names the reader
+// that it speaks for; where another reads the stream by now, the engine refuses it, and nothing is left to do for this
+// one.
+void EngineClient::cancel(const std::string &address, const StreamId &stream, const HostId &reader,
+                          const asio::yield_context &yield)
 {
-    const HttpResponse response = this->call(address, {"DELETE", "/v1/streams/" + percentEncode(stream.value())},
-                                             {this->options.cancelDeadline, Reuse::Never}, yield);
-    if (response.status != statusOk && response.status != statusNotFound) {
+    const std::string target =
+        fmt::format("/v1/streams/{}?entry={}", percentEncode(stream.value()), percentEncode(reader.value()));
+    const HttpResponse response =
+        this->call(address, {"DELETE", target}, {this->options.cancelDeadline, Reuse::Never}, yield);
+    const bool isSettled =
+        response.status == statusOk || response.status == statusNotFound || response.status == statusConflict;
+    if (!isSettled) {
         throwFor(response.status, response.body);
     }
 }
--- a/wire/engineclient.h
+++ b/wire/engineclient.h
@@ -7,7 +7,7 @@
 //     DecodeStream stream = engines.decode("127.0.0.1:8202", decodeCall, yield);
 //     std::vector<DecodeLine> lines;
 //     while (stream.read(lines, 1s, yield)) { ... std::visit(...) each ... }
-//     engines.cancel("127.0.0.1:8202", decodeCall.stream, yield);
+//     engines.cancel("127.0.0.1:8202", decodeCall.stream, decodeCall.entry, yield);
 //
 // Every call throws EngineError.
 
@@ -179,8 +179,10 @@
     // Always on a new connection: the reason to resume may be that something forgot the old ones.
     DecodeStream resume(const std::string &address, const StreamId &stream, Offset from, const HostId &entry,
                         const asio::yield_context &yield);
-    // Returns once the engine has confirmed that the memory is free.
-    void cancel(const std::string &address, const StreamId &stream, const asio::yield_context &yield);
+    // Returns once the engine has confirmed that the memory is free, or that another entry than `reader` reads the
+    // stream.
+    void cancel(const std::string &address, const StreamId &stream, const HostId &reader,
+                const asio::yield_context &yield);
     std::vector<RunningStream> list(const std::string &address, const asio::yield_context &yield);
     EngineLoad load(const std::string &address, const asio::yield_context &yield);
     EngineCacheEvents cacheEvents(const std::string &address, std::int64_t after, const asio::yield_context &yield);
--- a/wire/testing/engineclient_test.cpp
+++ b/wire/testing/engineclient_test.cpp
@@ -82,15 +82,28 @@
     }
 }
 
+// A caller has resumed its stream through another entry, and the first one cancels late. The engine refuses; the first
+// entry must take that for the end of its duty and not ask again until it gives up.
+TEST(EngineClient, TakesAStreamOfAnotherReaderAsSettled)
+{
+    const ServedThread served({}, [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        reply.send(409, R"({"error":"other_reader"})", yield);
+    });
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        EngineClient engines(io, {});
+        EXPECT_NO_THROW(engines.cancel(served.address(), StreamId("s1"), HostId("athens-a"), yield));
+    });
+}
+
 TEST(EngineClient, TakesAnUnknownStreamAsCancelled)
 {
     const ServedThread served({}, [](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
-        EXPECT_EQ(call.target, "/v1/streams/s%2F1");
+        EXPECT_EQ(call.target, "/v1/streams/s%2F1?entry=athens-a");
         reply.send(404, R"({"error":"no_stream"})", yield);
     });
     runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
         EngineClient engines(io, {});
-        EXPECT_NO_THROW(engines.cancel(served.address(), StreamId("s/1"), yield));
+        EXPECT_NO_THROW(engines.cancel(served.address(), StreamId("s/1"), HostId("athens-a"), yield));
     });
 }
 
