Give an ownerless cell an owner elsewhere; read new resume keys at once; split the scheduler's long sources

A cell without a live scheduler near it now goes to a host elsewhere (test ACellWithoutASchedulerInItsDataCentreIsOwnedElsewhere). An entry that made the first resume keys used them only 500 ms later, and a stream begun in between could not be resumed; it now reads them back at once.

--- a/programs/entry/entryprogram.cpp
+++ b/programs/entry/entryprogram.cpp
@@ -3,10 +3,10 @@
 #include "programs/entry/shard.h"
 #include "wire/adminserver.h"
 #include "wire/clock.h"
+#include "wire/degradedmodes.h"
 #include "wire/log.h"
 
 #include <csignal>
-#include <ctime>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -34,43 +34,6 @@
     stopSignal = 1;
 }
 
-std::string timeText(std::chrono::system_clock::time_point time)
-{
-    const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
-    std::tm broken{};
-    gmtime_r(&seconds, &broken);
-    return fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}Z", broken.tm_year + 1900, broken.tm_mon + 1, broken.tm_mday,
-                       broken.tm_hour, broken.tm_min, broken.tm_sec);
-}
-
-// Ways in which this entry does less than it should, and since when.
-class DegradedModes
-{
-public:
-    void set(const std::string &mode, bool isOn)
-    {
-        const std::lock_guard<std::mutex> lock(this->mutex);
-        if (!isOn) {
-            this->since.erase(mode);
-            return;
-        }
-        this->since.emplace(mode, std::chrono::system_clock::now());
-    }
-    nlohmann::json json() const
-    {
-        const std::lock_guard<std::mutex> lock(this->mutex);
-        nlohmann::json list = nlohmann::json::array();
-        for (const auto &[mode, time] : this->since) {
-            list.push_back({{"mode", mode}, {"since", timeText(time)}});
-        }
-        return list;
-    }
-
-private:
-    mutable std::mutex mutex;
-    std::map<std::string, std::chrono::system_clock::time_point> since; // the modes named in tellModes()
-};
-
 Draining::Options drainOptions(const EntrySettings &settings)
 {
     Draining::Options options;
@@ -215,7 +178,7 @@
                                        {"version", view->version.value()},
                                        {"state", this->state.isDraining() ? "draining" : phase},
                                        {"cells", cells},
-                                       {"degraded", this->modes.json()},
+                                       {"degraded", toJson(this->modes)},
                                        {"requests", this->state.inProgress()}};
         return status.dump();
     }
--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -219,14 +219,27 @@
     }
 }
 
+// The first entry of a new deployment makes the keys; of several, one insert wins and all read that one.
+void LedgerDuty::insertKeys(const asio::yield_context &yield)
+{
+    try {
+        this->platform.commit({RowWrite::put(resumeKeyRow, newKeys(), RowVersion(0))}, yield);
+    } catch (const PlatformError &error) {
+        if (!std::holds_alternative<Conflict>(error.fault())) {
+            throw;
+        }
+    }
+}
+
 void LedgerDuty::readKeys(const asio::yield_context &yield)
 {
     try {
-        const auto row = this->platform.get(resumeKeyRow, yield);
+        auto row = this->platform.get(resumeKeyRow, yield);
+        if (!row) {
+            this->insertKeys(yield);
+            row = this->platform.get(resumeKeyRow, yield);
+        }
         if (!row) {
-            // The first entry of a new deployment makes the key; of several, one insert wins and the next read finds
-            // it.
-            this->platform.commit({RowWrite::put(resumeKeyRow, newKeys(), RowVersion(0))}, yield);
             return;
         }
         auto tokens = ResumeTokens::create(decodeKeys(row->value));
--- a/programs/entry/ledgerduty.h
+++ b/programs/entry/ledgerduty.h
@@ -52,6 +52,7 @@
     AttemptEvent send(const attempt_action::Send &send, const LedgerJob &job, const asio::yield_context &yield);
     AttemptEvent queryResult(const LedgerJob &job, const asio::yield_context &yield);
     void keepKeys(const asio::yield_context &yield);
+    void insertKeys(const asio::yield_context &yield);
     void readKeys(const asio::yield_context &yield);
 
     EntryState &state;
--- a/programs/scheduler/cellboard.cpp
+++ b/programs/scheduler/cellboard.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <map>
+#include <optional>
 
 // A summary is a CBOR array of five numbers, some 20 bytes, so that the summaries of 48 cells ride on probes within
 // the bandwidth of membership. A cell without a summary is listed as accepting with no delay: its owner, asked, knows.
@@ -45,6 +46,26 @@
     return facts;
 }
 
+std::vector<HostId> liveHostsOf(const Membership &membership)
+{
+    std::vector<HostId> hosts;
+    for (const MemberInfo &member : membership.members()) {
+        if (member.state == MemberState::Alive || member.state == MemberState::Suspect) {
+            hosts.push_back(member.host);
+        }
+    }
+    return hosts;
+}
+
+// Failure: every scheduler of a data centre is gone while its engines run on. It shows as a cell without an owner:
+// placing is degraded and nobody cancels what its dead entries left in the engines. Then a host elsewhere owns it, some
+// milliseconds further from its engines.
+std::optional<HostId> ownerOf(const CellId &cell, const Membership &membership)
+{
+    const auto near = cellOwner(cell, membership.owners(cell.dataCentre));
+    return near ? near : cellOwner(cell, liveHostsOf(membership));
+}
+
 void fill(peer::CellNews &news, const std::string &bytes)
 {
     const auto summary = CellBoard::decode(bytes);
@@ -68,7 +89,7 @@
     for (const CellId &cell : cellsOf(declaration)) {
         peer::CellNews news;
         news.cell = cell;
-        const auto owner = cellOwner(cell, membership.owners(cell.dataCentre));
+        const auto owner = ownerOf(cell, membership);
         if (owner) {
             news.owner = *owner;
             const auto address = addresses.find(*owner);
--- a/programs/scheduler/peerduty.cpp
+++ b/programs/scheduler/peerduty.cpp
@@ -1,6 +1,8 @@
 #include "programs/scheduler/peerduty.h"
 
 #include "programs/scheduler/cellboard.h"
+#include "programs/scheduler/configfetcher.h"
+#include "programs/scheduler/livehosts.h"
 #include "wire/clock.h"
 #include "wire/log.h"
 #include "wire/ring.h"
@@ -9,7 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
-#include <map>
 #include <mutex>
 #include <random>
 
@@ -32,44 +33,10 @@
 namespace asio = boost::asio;
 
 constexpr const char *configFact = "config";
-// A host to fetch from that has not answered by then is given up; another is asked.
-constexpr Duration fetchLimit = 2s;
-// Fetches at once: one for the version wanted, and those that a starting host needs.
-constexpr std::size_t mostFetches = 4;
 constexpr Duration fetchPause = 200ms;
 constexpr Duration ownershipEvery = 200ms;
 constexpr Duration overloadRetry = 500ms;
 
-struct Fetch {
-    HostId host;
-    Instant since;
-};
-
-MemberInfo memberOf(const PlatformHost &host)
-{
-    MemberInfo member;
-    member.host = host.host;
-    member.dataCentre = host.dataCentre;
-    member.address = host.scheduler;
-    member.state = host.state == HostState::Leaving ? MemberState::Leaving : MemberState::Alive;
-    return member;
-}
-
-MemberInfo memberOf(const peer::LiveHost &host)
-{
-    MemberInfo member;
-    member.host = host.host;
-    member.dataCentre = host.dataCentre;
-    member.address = host.schedulerAddress;
-    member.state = host.leaving ? MemberState::Leaving : MemberState::Alive;
-    return member;
-}
-
-bool isLive(const MemberInfo &member)
-{
-    return member.state != MemberState::Dead;
-}
-
 MemberInfo selfInfo(const PeerDuty::Options &options)
 {
     MemberInfo self;
@@ -81,11 +48,6 @@
     return self;
 }
 
-bool sameHosts(const std::vector<peer::LiveHost> &a, const std::vector<peer::LiveHost> &b)
-{
-    return peer::encodeMessage(peer::LiveHosts{a}) == peer::encodeMessage(peer::LiveHosts{b});
-}
-
 } // namespace
 
 struct PeerDuty::Impl {
@@ -117,6 +79,8 @@
             throw WireError(made.error());
         }
         this->node = std::move(*made);
+        this->fetcher = std::make_unique<ConfigFetcher>(
+            *this->node, peer::Hello{this->options.host, this->options.dataCentre, false});
         auto socket = ProbeSocket::create(this->node->context(), this->options.address,
                                           [this](const ProbeMessage &probe) { this->onProbe(probe); });
         if (!socket) {
@@ -131,7 +95,7 @@
     void start()
     {
         for (const std::string &seed : this->options.seeds) {
-            this->fetchFrom(HostId(seed), seed);
+            this->fetcher->fetch(HostId(seed), seed, steadyNow());
         }
         asio::post(this->node->context(), [this] { this->tick(); });
         this->node->start();
@@ -142,7 +106,7 @@
         const Instant now = steadyNow();
         this->sendProbes(this->membership.tick(now));
         this->store.onReach(this->membership.reach(), now);
-        this->dropOldFetches(now);
+        this->fetcher->dropOld(now);
         this->fetchWhatIsMissing(now);
         this->tellPendingClosed();
         if (now >= this->nextOwnership) {
@@ -191,11 +155,7 @@
 
     void handle(const HostList &list)
     {
-        std::vector<MemberInfo> hosts;
-        for (const PlatformHost &host : list.hosts) {
-            hosts.push_back(memberOf(host));
-        }
-        this->membership.onHostList(hosts, steadyNow());
+        this->membership.onHostList(membersOf(list.hosts), steadyNow());
     }
 
     void handle(const PublishSummary &summary)
@@ -240,18 +200,13 @@
     void onOpened(LinkId link)
     {
         ++this->links;
-        if (this->fetches.count(link) != 0) {
-            this->node->send(link, peer::Hello{this->options.host, this->options.dataCentre, false});
-            this->node->send(link, peer::FetchConfig{});
-        }
+        this->fetcher->onOpened(link);
     }
 
     void onClosed(LinkId link)
     {
         --this->links;
-        if (this->fetches.erase(link) != 0) {
-            this->node->disconnect(link);
-        }
+        this->fetcher->onClosed(link);
         if (this->entries.erase(link) != 0 && !this->decide(LinkClosed{link})) {
             this->pendingClosed.push_back(link);
         }
@@ -267,7 +222,7 @@
     void onReceived(LinkId link, peer::Message message)
     {
         if (std::holds_alternative<peer::FetchConfig>(message)) {
-            this->node->send(link, peer::LiveHosts{this->liveHosts()});
+            this->node->send(link, peer::LiveHosts{liveHostsOf(this->membership)});
             this->node->send(link, this->configInForce(true));
         } else if (const auto *hosts = std::get_if<peer::LiveHosts>(&message)) {
             this->onLiveHosts(*hosts);
@@ -296,7 +251,7 @@
             this->onDeciderFull(link, asked);
         } else if (isNew) {
             this->node->send(link, this->configInForce(true));
-            this->node->send(link, peer::LiveHosts{this->liveHosts()});
+            this->node->send(link, peer::LiveHosts{liveHostsOf(this->membership)});
             this->node->send(link, peer::AllCells{this->board.news()});
         }
     }
@@ -317,50 +272,21 @@
 
     void onLiveHosts(const peer::LiveHosts &live)
     {
-        std::vector<MemberInfo> hosts;
-        for (const peer::LiveHost &host : live.hosts) {
-            hosts.push_back(memberOf(host));
-        }
-        this->membership.onHostList(hosts, steadyNow());
+        this->membership.onHostList(membersOf(live.hosts), steadyNow());
     }
 
     void onFetched(LinkId link, const peer::ConfigInForce &config)
     {
-        const auto fetch = this->fetches.find(link);
-        if (fetch == this->fetches.end()) {
-            return;
-        }
-        const HostId host = fetch->second.host;
-        this->fetches.erase(fetch);
-        this->node->disconnect(link);
+        const std::optional<HostId> host = this->fetcher->take(link);
         const auto record = decodeConfigRecord(config.record);
-        if (!record || !config.serving) {
+        if (!host || !record || !config.serving) {
             return;
         }
-        if (this->store.onPeerRecord(host, *record, steadyNow())) {
+        if (this->store.onPeerRecord(*host, *record, steadyNow())) {
             this->putInForce("peer");
         }
     }
 
-    void fetchFrom(const HostId &host, const std::string &address)
-    {
-        if (address.empty() || this->fetches.size() >= mostFetches) {
-            return;
-        }
-        this->fetches[this->node->connect(address)] = Fetch{host, steadyNow()};
-    }
-
-    void dropOldFetches(Instant now)
-    {
-        for (auto fetch = this->fetches.begin(); fetch != this->fetches.end();) {
-            const bool isOld = now - fetch->second.since > fetchLimit;
-            if (isOld) {
-                this->node->disconnect(fetch->first);
-            }
-            fetch = isOld ? this->fetches.erase(fetch) : std::next(fetch);
-        }
-    }
-
     void fetchWhatIsMissing(Instant now)
     {
         if (now < this->nextFetch) {
@@ -369,7 +295,7 @@
         this->nextFetch = now + fetchPause;
         for (const Fact &fact : this->membership.facts()) {
             if (fact.name == configFact && fact.version > static_cast<std::uint64_t>(this->store.version().value())) {
-                this->fetchFrom(HostId(fact.bytes), fact.bytes);
+                this->fetcher->fetch(HostId(fact.bytes), fact.bytes, steadyNow());
             }
         }
         if (this->store.service(now) != ConfigService::Serving || this->store.wanted()) {
@@ -381,13 +307,13 @@
     {
         std::vector<MemberInfo> others;
         for (const MemberInfo &member : this->membership.members()) {
-            if (member.host != this->options.host && isLive(member)) {
+            if (member.host != this->options.host && member.state != MemberState::Dead) {
                 others.push_back(member);
             }
         }
         if (!others.empty()) {
             const MemberInfo &chosen = others[this->random() % others.size()];
-            this->fetchFrom(chosen.host, chosen.address);
+            this->fetcher->fetch(chosen.host, chosen.address, steadyNow());
         }
     }
 
@@ -433,18 +359,6 @@
         return message;
     }
 
-    std::vector<peer::LiveHost> liveHosts() const
-    {
-        std::vector<peer::LiveHost> live;
-        for (const MemberInfo &member : this->membership.members()) {
-            if (isLive(member)) {
-                live.push_back(peer::LiveHost{member.host, member.dataCentre, member.address,
-                                              member.state == MemberState::Leaving});
-            }
-        }
-        return live;
-    }
-
     void refreshOwnership()
     {
         if (!this->declaration) {
@@ -454,7 +368,7 @@
             this->isDeclarationTold = this->decide(NewDeclaration{this->declaration});
         }
         this->board = CellBoard::build(*this->declaration, this->membership);
-        const auto live = this->liveHosts();
+        const auto live = liveHostsOf(this->membership);
         const auto owned = this->board.ownedBy(this->options.host);
         const bool isChanged = owned != this->toldOwned || !sameHosts(live, this->toldLive);
         if (!isChanged || !this->isDeclarationTold) {
@@ -515,7 +429,6 @@
     bool tableReachable = false;
     std::set<LinkId> entries;
     std::vector<LinkId> pendingClosed; // at most the links that were open
-    std::map<LinkId, Fetch> fetches;
     std::size_t links = 0;
     Instant nextOwnership;
     Instant nextNews;
@@ -525,6 +438,7 @@
     std::unique_ptr<Ring<PeerEvent>> ring;
     // Stopped before anything is destroyed; the socket and the timer live in its event loop.
     std::unique_ptr<PeerNode> node;
+    std::unique_ptr<ConfigFetcher> fetcher;
     std::unique_ptr<ProbeSocket> probes;
     std::unique_ptr<asio::steady_timer> timer;
 };
--- a/programs/scheduler/schedulerstatus.cpp
+++ b/programs/scheduler/schedulerstatus.cpp
@@ -46,15 +46,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-Json degradedModes(const DegradedModes &degraded)
-{
-    Json modes = Json::array();
-    for (const DegradedMode &mode : degraded.list()) {
-        modes.push_back({{"mode", mode.mode}, {"since", mode.since}});
-    }
-    return modes;
-}
-
 Json ownedCells(const HostId &self, const DirectorStatus &director)
 {
     Json cells = Json::array();
@@ -111,7 +102,7 @@
         {"data_centre", settings.dataCentre.value()},
         {"version", peers.version.value()},
         {"state", serviceName(peers.service, isDraining)},
-        {"degraded", degradedModes(degraded)},
+        {"degraded", toJson(degraded)},
         {"cells", ownedCells(settings.host, director)},
         {"owners", allOwners(peers)},
         {"members", allMembers(peers)},
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -23,7 +23,7 @@
 
 echo "== tests under address and undefined behaviour sanitizers"
 make --no-print-directory asan
-ctest --test-dir "$build-asan" --output-on-failure
+ctest --test-dir "$build-asan" --output-on-failure --parallel 4
 
 echo "== threaded parts under the thread sanitizer"
 make --no-print-directory tsan
--- a/wire/degradedmodes.cpp
+++ b/wire/degradedmodes.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/chrono.h>
 
+#include <nlohmann/json.hpp>
+
 namespace fescuesill
 {
 
@@ -37,4 +39,13 @@
     return modes;
 }
 
+nlohmann::json toJson(const DegradedModes &modes)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const DegradedMode &mode : modes.list()) {
+        list.push_back({{"mode", mode.mode}, {"since", mode.since}});
+    }
+    return list;
+}
+
 } // namespace fescuesill
--- a/wire/degradedmodes.h
+++ b/wire/degradedmodes.h
@@ -4,13 +4,14 @@
 //
 //     DegradedModes modes;
 //     modes.set("platform_unreachable", !isReachable);      // each time it is looked at
-//     status["degraded"] = modes.list();
+//     status["degraded"] = toJson(modes);
 //
 // Safe on any thread.
 
 #include <ctime>
 #include <map>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -34,4 +35,7 @@
     std::map<std::string, std::time_t> since; // as many as the program names
 };
 
+// A list of {"mode","since"}.
+nlohmann::json toJson(const DegradedModes &modes);
+
 } // namespace fescuesill
