--- a/programs/entry/degradedloads.cpp
+++ b/programs/entry/degradedloads.cpp
@@ -44,12 +44,7 @@
         const EngineLoad load = this->services.engines.load(engine.address, yield);
         const auto placer = this->services.degradedPlacers.find(cell);
         if (placer != this->services.degradedPlacers.end()) {
-            LoadReport report;
-            report.piecesUsed = load.piecesUsed;
-            report.queued = load.queued;
-            report.running = load.running;
-            report.age = load.age;
-            placer->second.onLoadReport(engine.id, report);
+            placer->second.onLoadReport(engine.id, loadReport(load));
         }
     } catch (const EngineError &error) {
         Log::debug("engine_load_unread", {{"engine", engine.id.value()}, {"fault", error.what()}});
--- a/programs/scheduler/engineduty.cpp
+++ b/programs/scheduler/engineduty.cpp
@@ -30,17 +30,6 @@
 constexpr std::size_t mostCancellations = 512;
 constexpr const char *prefillRole = "prefill";
 
-LoadReport reportOf(const EngineLoad &load)
-{
-    LoadReport report;
-    report.piecesUsed = load.piecesUsed;
-    report.running = load.running;
-    report.queued = load.queued;
-    report.age = load.age;
-    report.instance = load.instance;
-    return report;
-}
-
 CacheReported cacheReported(const EngineId &engine, const EngineCacheEvents &read, std::int64_t after)
 {
     CacheReported reported;
@@ -159,7 +148,7 @@
             try {
                 const EngineLoad load = this->client.load(address, yield);
                 failures = 0;
-                this->output(LoadReported{id, reportOf(load)});
+                this->output(LoadReported{id, loadReport(load)});
                 if (load.role == prefillRole) {
                     cacheSequence = this->readCacheEvents(id, address, cacheSequence, yield);
                 }
--- a/wire/engineclient.cpp
+++ b/wire/engineclient.cpp
@@ -200,6 +200,17 @@
     this->stream.close();
 }
 
+LoadReport loadReport(const EngineLoad &load)
+{
+    LoadReport report;
+    report.piecesUsed = load.piecesUsed;
+    report.running = load.running;
+    report.queued = load.queued;
+    report.age = load.age;
+    report.instance = load.instance;
+    return report;
+}
+
 EngineClient::EngineClient(asio::io_context &io, const Options &limits)
     : options(limits)
     , client(io, limits.http)
--- a/wire/engineclient.h
+++ b/wire/engineclient.h
@@ -11,6 +11,7 @@
 //
 // Every call throws EngineError.
 
+#include "decide/cellmessages.h"
 #include "fescuesill/ids.h"
 #include "wire/httpclient.h"
 
@@ -145,6 +146,9 @@
     std::string instance;
 };
 
+// As the deciders take it.
+LoadReport loadReport(const EngineLoad &load);
+
 struct EngineCacheEvent {
     std::int64_t sequence = 0;
     bool isAdded = true;
