Show nothing of a cell that has gone to another host

Found in the read-through: the gauges of a cell kept their last values on the host that lost it, so free memory and queues were counted on both.

--- a/programs/scheduler/schedulerstatus.cpp
+++ b/programs/scheduler/schedulerstatus.cpp
@@ -142,21 +142,41 @@
     this->probeSentBytes.Set(static_cast<double>(peers.traffic.sentBytes));
     this->probeReceivedBytes.Set(static_cast<double>(peers.traffic.receivedBytes));
     for (const auto &[id, cell] : director.cells) {
-        const Labels labels{{"model", id.model.value()}, {"data_centre", id.dataCentre.value()}};
-        this->cellRequests.Add(labels).Set(static_cast<double>(cell.requests));
-        this->cellFreePieces.Add(labels).Set(static_cast<double>(cell.summary.freePieces.value()));
-        this->cellQueueSeconds.Add(labels).Set(seconds(cell.summary.queueDelay));
-        this->cellRefused.Add(labels).Set(static_cast<double>(cell.counters.refused));
-        this->cellPlaced.Add(labels).Set(static_cast<double>(cell.counters.placed));
-        const auto wasted = [&](const char *cause, Tokens tokens) {
-            Labels withCause = labels;
-            withCause["cause"] = cause;
-            this->cellWasted.Add(withCause).Set(static_cast<double>(tokens.value()));
-        };
-        wasted("expired", cell.counters.wastedExpired);
-        wasted("redone", cell.counters.wastedRedone);
-        wasted("cancelled", cell.counters.wastedCancelled);
-        wasted("no_place", cell.counters.wastedNoPlace);
+        this->show(id, cell);
+    }
+    this->clearLostCells(director);
+}
+
+void SchedulerMetrics::show(const CellId &id, const CellStatus &cell)
+{
+    const Labels labels{{"model", id.model.value()}, {"data_centre", id.dataCentre.value()}};
+    this->cellRequests.Add(labels).Set(static_cast<double>(cell.requests));
+    this->cellFreePieces.Add(labels).Set(static_cast<double>(cell.summary.freePieces.value()));
+    this->cellQueueSeconds.Add(labels).Set(seconds(cell.summary.queueDelay));
+    this->cellRefused.Add(labels).Set(static_cast<double>(cell.counters.refused));
+    this->cellPlaced.Add(labels).Set(static_cast<double>(cell.counters.placed));
+    const auto wasted = [&](const char *cause, Tokens tokens) {
+        Labels withCause = labels;
+        withCause["cause"] = cause;
+        this->cellWasted.Add(withCause).Set(static_cast<double>(tokens.value()));
+    };
+    wasted("expired", cell.counters.wastedExpired);
+    wasted("redone", cell.counters.wastedRedone);
+    wasted("cancelled", cell.counters.wastedCancelled);
+    wasted("no_place", cell.counters.wastedNoPlace);
+    this->shown.insert(id);
+}
+
+// Failure: a cell goes to another host and its last figures stay here. It shows as free memory and queues counted
+// twice.
+void SchedulerMetrics::clearLostCells(const DirectorStatus &director)
+{
+    for (auto id = this->shown.begin(); id != this->shown.end();) {
+        const bool isLost = director.cells.count(*id) == 0;
+        if (isLost) {
+            this->show(*id, CellStatus());
+        }
+        id = isLost ? this->shown.erase(id) : std::next(id);
     }
 }
 
--- a/programs/scheduler/schedulerstatus.h
+++ b/programs/scheduler/schedulerstatus.h
@@ -13,6 +13,7 @@
 #include <prometheus/registry.h>
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace fescuesill
@@ -29,6 +30,9 @@
     void update(const PeerStatus &peers, const DirectorStatus &director);
 
 private:
+    void show(const CellId &id, const CellStatus &cell);
+    void clearLostCells(const DirectorStatus &director);
+
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Gauge &version;
     prometheus::Gauge &serving;
@@ -41,6 +45,7 @@
     prometheus::Family<prometheus::Gauge> &cellRefused;
     prometheus::Family<prometheus::Gauge> &cellPlaced;
     prometheus::Family<prometheus::Gauge> &cellWasted;
+    std::set<CellId> shown; // at most the cells of the declaration
 };
 
 } // namespace fescuesill
