Ask the seeds again for as long as no other host is known

Found in the read-through: a host asked its seeds once, for 2 s. Where all hosts start together while the platform is down, a seed that was not up then was never asked again and the hosts never found each other. Test ASeedThatIsNotUpYetIsAskedAgain: without the change no version within 30 s, when the trial was ended; with it, it passes, with the 17 others, three times over.

--- a/programs/scheduler/peerduty.cpp
+++ b/programs/scheduler/peerduty.cpp
@@ -94,9 +94,6 @@
 
     void start()
     {
-        for (const std::string &seed : this->options.seeds) {
-            this->fetcher->fetch(HostId(seed), seed, steadyNow());
-        }
         asio::post(this->node->context(), [this] { this->tick(); });
         this->node->start();
     }
@@ -303,6 +300,8 @@
         }
     }
 
+    // Failure: all hosts start together while the platform is down, and a seed that is asked once is not up yet. It
+    // shows as hosts that never find each other. So seeds are asked again for as long as no other host is known.
     void fetchFromAnyone()
     {
         std::vector<MemberInfo> others;
@@ -314,6 +313,9 @@
         if (!others.empty()) {
             const MemberInfo &chosen = others[this->random() % others.size()];
             this->fetcher->fetch(chosen.host, chosen.address, steadyNow());
+        } else if (!this->options.seeds.empty()) {
+            const std::string &seed = this->options.seeds[this->random() % this->options.seeds.size()];
+            this->fetcher->fetch(HostId(seed), seed, steadyNow());
         }
     }
 
--- a/programs/scheduler/testing/peerduty_test.cpp
+++ b/programs/scheduler/testing/peerduty_test.cpp
@@ -143,6 +143,25 @@
     EXPECT_EQ(starts->status().members.size(), 2U);
 }
 
+// All hosts start together while the platform is down: the seed that a host asks is not up yet, and was asked once
+// only. The host then knew nobody for good. It must ask again until somebody answers.
+TEST(PeerDuty, ASeedThatIsNotUpYetIsAskedAgain)
+{
+    const std::string first = freeAddress();
+    const std::string second = freeAddress();
+    auto early = startHost("b", second, {first});
+    early->push(TableFailed{});
+    constexpr auto longerThanAFetch = std::chrono::milliseconds(2500);
+    std::this_thread::sleep_for(longerThanAFetch);
+    auto late = startHost("a", first, {});
+    late->push(listOf({{"a", first}}));
+    late->push(TableConfig{recordOf(3)});
+    EXPECT_TRUE(eventually([&] {
+        early->push(TableFailed{});
+        return early->status().version == ConfigVersion(3);
+    }));
+}
+
 // A late reply of the table, or one restored from an old copy, brings a lower version. What is in force stays.
 TEST(PeerDuty, ALowerVersionIsNeverPutInForce)
 {
