Give tests addresses that no connection can take

The test took an address by binding port 0 and letting go of it; for 2.5 s the host under test then connected to that very port again and again, and tests ran in parallel. Ruled out: a fault of PeerDuty. The first line of the output is the failed expectation, the misaligned reads follow from dereferencing it.

--- a/programs/scheduler/testing/peerduty_test.cpp
+++ b/programs/scheduler/testing/peerduty_test.cpp
@@ -1,11 +1,11 @@
 #include "programs/scheduler/peerduty.h"
 
-#include <gtest/gtest.h>
+#include "testing/freeaddress.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
 
 #include <functional>
+#include <stdexcept>
 #include <thread>
 
 namespace fescuesill
@@ -13,8 +13,6 @@
 namespace
 {
 
-namespace asio = boost::asio;
-
 constexpr const char *text = R"([data_centre athens]
 region = attica
 
@@ -45,13 +43,6 @@
 // Long enough for a slow machine under a sanitizer; a test that passes never waits for it.
 constexpr auto patience = std::chrono::seconds(60);
 
-std::string freeAddress()
-{
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 bool eventually(const std::function<bool()> &condition)
 {
     const auto end = std::chrono::steady_clock::now() + patience;
@@ -86,7 +77,9 @@
     options.membership.ackWait = 50ms;
     options.config.startWait = 500ms;
     auto made = PeerDuty::create(options, [](DirectorEvent &&) { return true; });
-    EXPECT_TRUE(made);
+    if (!made) {
+        throw std::runtime_error("host " + name + " cannot listen on " + address);
+    }
     (*made)->start();
     return std::move(*made);
 }
--- a/testing/process/cluster.py
+++ b/testing/process/cluster.py
@@ -4,41 +4,18 @@
         cluster.start()
         status, reply = cluster.complete(cluster.hosts[0], "a log nonce=n1 .")
         cluster.hosts[1].entry.kill()
-
-Ports below the kernel's own range are tried until one is free, since the settings need them before a process starts.
 """
 
 import http.client
-import itertools
 import json
-import os
 import pathlib
-import socket
 import subprocess
 import tempfile
 
-from standin import Process, binary, call, wait_until
+from standin import Process, binary, call, free_address, wait_until
 
 DATA_CENTRES = ("athens", "piraeus", "marousi")
 MODEL = "motor-verdict-7b"
-FIRST_PORT, LAST_PORT = 24000, 31999
-ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
-for _ in range(os.getpid() * 37 % (LAST_PORT - FIRST_PORT)):
-    next(ports)
-
-
-def free_address():
-    """An address that nothing listens on, neither TCP nor UDP."""
-    for port in ports:
-        try:
-            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-                tcp.bind(("127.0.0.1", port))
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                udp.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
-        except OSError:
-            continue
-    raise AssertionError("no free port")
 
 
 def section(name, **keys):
--- a/testing/process/smallfleet.py
+++ b/testing/process/smallfleet.py
@@ -7,10 +7,9 @@
 import json
 import pathlib
 import shutil
-import socket
 import tempfile
 
-from standin import Process, binary, call, wait_until
+from standin import Process, binary, call, free_address, wait_until
 
 DECLARATION_HEAD = """
 [data_centre athens]
@@ -24,12 +23,6 @@
 """
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class SmallFleet:
     """Two prefill and some decode engines, two application servers, one platform, one scheduler, one entry."""
 
@@ -48,7 +41,7 @@
             )
         self.apps = {name: self.standin("fakeengine", "--app") for name in ("b1", "b2")}
         self.platform = self.standin("fakeplatform")
-        self.scheduler_peers, self.scheduler_admin = free_port(), free_port()
+        self.scheduler_peers, self.scheduler_admin = free_address(), free_address()
         self.scheduler = None
         self.entries = []
 
@@ -109,7 +102,7 @@
         return self.scheduler
 
     def start_entry(self, host="athens-a"):
-        callers, admin = free_port(), free_port()
+        callers, admin = free_address(), free_address()
         process = self.program(
             "entry",
             f"[process]\nhost = {host}\ndata_centre = athens\n[listen]\ncallers = {callers}\nadmin = {admin}\n"
--- a/testing/process/standin.py
+++ b/testing/process/standin.py
@@ -5,11 +5,13 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import pathlib
 import re
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -17,6 +19,27 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_SECONDS = 20
 WAIT_SECONDS = 30
+FIRST_PORT, LAST_PORT = 24000, 31999
+ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+for _ in range(os.getpid() * 37 % (LAST_PORT - FIRST_PORT)):
+    next(ports)
+
+
+def free_address():
+    """An address that nothing listens on, neither TCP nor UDP, for settings that need one before a process starts.
+
+    The port is below the kernel's own range: no connection leaves from it before it is listened on.
+    """
+    for port in ports:
+        try:
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
+                tcp.bind(("127.0.0.1", port))
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+                udp.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
+        except OSError:
+            continue
+    raise AssertionError("no free port")
 
 
 def binary(name):
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -1,5 +1,7 @@
 #include "wire/peernode.h"
 
+#include "testing/freeaddress.h"
+
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
@@ -19,14 +21,6 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-// A free port: bound by the kernel and given back at once.
-std::string freeAddress()
-{
-    asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 // What one node saw, to be waited for.
 struct Seen {
     std::promise<LinkId> opened;
