Give up a read at once when it is placed anew or its caller has gone

Cause: the entry looked at what the owner of the cell said only after its prefill call had ended. An engine that stalls with its connection open kept a request for up to 20 s after the owner had placed it anew (within a second), and an engine read on for a caller that had left. Ruled out: running the old call beside the new one and taking the first result, because the owner counts the old engine free of this prompt; a shorter deadline, because a long prompt in a full queue takes seconds. Change: CallAbort ends one HTTP call from outside its coroutine; PromptRead reads a prompt and gives it up on a second placing, a refusal or the caller's leaving. A place that crosses the end of the read on its way gives its decode engine. The contract says that an engine stops reading a prompt whose connection was closed; the stand-in does so. The test of the stalled read takes a refusal with not_run as an answer as well: on a busy machine the second placing can come too late for the class, and then the refusal at once is what is promised.

--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -4,15 +4,14 @@
 // with the very text that the caller has: two different answers are never spliced, the stream ends with an error
 // instead.
 //
-// Failure: a caller goes at any step. Whatever engine holds memory for it is told to stop until it confirms; a decode
-// whose start got no answer may be running as well and is cancelled too.
+// Failure: a caller goes at any step. A read under way is given up; whatever engine holds memory for it is told to stop
+// until it confirms; a decode whose start got no answer may be running as well and is cancelled too.
 
 #include "programs/entry/modelcall.h"
 
 #include "programs/entry/canceller.h"
 #include "wire/clock.h"
 #include "wire/log.h"
-#include "wire/refusaljson.h"
 
 namespace fescuesill
 {
@@ -78,6 +77,9 @@
 {
     this->isGone = true;
     this->placing.interrupt();
+    if (this->reading != nullptr) {
+        this->reading->giveUp();
+    }
     if (this->pump != nullptr) {
         this->pump->abandon();
     }
@@ -152,39 +154,64 @@
     this->decodeEngine = placed.decodeEngine;
     this->decodeAddress = placed.decodeAddress;
     this->placing.decoding(StreamId(), placed.decodeEngine, Tokens(0));
-    PrefillCall call;
-    call.request = this->id;
-    call.prompt = this->request.prompt;
-    call.promptTokens = this->request.promptTokens;
-    call.prefix = prefixHashes(this->request.prompt);
-    call.priority = this->serviceClass.rank;
-    try {
-        const PrefillAnswer answer = this->services.engines.prefill(placed.prefillAddress, call, yield);
-        this->isRead = true;
-        this->kv = answer.kv;
-        this->kvExpiry = steadyNow() + answer.keep - keepMargin;
-        this->placing.prefillDone(answer);
-    } catch (const EngineError &error) {
-        const bool isFull = std::holds_alternative<QueueFull>(error.fault());
-        Log::info("prefill_failed", {{"request", this->id.value()}, {"fault", error.what()}});
-        this->placing.prefillFailed(isFull ? PrefillFault::QueueFull : PrefillFault::Unreachable);
-        return Next::AskOwner;
+    const PromptRead::End end = this->read(placed.prefillAddress, yield);
+    if (const auto *fault = std::get_if<PrefillFault>(&end)) {
+        this->placing.prefillFailed(*fault);
+    }
+    const auto *answer = std::get_if<PrefillAnswer>(&end);
+    if (answer == nullptr) {
+        return Next::AskOwner; // given up: the owner has said how to go on, or the caller has gone
     }
+    this->isRead = true;
+    this->kv = answer->kv;
+    this->kvExpiry = steadyNow() + answer->keep - keepMargin;
+    this->placing.prefillDone(*answer);
     if (!placed.decodeReady) {
         this->awaitMemory(placed, yield);
     }
     return Next::Decode;
 }
 
+PromptRead::End ModelCall::read(const std::string &address, const asio::yield_context &yield)
+{
+    PromptRead read(this->services, this->id, this->request, this->serviceClass.rank);
+    // Neither may reach a read that is over, however it ends.
+    const auto forget = [this](PromptRead *) {
+        this->reading = nullptr;
+        this->placing.onSuperseded({});
+    };
+    const std::unique_ptr<PromptRead, decltype(forget)> watched(&read, forget);
+    this->reading = &read;
+    this->placing.onSuperseded([&read] { read.giveUp(); });
+    if (this->isGone) {
+        read.giveUp();
+    }
+    return read.run(address, yield);
+}
+
+// A place that comes while we wait was made because the read seemed stalled, just before its end was told. The result
+// is here, so only its decode place is taken. Without a word by the expiry the owner may have died; the engine itself
+// knows whether it has memory.
 void ModelCall::awaitMemory(const peer::Placed &placed, const asio::yield_context &yield)
 {
-    const auto answer = this->placing.wait(placed.expiry, yield);
-    const auto *start = answer ? std::get_if<peer::StartDecode>(&*answer) : nullptr;
-    if (start != nullptr) {
-        this->decodeEngine = start->decodeEngine;
-        this->decodeAddress = start->decodeAddress;
+    const Instant expiry = steadyNow() + placed.expiry;
+    bool isReady = false;
+    while (!isReady) {
+        const auto answer = this->placing.wait(expiry - steadyNow(), yield);
+        if (!answer || std::holds_alternative<peer::Refused>(*answer)) {
+            return;
+        }
+        if (const auto *start = std::get_if<peer::StartDecode>(&*answer)) {
+            this->decodeEngine = start->decodeEngine;
+            this->decodeAddress = start->decodeAddress;
+            isReady = true;
+        } else {
+            const auto &anew = std::get<peer::Placed>(*answer);
+            this->decodeEngine = anew.decodeEngine;
+            this->decodeAddress = anew.decodeAddress;
+            isReady = anew.decodeReady;
+        }
     }
-    // Without a word by the expiry the owner may have died; the engine itself knows whether it has memory.
 }
 
 bool ModelCall::isKvHeld() const
@@ -295,115 +322,4 @@
     return this->failDecode(DecodeFault::Unreachable);
 }
 
-void ModelCall::finishWhole(const asio::yield_context &yield)
-{
-    this->services.retries.onSuccess();
-    this->placing.finished(peer::RequestOutcome::Completed, this->sink.end.output);
-    this->count("completed");
-    if (this->sink.isStream) {
-        this->reply.finish(yield);
-        return;
-    }
-    const bool isCut = this->sink.end.output >= this->request.maxTokens;
-    this->reply.send(
-        200, this->writer.whole(this->sink.text, this->sink.end, isCut ? FinishReason::Length : FinishReason::Stop),
-        yield);
-}
-
-void ModelCall::finishMoved(const asio::yield_context &yield)
-{
-    // The stream goes on at its engine; whoever takes it over there reads from the token's place.
-    this->placing.finished(peer::RequestOutcome::Failed, Tokens(this->sink.delivered.count().value()));
-    this->count("moved");
-    std::string out;
-    const Offset last = this->sink.delivered.count() - Offset(1);
-    this->writer.moved(out, ResumeTokens::eventId(this->tokenPrefix(), last));
-    this->reply.write(out, yield);
-    this->reply.finish(yield);
-}
-
-void ModelCall::finishGone()
-{
-    if (this->isRead) {
-        this->services.metrics.onWasted(this->request.promptTokens, WasteCause::Cancelled);
-    }
-    this->count("cancelled");
-    if (this->stream.isEmpty()) {
-        this->placing.finished(peer::RequestOutcome::Cancelled, Tokens(0));
-        return;
-    }
-    this->cancelStream(peer::RequestOutcome::Cancelled);
-}
-
-// The owner hears that the memory is free only when the engine has confirmed it.
-void ModelCall::cancelStream(peer::RequestOutcome outcome)
-{
-    const auto seen = this->services.links.view();
-    const CellRoute *const route = seen->findRoute(this->placing.cell());
-    const auto owner = route != nullptr ? route->owner : std::nullopt;
-    const Tokens output(this->sink.delivered.count().value());
-    this->services.canceller->cancel({this->decodeAddress, this->stream,
-                                      [&links = this->services.links, owner, request = this->id, outcome, output] {
-                                          if (owner) {
-                                              links.send(*owner, peer::Finished{request, outcome, output});
-                                          }
-                                      }});
-}
-
-void ModelCall::refuse(const Refusal &refusal, const asio::yield_context &yield)
-{
-    if (this->isRead) {
-        this->services.metrics.onWasted(this->request.promptTokens, WasteCause::NoPlace);
-    }
-    const bool ran = this->sink.firstAt.has_value();
-    this->count(ran ? "failed" : "refused");
-    Refusal told = refusal;
-    if (ran && told.run == RunState::NotRun) {
-        told.run = RunState::MayHaveRun;
-    }
-    if (!this->sink.isStarted) {
-        this->reply.refuse(told, yield);
-        return;
-    }
-    std::string out;
-    this->writer.failed(out, refusalJson(told, this->id));
-    this->reply.write(out, yield);
-    this->reply.finish(yield);
-}
-
-void ModelCall::count(const char *outcome)
-{
-    ModelOutcome ended;
-    ended.name = outcome;
-    if (this->sink.firstAt) {
-        ended.firstToken = *this->sink.firstAt - this->arrival;
-        const std::int64_t steps = this->sink.delivered.count().value() - 1;
-        if (steps > 0) {
-            ended.perToken = (this->sink.lastAt - *this->sink.firstAt) / steps;
-        }
-    }
-    this->services.metrics.onModelEnd(this->service.id, this->serviceClass, ended);
-    Log::info("ended",
-              {{"request", this->id.value()},
-               {"service", this->service.id.value()},
-               {"outcome", outcome},
-               {"fragments", this->sink.delivered.count().value()},
-               {"degraded", this->placing.isDegraded()}});
-}
-
-std::string ModelCall::tokenPrefix() const
-{
-    const auto tokens = this->services.state.resumeTokens();
-    if (!tokens) {
-        return {};
-    }
-    ResumeGrant grant;
-    grant.engine = this->decodeEngine;
-    grant.stream = this->stream;
-    grant.request = this->id;
-    grant.workspace = this->workspace;
-    grant.expiry = sharedNow() + this->services.settings.resumeLimit;
-    return tokens->mint(grant);
-}
-
 } // namespace fescuesill
--- a/programs/entry/modelcall.h
+++ b/programs/entry/modelcall.h
@@ -7,6 +7,7 @@
 //     call.run(yield);
 
 #include "programs/entry/placing.h"
+#include "programs/entry/promptread.h"
 #include "programs/entry/streamids.h"
 #include "programs/entry/streampump.h"
 
@@ -35,6 +36,7 @@
     void serve(const asio::yield_context &yield);
     std::optional<Placing::Answer> ask(const asio::yield_context &yield);
     Next prefill(const peer::Placed &placed, const asio::yield_context &yield);
+    PromptRead::End read(const std::string &address, const asio::yield_context &yield);
     void awaitMemory(const peer::Placed &placed, const asio::yield_context &yield);
     Next decode(const asio::yield_context &yield);
     std::optional<DecodeStream> openDecode(const asio::yield_context &yield, std::optional<DecodeFault> &fault);
@@ -70,6 +72,7 @@
     KvId kv;
     Instant kvExpiry;
     int generations = 0;
+    PromptRead *reading = nullptr;
     StreamPump *pump = nullptr;
     bool isGone = false;
     bool isRead = false; // the prompt was read and its result not used yet
--- a/programs/entry/ownermailbox.cpp
+++ b/programs/entry/ownermailbox.cpp
@@ -49,6 +49,16 @@
     return message;
 }
 
+void OwnerMailbox::Box::watch(std::function<void(const peer::Message &)> arrived)
+{
+    this->watcher = std::move(arrived);
+    for (const peer::Message &message : this->messages) {
+        if (this->watcher) {
+            this->watcher(message);
+        }
+    }
+}
+
 void OwnerMailbox::Box::interrupt()
 {
     this->interrupted = true;
@@ -66,8 +76,12 @@
     if (found == this->boxes.end() || found->second->messages.size() >= mostMessages) {
         return;
     }
-    found->second->messages.push_back(std::move(message));
-    found->second->timer.cancel();
+    Box &box = *found->second;
+    box.messages.push_back(std::move(message));
+    box.timer.cancel();
+    if (box.watcher) {
+        box.watcher(box.messages.back());
+    }
 }
 
 void OwnerMailbox::onLinkLost(LinkId link)
--- a/programs/entry/ownermailbox.h
+++ b/programs/entry/ownermailbox.h
@@ -3,8 +3,8 @@
 // What the owners of cells say to the requests of one I/O thread.
 //
 //     OwnerMailbox::Box box(mailbox, request);                          // open until destroyed
-//     const std::optional<peer::Message> message = box.wait(5s, yield); // none: nothing came in time, or the link
-//     broke mailbox.put(request, message);                                    // from the thread's event handler
+//     const std::optional<peer::Message> message = box.wait(5s, yield); // none: nothing in time, or the link broke
+//     mailbox.put(request, message);                                    // from the thread's event handler
 
 #include "fescuesill/ids.h"
 #include "fescuesill/units.h"
@@ -14,6 +14,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <unordered_map>
 
@@ -34,6 +35,8 @@
         // Whose link breaking wakes the waiter.
         void expect(std::optional<LinkId> link);
         std::optional<peer::Message> wait(Duration limit, const asio::yield_context &yield);
+        // Sees each message as it arrives, and at once those that wait here already.
+        void watch(std::function<void(const peer::Message &)> arrived);
         // Ends a wait early, with nothing.
         void interrupt();
         bool isLinkLost() const;
@@ -46,6 +49,7 @@
         asio::steady_timer timer;
         std::optional<LinkId> link;
         std::deque<peer::Message> messages;
+        std::function<void(const peer::Message &)> watcher;
         bool lost = false;
         bool interrupted = false;
     };
--- a/programs/entry/placing.cpp
+++ b/programs/entry/placing.cpp
@@ -197,6 +197,19 @@
     return std::exchange(this->here, std::nullopt);
 }
 
+void Placing::onSuperseded(const std::function<void()> &superseded)
+{
+    if (!superseded) {
+        this->box.watch({});
+        return;
+    }
+    this->box.watch([superseded](const peer::Message &message) {
+        if (std::holds_alternative<peer::Placed>(message) || std::holds_alternative<peer::Refused>(message)) {
+            superseded();
+        }
+    });
+}
+
 void Placing::interrupt()
 {
     this->box.interrupt();
--- a/programs/entry/placing.h
+++ b/programs/entry/placing.h
@@ -38,6 +38,9 @@
     void submit();
     // None where the owner says nothing in time.
     std::optional<Answer> wait(Duration limit, const asio::yield_context &yield);
+    // Called when the owner places the request anew or refuses it, while what it said before is still acted on; empty:
+    // nobody wants to know.
+    void onSuperseded(const std::function<void()> &superseded);
     // Ends a wait: the caller has gone.
     void interrupt();
 
--- a/testing/fakeengine/prefiller.cpp
+++ b/testing/fakeengine/prefiller.cpp
@@ -1,6 +1,8 @@
 // Each call waits in its own coroutine until its prompt is the first of the queue and nothing is being read, then takes
 // the reading for the time its new tokens cost. A result is an entry with an expiry time, looked at when used.
 //
+// A prompt whose connection was closed is dropped before its next chunk, and its place goes to the next.
+//
 // The link is a time until which it is taken: transfers go one after the other, which gives the same total as sharing
 // the rate and needs no bookkeeping. A result that expires while its transfer waits is gone, as it would be in an
 // engine; one whose transfer has begun is sent whole.
@@ -19,6 +21,13 @@
 
 using nlohmann::json;
 
+namespace
+{
+
+constexpr std::int64_t chunkTokens = 512; // read between two looks at the connection
+
+} // namespace
+
 struct Prefiller::Prompt {
     Prompt(asio::io_context &io, const json &body, std::int64_t arrival)
         : waker(io)
@@ -64,10 +73,11 @@
     const auto begin = std::chrono::steady_clock::now();
     const std::int64_t reused = this->cache.read(prompt->prefix, prompt->tokens, begin);
     const std::int64_t read = prompt->tokens - reused;
-    const auto time =
-        std::chrono::duration_cast<Microseconds>(this->options.promptToken * read * this->faults.slowFactor());
-    exchange.sleep(this->options.scaled(time));
-
+    if (!this->read(read, exchange)) {
+        this->finish(prompt);
+        exchange.cut();
+        return;
+    }
     const auto keep = this->options.scaled(this->options.keep);
     const std::string id = fmt::format("kv-{}-{}", this->instance, prompt->arrival);
     this->results[id] = {prompt->seed, prompt->tokens, std::chrono::steady_clock::now() + keep};
@@ -80,6 +90,18 @@
                        .dump());
 }
 
+bool Prefiller::read(std::int64_t tokens, Exchange &exchange)
+{
+    while (tokens > 0 && !exchange.isAbandoned()) {
+        const std::int64_t chunk = std::min(tokens, chunkTokens);
+        const auto time =
+            std::chrono::duration_cast<Microseconds>(this->options.promptToken * chunk * this->faults.slowFactor());
+        exchange.sleep(this->options.scaled(time));
+        tokens -= chunk;
+    }
+    return !exchange.isAbandoned();
+}
+
 void Prefiller::exportKv(Exchange &exchange, const std::string &id)
 {
     auto now = std::chrono::steady_clock::now();
--- a/testing/fakeengine/prefiller.h
+++ b/testing/fakeengine/prefiller.h
@@ -41,6 +41,8 @@
         bool operator()(const std::shared_ptr<Prompt> &a, const std::shared_ptr<Prompt> &b) const;
     };
 
+    // False where the other end went before it was read.
+    bool read(std::int64_t tokens, Exchange &exchange);
     void awaitTurn(const std::shared_ptr<Prompt> &prompt, Exchange &exchange);
     void finish(const std::shared_ptr<Prompt> &prompt);
     void dropExpired(SteadyTime now);
--- a/testing/freeaddress.h
+++ b/testing/freeaddress.h
@@ -14,8 +14,9 @@
 {
 
 // The loopback address is this process's own, made from its number. An address found by binding and letting go again is
-// anybody's until it is used: a connection of a parallel test, or of the test itself, may leave from that very port, and
-// the listener then cannot have it. Connections on loopback leave from 127.0.0.1, so none takes a port of this address.
+// anybody's until it is used: a connection of a parallel test, or of the test itself, may leave from that very port,
+// and the listener then cannot have it. Connections on loopback leave from 127.0.0.1, so none takes a port of this
+// address.
 inline std::string freeAddress()
 {
     constexpr int firstPort = 20000;
--- a/testing/pathbench/main.cpp
+++ b/testing/pathbench/main.cpp
@@ -194,7 +194,8 @@
         prefill.request = RequestId(id);
         prefill.prompt = this->prompt();
         prefill.promptTokens = Tokens(static_cast<std::int64_t>(prefill.prompt.size() / 4));
-        const PrefillAnswer kv = this->engines.prefill(this->options.prefill, prefill, yield);
+        CallAbort abort;
+        const PrefillAnswer kv = this->engines.prefill(this->options.prefill, prefill, abort, yield);
         DecodeCall call;
         call.stream = StreamId(id);
         call.request = prefill.request;
--- a/testing/process/test_entry.py
+++ b/testing/process/test_entry.py
@@ -1,5 +1,6 @@
 """The entry as a process, between callers and stand-ins, under failures of every side."""
 
+import concurrent.futures
 import http.client
 import json
 import signal
@@ -132,6 +133,38 @@
         self.fleet.engines[self.writing_engine()].kill()
         self.assert_whole(stream.read(), expected)
 
+    def queued_tokens(self):
+        engines = [self.fleet.engines[name] for name in ("p1", "p2")]
+        return sum(call("GET", engine.address, "/v1/load")[1]["queued_tokens"] for engine in engines)
+
+    # One engine stalls in the middle of reading, its connections open. The owner places its requests anew within a
+    # second, or refuses them; their callers must hear of it then, and not when the old calls end after 20 s.
+    def test_a_stalled_read_is_placed_anew_at_once(self):
+        call("POST", self.fleet.engines["p1"].address, "/faults", {"slow": 10000})
+        with concurrent.futures.ThreadPoolExecutor(6) as callers:
+            answers = list(callers.map(lambda number: self.long_prompt(f"stall-{number}"), range(6)))
+        self.assertIn("prefill_given_up", self.fleet.entries[0].log())
+        self.assertIn(200, [status for status, _ in answers], answers)
+        refusals = [answer["error"] for status, answer in answers if status != 200]
+        self.assertEqual([refusal["run"] for refusal in refusals], ["not_run"] * len(refusals), refusals)
+
+    # A caller leaves while its prompt is read. Reading costs as much as many tokens of output, so the engine must stop
+    # and not read to the end for nobody.
+    def test_a_caller_that_goes_ends_the_read(self):
+        for name in ("p1", "p2"):
+            call("POST", self.fleet.engines[name].address, "/faults", {"slow": 20})
+        host, port = self.fleet.entry.rsplit(":", 1)
+        caller = http.client.HTTPConnection(host, int(port), timeout=30)
+        body = completion("leaves") | {"prompt": PROMPT + "word " * 40000}
+        caller.request("POST", "/v1/completions", json.dumps(body))
+        wait_until(lambda: self.queued_tokens() > 0, "the prompt is being read")
+        caller.close()
+        wait_until(lambda: self.queued_tokens() == 0, "the read given up", 10)
+
+    def long_prompt(self, nonce):
+        body = completion(nonce, 5, False) | {"prompt": PROMPT + nonce + " word" * 2000}
+        return call("POST", self.fleet.entry, "/v1/completions", body, timeout=15)
+
     # The scheduler of this host is killed. Requests are still served: placed here, counted as degraded.
     def test_requests_are_served_without_an_owner(self):
         self.fleet.scheduler.kill()
--- a/testing/standin/httpserver.cpp
+++ b/testing/standin/httpserver.cpp
@@ -149,6 +149,15 @@
     return this->socket.is_open();
 }
 
+bool Exchange::isAbandoned()
+{
+    char byte = 0;
+    error_code error;
+    this->socket.non_blocking(true, error);
+    this->socket.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 void Exchange::reply(int status, std::string_view body, std::string_view contentType)
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
--- a/testing/standin/httpserver.h
+++ b/testing/standin/httpserver.h
@@ -71,6 +71,8 @@
     // Numbers connections in the order in which they were opened.
     std::uint64_t connectionNumber() const;
     bool isOpen() const;
+    // The other end has closed the connection; looks without taking what it may have sent.
+    bool isAbandoned();
 
     void reply(int status, std::string_view body, std::string_view contentType = "application/json");
     // An answer of unknown length: begin, chunks, end.
--- a/wire/engineclient.cpp
+++ b/wire/engineclient.cpp
@@ -241,11 +241,11 @@
     }
 }
 
-PrefillAnswer EngineClient::prefill(const std::string &address, const PrefillCall &call,
+PrefillAnswer EngineClient::prefill(const std::string &address, const PrefillCall &call, CallAbort &abort,
                                     const asio::yield_context &yield)
 {
     const HttpResponse response = this->call(address, {"POST", "/v1/prefill", prefillBody(call)},
-                                             {this->options.prefillDeadline, Reuse::Allowed}, yield);
+                                             {this->options.prefillDeadline, Reuse::Allowed, &abort}, yield);
     return readReply(response, [](const Json &json) {
         PrefillAnswer answer;
         answer.kv = KvId(json.at("kv_id").get<std::string>());
--- a/wire/engineclient.h
+++ b/wire/engineclient.h
@@ -178,7 +178,9 @@
 
     EngineClient(asio::io_context &io, const Options &options);
 
-    PrefillAnswer prefill(const std::string &address, const PrefillCall &call, const asio::yield_context &yield);
+    // Aborted, it ends with Unreachable; the engine stops reading the prompt.
+    PrefillAnswer prefill(const std::string &address, const PrefillCall &call, CallAbort &abort,
+                          const asio::yield_context &yield);
     DecodeStream decode(const std::string &address, const DecodeCall &call, const asio::yield_context &yield);
     // Always on a new connection: the reason to resume may be that something forgot the old ones.
     DecodeStream resume(const std::string &address, const StreamId &stream, Offset from, const HostId &entry,
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -116,9 +116,12 @@
     queue.push_back({std::move(connection), std::chrono::steady_clock::now()});
 }
 
-std::unique_ptr<HttpConnection> HttpClient::Pool::connect(const std::string &address, SteadyTime deadline,
-                                                          const asio::yield_context &yield)
+std::unique_ptr<HttpConnection> HttpClient::Pool::connect(const std::string &address, CallAbort *abort,
+                                                          SteadyTime deadline, const asio::yield_context &yield)
 {
+    if (abort != nullptr && abort->isAborted()) {
+        throw HttpError(HttpFault::Closed, false, fmt::format("{}: call aborted", address));
+    }
     if (this->open >= this->options.connections) {
         this->idle.clear();
     }
@@ -131,6 +134,7 @@
     }
     const tcp::endpoint endpoint(asio::ip::make_address(parsed->ip), parsed->port);
     auto connection = std::make_unique<HttpConnection>(this->shared_from_this(), address);
+    connection->setAbort(abort);
     connection->connect(endpoint, std::min(deadline, std::chrono::steady_clock::now() + this->options.connectLimit),
                         yield);
     return connection;
@@ -142,6 +146,7 @@
 {
     std::unique_ptr<HttpConnection> connection = options.reuse == Reuse::Allowed ? this->take(address) : nullptr;
     if (connection) {
+        connection->setAbort(options.abort);
         try {
             connection->send(request, isHead, deadline, yield);
             connection->readHeader(deadline, yield);
@@ -153,7 +158,7 @@
             }
         }
     }
-    connection = this->connect(address, deadline, yield);
+    connection = this->connect(address, options.abort, deadline, yield);
     connection->send(request, isHead, deadline, yield);
     connection->readHeader(deadline, yield);
     return connection;
@@ -187,6 +192,7 @@
             throw HttpError(HttpFault::TooLarge, false, fmt::format("{}: reply too large", address));
         }
     }
+    connection->setAbort(nullptr);
     this->pool->giveBack(std::move(connection));
     return response;
 }
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -61,9 +61,34 @@
     Never,
 };
 
+class HttpConnection;
+
+// Ends one call from outside its coroutine, on the thread of its io_context.
+//
+//     CallAbort abort;
+//     client.call(address, request, {20s, Reuse::Allowed, &abort}, yield); // ends with Closed once abort.abort() is
+//                                                                          // called, before or during it
+class CallAbort
+{
+public:
+    CallAbort() = default;
+    CallAbort(const CallAbort &) = delete;
+    CallAbort &operator=(const CallAbort &) = delete;
+
+    void abort();
+    bool isAborted() const;
+
+private:
+    friend class HttpConnection;
+
+    HttpConnection *connection = nullptr; // that the call is using now
+    bool aborted = false;
+};
+
 struct CallOptions {
     Duration deadline{2s}; // from the start to the last byte of the reply; of open(): to the end of the reply's header
     Reuse reuse = Reuse::Allowed;
+    CallAbort *abort = nullptr; // of call(); outlives it
 };
 
 enum class HttpFault {
@@ -90,7 +115,6 @@
     bool notSent;
 };
 
-class HttpConnection;
 class HttpClient;
 
 // The body of one reply, line by line. Destroying it closes the connection unless the body was read to its end.
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -32,6 +32,30 @@
 
 } // namespace
 
+void CallAbort::abort()
+{
+    this->aborted = true;
+    if (this->connection != nullptr) {
+        this->connection->close();
+    }
+}
+
+bool CallAbort::isAborted() const
+{
+    return this->aborted;
+}
+
+void HttpConnection::setAbort(CallAbort *handle)
+{
+    if (this->abort != nullptr && this->abort->connection == this) {
+        this->abort->connection = nullptr;
+    }
+    this->abort = handle;
+    if (handle != nullptr) {
+        handle->connection = this;
+    }
+}
+
 void HttpConnection::connect(const tcp::endpoint &endpoint, SteadyTime deadline, const asio::yield_context &yield)
 {
     boost::system::error_code error;
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -36,7 +36,7 @@
 
     std::unique_ptr<HttpConnection> take(const std::string &address);
     void giveBack(std::unique_ptr<HttpConnection> connection);
-    std::unique_ptr<HttpConnection> connect(const std::string &address, SteadyTime deadline,
+    std::unique_ptr<HttpConnection> connect(const std::string &address, CallAbort *abort, SteadyTime deadline,
                                             const asio::yield_context &yield);
     std::unique_ptr<HttpConnection> exchange(const std::string &address, const std::string &request, bool isHead,
                                              const CallOptions &options, SteadyTime deadline,
@@ -62,6 +62,7 @@
     }
     ~HttpConnection()
     {
+        this->setAbort(nullptr);
         --this->pool->open;
     }
     HttpConnection(const HttpConnection &) = delete;
@@ -74,6 +75,9 @@
     bool readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield);
     HttpResponse response() const;
 
+    // Whose abort() closes this connection; null: nobody's.
+    void setAbort(CallAbort *handle);
+
     // An idle connection with something to read was closed, or speaks out of turn.
     bool isQuiet();
     bool mayBeKept() const
@@ -105,6 +109,7 @@
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::buffer_body>> parser;
     bool atEnd = false;
+    CallAbort *abort = nullptr;
 };
 
 } // namespace fescuesill
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -95,6 +95,39 @@
     EXPECT_FALSE(closed->isKnownNotSent());
 }
 
+// An engine stalls in a long call whose result is wanted no more. The call ends when it is aborted, on a connection of
+// the pool as well, is not sent once more on a new one, and one aborted beforehand is never sent.
+TEST(HttpClient, EndsAnAbortedCallAtOnce)
+{
+    std::atomic<int> stalled{0};
+    const ServedThread served({}, [&](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+        if (call.target == "/stall") {
+            ++stalled;
+            asio::steady_timer timer(asio::get_associated_executor(yield.handler_), std::chrono::seconds(2));
+            boost::system::error_code ignored;
+            timer.async_wait(yield[ignored]);
+        }
+        reply.send(200, "ok", yield);
+    });
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        HttpClient client(io, {});
+        EXPECT_EQ(client.call(served.address(), {}, {}, yield).body, "ok");
+        CallAbort abort;
+        asio::steady_timer later(io, std::chrono::milliseconds(200));
+        later.async_wait([&](const boost::system::error_code &) { abort.abort(); });
+        for (int attempt = 0; attempt < 2; ++attempt) {
+            try {
+                client.call(served.address(), {"POST", "/stall", "x"}, {60s, Reuse::Allowed, &abort}, yield);
+                ADD_FAILURE() << "a reply";
+            } catch (const HttpError &error) {
+                EXPECT_EQ(error.fault(), HttpFault::Closed);
+                EXPECT_FALSE(error.isKnownNotSent());
+            }
+        }
+    });
+    EXPECT_EQ(stalled, 1);
+}
+
 // An endpoint writes the header and the body of its answer in two packets. The client reads the header alone, calls it
 // over a limit that it has not got, and a booking that was made is told to its caller as in doubt.
 TEST(HttpClient, ReadsABodyThatComesAfterItsHeader)
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -174,8 +174,9 @@
     server->start();
     asio::io_context context;
     tcp::socket socket(context);
-    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
-    socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+    const std::size_t colon = address.rfind(':');
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+    socket.connect(tcp::endpoint(asio::ip::make_address(address.substr(0, colon)), port));
     asio::write(socket, asio::buffer(std::string("\x00\xff nonsense \r\n\r\n", 16)));
     std::array<char, 512> answer{};
     boost::system::error_code failed;
