Decide the retries of repeatable plain calls in a core

Cause: the retries of plain idempotent calls were decided inside the entry's I/O, so no test enumerated them, and a call that met only 503 was refused with not_run although its endpoints had had the whole of it.

Ruled out: leaving 503 as not run. The endpoint took the call and says nothing about what it did with it; not run is a promise.

Change: decide/plainretry.h holds the bounds on tries, the turn of the endpoints and the run state; the entry only calls.

--- a/programs/entry/plaincall.cpp
+++ b/programs/entry/plaincall.cpp
@@ -1,5 +1,4 @@
-// A repeatable call goes to one endpoint after another, each further try paid for out of the retry budget, so that an
-// outage of the endpoints is not doubled by us. "Not run" is said only where no byte of any try was sent.
+// A repeatable call goes to one endpoint after another as decide/plainretry.h says.
 //
 // A call that may not be repeated is handed to the ledger's thread and waited for. It goes on there whatever becomes of
 // this caller, so that a repeat of its key finds the answer. The wait here has a limit of its own, past which the
@@ -18,6 +17,7 @@
 {
 
 constexpr std::size_t mostKeyLength = 128; // the key is part of a row's name
+constexpr int statusUnavailable = 503;
 constexpr Duration storeRetry{3s};
 constexpr Duration endpointRetry{1s};
 // Ledger calls before and after the endpoint's own deadline: three tries of 2 s each, twice.
@@ -99,34 +99,32 @@
     return found;
 }
 
-std::optional<HttpResponse> PlainCall::tryOne(const std::string &address, const asio::yield_context &yield)
+TryOutcome PlainCall::tryOne(const std::string &address, HttpResponse &response, const asio::yield_context &yield)
 {
     try {
-        return this->services.endpoints.call(address, this->forwarded(), {this->plain.deadline, Reuse::Allowed}, yield);
+        const CallOptions options{this->plain.deadline, Reuse::Allowed};
+        response = this->services.endpoints.call(address, this->forwarded(), options, yield);
+        return response.status == statusUnavailable ? TryOutcome::Unavailable : TryOutcome::Answered;
     } catch (const HttpError &error) {
-        this->maySent = this->maySent || !error.isKnownNotSent();
         Log::info("call_failed", {{"request", this->call.id.value()}, {"endpoint", address}, {"fault", error.what()}});
-        return std::nullopt;
+        return error.isKnownNotSent() ? TryOutcome::NeverSent : TryOutcome::Lost;
     }
 }
 
 void PlainCall::runRepeatable(const asio::yield_context &yield)
 {
-    const auto attempts = static_cast<std::size_t>(this->view.declaration->retries.attempts);
     const std::vector<std::string> endpoints = this->addresses();
-    for (std::size_t i = 0; i < attempts && !endpoints.empty(); ++i) {
-        if (i > 0 && !this->services.retries.take()) {
-            break;
-        }
-        const auto response = this->tryOne(endpoints[i % endpoints.size()], yield);
-        if (response && response->status != 503) {
-            this->services.retries.onSuccess();
-            this->answer({response->status, std::string(response->header("Content-Type")), response->body}, yield);
-            return;
-        }
+    PlainRetry retry(endpoints.size(), static_cast<std::size_t>(this->view.declaration->retries.attempts));
+    HttpResponse response;
+    std::optional<std::size_t> next = retry.first();
+    while (next) {
+        next = retry.on(this->tryOne(endpoints[*next], response, yield), this->services.retries);
+    }
+    if (retry.isAnswered()) {
+        this->answer({response.status, std::string(response.header("Content-Type")), response.body}, yield);
+        return;
     }
-    const RunState run = this->maySent ? RunState::MayHaveRun : RunState::NotRun;
-    this->refuse({RefusalCode::EndpointFailed, run, "no endpoint answered", endpointRetry}, yield);
+    this->refuse({RefusalCode::EndpointFailed, retry.run(), "no endpoint answered", endpointRetry}, yield);
 }
 
 void PlainCall::runOnce(const asio::yield_context &yield)
--- a/programs/entry/plaincall.h
+++ b/programs/entry/plaincall.h
@@ -5,6 +5,7 @@
 //     PlainCall call(services, *view, *service, workspace, httpCall, reply);
 //     call.run(yield);
 
+#include "decide/plainretry.h"
 #include "programs/entry/ledgerduty.h"
 #include "programs/entry/shardservices.h"
 #include "wire/httpserver.h"
@@ -25,7 +26,7 @@
     void runOnce(const asio::yield_context &yield);
     HttpRequest forwarded() const;
     std::vector<std::string> addresses() const;
-    std::optional<HttpResponse> tryOne(const std::string &address, const asio::yield_context &yield);
+    TryOutcome tryOne(const std::string &address, HttpResponse &response, const asio::yield_context &yield);
     void answer(const EndpointAnswer &answer, const asio::yield_context &yield);
     void refuse(const Refusal &refusal, const asio::yield_context &yield);
 
@@ -36,7 +37,6 @@
     WorkspaceId workspace;
     HttpCall &call;
     HttpReply &reply;
-    bool maySent = false;
 };
 
 } // namespace fescuesill
