--- a/testing/process/test_ledger.py
+++ b/testing/process/test_ledger.py
@@ -59,6 +59,19 @@
         self.assertEqual(self.cluster.book(self.cluster.hosts[1], "now", repeat=True)[0], 200)
         self.assertEqual(self.cluster.executions("now"), 1)
 
+    # A scheduler's delete is on its way for a second and a half. Meanwhile a caller books anew under a key of the batch, as
+    # it may after seven days. The new row must stay, or the next repeat books once more; the others still go.
+    def test_a_late_delete_spares_a_row_that_changed(self):
+        self.cluster.fault(prefix="call/bookings/w1/over-", delay_ms=1500)
+        writes = call("GET", self.platform, "/counts")[1]["writes"]
+        names = ["renewed", *(f"over-{number}" for number in range(5))]
+        self.put({f"call/bookings/w1/{name}": row("done", 8 * DAY) for name in names})
+        wait_until(lambda: call("GET", self.platform, "/counts")[1]["writes"] >= writes + 2, "the delete to be on its way")
+        fresh = row("open", 0)
+        self.put({"call/bookings/w1/renewed": fresh})
+        wait_until(lambda: self.keys() == {"call/bookings/w1/renewed"}, "the rest to be swept")
+        self.assertEqual(self.read("call/bookings/w1/renewed")[1]["value"], fresh)
+
     # The application freezes with a booking in its socket. An operator does not find it there and, half an hour later,
     # states that it was not run. Then the application thaws and books. There must be one booking, and nobody may have
     # been told by the ledger that it was not run.
