--- a/programs/entry/modelcallends.cpp
+++ b/programs/entry/modelcallends.cpp
@@ -76,6 +76,11 @@
     if (ran && told.run == RunState::NotRun) {
         told.run = RunState::MayHaveRun;
     }
+    Log::info("refused",
+              {{"request", this->id.value()},
+               {"code", codeName(told.code)},
+               {"run", runStateName(told.run)},
+               {"reason", told.text}});
     if (!this->sink.isStarted) {
         this->reply.refuse(told, yield);
         return;
