Judge a live request by what must be read and by the link it shares

Change: the service time leaves out what the cache that holds most of the prompt spares, and the expected share of a link counts all transfers that are reserved on it, for every class in a hurry.

Both changes were edited out in a copy: their tests failed.

--- a/decide/cellchoosing.cpp
+++ b/decide/cellchoosing.cpp
@@ -93,9 +93,9 @@
 }
 
 // How long the transfer of this request would wait for those reserved on the engine's link, if its read ended in
-// `ready`. A class in a hurry shares the link instead, which costs it at most its own length for each of the few
-// others. Load: links near their rate. Harm prevented: prompts are read whose results then expire while they wait for
-// the link.
+// `ready`. A class in a hurry shares the link instead, which costs it at most its own length for each of the others.
+// Load: links near their rate. Harm prevented: prompts are read whose results then expire while they wait for the link;
+// live ones go to the engine that holds their prefix and lose there on the link what they gained on the read.
 Duration CellState::linkWait(const Record &record, EngineSlot slot, Duration ready) const
 {
     const std::size_t link = this->engines[slot].link;
@@ -104,7 +104,7 @@
         return wait;
     }
     const double own = this->transferMicros * static_cast<double>(this->contextOf(record).value());
-    const int others = isUrgent(record) ? this->links.count(link) : mostMoving - 1;
+    const int others = this->links.count(link);
     return std::min(wait, Duration(static_cast<Duration::rep>(own * others)));
 }
 
--- a/decide/cellevents.cpp
+++ b/decide/cellevents.cpp
@@ -127,7 +127,7 @@
         return;
     }
     const auto took = static_cast<double>((now - record.placedAt).count());
-    const double extra = took - static_cast<double>(this->serviceTime(record.request).count());
+    const double extra = took - static_cast<double>(this->serviceTime(record).count());
     Delay &delay = isUrgent(record) ? this->urgentDelay : this->hurriedDelay;
     const double error = extra - delay.mean;
     delay.learnt = now;
--- a/decide/cellstate.cpp
+++ b/decide/cellstate.cpp
@@ -110,12 +110,27 @@
     return read + Duration(static_cast<Duration::rep>(hold * share));
 }
 
+// What the cache that holds most of the prompt spares. Load: prompts behind preambles that all engines hold. Harm
+// prevented: judged by its whole length, a live prompt of 3,000 tokens is refused as hopeless although half of it need
+// not be read.
+Tokens CellState::likelyReused(const PlaceRequest &request)
+{
+    this->counters.steps += this->prefixes.match(request.prefix, this->matches);
+    std::size_t most = 0;
+    for (const PrefixIndex::Match &match : this->matches) {
+        most = std::max(most, match.blocks);
+    }
+    const Tokens held(static_cast<std::int64_t>(most) * this->options.prefixBlock.value());
+    return std::min(held, std::max(Tokens(0), request.prompt - Tokens(1)));
+}
+
 // From the start of the read to the first token, with nothing in the way.
-Duration CellState::serviceTime(const PlaceRequest &request) const
+Duration CellState::serviceTime(const Record &record) const
 {
-    const double transfer = this->transferMicros * static_cast<double>(request.prompt.value());
+    const double transfer = this->transferMicros * static_cast<double>(record.request.prompt.value());
     const double step = stepsToFirstToken * this->stepMicros;
-    return this->readTime(request.prompt) + Duration(static_cast<Duration::rep>(transfer + step));
+    return this->readTime(record.request.prompt - record.reused)
+        + Duration(static_cast<Duration::rep>(transfer + step));
 }
 
 void CellState::submit(const PlaceRequest &request, Instant now)
@@ -143,12 +158,13 @@
 {
     const RequestClass &requestClass = record.request.requestClass;
     record.stage = Stage::Waiting;
+    record.reused = this->likelyReused(record.request);
     record.pieces = this->piecesOf(record);
     record.cost = this->costOf(record);
     record.rank = rank;
     const Delay &delay = isUrgent(record) ? this->urgentDelay : this->hurriedDelay;
     const double late = delay.likely(now);
-    const Duration least = this->serviceTime(record.request);
+    const Duration least = this->serviceTime(record);
     const Duration service = least + Duration(static_cast<Duration::rep>(late));
     if (record.answered) {
         record.latest = now + requestClass.patience;
--- a/decide/cellstate.h
+++ b/decide/cellstate.h
@@ -80,6 +80,7 @@
         EngineSlot prefill = noEngine;
         EngineSlot decode = noEngine; // with pieces held there
         std::size_t matched = 0; // blocks expected in the prefill engine's cache
+        Tokens reused; // likely, when it came in
         Tokens read; // tokens of the last read
         Duration transfer{0}; // counted on the link
         Instant keepUntil;
@@ -134,7 +135,8 @@
 
     // Requests.
     Record *find(const RequestId &request);
-    Duration serviceTime(const PlaceRequest &request) const;
+    Duration serviceTime(const Record &record) const;
+    Tokens likelyReused(const PlaceRequest &request);
     Duration readTime(Tokens tokens) const;
     Pieces piecesOf(const Record &record) const;
     Duration costOf(const Record &record) const;
--- a/decide/testing/cellscheduler_test.cpp
+++ b/decide/testing/cellscheduler_test.cpp
@@ -213,6 +213,79 @@
     }
 }
 
+static std::vector<CacheEvent> held(const std::vector<PrefixHash> &prefix)
+{
+    std::vector<CacheEvent> events;
+    for (const PrefixHash hash : prefix) {
+        events.push_back({CacheEvent::Kind::Added, hash});
+    }
+    return events;
+}
+
+static std::vector<PrefixHash> blocks(std::uint64_t count)
+{
+    std::vector<PrefixHash> prefix;
+    for (std::uint64_t block = 1; block <= count; ++block) {
+        prefix.push_back(PrefixHash{block});
+    }
+    return prefix;
+}
+
+// Story: a live request has a prompt of 4,000 tokens, which could not be read in time, but all engines hold nearly all
+// of it. It was taken for hopeless and went after patient work.
+TEST(CellScheduler, APromptIsJudgedByWhatHasToBeReadOfIt)
+{
+    auto cell = smallCell();
+    cell.setEngines({engine("p1", Pool::Prefill), engine("d1", Pool::Decode)}, Instant(1s));
+    cell.onCacheEvents(EngineId("p1"), held(blocks(15)), false);
+    PlaceRequest first = request("first", 1, 5s);
+    first.arrival = Instant(1s);
+    cell.submit(first, Instant(1s));
+    ASSERT_EQ(only<Place>(cell.poll(Instant(1s))).size(), 1U);
+    PlaceRequest patient = request("patient", 2, 5s);
+    patient.arrival = Instant(1s);
+    PlaceRequest live = request("live", 1, 400ms);
+    live.arrival = Instant(1s);
+    live.prompt = Tokens(4000);
+    live.prefix = blocks(15);
+    cell.submit(patient, Instant(1s));
+    cell.submit(live, Instant(1s));
+    cell.onPrefillDone(RequestId("first"), {Tokens(1000), Tokens(0), 800ms}, Instant(1080ms));
+    const auto places = only<Place>(cell.poll(Instant(1080ms)));
+    ASSERT_FALSE(places.empty());
+    EXPECT_EQ(places.front().request, RequestId("live"));
+}
+
+// Story: one engine holds the prefix of a live request, but four transfers share its link. Reading all of the prompt
+// elsewhere is the shorter way.
+TEST(CellScheduler, ALiveRequestKeepsAwayFromACrowdedLink)
+{
+    CellScheduler::Options options;
+    options.transferPerToken = 20us;
+    auto cell = CellScheduler::create(options).value();
+    EngineSpec writer = engine("d1", Pool::Decode);
+    writer.memory = Pieces(60);
+    cell.setEngines({engine("p1", Pool::Prefill), writer}, Instant(1s));
+    for (int i = 0; i < 4; ++i) {
+        PlaceRequest other = request(std::to_string(i), 0, 5s);
+        other.prompt = Tokens(4000);
+        other.arrival = Instant(1s);
+        cell.submit(other, Instant(1s));
+        ASSERT_EQ(only<Place>(cell.poll(Instant(1s))).size(), 1U);
+        cell.onPrefillDone(other.request, {Tokens(4000), Tokens(0), 800ms}, Instant(1s));
+        cell.poll(Instant(1s));
+    }
+    cell.setEngines({engine("p1", Pool::Prefill), engine("p2", Pool::Prefill), writer}, Instant(1s));
+    cell.onCacheEvents(EngineId("p1"), held(blocks(3)), false);
+    PlaceRequest live = request("live", 1, 800ms);
+    live.prefix = blocks(3);
+    live.arrival = Instant(1s);
+    cell.submit(live, Instant(1s));
+    const auto places = only<Place>(cell.poll(Instant(1s)));
+    ASSERT_EQ(places.size(), 1U);
+    EXPECT_EQ(places.front().prefillEngine, EngineId("p2"));
+}
+
 // Story: for a while first tokens come so late that the delay learnt from them is longer than the target leaves. Live
 // requests are refused, so nothing teaches the cell that the way is free again. It must not stay like that.
 TEST(CellScheduler, AnOldDelayRefusesNobodyForEver)
--- a/decide/testing/outcomes_test.cpp
+++ b/decide/testing/outcomes_test.cpp
@@ -47,7 +47,7 @@
 {
     const std::vector<Case> cases{{"bursts", 0.95, 0.999, 0.01},       {"skew", 0.9, 0.999, 0.01},
                                   {"mix", 0.92, 0.999, 0.01},          {"stale-reports", 0.9, 0.999, 0.02},
-                                  {"links-narrow", 0.82, 0.999, 0.01}, {"zone-loss", 0.95, 0.95, 0.02},
+                                  {"links-narrow", 0.86, 0.999, 0.01}, {"zone-loss", 0.95, 0.95, 0.02},
                                   {"slow-endpoint", 0.95, 0.97, 0.02}, {"engine-death", 0.95, 0.999, 0.02}};
     for (const Case &one : cases) {
         const Result result = run(one.scenario);
@@ -65,8 +65,10 @@
 {
     const Result narrow = run("links-narrow", PolicyKind::Ours, 0, false, 300s);
     EXPECT_GE(leastShare(narrow, "urgent"), 0.999);
+    EXPECT_GE(share(narrow.all), 0.885);
     const Result mixed = run("mixed", PolicyKind::Ours, 0, false, 300s);
     EXPECT_GE(leastShare(mixed, "urgent"), 0.996);
+    EXPECT_GE(share(mixed.all), 0.89);
 }
 
 // Twice what the cell can do: urgent requests are all served, patient ones are not starved, little is read in vain, and
