Add the scenario decode-stall and a test of the silence guard

A decode engine writes nothing for 30 s and keeps its connections open: work is still taken, what is cancelled keeps its memory, reports go on. Its entries give up after 4 s, as the entry's stream pump does (a silence of 1 s and three more on new connections), which the bench now models.

The guard (no new work for an engine silent for a second) had no test: with it edited out the new core test fails.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 # Decisions under load: every scenario and policy over seeds 1 to 8, one JSON object a line.
 .PHONY: bench-decide
 bench-decide: build
-	for scenario in bursts skew slow-endpoint mix saturation engine-death zone-loss stale-reports cancel-storm \
+	for scenario in bursts skew slow-endpoint decode-stall mix saturation engine-death zone-loss stale-reports cancel-storm \
 	    links-narrow mixed shift; do \
 	    for policy in ours round-robin least-loaded prefix-only prefill-first; do \
 	        for seed in 1 2 3 4 5 6 7 8; do \
--- a/decide/testing/cellscheduler_test.cpp
+++ b/decide/testing/cellscheduler_test.cpp
@@ -102,6 +102,33 @@
     EXPECT_FALSE(again.front().prefillEngine == first);
 }
 
+// Story: a decode engine stops writing and keeps its connections open, so nothing fails. It has the most free memory
+// and would get all that comes until its entries give up after seconds.
+TEST(CellScheduler, ASilentDecodeEngineGetsNothingNew)
+{
+    auto cell = smallCell();
+    cell.adopt({request("silent"), EngineId("d1"), Tokens(10)}, Instant(1s));
+    for (const char *name : {"a", "b"}) {
+        cell.adopt({request(name), EngineId("d2"), Tokens(10)}, Instant(1s));
+    }
+    for (Instant now(1s); now <= Instant(3s); now += 100ms) {
+        cell.onProgress(RequestId("a"), Tokens(20), now);
+        cell.poll(now);
+    }
+    PlaceRequest place = request("new");
+    place.arrival = Instant(3s);
+    cell.submit(place, Instant(3s));
+    const auto places = only<Place>(cell.poll(Instant(3s)));
+    ASSERT_EQ(places.size(), 1U);
+    EXPECT_EQ(places.front().decodeEngine, EngineId("d2"));
+    cell.onProgress(RequestId("silent"), Tokens(20), Instant(3100ms));
+    place.request = RequestId("later");
+    cell.submit(place, Instant(3100ms));
+    const auto later = only<Place>(cell.poll(Instant(3100ms)));
+    ASSERT_EQ(later.size(), 1U);
+    EXPECT_EQ(later.front().decodeEngine, EngineId("d1"));
+}
+
 TEST(CellScheduler, LeavingEnginesGetNothingNew)
 {
     auto cell = smallCell();
--- a/decide/testing/outcomes_test.cpp
+++ b/decide/testing/outcomes_test.cpp
@@ -90,11 +90,12 @@
     EXPECT_LE(full.good, full.bound);
 }
 
-// Story: a decode engine dies with some twenty answers on it and comes back later; a prefill engine follows. Callers
-// should notice no more than if both had left in a planned way.
-TEST(Outcomes, ADeadOrSlowEngineCostsLittleMoreThanAMissingOne)
+// Story: a decode engine dies with some twenty answers on it and comes back later; a prefill engine follows. Or engines
+// become slow, or a decode engine writes nothing for 30 s with its connections open. Callers should notice no more than
+// if the engines had left in a planned way.
+TEST(Outcomes, ADeadSlowOrStalledEngineCostsLittleMoreThanAMissingOne)
 {
-    for (const char *scenario : {"engine-death", "slow-endpoint"}) {
+    for (const char *scenario : {"engine-death", "slow-endpoint", "decode-stall"}) {
         const Result broken = run(scenario, PolicyKind::Ours, 0, false, 120s);
         const Result missing = run(scenario, PolicyKind::Ours, 0, true, 120s);
         EXPECT_GE(broken.good, missing.good * 97 / 100) << scenario;
--- a/testing/bench/cell.cpp
+++ b/testing/bench/cell.cpp
@@ -252,6 +252,9 @@
     }
     attempt.stage = Stage::Moving;
     const RunKey run = attempt.run;
+    if (engine.decode->isStalled()) {
+        this->giveUpLater(request, run);
+    }
     const auto notify = [this, request, run](auto event) {
         return [this, request, run, event](auto... arguments) {
             Attempt *attempt = this->find(request, run);
--- a/testing/bench/cell.h
+++ b/testing/bench/cell.h
@@ -124,6 +124,8 @@
     void arriveDecode(const RequestId &request, std::size_t engine);
     void decodeFailed(const RequestId &request, DecodeFault fault);
     void kill(std::size_t engine);
+    void stall(std::size_t engine);
+    void giveUpLater(const RequestId &request, RunKey run);
     void publish(std::size_t engine);
     void tell(const std::function<void(Policy &)> &event);
 
--- a/testing/bench/cellfaults.cpp
+++ b/testing/bench/cellfaults.cpp
@@ -57,6 +57,34 @@
     }
 }
 
+// The entry of a stream that brings nothing asks the engine on new connections and then goes elsewhere.
+void Cell::giveUpLater(const RequestId &request, RunKey run)
+{
+    this->events.after(this->workload.model.entryPatience, [this, request, run] {
+        const Attempt *attempt = this->find(request, run);
+        const bool decoding =
+            attempt != nullptr && (attempt->stage == Stage::Decoding || attempt->stage == Stage::Moving);
+        if (decoding && this->engines[attempt->decode].decode->isStalled()) {
+            this->decodeFailed(request, DecodeFault::Unreachable);
+        }
+    });
+}
+
+void Cell::stall(std::size_t index)
+{
+    this->engines[index].decode->stall();
+    std::vector<std::pair<RequestId, RunKey>> running;
+    for (const auto &[request, attempt] : this->attempts) {
+        if ((attempt.stage == Stage::Decoding || attempt.stage == Stage::Moving) && attempt.decode == index) {
+            running.emplace_back(request, attempt.run);
+        }
+    }
+    std::sort(running.begin(), running.end());
+    for (const auto &[request, run] : running) {
+        this->giveUpLater(request, run);
+    }
+}
+
 void Cell::apply(const Fault &fault, bool begins)
 {
     int number = 0;
@@ -68,13 +96,15 @@
         if (fault.kind == Fault::Kind::Slow) {
             engine.prefill->slowness = begins ? fault.slowness : 1;
             engine.decode->slowness = begins ? fault.slowness : 1;
+        } else if (fault.kind == Fault::Kind::Stalled) {
+            begins ? this->stall(i) : engine.decode->goOn();
         } else if (fault.kind == Fault::Kind::Dead && begins) {
             this->kill(i);
         } else if (fault.kind == Fault::Kind::Dead) {
             engine.dead = false;
         }
         const Duration lag = fault.kind == Fault::Kind::Dead ? this->workload.model.hostListLag : Duration(0);
-        if (fault.kind != Fault::Kind::Slow) {
+        if (fault.kind == Fault::Kind::Dead || fault.kind == Fault::Kind::Leaving) {
             this->events.after(lag, [this, i, begins] {
                 this->engines[i].listed = !begins;
                 std::visit([](auto &decider) { decider.enginesChanged(); }, this->policy);
--- a/testing/bench/fakes.cpp
+++ b/testing/bench/fakes.cpp
@@ -231,7 +231,9 @@
 void FakeDecode::cancel(RunKey key)
 {
     const auto found = this->sequences.find(key);
-    if (found != this->sequences.end()) {
+    if (found != this->sequences.end() && this->stalled) {
+        found->second.cancelled = true;
+    } else if (found != this->sequences.end()) {
         this->setUsed(this->piecesUsed - found->second.pieces);
         this->sequences.erase(found);
     }
@@ -250,9 +252,31 @@
     return lost;
 }
 
+void FakeDecode::stall()
+{
+    this->stalled = true;
+    this->stepping = false;
+    ++this->epoch;
+}
+
+void FakeDecode::goOn()
+{
+    this->stalled = false;
+    std::vector<RunKey> cancelled;
+    for (const auto &[key, sequence] : this->sequences) {
+        if (sequence.cancelled) {
+            cancelled.push_back(key);
+        }
+    }
+    for (const RunKey key : cancelled) {
+        this->cancel(key);
+    }
+    this->schedule();
+}
+
 void FakeDecode::schedule()
 {
-    if (this->stepping) {
+    if (this->stepping || this->stalled) {
         return;
     }
     int active = 0;
--- a/testing/bench/fakes.h
+++ b/testing/bench/fakes.h
@@ -132,6 +132,13 @@
     void start(RunKey key, Tokens output, Listener listener);
     void cancel(RunKey key);
     std::vector<RunKey> die();
+    // Steps stop. Work is still taken, and what is cancelled meanwhile keeps its memory until steps go on.
+    void stall();
+    void goOn();
+    bool isStalled() const
+    {
+        return this->stalled;
+    }
 
     Pieces used() const
     {
@@ -154,6 +161,7 @@
         Pieces pieces;
         bool active = false;
         bool inStep = false; // joins at the next step
+        bool cancelled = false; // while stalled
         Listener listener;
     };
 
@@ -168,6 +176,7 @@
     Pieces piecesUsed;
     std::uint64_t epoch = 0;
     bool stepping = false;
+    bool stalled = false;
     Instant usedSince;
     double usedSum = 0;
 };
--- a/testing/bench/workload.cpp
+++ b/testing/bench/workload.cpp
@@ -189,7 +189,8 @@
 {
     return {{"bursts", 0.8},       {"skew", 0.9},         {"slow-endpoint", 0.8}, {"mix", 1.0},
             {"saturation", 1.3},   {"engine-death", 0.8}, {"zone-loss", 0.6},     {"stale-reports", 1.0},
-            {"cancel-storm", 1.0}, {"links-narrow", 0.9}, {"mixed", 0.9},         {"shift", 0.9}};
+            {"cancel-storm", 1.0}, {"links-narrow", 0.9}, {"mixed", 0.9},         {"shift", 0.9},
+            {"decode-stall", 0.8}};
 }
 
 std::vector<std::string> scenarioNames()
@@ -222,6 +223,9 @@
     if (name == "mixed") {
         workload.faults.push_back(fault(kind(Fault::Kind::Slow), Pool::Decode, 1, at(70), at(100), 4));
     }
+    if (name == "decode-stall") {
+        workload.faults.push_back(fault(kind(Fault::Kind::Stalled), Pool::Decode, 0, at(30), at(30) + 30s));
+    }
     if (name == "zone-loss") {
         workload.faults.push_back(fault(Fault::Kind::Dead, Pool::Decode, -1, at(40), at(80)));
         workload.faults.push_back(fault(Fault::Kind::Dead, Pool::Prefill, -1, at(40), at(80)));
--- a/testing/bench/workload.h
+++ b/testing/bench/workload.h
@@ -32,6 +32,7 @@
     Duration cacheLag{700ms};
     double cacheLoss = 0.1;
     Duration hostListLag{3s};
+    Duration entryPatience{4s}; // with an engine that writes nothing: four silences of a second, as streampump has it
 };
 
 constexpr Tokens blockTokens{256};
@@ -76,6 +77,7 @@
     enum class Kind {
         Dead,
         Slow,
+        Stalled, // a decode engine writes nothing and keeps its connections open
         Leaving, // planned: the comparison for the two others
     };
     Kind kind = Kind::Dead;
