--- a/decide/cellstate.cpp
+++ b/decide/cellstate.cpp
@@ -12,6 +12,7 @@
 #include "decide/cellstate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescuesill
 {
@@ -19,6 +20,7 @@
 constexpr double outputWeight = 0.05; // of one answer in the learnt output length of its class
 constexpr double outputMargin = 2.0; // mean distances above the mean that are reserved: some 95% of answers fit
 constexpr double delayMargin = 1.0; // spreads above the mean delay that are kept for the way to the first token
+constexpr double delayKept = 2e6; // microseconds: a delay learnt longer ago than a burst lasts says little
 constexpr double firstTransferTokens = 2000; // of the assumed transfer before any was measured
 constexpr int resumedRank = -1; // work that was begun and has to be placed again: most of its cost is already paid
 constexpr int hopelessRankStep = 1000;
@@ -46,6 +48,15 @@
     return found == this->records.end() ? nullptr : &found->second;
 }
 
+// Only what is placed teaches the delay. Load: a moment in which the way took longer than the target leaves. Harm
+// prevented: with that as the margin all are refused, none is placed, and the margin stays for ever. So it fades while
+// nothing is learnt.
+double CellState::Delay::likely(Instant now) const
+{
+    const double kept = std::exp(-static_cast<double>((now - this->learnt).count()) / delayKept);
+    return std::max(0.0, this->mean + delayMargin * this->spread) * kept;
+}
+
 Duration CellState::readTime(Tokens tokens) const
 {
     return this->options.prefillBase + this->options.prefillPerToken * tokens.value();
@@ -99,12 +110,27 @@
     return read + Duration(static_cast<Duration::rep>(hold * share));
 }
 
+// What the cache that holds most of the prompt spares. Load: prompts behind preambles that all engines hold. Harm
+// prevented: judged by its whole length, a live prompt of 3,000 tokens is refused as hopeless although half of it need
+// not be read.
+Tokens CellState::likelyReused(const PlaceRequest &request)
+{
+    this->counters.steps += this->prefixes.match(request.prefix, this->matches);
+    std::size_t most = 0;
+    for (const PrefixIndex::Match &match : this->matches) {
+        most = std::max(most, match.blocks);
+    }
+    const Tokens held(static_cast<std::int64_t>(most) * this->options.prefixBlock.value());
+    return std::min(held, std::max(Tokens(0), request.prompt - Tokens(1)));
+}
+
 // From the start of the read to the first token, with nothing in the way.
-Duration CellState::serviceTime(const PlaceRequest &request) const
+Duration CellState::serviceTime(const Record &record) const
 {
-    const double transfer = this->transferMicros * static_cast<double>(request.prompt.value());
+    const double transfer = this->transferMicros * static_cast<double>(record.request.prompt.value());
     const double step = stepsToFirstToken * this->stepMicros;
-    return this->readTime(request.prompt) + Duration(static_cast<Duration::rep>(transfer + step));
+    return this->readTime(record.request.prompt - record.reused)
+        + Duration(static_cast<Duration::rep>(transfer + step));
 }
 
 void CellState::submit(const PlaceRequest &request, Instant now)
@@ -132,11 +158,13 @@
 {
     const RequestClass &requestClass = record.request.requestClass;
     record.stage = Stage::Waiting;
+    record.reused = this->likelyReused(record.request);
     record.pieces = this->piecesOf(record);
     record.cost = this->costOf(record);
     record.rank = rank;
-    const double late = std::max(0.0, this->delayMicros + delayMargin * this->delaySpread);
-    const Duration least = this->serviceTime(record.request);
+    const Delay &delay = isUrgent(record) ? this->urgentDelay : this->hurriedDelay;
+    const double late = delay.likely(now);
+    const Duration least = this->serviceTime(record);
     const Duration service = least + Duration(static_cast<Duration::rep>(late));
     if (record.answered) {
         record.latest = now + requestClass.patience;
@@ -157,20 +185,37 @@
 {
     this->prefills.remove(record.prefill, record.key, now);
     if (record.decode == noEngine) {
-        this->promised -= record.pieces;
+        this->takeBack(record);
     }
     this->endMove(record);
 }
 
+bool CellState::isUrgent(const Record &record)
+{
+    return record.request.requestClass.rank == 0;
+}
+
+void CellState::promise(const Record &record)
+{
+    this->promised += record.pieces;
+    this->promisedUrgent += isUrgent(record) ? record.pieces : Pieces(0);
+}
+
+void CellState::takeBack(const Record &record)
+{
+    this->promised -= record.pieces;
+    this->promisedUrgent -= isUrgent(record) ? record.pieces : Pieces(0);
+}
+
 void CellState::makeReady(Record &record)
 {
     record.stage = Stage::Ready;
-    this->promised += record.pieces;
+    this->promise(record);
     const RequestClass &requestClass = record.request.requestClass;
     const Instant target = record.request.arrival + requestClass.firstToken - record.transfer;
     const bool late = record.answered || target > record.keepUntil;
     const int hurry = requestClass.firstToken > hurried ? 2 : 1;
-    record.readyOrder = {requestClass.rank == 0 ? 0 : hurry, late ? record.keepUntil : target, record.key};
+    record.readyOrder = {isUrgent(record) ? 0 : hurry, late ? record.keepUntil : target, record.key};
     this->ready.insert(record.readyOrder);
 }
 
@@ -179,7 +224,7 @@
     record.stage = Stage::Decoding;
     record.begun = true;
     record.decodeSince = now;
-    this->beginMove(record);
+    this->beginMove(record, now);
     EngineState &engine = this->engines[record.decode];
     engine.progressAt = engine.decoding == 0 ? now : engine.progressAt;
     ++engine.decoding;
@@ -188,7 +233,7 @@
 void CellState::leaveReady(Record &record)
 {
     this->ready.erase(record.readyOrder);
-    this->promised -= record.pieces;
+    this->takeBack(record);
 }
 
 void CellState::holdDecode(Record &record, EngineSlot slot, Instant now)
@@ -209,7 +254,7 @@
     }
 }
 
-void CellState::beginMove(Record &record)
+void CellState::beginMove(Record &record, Instant now)
 {
     // One taken over from another owner has moved already, and from where is not known.
     if (record.prefill == noEngine) {
@@ -218,8 +263,9 @@
     this->reserveMove(record);
     record.moving = true;
     const std::size_t link = this->engines[record.prefill].link;
-    this->links.begin(link);
-    record.linkAlone = this->links.moving(link) == 1;
+    record.linkAlone = this->links.moving(link, now) == 0;
+    this->links.begin(link, record.transfer, now);
+    record.linkShared = this->links.shared(link);
 }
 
 void CellState::endMove(Record &record)
@@ -229,8 +275,8 @@
     }
     const std::size_t link = this->engines[record.prefill].link;
     if (record.moving) {
-        record.linkAlone = record.linkAlone && this->links.moving(link) == 1;
-        this->links.end(link, record.transfer);
+        record.linkAlone = record.linkAlone && this->links.shared(link) == record.linkShared;
+        this->links.end(link);
     } else {
         this->links.giveBack(link, record.transfer);
     }
--- a/decide/testing/cellscheduler_test.cpp
+++ b/decide/testing/cellscheduler_test.cpp
@@ -1,4 +1,4 @@
-#include "decide/cellscheduler.h"
+#include "decide/testing/smallcell.h"
 
 #include <gtest/gtest.h>
 
@@ -8,44 +8,6 @@
 namespace fescuesill
 {
 
-static EngineSpec engine(const std::string &name, Pool pool)
-{
-    return EngineSpec{EngineId(name), pool, Pieces(4), DataCentreId("a"), "", false};
-}
-
-static PlaceRequest request(const std::string &name, int rank = 1, Duration firstToken = 5s)
-{
-    PlaceRequest place;
-    place.request = RequestId(name);
-    place.workspace = WorkspaceId("w");
-    place.requestClass.name = "c" + std::to_string(rank);
-    place.requestClass.rank = rank;
-    place.requestClass.firstToken = firstToken;
-    place.prompt = Tokens(1000);
-    return place;
-}
-
-template<typename Kind>
-static std::vector<Kind> only(const std::vector<Action> &actions)
-{
-    std::vector<Kind> found;
-    for (const Action &action : actions) {
-        if (const auto *one = std::get_if<Kind>(&action)) {
-            found.push_back(*one);
-        }
-    }
-    return found;
-}
-
-static CellScheduler smallCell(CellScheduler::Options options = {})
-{
-    auto cell = CellScheduler::create(options).value();
-    cell.setEngines({engine("p1", Pool::Prefill), engine("p2", Pool::Prefill), engine("d1", Pool::Decode),
-                     engine("d2", Pool::Decode)},
-                    Instant(1s));
-    return cell;
-}
-
 TEST(CellScheduler, RefusesOptionsOutOfRange)
 {
     CellScheduler::Options options;
@@ -102,6 +64,33 @@
     EXPECT_FALSE(again.front().prefillEngine == first);
 }
 
+// Story: a decode engine stops writing and keeps its connections open, so nothing fails. It has the most free memory
+// and would get all that comes until its entries give up after seconds.
+TEST(CellScheduler, ASilentDecodeEngineGetsNothingNew)
+{
+    auto cell = smallCell();
+    cell.adopt({request("silent"), EngineId("d1"), Tokens(10)}, Instant(1s));
+    for (const char *name : {"a", "b"}) {
+        cell.adopt({request(name), EngineId("d2"), Tokens(10)}, Instant(1s));
+    }
+    for (Instant now(1s); now <= Instant(3s); now += 100ms) {
+        cell.onProgress(RequestId("a"), Tokens(20), now);
+        cell.poll(now);
+    }
+    PlaceRequest place = request("new");
+    place.arrival = Instant(3s);
+    cell.submit(place, Instant(3s));
+    const auto places = only<Place>(cell.poll(Instant(3s)));
+    ASSERT_EQ(places.size(), 1U);
+    EXPECT_EQ(places.front().decodeEngine, EngineId("d2"));
+    cell.onProgress(RequestId("silent"), Tokens(20), Instant(3100ms));
+    place.request = RequestId("later");
+    cell.submit(place, Instant(3100ms));
+    const auto later = only<Place>(cell.poll(Instant(3100ms)));
+    ASSERT_EQ(later.size(), 1U);
+    EXPECT_EQ(later.front().decodeEngine, EngineId("d1"));
+}
+
 TEST(CellScheduler, LeavingEnginesGetNothingNew)
 {
     auto cell = smallCell();
--- a/testing/bench/cell.h
+++ b/testing/bench/cell.h
@@ -37,6 +37,9 @@
     Instant decodeAsked;
     Duration firstToken{0};
     Duration perToken{0};
+    int placings = 0;
+    std::size_t prefill = 0; // the last
+    std::size_t decode = 0;
 };
 
 class Cell
@@ -121,6 +124,8 @@
     void arriveDecode(const RequestId &request, std::size_t engine);
     void decodeFailed(const RequestId &request, DecodeFault fault);
     void kill(std::size_t engine);
+    void stall(std::size_t engine);
+    void giveUpLater(const RequestId &request, RunKey run);
     void publish(std::size_t engine);
     void tell(const std::function<void(Policy &)> &event);
 
