--- a/programs/scheduler/ledgersweeper.cpp
+++ b/programs/scheduler/ledgersweeper.cpp
@@ -33,7 +33,7 @@
         const SweepEvent event = this->perform(action, yield);
         this->sweep.setHosts(this->options.hosts());
         action = this->sweep.on(event, sharedNow());
-        this->report();
+        this->publish();
     }
 }
 
@@ -90,10 +90,23 @@
     return sweep_event::Woken{};
 }
 
-// Once a pass that found something.
-void LedgerSweeper::report()
+LedgerSweep::Counts LedgerSweeper::counts() const
+{
+    const std::lock_guard<std::mutex> lock(this->countsMutex);
+    return this->published;
+}
+
+void LedgerSweeper::publish()
 {
     const LedgerSweep::Counts now = this->sweep.counts();
+    this->report(now);
+    const std::lock_guard<std::mutex> lock(this->countsMutex);
+    this->published = now;
+}
+
+// Once a pass that found something.
+void LedgerSweeper::report(const LedgerSweep::Counts &now)
+{
     if (now.passes == this->reported.passes) {
         return;
     }
--- a/programs/scheduler/ledgersweeper.h
+++ b/programs/scheduler/ledgersweeper.h
@@ -10,6 +10,7 @@
 #include "wire/platformclient.h"
 
 #include <functional>
+#include <mutex>
 #include <random>
 
 namespace fescuesill
@@ -29,19 +30,24 @@
 
     // Does not return.
     void run(const asio::yield_context &yield);
+    // From any thread.
+    LedgerSweep::Counts counts() const;
 
 private:
     SweepEvent perform(const SweepAction &action, const asio::yield_context &yield);
     SweepEvent read(const sweep_action::Read &read, const asio::yield_context &yield);
     SweepEvent remove(const sweep_action::Delete &rows, const asio::yield_context &yield);
     SweepEvent wait(Duration duration, const asio::yield_context &yield);
-    void report();
+    void publish();
+    void report(const LedgerSweep::Counts &now);
 
     asio::io_context &io;
     PlatformClient &platform;
     Options options;
     LedgerSweep sweep;
     LedgerSweep::Counts reported;
+    mutable std::mutex countsMutex;
+    LedgerSweep::Counts published;
     std::mt19937_64 random;
 };
 
--- a/programs/scheduler/platformduty.cpp
+++ b/programs/scheduler/platformduty.cpp
@@ -132,6 +132,11 @@
     made->thread = std::thread([made] { made->context.run(); });
 }
 
+LedgerSweep::Counts PlatformDuty::sweepCounts() const
+{
+    return this->impl->sweeper.counts();
+}
+
 void PlatformDuty::stop()
 {
     this->impl->context.stop();
--- a/programs/scheduler/platformduty.h
+++ b/programs/scheduler/platformduty.h
@@ -37,6 +37,7 @@
 
     void start();
     void stop();
+    LedgerSweep::Counts sweepCounts() const;
 
 private:
     struct Impl;
--- a/programs/scheduler/schedulerprogram.cpp
+++ b/programs/scheduler/schedulerprogram.cpp
@@ -179,6 +179,7 @@
             const PeerStatus peerStatus = this->peers->status();
             const DirectorStatus directorStatus = this->decisions.status();
             this->metrics.update(peerStatus, directorStatus);
+            this->metrics.showSweep(this->platform.sweepCounts());
             this->degraded.set("table_unreachable", !peerStatus.tableReachable);
             this->degraded.set("declaration_malformed", peerStatus.isDeclarationMalformed);
             this->degraded.set("not_serving", peerStatus.service != ConfigService::Serving);
--- a/programs/scheduler/schedulerstatus.cpp
+++ b/programs/scheduler/schedulerstatus.cpp
@@ -120,6 +120,11 @@
     , probeSentBytes(family(*registry, "fescuesill_probe_sent_bytes", "Bytes of probes sent since the start").Add({}))
     , probeReceivedBytes(
           family(*registry, "fescuesill_probe_received_bytes", "Bytes of probes received since the start").Add({}))
+    , sweepPasses(family(*registry, "fescuesill_sweep_passes", "Passes over this host's part of the ledger").Add({}))
+    , sweepDeleted(family(*registry, "fescuesill_sweep_rows_deleted", "Ledger rows deleted since the start").Add({}))
+    , sweepMalformed(
+          family(*registry, "fescuesill_sweep_rows_malformed", "Ledger rows met that do not parse; they are kept")
+              .Add({}))
     , cellRequests(family(*registry, "fescuesill_cell_requests", "Requests waiting or running in an owned cell"))
     , cellFreePieces(family(*registry, "fescuesill_cell_free_pieces", "Decode memory neither used nor reserved"))
     , cellQueueSeconds(family(*registry, "fescuesill_cell_queue_seconds", "Expected wait of a new request"))
@@ -147,6 +152,13 @@
     this->clearLostCells(director);
 }
 
+void SchedulerMetrics::showSweep(const LedgerSweep::Counts &counts)
+{
+    this->sweepPasses.Set(static_cast<double>(counts.passes));
+    this->sweepDeleted.Set(static_cast<double>(counts.deleted));
+    this->sweepMalformed.Set(static_cast<double>(counts.malformed));
+}
+
 void SchedulerMetrics::show(const CellId &id, const CellStatus &cell)
 {
     const Labels labels{{"model", id.model.value()}, {"data_centre", id.dataCentre.value()}};
--- a/programs/scheduler/schedulerstatus.h
+++ b/programs/scheduler/schedulerstatus.h
@@ -5,6 +5,7 @@
 #include "programs/scheduler/directormessages.h"
 #include "programs/scheduler/peerduty.h"
 #include "programs/scheduler/schedulersettings.h"
+#include "promise/ledgersweep.h"
 #include "wire/degradedmodes.h"
 
 #include <prometheus/counter.h>
@@ -28,6 +29,7 @@
     explicit SchedulerMetrics(const std::shared_ptr<prometheus::Registry> &registry);
 
     void update(const PeerStatus &peers, const DirectorStatus &director);
+    void showSweep(const LedgerSweep::Counts &counts);
 
 private:
     void show(const CellId &id, const CellStatus &cell);
@@ -39,6 +41,9 @@
     prometheus::Gauge &members;
     prometheus::Gauge &probeSentBytes;
     prometheus::Gauge &probeReceivedBytes;
+    prometheus::Gauge &sweepPasses;
+    prometheus::Gauge &sweepDeleted;
+    prometheus::Gauge &sweepMalformed;
     prometheus::Family<prometheus::Gauge> &cellRequests;
     prometheus::Family<prometheus::Gauge> &cellFreePieces;
     prometheus::Family<prometheus::Gauge> &cellQueueSeconds;
--- a/testing/process/test_ledger.py
+++ b/testing/process/test_ledger.py
@@ -39,6 +39,11 @@
     def keys(self):
         return {found["key"] for found in call("GET", self.platform, "/table/rows?prefix=call/&limit=1000")[1]["rows"]}
 
+    @staticmethod
+    def swept(host):
+        lines = call("GET", host.scheduler_admin, "/metrics")[1].splitlines()
+        return sum(float(line.split()[-1]) for line in lines if line.startswith("fescuesill_sweep_rows_deleted "))
+
     def ctl(self, *arguments):
         done = self.cluster.ctl(*arguments, "--platform", self.platform)
         return done.returncode, done.stdout, done.stderr
@@ -55,6 +60,7 @@
         self.put({**over, **stays})
         self.assertEqual(self.cluster.book(self.cluster.hosts[0], "now")[0], 200)
         wait_until(lambda: not {key for key in self.keys() if "/over-" in key}, "the sweep")
+        wait_until(lambda: sum(self.swept(host) for host in self.cluster.hosts) == len(over), "the metric of the sweep")
         self.assertTrue(set(stays) <= self.keys())
         self.assertEqual(self.cluster.book(self.cluster.hosts[1], "now", repeat=True)[0], 200)
         self.assertEqual(self.cluster.executions("now"), 1)
