Ask every process and operator for a key

Cause: anyone on the inner network could name a version of the declaration, send messages on links and drain hosts. Change: [keys] fleet and operator name files of keys, checked with one line for each fault. With a fleet key the links open with a mutual proof before any message (wire/linkguard), every message and probe is signed, and what fails is counted, logged by name at most every half minute, and shown as the mode peers_refused. With an operators' key whatever is not a read on an admin port needs a proof; fescuesillctl makes it. Without keys a process starts on loopback only, unless open = yes, which the log and /status tell. The page test puts a key file beside the commands.

--- a/declare/settings.cpp
+++ b/declare/settings.cpp
@@ -80,6 +80,12 @@
     return this->section(section).choice(key, fallback, allowed);
 }
 
+void SettingsReader::fault(const std::string &section, const std::string &key, const std::string &given,
+                           const std::string &allowed)
+{
+    this->section(section).fault(key, given, allowed);
+}
+
 std::vector<Fault> SettingsReader::finish()
 {
     std::vector<Fault> faults = this->malformed;
--- a/declare/settings.h
+++ b/declare/settings.h
@@ -41,6 +41,9 @@
     std::string choice(const std::string &section, const std::string &key, const std::string &fallback,
                        const std::vector<std::string> &allowed);
 
+    // Notes a fault that a caller found in the value of a key.
+    void fault(const std::string &section, const std::string &key, const std::string &given,
+               const std::string &allowed);
     // Every fault found, in the order of the file.
     std::vector<Fault> finish();
 
--- a/declare/values.cpp
+++ b/declare/values.cpp
@@ -118,6 +118,13 @@
     return inet_pton(AF_INET, host.c_str(), binary.data()) == 1;
 }
 
+bool isLoopback(std::string_view address)
+{
+    constexpr std::string_view v4 = "127.";
+    constexpr std::string_view v6 = "[::1]:";
+    return address.substr(0, v4.size()) == v4 || address.substr(0, v6.size()) == v6;
+}
+
 std::vector<std::string> splitList(std::string_view text)
 {
     std::vector<std::string> items;
--- a/declare/values.h
+++ b/declare/values.h
@@ -26,6 +26,8 @@
 std::string formatFlag(bool flag);
 // IPv4:PORT or [IPv6]:PORT.
 bool isAddress(std::string_view text, bool anyPort);
+// Of an address: whether only processes of the same host reach it.
+bool isLoopback(std::string_view address);
 std::vector<std::string> splitList(std::string_view text);
 std::string joinList(const std::vector<std::string> &items);
 // Letters, digits, '.', '_' and '-', beginning with a letter or digit.
--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -1,6 +1,6 @@
 #include "commands.h"
 
-#include "declare/settings.h"
+#include "declare/keysettings.h"
 #include "declare/values.h"
 
 #include <fmt/format.h>
@@ -19,7 +19,8 @@
 constexpr std::size_t mostLogFiles = 4096;
 
 const Option platformOption{"platform", "IP:PORT", "The platform's address"};
-const Option configOption{"config", "FILE", "Settings: [platform] address"};
+const Option configOption{"config", "FILE", "Settings: [platform] address, [keys] operator"};
+const Option operatorKeyOption{"operator-key", "FILE", "File of the operators' key, where the fleet has one"};
 const Option yesOption{"yes", "", "Accept a change that lowers declared capacity"};
 const Option authorOption{"author", "NAME", "Who changes it (needed)"};
 const Option reasonOption{"reason", "TEXT", "Why (needed)"};
@@ -34,13 +35,19 @@
     return options;
 }
 
-std::string addressFrom(const std::string &path)
+struct FileSettings {
+    std::string platform;
+    std::string operatorKey; // empty: not named
+};
+
+FileSettings readSettings(const std::string &path)
 {
-    std::string address;
+    FileSettings settings;
     std::string lines;
     auto reader = SettingsReader::fromFile(path);
     if (reader) {
-        address = reader->address("platform", "address");
+        settings.platform = reader->address("platform", "address");
+        settings.operatorKey = reader->text("keys", "operator", "");
     }
     for (const Fault &fault : reader ? reader->finish() : reader.error().faults) {
         lines += (lines.empty() ? "" : "\n") + fault.line();
@@ -48,7 +55,26 @@
     if (!lines.empty()) {
         throw CommandError(ExitCode::BadInput, lines);
     }
-    return address;
+    return settings;
+}
+
+// What an option, --config, the environment or the default settings file says, whichever comes first and says
+// something.
+std::string findSetting(const CommandLine &line, const std::string &option, const char *variable,
+                        std::string FileSettings::*member)
+{
+    std::string value = line.text(option);
+    if (value.empty() && line.has("config")) {
+        value = readSettings(line.text("config")).*member;
+    }
+    const char *environment = std::getenv(variable);
+    if (value.empty() && environment != nullptr) {
+        value = environment;
+    }
+    if (value.empty() && std::filesystem::exists(defaultSettings)) {
+        value = readSettings(defaultSettings).*member;
+    }
+    return value;
 }
 
 } // namespace
@@ -79,7 +105,8 @@
         {"status", "", "Show every process, the version in force there, cells and owners, degraded modes.", 0, 0,
          withPlatform({}), runStatus},
         {"drain", "HOST", "Begin the planned stop of a host: no new work, nothing in progress is cut off.", 1, 1,
-         withPlatform({{"wait", "", "Return when both processes have ended"}, limitOption}), runDrain},
+         withPlatform({{"wait", "", "Return when both processes have ended"}, limitOption, operatorKeyOption}),
+         runDrain},
         {"report", "", "Service-level burn of every service and class, from all processes.", 0, 0,
          withPlatform({{"json", "", "As JSON"}, {"html", "FILE", "As one page with plots"}}), runReport},
         {"explain",
@@ -111,15 +138,7 @@
 
 std::string platformAddress(const CommandLine &line)
 {
-    std::string address = line.text("platform");
-    const char *environment = std::getenv("FESCUESILL_PLATFORM");
-    if (address.empty() && line.has("config")) {
-        address = addressFrom(line.text("config"));
-    } else if (address.empty() && environment != nullptr) {
-        address = environment;
-    } else if (address.empty() && std::filesystem::exists(defaultSettings)) {
-        address = addressFrom(defaultSettings);
-    }
+    std::string address = findSetting(line, "platform", "FESCUESILL_PLATFORM", &FileSettings::platform);
     if (!isAddress(address, false)) {
         throw CommandError(ExitCode::BadInput,
                            fmt::format("platform address: '{}'; allowed: IP:PORT from --platform, --config, "
@@ -129,4 +148,17 @@
     return address;
 }
 
+std::optional<KeyRing> operatorKeys(const CommandLine &line)
+{
+    const std::string path = findSetting(line, "operator-key", "FESCUESILL_OPERATOR_KEY", &FileSettings::operatorKey);
+    if (path.empty()) {
+        return std::nullopt;
+    }
+    auto keys = readKeyFile(path);
+    if (!keys) {
+        throw CommandError(ExitCode::BadInput, fmt::format("operators' key: {}: {}", path, keys.error().text));
+    }
+    return std::move(*keys);
+}
+
 } // namespace fescuesill::ctl
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -5,6 +5,8 @@
 #include "commandline.h"
 #include "session.h"
 
+#include "promise/keyring.h"
+
 namespace fescuesill::ctl
 {
 
@@ -26,5 +28,7 @@
 
 // From --platform, the settings of --config, FESCUESILL_PLATFORM, or /etc/fescuesill/fescuesillctl.ini, in this order.
 std::string platformAddress(const CommandLine &line);
+// Of the file named by --operator-key, the settings of --config, FESCUESILL_OPERATOR_KEY, or the same default settings.
+std::optional<KeyRing> operatorKeys(const CommandLine &line);
 
 } // namespace fescuesill::ctl
--- a/programs/ctl/draincommand.cpp
+++ b/programs/ctl/draincommand.cpp
@@ -3,6 +3,9 @@
 #include "commands.h"
 #include "fleet.h"
 
+#include "promise/operatorproof.h"
+#include "wire/clock.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -17,6 +20,7 @@
 constexpr Duration pollPause = 500ms;
 // A stream may run for minutes before it is moved.
 constexpr Duration defaultLimit = 15min;
+constexpr int unauthorized = 401;
 
 bool anyAnswers(Session &session, const std::vector<Question> &questions)
 {
@@ -41,6 +45,25 @@
     return ExitCode::Ok;
 }
 
+Question drainQuestion(const std::optional<KeyRing> &keys, const HostId &host, const std::string &process,
+                       const std::string &address)
+{
+    Question question{address, "POST", "/drain"};
+    if (keys) {
+        const OperatorCommand command{host, process, question.method, question.target};
+        question.headers.push_back({"Authorization", operatorProof(*keys, command, sharedNow())});
+    }
+    return question;
+}
+
+std::string refusalOf(const Answer &answer)
+{
+    if (answer.status != unauthorized) {
+        return fmt::format("{} {}", answer.status, answer.error);
+    }
+    return answer.body.substr(0, answer.body.find('\n')) + "; see --operator-key";
+}
+
 } // namespace
 
 ExitCode runDrain(const CommandLine &line)
@@ -53,15 +76,16 @@
     if (host == hosts.end()) {
         throw CommandError(ExitCode::BadInput, fmt::format("no host '{}' in the platform's list", wanted.value()));
     }
-    const std::vector<Question> questions{{host->entryAdmin, "POST", "/drain"},
-                                          {host->schedulerAdmin, "POST", "/drain"}};
+    const std::optional<KeyRing> keys = operatorKeys(line);
+    const std::vector<Question> questions{drainQuestion(keys, wanted, "entry", host->entryAdmin),
+                                          drainQuestion(keys, wanted, "scheduler", host->schedulerAdmin)};
     const std::vector<Answer> answers = session.ask(questions);
     bool begun = true;
     for (std::size_t i = 0; i < questions.size(); ++i) {
         const bool accepted = answers[i].status / 100 == 2;
         begun = begun && accepted;
         fmt::print("{} {}: {}\n", wanted.value(), i == 0 ? "entry" : "scheduler",
-                   accepted ? "draining" : fmt::format("NOT draining: {} {}", answers[i].status, answers[i].error));
+                   accepted ? "draining" : "NOT draining: " + refusalOf(answers[i]));
     }
     if (!begun) {
         return ExitCode::Failed;
--- a/programs/ctl/session.h
+++ b/programs/ctl/session.h
@@ -20,6 +20,7 @@
     std::string address;
     std::string method;
     std::string target;
+    std::vector<HttpHeader> headers = {};
 };
 
 struct Answer {
--- a/programs/entry/entryprogram.cpp
+++ b/programs/entry/entryprogram.cpp
@@ -5,6 +5,7 @@
 #include "wire/clock.h"
 #include "wire/degradedmodes.h"
 #include "wire/log.h"
+#include "wire/openports.h"
 
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -56,6 +57,7 @@
 
     int run()
     {
+        tellOpenPorts(this->settings.keys, this->modes);
         this->openLinks();
         this->openShards();
         this->openAdmin();
@@ -77,8 +79,10 @@
 private:
     void openLinks()
     {
-        auto created = LinkDuty::create({this->settings.host, this->settings.dataCentre, this->settings.scheduler},
-                                        this->held, [this](LinkEvent event) { this->deliver(std::move(event)); });
+        const LinkDuty::Options options{this->settings.host, this->settings.dataCentre, this->settings.scheduler,
+                                        this->settings.keys.fleet};
+        auto created =
+            LinkDuty::create(options, this->held, [this](LinkEvent event) { this->deliver(std::move(event)); });
         if (!created) {
             throw WireError(created.error());
         }
@@ -108,6 +112,9 @@
         options.drain = [] {
             stopSignal = 1;
         };
+        options.operators = this->settings.keys.operators;
+        options.host = this->settings.host;
+        options.process = "entry";
         auto created = AdminServer::create(std::move(options), this->registry);
         if (!created) {
             throw WireError(created.error());
@@ -143,6 +150,7 @@
         }
         this->modes.set("no_configuration", this->isCutOff(view));
         this->modes.set("owner_unreachable", hasOwnerless);
+        this->modes.set("peers_refused", this->links->hasRefusedLately());
         this->modes.set("no_resume_keys", this->state.resumeTokens() == nullptr);
     }
 
--- a/programs/entry/entrysettings.cpp
+++ b/programs/entry/entrysettings.cpp
@@ -27,6 +27,7 @@
     settings.announce = reader->duration("drain", "announce", 3s, {0s, 1min});
     settings.drainLimit = reader->duration("drain", "limit", 60s, {0s, 1h});
     settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
+    settings.keys = readKeySettings(*reader, {settings.scheduler, settings.admin});
     if (auto faults = reader->finish(); !faults.empty()) {
         return tl::make_unexpected(DeclareError{std::move(faults)});
     }
--- a/programs/entry/entrysettings.h
+++ b/programs/entry/entrysettings.h
@@ -5,7 +5,7 @@
 //     const auto settings = EntrySettings::fromFile("entry.ini");
 //     if (!settings) { ... print each settings.error().faults ..., exit code 2 ... }
 
-#include "declare/settings.h"
+#include "declare/keysettings.h"
 #include "fescuesill/ids.h"
 #include "wire/log.h"
 
@@ -32,6 +32,7 @@
     Duration announce{3s}; // of a planned stop: how long the balancer takes to see /readyz fail
     Duration drainLimit{60s}; // after this, streams are moved by their resume token
     LogLevel logLevel = LogLevel::Info;
+    KeySettings keys;
 };
 
 } // namespace fescuesill
--- a/programs/entry/linkduty.cpp
+++ b/programs/entry/linkduty.cpp
@@ -58,11 +58,14 @@
     handlers.received = [raw = duty.get()](LinkId, peer::Message message) {
         raw->onReceived(std::move(message));
     };
-    auto node = PeerNode::create({}, std::move(handlers));
-    if (!node) {
-        return tl::make_unexpected(node.error());
+    PeerNode::Options node;
+    node.keys = duty->options.keys;
+    node.host = duty->options.host;
+    auto made = PeerNode::create(std::move(node), std::move(handlers));
+    if (!made) {
+        return tl::make_unexpected(made.error());
     }
-    duty->node = std::move(*node);
+    duty->node = std::move(*made);
     return duty;
 }
 
@@ -83,6 +86,11 @@
     this->node->send(link, message);
 }
 
+bool LinkDuty::hasRefusedLately() const
+{
+    return this->node->hasRefusedLately();
+}
+
 LinkDuty::Link *LinkDuty::findLink(LinkId link)
 {
     for (auto &[address, one] : this->links) {
--- a/programs/entry/linkduty.h
+++ b/programs/entry/linkduty.h
@@ -34,6 +34,7 @@
         HostId host;
         DataCentreId dataCentre;
         std::string scheduler; // IP:PORT of this host's own
+        std::shared_ptr<const KeyRing> keys = {}; // null: links prove nothing
     };
     // Called on the thread of the links; must not wait.
     using Deliver = std::function<void(LinkEvent)>;
@@ -44,6 +45,8 @@
     void start();
     std::shared_ptr<const EntryView> view() const;
     void send(LinkId link, const peer::Message &message);
+    // Whether a scheduler and this entry lately failed to prove themselves to each other.
+    bool hasRefusedLately() const;
 
 private:
     struct Link {
--- a/programs/scheduler/peerduty.cpp
+++ b/programs/scheduler/peerduty.cpp
@@ -64,6 +64,8 @@
     {
         PeerNode::Options node;
         node.listen = this->options.address;
+        node.keys = this->options.keys;
+        node.host = this->options.host;
         PeerNode::Handlers handlers;
         handlers.opened = [this](LinkId link) {
             this->onOpened(link);
@@ -81,8 +83,13 @@
         this->node = std::move(*made);
         this->fetcher = std::make_unique<ConfigFetcher>(
             *this->node, peer::Hello{this->options.host, this->options.dataCentre, false});
-        auto socket = ProbeSocket::create(this->node->context(), this->options.address,
-                                          [this](const ProbeMessage &probe) { this->onProbe(probe); });
+        std::optional<DatagramSeal> seal;
+        if (this->options.keys) {
+            seal.emplace(*this->options.keys, this->options.host);
+        }
+        auto socket = ProbeSocket::create(
+            this->node->context(), this->options.address, [this](const ProbeMessage &probe) { this->onProbe(probe); },
+            std::move(seal));
         if (!socket) {
             throw WireError(socket.error());
         }
@@ -411,6 +418,8 @@
         made.owned = this->toldOwned.size();
         made.links = this->links;
         made.traffic = this->probes->traffic();
+        made.refusedLinks = this->node->refusedLinks();
+        made.hasRefusedLately = this->node->hasRefusedLately();
         made.tableReachable = this->tableReachable;
         const std::lock_guard<std::mutex> lock(this->statusMutex);
         this->status = std::move(made);
--- a/programs/scheduler/peerduty.h
+++ b/programs/scheduler/peerduty.h
@@ -51,6 +51,8 @@
     std::size_t owned = 0;
     std::size_t links = 0;
     ProbeTraffic traffic;
+    std::uint64_t refusedLinks = 0;
+    bool hasRefusedLately = false; // a link, for want of a proof
     bool tableReachable = false;
 };
 
@@ -61,6 +63,7 @@
         HostId host;
         DataCentreId dataCentre;
         std::string address; // of links and probes
+        std::shared_ptr<const KeyRing> keys = {}; // null: links and probes prove nothing
         std::vector<std::string> seeds; // other schedulers, for a start while the platform is down
         Membership::Options membership;
         ConfigStore::Options config;
--- a/programs/scheduler/schedulerprogram.cpp
+++ b/programs/scheduler/schedulerprogram.cpp
@@ -9,6 +9,7 @@
 #include "wire/adminserver.h"
 #include "wire/clock.h"
 #include "wire/log.h"
+#include "wire/openports.h"
 
 #include <csignal>
 #include <thread>
@@ -61,6 +62,7 @@
             throw WireError(made.error());
         }
         this->peers = std::move(*made);
+        tellOpenPorts(this->settings.keys, this->degraded);
         this->openAdmin();
         this->decisions.start();
         this->engines.start();
@@ -137,6 +139,7 @@
         options.seeds = settings.seeds;
         options.membership.period = settings.probePeriod;
         options.config.freshness = settings.freshness;
+        options.keys = settings.keys.fleet;
         return options;
     }
 
@@ -151,6 +154,9 @@
         options.drain = [this] {
             this->isDrainAsked = true;
         };
+        options.operators = this->settings.keys.operators;
+        options.host = this->settings.host;
+        options.process = "scheduler";
         auto made = AdminServer::create(std::move(options), this->registry);
         if (!made) {
             throw WireError(made.error());
@@ -181,6 +187,7 @@
             this->metrics.update(peerStatus, directorStatus);
             this->degraded.set("table_unreachable", !peerStatus.tableReachable);
             this->degraded.set("declaration_malformed", peerStatus.isDeclarationMalformed);
+            this->degraded.set("peers_refused", peerStatus.hasRefusedLately);
             this->degraded.set("not_serving", peerStatus.service != ConfigService::Serving);
             const Instant now = steadyNow();
             if ((stopSignal != 0 || this->isDrainAsked) && !this->isDraining) {
--- a/programs/scheduler/schedulersettings.cpp
+++ b/programs/scheduler/schedulersettings.cpp
@@ -26,6 +26,7 @@
     settings.drainLimit = reader->duration("drain", "limit", 60s, {1s, 1h});
     settings.sweepPause = reader->duration("ledger", "sweep_pause", 10min, {100ms, 24h});
     settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
+    settings.keys = readKeySettings(*reader, {settings.peers, settings.admin});
     if (auto faults = reader->finish(); !faults.empty()) {
         return tl::unexpected(DeclareError{std::move(faults)});
     }
--- a/programs/scheduler/schedulersettings.h
+++ b/programs/scheduler/schedulersettings.h
@@ -5,7 +5,7 @@
 //     const auto settings = SchedulerSettings::fromFile("scheduler.ini");
 //     if (!settings) { print settings.error().faults; exit 2 }
 
-#include "declare/settings.h"
+#include "declare/keysettings.h"
 #include "fescuesill/ids.h"
 #include "wire/log.h"
 
@@ -31,6 +31,7 @@
     Duration freshness{0};
     Duration drainLimit{0};
     Duration sweepPause{0};
+    KeySettings keys;
 };
 
 } // namespace fescuesill
--- a/programs/scheduler/schedulerstatus.cpp
+++ b/programs/scheduler/schedulerstatus.cpp
@@ -120,6 +120,9 @@
     , probeSentBytes(family(*registry, "fescuesill_probe_sent_bytes", "Bytes of probes sent since the start").Add({}))
     , probeReceivedBytes(
           family(*registry, "fescuesill_probe_received_bytes", "Bytes of probes received since the start").Add({}))
+    , linksRefused(
+          family(*registry, "fescuesill_links_refused", "Links that failed to prove their key since the start").Add({}))
+    , probesRefused(family(*registry, "fescuesill_probes_refused", "Probes refused since the start, by cause"))
     , cellRequests(family(*registry, "fescuesill_cell_requests", "Requests waiting or running in an owned cell"))
     , cellFreePieces(family(*registry, "fescuesill_cell_free_pieces", "Decode memory neither used nor reserved"))
     , cellQueueSeconds(family(*registry, "fescuesill_cell_queue_seconds", "Expected wait of a new request"))
@@ -141,6 +144,11 @@
     this->members.Set(live);
     this->probeSentBytes.Set(static_cast<double>(peers.traffic.sentBytes));
     this->probeReceivedBytes.Set(static_cast<double>(peers.traffic.receivedBytes));
+    this->linksRefused.Set(static_cast<double>(peers.refusedLinks));
+    for (std::size_t cause = 0; cause < datagramFaults; ++cause) {
+        const Labels labels{{"cause", faultName(static_cast<DatagramFault>(cause))}};
+        this->probesRefused.Add(labels).Set(static_cast<double>(peers.traffic.refused[cause]));
+    }
     for (const auto &[id, cell] : director.cells) {
         this->show(id, cell);
     }
--- a/programs/scheduler/schedulerstatus.h
+++ b/programs/scheduler/schedulerstatus.h
@@ -39,6 +39,8 @@
     prometheus::Gauge &members;
     prometheus::Gauge &probeSentBytes;
     prometheus::Gauge &probeReceivedBytes;
+    prometheus::Gauge &linksRefused;
+    prometheus::Family<prometheus::Gauge> &probesRefused;
     prometheus::Family<prometheus::Gauge> &cellRequests;
     prometheus::Family<prometheus::Gauge> &cellFreePieces;
     prometheus::Family<prometheus::Gauge> &cellQueueSeconds;
--- a/promise/keyring.cpp
+++ b/promise/keyring.cpp
@@ -125,6 +125,16 @@
     return nullptr;
 }
 
+std::vector<KeyId> KeyRing::ids() const
+{
+    std::vector<KeyId> ids;
+    ids.reserve(this->entries.size());
+    for (const Entry &entry : this->entries) {
+        ids.push_back(entry.id);
+    }
+    return ids;
+}
+
 std::size_t KeyRing::size() const
 {
     return this->entries.size();
--- a/promise/keyring.h
+++ b/promise/keyring.h
@@ -47,6 +47,7 @@
     const Entry &signing() const;
     // Null where no such key is held.
     const MacKey *find(KeyId id) const;
+    std::vector<KeyId> ids() const;
     std::size_t size() const;
 
 private:
--- a/promise/testing/linkauth_test.cpp
+++ b/promise/testing/linkauth_test.cpp
@@ -242,6 +242,13 @@
     RC_ASSERT(!ends.acceptor.isProven());
 }
 
+TEST(LinkAuth, AnOpeningHasABound)
+{
+    const LinkEnd endless{HostId(std::string(LinkAuth::mostOpeningBytes, 'h')), scheduler.address};
+    const LinkAuth dialling = LinkAuth::initiate(ringOf("a"), endless, nonceOf('n'));
+    EXPECT_EQ(newEnds().acceptor.on(dialling.opening()).error(), LinkFault::Malformed);
+}
+
 RC_GTEST_PROP(LinkAuth, RandomBytesProveNothing, (const std::string &bytes))
 {
     Ends ends = newEnds();
--- a/testing/process/test_pages.py
+++ b/testing/process/test_pages.py
@@ -54,6 +54,8 @@
             doubt = {"attempt": "r-17", "entry": "athens-a", "digest": "d", "state": "open", "deadline_us": 0, "expiry_us": 0}
             call("POST", platform.address, "/table/commit",
                  {"writes": [{"key": f"call/bookings/lift-7/job-{job}", "value": json.dumps(doubt)} for job in (4711, 4712)]})
+            pathlib.Path(folder, "operator.key").write_text("0" * 64 + "\n", encoding="utf-8")
+            pathlib.Path(folder, "operator.key").chmod(0o600)
             environment = dict(os.environ, FESCUESILL_PLATFORM=platform.address)
             if not any("first declaration" in line for line, _, _ in commands):
                 self.run_command(["apply", "services.ini", "--author", "t", "--reason", "t"], 0, folder, environment, "set up")
--- a/wire/adminserver.cpp
+++ b/wire/adminserver.cpp
@@ -1,7 +1,9 @@
 #include "wire/adminserver.h"
 
 #include "wire/address.h"
+#include "wire/clock.h"
 #include "wire/log.h"
+#include "wire/refusallog.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <prometheus/counter.h>
 #include <prometheus/text_serializer.h>
 
 #include <atomic>
@@ -17,6 +20,9 @@
 
 // One thread, one coroutine for each connection. Readiness is an atomic flag set by the process; the status and drain
 // functions belong to the process and must be safe to call from this thread.
+//
+// Whatever is not a read needs the proof, before its target is looked at: a command that is added later is covered
+// without a line of its own.
 
 namespace fescuesill
 {
@@ -45,6 +51,10 @@
         : options(std::move(given))
         , registry(std::move(metrics))
         , acceptor(context)
+        , refused(prometheus::BuildCounter()
+                      .Name("fescuesill_admin_commands_refused_total")
+                      .Help("Commands without an operator's proof, by cause")
+                      .Register(*this->registry))
     {
     }
 
@@ -107,7 +117,11 @@
             if (failed) {
                 break;
             }
-            HttpResponse response = this->answer(parser.get());
+            const std::optional<OperatorFault> fault = this->faultOf(parser.get());
+            if (fault) {
+                this->noteRefused(stream.socket(), *fault);
+            }
+            HttpResponse response = fault ? refusal(parser.get(), *fault) : this->answer(parser.get());
             response.keep_alive(parser.get().keep_alive());
             response.prepare_payload();
             http::async_write(stream, response, yield[failed]);
@@ -119,6 +133,35 @@
         --this->connections;
     }
 
+    std::optional<OperatorFault> faultOf(const HttpRequest &request) const
+    {
+        const bool isRead = request.method() == http::verb::get || request.method() == http::verb::head;
+        if (isRead || !this->options.operators) {
+            return std::nullopt;
+        }
+        const OperatorCommand command{this->options.host, this->options.process, std::string(request.method_string()),
+                                      std::string(request.target())};
+        const auto given = request[http::field::authorization];
+        return checkOperatorProof(*this->options.operators, command, {given.data(), given.size()}, sharedNow());
+    }
+
+    void noteRefused(const tcp::socket &socket, OperatorFault fault)
+    {
+        boost::system::error_code gone;
+        const std::string from = socket.remote_endpoint(gone).address().to_string();
+        this->refused.Add({{"cause", faultName(fault)}}).Increment();
+        this->refusals.note(from, faultName(fault), steadyNow());
+    }
+
+    static HttpResponse refusal(const HttpRequest &request, OperatorFault fault)
+    {
+        HttpResponse response(http::status::unauthorized, request.version());
+        response.set(http::field::www_authenticate, "Bearer");
+        response.set(http::field::content_type, "text/plain; charset=utf-8");
+        response.body() = std::string("an operator's proof is needed: ") + faultName(fault) + "\n";
+        return response;
+    }
+
     HttpResponse answer(const HttpRequest &request)
     {
         HttpResponse response(http::status::ok, request.version());
@@ -157,6 +200,8 @@
     std::shared_ptr<prometheus::Registry> registry;
     asio::io_context context{1};
     tcp::acceptor acceptor;
+    prometheus::Family<prometheus::Counter> &refused;
+    RefusalLog refusals{"admin_command_refused"};
     std::atomic<bool> ready{false};
     int connections = 0;
     std::thread thread;
--- a/wire/adminserver.h
+++ b/wire/adminserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // The admin port of a process: health, readiness, metrics, status, planned stop. It has a thread of its own, so it
-// still answers when every other duty is busy.
+// still answers when every other duty is busy. Reads are open; commands need an operator's proof where keys are set.
 //
 //     AdminServer::Options options;
 //     options.address = "127.0.0.1:8082";
@@ -10,6 +10,7 @@
 //     auto admin = AdminServer::create(std::move(options), registry).value();
 //     admin->setReady(true);
 
+#include "promise/operatorproof.h"
 #include "wire/wireerror.h"
 
 #include <prometheus/registry.h>
@@ -29,6 +30,10 @@
         std::string address; // IP:PORT
         std::function<std::string()> status; // JSON; called on the admin thread
         std::function<void()> drain; // called on the admin thread
+        // Whoever changes state proves that he holds an operator's key; null: nobody is asked.
+        std::shared_ptr<const KeyRing> operators = {};
+        HostId host = {}; // this process, as proofs name it
+        std::string process = {};
     };
 
     static tl::expected<std::unique_ptr<AdminServer>, WireError> create(Options options,
--- /dev/null
+++ b/wire/openports.cpp
@@ -0,0 +1,20 @@
+#include "wire/openports.h"
+
+#include "wire/log.h"
+
+namespace fescuesill
+{
+
+void tellOpenPorts(const KeySettings &keys, DegradedModes &modes)
+{
+    if (keys.arePeersOpen) {
+        modes.set("peers_open", true);
+        Log::warning("peers_open", {{"hint", "[keys] fleet is not set: links and probes are taken from anyone"}});
+    }
+    if (keys.isAdminOpen) {
+        modes.set("admin_open", true);
+        Log::warning("admin_open", {{"hint", "[keys] operator is not set: anyone may drain this host"}});
+    }
+}
+
+} // namespace fescuesill
--- a/wire/peernode.cpp
+++ b/wire/peernode.cpp
@@ -1,6 +1,8 @@
 #include "wire/peernode.h"
 
 #include "wire/address.h"
+#include "wire/clock.h"
+#include "wire/linkguard.h"
 #include "wire/log.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,6 +24,8 @@
 // for `silence` is terminated without the closing handshake (its peer would not answer it) and reported closed. An
 // outgoing link is then opened on a new connection, which is what mends a connection that some box between the two ends
 // has forgotten.
+//
+// With a key, a connection is reported open only once its LinkGuard has it proven, and every message passes the guard.
 
 namespace fescuesill
 {
@@ -51,6 +55,9 @@
         , handlers(std::move(callbacks))
         , timer(context)
     {
+        if (this->options.keys) {
+            this->guard.emplace(*this->options.keys, LinkEnd{this->options.host, this->options.listen});
+        }
         this->prepare(this->server, [this](const Handle &handle) { this->onAccepted(handle); });
         this->prepare(this->client, [this](const Handle &handle) { this->onConnected(handle); });
         this->server.set_reuse_addr(true);
@@ -178,8 +185,32 @@
     void onOpen(LinkId id)
     {
         Link &link = this->links[id];
-        link.isOpen = true;
         link.lastHeard = Clock::now();
+        if (!this->guard) {
+            this->becomeOpen(id);
+            return;
+        }
+        this->limitMessages(link, LinkAuth::mostOpeningBytes);
+        this->transmit(link, this->guard->begin(id, this->connectionOf(link), steadyNow()));
+        if (const auto oldest = this->guard->surplus()) {
+            this->terminate(*oldest);
+        }
+    }
+
+    LinkGuard::Connection connectionOf(const Link &link)
+    {
+        if (link.isOutgoing) {
+            return {LinkGuard::Side::Dialled, link.address};
+        }
+        LinkGuard::Connection accepted;
+        this->withConnection(link,
+                             [&accepted](auto &connection) { accepted.address = connection.get_remote_endpoint(); });
+        return accepted;
+    }
+
+    void becomeOpen(LinkId id)
+    {
+        this->links[id].isOpen = true;
         this->handlers.opened(id);
     }
 
@@ -197,6 +228,9 @@
         }
         const bool wasOpen = link->isOpen;
         link->isOpen = false;
+        if (this->guard) {
+            this->guard->lost(id, steadyNow());
+        }
         if (link->isOutgoing) {
             this->openLater(id);
         } else {
@@ -222,13 +256,56 @@
         if (found == this->byHandle.end()) {
             return;
         }
+        if (this->guard) {
+            this->onGuarded(found->second, payload);
+        } else {
+            this->onPayload(found->second, payload);
+        }
+    }
+
+    void onGuarded(LinkId id, const std::string &bytes)
+    {
+        const auto arrival = this->guard->on(id, bytes, steadyNow());
+        const Link *link = this->find(id);
+        if (!arrival || link == nullptr) {
+            this->terminate(id);
+            return;
+        }
+        this->transmit(*link, arrival->reply);
+        if (arrival->isNowProven) {
+            this->limitMessages(*link, this->options.maxMessageBytes);
+            this->becomeOpen(id);
+        }
+        if (arrival->payload) {
+            this->onPayload(id, *arrival->payload);
+        }
+    }
+
+    void onPayload(LinkId id, std::string_view payload)
+    {
         auto message = peer::decodeMessage(payload);
         if (!message) {
             Log::warning("peer_message_bad", {{"error", message.error().what()}});
-            this->terminate(found->second);
+            this->terminate(id);
             return;
         }
-        this->handlers.received(found->second, std::move(*message));
+        this->handlers.received(id, std::move(*message));
+    }
+
+    void limitMessages(const Link &link, std::size_t bytes)
+    {
+        this->withConnection(link, [bytes](auto &connection) { connection.set_max_message_size(bytes); });
+    }
+
+    // Of the opening, so small that the bound on queued bytes does not matter.
+    void transmit(const Link &link, const std::string &bytes)
+    {
+        if (bytes.empty()) {
+            return;
+        }
+        this->withConnection(link, [&bytes](auto &connection) {
+            connection.send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+        });
     }
 
     template<typename Action>
@@ -269,10 +346,11 @@
             return;
         }
         bool isSlow = false;
-        this->withConnection(*link, [this, &bytes, &isSlow](auto &connection) {
+        this->withConnection(*link, [this, id, &bytes, &isSlow](auto &connection) {
             isSlow = connection.get_buffered_amount() > this->options.maxQueuedBytes;
             if (!isSlow) {
-                connection.send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+                const std::string &sealed = this->guard ? this->guard->seal(id, bytes) : bytes;
+                connection.send(sealed.data(), sealed.size(), websocketpp::frame::opcode::binary);
             }
         });
         if (isSlow) {
@@ -295,6 +373,9 @@
                 });
             }
         }
+        for (const LinkId id : this->guard ? this->guard->overdue(steadyNow()) : std::vector<LinkId>()) {
+            this->terminate(id);
+        }
         for (const LinkId id : silent) {
             Log::warning("peer_silent", {{"link", static_cast<std::uint64_t>(id)}});
             this->terminate(id);
@@ -316,6 +397,7 @@
     std::atomic<std::uint64_t> nextLink{1};
     std::map<LinkId, Link> links;
     std::map<Handle, LinkId, std::owner_less<Handle>> byHandle;
+    std::optional<LinkGuard> guard;
     std::thread thread;
 };
 
@@ -373,6 +455,9 @@
             return;
         }
         impl->byHandle.erase(found->handle);
+        if (impl->guard) {
+            impl->guard->end(link);
+        }
         impl->withConnection(*found, [](auto &connection) {
             error_code ignored;
             connection.close(websocketpp::close::status::normal, "", ignored);
@@ -387,6 +472,16 @@
                [impl = this->impl.get(), link, bytes = peer::encodeMessage(message)] { impl->send(link, bytes); });
 }
 
+std::uint64_t PeerNode::refusedLinks() const
+{
+    return this->impl->guard ? this->impl->guard->refused() : 0;
+}
+
+bool PeerNode::hasRefusedLately() const
+{
+    return this->impl->guard && this->impl->guard->hasRefusedLately(steadyNow());
+}
+
 asio::io_context &PeerNode::context()
 {
     return this->impl->context;
--- a/wire/peernode.h
+++ b/wire/peernode.h
@@ -12,6 +12,8 @@
 //
 // A message sent while a link is down is dropped: opened() tells when to say again what matters.
 
+#include "promise/keyring.h"
+#include "wire/linkid.h"
 #include "wire/messages.h"
 
 #include <functional>
@@ -25,8 +27,6 @@
 namespace fescuesill
 {
 
-enum class LinkId : std::uint64_t {};
-
 class PeerNode
 {
 public:
@@ -43,6 +43,9 @@
         std::size_t maxQueuedBytes = 16 * 1024 * 1024;
         // 340 entries of one data centre's worth of links fit many times over.
         std::size_t maxLinks = 2048;
+        // With a key both ends of a link prove that they hold it before a message is taken or sent (wire/linkguard.h).
+        std::shared_ptr<const KeyRing> keys = {};
+        HostId host = {}; // the name given in the proof
     };
 
     struct Handlers {
@@ -65,6 +68,9 @@
     LinkId connect(const std::string &address);
     void disconnect(LinkId link);
     void send(LinkId link, const peer::Message &message);
+    // Links refused for want of a proof, since the start and within the last half minute.
+    std::uint64_t refusedLinks() const;
+    bool hasRefusedLately() const;
 
     // The node's own event loop, for timers and sockets of the same duty.
     boost::asio::io_context &context();
--- a/wire/probesocket.cpp
+++ b/wire/probesocket.cpp
@@ -1,8 +1,10 @@
 #include "wire/probesocket.h"
 
 #include "wire/address.h"
+#include "wire/clock.h"
 #include "wire/log.h"
 #include "wire/probecodec.h"
+#include "wire/refusallog.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -12,6 +14,8 @@
 // One datagram is one message. A send that the kernel will not take at once is a lost probe: waiting for room would
 // only delay the news. Datagrams larger than a link's frame would be fragmented, and one lost fragment loses all, so
 // membership bounds what rides on a probe far below datagramLimit.
+//
+// A datagram that the seal refuses costs one code over its bytes at most and is counted; its text is not parsed.
 
 namespace fescuesill
 {
@@ -26,9 +30,10 @@
 } // namespace
 
 struct ProbeSocket::Impl {
-    Impl(asio::io_context &context, Handler callback)
+    Impl(asio::io_context &context, Handler callback, std::optional<DatagramSeal> given)
         : socket(context)
         , handler(std::move(callback))
+        , seal(std::move(given))
     {
     }
 
@@ -62,19 +67,39 @@
     {
         ++this->traffic.received;
         this->traffic.receivedBytes += size;
-        const auto message = decodeProbe(std::string_view(this->buffer.data(), size));
+        const std::string_view datagram(this->buffer.data(), size);
+        const Instant now = sharedNow();
+        const auto opened = this->seal ? this->seal->open(datagram, now) : DatagramSeal::Opened{datagram, now};
+        if (!opened) {
+            this->refuse(opened.error());
+            return;
+        }
+        const auto message = decodeProbe(opened->payload);
         if (!message) {
             ++this->traffic.malformed;
             Log::debug("probe_malformed", {{"error", message.error().what()}});
             return;
         }
+        const auto fault =
+            this->seal ? this->seal->admit({message->from, message->to, opened->sentAt}, now) : std::nullopt;
+        if (fault) {
+            this->refuse(*fault);
+            return;
+        }
         this->handler(*message);
     }
 
+    void refuse(DatagramFault fault)
+    {
+        ++this->traffic.refused[static_cast<std::size_t>(fault)];
+        this->refusals.note(this->sender.address().to_string(), faultName(fault), steadyNow());
+    }
+
     void send(const std::string &text, const ProbeMessage &message)
     {
         const auto address = Address::parse(text);
-        const std::string bytes = encodeProbe(message);
+        const std::string plain = encodeProbe(message);
+        const std::string bytes = this->seal ? this->seal->seal(plain, sharedNow()) : plain;
         if (!address || bytes.size() > datagramLimit) {
             Log::warning("probe_not_sent", {{"address", text}, {"bytes", static_cast<std::uint64_t>(bytes.size())}});
             return;
@@ -89,6 +114,8 @@
     udp::socket socket;
     udp::endpoint sender;
     Handler handler;
+    std::optional<DatagramSeal> seal;
+    RefusalLog refusals{"probe_refused"};
     std::array<char, 2 * datagramLimit> buffer{};
     ProbeTraffic traffic;
 };
@@ -101,9 +128,10 @@
 ProbeSocket::~ProbeSocket() = default;
 
 tl::expected<std::unique_ptr<ProbeSocket>, WireError> ProbeSocket::create(asio::io_context &context,
-                                                                          const std::string &address, Handler handler)
+                                                                          const std::string &address, Handler handler,
+                                                                          std::optional<DatagramSeal> seal)
 {
-    auto made = std::make_unique<Impl>(context, std::move(handler));
+    auto made = std::make_unique<Impl>(context, std::move(handler), std::move(seal));
     try {
         made->open(address);
     } catch (const std::exception &failed) {
--- a/wire/probesocket.h
+++ b/wire/probesocket.h
@@ -5,11 +5,15 @@
 //     auto socket = ProbeSocket::create(io, "127.0.0.1:8081", [&](const ProbeMessage &probe) { ... }).value();
 //     socket->send("127.0.0.1:8091", probe);       // may be lost, like any datagram
 //
+// With a seal (promise/datagramseal.h) only probes that are signed with the fleet's key are handed on, each once.
+//
 // Used from the thread of its io_context only.
 
+#include "promise/datagramseal.h"
 #include "promise/membership.h"
 #include "wire/wireerror.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <tl/expected.hpp>
@@ -28,6 +32,7 @@
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     std::uint64_t malformed = 0;
+    std::array<std::uint64_t, datagramFaults> refused{}; // by DatagramFault
 };
 
 class ProbeSocket
@@ -36,7 +41,8 @@
     using Handler = std::function<void(const ProbeMessage &)>;
 
     static tl::expected<std::unique_ptr<ProbeSocket>, WireError> create(boost::asio::io_context &context,
-                                                                        const std::string &address, Handler handler);
+                                                                        const std::string &address, Handler handler,
+                                                                        std::optional<DatagramSeal> seal = {});
     ~ProbeSocket();
     ProbeSocket(const ProbeSocket &) = delete;
     ProbeSocket &operator=(const ProbeSocket &) = delete;
--- /dev/null
+++ b/wire/testing/keys_test.cpp
@@ -0,0 +1,291 @@
+#include "wire/adminserver.h"
+#include "wire/linkguard.h"
+#include "wire/peernode.h"
+#include "wire/probecodec.h"
+#include "wire/probesocket.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace fescuesill
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+// Long enough for a slow machine under a sanitizer; a test that passes never waits for it.
+constexpr auto patience = std::chrono::seconds(60);
+
+std::shared_ptr<const KeyRing> ringOf(const std::string &letters)
+{
+    std::string text;
+    for (const char letter : letters) {
+        text += std::string(64, letter) + "\n";
+    }
+    return std::make_shared<const KeyRing>(KeyRing::parse(text).value());
+}
+
+std::string freeAddress()
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+std::uint16_t portOf(const std::string &address)
+{
+    return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
+bool eventually(const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return false;
+}
+
+// A node that counts what reaches its user.
+struct Node {
+    Node(const std::string &listen, std::shared_ptr<const KeyRing> keys)
+    {
+        PeerNode::Options options;
+        options.listen = listen;
+        options.heartbeat = 20ms;
+        options.silence = 5s;
+        options.reconnectPause = 10ms;
+        options.keys = std::move(keys);
+        options.host = HostId(listen.empty() ? "entry" : "scheduler");
+        PeerNode::Handlers handlers;
+        handlers.opened = [this](LinkId) {
+            ++this->opened;
+        };
+        handlers.received = [this](LinkId, const peer::Message &) {
+            ++this->received;
+        };
+        handlers.closed = [this](LinkId) {
+            ++this->closed;
+        };
+        this->node = PeerNode::create(std::move(options), std::move(handlers)).value();
+        this->node->start();
+    }
+
+    std::atomic<int> opened{0};
+    std::atomic<int> received{0};
+    std::atomic<int> closed{0};
+    std::unique_ptr<PeerNode> node; // ends before the counts that its thread raises
+};
+
+const peer::Message hello = peer::Hello{HostId("a"), DataCentreId("d"), true};
+
+// Somebody on the inner network without the fleet's key dials a scheduler, and a scheduler that was set up with another
+// key dials it too. Neither gets a message in, the scheduler's user never hears of them, and real links go on.
+TEST(Keys, APeerWithoutTheKeyGetsNothingIn)
+{
+    const std::string address = freeAddress();
+    Node scheduler(address, ringOf("a"));
+    Node stranger("", nullptr);
+    Node misconfigured("", ringOf("b"));
+    for (Node *node : {&stranger, &misconfigured}) {
+        const LinkId link = node->node->connect(address);
+        EXPECT_TRUE(eventually([&] {
+            node->node->send(link, hello);
+            return node->closed + static_cast<int>(node->node->refusedLinks()) >= 3;
+        }));
+    }
+    EXPECT_EQ(misconfigured.opened, 0);
+    EXPECT_TRUE(misconfigured.node->hasRefusedLately());
+    EXPECT_EQ(scheduler.opened, 0);
+    EXPECT_EQ(scheduler.received, 0);
+    EXPECT_GE(scheduler.node->refusedLinks(), 4U);
+    Node entry("", ringOf("a"));
+    const LinkId link = entry.node->connect(address);
+    ASSERT_TRUE(eventually([&] { return entry.opened == 1; }));
+    entry.node->send(link, hello);
+    EXPECT_TRUE(eventually([&] { return scheduler.received == 1; }));
+}
+
+// The places for links that have proved nothing go to the newest: an honest host is through in milliseconds.
+TEST(Keys, TheOldestUnprovenLinkGivesWay)
+{
+    LinkGuard::Options options;
+    options.mostUnproven = 2;
+    LinkGuard guard(*ringOf("a"), {HostId("b"), "10.0.0.2:8090"}, options);
+    const Instant now(1000s);
+    const auto accept = [&](std::uint64_t id) {
+        guard.begin(LinkId(id), {LinkGuard::Side::Accepted, "10.0.0.9:1"}, now);
+    };
+    guard.begin(LinkId(1), {LinkGuard::Side::Dialled, "10.0.0.3:8090"}, now);
+    accept(2);
+    accept(3);
+    EXPECT_EQ(guard.surplus(), std::nullopt);
+    accept(4);
+    EXPECT_EQ(guard.surplus(), LinkId(2));
+    guard.lost(LinkId(2), now);
+    EXPECT_EQ(guard.surplus(), std::nullopt);
+    EXPECT_TRUE(guard.overdue(now + 2s).empty());
+    EXPECT_EQ(guard.overdue(now + 3s), (std::vector<LinkId>{LinkId(1), LinkId(3), LinkId(4)}));
+    EXPECT_EQ(guard.refused(), 3U);
+}
+
+// Strangers open connections to a scheduler and say nothing, more than may stand unproven. A host with the key gets its
+// link all the same, and each stranger is closed in the end: without that they would hold places and memory for good.
+TEST(Keys, SilentStrangersDoNotKeepAHostOut)
+{
+    constexpr int strangers = 300;
+    const std::string address = freeAddress();
+    Node scheduler(address, ringOf("a"));
+    asio::io_context context;
+    const std::string upgrade = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                                "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
+    std::vector<std::unique_ptr<tcp::socket>> sockets;
+    for (int i = 0; i < strangers; ++i) {
+        sockets.push_back(std::make_unique<tcp::socket>(context));
+        sockets.back()->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), portOf(address)));
+        asio::write(*sockets.back(), asio::buffer(upgrade));
+    }
+    Node entry("", ringOf("a"));
+    entry.node->connect(address);
+    EXPECT_TRUE(eventually([&] { return entry.opened == 1; }));
+    for (const auto &socket : sockets) {
+        boost::system::error_code failed;
+        std::array<char, 1024> answer{};
+        while (!failed) {
+            socket->read_some(asio::buffer(answer), failed);
+        }
+    }
+    EXPECT_EQ(scheduler.opened, 1);
+    EXPECT_EQ(scheduler.closed, 0);
+}
+
+// The key is rotated by restarts, one end of a link after the other, in three rounds. After each restart the link has
+// to come back by itself; a step that the other end does not accept would leave a host without its scheduler.
+TEST(Keys, ARotationOneHostAtATimeKeepsTheLink)
+{
+    const std::string address = freeAddress();
+    auto scheduler = std::make_unique<Node>(address, ringOf("a"));
+    auto entry = std::make_unique<Node>("", ringOf("a"));
+    LinkId link = entry->node->connect(address);
+    ASSERT_TRUE(eventually([&] { return entry->opened == 1; }));
+    for (const char *round : {"ab", "ba", "b"}) {
+        const int before = entry->opened;
+        scheduler.reset();
+        scheduler = std::make_unique<Node>(address, ringOf(round));
+        ASSERT_TRUE(eventually([&] { return entry->opened > before; })) << round;
+        entry = std::make_unique<Node>("", ringOf(round));
+        link = entry->node->connect(address);
+        ASSERT_TRUE(eventually([&] { return entry->opened == 1; })) << round;
+        entry->node->send(link, hello);
+        EXPECT_TRUE(eventually([&] { return scheduler->received == 1; })) << round;
+    }
+}
+
+// One forged datagram names version 9e18 of the declaration, and the fleet waits for it for ever. Only what is signed
+// with the fleet's key is handed on, and that once.
+TEST(Keys, OnlySignedProbesAreTakenAndEachOnce)
+{
+    const std::string address = freeAddress();
+    asio::io_context context;
+    std::vector<std::uint64_t> taken;
+    const DatagramSeal own(*ringOf("a"), HostId("b"));
+    auto socket = ProbeSocket::create(
+                      context, address, [&](const ProbeMessage &probe) { taken.push_back(probe.sequence); }, own)
+                      .value();
+    ProbeMessage probe;
+    probe.from = HostId("a");
+    probe.to = HostId("b");
+    probe.sequence = 7;
+    const Instant now(std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()));
+    const std::string sealed = DatagramSeal(*ringOf("a"), HostId("a")).seal(encodeProbe(probe), now);
+    const std::string otherKey = DatagramSeal(*ringOf("c"), HostId("a")).seal(encodeProbe(probe), now);
+    const std::string old = DatagramSeal(*ringOf("a"), HostId("a")).seal(encodeProbe(probe), now - 1h);
+    udp::socket attacker(context, udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const udp::endpoint target(asio::ip::make_address("127.0.0.1"), portOf(address));
+    for (const std::string &datagram :
+         {encodeProbe(probe), otherKey, old, sealed.substr(0, sealed.size() - 1), sealed, sealed}) {
+        attacker.send_to(asio::buffer(datagram), target);
+    }
+    while (socket->traffic().received < 6) {
+        context.run_one();
+    }
+    EXPECT_EQ(taken, std::vector<std::uint64_t>{7});
+    const std::array<std::uint64_t, datagramFaults> refused{1, 1, 1, 1, 0, 1};
+    EXPECT_EQ(socket->traffic().refused, refused);
+}
+
+struct AdminCase {
+    const char *name;
+    http::verb method;
+    const char *target;
+    std::string authorization;
+    unsigned status;
+};
+
+// Whoever reaches an admin port could stop the host. With an operators' key reads stay open and commands need a proof.
+TEST(Keys, AnAdminPortTakesCommandsOfOperatorsOnly)
+{
+    int drained = 0;
+    const auto keys = ringOf("d");
+    AdminServer::Options options;
+    options.address = freeAddress();
+    options.status = [] {
+        return "{}";
+    };
+    options.drain = [&drained] {
+        ++drained;
+    };
+    options.operators = keys;
+    options.host = HostId("athens-a");
+    options.process = "entry";
+    const std::string address = options.address;
+    const auto admin = AdminServer::create(std::move(options), std::make_shared<prometheus::Registry>()).value();
+    const Instant now(std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()));
+    const OperatorCommand drain{HostId("athens-a"), "entry", "POST", "/drain"};
+    const OperatorCommand other{HostId("athens-b"), "entry", "POST", "/drain"};
+    const std::vector<AdminCase> cases{
+        {"healthz", http::verb::get, "/healthz", "", 200},
+        {"metrics", http::verb::get, "/metrics", "", 200},
+        {"status", http::verb::get, "/status", "", 200},
+        {"drain without a proof", http::verb::post, "/drain", "", 401},
+        {"of another host", http::verb::post, "/drain", operatorProof(*keys, other, now), 401},
+        {"of another key", http::verb::post, "/drain", operatorProof(*ringOf("e"), drain, now), 401},
+        {"an unknown command", http::verb::post, "/reload", "", 401},
+        {"drain as a read", http::verb::get, "/drain", "", 404},
+        {"drain with a proof", http::verb::post, "/drain", operatorProof(*keys, drain, now), 200},
+    };
+    asio::io_context context;
+    for (const AdminCase &c : cases) {
+        boost::beast::tcp_stream stream(context);
+        stream.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), portOf(address)));
+        http::request<http::empty_body> request(c.method, c.target, 11);
+        if (!c.authorization.empty()) {
+            request.set(http::field::authorization, c.authorization);
+        }
+        http::write(stream, request);
+        boost::beast::flat_buffer buffer;
+        http::response<http::string_body> response;
+        http::read(stream, buffer, response);
+        EXPECT_EQ(response.result_int(), c.status) << c.name;
+        EXPECT_EQ(drained, c.status == 200 && c.method == http::verb::post ? 1 : 0) << c.name;
+    }
+}
+
+} // namespace
+} // namespace fescuesill
