Prove the guards of the keys, measure them, and bound what a stranger makes a node collect

A scheduler with a key that listens on every address would have refused every link. Change: that scheduler's settings are a fault. Hexadecimal digits are read in one place.

--- a/declare/values.cpp
+++ b/declare/values.cpp
@@ -33,6 +33,11 @@
     return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9');
 }
 
+bool beginsWith(std::string_view text, std::string_view begin)
+{
+    return text.substr(0, begin.size()) == begin;
+}
+
 } // namespace
 
 std::optional<std::int64_t> parseNumber(std::string_view text)
@@ -120,9 +125,12 @@
 
 bool isLoopback(std::string_view address)
 {
-    constexpr std::string_view v4 = "127.";
-    constexpr std::string_view v6 = "[::1]:";
-    return address.substr(0, v4.size()) == v4 || address.substr(0, v6.size()) == v6;
+    return beginsWith(address, "127.") || beginsWith(address, "[::1]:");
+}
+
+bool isWildcard(std::string_view address)
+{
+    return beginsWith(address, "0.0.0.0:") || beginsWith(address, "[::]:");
 }
 
 std::vector<std::string> splitList(std::string_view text)
--- a/declare/values.h
+++ b/declare/values.h
@@ -28,6 +28,8 @@
 bool isAddress(std::string_view text, bool anyPort);
 // Of an address: whether only processes of the same host reach it.
 bool isLoopback(std::string_view address);
+// Of an address: whether it stands for every address of the host, which nobody can dial.
+bool isWildcard(std::string_view address);
 std::vector<std::string> splitList(std::string_view text);
 std::string joinList(const std::vector<std::string> &items);
 // Letters, digits, '.', '_' and '-', beginning with a letter or digit.
--- a/programs/scheduler/schedulersettings.cpp
+++ b/programs/scheduler/schedulersettings.cpp
@@ -1,5 +1,7 @@
 #include "programs/scheduler/schedulersettings.h"
 
+#include "declare/values.h"
+
 namespace fescuesill
 {
 
@@ -27,6 +29,10 @@
     settings.sweepPause = reader->duration("ledger", "sweep_pause", 10min, {100ms, 24h});
     settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
     settings.keys = readKeySettings(*reader, {settings.peers, settings.admin});
+    if (settings.keys.fleet && isWildcard(settings.peers)) {
+        // A link proves that it was meant for this listener by the address that was dialled.
+        reader->fault("listen", "peers", settings.peers, "the one address that other hosts dial, with a fleet key");
+    }
     if (auto faults = reader->finish(); !faults.empty()) {
         return tl::unexpected(DeclareError{std::move(faults)});
     }
--- a/promise/keyring.cpp
+++ b/promise/keyring.cpp
@@ -1,7 +1,8 @@
 #include "promise/keyring.h"
 
+#include "promise/hexadecimal.h"
+
 #include <algorithm>
-#include <optional>
 
 // An id is the first four bytes of a code that the key makes of a fixed text. Two keys of one file that share an id,
 // which happens once in four thousand million, are refused as if they were equal: another one is quickly made.
@@ -11,37 +12,6 @@
 namespace
 {
 
-std::optional<int> digitOf(char c)
-{
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    if (c >= 'a' && c <= 'f') {
-        return c - 'a' + 10;
-    }
-    if (c >= 'A' && c <= 'F') {
-        return c - 'A' + 10;
-    }
-    return std::nullopt;
-}
-
-std::optional<std::string> bytesOf(std::string_view digits)
-{
-    if (digits.size() % 2 != 0) {
-        return std::nullopt;
-    }
-    std::string bytes;
-    for (std::size_t i = 0; i < digits.size(); i += 2) {
-        const auto high = digitOf(digits[i]);
-        const auto low = digitOf(digits[i + 1]);
-        if (!high || !low) {
-            return std::nullopt;
-        }
-        bytes.push_back(static_cast<char>(*high * 16 + *low));
-    }
-    return bytes;
-}
-
 std::string_view trimmed(std::string_view line)
 {
     constexpr std::string_view blanks = " \t\r";
@@ -78,7 +48,7 @@
         if (line.empty() || line.front() == '#' || line.front() == ';') {
             continue;
         }
-        const auto secret = bytesOf(line);
+        const auto secret = fromHexadecimal(line);
         if (!secret) {
             return refuse("is not hexadecimal");
         }
--- a/promise/testing/keys_benchmark.cpp
+++ b/promise/testing/keys_benchmark.cpp
@@ -1,10 +1,9 @@
 // What the keys cost on one core: a probe of 350 bytes, a link message of 200 and of 75,000 bytes, the opening of a
 // link at both ends, and the proof of an operator's command.
 //
-//     g++ -std=c++17 -O2 -Iinclude -I. promise/testing/keys_benchmark.cpp promise/datagramseal.cpp promise/linkauth.cpp
-//     \
-//         promise/operatorproof.cpp promise/keyring.cpp promise/mackey.cpp promise/bytefields.cpp promise/base64url.cpp
-//         \ -lcrypto -o build/keys_benchmark && build/keys_benchmark
+//     g++ -std=c++17 -O2 -Iinclude -I. promise/testing/keys_benchmark.cpp promise/{datagramseal,linkauth}.cpp \
+//         promise/{operatorproof,keyring,hexadecimal,mackey,bytefields,base64url}.cpp -lcrypto \
+//         -o build/keys_benchmark && build/keys_benchmark
 
 #include "promise/datagramseal.h"
 #include "promise/linkauth.h"
--- a/promise/testing/resumetoken_benchmark.cpp
+++ b/promise/testing/resumetoken_benchmark.cpp
@@ -1,8 +1,8 @@
 // Tokens a second on one core: one event id per fragment, against one HMAC per fragment.
 //
-//     g++ -std=c++17 -O2 -Iinclude -I. promise/testing/resumetoken_benchmark.cpp promise/resumetoken.cpp \
-//         promise/base64url.cpp promise/bytefields.cpp -lcrypto -o build/resumetoken_benchmark &&
-//         build/resumetoken_benchmark
+//     g++ -std=c++17 -O2 -Iinclude -I. promise/testing/resumetoken_benchmark.cpp \
+//         promise/{resumetoken,base64url,bytefields}.cpp -lcrypto \
+//         -o build/resumetoken_benchmark && build/resumetoken_benchmark
 
 #include "promise/resumetoken.h"
 
--- a/testing/process/test_keys.py
+++ b/testing/process/test_keys.py
@@ -7,8 +7,8 @@
 import tempfile
 import unittest
 
-from cluster import Cluster, free_address
-from standin import binary, call, wait_until
+from cluster import Cluster
+from standin import binary, call, free_address, wait_until
 
 FLEET, OTHER, OPERATOR = "a" * 64, "b" * 64, "c" * 64
 
@@ -108,6 +108,11 @@
         done = subprocess.run(check, capture_output=True, text=True, timeout=60)
         self.assertEqual(done.returncode, 2)
         self.assertIn("[keys] fleet: ''; allowed: a file that others may not read", done.stderr)
+        # A link is proven for the address that was dialled, so a listener with a key has to name its own.
+        path.write_text(text + f"[keys]\nfleet = {self.files['fleet']}\n")
+        keyed = subprocess.run(check, capture_output=True, text=True, timeout=60)
+        self.assertEqual((keyed.returncode, len(keyed.stderr.splitlines())), (2, 1), keyed.stderr)
+        self.assertIn("[listen] peers: '0.0.0.0:8090'; allowed: the one address that other hosts dial", keyed.stderr)
         path.write_text(text + "[keys]\nopen = yes\n")
         self.assertEqual(subprocess.run(check, capture_output=True, text=True, timeout=60).returncode, 0)
         port = free_address().split(":")[1]
--- a/wire/testing/keys_test.cpp
+++ b/wire/testing/keys_test.cpp
@@ -1,3 +1,5 @@
+#include "testing/freeaddress.h"
+#include "wire/address.h"
 #include "wire/adminserver.h"
 #include "wire/linkguard.h"
 #include "wire/peernode.h"
@@ -38,16 +40,10 @@
     return std::make_shared<const KeyRing>(KeyRing::parse(text).value());
 }
 
-std::string freeAddress()
+tcp::endpoint endpointOf(const std::string &address)
 {
-    asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
-std::uint16_t portOf(const std::string &address)
-{
-    return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    const Address parsed = Address::parse(address).value();
+    return {asio::ip::make_address(parsed.ip), parsed.port};
 }
 
 bool eventually(const std::function<bool()> &condition)
@@ -93,6 +89,8 @@
     std::unique_ptr<PeerNode> node; // ends before the counts that its thread raises
 };
 
+const std::string upgrade = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                            "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
 const peer::Message hello = peer::Hello{HostId("a"), DataCentreId("d"), true};
 
 // Somebody on the inner network without the fleet's key dials a scheduler, and a scheduler that was set up with another
@@ -153,12 +151,10 @@
     const std::string address = freeAddress();
     Node scheduler(address, ringOf("a"));
     asio::io_context context;
-    const std::string upgrade = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-                                "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
     std::vector<std::unique_ptr<tcp::socket>> sockets;
     for (int i = 0; i < strangers; ++i) {
         sockets.push_back(std::make_unique<tcp::socket>(context));
-        sockets.back()->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), portOf(address)));
+        sockets.back()->connect(endpointOf(address));
         asio::write(*sockets.back(), asio::buffer(upgrade));
     }
     Node entry("", ringOf("a"));
@@ -175,6 +171,27 @@
     EXPECT_EQ(scheduler.closed, 0);
 }
 
+// A stranger announces a message of a megabyte as its first. The connection ends at once, by the bound on messages of
+// the opening; without it the node would collect the bytes of each stranger until the time for the proof is over.
+TEST(Keys, AStrangerCannotMakeTheNodeCollectBytes)
+{
+    const std::string address = freeAddress();
+    const Node scheduler(address, ringOf("a"));
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(endpointOf(address));
+    // A masked binary frame of 2^20 bytes, and the first of them.
+    const std::string frame = upgrade + std::string("\x82\xff\0\0\0\0\0\x10\0\0\0\0\0\0", 14);
+    asio::write(socket, asio::buffer(frame + std::string(700, 'x')));
+    boost::system::error_code failed;
+    std::array<char, 1024> answer{};
+    while (!failed) {
+        socket.read_some(asio::buffer(answer), failed);
+    }
+    EXPECT_EQ(scheduler.node->refusedLinks(), 0U); // ended before the bound of time
+    EXPECT_EQ(scheduler.opened, 0);
+}
+
 // The key is rotated by restarts, one end of a link after the other, in three rounds. After each restart the link has
 // to come back by itself; a step that the other end does not accept would leave a host without its scheduler.
 TEST(Keys, ARotationOneHostAtATimeKeepsTheLink)
@@ -217,7 +234,7 @@
     const std::string otherKey = DatagramSeal(*ringOf("c"), HostId("a")).seal(encodeProbe(probe), now);
     const std::string old = DatagramSeal(*ringOf("a"), HostId("a")).seal(encodeProbe(probe), now - 1h);
     udp::socket attacker(context, udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    const udp::endpoint target(asio::ip::make_address("127.0.0.1"), portOf(address));
+    const udp::endpoint target(endpointOf(address).address(), endpointOf(address).port());
     for (const std::string &datagram :
          {encodeProbe(probe), otherKey, old, sealed.substr(0, sealed.size() - 1), sealed, sealed}) {
         attacker.send_to(asio::buffer(datagram), target);
@@ -273,7 +290,7 @@
     asio::io_context context;
     for (const AdminCase &c : cases) {
         boost::beast::tcp_stream stream(context);
-        stream.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), portOf(address)));
+        stream.connect(endpointOf(address));
         http::request<http::empty_body> request(c.method, c.target, 11);
         if (!c.authorization.empty()) {
             request.set(http::field::authorization, c.authorization);
--- a/wire/url.cpp
+++ b/wire/url.cpp
@@ -1,5 +1,7 @@
 #include "wire/url.h"
 
+#include "promise/hexadecimal.h"
+
 namespace fescuesill
 {
 namespace
@@ -13,20 +15,6 @@
         || c == '_' || c == '~';
 }
 
-int hexValue(char c)
-{
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    if (c >= 'a' && c <= 'f') {
-        return c - 'a' + 10;
-    }
-    if (c >= 'A' && c <= 'F') {
-        return c - 'A' + 10;
-    }
-    return -1;
-}
-
 } // namespace
 
 std::string percentEncode(std::string_view text)
