--- a/declare/values.cpp
+++ b/declare/values.cpp
@@ -33,6 +33,11 @@
     return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9');
 }
 
+bool beginsWith(std::string_view text, std::string_view begin)
+{
+    return text.substr(0, begin.size()) == begin;
+}
+
 } // namespace
 
 std::optional<std::int64_t> parseNumber(std::string_view text)
@@ -118,6 +123,16 @@
     return inet_pton(AF_INET, host.c_str(), binary.data()) == 1;
 }
 
+bool isLoopback(std::string_view address)
+{
+    return beginsWith(address, "127.") || beginsWith(address, "[::1]:");
+}
+
+bool isWildcard(std::string_view address)
+{
+    return beginsWith(address, "0.0.0.0:") || beginsWith(address, "[::]:");
+}
+
 std::vector<std::string> splitList(std::string_view text)
 {
     std::vector<std::string> items;
--- a/programs/scheduler/schedulerstatus.h
+++ b/programs/scheduler/schedulerstatus.h
@@ -44,6 +44,8 @@
     prometheus::Gauge &sweepPasses;
     prometheus::Gauge &sweepDeleted;
     prometheus::Gauge &sweepMalformed;
+    prometheus::Gauge &linksRefused;
+    prometheus::Family<prometheus::Gauge> &probesRefused;
     prometheus::Family<prometheus::Gauge> &cellRequests;
     prometheus::Family<prometheus::Gauge> &cellFreePieces;
     prometheus::Family<prometheus::Gauge> &cellQueueSeconds;
