--- a/programs/entry/entryprogram.cpp
+++ b/programs/entry/entryprogram.cpp
@@ -79,8 +79,11 @@
 private:
     void openLinks()
     {
-        const LinkDuty::Options options{this->settings.host, this->settings.dataCentre, this->settings.scheduler,
-                                        this->settings.keys.fleet};
+        LinkDuty::Options options;
+        options.host = this->settings.host;
+        options.dataCentre = this->settings.dataCentre;
+        options.scheduler = this->settings.scheduler;
+        options.keys = this->settings.keys.fleet;
         auto created =
             LinkDuty::create(options, this->held, [this](LinkEvent event) { this->deliver(std::move(event)); });
         if (!created) {
@@ -165,6 +168,7 @@
             }
             const auto view = this->links->view();
             this->tellModes(*view);
+            this->metrics.ownerLinks(this->links->openLinks());
             this->admin->setReady(!this->state.isDraining() && !this->isCutOff(*view));
             std::this_thread::sleep_for(mainTick);
         }
--- a/programs/scheduler/schedulerprogram.cpp
+++ b/programs/scheduler/schedulerprogram.cpp
@@ -113,6 +113,9 @@
         options.sweeper.hosts = [this] {
             return this->sweepingHosts();
         };
+        options.isReadDue = [this] {
+            return this->peers->isTableReadDue();
+        };
         return options;
     }
 
--- a/programs/scheduler/schedulerstatus.h
+++ b/programs/scheduler/schedulerstatus.h
@@ -39,6 +39,9 @@
     prometheus::Gauge &version;
     prometheus::Gauge &serving;
     prometheus::Gauge &members;
+    prometheus::Gauge &links;
+    prometheus::Gauge &followers;
+    prometheus::Gauge &tableReadAge;
     prometheus::Gauge &probeSentBytes;
     prometheus::Gauge &probeReceivedBytes;
     prometheus::Gauge &sweepPasses;
