Bench the choice between cells, and measure how late summaries are

Cause: the choice of cell was measured only with equal cells at load 0.6 and summaries a second old, fed to all entries at once. Nothing measured how late summaries are at 340 hosts, nor what many entries do with them together.

Change: `fescuesill-slopes lateness` measures the time from publishing until each host has a summary or a newer one. `fescuesill-bench` runs 340 entries that each choose by their own late copy between six cells of uneven size, with eight scenarios and three baselines (own data centre, two choices, least delay), against the bound with pooled engines. The rule when a cell publishes moved from the scheduler program to decide/summarypacer.h, so that the bench runs the same.

The choice takes a summary for old after 10 s, but an entry is fed the same one again each second, so it never is.

--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,13 @@
 	    done; \
 	done
 	$(BUILD)/fescuesill-bench --scenario decisions --json
+
+.PHONY: bench-cells
+bench-cells: build
+	for scenario in cells-even cells-uneven cells-herd cells-lossy cells-stuck cells-slow region-cut cells-full; do \
+	    for policy in ours home two-choices least-delay; do \
+	        for seed in 1 2 3 4 5 6 7 8; do \
+	            $(BUILD)/fescuesill-bench --scenario $$scenario --policy $$policy --seed $$seed --json || exit 1; \
+	        done; \
+	    done; \
+	done
--- a/programs/scheduler/celldirector.cpp
+++ b/programs/scheduler/celldirector.cpp
@@ -26,17 +26,6 @@
     return spec;
 }
 
-// Whether an entry might choose another data centre by the new summary.
-bool changesChoice(const CellSummary &before, const CellSummary &now)
-{
-    constexpr Duration delayStep = 50ms; // a tenth of the time to the first token
-    constexpr double memoryStep = 0.1;
-    const Duration delayChange =
-        now.queueDelay > before.queueDelay ? now.queueDelay - before.queueDelay : before.queueDelay - now.queueDelay;
-    return before.accepting != now.accepting || delayChange >= delayStep
-        || std::abs(now.memoryUse - before.memoryUse) >= memoryStep;
-}
-
 bool isInCell(const Engine &engine, const CellId &cell)
 {
     return engine.model == cell.model && engine.dataCentre == cell.dataCentre;
@@ -72,7 +61,7 @@
 
 Instant CellDirector::nextWake(Instant now) const
 {
-    Instant wake = now + this->options.summaryChanged;
+    Instant wake = now + this->options.summaries.changed;
     for (const auto &[id, cell] : this->cells) {
         wake = std::min(wake, cell.nextSummary);
         const std::optional<Instant> next = cell.scheduler.nextWake();
@@ -112,7 +101,8 @@
         if (this->cells.count(id) == 0) {
             this->cells.emplace(id,
                                 OwnedCell{CellScheduler::create(this->options.cell).value(),
-                                          OrphanFinder(this->options.orphans, now), now, Instant(), CellSummary()});
+                                          OrphanFinder(this->options.orphans, now), now,
+                                          SummaryPacer(this->options.summaries)});
             this->setEngines(id, now);
             isChanged = true;
         }
@@ -293,12 +283,10 @@
     if (now < cell.nextSummary) {
         return;
     }
-    cell.nextSummary = now + this->options.summaryChanged;
+    cell.nextSummary = now + this->options.summaries.changed;
     const CellSummary summary = cell.scheduler.summary(now);
-    const bool isDue = now - cell.summarisedAt >= this->options.summaryUnchanged;
-    if (isDue || changesChoice(cell.published, summary)) {
-        cell.summarisedAt = now;
-        cell.published = summary;
+    if (cell.pacer.isDue(summary, now)) {
+        cell.pacer.onPublished(summary, now);
         this->outputs.emplace_back(PublishSummary{id, summary});
     }
 }
--- a/programs/scheduler/celldirector.h
+++ b/programs/scheduler/celldirector.h
@@ -11,6 +11,7 @@
 // A request is known here from Submit (or Holding) until Finished, Refused, or the grace after its link closed.
 
 #include "decide/cellscheduler.h"
+#include "decide/summarypacer.h"
 #include "declare/declaration.h"
 #include "programs/scheduler/directormessages.h"
 #include "promise/orphanfinder.h"
@@ -29,10 +30,7 @@
     struct Options {
         CellScheduler::Options cell;
         OrphanFinder::Options orphans;
-        // A summary that has changed enough to change a choice between data centres is published after this long;
-        Duration summaryChanged{1s};
-        // any other after this long. Membership spreads some ten facts a second, and 48 cells share them.
-        Duration summaryUnchanged{10s};
+        SummaryPacer::Options summaries;
     };
 
     CellDirector(Options options, HostId self);
@@ -48,8 +46,7 @@
         CellScheduler scheduler;
         OrphanFinder orphans;
         Instant nextSummary;
-        Instant summarisedAt;
-        CellSummary published;
+        SummaryPacer pacer;
     };
 
     struct Tracked {
--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "cellsreport.h"
 #include "decisionbench.h"
 #include "simulation.h"
 
@@ -128,13 +129,35 @@
     return fmt::format("{}", fmt::join(names, ", "));
 }
 
+static bool runCells(const cxxopts::ParseResult &given)
+{
+    CellsSettings settings;
+    settings.scenario = given["scenario"].as<std::string>();
+    const std::string name = given["policy"].as<std::string>();
+    const auto policy = cellPolicyNamed(name);
+    if (!policy) {
+        fmt::print(stderr, "--policy: '{}'; allowed: {}\n", name, joined(cellPolicyNames()));
+        return false;
+    }
+    settings.policy = *policy;
+    settings.load = given["load"].as<double>();
+    settings.seed = given["seed"].as<std::uint64_t>();
+    settings.entries = given["entries"].as<int>();
+    settings.lateness = given["lateness"].as<double>();
+    settings.cells = given.count("cells") != 0 ? given["cells"].as<int>() : settings.cells;
+    settings.engines = given.count("engines") != 0 ? given["engines"].as<int>() : settings.engines;
+    settings.length = given.count("seconds") != 0 ? std::chrono::seconds(given["seconds"].as<int>()) : settings.length;
+    return printCells(settings, name, given.count("json") != 0);
+}
+
 int main(int argc, char **argv)
 {
     cxxopts::Options options("fescuesill-bench", "Decisions under load, in virtual time, against baselines");
     auto add = options.add_options();
-    add("scenario", joined(scenarioNames()) + ", or decisions",
+    add("scenario", joined(scenarioNames()) + ", or decisions; between cells: " + joined(cellScenarioNames()),
         cxxopts::value<std::string>()->default_value("saturation"));
-    add("policy", joined(policyNames()), cxxopts::value<std::string>()->default_value("ours"));
+    add("policy", joined(policyNames()) + "; between cells: " + joined(cellPolicyNames()),
+        cxxopts::value<std::string>()->default_value("ours"));
     add("seed", "seed of the load", cxxopts::value<std::uint64_t>()->default_value("1"));
     add("load", "share of the capacity that is asked for; 0: the scenario's own",
         cxxopts::value<double>()->default_value("0"));
@@ -146,6 +169,8 @@
     add("caution", "forecast spreads held back; below 0: default", cxxopts::value<double>()->default_value("-1"));
     add("waste-weight", "for all classes; below 0: as declared", cxxopts::value<double>()->default_value("-1"));
     add("short-first", "see ClassQueue::Options; below 0: default", cxxopts::value<double>()->default_value("-1"));
+    add("entries", "that choose between cells", cxxopts::value<int>()->default_value("340"));
+    add("lateness", "of summaries, times the measured", cxxopts::value<double>()->default_value("1"));
     add("json", "print JSON");
     add("help", "print this");
     try {
@@ -154,6 +179,9 @@
             std::cout << options.help();
             return 0;
         }
+        if (isCellScenario(given["scenario"].as<std::string>())) {
+            return runCells(given) ? 0 : 2;
+        }
         Settings settings;
         settings.scenario = given["scenario"].as<std::string>();
         settings.load = given["load"].as<double>();
--- a/testing/slopes/main.cpp
+++ b/testing/slopes/main.cpp
@@ -1,11 +1,12 @@
 // fescuesill-slopes [HOSTS…]: what the pure cores cost as the fleet grows, one JSON line for each size.
+// fescuesill-slopes lateness [HOSTS [CELLS]]: how late the summaries of cells are, one line for each publishing period.
 //
-// Membership runs in virtual time, every host of the fleet in this one process, with messages that arrive one tick
-// later. Processor time is this process's own; it depends on the machine, its growth with the size much less.
+// Membership runs in virtual time (fleet.h). Processor time is this process's own; it depends on the machine, its
+// growth with the size much less.
 
 #include "declare/declaration.h"
 #include "declare/difference.h"
-#include "promise/membership.h"
+#include "fleet.h"
 
 #include <fmt/format.h>
 
@@ -13,7 +14,6 @@
 #include <cstdlib>
 #include <ctime>
 #include <fstream>
-#include <memory>
 #include <string>
 #include <unistd.h>
 
@@ -22,11 +22,9 @@
 namespace
 {
 
-constexpr Duration tick = 50ms;
 constexpr int warmUpTicks = 20 * 600; // ten minutes: the rumours of a fleet that starts all at once have been passed on
 constexpr int measuredTicks = 20 * 20;
 constexpr int dataCentres = 6;
-constexpr int cellFactBytes = 20; // a summary in CBOR
 
 double cpuSeconds()
 {
@@ -44,110 +42,10 @@
     return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
 }
 
-class Fleet
-{
-public:
-    Fleet(int size, int cells)
-        : cells(cells)
-    {
-        std::vector<MemberInfo> all;
-        for (int i = 0; i < size; ++i) {
-            MemberInfo info;
-            info.host = HostId(fmt::format("host-{:03}", i));
-            info.dataCentre = DataCentreId(fmt::format("dc-{}", i % dataCentres));
-            info.incarnation = 1;
-            info.address = fmt::format("10.0.{}.{}:8090", i / 200, i % 200 + 1);
-            all.push_back(info);
-        }
-        for (int i = 0; i < size; ++i) {
-            const auto seed = static_cast<std::uint64_t>(i) + 1;
-            this->hosts.push_back(std::make_unique<Membership>(all[i], Membership::Options{}, seed, this->now));
-            this->hosts.back()->onHostList(all, this->now);
-        }
-    }
-
-    void run(int ticks)
-    {
-        for (int i = 0; i < ticks; ++i) {
-            this->now += tick;
-            if (++this->ticks % 20 == 0) {
-                this->publishCells();
-            }
-            std::vector<ProbeMessage> out;
-            for (const ProbeMessage &message : this->flying) {
-                this->take(this->at(message.to).onMessage(message, this->now), out);
-            }
-            for (const auto &host : this->hosts) {
-                this->take(host->tick(this->now), out);
-            }
-            this->flying = std::move(out);
-        }
-    }
-
-    // Seconds until a fact of one host is known to all; -1 where a minute is not enough.
-    double spread(const std::string &name, bool isUrgent)
-    {
-        Membership &first = *this->hosts.front();
-        if (isUrgent) {
-            first.publishUrgent(name, 1, std::string(16, 'x'), this->now);
-        } else {
-            first.publish(name, 1, std::string(16, 'x'), this->now);
-        }
-        for (int count = 1; count < 20 * 60; ++count) {
-            this->run(1);
-            if (std::all_of(this->hosts.begin(), this->hosts.end(),
-                            [&](const auto &host) { return knows(*host, name); })) {
-                return count * std::chrono::duration<double>(tick).count();
-            }
-        }
-        return -1;
-    }
-
-    std::int64_t bytes = 0;
-    std::int64_t messages = 0;
-
-private:
-    static bool knows(const Membership &host, const std::string &name)
-    {
-        const std::vector<Fact> facts = host.facts();
-        return std::any_of(facts.begin(), facts.end(), [&](const Fact &fact) { return fact.name == name; });
-    }
-
-    Membership &at(const HostId &host)
-    {
-        return *this->hosts[std::stoul(host.value().substr(5))];
-    }
-
-    void take(std::vector<ProbeMessage> fresh, std::vector<ProbeMessage> &out)
-    {
-        for (ProbeMessage &message : fresh) {
-            ++this->messages;
-            this->bytes += static_cast<std::int64_t>(sizeOf(message));
-            out.push_back(std::move(message));
-        }
-    }
-
-    void publishCells()
-    {
-        for (int cell = 0; cell < this->cells; ++cell) {
-            const auto owner = static_cast<std::size_t>(cell) % this->hosts.size();
-            this->hosts[owner]->publish(fmt::format("cell/model-{}/dc-{}", cell / dataCentres, cell % dataCentres),
-                                        static_cast<std::uint64_t>(this->ticks), std::string(cellFactBytes, 'x'),
-                                        this->now);
-        }
-    }
-
-    std::vector<std::unique_ptr<Membership>> hosts;
-    std::vector<ProbeMessage> flying;
-    int cells;
-    Instant now{1000s};
-    int ticks = 0;
-};
-
 void measureMembership(int size, int cells)
 {
     const double before = residentBytes();
-    Fleet fleet(size, cells);
+    Fleet fleet(size, cells, 1s);
     fleet.run(warmUpTicks);
     const double memory = (residentBytes() - before) / size;
     const std::int64_t bytes = fleet.bytes;
@@ -157,7 +55,7 @@
     const double spent = cpuSeconds() - start;
     const std::int64_t sentBytes = fleet.bytes - bytes;
     const std::int64_t sentMessages = fleet.messages - messages;
-    const double hostSeconds = size * std::chrono::duration<double>(tick).count() * measuredTicks;
+    const double hostSeconds = size * std::chrono::duration<double>(fleetTick).count() * measuredTicks;
     const double urgent = fleet.spread("config", true);
     const double ordinary = fleet.spread("ordinary", false);
     fmt::print("{{\"core\":\"membership\",\"hosts\":{},\"cells\":{},\"core_percent_per_host\":{:.4f},\"sent_bytes_per_"
@@ -168,6 +66,21 @@
                static_cast<double>(sentMessages) / hostSeconds, memory / 1024, urgent, ordinary);
 }
 
+// How late summaries are, for cells that each publish once in the period.
+void measureLateness(int size, int cells, Duration period)
+{
+    Fleet fleet(size, cells, period);
+    fleet.run(warmUpTicks);
+    const Fleet::Lateness late = fleet.lateness(120s);
+    fmt::print(
+        "{{\"core\":\"summaries\",\"hosts\":{},\"cells\":{},\"each_cell_publishes_every_seconds\":{:.0f},"
+        "\"seconds_late\":{{\"p5\":{:.2f},\"p25\":{:.2f},\"p50\":{:.2f},\"p75\":{:.2f},\"p95\":{:.2f},\"p99\":{:.2f},"
+        "\"most\":{:.2f}}},\"not_there_after_a_minute\":{:.4f}}}\n",
+        size, cells, std::chrono::duration<double>(period).count(), late.at(0.05), late.at(0.25), late.at(0.5),
+        late.at(0.75), late.at(0.95), late.at(0.99), late.at(1), late.missing);
+    std::fflush(stdout);
+}
+
 std::string declarationOf(int engines)
 {
     std::string text = "[class patient]\nrank = 2\nfirst_token = 5s\n";
@@ -213,6 +126,12 @@
 
 int main(int argc, char **argv)
 {
+    if (argc > 1 && argv[1] == std::string("lateness")) {
+        for (const Duration period : {1s, 5s, 10s, 30s}) {
+            measureLateness(argc > 2 ? std::atoi(argv[2]) : 340, argc > 3 ? std::atoi(argv[3]) : 48, period);
+        }
+        return 0;
+    }
     std::vector<int> sizes(argc - 1);
     std::transform(argv + 1, argv + argc, sizes.begin(), [](const char *text) { return std::atoi(text); });
     if (sizes.empty()) {
