Ask the own data centre first, and one other cell after its refusal

In the entry three faults made it worse: the summary that the scheduler repeats each second counted as new, so a stuck one was believed for ever; refusals were not told to the choice; and cells whose owner was out of reach were chosen.

Change: the entry asks the cell of its own data centre, whose owner is exact and near. What that refuses as overloaded, before anything of it ran, goes to one other cell, drawn by the free memory in its summary among those that can keep the target. Summaries carry their version; refusals and lost links are told to the choice; a cell of which nothing was heard is asked only at home. fescuesill_asked_away_total counts the requests that go elsewhere.

Tests: CellChoice.LeavesAFullOrLostCellAndSpreads held the old rule (a slow own cell is left unasked).

--- a/decide/cellchoice.h
+++ b/decide/cellchoice.h
@@ -3,9 +3,13 @@
 // Which cell a request should go to, by the summaries that the cells spread.
 //
 //     CellChoice choice(CellChoice::Options{}, seed);
-//     choice.onSummary(cell, summary, now);
-//     choice.onLink(dataCentre, 4ms, 0.01);                  // one way, measured by probes
-//     const std::optional<CellId> cell = choice.choose(model, prompt, now);
+//     choice.onSummary(cell, summary, now);                  // as often as told; what is not newer changes nothing
+//     choice.onLink(dataCentre, 4ms, 0.01);                  // one way
+//     choice.onReach(cell, ownerLinkIsUp);
+//     std::optional<CellId> cell = choice.choose(model, prompt, now);
+//     ... refused ...
+//     choice.onRefused(*cell, retryAfter, now);
+//     cell = choice.chooseAgain(*cell, prompt, timeLeft, now); // once; none: the refusal stands
 
 #include "decide/cellmessages.h"
 
@@ -20,16 +24,22 @@
 public:
     struct Options {
         DataCentreId home;
-        // A summary older than this says nothing; the cell counts as unreachable. Summaries come about once a second.
-        Duration freshness{10s};
-        // A cell elsewhere must promise to be this much faster: its links cost more than usual and their delay varies.
+        // A summary that was not renewed for this long says nothing. A cell publishes every 10 s at the latest, and the
+        // slowest of 340 hosts hears of it some seconds later (docs/design/cells.md).
+        Duration freshness{30s};
+        // Added for a cell elsewhere: the delay of its links varies.
         Duration awayCost{20ms};
         // Time that one lost packet costs on a link (a retransmission timeout).
         Duration lossCost{200ms};
         // Packets of one request and answer that delay it when lost.
         double packets = 4;
-        // Cells within this share of the best expected delay are drawn from at random.
-        double close = 0.15;
+        // Cells elsewhere that promise this much more delay than the best of them are not asked: two steps in which
+        // summaries change, so that what is merely old news keeps no cell out, and a lossy link does.
+        Duration close{100ms};
+        // A cell elsewhere that refused is left alone for as long as it said, within these limits: shorter, and each
+        // entry asks a full cell with every request that its own refuses; longer, and room that came free stands empty.
+        Duration leastAvoided{500ms};
+        Duration mostAvoided{2s};
     };
 
     CellChoice(const Options &options, std::uint64_t seed)
@@ -40,11 +50,15 @@
 
     void onSummary(const CellId &cell, const CellSummary &summary, Instant now);
     void onLink(const DataCentreId &dataCentre, Duration oneWay, double lossShare);
-    // Refused or unreachable: not chosen again for this long.
+    // Whether its owner can be asked from here.
+    void onReach(const CellId &cell, bool isReachable);
     void onRefused(const CellId &cell, Duration retryAfter, Instant now);
 
+    // Where to ask first.
     std::optional<CellId> choose(const ModelId &model, Tokens prompt, Instant now);
-    // Until the first token, as expected from here.
+    // Where to ask once more after a refusal, if some cell can be expected to give the first token within `left`.
+    std::optional<CellId> chooseAgain(const CellId &refusedBy, Tokens prompt, Duration left, Instant now);
+    // Until the first token, as expected from here; none where the cell takes nothing or nothing recent is known of it.
     std::optional<Duration> expectedDelay(const CellId &cell, Tokens prompt, Instant now) const;
 
 private:
@@ -52,12 +66,22 @@
         CellSummary summary;
         Instant received;
         Instant avoidUntil;
-        Tokens sent; // prompt tokens sent there since the summary
+        bool isReachable = true;
     };
     struct Link {
         Duration oneWay{0};
         double lossShare = 0;
     };
+    struct Candidate {
+        CellId cell;
+        Duration delay{0};
+        std::int64_t room = 0;
+    };
+
+    bool isFresh(const Known &known, Instant now) const;
+    bool isHomeUsable(const CellId &home, Instant now) const;
+    std::vector<Candidate> othersThan(const CellId &cell, Tokens prompt, Instant now) const;
+    std::optional<CellId> draw(std::vector<Candidate> candidates);
 
     Options options;
     std::mt19937_64 random;
--- a/decide/cellmessages.h
+++ b/decide/cellmessages.h
@@ -135,6 +135,7 @@
 
 // The little that other data centres need in order to choose a cell. Spread with the membership; it lags.
 struct CellSummary {
+    std::uint64_t version = 0; // grows with each that is published; 0: none was
     Duration queueDelay{0}; // expected wait of a new request before its prefill starts
     Duration prefillPerToken{0};
     double memoryUse = 0; // share of the decode memory in use or promised, 0..1
--- a/decide/testing/policies_test.cpp
+++ b/decide/testing/policies_test.cpp
@@ -1,7 +1,6 @@
-// The small policies: admission, outliers, retry budget, role shift, choice of cell, degraded placing.
+// The small policies: admission, outliers, retry budget, role shift, degraded placing.
 
 #include "decide/admission.h"
-#include "decide/cellchoice.h"
 #include "decide/outlierdetector.h"
 #include "decide/powerofchoice.h"
 #include "decide/retrybudget.h"
@@ -138,46 +137,6 @@
     }
 }
 
-static CellId cellIn(const char *dataCentre)
-{
-    return CellId{ModelId("m"), DataCentreId(dataCentre)};
-}
-
-static CellSummary summaryOf(Duration delay)
-{
-    CellSummary summary;
-    summary.queueDelay = delay;
-    summary.prefillPerToken = 75us;
-    summary.decodeEngines = 4;
-    summary.prefillEngines = 3;
-    return summary;
-}
-
-// The home cell is full, then its data centre is lost. Requests go to the others, spread over them, and avoid the one
-// whose link loses packets.
-TEST(CellChoice, LeavesAFullOrLostCellAndSpreads)
-{
-    CellChoice::Options options;
-    options.home = DataCentreId("a");
-    CellChoice choice(options, 1);
-    const Instant now(1s);
-    for (const char *name : {"a", "b", "c", "d"}) {
-        choice.onSummary(cellIn(name), summaryOf(10ms), now);
-        choice.onLink(DataCentreId(name), 4ms, name == std::string("d") ? 0.2 : 0.001);
-    }
-    EXPECT_EQ(choice.choose(ModelId("m"), Tokens(100), now), cellIn("a"));
-    EXPECT_EQ(choice.choose(ModelId("other"), Tokens(100), now), std::nullopt);
-    choice.onSummary(cellIn("a"), summaryOf(2s), now);
-    std::map<CellId, int> chosen;
-    for (int i = 0; i < 40; ++i) {
-        ++chosen[*choice.choose(ModelId("m"), Tokens(100), now)];
-    }
-    EXPECT_GT(chosen[cellIn("b")], 10);
-    EXPECT_GT(chosen[cellIn("c")], 10);
-    EXPECT_EQ(chosen[cellIn("a")] + chosen[cellIn("d")], 0);
-    EXPECT_EQ(choice.choose(ModelId("m"), Tokens(100), now + 11s), std::nullopt);
-}
-
 // Reports are one interval old. Placing by them alone would send everything to the engine that was empty then.
 TEST(PowerOfChoice, SpreadsOnOldReportsAndRefusesWhenFull)
 {
--- a/programs/entry/entrymetrics.cpp
+++ b/programs/entry/entrymetrics.cpp
@@ -58,6 +58,10 @@
                  .Help("Prompt tokens read whose result was not used")
                  .Register(registry))
     , calls(BuildCounter().Name("fescuesill_calls_total").Help("Plain calls by outcome").Register(registry))
+    , askedAway(BuildCounter()
+                    .Name("fescuesill_asked_away_total")
+                    .Help("Requests for which the cell of another data centre was asked")
+                    .Register(registry))
     , degraded(BuildCounter()
                    .Name("fescuesill_degraded_placings_total")
                    .Help("Requests placed here because no owner of the cell was reachable")
@@ -118,6 +122,15 @@
     this->wasted.Add({{"cause", causeName(cause)}}).Increment(static_cast<double>(prompt.value()));
 }
 
+void EntryMetrics::onAskedAway(const CellId &cell, bool isAfterRefusal)
+{
+    this->askedAway
+        .Add({{"model", cell.model.value()},
+              {"data_centre", cell.dataCentre.value()},
+              {"why", isAfterRefusal ? "refused_here" : "no_cell_here"}})
+        .Increment();
+}
+
 void EntryMetrics::onDegradedPlacing()
 {
     this->degraded.Increment();
--- a/programs/entry/entrymetrics.h
+++ b/programs/entry/entrymetrics.h
@@ -41,6 +41,7 @@
     void onRefused(const Refusal &refusal);
     void onCallEnd(const ServiceId &service, const char *outcome);
     void onWasted(Tokens prompt, WasteCause cause);
+    void onAskedAway(const CellId &cell, bool isAfterRefusal);
     void onDegradedPlacing();
     void onReattach();
     void onCancelLeft();
@@ -58,6 +59,7 @@
     Counters &refused;
     Counters &wasted;
     Counters &calls;
+    Counters &askedAway;
     prometheus::Counter &degraded;
     prometheus::Counter &reattached;
     prometheus::Counter &cancelLeft;
--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -31,7 +31,7 @@
 }
 
 PlacingJob jobOf(const Service &service, const WorkspaceId &workspace, const ModelRequest &request, const RequestId &id,
-                 Instant arrival)
+                 Instant arrival, Duration target)
 {
     PlacingJob job;
     job.request = id;
@@ -42,6 +42,7 @@
     job.maxOutput = request.maxTokens;
     job.prefix = prefixHashes(request.prompt);
     job.arrival = arrival;
+    job.firstToken = target;
     return job;
 }
 
@@ -58,7 +59,7 @@
     , id(requestId)
     , reply(answer)
     , arrival(steadyNow())
-    , placing(shared, jobOf(of, caller, request, requestId, arrival), view)
+    , placing(shared, jobOf(of, caller, request, requestId, arrival, serviceClass.firstToken), view)
     , writer(request.kind, request.model, requestId, wallSeconds())
     , sink{answer, this->writer, request.isStream, request.maxTokens, Offset(0)}
 {
@@ -121,10 +122,14 @@
             return;
         }
         if (const auto *refused = std::get_if<peer::Refused>(&*answer)) {
+            if (!this->wasPlaced && this->placing.submitElsewhere(refused->refusal)) {
+                continue;
+            }
             this->refuse(refused->refusal, yield);
             return;
         }
         if (const auto *placed = std::get_if<peer::Placed>(&*answer)) {
+            this->wasPlaced = true;
             next = this->prefill(*placed, yield);
         } else {
             const auto &start = std::get<peer::StartDecode>(*answer);
--- a/programs/entry/modelcall.h
+++ b/programs/entry/modelcall.h
@@ -75,6 +75,7 @@
     PromptRead *reading = nullptr;
     StreamPump *pump = nullptr;
     bool isGone = false;
+    bool wasPlaced = false;
     bool isRead = false; // the prompt was read and its result not used yet
 };
 
--- a/programs/entry/placing.cpp
+++ b/programs/entry/placing.cpp
@@ -30,6 +30,7 @@
     summary.memoryUse = news.memoryUse;
     summary.freePieces = news.freePieces;
     summary.accepting = news.accepting;
+    summary.version = news.version;
     summary.decodeEngines = 1; // at least: the owner says that the cell accepts
     summary.prefillEngines = 1;
     return summary;
@@ -64,6 +65,7 @@
     const Instant now = steadyNow();
     for (const CellRoute &route : view->cells) {
         services.cellChoice.onSummary(route.news.cell, summaryOf(route.news), now);
+        services.cellChoice.onReach(route.news.cell, route.owner.has_value());
     }
     const bool isNewText = !services.fedFrom || services.fedFrom->declaration != view->declaration;
     if (isNewText && view->declaration) {
@@ -118,6 +120,35 @@
 {
     const Instant now = steadyNow();
     this->chooseCell(now);
+    this->askOwner(now);
+}
+
+// Load: the cell of this data centre is full while others have room. Harm prevented: its callers are refused for as
+// long as that lasts. The refusal is not held back where no other cell can be expected to keep the target.
+bool Placing::submitElsewhere(const Refusal &refusal)
+{
+    if (!this->owner || this->isElsewhere || refusal.code != RefusalCode::Overloaded) {
+        return false;
+    }
+    const Instant now = steadyNow();
+    const Duration left = this->job.firstToken - (now - this->job.arrival);
+    CellChoice &choice = this->services.cellChoice;
+    choice.onRefused(this->chosen, refusal.retryAfter.value_or(Duration(0)), now);
+    const auto next = choice.chooseAgain(this->chosen, this->job.prompt, left, now);
+    if (!next) {
+        return false;
+    }
+    this->isElsewhere = true;
+    this->chosen = *next;
+    this->askOwner(now);
+    return true;
+}
+
+void Placing::askOwner(Instant now)
+{
+    if (this->chosen.dataCentre != this->services.settings.dataCentre) {
+        this->services.metrics.onAskedAway(this->chosen, this->isElsewhere);
+    }
     const CellRoute *const route = this->view->findRoute(this->chosen);
     this->owner = route != nullptr ? route->owner : std::nullopt;
     this->box.expect(this->owner);
--- a/programs/entry/placing.h
+++ b/programs/entry/placing.h
@@ -23,6 +23,7 @@
     Tokens maxOutput;
     std::vector<std::uint64_t> prefix;
     Instant arrival;
+    Duration firstToken{0}; // the target
 };
 
 class Placing
@@ -36,6 +37,8 @@
     Placing &operator=(const Placing &) = delete;
 
     void submit();
+    // After a refusal: asks another cell, once. Whether it did; otherwise the refusal stands.
+    bool submitElsewhere(const Refusal &refusal);
     // None where the owner says nothing in time.
     std::optional<Answer> wait(Duration limit, const asio::yield_context &yield);
     // Called when the owner places the request anew or refuses it, while what it said before is still acted on; empty:
@@ -55,6 +58,7 @@
 
 private:
     void chooseCell(Instant now);
+    void askOwner(Instant now);
     void send(const peer::Message &message);
     void placeHere();
     Answer refuseHere(const char *text) const;
@@ -67,6 +71,7 @@
     OwnerMailbox::Box box;
     std::optional<Answer> here; // an answer of our own
     int tries = 0;
+    bool isElsewhere = false; // another cell was asked after a refusal
 };
 
 // Gives the choosers of this thread the view's summaries and engines, once for each view.
--- a/programs/scheduler/cellboard.cpp
+++ b/programs/scheduler/cellboard.cpp
@@ -37,11 +37,11 @@
     return addresses;
 }
 
-std::map<std::string, std::string> factsOf(const Membership &membership)
+std::map<std::string, Fact> factsOf(const Membership &membership)
 {
-    std::map<std::string, std::string> facts;
+    std::map<std::string, Fact> facts;
     for (const Fact &fact : membership.facts()) {
-        facts[fact.name] = fact.bytes;
+        facts[fact.name] = fact;
     }
     return facts;
 }
@@ -66,9 +66,9 @@
     return near ? near : cellOwner(cell, liveHostsOf(membership));
 }
 
-void fill(peer::CellNews &news, const std::string &bytes)
+void fill(peer::CellNews &news, const Fact &fact)
 {
-    const auto summary = CellBoard::decode(bytes);
+    const auto summary = CellBoard::decode(fact.bytes);
     if (!summary) {
         return;
     }
@@ -77,6 +77,7 @@
     news.memoryUse = summary->memoryUse;
     news.freePieces = summary->freePieces;
     news.accepting = summary->accepting;
+    news.version = fact.version;
 }
 
 } // namespace
--- a/testing/bench/cell.cpp
+++ b/testing/bench/cell.cpp
@@ -101,7 +101,7 @@
     return attempt != nullptr && attempt->run == run ? attempt : nullptr;
 }
 
-void Cell::submit(const Job &job, int number)
+void Cell::submit(const Job &job, int number, Duration waited)
 {
     const RequestId request(std::to_string(job.number) + "." + std::to_string(number));
     Attempt &attempt = this->attempts[request];
@@ -115,7 +115,7 @@
     place.requestClass = job.targets;
     place.prompt = job.prompt;
     place.prefix = job.prefix;
-    place.arrival = this->events.now();
+    place.arrival = this->events.now() - waited;
     this->events.after(this->workload.model.hop, [this, place] {
         if (this->find(place.request) != nullptr) {
             std::visit([&](auto &decider) { decider.submit(place); }, this->policy);
--- a/testing/bench/cell.h
+++ b/testing/bench/cell.h
@@ -45,7 +45,8 @@
     Cell(EventQueue &events, const Workload &workload, int number, PolicyKind kind,
          std::function<void(const Outcome &)> ended);
 
-    void submit(const Job &job, int attempt);
+    // `waited`: since the caller asked, on the way or in another cell.
+    void submit(const Job &job, int attempt, Duration waited = Duration(0));
     void cancel(const RequestId &request);
     // Two of five callers leave at once.
     std::vector<RequestId> cancelMany(std::uint64_t seed);
--- a/testing/bench/cellload.cpp
+++ b/testing/bench/cellload.cpp
@@ -2,6 +2,7 @@
 // for nothing, so that every loss against the bound is one of choosing, of the way, or of a cell's own decisions.
 
 #include "cellworld.h"
+#include "lateness.h"
 
 #include <algorithm>
 #include <cmath>
@@ -59,6 +60,21 @@
     return {"home", "two-choices", "least-delay", "ours"};
 }
 
+Duration WanModel::least(int from, int to) const
+{
+    return from / regionSize == to / regionSize ? this->inRegion : this->acrossRegions;
+}
+
+Duration WanModel::draw(int from, int to, int ways, std::mt19937_64 &random) const
+{
+    Duration sum{0};
+    for (int i = 0; from != to && i < ways; ++i) {
+        sum += std::chrono::duration_cast<Duration>(this->least(from, to) * (1 + this->jitter * uniform(random())));
+        sum += uniform(random()) < this->loss ? this->retransmission : Duration(0);
+    }
+    return sum;
+}
+
 bool CellsLoad::reaches(int from, int to, Instant now) const
 {
     const bool isCut = from / regionSize == this->cutRegion || to / regionSize == this->cutRegion;
--- a/testing/bench/cellsreport.cpp
+++ b/testing/bench/cellsreport.cpp
@@ -1,5 +1,7 @@
 #include "cellsreport.h"
 
+#include "decide/cellchoice.h"
+
 #include <fmt/format.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -7,6 +9,42 @@
 namespace fescuesill::bench
 {
 
+void printChoiceCost(int cells)
+{
+    constexpr int models = 8;
+    constexpr int rounds = 200000;
+    CellChoice::Options options;
+    options.home = DataCentreId("dc0");
+    CellChoice choice(options, 1);
+    std::vector<CellId> all;
+    const Instant now(1000s);
+    for (int i = 0; i < cells; ++i) {
+        const CellId cell{ModelId(fmt::format("model-{}", i % models)), DataCentreId(fmt::format("dc{}", i / models))};
+        CellSummary summary;
+        summary.version = 1;
+        summary.prefillEngines = summary.decodeEngines = 1;
+        summary.freePieces = Pieces(10 + i);
+        choice.onSummary(cell, summary, now);
+        choice.onLink(cell.dataCentre, 8ms, 0.01);
+        all.push_back(cell);
+    }
+    using Clock = std::chrono::steady_clock;
+    const auto begin = Clock::now();
+    std::size_t found = 0;
+    for (int i = 0; i < rounds; ++i) {
+        found += choice.choose(all[static_cast<std::size_t>(i % models)].model, Tokens(1000), now) ? 1 : 0;
+    }
+    const auto middle = Clock::now();
+    for (int i = 0; i < rounds; ++i) {
+        found += choice.chooseAgain(all[static_cast<std::size_t>(i % models)], Tokens(1000), 500ms, now) ? 1 : 0;
+    }
+    const auto each = [](Clock::duration time) {
+        return std::chrono::duration<double, std::micro>(time).count() / rounds;
+    };
+    fmt::print("{} cells: {:.2f} us a first choice, {:.2f} us a second one, {} choices made\n", cells,
+               each(middle - begin), each(Clock::now() - middle), found);
+}
+
 bool isCellScenario(const std::string &name)
 {
     const auto names = cellScenarioNames();
--- a/testing/bench/cellworld.cpp
+++ b/testing/bench/cellworld.cpp
@@ -9,10 +9,10 @@
 
 #include "decide/cellchoice.h"
 #include "decide/summarypacer.h"
+#include "lateness.h"
 #include "leastdelay.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace fescuesill::bench
@@ -23,38 +23,10 @@
 constexpr Duration rudePause = 200ms;
 constexpr Duration feedInterval = 1s;
 constexpr Duration window = 5s; // for the swing of the load between cells
+constexpr int mostTries = 2; // cells asked for one attempt of a caller
 constexpr int laterWays = 5; // after the one to the owner
 constexpr Duration linkLossSeen = 3s; // until an entry knows that it does not reach an owner
 
-// Seconds late, by share of the summaries, of 48 cells that publish every second to 340 hosts ("lateness" of
-// testing/slopes). A cell near its capacity publishes 0.9 to 1.0 summaries a second.
-constexpr std::array<std::pair<double, double>, 8> measuredLateness{
-    {{0, 0.1}, {0.05, 4.0}, {0.25, 8.7}, {0.5, 14.3}, {0.75, 24.2}, {0.95, 49.9}, {0.99, 74.0}, {1, 120}}};
-
-static std::uint64_t mixed(std::uint64_t value)
-{
-    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
-    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
-    return value ^ (value >> 31U);
-}
-
-static double uniform(std::uint64_t bits)
-{
-    return static_cast<double>(bits >> 11U) / 9007199254740992.0;
-}
-
-static Duration latenessAt(double share)
-{
-    std::size_t upper = 1;
-    while (upper + 1 < measuredLateness.size() && measuredLateness[upper].first < share) {
-        ++upper;
-    }
-    const auto &[lowShare, low] = measuredLateness[upper - 1];
-    const auto &[highShare, high] = measuredLateness[upper];
-    const double seconds = low + (high - low) * (share - lowShare) / (highShare - lowShare);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 class CellWorld
 {
 public:
@@ -84,7 +56,8 @@
         int refusals = 0;
         int entry = 0;
         int cell = 0;
-        Duration way{0};
+        int tries = 0; // of this attempt
+        Instant asked; // this attempt
         bool completed = false;
         bool gaveUp = false;
         bool good = false;
@@ -98,13 +71,12 @@
     Duration latenessOf(const Entry &entry, int cell) const;
     void feed(Entry &entry);
     void tell(Entry &entry, int cell, const CellSummary &summary, Instant now);
-    Duration leastWay(int from, int to) const;
     int choose(Entry &entry, const Job &job);
     int twoChoices(const Entry &entry);
-    Duration draw(int from, int to, int ways);
     void ask(const Job &job);
     void send(const Job &job, int cell);
     void ended(const Outcome &outcome);
+    void refused(const Outcome &outcome);
     void comeBack(const Job &job, Duration retryAfter);
     CellsResult result();
 
@@ -196,7 +168,10 @@
         if (!isCut) {
             entry.seen[cell] = std::max(entry.seen[cell], static_cast<int>(next - copies.begin()) - 1);
         }
-        if (entry.seen[cell] >= 0) {
+        if (entry.seen[cell] < 0) {
+            // Known from the declaration.
+            entry.choice.onSummary(this->idOf(static_cast<int>(cell)), CellSummary(), now);
+        } else {
             const Copy &copy = copies[static_cast<std::size_t>(entry.seen[cell])];
             this->tell(entry, static_cast<int>(cell), copy.summary, now);
             this->ages += std::chrono::duration<double>(now - copy.at).count();
@@ -208,19 +183,17 @@
 void CellWorld::tell(Entry &entry, int cell, const CellSummary &summary, Instant now)
 {
     const WanModel &wan = this->load.wan;
-    const Duration way = this->leastWay(entry.dataCentre, cell);
+    const Duration way = wan.least(entry.dataCentre, cell);
     CellSummary unsized = summary;
     unsized.prefillEngines = 1; // an entry does not hear how many there are
     unsized.decodeEngines = 1;
+    unsized.version = static_cast<std::uint64_t>(entry.seen[static_cast<std::size_t>(cell)]) + 1;
     entry.leastDelay.onSummary(cell, unsized, way, wan.loss, now);
     entry.choice.onSummary(this->idOf(cell), unsized, now);
     entry.choice.onLink(this->idOf(cell).dataCentre, way, wan.loss);
-}
-
-Duration CellWorld::leastWay(int from, int to) const
-{
-    const WanModel &wan = this->load.wan;
-    return from / 2 == to / 2 ? wan.inRegion : wan.acrossRegions;
+    entry.choice.onReach(this->idOf(cell),
+                         this->load.reaches(entry.dataCentre, cell, now - linkLossSeen)
+                             || this->load.reaches(entry.dataCentre, cell, now));
 }
 
 int CellWorld::twoChoices(const Entry &entry)
@@ -255,35 +228,22 @@
     return chosen ? this->numberOf(*chosen) : entry.dataCentre;
 }
 
-Duration CellWorld::draw(int from, int to, int ways)
-{
-    if (from == to) {
-        return Duration(0);
-    }
-    const WanModel &wan = this->load.wan;
-    const Duration least = this->leastWay(from, to);
-    Duration sum{0};
-    for (int i = 0; i < ways; ++i) {
-        sum += std::chrono::duration_cast<Duration>(least * (1 + wan.jitter * uniform(this->random())));
-        sum += uniform(this->random()) < wan.loss ? wan.retransmission : Duration(0);
-    }
-    return sum;
-}
-
 void CellWorld::ask(const Job &job)
 {
     JobState &state = this->states[static_cast<std::size_t>(job.number)];
     const int count = this->load.settings.cells;
     const int perDataCentre = (this->load.settings.entries - job.home + count - 1) / count;
     state.entry = job.home + count * static_cast<int>(this->random() % static_cast<std::uint64_t>(perDataCentre));
-    state.way = Duration(0);
+    state.asked = this->events.now();
+    state.tries = 0;
+    ++state.attempts;
     this->send(job, this->choose(this->entries[static_cast<std::size_t>(state.entry)], job));
 }
 
 void CellWorld::send(const Job &job, int cell)
 {
     JobState &state = this->states[static_cast<std::size_t>(job.number)];
-    ++state.attempts;
+    ++state.tries;
     state.cell = cell;
     ++this->tally.attempts;
     const Instant now = this->events.now();
@@ -297,14 +257,15 @@
         this->events.after(isKnown ? Duration(0) : job.targets.patience, [this, &job] { this->comeBack(job, 1s); });
         return;
     }
-    const auto number = static_cast<std::size_t>(now.time_since_epoch() / window);
+    const auto part = static_cast<std::size_t>(now.time_since_epoch() / window);
     std::vector<int> &submitted = this->published[static_cast<std::size_t>(cell)].submitted;
-    submitted.resize(std::max(submitted.size(), number + 1));
-    ++submitted[number];
-    const Duration way = this->draw(job.home, cell, 1);
-    state.way += way;
-    this->events.after(way, [this, &job, cell, attempt = state.attempts] {
-        this->cells[static_cast<std::size_t>(cell)]->submit(job, attempt);
+    submitted.resize(std::max(submitted.size(), part + 1));
+    ++submitted[part];
+    const Duration way = this->load.wan.draw(job.home, cell, 1, this->random);
+    const int number = state.attempts * mostTries + state.tries;
+    const Duration waited = now + way - state.asked;
+    this->events.after(way, [this, &job, cell, number, waited] {
+        this->cells[static_cast<std::size_t>(cell)]->submit(job, number, waited);
     });
 }
 
@@ -313,15 +274,37 @@
     const Job &job = *outcome.job;
     JobState &state = this->states[static_cast<std::size_t>(job.number)];
     if (!outcome.completed) {
-        this->comeBack(job, outcome.retryAfter.value_or(Duration(1s)));
+        this->refused(outcome);
         return;
     }
     state.completed = true;
-    state.firstToken = state.way + outcome.firstToken + this->draw(job.home, state.cell, laterWays);
+    state.firstToken = outcome.arrival + outcome.firstToken - state.asked
+        + this->load.wan.draw(job.home, state.cell, laterWays, this->random);
     state.perToken = outcome.perToken;
     state.good = state.firstToken <= job.targets.firstToken && state.perToken <= job.targets.perToken;
 }
 
+void CellWorld::refused(const Outcome &outcome)
+{
+    const Job &job = *outcome.job;
+    const Duration retryAfter = outcome.retryAfter.value_or(Duration(1s));
+    JobState &state = this->states[static_cast<std::size_t>(job.number)];
+    Entry &entry = this->entries[static_cast<std::size_t>(state.entry)];
+    if (this->load.settings.policy == CellPolicy::Ours && outcome.placed == Instant()) {
+        const Instant now = this->events.now();
+        const CellId refusedBy = this->idOf(state.cell);
+        entry.choice.onRefused(refusedBy, retryAfter, now);
+        const Duration left = job.targets.firstToken - (now - state.asked);
+        const auto next =
+            state.tries < mostTries ? entry.choice.chooseAgain(refusedBy, job.prompt, left, now) : std::nullopt;
+        if (next) {
+            this->send(job, this->numberOf(*next));
+            return;
+        }
+    }
+    this->comeBack(job, retryAfter);
+}
+
 void CellWorld::comeBack(const Job &job, Duration retryAfter)
 {
     JobState &state = this->states[static_cast<std::size_t>(job.number)];
--- a/testing/bench/cellworld.h
+++ b/testing/bench/cellworld.h
@@ -39,6 +39,9 @@
     Duration retransmission{200ms};
     double priceInRegion = 1;
     double priceAcross = 3;
+
+    Duration least(int from, int to) const; // one way between two data centres
+    Duration draw(int from, int to, int ways, std::mt19937_64 &random) const;
 };
 
 struct CellsLoad {
--- a/testing/bench/main.cpp
+++ b/testing/bench/main.cpp
@@ -154,7 +154,8 @@
 {
     cxxopts::Options options("fescuesill-bench", "Decisions under load, in virtual time, against baselines");
     auto add = options.add_options();
-    add("scenario", joined(scenarioNames()) + ", or decisions; between cells: " + joined(cellScenarioNames()),
+    add("scenario",
+        joined(scenarioNames()) + ", or decisions; between cells: " + joined(cellScenarioNames()) + "; cell-choices",
         cxxopts::value<std::string>()->default_value("saturation"));
     add("policy", joined(policyNames()) + "; between cells: " + joined(cellPolicyNames()),
         cxxopts::value<std::string>()->default_value("ours"));
@@ -179,6 +180,10 @@
             std::cout << options.help();
             return 0;
         }
+        if (given["scenario"].as<std::string>() == "cell-choices") {
+            printChoiceCost(given.count("cells") != 0 ? given["cells"].as<int>() : 48);
+            return 0;
+        }
         if (isCellScenario(given["scenario"].as<std::string>())) {
             return runCells(given) ? 0 : 2;
         }
--- a/testing/bench/simulation.cpp
+++ b/testing/bench/simulation.cpp
@@ -57,8 +57,12 @@
 private:
     struct JobState {
         int attempts = 0;
+        int tries = 0; // cells asked in all of them
         int refusals = 0;
         int cell = -1;
+        int home = 0; // of the entry that has this attempt
+        Instant asked; // this attempt
+        bool isElsewhere = false; // asked another cell after a refusal
         bool good = false;
         bool completed = false;
         bool gaveUp = false;
@@ -69,6 +73,8 @@
     };
 
     void ask(const Job &job);
+    void send(const Job &job, int cell);
+    bool askElsewhere(const Outcome &outcome);
     void ended(const Outcome &outcome);
     void spreadSummaries();
     bool lost(int cell) const;
@@ -81,6 +87,7 @@
     std::vector<CellChoice> choices; // of the entries of each data centre
     std::vector<JobState> states;
     std::mt19937_64 random;
+    std::uint64_t lastVersion = 0; // of the summaries
 };
 
 bool Simulation::lost(int cell) const
@@ -110,26 +117,59 @@
             chosen = this->cells[i]->dataCentre() == cell->dataCentre.value() ? static_cast<int>(i) : chosen;
         }
     }
+    state.home = home;
+    state.asked = this->events.now();
+    state.isElsewhere = false;
     ++state.attempts;
+    this->send(job, chosen);
+}
+
+void Simulation::send(const Job &job, int chosen)
+{
+    JobState &state = this->states[static_cast<std::size_t>(job.number)];
+    ++state.tries;
     state.cell = chosen;
     Duration way{0};
-    if (chosen != home) {
+    if (chosen != state.home) {
         way = this->workload.model.awayHop;
         const bool packetLost = static_cast<double>(this->random() % 10000) < this->workload.model.awayLoss * 10000;
         way += packetLost ? 200ms : Duration(0);
     }
-    this->events.after(way, [this, &job, chosen, attempt = state.attempts] {
-        this->cells[static_cast<std::size_t>(chosen)]->submit(job, attempt);
+    const Duration waited = this->events.now() + way - state.asked;
+    this->events.after(way, [this, &job, chosen, number = state.tries, waited] {
+        this->cells[static_cast<std::size_t>(chosen)]->submit(job, number, waited);
     });
 }
 
+// As an entry does: one other cell, if it can be expected to keep the target.
+bool Simulation::askElsewhere(const Outcome &outcome)
+{
+    const Job &job = *outcome.job;
+    JobState &state = this->states[static_cast<std::size_t>(job.number)];
+    if (this->cells.size() == 1 || state.isElsewhere || outcome.placed != Instant()) {
+        return false;
+    }
+    const Instant now = this->events.now();
+    const CellId refusedBy{ModelId("m"), DataCentreId(this->cells[static_cast<std::size_t>(state.cell)]->dataCentre())};
+    CellChoice &choice = this->choices[static_cast<std::size_t>(state.home)];
+    choice.onRefused(refusedBy, outcome.retryAfter.value_or(Duration(0)), now);
+    const auto next = choice.chooseAgain(refusedBy, job.prompt, job.targets.firstToken - (now - state.asked), now);
+    for (std::size_t i = 0; next && i < this->cells.size(); ++i) {
+        if (this->cells[i]->dataCentre() == next->dataCentre.value()) {
+            state.isElsewhere = true;
+            this->send(job, static_cast<int>(i));
+        }
+    }
+    return next.has_value();
+}
+
 void Simulation::ended(const Outcome &outcome)
 {
     const Job &job = *outcome.job;
     JobState &state = this->states[static_cast<std::size_t>(job.number)];
     if (outcome.completed) {
         state.completed = true;
-        state.firstToken = outcome.firstToken;
+        state.firstToken = outcome.arrival + outcome.firstToken - state.asked;
         state.perToken = outcome.perToken;
         const auto milliseconds = [](Duration time) {
             return static_cast<double>(time.count()) / 1000;
@@ -137,7 +177,10 @@
         state.phases = {milliseconds(outcome.placed - outcome.arrival), milliseconds(outcome.read - outcome.placed),
                         milliseconds(outcome.decodeAsked - outcome.read),
                         milliseconds(outcome.arrival + outcome.firstToken - outcome.decodeAsked)};
-        state.good = outcome.firstToken <= job.targets.firstToken && outcome.perToken <= job.targets.perToken;
+        state.good = state.firstToken <= job.targets.firstToken && outcome.perToken <= job.targets.perToken;
+        return;
+    }
+    if (this->askElsewhere(outcome)) {
         return;
     }
     ++state.refusals;
@@ -157,7 +200,8 @@
             continue;
         }
         const CellId cell{ModelId("m"), DataCentreId(this->cells[i]->dataCentre())};
-        const CellSummary summary = this->cells[i]->summary();
+        CellSummary summary = this->cells[i]->summary();
+        summary.version = ++this->lastVersion;
         for (CellChoice &choice : this->choices) {
             choice.onSummary(cell, summary, this->events.now());
             choice.onLink(cell.dataCentre, this->workload.model.awayHop, this->workload.model.awayLoss);
@@ -174,7 +218,7 @@
             this->events.at(job.arrival + *job.cancelAfter, [this, &job] {
                 JobState &state = this->states[static_cast<std::size_t>(job.number)];
                 state.cancelled = !state.completed;
-                const RequestId request(std::to_string(job.number) + "." + std::to_string(state.attempts));
+                const RequestId request(std::to_string(job.number) + "." + std::to_string(state.tries));
                 this->cells[static_cast<std::size_t>(std::max(0, state.cell))]->cancel(request);
             });
         }
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -43,6 +43,10 @@
     {
         this->array.push_back(text);
     }
+    void operator()(std::uint64_t number)
+    {
+        this->array.push_back(number);
+    }
     void operator()(bool flag)
     {
         this->array.push_back(flag);
@@ -104,6 +108,14 @@
     {
         text = this->next().get_ref<const std::string &>();
     }
+    void operator()(std::uint64_t &number)
+    {
+        const Json &item = this->next();
+        if (!item.is_number_unsigned()) {
+            throw WireError("an unsigned number was expected");
+        }
+        number = item.get<std::uint64_t>();
+    }
     void operator()(bool &flag)
     {
         flag = this->next().get_ref<const Json::boolean_t &>();
@@ -351,6 +363,7 @@
     visit(m.memoryUse);
     visit(m.freePieces);
     visit(m.accepting);
+    visit(m.version);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -152,6 +152,7 @@
     double memoryUse = 0;
     Pieces freePieces;
     bool accepting = true;
+    std::uint64_t version = 0; // of the summary; 0: there is none
 };
 
 struct AllCells {
