--- a/testing/slopes/main.cpp
+++ b/testing/slopes/main.cpp
@@ -1,20 +1,20 @@
 // fescuesill-slopes [HOSTS…]: what the pure cores cost as the fleet grows, one JSON line for each size.
 // fescuesill-slopes links [LINKS…]: links between entries and one scheduler, and the news that goes over them.
 // fescuesill-slopes polls IP:PORT [ENGINES…]: an owner's polling of a stand-in engine that runs there.
+// fescuesill-slopes lateness [HOSTS [CELLS]]: how late the summaries of cells are, one line for each publishing period.
 //
-// Membership runs in virtual time, every host of the fleet in this one process, with messages that arrive one tick
-// later. Processor time is this process's own; it depends on the machine, its growth with the size much less.
+// Membership runs in virtual time (fleet.h). Processor time is this process's own; it depends on the machine, its
+// growth with the size much less.
 
 #include "declare/declaration.h"
 #include "declare/difference.h"
-#include "promise/membership.h"
+#include "testing/slopes/fleet.h"
 #include "testing/slopes/measures.h"
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <cstdlib>
-#include <memory>
+#include <cctype>
+#include <cstdio>
 #include <string>
 
 using namespace fescuesill;
@@ -22,116 +22,14 @@
 namespace
 {
 
-constexpr Duration tick = 50ms;
 constexpr int warmUpTicks = 20 * 600; // ten minutes: the rumours of a fleet that starts all at once have been passed on
 constexpr int measuredTicks = 20 * 20;
 constexpr int dataCentres = 6;
-constexpr int cellFactBytes = 20; // a summary in CBOR
-
-class Fleet
-{
-public:
-    Fleet(int size, int cells)
-        : cells(cells)
-    {
-        std::vector<MemberInfo> all;
-        for (int i = 0; i < size; ++i) {
-            MemberInfo info;
-            info.host = HostId(fmt::format("host-{:03}", i));
-            info.dataCentre = DataCentreId(fmt::format("dc-{}", i % dataCentres));
-            info.incarnation = 1;
-            info.address = fmt::format("10.0.{}.{}:8090", i / 200, i % 200 + 1);
-            all.push_back(info);
-        }
-        for (int i = 0; i < size; ++i) {
-            const auto seed = static_cast<std::uint64_t>(i) + 1;
-            this->hosts.push_back(std::make_unique<Membership>(all[i], Membership::Options{}, seed, this->now));
-            this->hosts.back()->onHostList(all, this->now);
-        }
-    }
-
-    void run(int ticks)
-    {
-        for (int i = 0; i < ticks; ++i) {
-            this->now += tick;
-            if (++this->ticks % 20 == 0) {
-                this->publishCells();
-            }
-            std::vector<ProbeMessage> out;
-            for (const ProbeMessage &message : this->flying) {
-                this->take(this->at(message.to).onMessage(message, this->now), out);
-            }
-            for (const auto &host : this->hosts) {
-                this->take(host->tick(this->now), out);
-            }
-            this->flying = std::move(out);
-        }
-    }
-
-    // Seconds until a fact of one host is known to all; -1 where a minute is not enough.
-    double spread(const std::string &name, bool isUrgent)
-    {
-        Membership &first = *this->hosts.front();
-        if (isUrgent) {
-            first.publishUrgent(name, 1, std::string(16, 'x'), this->now);
-        } else {
-            first.publish(name, 1, std::string(16, 'x'), this->now);
-        }
-        for (int count = 1; count < 20 * 60; ++count) {
-            this->run(1);
-            if (std::all_of(this->hosts.begin(), this->hosts.end(),
-                            [&](const auto &host) { return knows(*host, name); })) {
-                return count * std::chrono::duration<double>(tick).count();
-            }
-        }
-        return -1;
-    }
-
-    std::int64_t bytes = 0;
-    std::int64_t messages = 0;
-
-private:
-    static bool knows(const Membership &host, const std::string &name)
-    {
-        const std::vector<Fact> facts = host.facts();
-        return std::any_of(facts.begin(), facts.end(), [&](const Fact &fact) { return fact.name == name; });
-    }
-
-    Membership &at(const HostId &host)
-    {
-        return *this->hosts[std::stoul(host.value().substr(5))];
-    }
-
-    void take(std::vector<ProbeMessage> fresh, std::vector<ProbeMessage> &out)
-    {
-        for (ProbeMessage &message : fresh) {
-            ++this->messages;
-            this->bytes += static_cast<std::int64_t>(sizeOf(message));
-            out.push_back(std::move(message));
-        }
-    }
-
-    void publishCells()
-    {
-        for (int cell = 0; cell < this->cells; ++cell) {
-            const auto owner = static_cast<std::size_t>(cell) % this->hosts.size();
-            this->hosts[owner]->publish(fmt::format("cell/model-{}/dc-{}", cell / dataCentres, cell % dataCentres),
-                                        static_cast<std::uint64_t>(this->ticks), std::string(cellFactBytes, 'x'),
-                                        this->now);
-        }
-    }
-
-    std::vector<std::unique_ptr<Membership>> hosts;
-    std::vector<ProbeMessage> flying;
-    int cells;
-    Instant now{1000s};
-    int ticks = 0;
-};
 
 void measureMembership(int size, int cells)
 {
     const double before = residentBytes();
-    Fleet fleet(size, cells);
+    Fleet fleet(size, cells, 1s);
     fleet.run(warmUpTicks);
     const double memory = (residentBytes() - before) / size;
     const std::int64_t bytes = fleet.bytes;
@@ -141,7 +39,7 @@
     const double spent = cpuSeconds() - start;
     const std::int64_t sentBytes = fleet.bytes - bytes;
     const std::int64_t sentMessages = fleet.messages - messages;
-    const double hostSeconds = size * std::chrono::duration<double>(tick).count() * measuredTicks;
+    const double hostSeconds = size * std::chrono::duration<double>(fleetTick).count() * measuredTicks;
     const double urgent = fleet.spread("config", true);
     const double ordinary = fleet.spread("ordinary", false);
     fmt::print("{{\"core\":\"membership\",\"hosts\":{},\"cells\":{},\"core_percent_per_host\":{:.4f},\"sent_bytes_per_"
@@ -152,6 +50,21 @@
                static_cast<double>(sentMessages) / hostSeconds, memory / 1024, urgent, ordinary);
 }
 
+// How late summaries are, for cells that each publish once in the period.
+void measureLateness(int size, int cells, Duration period)
+{
+    Fleet fleet(size, cells, period);
+    fleet.run(warmUpTicks);
+    const Fleet::Lateness late = fleet.lateness(120s);
+    fmt::print(
+        "{{\"core\":\"summaries\",\"hosts\":{},\"cells\":{},\"each_cell_publishes_every_seconds\":{:.0f},"
+        "\"seconds_late\":{{\"p5\":{:.2f},\"p25\":{:.2f},\"p50\":{:.2f},\"p75\":{:.2f},\"p95\":{:.2f},\"p99\":{:.2f},"
+        "\"most\":{:.2f}}},\"not_there_after_a_minute\":{:.4f}}}\n",
+        size, cells, std::chrono::duration<double>(period).count(), late.at(0.05), late.at(0.25), late.at(0.5),
+        late.at(0.75), late.at(0.95), late.at(0.99), late.at(1), late.missing);
+    std::fflush(stdout);
+}
+
 std::string declarationOf(int engines)
 {
     std::string text = "[class patient]\nrank = 2\nfirst_token = 5s\n";
@@ -210,19 +123,29 @@
 int main(int argc, char **argv)
 {
     const std::vector<std::string> words(argv + 1, argv + argc);
-    const bool isLinks = !words.empty() && words[0] == "links";
-    const bool isPolls = words.size() > 1 && words[0] == "polls";
-    const int named = isPolls ? 2 : (isLinks ? 1 : 0);
+    const std::string mode = words.empty() || std::isdigit(words[0].front()) != 0 ? "" : words[0];
+    const std::size_t named = mode.empty() ? 0 : (mode == "polls" ? 2 : 1);
     std::vector<int> sizes;
-    std::transform(words.begin() + named, words.end(), std::back_inserter(sizes),
-                   [](const std::string &text) { return std::stoi(text); });
-    if (isLinks) {
+    for (std::size_t i = named; i < words.size(); ++i) {
+        sizes.push_back(std::stoi(words[i]));
+    }
+    const auto orElse = [&sizes](std::vector<int> defaults) {
+        return sizes.empty() ? defaults : sizes;
+    };
+    if (mode.empty()) {
+        measureCores(orElse({3, 9, 36, 85, 170, 340}));
+    } else if (mode == "links") {
         measureCellNews({3, 48});
-        measureLinks(sizes.empty() ? std::vector<int>{3, 9, 36, 340} : sizes);
-    } else if (isPolls) {
-        measureEnginePolls(words[1], sizes.empty() ? std::vector<int>{1, 4, 13} : sizes);
+        measureLinks(orElse({3, 9, 36, 340}));
+    } else if (mode == "polls" && words.size() > 1) {
+        measureEnginePolls(words[1], orElse({1, 4, 13}));
+    } else if (mode == "lateness") {
+        for (const Duration period : {1s, 5s, 10s, 30s}) {
+            measureLateness(sizes.empty() ? 340 : sizes[0], sizes.size() > 1 ? sizes[1] : 48, period);
+        }
     } else {
-        measureCores(sizes.empty() ? std::vector<int>{3, 9, 36, 85, 170, 340} : sizes);
+        fmt::print(stderr, "fescuesill-slopes: unknown measurement '{}'\n", mode);
+        return 2;
     }
     return 0;
 }
