Take no time from the earliest instant in the entry's commits

Cause: a write that was put back, or one that fills a batch, is due at Instant::min(); the wait until then was reckoned by a subtraction that overflows. It came out as a time in the past only by a second overflow in the conversion to nanoseconds, and the compiler owes nothing there.

Change: the two instants are compared first.

Measured: promise_test (72) and the process tests test_ledger and test_entry (19) pass. No test fails without the change: the overflow happened to do no harm.

--- a/programs/entry/ledgertable.cpp
+++ b/programs/entry/ledgertable.cpp
@@ -40,7 +40,9 @@
     if (!due) {
         return;
     }
-    this->timer.expires_after(std::max(*due - steadyNow(), Duration(0)));
+    // A write that is put back is due at Instant::min(), from which no time can be taken.
+    const Instant now = steadyNow();
+    this->timer.expires_after(*due > now ? *due - now : Duration(0));
     this->timer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             this->commitDue();
