Keep an empty choice from being read in the random test of the second choice

Cause: RC_ASSERT takes its expression apart, so `!chosen || allowed[*chosen]` evaluated both sides and read an empty optional; the address sanitizer stopped there, and without it the test passed by luck. The condition is now evaluated before the macro. With the guard against cells of which nothing was heard edited out, the test now fails in words instead of crashing.

--- a/decide/testing/cellchoice_test.cpp
+++ b/decide/testing/cellchoice_test.cpp
@@ -194,7 +194,9 @@
     const auto chosen = choice.chooseAgain(cellIn("a"), Tokens(100), 500ms, start + 60s);
     const bool any = std::any_of(mayBeAsked.begin(), mayBeAsked.end(), [](const auto &one) { return one.second; });
     RC_ASSERT(chosen.has_value() == any);
-    RC_ASSERT(!chosen || mayBeAsked[*chosen]);
+    // Outside the macro, which evaluates both sides of an or.
+    const bool isAllowed = !chosen || mayBeAsked[*chosen];
+    RC_ASSERT(isAllowed);
 }
 
 } // namespace
