Give the links of entries a class of their own, and look a member's address up

Change: EntryLinks has what entries say, who follows the news, and what a full ring did not take; Membership::addressOf looks up one host.

--- a/programs/scheduler/peerduty.cpp
+++ b/programs/scheduler/peerduty.cpp
@@ -2,6 +2,7 @@
 
 #include "programs/scheduler/cellboard.h"
 #include "programs/scheduler/configfetcher.h"
+#include "programs/scheduler/entrylinks.h"
 #include "programs/scheduler/livehosts.h"
 #include "wire/clock.h"
 #include "wire/log.h"
@@ -21,9 +22,6 @@
 // more and fetch it from there. A host that starts, or was cut off, asks a few live hosts directly before it serves.
 //
 // Ownership: each tick looks whether members or declaration changed what this host owns and tells the decider.
-//
-// A full ring to the decider: a new request is refused at once, anything else closes the link. A lost Finished or
-// PrefillDone would leave a reservation that nobody frees; after a reconnect the entry says again what it holds.
 
 namespace fescuesill
 {
@@ -35,7 +33,6 @@
 constexpr const char *configFact = "config";
 constexpr Duration fetchPause = 200ms;
 constexpr Duration ownershipEvery = 200ms;
-constexpr Duration overloadRetry = 500ms;
 
 MemberInfo selfInfo(const PeerDuty::Options &options)
 {
@@ -84,6 +81,9 @@
         this->node = std::move(*made);
         this->fetcher = std::make_unique<ConfigFetcher>(
             *this->node, peer::Hello{this->options.host, this->options.dataCentre, false});
+        this->entries = std::make_unique<EntryLinks>(*this->node, this->decide, [this] {
+            return EntryLinks::News{this->configInForce(true), {liveHostsOf(this->membership)}, {this->board.news()}};
+        });
         std::optional<DatagramSeal> seal;
         if (this->options.keys) {
             seal.emplace(*this->options.keys, this->options.host);
@@ -114,7 +114,7 @@
         this->isReadDue = this->reading.isDue(this->readSituation(now), now);
         this->fetcher->dropOld(now);
         this->fetchWhatIsMissing(now);
-        this->tellPendingClosed();
+        this->entries->tellPendingClosed();
         if (now >= this->nextOwnership) {
             this->nextOwnership = now + ownershipEvery;
             this->refreshOwnership();
@@ -214,23 +214,13 @@
     {
         for (ProbeMessage &message : messages) {
             message.tableReadAge = this->reading.age(steadyNow());
-            const std::string address = this->addressOf(message.to);
+            const std::string address = this->membership.addressOf(message.to);
             if (!address.empty()) {
                 this->probes->send(address, message);
             }
         }
     }
 
-    std::string addressOf(const HostId &host) const
-    {
-        for (const MemberInfo &member : this->membership.members()) {
-            if (member.host == host) {
-                return member.address;
-            }
-        }
-        return {};
-    }
-
     void onOpened(LinkId link)
     {
         ++this->links;
@@ -241,17 +231,7 @@
     {
         --this->links;
         this->fetcher->onClosed(link);
-        this->followers.erase(link);
-        if (this->entries.erase(link) != 0 && !this->decide(LinkClosed{link})) {
-            this->pendingClosed.push_back(link);
-        }
-    }
-
-    void tellPendingClosed()
-    {
-        while (!this->pendingClosed.empty() && this->decide(LinkClosed{this->pendingClosed.back()})) {
-            this->pendingClosed.pop_back();
-        }
+        this->entries->onClosed(link);
     }
 
     void onReceived(LinkId link, peer::Message message)
@@ -264,57 +244,10 @@
         } else if (const auto *config = std::get_if<peer::ConfigInForce>(&message)) {
             this->onFetched(link, *config);
         } else if (const auto *follow = std::get_if<peer::Follow>(&message)) {
-            this->onFollow(link, *follow);
+            this->entries->onFollow(link, *follow);
         } else {
-            this->onFromEntry(link, std::move(message));
-        }
-    }
-
-    // Failure: every owner sends all its news to every entry that is linked to it, each second. At 48 cells it shows as
-    // megabytes a second from one host. An entry follows one scheduler, that of its own host while it is there.
-    void onFollow(LinkId link, const peer::Follow &follow)
-    {
-        if (!follow.wanted) {
-            this->followers.erase(link);
-            return;
+            this->entries->onMessage(link, std::move(message));
         }
-        this->followers.insert(link);
-        this->node->send(link, this->configInForce(true));
-        this->node->send(link, peer::LiveHosts{liveHostsOf(this->membership)});
-        this->node->send(link, peer::AllCells{this->board.news()});
-    }
-
-    void onFromEntry(LinkId link, peer::Message message)
-    {
-        const auto *hello = std::get_if<peer::Hello>(&message);
-        if (hello != nullptr) {
-            if (!hello->isEntry) {
-                return;
-            }
-            this->entries.insert(link);
-        }
-        std::optional<RequestId> asked;
-        if (const auto *submit = std::get_if<peer::Submit>(&message)) {
-            asked = submit->request;
-        }
-        if (!this->decide(FromEntry{link, std::move(message)})) {
-            this->onDeciderFull(link, asked);
-        }
-    }
-
-    void onDeciderFull(LinkId link, const std::optional<RequestId> &asked)
-    {
-        if (asked) {
-            Refusal refusal{RefusalCode::Overloaded, RunState::NotRun, "the decider has too many events waiting",
-                            overloadRetry};
-            this->node->send(link, peer::Refused{*asked, std::move(refusal)});
-            return;
-        }
-        Log::warning("decider_full", {{"link", static_cast<std::uint64_t>(link)}});
-        this->entries.erase(link);
-        this->followers.erase(link);
-        this->pendingClosed.push_back(link);
-        this->node->disconnect(link);
     }
 
     void onLiveHosts(const peer::LiveHosts &live)
@@ -400,9 +333,7 @@
         this->membership.publishUrgent(configFact, static_cast<std::uint64_t>(record.version.value()),
                                        this->options.address, steadyNow());
         this->isDeclarationTold = false;
-        for (const LinkId link : this->followers) {
-            this->node->send(link, this->configInForce(true));
-        }
+        this->entries->tellFollowers(this->configInForce(true));
         this->refreshOwnership();
     }
 
@@ -442,18 +373,14 @@
         }
         this->toldOwned = owned;
         this->toldLive = live;
-        for (const LinkId link : this->followers) {
-            this->node->send(link, peer::LiveHosts{live});
-            this->node->send(link, peer::AllCells{this->board.news()});
-        }
+        this->entries->tellFollowers(peer::LiveHosts{live});
+        this->entries->tellFollowers(peer::AllCells{this->board.news()});
     }
 
     void tellEntries()
     {
-        for (const LinkId link : this->followers) {
-            this->node->send(link, this->configInForce(false));
-            this->node->send(link, peer::AllCells{this->board.news()});
-        }
+        this->entries->tellFollowers(this->configInForce(false));
+        this->entries->tellFollowers(peer::AllCells{this->board.news()});
     }
 
     void publishStatus(Instant now)
@@ -466,7 +393,7 @@
         made.cells = this->board.news();
         made.owned = this->toldOwned.size();
         made.links = this->links;
-        made.followers = this->followers.size();
+        made.followers = this->entries->followerCount();
         made.traffic = this->probes->traffic();
         made.refusedLinks = this->node->refusedLinks();
         made.hasRefusedLately = this->node->hasRefusedLately();
@@ -492,9 +419,6 @@
     bool tableReachable = false;
     bool isBehind = false; // of a version that a fact names
     std::atomic<bool> isReadDue{true};
-    std::set<LinkId> entries;
-    std::set<LinkId> followers; // of the entries, those that want the news here
-    std::vector<LinkId> pendingClosed; // at most the links that were open
     std::size_t links = 0;
     Instant nextOwnership;
     Instant nextNews;
@@ -505,6 +429,7 @@
     // Stopped before anything is destroyed; the socket and the timer live in its event loop.
     std::unique_ptr<PeerNode> node;
     std::unique_ptr<ConfigFetcher> fetcher;
+    std::unique_ptr<EntryLinks> entries;
     std::unique_ptr<ProbeSocket> probes;
     std::unique_ptr<asio::steady_timer> timer;
 };
--- a/promise/membership.cpp
+++ b/promise/membership.cpp
@@ -187,6 +187,12 @@
     return all;
 }
 
+std::string Membership::addressOf(const HostId &host) const
+{
+    const auto found = this->peers.find(host);
+    return found == this->peers.end() ? std::string() : found->second.info.address;
+}
+
 std::vector<HostId> Membership::owners(const DataCentreId &dataCentre) const
 {
     std::vector<HostId> hosts;
--- a/promise/membership.h
+++ b/promise/membership.h
@@ -74,6 +74,8 @@
 
     const MemberInfo &self() const;
     std::vector<MemberInfo> members() const;
+    // Where another host is reached; empty where it is not known.
+    std::string addressOf(const HostId &host) const;
     // Hosts of the data centre that can own cells: alive or only suspected, not leaving; this one included.
     std::vector<HostId> owners(const DataCentreId &dataCentre) const;
     PeerReach reach() const;
