Share what the tests on real sockets had three times

Change: programs/scheduler/testing/smalldeclaration.h and wire/testing/loopback.h; every listener's address comes from testing/freeaddress.h.

--- a/programs/entry/testing/linkduty_test.cpp
+++ b/programs/entry/testing/linkduty_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -95,8 +98,8 @@
 class Relay
 {
 public:
-    explicit Relay(const std::string &target)
-        : port(portOf(target))
+    explicit Relay(const std::string &given)
+        : target(endpointOf(given))
         , acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
     {
         this->address = "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
@@ -126,11 +129,6 @@
         std::array<char, 4096> bytes{};
     };
 
-    static std::uint16_t portOf(const std::string &address)
-    {
-        return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
-    }
-
     void accept()
     {
         this->acceptor.async_accept([this](const boost::system::error_code &failed, tcp::socket socket) {
@@ -139,7 +137,7 @@
             }
             auto near = std::make_shared<tcp::socket>(std::move(socket));
             auto far = std::make_shared<tcp::socket>(this->context);
-            far->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+            far->connect(this->target);
             this->pass(std::make_shared<Way>(Way{near, far, this->generation}));
             this->pass(std::make_shared<Way>(Way{far, near, this->generation}));
             this->accept();
@@ -167,7 +165,7 @@
     }
 
     asio::io_context context;
-    std::uint16_t port;
+    tcp::endpoint target;
     tcp::acceptor acceptor;
     std::atomic<int> generation{0};
     std::vector<std::shared_ptr<Way>> lost; // kept open
--- a/programs/scheduler/testing/celldirector_test.cpp
+++ b/programs/scheduler/testing/celldirector_test.cpp
@@ -1,4 +1,5 @@
 #include "programs/scheduler/celldirector.h"
+#include "programs/scheduler/testing/smalldeclaration.h"
 
 #include <gtest/gtest.h>
 
@@ -9,34 +10,6 @@
 namespace
 {
 
-constexpr const char *text = R"([data_centre athens]
-region = attica
-
-[engine p1]
-address = 127.0.0.1:1001
-data_centre = athens
-model = motor
-role = prefill
-
-[engine d1]
-address = 127.0.0.1:1002
-data_centre = athens
-model = motor
-role = decode
-pieces = 20
-
-[class live]
-rank = 1
-first_token = 550ms
-per_token = 71ms
-patience = 5s
-
-[service diagnose]
-kind = model
-class = live
-model = motor
-)";
-
 const CellId cell{ModelId("motor"), DataCentreId("athens")};
 const HostId entryHost("athens-a");
 const LinkId entryLink{1};
@@ -56,7 +29,7 @@
 
     static std::shared_ptr<const Declaration> declaration()
     {
-        auto parsed = Declaration::parse(text, "test");
+        auto parsed = Declaration::parse(smallDeclaration, "test");
         EXPECT_TRUE(parsed) << (parsed ? "" : parsed.error().faults.front().line());
         return std::make_shared<const Declaration>(std::move(*parsed));
     }
--- a/programs/scheduler/testing/follow_test.cpp
+++ b/programs/scheduler/testing/follow_test.cpp
@@ -1,4 +1,5 @@
 #include "programs/scheduler/peerduty.h"
+#include "programs/scheduler/testing/smalldeclaration.h"
 #include "wire/testing/loopback.h"
 
 #include <gtest/gtest.h>
@@ -12,38 +13,12 @@
 
 namespace asio = boost::asio;
 
-constexpr const char *text = R"([data_centre athens]
-region = attica
-
-[engine p1]
-address = 127.0.0.1:1001
-data_centre = athens
-model = motor
-role = prefill
-
-[engine d1]
-address = 127.0.0.1:1002
-data_centre = athens
-model = motor
-role = decode
-
-[class live]
-rank = 1
-first_token = 550ms
-patience = 5s
-
-[service diagnose]
-kind = model
-class = live
-model = motor
-)";
-
 TableConfig configOf(std::int64_t version)
 {
     ConfigRecord record;
     record.version = ConfigVersion(version);
     record.changeId = "change-" + std::to_string(version);
-    record.text = text;
+    record.text = smallDeclaration;
     return TableConfig{record};
 }
 
@@ -55,10 +30,9 @@
     options.address = address;
     options.membership.period = 100ms;
     options.news = 50ms;
-    auto made = PeerDuty::create(options, [](DirectorEvent &&) { return true; });
-    EXPECT_TRUE(made);
-    (*made)->start();
-    return std::move(*made);
+    auto made = PeerDuty::create(options, [](DirectorEvent &&) { return true; }).value();
+    made->start();
+    return made;
 }
 
 // An entry's end of one link; counts the news that come over it.
--- a/programs/scheduler/testing/peerduty_test.cpp
+++ b/programs/scheduler/testing/peerduty_test.cpp
@@ -1,11 +1,9 @@
 #include "programs/scheduler/peerduty.h"
-
-#include "testing/freeaddress.h"
+#include "programs/scheduler/testing/smalldeclaration.h"
+#include "wire/testing/loopback.h"
 
 #include <gtest/gtest.h>
 
-#include <functional>
-#include <stdexcept>
 #include <thread>
 
 namespace fescuesill
@@ -13,55 +11,13 @@
 namespace
 {
 
-constexpr const char *text = R"([data_centre athens]
-region = attica
-
-[engine p1]
-address = 127.0.0.1:1001
-data_centre = athens
-model = motor
-role = prefill
-
-[engine d1]
-address = 127.0.0.1:1002
-data_centre = athens
-model = motor
-role = decode
-
-[class live]
-rank = 1
-first_token = 550ms
-per_token = 71ms
-patience = 5s
-
-[service diagnose]
-kind = model
-class = live
-model = motor
-)";
-
-// Long enough for a slow machine under a sanitizer; a test that passes never waits for it.
-constexpr auto patience = std::chrono::seconds(60);
-
-bool eventually(const std::function<bool()> &condition)
-{
-    const auto end = std::chrono::steady_clock::now() + patience;
-    while (std::chrono::steady_clock::now() < end) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    }
-    return false;
-}
-
 ConfigRecord recordOf(std::int64_t version)
 {
     ConfigRecord record;
     record.version = ConfigVersion(version);
     record.author = "test";
     record.changeId = "change-" + std::to_string(version);
-    record.text = text;
+    record.text = smallDeclaration;
     return record;
 }
 
@@ -76,12 +32,9 @@
     options.membership.period = 100ms;
     options.membership.ackWait = 50ms;
     options.config.startWait = 500ms;
-    auto made = PeerDuty::create(options, [](DirectorEvent &&) { return true; });
-    if (!made) {
-        throw std::runtime_error("host " + name + " cannot listen on " + address);
-    }
-    (*made)->start();
-    return std::move(*made);
+    auto made = PeerDuty::create(options, [](DirectorEvent &&) { return true; }).value();
+    made->start();
+    return made;
 }
 
 HostList listOf(const std::vector<std::pair<std::string, std::string>> &hosts)
--- a/wire/testing/keys_test.cpp
+++ b/wire/testing/keys_test.cpp
@@ -1,10 +1,10 @@
-#include "testing/freeaddress.h"
 #include "wire/address.h"
 #include "wire/adminserver.h"
 #include "wire/linkguard.h"
 #include "wire/peernode.h"
 #include "wire/probecodec.h"
 #include "wire/probesocket.h"
+#include "wire/testing/loopback.h"
 
 #include <gtest/gtest.h>
 
@@ -15,7 +15,6 @@
 #include <boost/beast/http.hpp>
 
 #include <atomic>
-#include <functional>
 #include <thread>
 
 namespace fescuesill
@@ -28,9 +27,6 @@
 using asio::ip::tcp;
 using asio::ip::udp;
 
-// Long enough for a slow machine under a sanitizer; a test that passes never waits for it.
-constexpr auto patience = std::chrono::seconds(60);
-
 std::shared_ptr<const KeyRing> ringOf(const std::string &letters)
 {
     std::string text;
@@ -40,24 +36,6 @@
     return std::make_shared<const KeyRing>(KeyRing::parse(text).value());
 }
 
-tcp::endpoint endpointOf(const std::string &address)
-{
-    const Address parsed = Address::parse(address).value();
-    return {asio::ip::make_address(parsed.ip), parsed.port};
-}
-
-bool eventually(const std::function<bool()> &condition)
-{
-    const auto end = std::chrono::steady_clock::now() + patience;
-    while (std::chrono::steady_clock::now() < end) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(std::chrono::milliseconds(2));
-    }
-    return false;
-}
-
 // A node that counts what reaches its user.
 struct Node {
     Node(const std::string &listen, std::shared_ptr<const KeyRing> keys)
--- a/wire/testing/loopback.h
+++ b/wire/testing/loopback.h
@@ -5,24 +5,22 @@
 //     const std::string address = freeAddress();
 //     ASSERT_TRUE(eventually([&] { return server.count() == 1; }));
 
-#include <boost/asio/io_context.hpp>
+#include "testing/freeaddress.h"
+#include "wire/address.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
 #include <functional>
-#include <string>
 #include <thread>
 
 namespace fescuesill
 {
 
-// Bound by the kernel and given back at once.
-inline std::string freeAddress()
+inline boost::asio::ip::tcp::endpoint endpointOf(const std::string &address)
 {
-    using boost::asio::ip::tcp;
-    boost::asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const Address parsed = Address::parse(address).value();
+    return {boost::asio::ip::make_address(parsed.ip), parsed.port};
 }
 
 inline bool eventually(const std::function<bool()> &condition)
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -1,6 +1,6 @@
 #include "wire/peernode.h"
 
-#include "testing/freeaddress.h"
+#include "wire/testing/loopback.h"
 
 #include <gtest/gtest.h>
 
@@ -200,9 +200,7 @@
     server->start();
     asio::io_context context;
     tcp::socket socket(context);
-    const std::size_t colon = address.rfind(':');
-    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
-    socket.connect(tcp::endpoint(asio::ip::make_address(address.substr(0, colon)), port));
+    socket.connect(endpointOf(address));
     asio::write(socket, asio::buffer(std::string("\x00\xff nonsense \r\n\r\n", 16)));
     std::array<char, 512> answer{};
     boost::system::error_code failed;
