Show on the page of the burn how much of each window was sampled

Cause: looked at in a browser, the page gave 'last 0 min' and a six-hour window of five seconds of samples like a full one; the badge said 'none' without of what. Change: each window names the time that its samples cover, the badge says 'no alert'; doubtful says that no call is in doubt. Looked at again at the width of a phone and of a desk.

--- a/programs/ctl/doubtfulcommand.cpp
+++ b/programs/ctl/doubtfulcommand.cpp
@@ -108,7 +108,7 @@
 
 std::string textOf(const Doubts &doubts)
 {
-    std::string text;
+    std::string text = doubts.found.empty() ? "no call in doubt\n" : "";
     for (const Doubt &doubt : doubts.found) {
         if (!doubt.fault.empty()) {
             text += fmt::format("{}  the row does not parse: {}\n", doubt.row, doubt.fault);
--- a/report/reporthtml.cpp
+++ b/report/reporthtml.cpp
@@ -80,25 +80,33 @@
                        plotWidth, plotHeight, height(pageLine), height(0), points, height(pageLine) - 3);
 }
 
+std::string timeText(std::int64_t seconds)
+{
+    constexpr std::int64_t minute = 60;
+    return seconds < 2 * minute ? fmt::format("{} s", seconds) : fmt::format("{} min", seconds / minute);
+}
+
 std::string windowRow(const char *name, const ServiceBurn &burn, const WindowCount &window)
 {
     const std::string share = window.total > 0 ? fmt::format("{:.2f}%", 100 * window.good / window.total) : "–";
-    return fmt::format("<tr><td>{}</td><td>{:.0f} / {:.0f}</td><td>{}</td><td>{:.1f}</td></tr>", name, window.good,
-                       window.total, share, burnRate(window, burn.objectivePercent));
+    return fmt::format("<tr><td>{}<br><small>{}</small></td><td>{:.0f} / {:.0f}</td><td>{}</td><td>{:.1f}</td></tr>",
+                       name, timeText(window.coveredSeconds), window.good, window.total, share,
+                       burnRate(window, burn.objectivePercent));
 }
 
 std::string serviceSection(const ServiceBurn &burn)
 {
     const std::string measure = burn.timed ? "within both targets" : "answered";
     return fmt::format(
-        "<section><span class=\"badge {0}\">{0}</span><h2>{1}</h2><p class=\"note\">class {2}, objective "
-        "{3}% {4}; {5:.2f}% of the 30-day budget spent in the last {6} min</p>{7}"
-        "<p class=\"note\">burn in steps of 10 min, the last 6 h</p><table><tr><th>window</th>"
+        "<section><span class=\"badge {0}\">{11}</span><h2>{1}</h2><p class=\"note\">class {2}, objective "
+        "{3}% {4}; {5:.2f}% of the 30-day budget spent in the last {6}</p>{7}"
+        "<p class=\"note\">burn in steps of 10 min, the last 6 "
+        "h</p><table><tr><th>window<br><small>sampled</small></th>"
         "<th>good / all</th><th>share</th><th>burn</th></tr>{8}{9}{10}</table></section>",
         alertName(burn.alert), escaped(burn.service), escaped(burn.serviceClass), burn.objectivePercent, measure,
-        100 * budgetSpent(burn.windows[2], burn.objectivePercent), burn.windows[2].coveredSeconds / 60, plot(burn),
+        100 * budgetSpent(burn.windows[2], burn.objectivePercent), timeText(burn.windows[2].coveredSeconds), plot(burn),
         windowRow("5 min", burn, burn.windows[0]), windowRow("1 h", burn, burn.windows[1]),
-        windowRow("6 h", burn, burn.windows[2]));
+        windowRow("6 h", burn, burn.windows[2]), burn.alert == AlertLevel::None ? "no alert" : alertName(burn.alert));
 }
 
 std::string listSection(const std::string &title, const std::vector<Tallied> &items)
@@ -128,10 +136,9 @@
 std::string reportHtml(const ServiceReport &report)
 {
     std::string out = head;
-    out +=
-        fmt::format("<h1>Service-level burn</h1><p class=\"note\">{:%Y-%m-%d %H:%M} UTC; counters of the last {} min; "
-                    "a burn of 1 would just use up the budget</p>",
-                    fmt::gmtime(static_cast<std::time_t>(report.time)), report.coveredSeconds / 60);
+    out += fmt::format("<h1>Service-level burn</h1><p class=\"note\">{:%Y-%m-%d %H:%M} UTC; counters of the last {}; "
+                       "a burn of 1 would just use up the budget</p>",
+                       fmt::gmtime(static_cast<std::time_t>(report.time)), timeText(report.coveredSeconds));
     out += nameSection("Not counted: can't be reached", report.findings.unreachable, "");
     for (const ServiceBurn &burn : report.services) {
         out += serviceSection(burn);
--- a/testing/slopes/main.cpp
+++ b/testing/slopes/main.cpp
@@ -129,7 +129,7 @@
     for (std::size_t i = named; i < words.size(); ++i) {
         sizes.push_back(std::stoi(words[i]));
     }
-    const auto orElse = [&sizes](std::vector<int> defaults) {
+    const auto orElse = [&sizes](const std::vector<int> &defaults) {
         return sizes.empty() ? defaults : sizes;
     };
     if (mode.empty()) {
