Say that no call is in doubt on standard error

Cause: the line on standard output, added in this release, made an empty list look like one entry to scripts, and failed test_ledger's test_a_settled_key_is_not_run_again, which asks for an empty list. The test stays as it is.

--- a/programs/ctl/doubtfulcommand.cpp
+++ b/programs/ctl/doubtfulcommand.cpp
@@ -108,7 +108,7 @@
 
 std::string textOf(const Doubts &doubts)
 {
-    std::string text = doubts.found.empty() ? "no call in doubt\n" : "";
+    std::string text;
     for (const Doubt &doubt : doubts.found) {
         if (!doubt.fault.empty()) {
             text += fmt::format("{}  the row does not parse: {}\n", doubt.row, doubt.fault);
@@ -149,6 +149,9 @@
     Session session(platformAddress(line));
     const Doubts doubts = findDoubts(session, line);
     fmt::print("{}", line.has("json") ? jsonOf(doubts) : textOf(doubts));
+    if (doubts.found.empty() && doubts.next.empty() && !line.has("json")) {
+        fmt::print(stderr, "no call in doubt\n");
+    }
     if (!doubts.next.empty() && !line.has("json")) {
         fmt::print(stderr, "there may be more; go on with --after '{}'\n", doubts.next);
     }
