Prove a command to an admin port in one place, and digest a handed-over record once

Cause: drain and the handing over of a version each made the operator's proof by the same lines, and the record's digest was taken again for every scheduler that is told. Change: proven() beside Question; the target is made once. Behaviour is unchanged. Checked: test_keys, test_ctl and test_hosts_have_a_change_from_the_command pass; the files changed are clean in lint and format.

--- a/programs/ctl/draincommand.cpp
+++ b/programs/ctl/draincommand.cpp
@@ -3,9 +3,6 @@
 #include "commands.h"
 #include "fleet.h"
 
-#include "promise/operatorproof.h"
-#include "wire/clock.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -45,17 +42,6 @@
     return ExitCode::Ok;
 }
 
-Question drainQuestion(const std::optional<KeyRing> &keys, const HostId &host, const std::string &process,
-                       const std::string &address)
-{
-    Question question{address, "POST", "/drain"};
-    if (keys) {
-        const OperatorCommand command{host, process, question.method, question.target};
-        question.headers.push_back({"Authorization", operatorProof(*keys, command, sharedNow())});
-    }
-    return question;
-}
-
 std::string refusalOf(const Answer &answer)
 {
     if (answer.status != unauthorized) {
@@ -77,8 +63,8 @@
         throw CommandError(ExitCode::BadInput, fmt::format("no host '{}' in the platform's list", wanted.value()));
     }
     const std::optional<KeyRing> keys = operatorKeys(line);
-    const std::vector<Question> questions{drainQuestion(keys, wanted, "entry", host->entryAdmin),
-                                          drainQuestion(keys, wanted, "scheduler", host->schedulerAdmin)};
+    const std::vector<Question> questions{proven({host->entryAdmin, "POST", "/drain"}, keys, wanted, "entry"),
+                                          proven({host->schedulerAdmin, "POST", "/drain"}, keys, wanted, "scheduler")};
     const std::vector<Answer> answers = session.ask(questions);
     bool begun = true;
     for (std::size_t i = 0; i < questions.size(); ++i) {
--- a/programs/ctl/session.cpp
+++ b/programs/ctl/session.cpp
@@ -3,6 +3,9 @@
 
 #include "session.h"
 
+#include "promise/operatorproof.h"
+#include "wire/clock.h"
+
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -23,6 +26,15 @@
 
 } // namespace
 
+Question proven(Question question, const std::optional<KeyRing> &keys, const HostId &host, const std::string &process)
+{
+    if (keys) {
+        const OperatorCommand command{host, process, question.method, question.target};
+        question.headers.push_back({"Authorization", operatorProof(*keys, command, sharedNow())});
+    }
+    return question;
+}
+
 Session::Session(const std::string &platformAddress)
     : platform(this->io, PlatformClient::Options{platformAddress})
     , client(this->io, HttpClient::Options{})
--- a/programs/ctl/session.h
+++ b/programs/ctl/session.h
@@ -7,6 +7,7 @@
 //     for (const Answer &answer : session.ask(questions)) { ... }             // all at once; a failure is in the
 //     answer
 
+#include "promise/keyring.h"
 #include "wire/httpclient.h"
 #include "wire/platformclient.h"
 
@@ -24,6 +25,9 @@
     std::string body = {};
 };
 
+// With an operator's proof of this command to this process, where there are keys.
+Question proven(Question question, const std::optional<KeyRing> &keys, const HostId &host, const std::string &process);
+
 struct Answer {
     int status = 0; // 0: none
     std::string body;
--- a/programs/ctl/teller.cpp
+++ b/programs/ctl/teller.cpp
@@ -5,8 +5,6 @@
 #include "teller.h"
 
 #include "promise/configpush.h"
-#include "promise/operatorproof.h"
-#include "wire/clock.h"
 #include "wire/platformclient.h"
 
 #include <fmt/format.h>
@@ -51,14 +49,11 @@
 void Teller::tell(const ConfigRecord &record) const
 {
     const std::string body = encode(record);
+    const std::string target = configPushTarget(body);
     std::vector<Question> questions;
     for (const PlatformHost &host : this->hosts) {
-        Question question{host.schedulerAdmin, "POST", configPushTarget(body), {}, body};
-        if (this->keys) {
-            const OperatorCommand command{host.host, "scheduler", question.method, question.target};
-            question.headers.push_back({"Authorization", operatorProof(*this->keys, command, sharedNow())});
-        }
-        questions.push_back(std::move(question));
+        questions.push_back(
+            proven({host.schedulerAdmin, "POST", target, {}, body}, this->keys, host.host, "scheduler"));
     }
     const std::vector<Answer> answers = this->session.ask(questions);
     const auto isTaken = [](const Answer &answer) {
