--- /dev/null
+++ b/decide/prefillchoice.cpp
@@ -0,0 +1,42 @@
+// Least prompt tokens of this host under way there. A result that crosses between data centres takes twice as long and is
+// priced so, hence a far engine counts as having one more prompt of typical length; one that fails as having many more.
+
+#include "decide/prefillchoice.h"
+
+#include <limits>
+
+namespace fescuesill
+{
+
+constexpr double farTokens = 6000; // one long prompt: the wait behind it costs about what the longer transfer does
+constexpr double faultTokens = 50000; // ten of them: a failed read costs the caller its target
+
+std::optional<EngineId> PrefillChoice::pick(const std::vector<PrefillCandidate> &candidates, Instant now)
+{
+    std::optional<EngineId> chosen;
+    double least = std::numeric_limits<double>::max();
+    for (const PrefillCandidate &candidate : candidates) {
+        const Load &load = this->loads[candidate.engine];
+        const double cost = static_cast<double>(load.reading.value()) + (candidate.isNearDecode ? 0 : farTokens)
+            + faultTokens * load.faults.at(now) + static_cast<double>(this->random() % 100);
+        if (cost < least) {
+            least = cost;
+            chosen = candidate.engine;
+        }
+    }
+    return chosen;
+}
+
+void PrefillChoice::onSent(const EngineId &engine, Tokens prompt)
+{
+    this->loads[engine].reading += prompt;
+}
+
+void PrefillChoice::onEnded(const EngineId &engine, Tokens prompt, bool isFault, Instant now)
+{
+    Load &load = this->loads[engine];
+    load.reading -= prompt;
+    load.faults.add(isFault ? 1 : 0, now);
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/decide/prefillchoice.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// Which prefill engine reads a prompt, on one host that sees its own share of the load.
+//
+//     PrefillChoice choice(seed);
+//     const auto engine = choice.pick({{EngineId("p1"), true}, {EngineId("p2"), false}}, now);
+//     choice.onSent(*engine, Tokens(5200));
+//     choice.onEnded(*engine, Tokens(5200), isFault, now);
+
+#include "decide/faultrate.h"
+#include "fescuesill/ids.h"
+
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace fescuesill
+{
+
+struct PrefillCandidate {
+    EngineId engine;
+    bool isNearDecode = false; // in the data centre of the engine that will write the answer
+};
+
+class PrefillChoice
+{
+public:
+    explicit PrefillChoice(std::uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    std::optional<EngineId> pick(const std::vector<PrefillCandidate> &candidates, Instant now);
+    void onSent(const EngineId &engine, Tokens prompt);
+    void onEnded(const EngineId &engine, Tokens prompt, bool isFault, Instant now);
+
+private:
+    struct Load {
+        Tokens reading; // for this host
+        FaultRate faults;
+    };
+
+    std::mt19937_64 random;
+    std::unordered_map<EngineId, Load> loads;
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/decide/routetable.cpp
@@ -0,0 +1,100 @@
+// A prefix ends at a slash, so the candidates for a path are the path cut after each of its slashes, longest first: one
+// hash look-up for each. That costs the depth of the path, not the number of routes; a list that grows by thousands of
+// routes makes no call slower.
+
+#include "decide/routetable.h"
+
+#include <numeric>
+#include <xxhash.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+std::string placeOf(std::string_view host, std::string_view prefix)
+{
+    std::string place;
+    place.reserve(host.size() + 1 + prefix.size());
+    place.append(host);
+    place.push_back('\n');
+    place.append(prefix);
+    return place;
+}
+
+std::string_view withoutPort(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+std::string faultOf(const Route &route)
+{
+    if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
+        return "a prefix begins and ends with a slash: '" + route.prefix + "'";
+    }
+    if (route.services.empty()) {
+        return "no service";
+    }
+    for (const WeightedService &share : route.services) {
+        if (share.weight < 0 || share.service.isEmpty()) {
+            return "a share needs a service and a weight of 0 or more";
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+tl::expected<RouteTable, RouteError> RouteTable::create(std::vector<Route> routes)
+{
+    RouteTable table;
+    table.routes = std::move(routes);
+    for (std::size_t index = 0; index < table.routes.size(); ++index) {
+        const Route &route = table.routes[index];
+        if (std::string fault = faultOf(route); !fault.empty()) {
+            return tl::make_unexpected(RouteError{route.name, std::move(fault)});
+        }
+        if (!table.byPlace.emplace(placeOf(route.host, route.prefix), index).second) {
+            return tl::make_unexpected(RouteError{route.name, "another route has the same host and prefix"});
+        }
+    }
+    return table;
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    host = withoutPort(host);
+    for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/', slash - 1)) {
+        const auto found = this->byPlace.find(placeOf(host, path.substr(0, slash + 1)));
+        if (found != this->byPlace.end()) {
+            return &this->routes[found->second];
+        }
+        if (slash == 0) {
+            break;
+        }
+    }
+    return nullptr;
+}
+
+const ServiceId &chooseService(const Route &route, const RequestId &request)
+{
+    const auto addWeight = [](std::uint64_t sum, const WeightedService &share) {
+        return sum + static_cast<std::uint64_t>(share.weight);
+    };
+    const std::uint64_t total =
+        std::accumulate(route.services.begin(), route.services.end(), std::uint64_t{0}, addWeight);
+    if (total == 0) {
+        return route.services.front().service;
+    }
+    std::uint64_t point = XXH3_64bits(request.value().data(), request.value().size()) % total;
+    for (const WeightedService &share : route.services) {
+        const auto weight = static_cast<std::uint64_t>(share.weight);
+        if (point < weight) {
+            return share.service;
+        }
+        point -= weight;
+    }
+    return route.services.back().service;
+}
+
+} // namespace fescuesill
--- a/declare/settings.cpp
+++ b/declare/settings.cpp
@@ -57,6 +57,20 @@
     return this->section(section).addresses(key);
 }
 
+double SettingsReader::fraction(const std::string &section, const std::string &key, double fallback,
+                                Range<double> range)
+{
+    return this->section(section).fraction(key, fallback, range);
+}
+
+Duration SettingsReader::decimal(const std::string &section, const std::string &key, Duration unit, Duration fallback,
+                                 Range<Duration> range)
+{
+    const auto inUnits = [unit](Duration value) { return static_cast<double>(value.count()) / unit.count(); };
+    const double number = this->section(section).fraction(key, inUnits(fallback), {inUnits(range.least), inUnits(range.most)});
+    return Duration(static_cast<std::int64_t>(number * static_cast<double>(unit.count())));
+}
+
 std::int64_t SettingsReader::number(const std::string &section, const std::string &key, std::int64_t fallback,
                                     Range<std::int64_t> range)
 {
--- a/declare/settings.h
+++ b/declare/settings.h
@@ -35,6 +35,10 @@
     std::vector<std::string> addresses(const std::string &section, const std::string &key);
     std::int64_t number(const std::string &section, const std::string &key, std::int64_t fallback,
                         Range<std::int64_t> range);
+    double fraction(const std::string &section, const std::string &key, double fallback, Range<double> range);
+    // A decimal number of the unit that the key names: grace_s = 8, contact_ms = 3000.
+    Duration decimal(const std::string &section, const std::string &key, Duration unit, Duration fallback,
+                     Range<Duration> range);
     // Written with a unit: 250us, 30ms, 5s, 10min, 1h.
     Duration duration(const std::string &section, const std::string &key, Duration fallback, Range<Duration> range);
     bool flag(const std::string &section, const std::string &key, bool fallback);
--- /dev/null
+++ b/include/fescuesill/overloaded.h
@@ -0,0 +1,17 @@
+#pragma once
+
+// A visitor made of one lambda for each alternative of a variant.
+//
+//     std::visit(Overloaded{[](const Full &) { ... }, [](const Failed &failed) { ... }}, outcome);
+
+namespace fescuesill
+{
+
+template<typename... Lambdas>
+struct Overloaded : Lambdas... {
+    using Lambdas::operator()...;
+};
+template<typename... Lambdas>
+Overloaded(Lambdas...) -> Overloaded<Lambdas...>;
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/gateway/fleetview.cpp
@@ -0,0 +1,98 @@
+#include "programs/gateway/fleetview.h"
+
+#include "fescuesill/overloaded.h"
+#include "wire/log.h"
+
+namespace fescuesill
+{
+FleetView::FleetView(DataCentreId where, const RetryBudget::Options &retryOptions, std::uint64_t seed)
+    : dataCentre(std::move(where))
+    , retries(retryOptions)
+    , registry(EndpointRegistry::Options{})
+    , plainPicker(EndpointPicker::Options{}, seed)
+    , prefillChoice(seed + 1)
+{
+}
+
+// Versions arrive from one row, but a read that was under way may end after a newer one: the older is ignored, so what is
+// in force here never goes back.
+void FleetView::takeConfig(const std::shared_ptr<const RoutingConfig> &read)
+{
+    if (this->config != nullptr && read->version <= this->config->version) {
+        return;
+    }
+    Log::info("config_in_force",
+              {{"version", read->version.value()}, {"routes", static_cast<std::int64_t>(read->routes.all().size())}});
+    this->config = read;
+}
+
+void FleetView::take(const StoreUpdate &update, Instant now)
+{
+    std::visit(Overloaded{[&](const store_update::Config &read) { this->takeConfig(read.config); },
+                          [&](const store_update::Listed &listed) {
+                              this->isListed = true;
+                              this->registry.onListed(listed.records, now);
+                              Log::info("endpoints_listed",
+                                        {{"count", static_cast<std::int64_t>(listed.records.size())}});
+                          },
+                          [&](const store_update::Changed &changed) {
+                              const EndpointRecord &record = changed.record;
+                              this->registry.onChanged(record, now);
+                              Log::info("endpoint_changed", {{"endpoint", record.id.value()},
+                                                             {"service", record.service.value()},
+                                                             {"address", record.address},
+                                                             {"leaving", record.isLeaving}});
+                          },
+                          [&](const store_update::Removed &removed) {
+                              this->registry.onRemoved(removed.id, now);
+                              Log::info("endpoint_removed", {{"endpoint", removed.id.value()}});
+                          },
+                          [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
+                          [&](const store_update::Back &) { this->registry.onStoreBack(now); }},
+               update);
+}
+
+std::vector<EndpointCandidate> FleetView::plainCandidates(const ServiceId &service) const
+{
+    std::vector<EndpointCandidate> candidates;
+    for (const EndpointRecord *record : this->registry.usable(service)) {
+        candidates.push_back({record->id, record->slots, record->dataCentre == this->dataCentre});
+    }
+    return candidates;
+}
+
+std::vector<PrefillCandidate> FleetView::prefillCandidates(const ServiceId &service, const DataCentreId &decode) const
+{
+    std::vector<PrefillCandidate> candidates;
+    for (const EndpointRecord *record : this->registry.usable(service)) {
+        if (record->part == EndpointPart::Prefill) {
+            candidates.push_back({EngineId(record->id.value()), record->dataCentre == decode});
+        }
+    }
+    return candidates;
+}
+
+std::vector<DecodePlaces> FleetView::decodePlaces(const ServiceId &service, const EngineTraits &traits) const
+{
+    std::vector<DecodePlaces> places;
+    for (const EndpointRecord *record : this->registry.usable(service)) {
+        if (record->part == EndpointPart::Decode) {
+            places.push_back({EngineId(record->id.value()), record->incarnation, traits.memory, record->slots,
+                              record->dataCentre == this->dataCentre});
+        }
+    }
+    return places;
+}
+
+std::optional<EndpointRecord> FleetView::usable(const EndpointId &id) const
+{
+    const EndpointRecord *record = this->registry.find(id);
+    return record != nullptr && !record->isLeaving ? std::optional(*record) : std::nullopt;
+}
+
+RetryBudget &FleetView::budget(const ServiceId &service)
+{
+    return this->budgets.try_emplace(service, this->retries).first->second;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/gateway/fleetview.h
@@ -0,0 +1,70 @@
+#pragma once
+
+// What a gateway knows of routes and endpoints, and the decisions that rest on it. Used by the forwarding thread alone.
+//
+//     FleetView fleet(dataCentre, budgetOptions, seed);
+//     fleet.take(update, now);
+//     if (!fleet.isKnown()) { ... not ready ... }
+//     const std::vector<EndpointCandidate> candidates = fleet.plainCandidates(service, now);
+
+#include "decide/endpointpicker.h"
+#include "decide/generationgate.h"
+#include "decide/prefillchoice.h"
+#include "decide/retrybudget.h"
+#include "programs/gateway/storeduty.h"
+
+namespace fescuesill
+{
+
+class FleetView
+{
+public:
+    FleetView(DataCentreId dataCentre, const RetryBudget::Options &retries, std::uint64_t seed);
+
+    void take(const StoreUpdate &update, Instant now);
+    // A configuration and a list of endpoints have been read since the start.
+    bool isKnown() const
+    {
+        return this->config != nullptr && this->isListed;
+    }
+    // In force here; null before the first.
+    const std::shared_ptr<const RoutingConfig> &inForce() const
+    {
+        return this->config;
+    }
+
+    std::vector<EndpointCandidate> plainCandidates(const ServiceId &service) const;
+    std::vector<PrefillCandidate> prefillCandidates(const ServiceId &service, const DataCentreId &decode) const;
+    std::vector<DecodePlaces> decodePlaces(const ServiceId &service, const EngineTraits &traits) const;
+    // The endpoint as it is now; empty where it takes no new work.
+    std::optional<EndpointRecord> usable(const EndpointId &id) const;
+
+    EndpointPicker &picker()
+    {
+        return this->plainPicker;
+    }
+    PrefillChoice &prefills()
+    {
+        return this->prefillChoice;
+    }
+    // Retries towards one service, shared by all its routes.
+    RetryBudget &budget(const ServiceId &service);
+    void expire(Instant now)
+    {
+        this->registry.expire(now);
+    }
+
+private:
+    void takeConfig(const std::shared_ptr<const RoutingConfig> &read);
+
+    DataCentreId dataCentre;
+    RetryBudget::Options retries;
+    std::shared_ptr<const RoutingConfig> config;
+    bool isListed = false;
+    EndpointRegistry registry;
+    EndpointPicker plainPicker;
+    PrefillChoice prefillChoice;
+    std::map<ServiceId, RetryBudget> budgets; // of the services that the configuration names or named
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/gateway/forwarding.cpp
@@ -0,0 +1,45 @@
+#include "programs/gateway/forwarding.h"
+
+#include "wire/clock.h"
+#include "wire/log.h"
+#include "wire/refusaljson.h"
+
+#include <fmt/format.h>
+
+namespace fescuesill
+{
+
+Instant ForwardedCall::deadline() const
+{
+    const Duration limit = this->head.patience ? std::min(*this->head.patience, this->route.timeout) : this->route.timeout;
+    return this->arrival + limit;
+}
+
+Duration ForwardedCall::timeLeft() const
+{
+    return this->deadline() - steadyNow();
+}
+
+void ForwardedCall::refuse(const Refusal &refusal, const asio::yield_context &yield) const
+{
+    Log::info("refused", {{"request", this->head.id.value()},
+                          {"route", this->route.name},
+                          {"config", this->version.value()},
+                          {"code", codeName(refusal.code)},
+                          {"run", runStateName(refusal.run)},
+                          {"reason", refusal.text},
+                          {"after_ms", (steadyNow() - this->arrival).count() / 1000}});
+    sendRefusal(this->reply, this->head.id, refusal, yield);
+}
+
+void sendRefusal(HttpReply &reply, const RequestId &id, const Refusal &refusal, const asio::yield_context &yield)
+{
+    std::vector<HttpHeader> headers = {{"Content-Type", "application/json"}, {"X-Request-Id", id.value()}};
+    if (refusal.retryAfter) {
+        const double seconds = std::chrono::duration<double>(*refusal.retryAfter).count();
+        headers.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
+    }
+    reply.forward(httpStatus(refusal.code), refusalJson(refusal, id), headers, yield);
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/gateway/gatewayprogram.cpp
@@ -0,0 +1,223 @@
+// Two threads: one forwards (callers, endpoints and the decisions between them share it, so no decision waits for a
+// lock), one follows the store. They are joined by a ring of updates.
+
+#include "programs/gateway/gatewayprogram.h"
+
+#include "programs/gateway/generationforward.h"
+#include "programs/gateway/plainforward.h"
+#include "promise/draining.h"
+#include "wire/clock.h"
+#include "wire/log.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <random>
+
+namespace fescuesill
+{
+namespace
+{
+
+constexpr std::size_t updateRing = 1024; // rows of the store between two turns of the forwarding thread
+constexpr Duration tick{100ms}; // of what is due by time alone: grace of vanished endpoints, the planned stop
+constexpr Duration comeBackWithoutConfig{1s}; // a host that just started reads its configuration within that
+constexpr Duration comeBackWhenStopping{100ms}; // another host takes the next connection
+constexpr Bytes headerSpace{4 << 10}; // beside the header limit, for the request line
+
+HttpClient::Options clientOptions(const GatewaySettings &settings)
+{
+    HttpClient::Options options;
+    options.connections = settings.connections * 2; // a call has one connection to an endpoint at a time, and give-backs
+    options.connectLimit = settings.connectLimit;
+    options.idlePerAddress = 0;
+    return options;
+}
+
+class Gateway
+{
+public:
+    explicit Gateway(const GatewaySettings &given)
+        : settings(given)
+        , seed(std::random_device()())
+        , fleet(given.dataCentre, {given.retryShare, given.retriesSaved, given.retriesSaved}, this->seed)
+        , gates(this->io, this->fleet, this->seed + 2)
+        , client(this->io, clientOptions(given))
+        , services{this->settings, this->io, this->fleet, this->gates, this->client}
+        , draining(Draining::Options{given.announce, given.grace})
+        , timer(this->io)
+        , signals(this->io, SIGTERM, SIGINT)
+        , updates(updateRing, [this] { asio::post(this->io, [this] { this->takeUpdates(); }); })
+    {
+    }
+
+    int run();
+
+private:
+    void serve(HttpCall &call, HttpReply &reply, const asio::yield_context &yield);
+    void forward(HttpCall &call, HttpReply &reply, const asio::yield_context &yield);
+    void answerReady(HttpReply &reply, const asio::yield_context &yield) const;
+    void takeUpdates();
+    void applyLimits();
+    void onTick();
+    void armTick();
+
+    const GatewaySettings &settings;
+    std::uint64_t seed;
+    asio::io_context io{1};
+    FleetView fleet;
+    GateKeeper gates;
+    HttpClient client;
+    GatewayServices services;
+    Draining draining;
+    asio::steady_timer timer;
+    asio::signal_set signals;
+    Ring<StoreUpdate> updates;
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> ready;
+    ConfigVersion limitsOf;
+    int inProgress = 0;
+};
+
+void Gateway::takeUpdates()
+{
+    while (const auto update = this->updates.tryPop()) {
+        this->fleet.take(*update, steadyNow());
+    }
+    this->applyLimits();
+    this->gates.onFleetChanged();
+}
+
+void Gateway::applyLimits()
+{
+    const auto &config = this->fleet.inForce();
+    if (!config || config->version == this->limitsOf || !this->callers) {
+        return;
+    }
+    this->limitsOf = config->version;
+    HttpServer::Options limits;
+    limits.headerLimit = config->limits.header + headerSpace;
+    limits.bodyLimit = config->limits.body;
+    limits.headerLimitTime = config->limits.headerTime;
+    limits.idleLimit = config->limits.idle;
+    this->callers->setLimits(limits);
+}
+
+void Gateway::forward(HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
+{
+    const Instant arrival = steadyNow();
+    const CallHead head = readCallHead(call);
+    const auto config = this->fleet.inForce(); // stays as it is for this call, also where a newer one comes
+    if (!this->fleet.isKnown()) {
+        sendRefusal(reply, head.id, {RefusalCode::NoConfiguration, RunState::NotRun, "no configuration read yet",
+                                     comeBackWithoutConfig}, yield);
+        return;
+    }
+    if (head.id.isEmpty()) {
+        sendRefusal(reply, head.id, {RefusalCode::BadRequest, RunState::NotRun, "no request id", std::nullopt}, yield);
+        return;
+    }
+    const Route *route = config->routes.find(head.host, head.path);
+    if (route == nullptr) {
+        sendRefusal(reply, head.id, {RefusalCode::UnknownService, RunState::NotRun, "no route", std::nullopt}, yield);
+        return;
+    }
+    const ForwardedCall forwarded{this->services, head, call, reply, *route, chooseService(*route, head.id),
+                                  config->version, arrival};
+    if (route->kind == CallKind::Generation) {
+        GenerationForward(forwarded).run(yield);
+    } else {
+        PlainForward(forwarded).run(yield);
+    }
+}
+
+void Gateway::serve(HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
+{
+    if (!this->draining.isReady()) {
+        reply.closeAfter(); // its caller's next connection goes to a host that stays
+    }
+    ++this->inProgress;
+    try {
+        this->forward(call, reply, yield);
+    } catch (...) {
+        --this->inProgress;
+        throw;
+    }
+    --this->inProgress;
+}
+
+void Gateway::answerReady(HttpReply &reply, const asio::yield_context &yield) const
+{
+    const bool isReady = this->fleet.isKnown() && this->draining.isReady();
+    reply.send(isReady ? 200 : 503, isReady ? R"({"ready":true})" : R"({"ready":false})", yield);
+}
+
+void Gateway::armTick()
+{
+    this->timer.expires_after(tick);
+    this->timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            this->onTick();
+        }
+    });
+}
+
+void Gateway::onTick()
+{
+    const Instant now = steadyNow();
+    this->fleet.expire(now);
+    this->draining.onWork({this->inProgress, 0, 0});
+    if (this->draining.mayExit(now)) {
+        this->io.stop();
+        return;
+    }
+    this->armTick();
+}
+
+int Gateway::run()
+{
+    HttpServer::Options options;
+    options.address = this->settings.callers;
+    options.connections = this->settings.connections;
+    options.requestIdOf = readRequestId;
+    auto opened = HttpServer::create(this->io, options, [this](HttpCall &call, HttpReply &reply, const auto &yield) {
+        this->serve(call, reply, yield);
+    });
+    HttpServer::Options readyOptions;
+    readyOptions.address = this->settings.ready;
+    auto openedReady = HttpServer::create(
+        this->io, readyOptions, [this](HttpCall &, HttpReply &reply, const auto &yield) { this->answerReady(reply, yield); });
+    if (!opened || !openedReady) {
+        Log::error("cannot_listen", {{"reason", (opened ? openedReady.error() : opened.error()).what()}});
+        return 1;
+    }
+    this->callers = std::move(*opened);
+    this->ready = std::move(*openedReady);
+    this->signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            Log::info("stopping", {{"in_progress", this->inProgress}});
+            this->draining.start(steadyNow());
+        }
+    });
+    StoreDuty store({this->settings.store, this->settings.contact}, this->updates);
+    this->armTick();
+    Log::info("started", {{"host", this->settings.host.value()},
+                          {"data_centre", this->settings.dataCentre.value()},
+                          {"callers", this->settings.callers},
+                          {"version", FESCUESILL_VERSION}});
+    this->io.run();
+    store.stop();
+    Log::info("stopped", {{"in_progress", this->inProgress}});
+    return 0;
+}
+
+} // namespace
+
+int runGateway(const GatewaySettings &settings)
+{
+    Log::open("gateway", settings.logLevel);
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN); // settings are read at the start; a changed one comes with a restart
+    return Gateway(settings).run();
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/gateway/gatewaysettings.cpp
@@ -0,0 +1,35 @@
+#include "programs/gateway/gatewaysettings.h"
+
+namespace fescuesill
+{
+
+tl::expected<GatewaySettings, DeclareError> GatewaySettings::fromFile(const std::string &path)
+{
+    auto reader = SettingsReader::fromFile(path);
+    if (!reader) {
+        return tl::make_unexpected(reader.error());
+    }
+    GatewaySettings settings;
+    settings.host = HostId(reader->text("process", "host"));
+    settings.dataCentre = DataCentreId(reader->text("process", "data_centre"));
+    settings.callers = reader->address("listen", "callers");
+    settings.ready = reader->address("listen", "ready");
+    settings.store = reader->address("store", "address");
+    settings.contact = reader->decimal("store", "contact_ms", 1ms, settings.contact, {100ms, 10min});
+    settings.grace = reader->decimal("stop", "grace_s", 1s, settings.grace, {100ms, 1h});
+    settings.announce = reader->duration("stop", "announce", settings.announce, {0s, 1min});
+    settings.connectLimit = reader->duration("endpoints", "connect", settings.connectLimit, {1ms, 1min});
+    settings.reservationLimit = reader->duration("endpoints", "reservation", settings.reservationLimit, {1ms, 1min});
+    settings.connections = static_cast<std::size_t>(reader->number("limits", "connections", 1500, {1, 30000}));
+    // Half of what the fleet may spend: an endpoint's own refusals count towards it as well.
+    const double allowed = reader->fraction("retries", "fleet_share", 0.2, {0, 100});
+    settings.retryShare = allowed / 2;
+    settings.retriesSaved = reader->fraction("retries", "saved", settings.retriesSaved, {0, 1000});
+    settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
+    if (auto faults = reader->finish(); !faults.empty()) {
+        return tl::make_unexpected(DeclareError{std::move(faults)});
+    }
+    return settings;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/gateway/generationforward.cpp
@@ -0,0 +1,350 @@
+// The order is reserve, read, write. A prefill result lives for half a second or less and decode memory is what runs
+// short, so reading first would throw away whole prompts in every burst; the reservation costs one short call.
+//
+// A generation may run once, so it is sent again only where the engine said that it did not run it, or nothing was sent,
+// or the route lets another engine go on after the last whole event. What was reserved or read and not used is given
+// back at once: it is memory that other callers wait for.
+
+#include "programs/gateway/generationforward.h"
+
+#include "wire/clock.h"
+#include "wire/log.h"
+
+namespace fescuesill
+{
+namespace
+{
+
+// A caller that says nothing of the size of its prompt gets the place of a long one.
+constexpr Tokens unknownSize(8000);
+// What an estimate of the output is taken times: it is right at the median, and a place too small is preempted.
+constexpr double estimateMargin = 1.3;
+// Time kept for the read and the first step when a place comes free: a prompt of 5,000 tokens is read in 100 ms, and a
+// prefill engine has seldom more than one before it.
+constexpr Duration readTime{250ms};
+constexpr Duration comeBackSoonest{500ms};
+constexpr Duration giveBackLimit{1s}; // for giving back a reservation or a result, which lapse by themselves later
+constexpr int statusOk = 200;
+constexpr int prefillTries = 2;
+
+} // namespace
+
+Tokens GenerationForward::need() const
+{
+    const auto &size = this->call.head.generation;
+    if (!size) {
+        return unknownSize;
+    }
+    Tokens output = size->mostOutput;
+    if (size->likelyOutput) {
+        const auto likely = static_cast<double>(size->likelyOutput->value()) * estimateMargin;
+        output = std::min(output, Tokens(static_cast<std::int64_t>(likely)));
+    }
+    return size->prompt + output;
+}
+
+void GenerationForward::checkCaller() const
+{
+    if (this->abort.isAborted()) {
+        throw CallerGone();
+    }
+}
+
+std::optional<GenerationForward::Place> GenerationForward::reserveAt(const EndpointRecord &decode,
+                                                                     const asio::yield_context &yield)
+{
+    const auto &services = this->call.services;
+    const ForwardedService *declared = services.fleet.inForce()->service(this->call.service);
+    const Duration life = declared != nullptr && declared->engines ? declared->engines->longestReservation : 1s;
+    const HttpRequest request = reservationRequest(decode.id, this->need(), life);
+    try {
+        const HttpResponse response = services.client.call(
+            decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
+        if (const auto reservation = readReservation(response)) {
+            services.gates.onReserved(this->call.service, this->call.head.id);
+            return Place{decode, *reservation};
+        }
+        this->lastFault = "no room at " + decode.id.value();
+        services.gates.onFull(this->call.service, this->call.head.id);
+    } catch (const HttpError &error) {
+        this->lastFault = error.what();
+        services.gates.onFault(this->call.service, this->call.head.id);
+    }
+    return std::nullopt;
+}
+
+std::optional<GenerationForward::Place> GenerationForward::reserve(const asio::yield_context &yield)
+{
+    const auto &services = this->call.services;
+    const Duration target = std::min(this->call.route.target, this->call.deadline() - this->call.arrival);
+    // On time while the target can be met; a generation that goes on has its first event and only its deadline.
+    const Instant useful =
+        this->isStarted ? this->call.deadline() : this->call.arrival + std::max<Duration>(target - readTime, target / 2);
+    const GenerationAsk ask{this->call.head.id, this->call.route.rank, this->need(), steadyNow(), useful, this->avoid};
+    GateAction action = services.gates.ask(this->call.service, ask, yield);
+    while (const auto *attempt = std::get_if<TryReserve>(&action)) {
+        this->checkCaller();
+        const auto decode = services.fleet.usable(EndpointId(attempt->engine.value()));
+        if (!decode) {
+            services.gates.onFull(this->call.service, this->call.head.id);
+        } else if (auto place = this->reserveAt(*decode, yield)) {
+            return place;
+        }
+        action = services.gates.again(this->call.service, this->call.head.id, yield);
+    }
+    this->checkCaller();
+    this->retryAfter = std::get<RejectGeneration>(action).retryAfter;
+    return std::nullopt;
+}
+
+std::optional<GenerationForward::Prefill> GenerationForward::prefillAt(const EndpointRecord &reader,
+                                                                       const asio::yield_context &yield)
+{
+    const auto &services = this->call.services;
+    const HttpRequest request = prefillRequest(this->call.http, reader.id, this->call.timeLeft());
+    const Tokens prompt = this->call.head.generation ? this->call.head.generation->prompt : unknownSize;
+    const EngineId id(reader.id.value());
+    services.fleet.prefills().onSent(id, prompt);
+    std::optional<KvId> result;
+    try {
+        const HttpResponse response = services.client.call(
+            reader.address, request, {std::min<Duration>(this->call.timeLeft(), 1s), Reuse::Never, &this->abort}, yield);
+        result = readPrefillResult(response);
+        this->lastFault = result ? "" : "prefill refused by " + reader.id.value();
+    } catch (const HttpError &error) {
+        this->lastFault = error.what();
+    }
+    services.fleet.prefills().onEnded(id, prompt, !result && !this->abort.isAborted(), steadyNow());
+    return result ? std::optional(Prefill{reader.address, *result}) : std::nullopt;
+}
+
+std::optional<GenerationForward::Prefill> GenerationForward::prefill(const EndpointRecord &decode,
+                                                                     const asio::yield_context &yield)
+{
+    FleetView &fleet = this->call.services.fleet;
+    std::vector<PrefillCandidate> candidates = fleet.prefillCandidates(this->call.service, decode.dataCentre);
+    for (int tries = 0; tries < prefillTries; ++tries) {
+        const bool isFree = tries == 0 && this->sends == 0;
+        if (!isFree && !fleet.budget(this->call.service).take()) {
+            return std::nullopt;
+        }
+        const auto chosen = fleet.prefills().pick(candidates, steadyNow());
+        const auto reader = chosen ? fleet.usable(EndpointId(chosen->value())) : std::nullopt;
+        if (!reader) {
+            return std::nullopt;
+        }
+        if (auto result = this->prefillAt(*reader, yield)) {
+            return result;
+        }
+        this->checkCaller();
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                        [&](const PrefillCandidate &other) { return other.engine == *chosen; }),
+                         candidates.end());
+    }
+    return std::nullopt;
+}
+
+GenerationForward::Ended GenerationForward::handOnError(LineStream &answer, const AnswerHead &head,
+                                                        const asio::yield_context &yield)
+{
+    const std::string body = answer.readAll(this->call.timeLeft(), yield);
+    if (this->isStarted) {
+        return Ended::Broken;
+    }
+    this->call.reply.onGone({});
+    this->call.reply.forward(head.status, body, head.headers, yield);
+    return Ended::Whole;
+}
+
+GenerationForward::Ended GenerationForward::relay(LineStream &stream, const Place &, const asio::yield_context &yield)
+{
+    std::string bytes;
+    while (stream.readSome(bytes, this->call.timeLeft(), yield)) {
+        const std::string whole = this->events.take(bytes);
+        bytes.clear();
+        if (whole.empty()) {
+            continue;
+        }
+        if (!this->firstEvent) {
+            this->firstEvent = steadyNow() - this->call.arrival;
+        }
+        this->call.reply.write(whole, yield);
+        if (this->events.isTooLong()) {
+            this->lastFault = "an event without an end";
+            return Ended::Broken;
+        }
+    }
+    this->call.reply.write(this->events.rest(), yield);
+    this->call.reply.finish(yield);
+    return Ended::Whole;
+}
+
+GenerationForward::Ended GenerationForward::generate(const Place &place, const std::optional<Prefill> &read,
+                                                     const asio::yield_context &yield)
+{
+    const auto &services = this->call.services;
+    GenerationStart start{place.engine.id, {}, {}, place.reservation, this->events.lastEvent()};
+    if (read) {
+        start.prefillAddress = read->address;
+        start.result = read->result;
+    }
+    const HttpRequest request = generationRequest(this->call.http, start, this->call.timeLeft());
+    try {
+        LineStream stream = services.client.open(place.engine.address, request,
+                                                 {this->call.timeLeft(), Reuse::Never, &this->abort}, yield);
+        ++this->sends;
+        const AnswerHead head = readAnswerHead(stream.head(), this->call.head.id);
+        if (head.saysNotRun) {
+            this->lastFault = "the engine did not take it";
+            return Ended::NotRun;
+        }
+        if (!head.isForThisCall || head.isEncoded) {
+            this->lastFault = "not the answer to this call";
+            return Ended::Broken;
+        }
+        if (head.status != statusOk) {
+            return this->handOnError(stream, head, yield);
+        }
+        if (!this->isStarted) {
+            this->isStarted = true;
+            this->call.reply.startForward(head.status, head.headers, yield);
+        }
+        return this->relay(stream, place, yield);
+    } catch (const HttpError &error) {
+        this->lastFault = error.what();
+        this->checkCaller();
+        this->sends += error.isKnownNotSent() ? 0 : 1;
+        return error.isKnownNotSent() ? Ended::NotRun : Ended::Broken;
+    }
+}
+
+// Nobody waits for this: what is not given back lapses by itself, and its price is that others wait meanwhile.
+void GenerationForward::release(const Place &place, const std::optional<Prefill> &read)
+{
+    HttpClient &client = this->call.services.client;
+    const auto giveBack = [&](const std::string &address, const HttpRequest &request) {
+        startCoroutine(this->call.services.io, [&client, address, request](const asio::yield_context &yield) {
+            try {
+                client.call(address, request, {giveBackLimit, Reuse::Never}, yield);
+            } catch (const HttpError &error) {
+                Log::info("not_given_back", {{"engine", address}, {"reason", error.what()}});
+            }
+        });
+    };
+    giveBack(place.engine.address, releaseRequest(place.reservation));
+    if (read) {
+        giveBack(read->address, dropResultRequest(read->result));
+    }
+}
+
+GenerationForward::Ended GenerationForward::tryOnce(const asio::yield_context &yield)
+{
+    const auto place = this->reserve(yield);
+    if (!place) {
+        return Ended::NoPlace;
+    }
+    this->engine = place->engine.id;
+    std::optional<Prefill> read;
+    try {
+        if (!this->readsItself) {
+            read = this->prefill(place->engine, yield);
+        }
+        this->readsItself = !read;
+        const Ended ended = this->generate(*place, read, yield);
+        if (ended == Ended::NotRun) {
+            this->release(*place, read);
+        }
+        this->call.services.gates.onEnded(this->call.service, this->call.head.id,
+                                          ended == Ended::Broken || ended == Ended::NotRun);
+        if (ended == Ended::Broken) {
+            this->avoid = EngineId(place->engine.id.value());
+        }
+        return ended;
+    } catch (const CallerGone &) {
+        if (this->sends == 0) {
+            this->release(*place, read);
+        }
+        throw;
+    }
+}
+
+bool GenerationForward::mayTryAgain(Ended ended)
+{
+    if (this->call.timeLeft() <= 0ms) {
+        return false;
+    }
+    const bool mayGoOn = ended == Ended::Broken && this->call.route.isResumable;
+    const bool mayStartAnew = ended == Ended::NotRun && !this->isStarted;
+    if (!mayGoOn && !mayStartAnew) {
+        return false;
+    }
+    const int allowed = std::max(this->call.route.attempts, mayStartAnew ? 2 : 1);
+    return this->sends < allowed && this->call.services.fleet.budget(this->call.service).take();
+}
+
+void GenerationForward::logEnd(const char *outcome) const
+{
+    Log::info("generation_ended", {{"request", this->call.head.id.value()},
+                                   {"route", this->call.route.name},
+                                   {"config", this->call.version.value()},
+                                   {"outcome", outcome},
+                                   {"engine", this->engine.value()},
+                                   {"sends", this->sends},
+                                   {"self_read", this->readsItself},
+                                   {"need", this->need().value()},
+                                   {"first_event_ms", this->firstEvent ? this->firstEvent->count() / 1000 : -1},
+                                   {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
+                                   {"last_fault", this->lastFault}});
+}
+
+void GenerationForward::finish(Ended ended, const asio::yield_context &yield)
+{
+    this->call.reply.onGone({});
+    if (ended == Ended::Whole) {
+        this->logEnd("whole");
+        return;
+    }
+    if (this->isStarted) {
+        this->logEnd("broken_off");
+        this->call.reply.cut();
+        return;
+    }
+    if (ended == Ended::Broken) {
+        const bool isLate = this->call.timeLeft() <= 0ms;
+        this->call.refuse({isLate ? RefusalCode::OutcomeUnknown : RefusalCode::EndpointFailed, RunState::MayHaveRun,
+                           this->lastFault, std::nullopt},
+                          yield);
+        return;
+    }
+    const std::string reason = this->lastFault.empty() ? "no engine has room in time" : this->lastFault;
+    this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, reason,
+                       std::max<Duration>(this->retryAfter.value_or(comeBackSoonest), comeBackSoonest)},
+                      yield);
+}
+
+void GenerationForward::run(const asio::yield_context &yield)
+{
+    const auto &services = this->call.services;
+    const RequestId &id = this->call.head.id;
+    this->call.reply.onGone([this, &services, &id] {
+        this->abort.abort();
+        services.gates.wake(id);
+    });
+    services.fleet.budget(this->call.service).onSuccess();
+    try {
+        Ended ended = this->tryOnce(yield);
+        while (this->mayTryAgain(ended)) {
+            this->events.dropRest();
+            ended = this->tryOnce(yield);
+        }
+        services.gates.onEnded(this->call.service, id, false);
+        this->finish(ended, yield);
+    } catch (const CallerGone &) {
+        this->call.reply.onGone({});
+        services.gates.onEnded(this->call.service, id, false);
+        this->logEnd("caller_gone");
+        throw;
+    }
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/gateway/generationforward.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// One generation: a place reserved at a decode engine, the prompt read by a prefill engine, the events handed on.
+//
+//     GenerationForward(call).run(yield);
+
+#include "platform/enginedialect.h"
+#include "programs/gateway/forwarding.h"
+#include "promise/eventrelay.h"
+
+namespace fescuesill
+{
+
+class GenerationForward
+{
+public:
+    explicit GenerationForward(const ForwardedCall &forwarded)
+        : call(forwarded)
+    {
+    }
+
+    void run(const asio::yield_context &yield);
+
+private:
+    // What became of one try, from the place to the end of the events.
+    enum class Ended {
+        Whole, // answered, also with an error of the engine's
+        NoPlace, // nobody had room in time
+        NotRun, // the engine said so, or nothing was sent
+        Broken, // may have run
+    };
+    struct Place {
+        EndpointRecord engine;
+        ReservationId reservation;
+    };
+    struct Prefill {
+        std::string address;
+        KvId result;
+    };
+
+    Ended tryOnce(const asio::yield_context &yield);
+    std::optional<Place> reserve(const asio::yield_context &yield);
+    std::optional<Place> reserveAt(const EndpointRecord &engine, const asio::yield_context &yield);
+    std::optional<Prefill> prefill(const EndpointRecord &decode, const asio::yield_context &yield);
+    std::optional<Prefill> prefillAt(const EndpointRecord &engine, const asio::yield_context &yield);
+    Ended generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
+    Ended relay(LineStream &events, const Place &place, const asio::yield_context &yield);
+    Ended handOnError(LineStream &answer, const AnswerHead &head, const asio::yield_context &yield);
+    void release(const Place &place, const std::optional<Prefill> &prefill);
+    void finish(Ended ended, const asio::yield_context &yield);
+    bool mayTryAgain(Ended ended);
+    Tokens need() const;
+    void checkCaller() const;
+    void logEnd(const char *outcome) const;
+
+    const ForwardedCall &call;
+    CallAbort abort;
+    EventRelay events;
+    std::optional<Duration> retryAfter;
+    std::string lastFault;
+    EngineId avoid; // the engine that broke off
+    EndpointId engine; // that is or was asked last
+    int sends = 0; // to decode engines, of which at least a byte left
+    bool isStarted = false; // the caller has the head of the answer
+    bool readsItself = false; // the decode engine reads the prompt: no prefill engine could
+    std::optional<Duration> firstEvent; // from the arrival
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/programs/gateway/main.cpp
@@ -0,0 +1,9 @@
+#include "programs/gateway/gatewayprogram.h"
+#include "wire/daemon.h"
+
+int main(int argc, char **argv)
+{
+    const fescuesill::Daemon daemon{"fescuesill-gateway",
+                                    "Forwards calls by route to the endpoints that the platform knows of."};
+    return fescuesill::runDaemon(daemon, argc, argv, fescuesill::GatewaySettings::fromFile, fescuesill::runGateway);
+}
--- /dev/null
+++ b/programs/gateway/plainforward.h
@@ -0,0 +1,54 @@
+#pragma once
+
+// One call to a plain endpoint, handed on and its answer handed back.
+//
+//     PlainForward(call).run(yield);
+
+#include "programs/gateway/forwarding.h"
+
+namespace fescuesill
+{
+
+class PlainForward
+{
+public:
+    explicit PlainForward(const ForwardedCall &forwarded)
+        : call(forwarded)
+    {
+    }
+
+    void run(const asio::yield_context &yield);
+
+private:
+    // What became of one send.
+    enum class Sent {
+        Answered,
+        NeverSent,
+        SaidNotRun,
+        Lost, // may have run
+    };
+
+    std::optional<EndpointRecord> choose(Instant now);
+    Sent send(const EndpointRecord &endpoint, const asio::yield_context &yield);
+    bool mayTryAgain(Sent sent);
+    Duration tryLimit() const;
+    void finish(Sent last, const asio::yield_context &yield);
+    void answer(const asio::yield_context &yield);
+    void refuse(Sent last, const asio::yield_context &yield);
+
+    const ForwardedCall &call;
+    CallAbort abort;
+    std::vector<EndpointId> tried;
+    int sends = 0; // of which at least a byte left
+    bool mayHaveRun = false;
+    // Of the last endpoint that answered; kept while another one is asked after an error.
+    struct Answer {
+        EndpointId endpoint;
+        HttpResponse response;
+        AnswerHead head;
+    };
+    std::optional<Answer> answered;
+    std::string lastFault;
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/promise/eventrelay.cpp
@@ -0,0 +1,66 @@
+// An event ends with a blank line. Only the bytes up to the last blank line are handed on, unchanged; ids are read from
+// them, so the last id is always that of an event which the caller has been given whole.
+
+#include "promise/eventrelay.h"
+
+namespace fescuesill
+{
+namespace
+{
+
+// The position after the last blank line at or after `from`; npos where there is none.
+std::size_t endOfLastEvent(std::string_view text)
+{
+    std::size_t end = std::string_view::npos;
+    if (const auto plain = text.rfind("\n\n"); plain != std::string_view::npos) {
+        end = plain + 2;
+    }
+    if (const auto carried = text.rfind("\r\n\r\n"); carried != std::string_view::npos) {
+        end = end == std::string_view::npos ? carried + 4 : std::max(end, carried + 4);
+    }
+    return end;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\r')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+} // namespace
+
+void EventRelay::noteIds(std::string_view events)
+{
+    // Only the last id counts, so the search runs from the end.
+    for (std::size_t at = events.rfind("id:"); at != std::string_view::npos; at = events.rfind("id:", at - 1)) {
+        const bool startsLine = at == 0 || events[at - 1] == '\n';
+        if (startsLine) {
+            const std::string_view line = events.substr(at + 3, events.find('\n', at) - at - 3);
+            this->last = std::string(trimmed(line));
+            return;
+        }
+        if (at == 0) {
+            return;
+        }
+    }
+}
+
+std::string EventRelay::take(std::string_view bytes)
+{
+    this->pending.append(bytes);
+    const std::size_t end = endOfLastEvent(this->pending);
+    if (end == std::string_view::npos) {
+        return {};
+    }
+    std::string whole = this->pending.substr(0, end);
+    this->pending.erase(0, end);
+    this->noteIds(whole);
+    return whole;
+}
+
+} // namespace fescuesill
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -39,14 +39,19 @@
 {
     std::string text;
     text.reserve(256 + request.body.size());
-    fmt::format_to(std::back_inserter(text), "{} {} HTTP/1.1\r\nHost: {}\r\n", request.method, request.target, address);
+    fmt::format_to(std::back_inserter(text), "{} {} HTTP/1.1\r\n", request.method, request.target);
+    if (!request.isForwarded) {
+        fmt::format_to(std::back_inserter(text), "Host: {}\r\n", address);
+    }
     for (const HttpHeader &header : request.headers) {
         fmt::format_to(std::back_inserter(text), "{}: {}\r\n", header.name, header.value);
     }
     const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
     if (hasBody) {
-        fmt::format_to(std::back_inserter(text), "Content-Type: application/json\r\nContent-Length: {}\r\n",
-                       request.body.size());
+        if (!request.isForwarded) {
+            text += "Content-Type: application/json\r\n";
+        }
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", request.body.size());
     }
     text += "\r\n";
     text += request.body;
@@ -258,6 +263,29 @@
     }
 }
 
+bool LineStream::readSome(std::string &out, Duration limit, const asio::yield_context &yield)
+{
+    std::string &early = this->connection->partial; // came with the header
+    if (!early.empty()) {
+        out += early;
+        early.clear();
+        return true;
+    }
+    const std::size_t before = out.size();
+    const SteadyTime deadline = std::chrono::steady_clock::now() + limit;
+    while (this->connection->readSome(out, deadline, yield)) {
+        if (out.size() > before) {
+            return true;
+        }
+    }
+    return out.size() > before;
+}
+
+HttpResponse LineStream::head() const
+{
+    return this->connection->response();
+}
+
 void LineStream::close()
 {
     this->connection->close();
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -42,6 +42,8 @@
     std::string target = "/";
     std::string body = {};
     std::vector<HttpHeader> headers = {};
+    // The headers are a caller's own, Host and Content-Type among them: nothing is added but the length of the body.
+    bool isForwarded = false;
 };
 
 struct HttpResponse {
@@ -88,7 +90,7 @@
 struct CallOptions {
     Duration deadline{2s}; // from the start to the last byte of the reply; of open(): to the end of the reply's header
     Reuse reuse = Reuse::Allowed;
-    CallAbort *abort = nullptr; // of call(); outlives it
+    CallAbort *abort = nullptr; // outlives the call, and the stream that open() returns
 };
 
 enum class HttpFault {
@@ -133,6 +135,11 @@
     // Waits for at least one whole line and gives all that have arrived, each with its line feed. False at the end of
     // the body; a last line without a line feed is dropped. Throws Timeout when no byte comes within the limit.
     bool read(std::string &lines, Duration limit, const asio::yield_context &yield);
+    // Waits for at least one byte of the body and appends all that have arrived, lines or not. False at the end of the
+    // body.
+    bool readSome(std::string &out, Duration limit, const asio::yield_context &yield);
+    // Status and headers.
+    HttpResponse head() const;
     // Closes the connection; a read that waits in another coroutine or handler ends with Closed.
     void close();
 
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -137,6 +137,41 @@
     }
 }
 
+void HttpReply::forward(int status, std::string_view body, const std::vector<HttpHeader> &headers,
+                        const asio::yield_context &yield)
+{
+    std::string text;
+    text.reserve(body.size() + 512);
+    fmt::format_to(std::back_inserter(text), "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", status, reasonOf(status),
+                   body.size());
+    appendHeaders(text, headers);
+    text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+    text += body;
+    this->connection.started = true;
+    this->connection.send(text, yield);
+}
+
+void HttpReply::startForward(int status, const std::vector<HttpHeader> &headers, const asio::yield_context &yield)
+{
+    std::string text;
+    fmt::format_to(std::back_inserter(text), "HTTP/1.1 {} {}\r\n", status, reasonOf(status));
+    appendHeaders(text, headers);
+    if (this->connection.isChunked) {
+        text += "Transfer-Encoding: chunked\r\n";
+    } else {
+        this->connection.keepAlive = false;
+    }
+    text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+    this->connection.started = true;
+    this->connection.send(text, yield);
+}
+
+void HttpReply::cut()
+{
+    this->connection.keepAlive = false;
+    this->connection.close();
+}
+
 void HttpReply::onGone(std::function<void()> callback)
 {
     this->connection.watch(std::move(callback));
@@ -240,6 +275,15 @@
     return this->state->connections.size();
 }
 
+void HttpServer::setLimits(const Options &limits)
+{
+    this->state->options.headerLimit = limits.headerLimit;
+    this->state->options.bodyLimit = limits.bodyLimit;
+    this->state->options.headerLimitTime = limits.headerLimitTime;
+    this->state->options.bodyLimitTime = limits.bodyLimitTime;
+    this->state->options.idleLimit = limits.idleLimit;
+}
+
 void HttpServer::close()
 {
     boost::system::error_code ignored;
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -64,6 +64,14 @@
     void write(std::string_view piece, const asio::yield_context &yield);
     void finish(const asio::yield_context &yield);
 
+    // Hands on an answer of another server: its status and these headers, none of ours but for the framing.
+    void forward(int status, std::string_view body, const std::vector<HttpHeader> &headers,
+                 const asio::yield_context &yield);
+    // The same for a body that is still to come; goes on with write() and ends with finish().
+    void startForward(int status, const std::vector<HttpHeader> &headers, const asio::yield_context &yield);
+    // Ends the connection in the middle of an answer, so that what was sent of it does not look whole.
+    void cut();
+
     // Called once, from a handler of the same thread, when the caller closes its end; also when it only closes its
     // sending half, which callers of this protocol do not do. Reset by an empty function.
     void onGone(std::function<void()> callback);
@@ -92,6 +100,8 @@
         Duration idleLimit{60s}; // between two requests of one connection
         Duration stallLimit{20s}; // one write; engine memory is not held for a caller that reads nothing
         std::function<RequestId()> newRequestId = {};
+        // The id that the caller gave; where it is set, newRequestId serves only calls that could not be read.
+        std::function<RequestId(const HttpCall &)> requestIdOf = {};
         std::function<void(const Refusal &)> onRefused = {}; // every refusal, for the counters
     };
 
@@ -103,6 +113,8 @@
 
     std::uint16_t port() const;
     std::size_t openConnections() const;
+    // Takes the limits on size and time of these options for what is read from now on.
+    void setLimits(const Options &limits);
     // Stops listening and closes every connection; their coroutines end as the context runs on.
     void close();
 
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -11,6 +11,7 @@
 #include "decide/cellmessages.h"
 #include "fescuesill/errors.h"
 #include "fescuesill/ids.h"
+#include "fescuesill/overloaded.h"
 #include "fescuesill/units.h"
 #include "wire/wireerror.h"
 
@@ -172,16 +173,3 @@
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
 
 } // namespace fescuesill::peer
-
-namespace fescuesill
-{
-
-// A visitor made of lambdas.
-template<typename... Lambdas>
-struct Overloaded : Lambdas... {
-    using Lambdas::operator()...;
-};
-template<typename... Lambdas>
-Overloaded(Lambdas...) -> Overloaded<Lambdas...>;
-
-} // namespace fescuesill
--- a/wire/platformclient.cpp
+++ b/wire/platformclient.cpp
@@ -7,6 +7,7 @@
 
 #include "wire/platformclient.h"
 
+#include "fescuesill/overloaded.h"
 #include "wire/url.h"
 
 #include <fmt/format.h>
@@ -24,13 +25,6 @@
 constexpr int statusConflict = 409;
 constexpr int statusRateLimited = 429;
 
-template<typename... Visitors>
-struct Overloaded : Visitors... {
-    using Visitors::operator()...;
-};
-template<typename... Visitors>
-Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 std::string describe(const PlatformFault &fault)
 {
     return std::visit(
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -130,6 +130,10 @@
         call.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     call.body = std::move(message.body());
+    if (this->server->options.requestIdOf) {
+        this->id = this->server->options.requestIdOf(call);
+        call.id = this->id;
+    }
     if (this->buffer.size() == 0) {
         this->buffer.shrink_to_fit();
     }
