Close idle connections and refuse new calls once a stop is announced

A host that was told to stop went on taking generations from kept connections until its last moment, and cut them off. Ruled out: a shorter announcement, which refuses calls for no reason while the balancer still sends them.

--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -135,6 +135,13 @@
     if (!this->draining.isReady()) {
         reply.closeAfter(); // its caller's next connection goes to a host that stays
     }
+    // A generation lasts seconds: one taken late in the time to stop would be cut off when it ends.
+    if (!this->draining.admits(steadyNow())) {
+        Refusal refusal = drainingRefusal();
+        refusal.retryAfter = comeBackWhenStopping;
+        sendRefusal(reply, readRequestId(call), refusal, yield);
+        return;
+    }
     ++this->inProgress;
     try {
         this->forward(call, reply, yield);
@@ -166,6 +173,9 @@
     const Instant now = steadyNow();
     this->fleet.expire(now);
     this->draining.onWork({this->inProgress, 0, 0});
+    if (!this->draining.admits(now)) {
+        this->callers->closeIdle();
+    }
     if (this->draining.mayExit(now)) {
         this->io.stop();
         return;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -292,6 +292,8 @@
                                    {"sends", this->sends},
                                    {"self_read", this->readsItself},
                                    {"need", this->need().value()},
+                                   {"prompt", this->call.head.generation ? this->call.head.generation->prompt.value() : 0},
+                                   {"last_event", this->events.lastEvent()},
                                    {"first_event_ms", this->firstEvent ? this->firstEvent->count() / 1000 : -1},
                                    {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
                                    {"last_fault", this->lastFault}});
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -284,6 +284,15 @@
     this->state->options.idleLimit = limits.idleLimit;
 }
 
+void HttpServer::closeIdle()
+{
+    for (ServerConnection *connection : this->state->connections) {
+        if (connection->isIdle) {
+            connection->close();
+        }
+    }
+}
+
 void HttpServer::close()
 {
     boost::system::error_code ignored;
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -113,6 +113,8 @@
 
     std::uint16_t port() const;
     std::size_t openConnections() const;
+    // Closes the connections on which no request has begun; their callers open new ones, at hosts that stay.
+    void closeIdle();
     // Takes the limits on size and time of these options for what is read from now on.
     void setLimits(const Options &limits);
     // Stops listening and closes every connection; their coroutines end as the context runs on.
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -59,7 +59,9 @@
     }
     beast::error_code error;
     this->stream.expires_after(this->server->options.idleLimit);
+    this->isIdle = true;
     const std::size_t count = this->stream.async_read_some(this->buffer.prepare(firstRead), yield[error]);
+    this->isIdle = false;
     this->buffer.commit(count);
     return !error;
 }
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -77,6 +77,7 @@
     bool started = false; // of the current answer
     bool isChunked = true;
     bool keepAlive = true;
+    bool isIdle = false; // between two requests
 
 private:
     // Empty where the connection has ended or was refused.
