--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -19,7 +19,9 @@
 namespace
 {
 
-constexpr double tokenWeight = 0.05; // of one generation in the mean time of a token
+constexpr double tokenWeight = 0.05; // of one generation in the mean time of a token, over all engines
+constexpr double engineTokenWeight = 0.2; // and at one engine, which ends few of them
+constexpr int mostDoublings = 4;
 constexpr std::int64_t leastMade = 200; // tokens; the time of fewer says little about a step
 
 // Within one rank of the callers, those that are late already go behind the others.
@@ -86,6 +88,11 @@
     this->enqueue(ask, now);
 }
 
+Duration GenerationGate::perToken(const Engine &engine) const
+{
+    return Duration(static_cast<std::int64_t>(engine.perTokenUs.value_or(this->perTokenUs)));
+}
+
 std::optional<double> GenerationGate::fullness(const Engine &engine, const GenerationAsk &ask, Instant now) const
 {
     const bool isFull = (engine.fullUntil && now < *engine.fullUntil)
@@ -99,7 +106,7 @@
         runs.push_back(run);
     }
     runs.push_back({ask.prompt, this->estimate.expect(ask.output, ask.mostOutput), now});
-    const Tokens peak = peakMemory(runs, Duration(static_cast<std::int64_t>(this->perTokenUs)), now);
+    const Tokens peak = peakMemory(runs, this->perToken(engine), now);
     const double share = static_cast<double>(peak.value()) / static_cast<double>(engine.places.memory.value());
     // A request larger than the share alone still gets an empty engine.
     const bool fits = share <= this->options.fill || (engine.runs.empty() && share <= 1);
@@ -266,6 +273,9 @@
     found->second.isReserved = true;
     const bool othersWait = this->queue.size() > 0;
     this->admission.onPlaced(this->costOf(found->second.ask), othersWait, found->second.since);
+    if (Engine *engine = this->engineOf(found->second)) {
+        engine->faultsInRow = 0;
+    }
 }
 
 void GenerationGate::onFull(const RequestId &id, Instant now)
@@ -287,7 +297,9 @@
     }
     if (Engine *engine = this->engineOf(*placement)) {
         engine->faults.add(1, now);
-        engine->fullUntil = now + this->options.askAgain;
+        const Duration pause = this->options.afterFault * (1 << std::min(engine->faultsInRow, mostDoublings));
+        engine->fullUntil = now + std::min(pause, this->options.longestAfterFault);
+        ++engine->faultsInRow;
     }
 }
 
@@ -301,14 +313,24 @@
     if (!placement) {
         return;
     }
-    if (Engine *engine = this->engineOf(*placement)) {
+    Engine *engine = this->engineOf(*placement);
+    if (engine != nullptr) {
         engine->fullUntil.reset();
         engine->faults.add(isEngineFault ? 1 : 0, now);
     }
     if (made.value() >= leastMade && !isEngineFault) {
-        const double each = static_cast<double>((now - placement->since).count()) / static_cast<double>(made.value());
-        this->perTokenUs += tokenWeight * (each - this->perTokenUs);
-        this->estimate.learn(placement->ask.output, made);
+        this->learn(engine, *placement, made, now);
+    }
+}
+
+void GenerationGate::learn(Engine *engine, const Placement &placement, Tokens made, Instant now)
+{
+    const double each = static_cast<double>((now - placement.since).count()) / static_cast<double>(made.value());
+    this->perTokenUs += tokenWeight * (each - this->perTokenUs);
+    this->estimate.learn(placement.ask.output, made);
+    if (engine != nullptr) {
+        const double before = engine->perTokenUs.value_or(this->perTokenUs);
+        engine->perTokenUs = before + engineTokenWeight * (each - before);
     }
 }
 
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -73,6 +73,10 @@
         // An engine that had no room is not asked again sooner, unless a generation of this host ends there. Places
         // come free every few hundred milliseconds on each engine; asking oftener only costs calls.
         Duration askAgain{120ms};
+        // After a fault, doubled at each further one up to the longest: an engine that is down looks empty, and would be
+        // chosen again and again until the platform notices.
+        Duration afterFault{250ms};
+        Duration longestAfterFault{2s};
         // What fullness a far engine is taken to have beyond its own, as a share of its memory: its answers cross
         // between data centres, and a tenth fuller is a smaller loss than that.
         double farShare = 0.1;
@@ -120,6 +124,8 @@
         DecodePlaces places;
         std::unordered_map<RequestId, GrowingRun> runs; // that this gate placed
         std::optional<Instant> fullUntil;
+        int faultsInRow = 0;
+        std::optional<double> perTokenUs; // measured here; engines of one service differ in speed
         FaultRate faults;
     };
     struct Placement {
@@ -136,6 +142,8 @@
     Engine *engineOf(const Placement &placement);
     std::optional<Placement> take(const RequestId &id);
     Duration costOf(const GenerationAsk &ask) const;
+    Duration perToken(const Engine &engine) const;
+    void learn(Engine *engine, const Placement &placement, Tokens made, Instant now);
     void enqueue(const GenerationAsk &ask, Instant now);
     void place(const GenerationAsk &ask, Engine &engine, Instant now);
     void placeWaiting(std::vector<GateAction> &actions, Instant now);
