Let the leader hand on what changes in the store

Cause: every host followed two tables of the users' store; on 75 hosts that was 150 calls a second, the dearest line of the grown deployments. Ruled out: longer waits (a silent connection must be found in time), a few readers in each data centre without a leader (as many roles more). The leader now hands on registry rows and says which version the configuration's row has; a host reads the store itself while it has no leader that can.

--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -49,7 +49,7 @@
                           },
                           [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
                           [&](const store_update::Back &) { this->registry.onStoreBack(now); },
-                          [&](const store_update::Leader &) {}},
+                          [&](const auto &) {}}, // of the links
                update);
 }
 
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -87,6 +87,8 @@
     while (const auto update = this->updates.tryPop()) {
         if (const auto *leader = std::get_if<store_update::Leader>(&*update)) {
             this->links->onLeader(*leader);
+        } else if (const auto *news = std::get_if<store_update::News>(&*update)) {
+            this->links->onNews(*news);
         } else {
             this->fleet.take(*update, steadyNow());
         }
@@ -198,11 +200,7 @@
     }
     LeaderLink::Options options;
     options.listen = this->settings.peers;
-    auto opened = LeaderLink::create(this->io, options, this->gates, [this](bool isSeen) {
-        if (this->store) {
-            this->store->setLeaderSeen(isSeen);
-        }
-    });
+    auto opened = LeaderLink::create(this->io, options, this->gates);
     if (!opened) {
         Log::error("cannot_listen", {{"reason", opened.error().what()}});
         return false;
@@ -242,6 +240,9 @@
     const LeaseRow self{this->settings.host, this->settings.peers, 0};
     this->store = std::make_unique<StoreDuty>(
         StoreDuty::Options{this->settings.store, this->settings.contact, self, this->settings.lease}, this->updates);
+    if (this->links) {
+        this->links->setStore(*this->store);
+    }
     this->armTick();
     Log::info("started", {{"host", this->settings.host.value()},
                           {"data_centre", this->settings.dataCentre.value()},
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -18,18 +18,16 @@
 
 } // namespace
 
-LeaderLink::LeaderLink(asio::io_context &io, GateKeeper &keeper, std::function<void(bool)> seen)
+LeaderLink::LeaderLink(asio::io_context &io, GateKeeper &keeper)
     : gates(keeper)
-    , onSeen(std::move(seen))
     , events(eventRing, [this, &io] { asio::post(io, [this] { this->drain(); }); })
 {
 }
 
 tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
-                                                                        GateKeeper &gates,
-                                                                        std::function<void(bool)> onSeen)
+                                                                        GateKeeper &gates)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, gates, std::move(onSeen)));
+    std::unique_ptr<LeaderLink> link(new LeaderLink(io, gates));
     LeaderLink *self = link.get();
     PeerNode::Handlers handlers;
     handlers.opened = [self](LinkId id) { self->push({Change::Opened, id, {}}); };
@@ -79,11 +77,33 @@
 void LeaderLink::setSeen(bool isSeen)
 {
     Log::info(isSeen ? "leader_reached" : "leader_lost", {{"address", this->leaderAddress}});
-    this->onSeen(isSeen);
+    this->store->setLeaderSeen(isSeen);
+}
+
+// Its followers would wait for news that does not come, and two gates would fill the same engines.
+void LeaderLink::endLead()
+{
+    for (const LinkId follower : this->followers) {
+        this->node->send(follower, peer::LeadEnded{});
+        this->gates.onFollowerLost(follower);
+    }
+    this->followers.clear();
+}
+
+void LeaderLink::onNews(const store_update::News &news)
+{
+    for (const LinkId follower : this->followers) {
+        if (!news.follower || *news.follower == follower) {
+            this->node->send(follower, news.message);
+        }
+    }
 }
 
 void LeaderLink::onLeader(const store_update::Leader &update)
 {
+    if (this->isLeading && !update.isSelf) {
+        this->endLead();
+    }
     this->isLeading = update.isSelf;
     const std::string address = update.holder && !update.isSelf ? update.holder->address : std::string();
     if (address == this->leaderAddress) {
@@ -113,6 +133,7 @@
             this->gates.setUplink(
                 [this, link = event.link](const peer::Message &message) { this->node->send(link, message); });
             this->setSeen(true);
+            this->node->send(event.link, peer::FollowStore{this->store->knownVersion()});
         }
         return;
     case Change::Closed:
@@ -120,6 +141,7 @@
             this->gates.setUplink({});
             this->setSeen(false);
         } else {
+            this->followers.erase(event.link);
             this->gates.onFollowerLost(event.link);
         }
         return;
@@ -128,12 +150,31 @@
 
 void LeaderLink::onMessage(LinkId link, const peer::Message &message)
 {
+    const bool isFromLeader = this->leader && link == *this->leader;
+    if (!isFromLeader && !this->isLeading) {
+        this->node->send(link, peer::LeadEnded{});
+        return;
+    }
     const GateKeeper::Send reply = [this, link](const peer::Message &answer) { this->node->send(link, answer); };
     std::visit(Overloaded{[&](const peer::TryPlace &place) { this->gates.onTry(place); },
                           [&](const peer::NoPlace &none) { this->gates.onNone(none); },
+                          [&](const peer::RegistryNews &news) {
+                              if (!news.isWhole && !this->store->isRelayed()) {
+                                  this->node->send(link, peer::FollowStore{this->store->knownVersion()});
+                                  return;
+                              }
+                              this->store->onNews(news);
+                          },
+                          [&](const peer::ConfigNews &news) { this->store->onNews(news); },
+                          [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
+                          [&](const peer::LeadEnded &) { this->onLeader({}); },
                           [&](const peer::AskPlace &ask) { this->gates.onAsk(link, reply, ask); },
                           [&](const peer::PlaceNews &news) { this->gates.onNews(link, news); },
                           [&](const peer::HeldPlaces &held) { this->gates.onHeld(link, held); },
+                          [&](const peer::FollowStore &follow) {
+                              this->followers.insert(link);
+                              this->store->addFollower(link, follow.version);
+                          },
                           [&](const auto &) { Log::warning("link_message_unexpected"); }},
                message);
 }
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -2,12 +2,15 @@
 
 // The links between gateways: to the leader where this host follows one, from the followers where it leads.
 //
-//     auto link = LeaderLink::create(io, options, gates, [&](bool isSeen) { store.setLeaderSeen(isSeen); });
+//     auto link = LeaderLink::create(io, options, gates);
+//     link.value()->setStore(store);
 //     link.value()->onLeader(update);          // who leads, as the lease says
 
 #include "programs/gateway/gatekeeper.h"
 #include "wire/peernode.h"
 
+#include <set>
+
 namespace fescuesill
 {
 
@@ -23,12 +26,19 @@
     };
 
     static tl::expected<std::unique_ptr<LeaderLink>, WireError>
-    create(asio::io_context &io, const Options &options, GateKeeper &gates, std::function<void(bool)> onSeen);
+    create(asio::io_context &io, const Options &options, GateKeeper &gates);
+    // Which follows the store; outlives the links.
+    void setStore(StoreDuty &duty)
+    {
+        this->store = &duty;
+    }
     ~LeaderLink();
     LeaderLink(const LeaderLink &) = delete;
     LeaderLink &operator=(const LeaderLink &) = delete;
 
     void onLeader(const store_update::Leader &leader);
+    // Hands it to one follower or to all.
+    void onNews(const store_update::News &news);
     void stop();
 
 private:
@@ -43,15 +53,17 @@
         peer::Message message;
     };
 
-    LeaderLink(asio::io_context &io, GateKeeper &gates, std::function<void(bool)> onSeen);
+    LeaderLink(asio::io_context &io, GateKeeper &gates);
     void push(Event event);
     void drain();
     void on(const Event &event);
     void onMessage(LinkId link, const peer::Message &message);
     void setSeen(bool isSeen);
+    void endLead();
 
     GateKeeper &gates;
-    std::function<void(bool)> onSeen;
+    StoreDuty *store = nullptr;
+    std::set<LinkId> followers; // links to this host while it leads
     Ring<Event> events;
     std::unique_ptr<PeerNode> node;
     std::optional<LinkId> leader; // the link to it, where this host follows
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -1,3 +1,7 @@
+// The leader follows the tables and hands their changes on to all other hosts, which read the store themselves only while
+// they have no leader that can: a fleet of 75 hosts that all followed both tables made 150 calls a second, and one leader
+// makes four. Rows of the registry go with the news. The configuration's row may be large and is read by each host.
+//
 // Each table is read whole once and then followed from that version. A gap in the store's history, or a failed list, leads
 // back to the whole list; any other fault is tried again from the same version, so no change is missed.
 //
@@ -23,6 +27,9 @@
 
 constexpr Duration replyLimit{600ms}; // beyond the wait; a slow store answers in some hundred milliseconds
 constexpr Duration pauseAfterFault{250ms}; // a store that refuses is asked four times a second by each table
+constexpr Duration leaderWait{500ms}; // a quarter of the time within which a change must be in force everywhere
+constexpr Duration relayedPause{10s}; // ended by whatever ends the relay
+constexpr std::size_t mostNewFollowers = 4096; // hosts of a fleet that link to a new leader at the same moment
 constexpr Duration pauseWhenFull{5ms}; // the forwarding thread drains its ring in well under that
 
 constexpr const char *leaseTable = "leases";
@@ -48,6 +55,8 @@
 StoreDuty::StoreDuty(Options given, Ring<StoreUpdate> &ring)
     : options(std::move(given))
     , updates(ring)
+    , config(this->io)
+    , registry(this->io)
     , leadership(this->options.self, leadershipOptions(this->options.lease))
     , leadTimer(this->io)
 {
@@ -90,66 +99,215 @@
     } else {
         Log::info("store_back", {{"table", name}});
     }
+    if (this->isLeading()) {
+        // News of no rows: the followers ask to be handed all again.
+        const auto version = static_cast<std::uint64_t>(this->registry.version.value_or(0));
+        this->push(isLost ? store_update::News{peer::StoreLost{}, std::nullopt}
+                          : store_update::News{peer::RegistryNews{false, version, {}}, std::nullopt});
+    }
     if (table == Table::Registry) {
         this->push(isLost ? StoreUpdate(store_update::Lost{}) : StoreUpdate(store_update::Back{}));
     }
 }
 
+bool StoreDuty::isLeading() const
+{
+    return this->leadership.isLeading(bootNow());
+}
+
+void StoreDuty::waitFor(Followed &table, Duration time, const asio::yield_context &yield)
+{
+    boost::system::error_code ignored;
+    table.pause.expires_after(time);
+    table.pause.async_wait(yield[ignored]);
+}
+
 void StoreDuty::follow(Table table, const asio::yield_context &yield)
 {
     StoreClient store(this->io, {this->options.address, replyLimit});
-    asio::steady_timer pause(this->io);
-    std::optional<std::int64_t> version;
-    bool isLost = false;
+    Followed &followed = this->of(table);
     while (!this->isStopping) {
         try {
-            this->followOnce(table, store, version, isLost, yield);
+            this->followOnce(table, store, yield);
             continue;
         } catch (const StoreError &error) {
             if (error.isHistoryGone()) {
                 Log::info("store_history_gone", {{"table", nameOf(table == Table::Config)}});
-                version.reset();
+                followed.version.reset();
                 continue;
             }
-            if (!isLost) {
-                isLost = true;
+            if (!followed.isLost) {
+                followed.isLost = true;
                 this->tell(true, table, error.what());
             }
         }
-        boost::system::error_code ignored;
-        pause.expires_after(pauseAfterFault);
-        pause.async_wait(yield[ignored]);
+        this->waitFor(followed, pauseAfterFault, yield);
     }
 }
 
-void StoreDuty::followOnce(Table table, StoreClient &store, std::optional<std::int64_t> &version, bool &isLost,
-                           const asio::yield_context &yield)
+void StoreDuty::followOnce(Table table, StoreClient &store, const asio::yield_context &yield)
 {
-    const bool isConfig = table == Table::Config;
-    const char *name = nameOf(isConfig);
-    const bool isList = !version;
-    const StoreRows read =
-        isList ? store.list(name, yield) : store.follow(name, *version, this->options.contact / 2, yield);
-    if (isLost) {
-        isLost = false;
+    Followed &followed = this->of(table);
+    if (followed.isRelayed) {
+        this->waitFor(followed, relayedPause, yield);
+        return;
+    }
+    const char *name = nameOf(table == Table::Config);
+    const bool isWhole = !followed.version;
+    // The leader learns of a silent connection sooner, since all others wait for it.
+    const Duration wait = this->isLeading() ? std::min(leaderWait, this->options.contact / 2) : this->options.contact / 2;
+    const StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
+    if (followed.isLost) {
+        followed.isLost = false;
         this->tell(false, table, {});
     }
-    version = read.version;
-    if (isList && !isConfig) {
-        this->takeList(read.rows);
+    if (followed.isRelayed && read.version < followed.version.value_or(0)) {
+        return; // the leader's news overtook this reply
+    }
+    followed.version = read.version;
+    this->takeRows(table, read.rows, isWhole);
+}
+
+void StoreDuty::setRelayed(Table table, bool isRelayed)
+{
+    Followed &followed = this->of(table);
+    if (followed.isRelayed != isRelayed) {
+        Log::info("store_relayed", {{"table", nameOf(table == Table::Config)}, {"relayed", isRelayed}});
+        followed.isRelayed = isRelayed;
+        followed.pause.cancel();
+        this->relayed = this->registry.isRelayed;
+    }
+}
+
+void StoreDuty::takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole)
+{
+    if (table == Table::Registry) {
+        if (isWhole) {
+            this->registryRows.clear();
+            this->takeList(rows);
+        }
+        for (const StoreRow &row : rows) {
+            if (row.isRemoved) {
+                this->registryRows.erase(row.key);
+            } else {
+                this->registryRows[row.key] = row.value;
+            }
+        }
+        this->handOn(rows, isWhole);
+    }
+    for (const StoreRow &row : rows) {
+        if (table == Table::Config || !isWhole) {
+            this->takeRow(table, row);
+        }
+    }
+    this->known = static_cast<std::uint64_t>(this->registry.version.value_or(0));
+    this->welcomeFollowers();
+}
+
+void StoreDuty::handOn(const std::vector<StoreRow> &rows, bool isWhole)
+{
+    if (!this->isLeading() || (rows.empty() && !isWhole)) {
+        return;
+    }
+    peer::RegistryNews news{isWhole, static_cast<std::uint64_t>(*this->registry.version), {}};
+    for (const StoreRow &row : rows) {
+        news.rows.push_back({row.key, row.value, row.isRemoved});
+    }
+    this->push(store_update::News{news, std::nullopt});
+}
+
+peer::RegistryNews StoreDuty::wholeRegistry() const
+{
+    peer::RegistryNews news{true, this->known, {}};
+    for (const auto &[key, value] : this->registryRows) {
+        news.rows.push_back({key, value, false});
+    }
+    return news;
+}
+
+// Only with all that the follower has: an older list would bring endpoints back that have left.
+void StoreDuty::welcomeFollowers()
+{
+    if (!this->isLeading() || this->registry.isLost || this->config.isLost) {
         return;
     }
-    for (const StoreRow &row : read.rows) {
-        this->takeRow(table, row);
+    auto &waiting = this->newFollowers;
+    for (auto follower = waiting.begin(); follower != waiting.end();) {
+        if (follower->second > this->known) {
+            ++follower;
+            continue;
+        }
+        this->push(store_update::News{this->wholeRegistry(), follower->first});
+        this->push(store_update::News{peer::ConfigNews{static_cast<std::uint64_t>(this->configRow)}, follower->first});
+        follower = waiting.erase(follower);
     }
 }
 
+void StoreDuty::addFollower(LinkId link, std::uint64_t version)
+{
+    asio::post(this->io, [this, link, version] {
+        if (this->newFollowers.size() < mostNewFollowers) {
+            this->newFollowers.emplace_back(link, version);
+        }
+        this->welcomeFollowers();
+    });
+}
+
+void StoreDuty::onNews(const peer::RegistryNews &news)
+{
+    asio::post(this->io, [this, news] {
+        const auto version = static_cast<std::int64_t>(news.version);
+        const bool isOld = this->registry.version && version < *this->registry.version;
+        const bool hasGap = !news.isWhole && !this->registry.isRelayed; // LeaderLink asks for the whole
+        if (isOld || hasGap) {
+            return;
+        }
+        this->registry.version = version;
+        std::vector<StoreRow> rows;
+        for (const peer::RegistryRow &row : news.rows) {
+            rows.push_back({row.key, row.value, version, row.isRemoved});
+        }
+        if (this->registry.isLost) {
+            this->registry.isLost = false;
+            this->tell(false, Table::Registry, {});
+        }
+        this->setRelayed(Table::Registry, true);
+        this->takeRows(Table::Registry, rows, news.isWhole);
+    });
+}
+
+void StoreDuty::onNews(const peer::ConfigNews &news)
+{
+    asio::post(this->io, [this, news] {
+        const bool isKnown = static_cast<std::int64_t>(news.rowVersion) <= this->configRow;
+        if (!isKnown) {
+            this->config.version.reset(); // read it whole, then rest again
+        }
+        // The news that follows the read sets this again; until then the table is followed from here.
+        this->setRelayed(Table::Config, isKnown);
+        this->configAtLeader = static_cast<std::int64_t>(news.rowVersion);
+    });
+}
+
+void StoreDuty::onLeaderLostStore()
+{
+    asio::post(this->io, [this] {
+        this->setRelayed(Table::Config, false);
+        this->setRelayed(Table::Registry, false);
+        this->configAtLeader.reset();
+    });
+}
+
 void StoreDuty::setLeaderSeen(bool isSeen)
 {
     asio::post(this->io, [this, isSeen] {
-        this->leadership.onLeaderSeen(isSeen, bootNow());
+        this->leadership.onLeaderSeen(isSeen);
+        this->mustTell = !isSeen; // also where the same host leads again
         this->leadTimer.cancel();
     });
+    if (!isSeen) {
+        this->onLeaderLostStore();
+    }
 }
 
 // The forwarding thread is told where this changes for it: another holder, or this host's lease begun or over.
@@ -188,6 +346,10 @@
         return;
     }
     const auto row = store.read(leaseTable, leaseKey, yield);
+    if (this->mustTell) {
+        this->mustTell = false;
+        this->told = {};
+    }
     const auto lease = row ? decodeLeaseRow(row->value) : tl::make_unexpected(LeaseRowError{"no row"});
     this->leadership.onRead(lease ? std::optional(*lease) : std::nullopt, RowVersion(row ? row->version : 0),
                             bootNow());
@@ -225,7 +387,7 @@
 {
     if (table == Table::Config) {
         if (row.key == configKey && !row.isRemoved) {
-            this->takeConfig(row.value);
+            this->takeConfig(row);
         }
         return;
     }
@@ -243,14 +405,22 @@
     this->push(store_update::Changed{std::move(*record)});
 }
 
-void StoreDuty::takeConfig(const std::string &text)
+void StoreDuty::takeConfig(const StoreRow &row)
 {
-    auto config = decodeConfigRow(text);
-    if (!config) {
-        Log::error("config_unreadable", {{"reason", config.error().text}});
+    this->configRow = std::max(this->configRow, row.version);
+    if (this->isLeading()) {
+        this->push(store_update::News{peer::ConfigNews{static_cast<std::uint64_t>(this->configRow)}, std::nullopt});
+    }
+    // The leader had this version: it will tell of the next one.
+    if (this->configAtLeader && this->configRow >= *this->configAtLeader) {
+        this->setRelayed(Table::Config, true);
+    }
+    auto decoded = decodeConfigRow(row.value);
+    if (!decoded) {
+        Log::error("config_unreadable", {{"reason", decoded.error().text}});
         return;
     }
-    this->push(store_update::Config{std::make_shared<const RoutingConfig>(std::move(*config))});
+    this->push(store_update::Config{std::make_shared<const RoutingConfig>(std::move(*decoded))});
 }
 
 } // namespace fescuesill
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -9,12 +9,15 @@
 #include "decide/routingconfig.h"
 #include "promise/endpointregistry.h"
 #include "promise/leadership.h"
+#include "wire/linkid.h"
+#include "wire/messages.h"
 #include "wire/ring.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <thread>
 #include <variant>
@@ -44,6 +47,11 @@
     bool isSelf = false;
     RowVersion term; // of the lease
 };
+// For the hosts that follow this one; of the leader only.
+struct News {
+    peer::Message message;
+    std::optional<LinkId> follower; // all where empty
+};
 // The registry can't be read, and can be read again.
 struct Lost {
 };
@@ -52,7 +60,8 @@
 } // namespace store_update
 
 using StoreUpdate = std::variant<store_update::Config, store_update::Listed, store_update::Changed,
-                                 store_update::Removed, store_update::Lost, store_update::Back, store_update::Leader>;
+                                 store_update::Removed, store_update::Lost, store_update::Back, store_update::Leader,
+                                 store_update::News>;
 
 class StoreClient;
 struct StoreRow;
@@ -73,8 +82,25 @@
     StoreDuty &operator=(const StoreDuty &) = delete;
 
     void stop();
-    // Whether this host hears from the leader; safe on any thread.
+    // All safe on any thread.
+    // Whether this host hears from the leader.
     void setLeaderSeen(bool isSeen);
+    // The leader hands on changes: this host reads the store itself only where the leader cannot.
+    void onNews(const peer::RegistryNews &news);
+    void onNews(const peer::ConfigNews &news);
+    void onLeaderLostStore();
+    // A host that follows this one has all up to a version.
+    void addFollower(LinkId link, std::uint64_t version);
+    // Whether the leader hands on the registry's changes.
+    bool isRelayed() const
+    {
+        return this->relayed;
+    }
+    // The store's version up to which this host has all.
+    std::uint64_t knownVersion() const
+    {
+        return this->known;
+    }
 
 private:
     enum class Table {
@@ -82,12 +108,35 @@
         Registry,
     };
 
+    // One table as this host has it.
+    struct Followed {
+        Followed(asio::io_context &io)
+            : pause(io)
+        {
+        }
+
+        std::optional<std::int64_t> version; // all changes up to it are here
+        bool isLost = false;
+        bool isRelayed = false; // the leader hands on its changes
+        asio::steady_timer pause;
+    };
+
+    Followed &of(Table table)
+    {
+        return table == Table::Config ? this->config : this->registry;
+    }
     void follow(Table table, const asio::yield_context &yield);
-    void followOnce(Table table, StoreClient &store, std::optional<std::int64_t> &version, bool &isLost,
-                    const asio::yield_context &yield);
+    void followOnce(Table table, StoreClient &store, const asio::yield_context &yield);
+    void waitFor(Followed &table, Duration time, const asio::yield_context &yield);
+    void setRelayed(Table table, bool isRelayed);
+    void takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole);
     void takeRow(Table table, const StoreRow &row);
-    void takeConfig(const std::string &text);
+    void takeConfig(const StoreRow &row);
     void takeList(const std::vector<StoreRow> &rows);
+    void handOn(const std::vector<StoreRow> &rows, bool isWhole);
+    void welcomeFollowers();
+    peer::RegistryNews wholeRegistry() const;
+    bool isLeading() const;
     void push(StoreUpdate update);
     void tell(bool isLost, Table table, const std::string &reason);
     void lead(const asio::yield_context &yield);
@@ -98,9 +147,19 @@
     Ring<StoreUpdate> &updates;
     asio::io_context io;
     std::atomic<bool> isStopping{false};
-    Leadership leadership; // of the duty's own thread, like the two below
+    std::atomic<std::uint64_t> known{0};
+    std::atomic<bool> relayed{false};
+    // Of the duty's own thread, like all below.
+    Followed config;
+    Followed registry;
+    std::map<std::string, std::string> registryRows; // as they were written, for followers
+    std::int64_t configRow = 0; // version of the configuration's row here
+    std::optional<std::int64_t> configAtLeader; // the newest that the leader told of
+    std::vector<std::pair<LinkId, std::uint64_t>> newFollowers; // not answered yet
+    Leadership leadership;
     asio::steady_timer leadTimer;
     store_update::Leader told;
+    bool mustTell = false; // at the next read of the lease, whoever holds it
     std::thread thread;
 };
 
--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -44,11 +44,10 @@
     return this->row && this->row->isSameHolder(this->self);
 }
 
-void Leadership::onLeaderSeen(bool seen, Instant now)
+// The next look stays as far from the last as ever: a leader that can be reached and has ended its lead would else be looked
+// up again at once, many times a second.
+void Leadership::onLeaderSeen(bool seen)
 {
-    if (this->isSeen && !seen) {
-        this->nextLook = now;
-    }
     this->isSeen = seen;
 }
 
--- a/promise/leadership.h
+++ b/promise/leadership.h
@@ -74,7 +74,7 @@
     Leadership(LeaseRow self, Options options);
 
     // This host hears from the leader, or has lost sight of it.
-    void onLeaderSeen(bool isSeen, Instant now);
+    void onLeaderSeen(bool isSeen);
     LeadershipAction next(Instant now) const;
     // The row, or none where there is none.
     void onRead(const std::optional<LeaseRow> &row, RowVersion version, Instant now);
--- a/promise/testing/leadership_test.cpp
+++ b/promise/testing/leadership_test.cpp
@@ -130,12 +130,12 @@
     turn(dead, store, 0, now, late);
     ASSERT_TRUE(dead.leadership.isLeading(now));
     turn(next, store, 0, now, late);
-    next.leadership.onLeaderSeen(true, now);
+    next.leadership.onLeaderSeen(true);
     for (int step = 0; step < 100; ++step, now += 50ms) {
         turn(next, store, 0, now, late);
     }
     EXPECT_FALSE(next.leadership.isLeading(now));
-    next.leadership.onLeaderSeen(false, now);
+    next.leadership.onLeaderSeen(false);
     const Instant lost = now;
     while (!next.leadership.isLeading(now) && now < lost + 10s) {
         turn(next, store, 0, now, late);
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -439,6 +439,44 @@
     visit(m.places);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, FollowStore &m)
+{
+    visit(m.version);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, RegistryRow &m)
+{
+    visit(m.key);
+    visit(m.value);
+    visit(m.isRemoved);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, RegistryNews &m)
+{
+    visit(m.isWhole);
+    visit(m.version);
+    visit(m.rows);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, ConfigNews &m)
+{
+    visit(m.rowVersion);
+}
+
+template<typename Visitor>
+void fields(Visitor & /*visit*/, StoreLost & /*m*/)
+{
+}
+
+template<typename Visitor>
+void fields(Visitor & /*visit*/, LeadEnded & /*m*/)
+{
+}
+
 template<typename Struct>
 void Writer::operator()(const std::vector<Struct> &items)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -225,9 +225,43 @@
     std::vector<HeldPlace> places;
 };
 
+// A gateway to the leader: hand on what changes in the store after this version. One that is newer than the leader's own
+// is answered when the leader has caught up.
+struct FollowStore {
+    std::uint64_t version = 0;
+};
+
+struct RegistryRow {
+    std::string key;
+    std::string value; // as it was written
+    bool isRemoved = false;
+};
+
+// The leader to a gateway: rows of the registry that changed, or all of them.
+struct RegistryNews {
+    bool isWhole = false;
+    std::uint64_t version = 0; // of the store
+    std::vector<RegistryRow> rows;
+};
+
+// The leader to a gateway: the configuration's row has this version. It is read from the store, which has more room on its
+// links than the leader.
+struct ConfigNews {
+    std::uint64_t rowVersion = 0;
+};
+
+// The leader to a gateway: it cannot read the store.
+struct StoreLost {
+};
+
+// The leader to a gateway: it does not lead any more.
+struct LeadEnded {
+};
+
 using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
                              DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, AskPlace,
-                             TryPlace, NoPlace, PlaceNews, HeldPlaces>;
+                             TryPlace, NoPlace, PlaceNews, HeldPlaces, FollowStore, RegistryNews, ConfigNews,
+                             StoreLost, LeadEnded>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
