Stand-in of the users' platform, tests of the gateway as a process, logs on standard output, unknown codings refused

The tests showed that a transfer coding which the parser does not know was read as no body, so that the body was taken for the next request; it is refused now.

--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build ccache make git python3 clang-format clang-tidy clang
     libboost-dev libboost-system-dev libboost-coroutine-dev libboost-context-dev libwebsocketpp-dev
     prometheus-cpp-dev librapidcheck-dev libcxxopts-dev libfmt-dev nlohmann-json3-dev libinih-dev
-    libexpected-dev libxxhash-dev libssl-dev zlib1g-dev libgtest-dev)
+    libexpected-dev libspdlog-dev libxxhash-dev libssl-dev zlib1g-dev libgtest-dev)
 missing=()
 for package in "${packages[@]}"; do
     dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
--- a/testing/process/cluster.py
+++ b/testing/process/cluster.py
@@ -208,7 +208,8 @@
 
     @staticmethod
     def finish_load(load):
-        output = load.process.stdout.read().decode()
+        load.process.wait()
+        output = load.log()
         return load.process.wait(), output
 
     def ctl(self, *arguments):
--- a/testing/process/standin.py
+++ b/testing/process/standin.py
@@ -79,21 +79,21 @@
 
 
 class Process:
-    """One running binary. Its standard error goes to a file that is shown when a test fails."""
+    """One running binary. What it prints, logs among it, goes to a file that is shown when a test fails."""
 
     def __init__(self, *command):
         self.command = [str(part) for part in command]
         self.errors = tempfile.NamedTemporaryFile(prefix="fescuesill-", suffix=".log", delete=False)
-        self.process = subprocess.Popen(self.command, stdout=subprocess.PIPE, stderr=self.errors)
+        self.process = subprocess.Popen(self.command, stdout=self.errors, stderr=self.errors)
         self.pid = self.process.pid
         self.address = None
 
     def read_address(self):
         """Of a stand-in: waits for the line that names its address."""
-        line = self.process.stdout.readline().decode()
-        found = re.search(r"listening on (\S+)", line)
-        if not found:
-            raise AssertionError(f"{self.command[0]} did not start: {line}{self.log()}")
+        found = wait_until(lambda: re.search(r"listening on (\S+)\n", self.log()) or not self.is_running(), "its address",
+                           START_SECONDS)
+        if found is True:
+            raise AssertionError(f"{self.command[0]} did not start: {self.log()}")
         self.address = found.group(1)
         return self
 
@@ -116,7 +116,6 @@
         if self.is_running():
             self.send(signal.SIGCONT)
         self.kill()
-        self.process.stdout.close()
         self.errors.close()
         os.unlink(self.errors.name)
 
--- /dev/null
+++ b/testing/process/test_gateway.py
@@ -0,0 +1,269 @@
+"""The gateway against a stand-in of the users' platform, as separate processes."""
+
+import http.client
+import itertools
+import pathlib
+import signal
+import socket
+import tempfile
+import threading
+import unittest
+
+from standin import Process, binary, free_address, wait_until
+from userplatform import EVENTS, UserPlatform, route
+
+ids = (f"{number:016x}" for number in itertools.count(1))
+
+
+class Gateway(Process):
+    def __init__(self, folder, name, store):
+        self.callers, self.ready, self.peers = free_address(), free_address(), free_address()
+        settings = pathlib.Path(folder) / f"{name}.ini"
+        settings.write_text(f"[process]\nhost = {name}\ndata_centre = a\n[listen]\ncallers = {self.callers}\n"
+                            f"ready = {self.ready}\npeers = {self.peers}\n[store]\naddress = {store}\n"
+                            "lease_ms = 1500\n[stop]\nannounce = 300ms\n")
+        super().__init__(binary("fescuesill-gateway"), "--config", settings)
+
+    def is_ready(self):
+        return send(self.ready, "GET", "/ready")[0] == 200
+
+    def leads(self):
+        return "event=leader_changed leader=" in self.log() and " self=yes" in self.log()
+
+
+def send(address, method, path, body=None, host="shop.example", **headers):
+    """Status, headers and body; a body that breaks off raises http.client.IncompleteRead."""
+    name, port = address.split(":")
+    connection = http.client.HTTPConnection(name, int(port), timeout=20)
+    try:
+        named = {key.replace("_", "-"): str(value) for key, value in headers.items()}
+        connection.request(method, path, body, {"Host": host, "X-Request-Id": next(ids), "X-Deadline-Ms": "4000", **named})
+        reply = connection.getresponse()
+        return reply.status, dict(reply.getheaders()), reply.read()
+    finally:
+        connection.close()
+
+
+SIZE = {"X_Token_Count": "100,400", "X_Length_Hint": "300", "X_Model": "m"}
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+        self.platform = UserPlatform()
+        self.addCleanup(self.platform.__exit__)
+        self.one = self.platform.endpoint("booking")
+        self.two = self.platform.endpoint("booking")
+        self.reader = self.platform.endpoint("llm", "prefill")
+        self.writers = [self.platform.endpoint("llm", "decode") for _ in range(2)]
+        self.routes = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
+                       route("/write/", "stream", "llm"),
+                       route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
+        self.platform.configure(self.routes)
+        self.gateways = []
+
+    def start(self, name="g1"):
+        gateway = Gateway(self.folder, name, self.platform.address)
+        self.gateways.append(gateway)
+        self.addCleanup(gateway.end)
+        wait_until(gateway.is_ready, "the gateway to be ready")
+        return gateway
+
+    def runs(self, request_id=None):
+        return [run for endpoint in (self.one, self.two) for run in endpoint.seen
+                if request_id in (None, run["id"])]
+
+    def both(self, behaviour):
+        self.one.behave = self.two.behave = behaviour
+
+    def test_a_call_and_its_answer_pass_unchanged(self):
+        gateway = self.start()
+        status, headers, body = send(gateway.callers, "POST", "/book/7?a=%20b", b"\x00body", X_Request_Id="abc",
+                                     X_Kv_Hold="forged", X_Stage="prefill", Content_Type="application/x-own")
+        self.assertEqual((status, headers["X-Request-Id"]), (200, "abc"))
+        (run,) = self.runs("abc")
+        self.assertEqual((run["method"], run["path"], run["body"]), ("POST", "/book/7?a=%20b", b"\x00body"))
+        self.assertEqual(run["headers"]["Host"], "shop.example")
+        self.assertEqual(run["headers"]["Content-Type"], "application/x-own")
+        self.assertNotIn("X-Kv-Hold", run["headers"])
+        self.assertNotIn("X-Stage", run["headers"])
+        self.assertLessEqual(int(run["headers"]["X-Deadline-Ms"]), 4000)
+        self.assertTrue(headers["X-Server-Stamp"] and body.startswith(b"answer of i-"))
+
+    def test_what_no_route_allows_is_refused(self):
+        gateway = self.start()
+        self.assertEqual(send(gateway.callers, "GET", "/nowhere/")[0], 404)
+        self.assertEqual(send(gateway.callers, "GET", "/book/1", host="other.example")[0], 404)
+        self.assertEqual(self.runs(), [])
+
+    # An endpoint breaks off in the middle of its answer to a booking. The caller must not be told that it did not run, the
+    # booking must not go to the other endpoint, and the half answer must not look like a whole one.
+    def test_a_booking_whose_answer_is_lost_runs_once(self):
+        gateway = self.start()
+        for behaviour in ("cut", "other_id", "encoded"):
+            self.both(behaviour)
+            status, headers, _ = send(gateway.callers, "POST", "/book/1", b"x", X_Request_Id=behaviour)
+            self.assertEqual(status, 502, behaviour)
+            self.assertNotIn("X-Server-Stamp", headers)
+            self.assertEqual(len(self.runs(behaviour)), 1)
+
+    # Both endpoints say that they are full. The caller hears so at once, with a time to come back.
+    def test_a_booking_that_nobody_takes_is_refused_as_not_run(self):
+        gateway = self.start()
+        self.both("full")
+        status, headers, _ = send(gateway.callers, "POST", "/book/1", b"x")
+        self.assertEqual((status, self.runs()), (503, []))
+        self.assertGreater(float(headers["Retry-After"]), 0)
+
+    # One endpoint is dead and still listed. Nothing of a booking was sent to it, so the other one may run it.
+    def test_a_booking_passes_over_an_endpoint_that_cannot_be_reached(self):
+        gateway = self.start()
+        self.one.end()
+        self.platform.endpoints.remove(self.one)
+        for _ in range(6):
+            self.assertEqual(send(gateway.callers, "POST", "/book/1", b"x")[0], 200)
+        self.assertEqual(len(self.two.seen), 6)
+
+    # A lookup may be repeated: an endpoint that breaks off, fails or stays silent costs the caller nothing but time.
+    def test_a_lookup_is_asked_again_elsewhere(self):
+        for behaviour in ("cut", "error", "mute", "full"):
+            with self.subTest(behaviour):
+                gateway = self.start(f"g-{behaviour}")
+                self.one.behave = behaviour
+                for _ in range(2):
+                    self.assertEqual(send(gateway.callers, "GET", "/look/1")[0], 200)
+                self.one.behave = "ok"
+
+    # An endpoint sends a second answer that nobody asked for. No caller may get it.
+    def test_bytes_after_an_answer_reach_nobody(self):
+        gateway = self.start()
+        self.both("extra")
+        for _ in range(8):
+            self.assertTrue(send(gateway.callers, "GET", "/look/1")[2].startswith(b"answer of "))
+
+    def test_an_answer_without_a_length_is_whole_at_its_end(self):
+        gateway = self.start()
+        self.both("unframed")
+        status, headers, body = send(gateway.callers, "POST", "/book/1", b"x")
+        self.assertEqual((status, int(headers["Content-Length"])), (200, len(body)))
+
+    def test_a_generation_is_read_by_one_engine_and_written_by_another(self):
+        gateway = self.start()
+        status, headers, body = send(gateway.callers, "POST", "/write/1", b"prompt", X_Request_Id="gen", **SIZE)
+        self.assertEqual((status, headers["Content-Type"]), (200, "text/event-stream"))
+        self.assertEqual(body.count(b"\n\n"), EVENTS)
+        (run,) = [run for writer in self.writers for run in writer.seen]
+        self.assertEqual(run["headers"]["X-Kv-Source"], f"{self.reader.address}/k1")
+        self.assertTrue(run["headers"]["X-Kv-Hold"])
+        self.assertIn(("POST", "/write/1"), self.reader.asked)
+
+    # The engine dies within its third event. The route does not let another one go on: what the caller got must not look
+    # whole, and no second run is made.
+    def test_a_generation_that_breaks_off_does_not_look_whole(self):
+        gateway = self.start()
+        for writer in self.writers:
+            writer.behave = "half"
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            send(gateway.callers, "POST", "/write/1", b"prompt", **SIZE)
+        self.assertEqual(sum(len(writer.seen) for writer in self.writers), 1)
+
+    # The same where the route allows it: the other engine goes on after the last whole event, and the caller sees each
+    # event once, with no half one between.
+    def test_a_resumable_generation_goes_on_at_another_engine(self):
+        gateway = self.start()
+        for writer in self.writers:
+            writer.behave = "half"
+            writer.on_half = lambda: [setattr(other, "behave", "ok") for other in self.writers]
+        status, _, body = send(gateway.callers, "POST", "/resume/1", b"prompt", **SIZE)
+        found = [line for line in body.split(b"\n") if line.startswith(b"id: ")]
+        self.assertEqual((status, found), (200, [b"id: %d" % number for number in range(1, EVENTS + 1)]))
+
+    # All engines are full for good: the caller hears so within its target, not at its deadline.
+    def test_a_generation_without_a_place_is_refused(self):
+        gateway = self.start()
+        for writer in self.writers:
+            writer.behave = "full"
+        status, headers, _ = send(gateway.callers, "POST", "/write/1", b"prompt", **SIZE)
+        self.assertEqual((status, self.reader.seen), (503, []))
+        self.assertGreater(float(headers["Retry-After"]), 0)
+
+    def test_a_leaving_endpoint_gets_no_new_work(self):
+        gateway = self.start()
+        self.platform.register(self.one, state="draining")
+        wait_until(lambda: f"endpoint={self.one.name}" in gateway.log() and "leaving=yes" in gateway.log(), "the change")
+        for _ in range(10):
+            send(gateway.callers, "GET", "/look/1")
+        self.assertEqual((len(self.one.seen), len(self.two.seen)), (0, 10))
+
+    # The store goes away and forgets its history meanwhile. Callers notice nothing, and a change made after its return
+    # is in force.
+    def test_an_outage_of_the_store_stops_nobody(self):
+        gateway = self.start()
+        self.platform.store.is_down = True
+        wait_until(lambda: "event=store_lost" in gateway.log(), "the loss to be noticed")
+        self.assertEqual(send(gateway.callers, "POST", "/book/1", b"x")[0], 200)
+        self.platform.configure(self.routes + [route("/new/", "safe", "booking")])
+        self.platform.store.forget_history()
+        self.platform.store.is_down = False
+        wait_until(lambda: send(gateway.callers, "GET", "/new/1")[0] == 200, "the change to be in force")
+
+    def test_rows_of_other_writers_stop_nobody(self):
+        self.platform.store.put("servers", "torn", b'{"service":"booking","addr')
+        self.platform.store.put("servers", "forged", b'{"service":7}')
+        self.assertEqual(send(self.start().callers, "GET", "/look/1")[0], 200)
+
+    # Two hosts, one leads. It dies: the other places generations alone at once, and leads after the lease.
+    def test_another_host_leads_after_the_leader_died(self):
+        first, second = self.start("g1"), self.start("g2")
+        wait_until(lambda: first.leads() or second.leads(), "a leader")
+        leader, other = (first, second) if first.leads() else (second, first)
+        wait_until(lambda: "event=leader_reached" in other.log(), "the link")
+        self.assertEqual(send(other.callers, "POST", "/write/1", b"prompt", **SIZE)[0], 200)
+        leader.kill()
+        self.assertEqual(send(other.callers, "POST", "/write/2", b"prompt", **SIZE)[0], 200)
+        wait_until(other.leads, "the other to lead")
+        self.assertEqual(send(other.callers, "POST", "/write/3", b"prompt", **SIZE)[0], 200)
+
+    # A host that follows hears of a change through its leader alone.
+    def test_a_change_reaches_a_host_through_the_leader(self):
+        first, second = self.start("g1"), self.start("g2")
+        wait_until(lambda: first.leads() or second.leads(), "a leader")
+        other = second if first.leads() else first
+        wait_until(lambda: "table=servers relayed=yes" in other.log(), "the relay")
+        self.platform.register(self.one, state="draining")
+        self.platform.configure(self.routes + [route("/new/", "safe", "booking")])
+        wait_until(lambda: send(other.callers, "GET", "/new/1")[0] == 200, "the change to be in force")
+        wait_until(lambda: "leaving=yes" in other.log(), "the endpoint's leaving")
+
+    # A planned stop: not ready at once, the generation in progress comes to its end, and the process ends by itself.
+    def test_a_planned_stop_cuts_nothing_off(self):
+        gateway = self.start()
+        results = []
+        caller = threading.Thread(target=lambda: results.append(send(gateway.callers, "POST", "/write/1", b"p", **SIZE)))
+        caller.start()
+        wait_until(lambda: any(writer.seen for writer in self.writers), "the generation to run")
+        gateway.send(signal.SIGTERM)
+        wait_until(lambda: send(gateway.ready, "GET", "/ready")[0] == 503, "not ready")
+        caller.join()
+        self.assertEqual((results[0][0], results[0][2].count(b"\n\n")), (200, EVENTS))
+        self.assertEqual(gateway.process.wait(timeout=30), 0)
+
+    # A caller smuggles a second call behind the first by giving its length twice. It is refused, and nothing runs.
+    def test_ambiguous_framing_is_refused(self):
+        gateway = self.start()
+        hidden = b"POST /book/9 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: hidden\r\nContent-Length: 0\r\n\r\n"
+        for framing in (b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                        b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+                        b"Content-Length: 0\r\nContent-Length: 90\r\n\r\n", b"Content-Length: +5\r\n\r\n",
+                        b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"):
+            name, port = gateway.callers.split(":")
+            with socket.create_connection((name, int(port)), timeout=20) as connection:
+                connection.sendall(b"POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: first\r\n" + framing + hidden)
+                self.assertIn(connection.recv(4096)[:12], (b"HTTP/1.1 400", b""), framing)
+        self.assertEqual(self.runs("hidden"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testing/process/userplatform.py
@@ -0,0 +1,269 @@
+"""A small stand-in of the users' platform: their store with its tables, their engines and plain endpoints.
+
+    with UserPlatform() as platform:
+        booking = platform.endpoint("booking")
+        platform.configure(routes=[route("/book/", "unsafe", "booking")])
+        booking.behave = "cut"                      # the next answers break off in the middle
+
+It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, other_id, encoded, extra,
+unframed. Of a decode engine also half: it breaks off within its third event.
+"""
+
+import base64
+import contextlib
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+EVENTS = 6
+
+
+def route(prefix, kind, service, **other):
+    return {"name": "r-" + prefix.strip("/"), "host": "shop.example", "prefix": prefix, "kind": kind, "service": service,
+            "timeout_ms": 4000, "target_latency_ms": 500, "priority": 1, "max_attempts": 1, "gap_target_ms": 300, **other}
+
+
+class Store:
+    """Tables of rows with one version counter, a feed that waits, and conditional writes."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 1
+        self.changed = threading.Condition()
+        self.is_down = False
+        self.history_from = 0
+
+    def put(self, table, key, value):
+        with self.changed:
+            self.version += 1
+            self.rows[table, key] = (value, self.version)
+            self.changed.notify_all()
+
+    def get(self, table, key):
+        return self.rows.get((table, key), (None, 0))
+
+    def forget_history(self):
+        with self.changed:
+            self.history_from = self.version + 1
+
+    def listing(self, table, after=-1, start="", end="\U0010ffff"):
+        rows = []
+        for (name, key), (value, version) in sorted(self.rows.items()):
+            if name == table and version > after and start <= key < end:
+                row = {"table": table, "part": "", "key": key, "ver": version}
+                row.update({"deleted": True} if value is None else {"value": base64.b64encode(value).decode()})
+                if value is not None or after >= 0:
+                    rows.append(row)
+        return rows
+
+    def answer(self, method, path, query, body):
+        if self.is_down:
+            return 503, {}
+        if path == "/rows-get":
+            with self.changed:
+                rows = self.listing(query["table"], -1, query.get("from", ""), query.get("to", "\U0010ffff"))
+                return 200, {"rows": rows, "ver": self.version, "now_ms": 1, "truncated": False}
+        if path == "/rows-feed":
+            return self.feed(query["table"], int(query["after"]), int(query["wait_ms"]) / 1000)
+        if path == "/rows-tx":
+            return self.transact(json.loads(body))
+        return 404, {}
+
+    def feed(self, table, after, seconds):
+        with self.changed:
+            if after < self.history_from:
+                return 410, {}
+            self.changed.wait_for(lambda: self.listing(table, after) or self.is_down, seconds)
+            return (503, {}) if self.is_down else (200, {"rows": self.listing(table, after), "ver": self.version, "now_ms": 1})
+
+    def transact(self, body):
+        with self.changed:
+            for row in body["expected"]:
+                if self.get(row["table"], row["key"])[1] != row["ver"]:
+                    return 412, {"rows": [], "ver": self.version, "now_ms": 1}
+            for row in body["set_keys"]:
+                self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+            return 200, {"ver": self.version, "now_ms": 1}
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def handle_any(self):
+        length = int(self.headers.get("Content-Length", 0))
+        body = self.rfile.read(length)
+        with contextlib.suppress(ConnectionError):
+            self.server.owner.handle(self, body)
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_any
+
+    def reply(self, status, body, headers=None, length=None):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response_only(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        if length != "none":
+            self.send_header("Content-Length", str(len(data) if length is None else length))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+class Server:
+    def __init__(self):
+        self.http = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.http.daemon_threads = True
+        self.http.owner = self
+        self.address = f"127.0.0.1:{self.http.server_address[1]}"
+        threading.Thread(target=self.http.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True).start()
+
+    def end(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class StoreServer(Server):
+    def __init__(self):
+        self.store = Store()
+        super().__init__()
+
+    def handle(self, request, body):
+        url = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        request.reply(*self.store.answer(request.command, url.path, query, body))
+
+
+class Endpoint(Server):
+    """A plain endpoint or an engine; `seen` has what it ran, `asked` all that reached it."""
+
+    def __init__(self, name, stage=None):
+        self.name = name
+        self.stage = stage
+        self.behave = "ok"
+        self.seen, self.asked, self.released = [], [], []
+        self.reservations = 0
+        self.on_half = lambda: None  # called when it broke off
+        super().__init__()
+
+    def handle(self, request, body):
+        self.asked.append((request.command, request.path))
+        expected = request.headers.get("X-Expect-Instance")
+        if expected not in (None, self.name):
+            request.reply(421, {}, {"X-Instance-Id": self.name})
+        elif request.path == "/hold-take":
+            self.reservations += 1
+            full = self.behave == "full"
+            request.reply(503 if full else 200, {} if full else {"hold": f"h{self.reservations}"})
+        elif request.path.startswith(("/hold-drop/", "/kv-handle/")):
+            self.released.append(request.path)
+            request.reply(200, {})
+        elif request.headers.get("X-Stage") == "prefill":
+            request.reply(200, {"handle": "k1", "tokens": 10, "version": 1})
+        elif self.stage == "decode":
+            self.generate(request, body)
+        else:
+            self.answer(request, body)
+
+    def note(self, request, body):
+        self.seen.append({"id": request.headers.get("X-Request-Id"), "path": request.path, "body": body,
+                          "method": request.command, "headers": dict(request.headers)})
+        return {"X-Request-Id": request.headers.get("X-Request-Id"), "X-Server-Stamp": f"{self.name}.{len(self.seen)}"}
+
+    def answer(self, request, body):
+        if self.behave == "full":
+            request.reply(503, {}, {"X-Not-Executed": "1"})
+            return
+        headers = self.note(request, body)
+        text = b"answer of " + self.name.encode()
+        if self.behave == "mute":
+            time.sleep(30)
+        elif self.behave == "cut":
+            request.reply(200, text[:5], headers, length=len(text))
+            request.close_connection = True
+        elif self.behave == "error":
+            request.reply(500, b"no", headers)
+        elif self.behave == "other_id":
+            request.reply(200, text, {**headers, "X-Request-Id": "another"})
+        elif self.behave == "encoded":
+            request.reply(200, text, {**headers, "Content-Encoding": "gzip"})
+        elif self.behave == "unframed":
+            request.reply(200, text, headers, length="none")
+            request.close_connection = True
+        else:
+            request.reply(200, text, headers)
+            if self.behave == "extra":
+                request.reply(200, b"bytes of nobody", headers)
+
+    def generate(self, request, body):
+        headers = {**self.note(request, body), "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        request.send_response_only(200)
+        for name, value in headers.items():
+            request.send_header(name, value)
+        request.end_headers()
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: {self.name}\n\n".encode()
+            if self.behave == "half" and number == 3:
+                event = event[:7]
+            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            request.wfile.flush()
+            if self.behave == "half" and number == 3:
+                request.close_connection = True
+                self.on_half()
+                return
+            time.sleep(0.02)
+        request.wfile.write(b"0\r\n\r\n")
+
+
+class UserPlatform:
+    def __init__(self):
+        self.server = StoreServer()
+        self.store = self.server.store
+        self.endpoints = []
+        self.version = 0
+        self.services = set()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for endpoint in self.endpoints:
+            endpoint.end()
+        self.server.end()
+
+    @property
+    def address(self):
+        return self.server.address
+
+    def endpoint(self, service, stage=None):
+        made = Endpoint(f"i-{len(self.endpoints)}", stage)
+        made.service = service
+        self.endpoints.append(made)
+        self.services.add((service, stage is not None))
+        self.register(made)
+        return made
+
+    def register(self, endpoint, state="ready", **other):
+        row = {"service": endpoint.service, "address": endpoint.address, "zone": "a", "version": "v1", "slots": 6,
+               "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1, **other}
+        if endpoint.stage:
+            row["stage"] = endpoint.stage
+        self.store.put("servers", endpoint.name, json.dumps(row).encode())
+
+    def remove(self, endpoint):
+        self.store.put("servers", endpoint.name, None)
+
+    def configure(self, routes):
+        self.version += 3
+        engine = {"slots": 6, "kv_capacity_tokens": 60000, "kv_hold_s": 0.5, "hold_ms": 2000.0, "stride": 50}
+        services = [{"name": name, "health_path": "/health", "max_connections": 96, **({"engine": engine} if engines else {})}
+                    for name, engines in sorted(self.services)]
+        config = {"version": self.version, "routes": routes, "services": services,
+                  "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+                             "idle_timeout_ms": 15000}}
+        self.store.put("op", "config", json.dumps(config).encode())
+        return self.version
--- a/wire/daemon.cpp
+++ b/wire/daemon.cpp
@@ -1,5 +1,7 @@
 #include "wire/daemon.h"
 
+#include "wire/log.h"
+
 #include <cxxopts.hpp>
 
 #include <iostream>
@@ -54,7 +56,9 @@
             std::cout << daemon.name << ' ' << FESCUESILL_VERSION << '\n';
             return Success;
         }
-        return runParsed(daemon, given, run);
+        const int code = runParsed(daemon, given, run);
+        Log::close();
+        return code;
     } catch (const cxxopts::exceptions::exception &failed) {
         std::cerr << daemon.name << ": " << failed.what() << '\n';
         return BadInput;
--- a/wire/log.cpp
+++ b/wire/log.cpp
@@ -4,21 +4,32 @@
 
 #include <fmt/chrono.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
 #include <iterator>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
 
-// A line is built whole and written by one fwrite, which locks the stream, so lines of several threads never mix.
+// A line is built by the thread that logs and written by the logger's own, so a pipe that nobody reads holds up no caller.
+// The queue takes the last lines rather than the first: after a fault the end is what explains it.
 
 namespace fescuesill
 {
 namespace
 {
 
+// Lines that wait to be written; some 400 bytes each. A busy host logs some hundred lines a second, so this is seconds of
+// a reader that does not read.
+constexpr std::size_t queuedLines = 1024;
+
 struct LogState {
     std::string process = "fescuesill";
     LogLevel least = LogLevel::Info;
+    std::shared_ptr<spdlog::details::thread_pool> writer; // null until opened
+    std::shared_ptr<spdlog::async_logger> logger;
+    std::atomic<std::size_t> leftOut{0}; // of those that a line has told of
 };
 
 LogState &state()
@@ -70,6 +81,32 @@
     fmt::format_to(std::back_inserter(line), "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z", parts, millis);
 }
 
+void put(std::string_view line)
+{
+    if (state().logger) {
+        state().logger->info(spdlog::string_view_t(line.data(), line.size()));
+        return;
+    }
+    std::fwrite(line.data(), 1, line.size(), stderr);
+    std::fputc('\n', stderr);
+}
+
+void tellLeftOut()
+{
+    if (!state().writer) {
+        return;
+    }
+    const std::size_t count = state().writer->overrun_counter();
+    const std::size_t before = state().leftOut.exchange(count);
+    if (count > before) {
+        fmt::memory_buffer line;
+        appendTime(line);
+        fmt::format_to(std::back_inserter(line), " level=warning process={} event=log_lines_left_out count={}",
+                       state().process, count - before);
+        put({line.data(), line.size()});
+    }
+}
+
 void write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (level < state().least) {
@@ -83,8 +120,8 @@
         fmt::format_to(std::back_inserter(line), " {}=", field.key);
         appendQuoted(line, field.value);
     }
-    line.push_back('\n');
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    put({line.data(), line.size()});
+    tellLeftOut();
 }
 
 } // namespace
@@ -141,6 +178,18 @@
 {
     state().process = std::move(process);
     state().least = least;
+    state().writer = std::make_shared<spdlog::details::thread_pool>(queuedLines, 1);
+    state().logger = std::make_shared<spdlog::async_logger>(
+        "fescuesill", std::make_shared<spdlog::sinks::stdout_sink_st>(), state().writer,
+        spdlog::async_overflow_policy::overrun_oldest);
+    state().logger->set_pattern("%v");
+    state().logger->flush_on(spdlog::level::info);
+}
+
+void Log::close()
+{
+    state().logger.reset();
+    state().writer.reset(); // its thread ends when the queue is empty
 }
 
 void Log::debug(std::string_view event, std::initializer_list<LogField> fields)
--- a/wire/log.h
+++ b/wire/log.h
@@ -1,8 +1,9 @@
 #pragma once
 
-// Structured logs on standard error, one key=value line for each event.
+// Structured logs on standard output, one key=value line for each event.
 //
-//     Log::open("entry", LogLevel::Info);
+//     Log::open("entry", LogLevel::Info);                 // a program that only answers an operator leaves this out, and
+//                                                         // its few lines go to standard error
 //     Log::info("placed", {{"request", id.value()}, {"engine", engine.value()}, {"waited_ms", 12}});
 //     // time=2026-01-02T03:04:05.678Z level=info process=entry event=placed request=r1 engine=a-p1 waited_ms=12
 
@@ -40,8 +41,12 @@
 class Log
 {
 public:
-    // Once, before the threads start.
+    // Once, before the threads start. From then on a line costs its caller no wait: it goes into a bounded queue that a
+    // thread of its own writes out. Where the reader of the logs is too slow the oldest lines give way, and a line says
+    // how many.
     static void open(std::string process, LogLevel least);
+    // Writes out what is queued. At the end of a process.
+    static void close();
 
     static void debug(std::string_view event, std::initializer_list<LogField> fields = {});
     static void info(std::string_view event, std::initializer_list<LogField> fields = {});
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -50,6 +50,20 @@
     return std::nullopt;
 }
 
+// The parser takes a transfer coding that it does not know for no body, and would read the body as the next request: a
+// request that its caller hid there would run under another caller's connection.
+bool hasUnknownCoding(const RequestParser &parser)
+{
+    const auto &header = parser.get();
+    const auto codings = header.equal_range(http::field::transfer_encoding);
+    for (auto coding = codings.first; coding != codings.second; ++coding) {
+        if (!beast::iequals(coding->value(), "chunked") || std::next(coding) != codings.second) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 bool ServerConnection::awaitByte(const asio::yield_context &yield)
@@ -73,6 +87,9 @@
     parser.body_limit(static_cast<std::uint64_t>(options.bodyLimit.value()));
     this->limitRead(options.headerLimitTime);
     http::async_read_header(this->stream, this->buffer, parser, yield[error]);
+    if (!error && hasUnknownCoding(parser)) {
+        error = http::error::bad_transfer_encoding;
+    }
     if (!error && parser.get()[http::field::expect] == "100-continue") {
         this->send("HTTP/1.1 100 Continue\r\n\r\n", yield);
     }
