--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -216,6 +216,12 @@
     return actions;
 }
 
+GateView GenerationGate::view(Instant now) const
+{
+    return {this->queue.size(),      this->placements.size(), this->engines.size(),
+            this->offeredLoad(now), this->admission.rate(),  Duration(static_cast<std::int64_t>(this->perTokenUs))};
+}
+
 std::optional<Instant> GenerationGate::nextWake(Instant now) const
 {
     std::optional<Instant> wake = this->queue.nextExpiry();
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -62,6 +62,16 @@
     Duration retryAfter;
 };
 
+// What a gate decides by, for the log.
+struct GateView {
+    std::size_t waiting = 0;
+    std::size_t placed = 0;
+    std::size_t engines = 0;
+    double offeredLoad = 0; // of the pool's whole time, lately
+    double rate = 0; // of the pool's time that is given out a second while some wait
+    Duration perToken{0};
+};
+
 using GateAction = std::variant<TryReserve, RejectGeneration>;
 
 class GenerationGate
@@ -110,6 +120,7 @@
     // The generation ended there, whole or by the engine's fault. `made`: its output; none where it did not come to any.
     void onEnded(const RequestId &id, bool isEngineFault, Tokens made, Instant now);
 
+    GateView view(Instant now) const;
     std::size_t waiting() const
     {
         return this->queue.size();
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -10,9 +10,34 @@
 
 #include "fescuesill/overloaded.h"
 #include "wire/clock.h"
+#include "wire/log.h"
 
 namespace fescuesill
 {
+namespace
+{
+
+void logDecision(const GateAction &action, const GateView &view)
+{
+    if (const auto *place = std::get_if<TryReserve>(&action)) {
+        Log::info("place_tried", {{"request", place->id.value()},
+                                  {"engine", place->engine.value()},
+                                  {"waiting", static_cast<std::uint64_t>(view.waiting)},
+                                  {"placed", static_cast<std::uint64_t>(view.placed)}});
+        return;
+    }
+    const auto &rejected = std::get<RejectGeneration>(action);
+    Log::info("place_rejected", {{"request", rejected.id.value()},
+                                 {"retry_after_ms", rejected.retryAfter.count() / 1000},
+                                 {"waiting", static_cast<std::uint64_t>(view.waiting)},
+                                 {"placed", static_cast<std::uint64_t>(view.placed)},
+                                 {"engines", static_cast<std::uint64_t>(view.engines)},
+                                 {"offered_load", view.offeredLoad},
+                                 {"rate", view.rate},
+                                 {"token_us", view.perToken.count()}});
+}
+
+} // namespace
 
 GateKeeper::GateKeeper(asio::io_context &context, FleetView &view, std::uint64_t number)
     : io(context)
@@ -51,6 +76,7 @@
 void GateKeeper::poll(Gate &gate)
 {
     for (const GateAction &action : gate.core.poll(steadyNow())) {
+        logDecision(action, gate.core.view(steadyNow()));
         this->deliver(action);
     }
     this->armTimer(gate);
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -264,7 +264,7 @@
 
 int runGateway(const GatewaySettings &settings)
 {
-    Log::open("gateway", settings.logLevel);
+    Log::open("gateway", settings.logLevel, settings.host.value());
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN); // settings are read at the start; a changed one comes with a restart
     return Gateway(settings).run();
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -151,6 +151,7 @@
         if (!reader) {
             return std::nullopt;
         }
+        this->reader = reader->id;
         if (auto result = this->prefillAt(*reader, yield)) {
             return result;
         }
@@ -263,12 +264,14 @@
         return Ended::NoPlace;
     }
     this->engine = place->engine.id;
+    this->placed = steadyNow() - this->call.arrival;
     std::optional<Prefill> read;
     try {
         if (!this->readsItself) {
             read = this->prefill(place->engine, yield);
         }
         this->readsItself = !read;
+        this->read = steadyNow() - this->call.arrival;
         const Ended ended = this->generate(*place, read, yield);
         if (ended == Ended::NotRun) {
             this->release(*place, read);
@@ -304,6 +307,7 @@
 void GenerationForward::logEnd(const char *outcome) const
 {
     const GenerationAsk asked = this->ask();
+    const auto millis = [](const std::optional<Duration> &time) { return time ? time->count() / 1000 : -1; };
     Log::info("generation_ended", {{"request", this->call.head.id.value()},
                                    {"route", this->call.route.name},
                                    {"config", this->call.version.value()},
@@ -314,7 +318,10 @@
                                    {"prompt", asked.prompt.value()},
                                    {"expected_output", asked.output.value()},
                                    {"output", this->made().value()},
-                                   {"first_event_ms", this->firstEvent ? this->firstEvent->count() / 1000 : -1},
+                                   {"reader", this->reader.value()},
+                                   {"placed_ms", millis(this->placed)},
+                                   {"read_ms", millis(this->read)},
+                                   {"first_event_ms", millis(this->firstEvent)},
                                    {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
                                    {"last_fault", this->lastFault}});
 }
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -67,7 +67,11 @@
     int sends = 0; // to decode engines, of which at least a byte left
     bool isStarted = false; // the caller has the head of the answer
     bool readsItself = false; // the decode engine reads the prompt: no prefill engine could
-    std::optional<Duration> firstEvent; // from the arrival
+    // From the arrival, for the log.
+    std::optional<Duration> placed;
+    std::optional<Duration> read;
+    std::optional<Duration> firstEvent;
+    EndpointId reader; // the prefill engine asked last
 };
 
 } // namespace fescuesill
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -110,6 +110,8 @@
                             {"config", this->call.version.value()},
                             {"endpoint", answer.endpoint.value()},
                             {"sends", this->sends},
+                            {"tried", static_cast<std::uint64_t>(this->tried.size())},
+                            {"last_fault", this->lastFault},
                             {"status", answer.head.status},
                             {"took_ms", (steadyNow() - this->call.arrival).count() / 1000}});
     this->call.reply.forward(answer.head.status, answer.response.body, answer.head.headers, yield);
--- a/wire/log.cpp
+++ b/wire/log.cpp
@@ -26,6 +26,7 @@
 
 struct LogState {
     std::string process = "fescuesill";
+    std::string host; // as it stands in a line
     LogLevel least = LogLevel::Info;
     std::shared_ptr<spdlog::details::thread_pool> writer; // null until opened
     std::shared_ptr<spdlog::async_logger> logger;
@@ -101,8 +102,8 @@
     if (count > before) {
         fmt::memory_buffer line;
         appendTime(line);
-        fmt::format_to(std::back_inserter(line), " level=warning process={} event=log_lines_left_out count={}",
-                       state().process, count - before);
+        fmt::format_to(std::back_inserter(line), " level=warning process={}{} event=log_lines_left_out count={}",
+                       state().process, state().host, count - before);
         put({line.data(), line.size()});
     }
 }
@@ -114,8 +115,8 @@
     }
     fmt::memory_buffer line;
     appendTime(line);
-    fmt::format_to(std::back_inserter(line), " level={} process={} event={}",
-                   levelNames[static_cast<std::size_t>(level)], state().process, event);
+    fmt::format_to(std::back_inserter(line), " level={} process={}{} event={}",
+                   levelNames[static_cast<std::size_t>(level)], state().process, state().host, event);
     for (const LogField &field : fields) {
         fmt::format_to(std::back_inserter(line), " {}=", field.key);
         appendQuoted(line, field.value);
@@ -174,9 +175,10 @@
 {
 }
 
-void Log::open(std::string process, LogLevel least)
+void Log::open(std::string process, LogLevel least, const std::string &host)
 {
     state().process = std::move(process);
+    state().host = host.empty() ? std::string() : " host=" + host;
     state().least = least;
     state().writer = std::make_shared<spdlog::details::thread_pool>(queuedLines, 1);
     state().logger = std::make_shared<spdlog::async_logger>(
--- a/wire/log.h
+++ b/wire/log.h
@@ -44,7 +44,8 @@
     // Once, before the threads start. From then on a line costs its caller no wait: it goes into a bounded queue that a
     // thread of its own writes out. Where the reader of the logs is too slow the oldest lines give way, and a line says
     // how many.
-    static void open(std::string process, LogLevel least);
+    // `host` is named in each line where it is given.
+    static void open(std::string process, LogLevel least, const std::string &host = {});
     // Writes out what is queued. At the end of a process.
     static void close();
 
