Order prefill engines over to decode while generations wait, under the lease

Cause: the split of engines is a guess of the deployment; in bursts generations wait for decode memory while prefill engines are 35 to 45% busy. Ruled out by trials: orders with the count from the registry's row (all refused: there the field counts writes of the row), orders without counting those under way (all prefill engines ordered within seconds, reads refused past the retry budget), a pool that gives down to 80% use (reads waited 0.9 s). Now one engine a second at most, to 60% use, hosts hear of it before the engine does, and a refused read is paid from the budget. A holder orders only a whole lease after it took the lease from another.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -137,6 +137,10 @@
 
 void GenerationGate::place(const GenerationAsk &ask, Engine &engine, Instant now)
 {
+    const auto window = static_cast<double>(this->options.loadWindow.count());
+    this->promptTokens *= std::exp(-static_cast<double>((now - this->promptTokensAt).count()) / window);
+    this->promptTokens += static_cast<double>(ask.prompt.value());
+    this->promptTokensAt = now;
     engine.runs[ask.id] = GrowingRun{ask.prompt, this->estimate.expect(ask.output, ask.mostOutput), now};
     this->placements[ask.id] = Placement{ask, engine.places.engine, engine.places.incarnation, now, false};
 }
@@ -216,6 +220,19 @@
     return actions;
 }
 
+StageLoad GenerationGate::stageLoad(Instant now) const
+{
+    const auto window = static_cast<double>(this->options.loadWindow.count());
+    const double faded =
+        this->promptTokens * std::exp(-static_cast<double>((now - this->promptTokensAt).count()) / window);
+    std::int64_t need = 0;
+    for (const auto &[id, placement] : this->placements) {
+        need += placement.ask.need().value();
+    }
+    const auto all = static_cast<double>(std::max<std::int64_t>(1, this->memory.value()));
+    return {faded / (window / 1e6), static_cast<double>(need) / all, this->queue.size() > 0};
+}
+
 GateView GenerationGate::view(Instant now) const
 {
     return {this->queue.size(),      this->placements.size(), this->engines.size(),
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -72,6 +72,13 @@
     Duration perToken{0};
 };
 
+// How busy the two pools are, for moving engines between them.
+struct StageLoad {
+    double promptTokensPerSecond = 0;
+    double decodeUse = 0; // share of the decode memory that the placed generations will take
+    bool isWaiting = false;
+};
+
 using GateAction = std::variant<TryReserve, RejectGeneration>;
 
 class GenerationGate
@@ -121,6 +128,7 @@
     void onEnded(const RequestId &id, bool isEngineFault, Tokens made, Instant now);
 
     GateView view(Instant now) const;
+    StageLoad stageLoad(Instant now) const;
     std::size_t waiting() const
     {
         return this->queue.size();
@@ -172,6 +180,8 @@
     std::unordered_map<RequestId, Placement> placements;
     OutputEstimate estimate;
     double offered = 0; // cost in microseconds of the pool's time that came within the window, faded
+    double promptTokens = 0; // placed within the window, faded
+    Instant promptTokensAt;
     Instant offeredAt;
     std::unordered_map<EngineId, Engine> engines;
     Tokens memory; // of all engines
--- a/decide/prefillchoice.cpp
+++ b/decide/prefillchoice.cpp
@@ -3,12 +3,15 @@
 
 #include "decide/prefillchoice.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace fescuesill
 {
 
 constexpr double farTokens = 6000; // one long prompt: the wait behind it costs about what the longer transfer does
+constexpr std::int64_t leastPrompt = 500; // the way there and back is most of the time of a shorter one
+constexpr double slackEachRead = 1.01; // the fastest read is forgotten over a hundred
 constexpr double faultTokens = 50000; // ten of them: a failed read costs the caller its target
 
 std::optional<EngineId> PrefillChoice::pick(const std::vector<PrefillCandidate> &candidates, Instant now)
@@ -39,4 +42,13 @@
     load.faults.add(isFault ? 1 : 0, now);
 }
 
+void PrefillChoice::onRead(Tokens prompt, Duration took)
+{
+    if (prompt.value() < leastPrompt) {
+        return;
+    }
+    const double each = static_cast<double>(took.count()) / static_cast<double>(prompt.value());
+    this->perTokenUs = this->perTokenUs ? std::min(each, *this->perTokenUs * slackEachRead) : each;
+}
+
 } // namespace fescuesill
--- a/decide/prefillchoice.h
+++ b/decide/prefillchoice.h
@@ -34,6 +34,12 @@
     std::optional<EngineId> pick(const std::vector<PrefillCandidate> &candidates, Instant now);
     void onSent(const EngineId &engine, Tokens prompt);
     void onEnded(const EngineId &engine, Tokens prompt, bool isFault, Instant now);
+    // A read that came to its end. What the fastest of late took for each token: without waits; none before the first.
+    void onRead(Tokens prompt, Duration took);
+    std::optional<double> microsecondsPerToken() const
+    {
+        return this->perTokenUs;
+    }
 
 private:
     struct Load {
@@ -43,6 +49,7 @@
 
     std::mt19937_64 random;
     std::unordered_map<EngineId, Load> loads;
+    std::optional<double> perTokenUs;
 };
 
 } // namespace fescuesill
--- a/decide/routingconfig.h
+++ b/decide/routingconfig.h
@@ -20,6 +20,7 @@
     int slots = 1; // requests that one engine runs at once
     Duration resultLife{0}; // how long a prefill result is kept until it is fetched
     Duration longestReservation{0};
+    Duration stageChange{0}; // from an order until an engine is back in its other stage, after its running work
     Tokens perEvent{1}; // of the output in one event of a stream
 };
 
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -66,7 +66,7 @@
 {
     std::vector<PrefillCandidate> candidates;
     for (const EndpointRecord *record : this->registry.usable(service)) {
-        if (record->part == EndpointPart::Prefill) {
+        if (record->part == EndpointPart::Prefill && !this->isChanging(*record)) {
             candidates.push_back({EngineId(record->id.value()), record->dataCentre == decode});
         }
     }
@@ -77,7 +77,7 @@
 {
     std::vector<DecodePlaces> places;
     for (const EndpointRecord *record : this->registry.usable(service)) {
-        if (record->part == EndpointPart::Decode) {
+        if (record->part == EndpointPart::Decode && !this->isChanging(*record)) {
             places.push_back({EngineId(record->id.value()), record->incarnation, traits.memory, record->slots,
                               record->dataCentre});
         }
@@ -85,6 +85,40 @@
     return places;
 }
 
+void FleetView::setChanging(const EndpointId &id, Instant until)
+{
+    if (const EndpointRecord *record = this->registry.find(id)) {
+        this->changes[id] = Change{record->part, until};
+    }
+}
+
+bool FleetView::isChanging(const EndpointRecord &record) const
+{
+    const auto found = this->changes.find(record.id);
+    return found != this->changes.end() && found->second.from == record.part;
+}
+
+void FleetView::expire(Instant now)
+{
+    this->registry.expire(now);
+    for (auto change = this->changes.begin(); change != this->changes.end();) {
+        const EndpointRecord *record = this->registry.find(change->first);
+        const bool isOver = now >= change->second.until || record == nullptr || record->part != change->second.from;
+        change = isOver ? this->changes.erase(change) : std::next(change);
+    }
+}
+
+std::vector<EndpointRecord> FleetView::enginesOf(const ServiceId &service, EndpointPart part) const
+{
+    std::vector<EndpointRecord> found;
+    for (const EndpointRecord *record : this->registry.usable(service)) {
+        if (record->part == part) {
+            found.push_back(*record);
+        }
+    }
+    return found;
+}
+
 std::optional<EndpointRecord> FleetView::usable(const EndpointId &id) const
 {
     const EndpointRecord *record = this->registry.find(id);
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -36,9 +36,13 @@
     std::vector<EndpointCandidate> plainCandidates(const ServiceId &service) const;
     std::vector<PrefillCandidate> prefillCandidates(const ServiceId &service, const DataCentreId &decode) const;
     std::vector<DecodePlaces> decodePlaces(const ServiceId &service, const EngineTraits &traits) const;
+    std::vector<EndpointRecord> enginesOf(const ServiceId &service, EndpointPart part) const;
     // The endpoint as it is now; empty where it takes no new work.
     std::optional<EndpointRecord> usable(const EndpointId &id) const;
 
+    // The engine is changing its stage and takes no work; over when its row shows the other stage, or then.
+    void setChanging(const EndpointId &id, Instant until);
+
     EndpointPicker &picker()
     {
         return this->plainPicker;
@@ -49,19 +53,23 @@
     }
     // Retries towards one service, shared by all its routes.
     RetryBudget &budget(const ServiceId &service);
-    void expire(Instant now)
-    {
-        this->registry.expire(now);
-    }
+    void expire(Instant now);
 
 private:
+    struct Change {
+        EndpointPart from = EndpointPart::Plain;
+        Instant until;
+    };
+
     void takeConfig(const std::shared_ptr<const RoutingConfig> &read);
+    bool isChanging(const EndpointRecord &record) const;
 
     DataCentreId dataCentre;
     RetryBudget::Options retries;
     std::shared_ptr<const RoutingConfig> config;
     bool isListed = false;
     EndpointRegistry registry;
+    std::map<EndpointId, Change> changes; // one for each engine that was ever ordered, while it is known
     EndpointPicker plainPicker;
     PrefillChoice prefillChoice;
     std::map<ServiceId, RetryBudget> budgets; // of the services that the configuration names or named
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -73,6 +73,12 @@
     }
 }
 
+std::optional<StageLoad> GateKeeper::stageLoad(const ServiceId &service) const
+{
+    const auto found = this->gates.find(service);
+    return found == this->gates.end() ? std::nullopt : std::optional(found->second.core.stageLoad(steadyNow()));
+}
+
 void GateKeeper::poll(Gate &gate)
 {
     for (const GateAction &action : gate.core.poll(steadyNow())) {
@@ -264,6 +270,12 @@
     }
 }
 
+void GateKeeper::onChanging(const peer::EngineChanging &message)
+{
+    this->fleet.setChanging(EndpointId(message.engine.value()), steadyNow() + message.lasts);
+    this->onFleetChanged();
+}
+
 void GateKeeper::onAsk(LinkId link, const Send &reply, const peer::AskPlace &message)
 {
     const Instant now = steadyNow();
--- a/programs/gateway/gatekeeper.h
+++ b/programs/gateway/gatekeeper.h
@@ -39,11 +39,14 @@
     void wake(const RequestId &id);
     // Engines came, left or changed.
     void onFleetChanged();
+    // None for a service that nothing was placed for yet.
+    std::optional<StageLoad> stageLoad(const ServiceId &service) const;
 
     // Towards the leader; empty where there is none to be reached.
     void setUplink(Send send);
     void onTry(const peer::TryPlace &message);
     void onNone(const peer::NoPlace &message);
+    void onChanging(const peer::EngineChanging &message);
 
     // From a host that follows this one.
     void onAsk(LinkId link, const Send &reply, const peer::AskPlace &message);
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -6,6 +6,7 @@
 #include "programs/gateway/generationforward.h"
 #include "programs/gateway/leaderlink.h"
 #include "programs/gateway/plainforward.h"
+#include "programs/gateway/stageorders.h"
 #include "promise/draining.h"
 #include "wire/clock.h"
 #include "wire/log.h"
@@ -44,6 +45,7 @@
         , gates(this->io, this->fleet, this->seed + 2)
         , client(this->io, clientOptions(given))
         , services{this->settings, this->io, this->fleet, this->gates, this->client}
+        , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
         , signals(this->io, SIGTERM, SIGINT)
@@ -59,6 +61,7 @@
     void answerReady(HttpReply &reply, const asio::yield_context &yield) const;
     void takeUpdates();
     void applyLimits();
+    void onChanging(const peer::EngineChanging &change);
     void onTick();
     void armTick();
     bool openLinks();
@@ -70,6 +73,7 @@
     GateKeeper gates;
     HttpClient client;
     GatewayServices services;
+    StageOrders orders;
     Draining draining;
     asio::steady_timer timer;
     asio::signal_set signals;
@@ -97,6 +101,15 @@
     this->gates.onFleetChanged();
 }
 
+void Gateway::onChanging(const peer::EngineChanging &change)
+{
+    this->fleet.setChanging(EndpointId(change.engine.value()), steadyNow() + change.lasts);
+    this->gates.onFleetChanged();
+    if (this->links) {
+        this->links->onNews({change, std::nullopt});
+    }
+}
+
 void Gateway::applyLimits()
 {
     const auto &config = this->fleet.inForce();
@@ -185,6 +198,7 @@
     if (this->links) {
         this->links->onTick(now);
     }
+    this->orders.onTick(*this->store, now);
     this->draining.onWork({this->inProgress, 0, 0});
     if (!this->draining.admits(now)) {
         this->callers->closeIdle();
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -123,6 +123,7 @@
     const Tokens prompt = this->call.head.generation ? this->call.head.generation->prompt : unknownSize;
     const EngineId id(reader.id.value());
     services.fleet.prefills().onSent(id, prompt);
+    const Instant begin = steadyNow();
     std::optional<KvId> result;
     try {
         const HttpResponse response = services.client.call(
@@ -132,6 +133,9 @@
     } catch (const HttpError &error) {
         this->lastFault = error.what();
     }
+    if (result) {
+        services.fleet.prefills().onRead(prompt, steadyNow() - begin);
+    }
     services.fleet.prefills().onEnded(id, prompt, !result && !this->abort.isAborted(), steadyNow());
     return result ? std::optional(Prefill{reader.address, *result}) : std::nullopt;
 }
@@ -156,6 +160,10 @@
             return result;
         }
         this->checkCaller();
+        // A read that was refused is a try of its own, also the first: without budget for it no other engine is asked.
+        if (isFree && !fleet.budget(this->call.service).take()) {
+            return std::nullopt;
+        }
         candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                         [&](const PrefillCandidate &other) { return other.engine == *chosen; }),
                          candidates.end());
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -174,6 +174,7 @@
                               this->store->onNews(news);
                           },
                           [&](const peer::ConfigNews &news) { this->store->onNews(news); },
+                          [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
                           [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
                           [&](const peer::LeadEnded &) { this->onLeader({}); },
                           [&](const peer::AskPlace &ask) { this->gates.onAsk(link, reply, ask); },
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -322,6 +322,12 @@
     this->push(now);
 }
 
+std::optional<FencingNumber> StoreDuty::mayOrder() const
+{
+    const bool isAllowed = bootNow().time_since_epoch().count() < this->ordersUntil;
+    return isAllowed ? std::optional(FencingNumber(this->orderFencing)) : std::nullopt;
+}
+
 void StoreDuty::leadOnce(StoreClient &store, const asio::yield_context &yield)
 {
     const LeadershipAction action = this->leadership.next(bootNow());
@@ -361,6 +367,10 @@
             Log::info("lease_unknown", {{"reason", error.what()}});
             this->leadership.onFailed(bootNow());
         }
+        const auto until = this->leadership.ordersUntil(bootNow());
+        // The number before the permission: whoever sees the permission sees its number.
+        this->orderFencing = this->leadership.version().value();
+        this->ordersUntil = until ? until->time_since_epoch().count() : 0;
         this->tellLeader();
     }
 }
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -91,6 +91,8 @@
     void onLeaderLostStore();
     // A host that follows this one has all up to a version.
     void addFollower(LinkId link, std::uint64_t version);
+    // With which number this host may give orders now; none where it may not. Asked right before each order.
+    std::optional<FencingNumber> mayOrder() const;
     // Whether the leader hands on the registry's changes.
     bool isRelayed() const
     {
@@ -149,6 +151,8 @@
     std::atomic<bool> isStopping{false};
     std::atomic<std::uint64_t> known{0};
     std::atomic<bool> relayed{false};
+    std::atomic<std::int64_t> ordersUntil{0}; // microseconds of the clock that counts suspension
+    std::atomic<std::int64_t> orderFencing{0};
     // Of the duty's own thread, like all below.
     Followed config;
     Followed registry;
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -37,7 +37,6 @@
     EndpointPart part = EndpointPart::Plain;
     int slots = 1; // requests at once
     bool isLeaving = false; // takes no new work
-    std::int64_t orders = 0; // accepted since its start
 
     bool isSameStart(const EndpointRecord &other) const
     {
--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -56,6 +56,15 @@
     return this->held && now < *this->held + this->options.lease - this->options.margin;
 }
 
+std::optional<Instant> Leadership::ordersUntil(Instant now) const
+{
+    const bool isSettled = now >= this->taken + this->options.lease + this->options.margin;
+    if (!this->isLeading(now) || !isSettled) {
+        return std::nullopt;
+    }
+    return *this->held + this->options.lease - this->options.margin;
+}
+
 LeadershipAction Leadership::next(Instant now) const
 {
     if (!this->isRead) {
@@ -106,6 +115,7 @@
     this->row = this->self;
     this->row->renewals = renewals;
     this->rowVersion = version;
+    this->taken = this->held ? this->taken : sent;
     this->held = sent;
     this->hasHeld = true;
 }
--- a/promise/testing/leadership_test.cpp
+++ b/promise/testing/leadership_test.cpp
@@ -83,8 +83,8 @@
     }
     std::optional<leadership_action::WriteLease> late;
     Instant now(Duration(1'000'000));
-    std::optional<std::size_t> lastLeader;
-    Instant lastLed;
+    std::optional<std::size_t> lastOrdered;
+    Instant lastOrder;
     for (int step = 0; step < 600; ++step, now += 50ms) {
         const auto number = static_cast<std::size_t>(*rc::gen::inRange(0, 3));
         const int fault = *rc::gen::weightedElement<int>({{12, 0}, {2, 1}, {1, 2}, {1, 3}, {1, 4}});
@@ -95,10 +95,12 @@
         }
         int leaders = 0;
         for (std::size_t each = 0; each < hosts.size(); ++each) {
-            if (hosts[each].leadership.isLeading(now)) {
-                ++leaders;
-                lastLeader = each;
-                lastLed = now;
+            leaders += hosts[each].leadership.isLeading(now) ? 1 : 0;
+            if (now >= hosts[each].frozenUntil && hosts[each].leadership.ordersUntil(now)) {
+                // Orders of two hosts are a whole lease apart.
+                RC_ASSERT(!lastOrdered || *lastOrdered == each || now >= lastOrder + options.lease);
+                lastOrdered = each;
+                lastOrder = now;
             }
         }
         RC_ASSERT(leaders <= 1);
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -467,6 +467,13 @@
     visit(m.rowVersion);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, EngineChanging &m)
+{
+    visit(m.engine);
+    visit(m.lasts);
+}
+
 template<typename Visitor>
 void fields(Visitor & /*visit*/, StoreLost & /*m*/)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -250,6 +250,12 @@
     std::uint64_t rowVersion = 0;
 };
 
+// The leader to a gateway: this engine is ordered to change its stage and takes no work for so long.
+struct EngineChanging {
+    EngineId engine;
+    Duration lasts{0};
+};
+
 // The leader to a gateway: it cannot read the store.
 struct StoreLost {
 };
@@ -261,7 +267,7 @@
 using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
                              DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, AskPlace,
                              TryPlace, NoPlace, PlaceNews, HeldPlaces, FollowStore, RegistryNews, ConfigNews,
-                             StoreLost, LeadEnded>;
+                             EngineChanging, StoreLost, LeadEnded>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
