--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -245,12 +245,6 @@
     }
     this->callers = std::move(*opened);
     this->ready = std::move(*openedReady);
-    this->signals.async_wait([this](const boost::system::error_code &error, int) {
-        if (!error) {
-            Log::info("stopping", {{"in_progress", this->inProgress}});
-            this->draining.start(steadyNow());
-        }
-    });
     if (!this->openLinks()) {
         return 1;
     }
@@ -260,6 +254,13 @@
     if (this->links) {
         this->links->setStore(*this->store);
     }
+    this->signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            Log::info("stopping", {{"in_progress", this->inProgress}});
+            this->draining.start(steadyNow());
+            this->store->release();
+        }
+    });
     this->armTick();
     Log::info("started", {{"host", this->settings.host.value()},
                           {"data_centre", this->settings.dataCentre.value()},
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -307,10 +307,20 @@
     }
 }
 
+void StoreDuty::release()
+{
+    asio::post(this->io, [this] {
+        this->leadership.release();
+        this->leadTimer.cancel();
+    });
+}
+
 // The forwarding thread is told where this changes for it: another holder, or this host's lease begun or over.
 void StoreDuty::tellLeader()
 {
-    store_update::Leader now{this->leadership.holder(), this->isLeading(), this->leadership.version()};
+    const auto &row = this->leadership.holder();
+    store_update::Leader now{row && !row->host.isEmpty() ? row : std::nullopt, this->isLeading(),
+                             this->leadership.version()};
     const bool isSameHolder = now.holder.has_value() == this->told.holder.has_value()
         && (!now.holder || now.holder->isSameHolder(*this->told.holder));
     if (isSameHolder && now.isSelf == this->told.isSelf) {
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -85,6 +85,8 @@
     // All safe on any thread.
     // Whether this host hears from the leader.
     void setLeaderSeen(bool isSeen);
+    // This host stops: it leads no more.
+    void release();
     // The leader hands on changes: this host reads the store itself only where the leader cannot.
     void onNews(const peer::RegistryNews &news);
     void onNews(const peer::ConfigNews &news);
--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -59,14 +59,25 @@
 std::optional<Instant> Leadership::ordersUntil(Instant now) const
 {
     const bool isSettled = now >= this->taken + this->options.lease + this->options.margin;
-    if (!this->isLeading(now) || !isSettled) {
+    if (!this->isLeading(now) || !isSettled || this->isReleasing) {
         return std::nullopt;
     }
     return *this->held + this->options.lease - this->options.margin;
 }
 
+void Leadership::release()
+{
+    this->isReleasing = true;
+}
+
 LeadershipAction Leadership::next(Instant now) const
 {
+    if (this->isReleasing) {
+        if (this->held && this->isOwnRow()) {
+            return leadership_action::WriteLease{LeaseRow{HostId(), {}, this->row->renewals + 1}, this->rowVersion};
+        }
+        return leadership_action::WaitUntil{now + this->options.look};
+    }
     if (!this->isRead) {
         return now < this->nextLook ? LeadershipAction(leadership_action::WaitUntil{this->nextLook})
                                     : leadership_action::ReadLease{};
@@ -80,7 +91,7 @@
         renewed.renewals = this->row ? this->row->renewals + 1 : 1;
         return leadership_action::WriteLease{renewed, this->rowVersion};
     }
-    const bool isFree = !this->row || this->isOwnRow()
+    const bool isFree = !this->row || this->row->host.isEmpty() || this->isOwnRow()
         || now >= this->changed + this->options.lease + this->options.margin;
     if (isFree && !this->isSeen) {
         LeaseRow taken = this->self;
@@ -112,6 +123,12 @@
 void Leadership::onWritten(RowVersion version, Instant sent)
 {
     const std::int64_t renewals = this->row ? this->row->renewals + 1 : 1;
+    if (this->isReleasing) {
+        this->row = LeaseRow{HostId(), {}, renewals};
+        this->rowVersion = version;
+        this->held.reset();
+        return;
+    }
     this->row = this->self;
     this->row->renewals = renewals;
     this->rowVersion = version;
--- a/promise/leadership.h
+++ b/promise/leadership.h
@@ -21,7 +21,7 @@
 {
 
 struct LeaseRow {
-    HostId host;
+    HostId host; // empty: the last holder gave it back
     std::string address; // IP:PORT of its links
     std::int64_t renewals = 0;
 
@@ -75,6 +75,8 @@
 
     // This host hears from the leader, or has lost sight of it.
     void onLeaderSeen(bool isSeen);
+    // This host stops: it gives the lease back, so that another need not wait for its end, and takes none again.
+    void release();
     LeadershipAction next(Instant now) const;
     // The row, or none where there is none.
     void onRead(const std::optional<LeaseRow> &row, RowVersion version, Instant now);
@@ -114,6 +116,7 @@
     bool isRead = false; // since the start or the last doubt
     bool isSeen = false;
     bool hasHeld = false; // since the start
+    bool isReleasing = false;
     Instant taken; // when this term began
     Instant changed; // when the version was first seen here
     std::optional<Instant> held; // the send of the last accepted renewal
--- a/promise/testing/leadership_test.cpp
+++ b/promise/testing/leadership_test.cpp
@@ -146,6 +146,32 @@
     EXPECT_TRUE(next.leadership.isLeading(now));
 }
 
+// The leader stops as planned. Without its word the others would wait for its lease to end, seconds in which each decides by
+// its own part of the load; it gives the lease back and the next one takes it at its next look. Orders still wait.
+TEST(Leadership, IsHandedOverInAPlannedStop)
+{
+    LeaseStore store;
+    Host stopping("a", {});
+    Host next("b", {});
+    std::optional<leadership_action::WriteLease> late;
+    Instant now(Duration(1'000'000));
+    turn(stopping, store, 0, now, late);
+    turn(stopping, store, 0, now, late);
+    turn(next, store, 0, now, late);
+    stopping.leadership.release();
+    turn(stopping, store, 0, now, late);
+    EXPECT_FALSE(stopping.leadership.isLastHolder());
+    const Instant begin = now;
+    while (!next.leadership.isLeading(now) && now < begin + 10s) {
+        now += 50ms;
+        turn(stopping, store, 0, now, late);
+        turn(next, store, 0, now, late);
+    }
+    EXPECT_LE(now - begin, 700ms);
+    EXPECT_FALSE(next.leadership.ordersUntil(now));
+    EXPECT_FALSE(stopping.leadership.isLeading(now));
+}
+
 // The leader is cut off from the table and from nothing else. Its lease ends, so it gives no orders; it goes on placing for
 // the hosts that reach it, until it reads that another one leads.
 TEST(Leadership, GoesOnWithWhatNeedsNoLease)
@@ -192,6 +218,7 @@
     EXPECT_EQ(back->host, HostId("a"));
     EXPECT_EQ(back->address, "10.0.0.1:7660");
     EXPECT_EQ(back->renewals, 7);
+    EXPECT_TRUE(decodeLeaseRow(encode(LeaseRow{}))->host.isEmpty());
     for (const char *bad : {"", "{", "[]", "7", "{\"host\":1}", "{\"host\":\"a\",\"address\":\"b\",\"renewals\":\"c\"}"}) {
         EXPECT_FALSE(decodeLeaseRow(bad)) << bad;
     }
--- a/testing/process/test_gateway.py
+++ b/testing/process/test_gateway.py
@@ -226,6 +226,16 @@
         wait_until(other.leads, "the other to lead")
         self.assertEqual(send(other.callers, "POST", "/write/3", b"prompt", **SIZE)[0], 200)
 
+    # The leader stops as planned while its own generation still runs: the other leads long before that host is gone.
+    def test_a_stopping_leader_hands_over(self):
+        first, second = self.start("g1"), self.start("g2")
+        wait_until(lambda: first.leads() or second.leads(), "a leader")
+        leader, other = (first, second) if first.leads() else (second, first)
+        wait_until(lambda: "event=leader_reached" in other.log(), "the link")
+        leader.send(signal.SIGTERM)
+        wait_until(other.leads, "the other to lead")
+        self.assertEqual(send(other.callers, "POST", "/write/1", b"prompt", **SIZE)[0], 200)
+
     # A host that follows hears of a change through its leader alone.
     def test_a_change_reaches_a_host_through_the_leader(self):
         first, second = self.start("g1"), self.start("g2")
