Pay for a failed read in advance; metrics of the gateway

A read is now risked only where its failure can be paid. A pool that reads gives engines away down to half its time only, and gets them back when reads wait.

--- a/decide/prefillchoice.cpp
+++ b/decide/prefillchoice.cpp
@@ -11,6 +11,7 @@
 
 constexpr double farTokens = 6000; // one long prompt: the wait behind it costs about what the longer transfer does
 constexpr std::int64_t leastPrompt = 500; // the way there and back is most of the time of a shorter one
+constexpr double readWeight = 0.1; // of one read in the mean
 constexpr double slackEachRead = 1.01; // the fastest read is forgotten over a hundred
 constexpr double faultTokens = 50000; // ten of them: a failed read costs the caller its target
 
@@ -48,6 +49,7 @@
         return;
     }
     const double each = static_cast<double>(took.count()) / static_cast<double>(prompt.value());
+    this->meanUs = this->perTokenUs ? this->meanUs + readWeight * (each - this->meanUs) : each;
     this->perTokenUs = this->perTokenUs ? std::min(each, *this->perTokenUs * slackEachRead) : each;
 }
 
--- a/decide/prefillchoice.h
+++ b/decide/prefillchoice.h
@@ -41,6 +41,12 @@
         return this->perTokenUs;
     }
 
+    // How many times the fastest the mean read takes: its wait behind others.
+    double slowdown() const
+    {
+        return this->perTokenUs ? this->meanUs / *this->perTokenUs : 1;
+    }
+
 private:
     struct Load {
         Tokens reading; // for this host
@@ -50,6 +56,7 @@
     std::mt19937_64 random;
     std::unordered_map<EngineId, Load> loads;
     std::optional<double> perTokenUs;
+    double meanUs = 0;
 };
 
 } // namespace fescuesill
--- /dev/null
+++ b/decide/testing/promptread_test.cpp
@@ -0,0 +1,65 @@
+#include "decide/promptread.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+RetryBudget::Options budgetOf(double most)
+{
+    return {0.1, most, most};
+}
+
+// Every prefill engine is dark. Each generation that asked one sends at least twice, so without a check before the first
+// read the fleet overspends its retries by as many as it has callers; generations must go straight to decode engines once
+// the budget is used up, and be served there.
+TEST(PromptRead, StaysWithinTheBudgetWhileAllPrefillEnginesAreDark)
+{
+    RetryBudget budget(budgetOf(2));
+    const int generations = 300;
+    int beyondFirst = 0;
+    for (int number = 0; number < generations; ++number) {
+        budget.onSuccess();
+        PromptRead read(true);
+        int sends = 0;
+        ReadStep step = read.first(budget);
+        while (step == ReadStep::AskPrefill) {
+            ++sends;
+            step = read.onFailed(budget);
+        }
+        ++sends; // to the decode engine
+        beyondFirst += sends - 1;
+    }
+    EXPECT_LE(beyondFirst, generations * 0.1 + 2);
+}
+
+TEST(PromptRead, AsksPrefillWhileAllIsWell)
+{
+    RetryBudget budget(budgetOf(2));
+    for (int number = 0; number < 100; ++number) {
+        EXPECT_EQ(PromptRead(true).first(budget), ReadStep::AskPrefill);
+    }
+    EXPECT_EQ(budget.left(), 2);
+}
+
+TEST(PromptRead, AsksASecondEngineAfterOneFailure)
+{
+    RetryBudget budget(budgetOf(5));
+    PromptRead read(true);
+    EXPECT_EQ(read.first(budget), ReadStep::AskPrefill);
+    EXPECT_EQ(read.onFailed(budget), ReadStep::AskPrefill);
+    EXPECT_EQ(read.onFailed(budget), ReadStep::AtDecode);
+    EXPECT_EQ(budget.left(), 3);
+}
+
+TEST(PromptRead, PaysForAReadOfASecondSend)
+{
+    RetryBudget budget(budgetOf(1));
+    EXPECT_EQ(PromptRead(false).first(budget), ReadStep::AskPrefill);
+    EXPECT_EQ(PromptRead(false).first(budget), ReadStep::AtDecode);
+}
+
+} // namespace
+} // namespace fescuesill
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -22,6 +22,7 @@
 
 void ForwardedCall::refuse(const Refusal &refusal, const asio::yield_context &yield) const
 {
+    this->services.metrics.onRefused(refusal);
     Log::info("refused", {{"request", this->head.id.value()},
                           {"route", this->route.name},
                           {"config", this->version.value()},
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -7,6 +7,7 @@
 
 #include "platform/calldialect.h"
 #include "programs/gateway/gatekeeper.h"
+#include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
 
 namespace fescuesill
@@ -18,6 +19,7 @@
     FleetView &fleet;
     GateKeeper &gates;
     HttpClient &client;
+    GatewayMetrics &metrics;
 };
 
 struct ForwardedCall {
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -73,6 +73,24 @@
     }
 }
 
+std::size_t GateKeeper::waiting() const
+{
+    std::size_t sum = 0;
+    for (const auto &[service, gate] : this->gates) {
+        sum += gate.core.waiting();
+    }
+    return sum;
+}
+
+std::size_t GateKeeper::placed() const
+{
+    std::size_t sum = 0;
+    for (const auto &[service, gate] : this->gates) {
+        sum += gate.core.placed();
+    }
+    return sum;
+}
+
 std::optional<StageLoad> GateKeeper::stageLoad(const ServiceId &service) const
 {
     const auto found = this->gates.find(service);
--- a/programs/gateway/gatekeeper.h
+++ b/programs/gateway/gatekeeper.h
@@ -39,6 +39,13 @@
     void wake(const RequestId &id);
     // Engines came, left or changed.
     void onFleetChanged();
+    // Over all services.
+    std::size_t waiting() const;
+    std::size_t placed() const;
+    bool isFollowing() const
+    {
+        return static_cast<bool>(this->uplink);
+    }
     // None for a service that nothing was placed for yet.
     std::optional<StageLoad> stageLoad(const ServiceId &service) const;
 
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -44,7 +44,7 @@
         , fleet(given.dataCentre, {given.retryShare, given.retriesSaved, given.retriesSaved}, this->seed)
         , gates(this->io, this->fleet, this->seed + 2)
         , client(this->io, clientOptions(given))
-        , services{this->settings, this->io, this->fleet, this->gates, this->client}
+        , services{this->settings, this->io, this->fleet, this->gates, this->client, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
@@ -58,7 +58,7 @@
 private:
     void serve(HttpCall &call, HttpReply &reply, const asio::yield_context &yield);
     void forward(HttpCall &call, HttpReply &reply, const asio::yield_context &yield);
-    void answerReady(HttpReply &reply, const asio::yield_context &yield) const;
+    void answerReady(const HttpCall &call, HttpReply &reply, const asio::yield_context &yield);
     void takeUpdates();
     void applyLimits();
     void onChanging(const peer::EngineChanging &change);
@@ -72,6 +72,7 @@
     FleetView fleet;
     GateKeeper gates;
     HttpClient client;
+    GatewayMetrics metrics;
     GatewayServices services;
     StageOrders orders;
     Draining draining;
@@ -175,8 +176,14 @@
     --this->inProgress;
 }
 
-void Gateway::answerReady(HttpReply &reply, const asio::yield_context &yield) const
+void Gateway::answerReady(const HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
 {
+    if (call.target == "/metrics") {
+        this->metrics.set({this->inProgress, this->gates.waiting(), this->gates.placed(), this->store->registryAge(),
+                           this->links && this->links->leads(), this->gates.isFollowing()});
+        reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
+        return;
+    }
     const bool isReady = this->fleet.isKnown() && this->draining.isReady();
     reply.send(isReady ? 200 : 503, isReady ? R"({"ready":true})" : R"({"ready":false})", yield);
 }
@@ -238,7 +245,7 @@
     HttpServer::Options readyOptions;
     readyOptions.address = this->settings.ready;
     auto openedReady = HttpServer::create(
-        this->io, readyOptions, [this](HttpCall &, HttpReply &reply, const auto &yield) { this->answerReady(reply, yield); });
+        this->io, readyOptions, [this](HttpCall &call, HttpReply &reply, const auto &yield) { this->answerReady(call, reply, yield); });
     if (!opened || !openedReady) {
         Log::error("cannot_listen", {{"reason", (opened ? openedReady.error() : opened.error()).what()}});
         return 1;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -7,6 +7,7 @@
 
 #include "programs/gateway/generationforward.h"
 
+#include "decide/promptread.h"
 #include "wire/clock.h"
 #include "wire/log.h"
 
@@ -23,10 +24,11 @@
 // Time kept for the read and the first step when a place comes free: a prompt of 5,000 tokens is read in 100 ms, and a
 // prefill engine has seldom more than one before it.
 constexpr Duration readTime{250ms};
+// A read that takes longer waits behind several others or at an engine that went dark; the decode engine reads sooner.
+constexpr Duration readLimit{700ms};
 constexpr Duration comeBackSoonest{500ms};
 constexpr Duration giveBackLimit{1s}; // for giving back a reservation or a result, which lapse by themselves later
 constexpr int statusOk = 200;
-constexpr int prefillTries = 2;
 
 } // namespace
 
@@ -127,7 +129,7 @@
     std::optional<KvId> result;
     try {
         const HttpResponse response = services.client.call(
-            reader.address, request, {std::min<Duration>(this->call.timeLeft(), 1s), Reuse::Never, &this->abort}, yield);
+            reader.address, request, {std::min(this->call.timeLeft(), readLimit), Reuse::Never, &this->abort}, yield);
         result = readPrefillResult(response);
         this->lastFault = result ? "" : "prefill refused by " + reader.id.value();
     } catch (const HttpError &error) {
@@ -144,26 +146,20 @@
                                                                      const asio::yield_context &yield)
 {
     FleetView &fleet = this->call.services.fleet;
+    RetryBudget &budget = fleet.budget(this->call.service);
     std::vector<PrefillCandidate> candidates = fleet.prefillCandidates(this->call.service, decode.dataCentre);
-    for (int tries = 0; tries < prefillTries; ++tries) {
-        const bool isFree = tries == 0 && this->sends == 0;
-        if (!isFree && !fleet.budget(this->call.service).take()) {
-            return std::nullopt;
-        }
+    PromptRead plan(this->sends == 0);
+    for (ReadStep step = plan.first(budget); step == ReadStep::AskPrefill; step = plan.onFailed(budget)) {
         const auto chosen = fleet.prefills().pick(candidates, steadyNow());
-        const auto reader = chosen ? fleet.usable(EndpointId(chosen->value())) : std::nullopt;
-        if (!reader) {
+        const auto found = chosen ? fleet.usable(EndpointId(chosen->value())) : std::nullopt;
+        if (!found) {
             return std::nullopt;
         }
-        this->reader = reader->id;
-        if (auto result = this->prefillAt(*reader, yield)) {
+        this->reader = found->id;
+        if (auto result = this->prefillAt(*found, yield)) {
             return result;
         }
         this->checkCaller();
-        // A read that was refused is a try of its own, also the first: without budget for it no other engine is asked.
-        if (isFree && !fleet.budget(this->call.service).take()) {
-            return std::nullopt;
-        }
         candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                         [&](const PrefillCandidate &other) { return other.engine == *chosen; }),
                          candidates.end());
@@ -183,6 +179,18 @@
     return Ended::Whole;
 }
 
+void GenerationForward::noteEvents()
+{
+    const Instant now = steadyNow();
+    this->eventsMade += this->events.wholeEvents();
+    if (!this->times.firstEvent) {
+        this->times.firstEvent = now - this->call.arrival;
+    } else {
+        this->times.longestPause = std::max(this->times.longestPause.value_or(Duration(0)), now - this->lastEventAt);
+    }
+    this->lastEventAt = now;
+}
+
 GenerationForward::Ended GenerationForward::relay(LineStream &stream, const Place &, const asio::yield_context &yield)
 {
     std::string bytes;
@@ -192,10 +200,7 @@
         if (whole.empty()) {
             continue;
         }
-        this->eventsMade += this->events.wholeEvents();
-        if (!this->firstEvent) {
-            this->firstEvent = steadyNow() - this->call.arrival;
-        }
+        this->noteEvents();
         this->call.reply.write(whole, yield);
         if (this->events.isTooLong()) {
             this->lastFault = "an event without an end";
@@ -272,14 +277,14 @@
         return Ended::NoPlace;
     }
     this->engine = place->engine.id;
-    this->placed = steadyNow() - this->call.arrival;
+    this->times.placed = steadyNow() - this->call.arrival;
     std::optional<Prefill> read;
     try {
         if (!this->readsItself) {
             read = this->prefill(place->engine, yield);
         }
         this->readsItself = !read;
-        this->read = steadyNow() - this->call.arrival;
+        this->times.read = steadyNow() - this->call.arrival;
         const Ended ended = this->generate(*place, read, yield);
         if (ended == Ended::NotRun) {
             this->release(*place, read);
@@ -314,6 +319,7 @@
 
 void GenerationForward::logEnd(const char *outcome) const
 {
+    this->call.services.metrics.onGenerationEnd(outcome, this->times);
     const GenerationAsk asked = this->ask();
     const auto millis = [](const std::optional<Duration> &time) { return time ? time->count() / 1000 : -1; };
     Log::info("generation_ended", {{"request", this->call.head.id.value()},
@@ -327,9 +333,10 @@
                                    {"expected_output", asked.output.value()},
                                    {"output", this->made().value()},
                                    {"reader", this->reader.value()},
-                                   {"placed_ms", millis(this->placed)},
-                                   {"read_ms", millis(this->read)},
-                                   {"first_event_ms", millis(this->firstEvent)},
+                                   {"placed_ms", millis(this->times.placed)},
+                                   {"read_ms", millis(this->times.read)},
+                                   {"longest_pause_ms", millis(this->times.longestPause)},
+                                   {"first_event_ms", millis(this->times.firstEvent)},
                                    {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
                                    {"last_fault", this->lastFault}});
 }
@@ -346,6 +353,7 @@
         this->call.reply.cut();
         return;
     }
+    this->logEnd(ended == Ended::Broken ? "failed" : "refused");
     if (ended == Ended::Broken) {
         const bool isLate = this->call.timeLeft() <= 0ms;
         this->call.refuse({isLate ? RefusalCode::OutcomeUnknown : RefusalCode::EndpointFailed, RunState::MayHaveRun,
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -54,6 +54,7 @@
     Tokens made() const;
     const EngineTraits &traits() const;
     void checkCaller() const;
+    void noteEvents();
     void logEnd(const char *outcome) const;
 
     const ForwardedCall &call;
@@ -68,9 +69,8 @@
     bool isStarted = false; // the caller has the head of the answer
     bool readsItself = false; // the decode engine reads the prompt: no prefill engine could
     // From the arrival, for the log.
-    std::optional<Duration> placed;
-    std::optional<Duration> read;
-    std::optional<Duration> firstEvent;
+    GenerationTimes times;
+    Instant lastEventAt;
     EndpointId reader; // the prefill engine asked last
 };
 
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -39,6 +39,10 @@
     void onLeader(const store_update::Leader &leader);
     // Hands it to one follower or to all.
     void onNews(const store_update::News &news);
+    bool leads() const
+    {
+        return this->isLeading;
+    }
     // Now and then.
     void onTick(Instant now);
     void stop();
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -105,6 +105,7 @@
 void PlainForward::answer(const asio::yield_context &yield)
 {
     const Answer &answer = *this->answered;
+    this->call.services.metrics.onPlainEnd("answered", steadyNow() - this->call.arrival);
     Log::info("forwarded", {{"request", this->call.head.id.value()},
                             {"route", this->call.route.name},
                             {"config", this->call.version.value()},
@@ -135,12 +136,14 @@
 {
     this->call.reply.onGone({});
     if (this->abort.isAborted()) {
+        this->call.services.metrics.onPlainEnd("caller_gone", steadyNow() - this->call.arrival);
         Log::info("caller_gone", {{"request", this->call.head.id.value()}, {"route", this->call.route.name}});
         throw CallerGone();
     }
     if (this->answered) {
         this->answer(yield);
     } else {
+        this->call.services.metrics.onPlainEnd("refused", steadyNow() - this->call.arrival);
         this->refuse(last, yield);
     }
 }
@@ -152,6 +155,9 @@
     Sent last = Sent::NeverSent;
     while (const auto endpoint = this->choose(steadyNow())) {
         this->tried.push_back(endpoint->id);
+        if (this->sends > 0) {
+            this->call.services.metrics.onRetry();
+        }
         last = this->send(*endpoint, yield);
         this->sends += last == Sent::NeverSent ? 0 : 1;
         this->mayHaveRun = this->mayHaveRun || last == Sent::Lost;
--- a/programs/gateway/stageorders.cpp
+++ b/programs/gateway/stageorders.cpp
@@ -1,7 +1,7 @@
 // Decode memory and prompt reading run out at different loads, and a deployment's split between them is a guess. Where
 // generations wait for memory while prefill engines are idle enough to spare one, one is ordered over. An order costs
 // little, but the engine is away while it changes, and an engine that goes to and fro serves nobody: it moves only where
-// the pool that gives still has two fifths of its time left afterwards.
+// the pool that gives still has half of its time left afterwards.
 //
 // Only the holder of the lease orders, and asks its lease right before the first byte. An order that gets no answer may
 // be carried out later; the count of orders that the engine had accepted makes it void where another came first.
@@ -18,6 +18,7 @@
 
 constexpr Duration orderLimit{500ms}; // one short call
 constexpr Duration leastPause{15s}; // until an engine is ordered again: a late order may be carried out 12 s after
+constexpr double slowReads = 4; // times the fastest of late: three others before each
 constexpr Duration beyondChange{2s}; // until the registry shows it, and work that still runs there
 constexpr int leastPerPool = 2; // one may crash
 
@@ -27,7 +28,7 @@
 {
     RoleShift::Options options;
     options.shortUse = 0.85;
-    options.spareUse = 0.6; // reads come in bursts; above this they wait for each other longer than a step of a target
+    options.spareUse = 0.5; // a third of the engines that read may crash, and those left still carry the load
     options.sustained = 300ms;
     options.pause = 1s;
     options.leastPerPool = leastPerPool;
@@ -83,7 +84,7 @@
         static_cast<int>(fleet.enginesOf(id, EndpointPart::Decode).size()) - toPrefillNow + toDecodeNow;
     view.prefillBusy = load->promptTokensPerSecond * *perTokenUs / 1e6 / std::max(1, view.prefillEngines);
     view.decodeUse = load->decodeUse;
-    view.waiting = load->isWaiting;
+    view.waiting = load->isWaiting || fleet.prefills().slowdown() > slowReads;
     const auto wanted = service.shift.observe(view, now);
     if (!wanted) {
         return;
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -179,6 +179,7 @@
 void StoreDuty::takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole)
 {
     if (table == Table::Registry) {
+        this->registryRead = steadyNow().time_since_epoch().count();
         if (isWhole) {
             this->registryRows.clear();
             this->takeList(rows);
@@ -332,6 +333,11 @@
     this->push(now);
 }
 
+Duration StoreDuty::registryAge() const
+{
+    return steadyNow() - Instant(Duration(this->registryRead));
+}
+
 std::optional<FencingNumber> StoreDuty::mayOrder() const
 {
     const bool isAllowed = bootNow().time_since_epoch().count() < this->ordersUntil;
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -93,6 +93,8 @@
     void onLeaderLostStore();
     // A host that follows this one has all up to a version.
     void addFollower(LinkId link, std::uint64_t version);
+    // Since the registry was last read, or its news came, by this thread.
+    Duration registryAge() const;
     // With which number this host may give orders now; none where it may not. Asked right before each order.
     std::optional<FencingNumber> mayOrder() const;
     // Whether the leader hands on the registry's changes.
@@ -153,6 +155,7 @@
     std::atomic<bool> isStopping{false};
     std::atomic<std::uint64_t> known{0};
     std::atomic<bool> relayed{false};
+    std::atomic<std::int64_t> registryRead{0}; // microseconds of the steady clock
     std::atomic<std::int64_t> ordersUntil{0}; // microseconds of the clock that counts suspension
     std::atomic<std::int64_t> orderFencing{0};
     // Of the duty's own thread, like all below.
--- a/testing/process/test_gateway.py
+++ b/testing/process/test_gateway.py
@@ -260,6 +260,19 @@
         self.assertEqual((results[0][0], results[0][2].count(b"\n\n")), (200, EVENTS))
         self.assertEqual(gateway.process.wait(timeout=30), 0)
 
+    def test_metrics_tell_outcomes_and_times(self):
+        gateway = self.start()
+        send(gateway.callers, "POST", "/book/1", b"x")
+        send(gateway.callers, "POST", "/write/1", b"prompt", **SIZE)
+        self.both("full")
+        send(gateway.callers, "POST", "/book/1", b"x")
+        text = send(gateway.ready, "GET", "/metrics")[2].decode()
+        for line in ('fescuesill_gateway_calls_total{kind="plain",outcome="answered"} 1',
+                     'fescuesill_gateway_calls_total{kind="generation",outcome="whole"} 1',
+                     'fescuesill_gateway_refused_total{code="overloaded",run="not_run"} 1',
+                     'fescuesill_gateway_seconds_count{of="first_event"} 1', 'fescuesill_gateway_state{of="leading"} '):
+            self.assertIn(line, text)
+
     # A caller smuggles a second call behind the first by giving its length twice. It is refused, and nothing runs.
     def test_ambiguous_framing_is_refused(self):
         gateway = self.start()
--- a/wire/log.cpp
+++ b/wire/log.cpp
@@ -188,6 +188,11 @@
     state().logger->flush_on(spdlog::level::info);
 }
 
+std::size_t Log::leftOut()
+{
+    return state().writer ? state().writer->overrun_counter() : 0;
+}
+
 void Log::close()
 {
     state().logger.reset();
--- a/wire/log.h
+++ b/wire/log.h
@@ -7,6 +7,7 @@
 //     Log::info("placed", {{"request", id.value()}, {"engine", engine.value()}, {"waited_ms", 12}});
 //     // time=2026-01-02T03:04:05.678Z level=info process=entry event=placed request=r1 engine=a-p1 waited_ms=12
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <optional>
@@ -46,6 +47,8 @@
     // how many.
     // `host` is named in each line where it is given.
     static void open(std::string process, LogLevel least, const std::string &host = {});
+    // Lines left out since the start.
+    static std::size_t leftOut();
     // Writes out what is queued. At the end of a process.
     static void close();
 
