--- a/decide/endpointpicker.cpp
+++ b/decide/endpointpicker.cpp
@@ -1,7 +1,7 @@
-// The cost of an endpoint is the time that a call is expected to take there: the mean of its answers, which holds the way
-// to its data centre, times the calls of this host already there over its slots, plus what its failures cost. Least cost
-// wins. Nothing is switched off: an endpoint that fails nearly always is dear, and becomes cheap again as its record fades,
-// so a repaired one is found again without health checks, which may be wrong.
+// The cost of an endpoint is the time that a call is expected to take there: the mean of its answers, which holds the
+// way to its data centre, times the calls of this host already there over its slots, plus what its failures cost. Least
+// cost wins. Nothing is switched off: an endpoint that fails nearly always is dear, and becomes cheap again as its
+// record fades, so a repaired one is found again without health checks, which may be wrong.
 
 #include "decide/endpointpicker.h"
 
@@ -32,8 +32,7 @@
 
 double EndpointPicker::costUs(const EndpointCandidate &candidate, double bestUs, Instant now) const
 {
-    const double unmeasured =
-        bestUs + (candidate.isNear ? 0.0 : static_cast<double>(this->options.farExtra.count()));
+    const double unmeasured = bestUs + (candidate.isNear ? 0.0 : static_cast<double>(this->options.farExtra.count()));
     const auto found = this->loads.find(candidate.id);
     if (found == this->loads.end()) {
         return unmeasured;
--- a/decide/endpointpicker.h
+++ b/decide/endpointpicker.h
@@ -47,7 +47,8 @@
         double errorWeight = 0.15;
         // Weight of one answer in the mean time. Work times vary by half their mean; a tenth brings that to a tenth.
         double weight = 0.1;
-        // Time after which an unused endpoint's mean has gone halfway back to the best one's, so that it is tried again.
+        // Time after which an unused endpoint's mean has gone halfway back to the best one's, so that it is tried
+        // again.
         Duration forget{5s};
         // Until anything was measured.
         Duration unknownTime{15ms};
--- a/decide/faultrate.h
+++ b/decide/faultrate.h
@@ -3,8 +3,8 @@
 // The share of an endpoint's latest calls that failed, forgotten while it is not used.
 //
 //     FaultRate rate;
-//     rate.add(1.0, now);            // a call failed; 0 for one that did not, between for one that may not be its fault
-//     rate.at(now);                  // 0 to 1
+//     rate.add(1.0, now);            // a call failed; 0 for one that did not, between for one that may not be its
+//     fault rate.at(now);                  // 0 to 1
 
 #include "fescuesill/units.h"
 
--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -1,12 +1,12 @@
-// The gate knows the generations that it placed, and forecasts from them how full each engine will get; an engine in whose
-// forecast one more fits is asked for a reservation. The engine knows exactly what it has left and may still refuse: there
-// may be other gates, or generations that outgrew their estimate. The reservation comes before the prompt is read, so a
-// prefill result never waits for a place.
+// The gate knows the generations that it placed, and forecasts from them how full each engine will get; an engine in
+// whose forecast one more fits is asked for a reservation. The engine knows exactly what it has left and may still
+// refuse: there may be other gates, or generations that outgrew their estimate. The reservation comes before the prompt
+// is read, so a prefill result never waits for a place.
 //
-// A request that finds no place waits, first among those that can still be on time. Past that it is late whatever happens,
-// and waits behind all that are not: an answer that is on time is worth several late ones to the callers, and a late one
-// more than a refusal. It is rejected when its caller is about to go, or on arrival where those before it already take
-// longer than that at the measured rate.
+// A request that finds no place waits, first among those that can still be on time. Past that it is late whatever
+// happens, and waits behind all that are not: an answer that is on time is worth several late ones to the callers, and
+// a late one more than a refusal. It is rejected when its caller is about to go, or on arrival where those before it
+// already take longer than that at the measured rate.
 
 #include "decide/generationgate.h"
 
@@ -47,8 +47,7 @@
     this->memory = Tokens(0);
     for (const DecodePlaces &places : listed) {
         const auto known = this->engines.find(places.engine);
-        const bool isSameStart =
-            known != this->engines.end() && known->second.places.incarnation == places.incarnation;
+        const bool isSameStart = known != this->engines.end() && known->second.places.incarnation == places.incarnation;
         Engine engine = isSameStart ? std::move(known->second) : Engine();
         engine.places = places;
         this->memory += places.memory;
@@ -179,8 +178,8 @@
     }
 }
 
-// Those in time go first, so what is late gets only the rate that they leave, and the small share that the queue keeps for
-// it.
+// Those in time go first, so what is late gets only the rate that they leave, and the small share that the queue keeps
+// for it.
 Duration GenerationGate::expectedWait(int rank, Instant now) const
 {
     const bool isLate = rank % 2 == 1;
@@ -235,7 +234,7 @@
 
 GateView GenerationGate::view(Instant now) const
 {
-    return {this->queue.size(),      this->placements.size(), this->engines.size(),
+    return {this->queue.size(),     this->placements.size(), this->engines.size(),
             this->offeredLoad(now), this->admission.rate(),  Duration(static_cast<std::int64_t>(this->perTokenUs))};
 }
 
@@ -256,8 +255,7 @@
 GenerationGate::Engine *GenerationGate::engineOf(const Placement &placement)
 {
     const auto found = this->engines.find(placement.engine);
-    const bool isSameStart =
-        found != this->engines.end() && found->second.places.incarnation == placement.incarnation;
+    const bool isSameStart = found != this->engines.end() && found->second.places.incarnation == placement.incarnation;
     return isSameStart ? &found->second : nullptr;
 }
 
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -9,8 +9,8 @@
 //     gate.onReserved(id);                      // or onFull(id, now), onFault(id, now), and submit it once more
 //     gate.onEnded(id, now);                    // its place is free; also for a caller that has gone
 //
-// Load: more generations than the engines' memory holds. Harm prevented: prompts read for a decode place that is not there,
-// answers thrown out midway when memory runs out, and callers held until it is too late for them.
+// Load: more generations than the engines' memory holds. Harm prevented: prompts read for a decode place that is not
+// there, answers thrown out midway when memory runs out, and callers held until it is too late for them.
 
 #include "decide/admission.h"
 #include "decide/classqueue.h"
@@ -90,8 +90,8 @@
         // An engine that had no room is not asked again sooner, unless a generation of this host ends there. Places
         // come free every few hundred milliseconds on each engine; asking oftener only costs calls.
         Duration askAgain{120ms};
-        // After a fault, doubled at each further one up to the longest: an engine that is down looks empty, and would be
-        // chosen again and again until the platform notices.
+        // After a fault, doubled at each further one up to the longest: an engine that is down looks empty, and would
+        // be chosen again and again until the platform notices.
         Duration afterFault{250ms};
         Duration longestAfterFault{2s};
         // What fullness a far engine is taken to have beyond its own, as a share of its memory: its answers cross
@@ -124,7 +124,8 @@
     void onReserved(const RequestId &id);
     void onFull(const RequestId &id, Instant now);
     void onFault(const RequestId &id, Instant now);
-    // The generation ended there, whole or by the engine's fault. `made`: its output; none where it did not come to any.
+    // The generation ended there, whole or by the engine's fault. `made`: its output; none where it did not come to
+    // any.
     void onEnded(const RequestId &id, bool isEngineFault, Tokens made, Instant now);
 
     GateView view(Instant now) const;
--- a/decide/memoryforecast.cpp
+++ b/decide/memoryforecast.cpp
@@ -1,6 +1,6 @@
-// Every run grows by one token a step until its end, then all it held is free at once. So the sum rises in a straight line
-// between two ends, and its peak is just before one of them: it is enough to look there. Runs are sorted by their end; just
-// before the end of one, it and all later ones are there.
+// Every run grows by one token a step until its end, then all it held is free at once. So the sum rises in a straight
+// line between two ends, and its peak is just before one of them: it is enough to look there. Runs are sorted by their
+// end; just before the end of one, it and all later ones are there.
 
 #include "decide/memoryforecast.h"
 
--- a/decide/memoryforecast.h
+++ b/decide/memoryforecast.h
@@ -7,8 +7,8 @@
 //     if (peak <= engine.memory) { ... one more fits ... }
 //
 // Load: an engine is filled by what its generations take now. Harm prevented: all of them grow, memory runs out seconds
-// later, and the engine throws one out in the middle of its answer and reads it in again, which stalls every other answer
-// on that engine past the pause that its caller bears.
+// later, and the engine throws one out in the middle of its answer and reads it in again, which stalls every other
+// answer on that engine past the pause that its caller bears.
 
 #include "decide/outputestimate.h"
 
--- a/decide/outputestimate.cpp
+++ b/decide/outputestimate.cpp
@@ -1,10 +1,10 @@
-// Callers estimate with an error of their own, so a large estimate is on average too large and a small one too small. The
-// best guess lies between the estimate and the usual length; how far is learned as the least-squares line between the
-// logarithms of what was asked and what was made. On lengths and errors that both spread by half, it cuts the spread of
-// the guess from 0.5 to 0.35, which is a third less memory kept free for surprises.
+// Callers estimate with an error of their own, so a large estimate is on average too large and a small one too small.
+// The best guess lies between the estimate and the usual length; how far is learned as the least-squares line between
+// the logarithms of what was asked and what was made. On lengths and errors that both spread by half, it cuts the
+// spread of the guess from 0.5 to 0.35, which is a third less memory kept free for surprises.
 //
-// An answer that has come far is a long one: what is left of it is the mean of the lognormal beyond what was made, not the
-// first guess less that.
+// An answer that has come far is a long one: what is left of it is the mean of the lognormal beyond what was made, not
+// the first guess less that.
 
 #include "decide/outputestimate.h"
 
--- a/decide/prefillchoice.cpp
+++ b/decide/prefillchoice.cpp
@@ -1,5 +1,6 @@
-// Least prompt tokens of this host under way there. A result that crosses between data centres takes twice as long and is
-// priced so, hence a far engine counts as having one more prompt of typical length; one that fails as having many more.
+// Least prompt tokens of this host under way there. A result that crosses between data centres takes twice as long and
+// is priced so, hence a far engine counts as having one more prompt of typical length; one that fails as having many
+// more.
 
 #include "decide/prefillchoice.h"
 
--- a/decide/promptread.h
+++ b/decide/promptread.h
@@ -32,8 +32,8 @@
     {
     }
 
-    // The first read is free if it succeeds; a failed one is a retry like any other. Without budget to pay for a failure
-    // none is risked.
+    // The first read is free if it succeeds; a failed one is a retry like any other. Without budget to pay for a
+    // failure none is risked.
     ReadStep first(RetryBudget &budget)
     {
         this->asked = 1;
--- a/decide/testing/endpointpicker_test.cpp
+++ b/decide/testing/endpointpicker_test.cpp
@@ -29,6 +29,7 @@
     std::mt19937_64 random(11);
     std::uniform_real_distribution<double> uniform(0, 1);
     std::vector<EndpointCandidate> candidates;
+    candidates.reserve(world.size());
     for (const auto &[name, behaviour] : world) {
         candidates.push_back({EndpointId(name), 6, name == "near"});
     }
@@ -56,8 +57,8 @@
     EXPECT_GT(outcome.sent.at("near"), 450);
 }
 
-// An endpoint fails nearly half of its calls while its health check stays good. Callers would see a sixth of all calls fail
-// for as long as it lasts; what is lost must be the few calls that it takes to see it.
+// An endpoint fails nearly half of its calls while its health check stays good. Callers would see a sixth of all calls
+// fail for as long as it lasts; what is lost must be the few calls that it takes to see it.
 TEST(EndpointPicker, LeavesAnEndpointThatFailsAShareOfItsCalls)
 {
     EndpointPicker picker({}, 1);
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -14,6 +14,7 @@
 std::vector<DecodePlaces> engines(int count)
 {
     std::vector<DecodePlaces> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         made.push_back({EngineId("d" + std::to_string(number)), 1, Tokens(76000), 16, DataCentreId("a")});
     }
@@ -139,8 +140,8 @@
     EXPECT_EQ(served.rejected, 0);
 }
 
-// Twice the capacity for five seconds, then little. Memory must never run out; in the burst the engines work for those that
-// can be on time, and most of the others are served in the calm after it instead of being sent away.
+// Twice the capacity for five seconds, then little. Memory must never run out; in the burst the engines work for those
+// that can be on time, and most of the others are served in the calm after it instead of being sent away.
 TEST(GenerationGate, KeepsEnginesFromRunningOutInABurst)
 {
     const Served served = PoolWorld(6).play([](double second) { return second < 5 ? 30.0 : 4.0; }, 15s);
--- a/decide/testing/memoryforecast_test.cpp
+++ b/decide/testing/memoryforecast_test.cpp
@@ -23,8 +23,8 @@
     EXPECT_EQ(peakMemory({}, 1ms, start).value(), 0);
 }
 
-// The burst: eight generations begin together, each small now. An engine that looks only at what they take now (40,000 of
-// 60,000) would take one more, and run out two seconds later.
+// The burst: eight generations begin together, each small now. An engine that looks only at what they take now (40,000
+// of 60,000) would take one more, and run out two seconds later.
 TEST(MemoryForecast, SeesTheGrowthOfABurst)
 {
     const std::vector<GrowingRun> burst(8, run(5000, 3000, start));
@@ -35,6 +35,7 @@
 TEST(MemoryForecast, CountsWhatEndsMeanwhile)
 {
     std::vector<GrowingRun> staggered;
+    staggered.reserve(8);
     for (int number = 0; number < 8; ++number) {
         staggered.push_back(run(5000, 3000, start - std::chrono::milliseconds(number * 375)));
     }
@@ -75,7 +76,8 @@
     EXPECT_EQ((ExpectedOutput{Tokens(10), 0.1, Tokens(10)}).left(Tokens(20)).value(), 0);
 }
 
-// Lengths and errors of the estimates both spread by half: the best line has a slope of a half and leaves a spread of 0.35.
+// Lengths and errors of the estimates both spread by half: the best line has a slope of a half and leaves a spread of
+// 0.35.
 TEST(OutputEstimate, LearnsHowFarToTrustEstimates)
 {
     std::mt19937_64 random(7);
--- a/decide/testing/promptread_test.cpp
+++ b/decide/testing/promptread_test.cpp
@@ -12,9 +12,9 @@
     return {0.1, most, most};
 }
 
-// Every prefill engine is dark. Each generation that asked one sends at least twice, so without a check before the first
-// read the fleet overspends its retries by as many as it has callers; generations must go straight to decode engines once
-// the budget is used up, and be served there.
+// Every prefill engine is dark. Each generation that asked one sends at least twice, so without a check before the
+// first read the fleet overspends its retries by as many as it has callers; generations must go straight to decode
+// engines once the budget is used up, and be served there.
 TEST(PromptRead, StaysWithinTheBudgetWhileAllPrefillEnginesAreDark)
 {
     RetryBudget budget(budgetOf(2));
--- a/decide/testing/routetable_test.cpp
+++ b/decide/testing/routetable_test.cpp
@@ -21,19 +21,26 @@
 
 TEST(RouteTable, FindsTheLongestPrefixOfItsHost)
 {
-    const RouteTable table = RouteTable::create({route("root", "a.example", "/"), route("shop", "a.example", "/shop/"),
-                                                 route("cart", "a.example", "/shop/cart/"),
-                                                 route("other", "b.example", "/shop/")})
-                                 .value();
+    const RouteTable table =
+        RouteTable::create({route("root", "a.example", "/"), route("shop", "a.example", "/shop/"),
+                            route("cart", "a.example", "/shop/cart/"), route("other", "b.example", "/shop/")})
+            .value();
     const struct {
         const char *host;
         const char *path;
         const char *expected; // null: no route
     } cases[] = {
-        {"a.example", "/shop/cart/7", "cart"}, {"a.example", "/shop/cart/", "cart"}, {"a.example", "/shop/cart", "shop"},
-        {"a.example", "/shopping", "root"},    {"a.example:8080", "/shop/x", "shop"}, {"a.example", "/", "root"},
-        {"b.example", "/shop/x", "other"},     {"b.example", "/", nullptr},           {"c.example", "/shop/", nullptr},
-        {"a.example", "shop", nullptr},        {"a.example", "", nullptr},
+        {"a.example", "/shop/cart/7", "cart"},
+        {"a.example", "/shop/cart/", "cart"},
+        {"a.example", "/shop/cart", "shop"},
+        {"a.example", "/shopping", "root"},
+        {"a.example:8080", "/shop/x", "shop"},
+        {"a.example", "/", "root"},
+        {"b.example", "/shop/x", "other"},
+        {"b.example", "/", nullptr},
+        {"c.example", "/shop/", nullptr},
+        {"a.example", "shop", nullptr},
+        {"a.example", "", nullptr},
     };
     for (const auto &each : cases) {
         const Route *found = table.find(each.host, each.path);
@@ -62,6 +69,7 @@
     const auto prefixes = *rc::gen::container<std::set<std::string>>(part);
     const std::string path = "/" + *part + *rc::gen::element<std::string>("", "a", "b", "c");
     std::vector<Route> routes;
+    routes.reserve(prefixes.size());
     const Route *expected = nullptr;
     for (const std::string &prefix : prefixes) {
         routes.push_back(route(prefix, "h", "/" + prefix));
--- a/declare/settings.cpp
+++ b/declare/settings.cpp
@@ -66,8 +66,11 @@
 Duration SettingsReader::decimal(const std::string &section, const std::string &key, Duration unit, Duration fallback,
                                  Range<Duration> range)
 {
-    const auto inUnits = [unit](Duration value) { return static_cast<double>(value.count()) / unit.count(); };
-    const double number = this->section(section).fraction(key, inUnits(fallback), {inUnits(range.least), inUnits(range.most)});
+    const auto inUnits = [unit](Duration value) {
+        return static_cast<double>(value.count()) / unit.count();
+    };
+    const double number =
+        this->section(section).fraction(key, inUnits(fallback), {inUnits(range.least), inUnits(range.most)});
     return Duration(static_cast<std::int64_t>(number * static_cast<double>(unit.count())));
 }
 
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -14,8 +14,8 @@
 {
 }
 
-// Versions arrive from one row, but a read that was under way may end after a newer one: the older is ignored, so what is
-// in force here never goes back.
+// Versions arrive from one row, but a read that was under way may end after a newer one: the older is ignored, so what
+// is in force here never goes back.
 void FleetView::takeConfig(const std::shared_ptr<const RoutingConfig> &read)
 {
     if (this->config != nullptr && read->version <= this->config->version) {
@@ -28,29 +28,31 @@
 
 void FleetView::take(const StoreUpdate &update, Instant now)
 {
-    std::visit(Overloaded{[&](const store_update::Config &read) { this->takeConfig(read.config); },
-                          [&](const store_update::Listed &listed) {
-                              this->isListed = true;
-                              this->registry.onListed(listed.records, now);
-                              Log::info("endpoints_listed",
-                                        {{"count", static_cast<std::int64_t>(listed.records.size())}});
-                          },
-                          [&](const store_update::Changed &changed) {
-                              const EndpointRecord &record = changed.record;
-                              this->registry.onChanged(record, now);
-                              Log::info("endpoint_changed", {{"endpoint", record.id.value()},
-                                                             {"service", record.service.value()},
-                                                             {"address", record.address},
-                                                             {"leaving", record.isLeaving}});
-                          },
-                          [&](const store_update::Removed &removed) {
-                              this->registry.onRemoved(removed.id, now);
-                              Log::info("endpoint_removed", {{"endpoint", removed.id.value()}});
-                          },
-                          [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
-                          [&](const store_update::Back &) { this->registry.onStoreBack(now); },
-                          [&](const auto &) {}}, // of the links
-               update);
+    std::visit(
+        Overloaded{[&](const store_update::Config &read) { this->takeConfig(read.config); },
+                   [&](const store_update::Listed &listed) {
+                       this->isListed = true;
+                       this->registry.onListed(listed.records, now);
+                       Log::info("endpoints_listed", {{"count", static_cast<std::int64_t>(listed.records.size())}});
+                   },
+                   [&](const store_update::Changed &changed) {
+                       const EndpointRecord &record = changed.record;
+                       this->registry.onChanged(record, now);
+                       Log::info("endpoint_changed",
+                                 {{"endpoint", record.id.value()},
+                                  {"service", record.service.value()},
+                                  {"address", record.address},
+                                  {"leaving", record.isLeaving}});
+                   },
+                   [&](const store_update::Removed &removed) {
+                       this->registry.onRemoved(removed.id, now);
+                       Log::info("endpoint_removed", {{"endpoint", removed.id.value()}});
+                   },
+                   [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
+                   [&](const store_update::Back &) { this->registry.onStoreBack(now); },
+                   [&](const auto &) {
+                   }}, // of the links
+        update);
 }
 
 std::vector<EndpointCandidate> FleetView::plainCandidates(const ServiceId &service) const
@@ -78,8 +80,8 @@
     std::vector<DecodePlaces> places;
     for (const EndpointRecord *record : this->registry.usable(service)) {
         if (record->part == EndpointPart::Decode && !this->isChanging(*record)) {
-            places.push_back({EngineId(record->id.value()), record->incarnation, traits.memory, record->slots,
-                              record->dataCentre});
+            places.push_back(
+                {EngineId(record->id.value()), record->incarnation, traits.memory, record->slots, record->dataCentre});
         }
     }
     return places;
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -11,7 +11,8 @@
 
 Instant ForwardedCall::deadline() const
 {
-    const Duration limit = this->head.patience ? std::min(*this->head.patience, this->route.timeout) : this->route.timeout;
+    const Duration limit =
+        this->head.patience ? std::min(*this->head.patience, this->route.timeout) : this->route.timeout;
     return this->arrival + limit;
 }
 
@@ -23,13 +24,14 @@
 void ForwardedCall::refuse(const Refusal &refusal, const asio::yield_context &yield) const
 {
     this->services.metrics.onRefused(refusal);
-    Log::info("refused", {{"request", this->head.id.value()},
-                          {"route", this->route.name},
-                          {"config", this->version.value()},
-                          {"code", codeName(refusal.code)},
-                          {"run", runStateName(refusal.run)},
-                          {"reason", refusal.text},
-                          {"after_ms", (steadyNow() - this->arrival).count() / 1000}});
+    Log::info("refused",
+              {{"request", this->head.id.value()},
+               {"route", this->route.name},
+               {"config", this->version.value()},
+               {"code", codeName(refusal.code)},
+               {"run", runStateName(refusal.run)},
+               {"reason", refusal.text},
+               {"after_ms", (steadyNow() - this->arrival).count() / 1000}});
     sendRefusal(this->reply, this->head.id, refusal, yield);
 }
 
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -1,10 +1,10 @@
-// Every event of a gate is followed by a poll, and each action goes to the one generation that it concerns: a coroutine of
-// this host, or the host that asked. A timer polls again at the gate's next wake; without one, a request that nobody places
-// would never be told.
+// Every event of a gate is followed by a poll, and each action goes to the one generation that it concerns: a coroutine
+// of this host, or the host that asked. A timer polls again at the gate's next wake; without one, a request that nobody
+// places would never be told.
 //
 // With a leader, a generation of this host waits in the leader's gate and in no other; the gate here adopts it when its
-// place is known. If the leader is lost, those that wait with it are submitted here at once. Placing by two gates at the
-// same time costs refusals of engines, and no more: an engine never gives the same memory twice.
+// place is known. If the leader is lost, those that wait with it are submitted here at once. Placing by two gates at
+// the same time costs refusals of engines, and no more: an engine never gives the same memory twice.
 
 #include "programs/gateway/gatekeeper.h"
 
@@ -20,21 +20,23 @@
 void logDecision(const GateAction &action, const GateView &view)
 {
     if (const auto *place = std::get_if<TryReserve>(&action)) {
-        Log::info("place_tried", {{"request", place->id.value()},
-                                  {"engine", place->engine.value()},
-                                  {"waiting", static_cast<std::uint64_t>(view.waiting)},
-                                  {"placed", static_cast<std::uint64_t>(view.placed)}});
+        Log::info("place_tried",
+                  {{"request", place->id.value()},
+                   {"engine", place->engine.value()},
+                   {"waiting", static_cast<std::uint64_t>(view.waiting)},
+                   {"placed", static_cast<std::uint64_t>(view.placed)}});
         return;
     }
     const auto &rejected = std::get<RejectGeneration>(action);
-    Log::info("place_rejected", {{"request", rejected.id.value()},
-                                 {"retry_after_ms", rejected.retryAfter.count() / 1000},
-                                 {"waiting", static_cast<std::uint64_t>(view.waiting)},
-                                 {"placed", static_cast<std::uint64_t>(view.placed)},
-                                 {"engines", static_cast<std::uint64_t>(view.engines)},
-                                 {"offered_load", view.offeredLoad},
-                                 {"rate", view.rate},
-                                 {"token_us", view.perToken.count()}});
+    Log::info("place_rejected",
+              {{"request", rejected.id.value()},
+               {"retry_after_ms", rejected.retryAfter.count() / 1000},
+               {"waiting", static_cast<std::uint64_t>(view.waiting)},
+               {"placed", static_cast<std::uint64_t>(view.placed)},
+               {"engines", static_cast<std::uint64_t>(view.engines)},
+               {"offered_load", view.offeredLoad},
+               {"rate", view.rate},
+               {"token_us", view.perToken.count()}});
 }
 
 } // namespace
@@ -60,9 +62,8 @@
     const auto &config = this->fleet.inForce();
     const ForwardedService *declared = config ? config->service(service) : nullptr;
     const bool generates = declared != nullptr && declared->engines;
-    gate.core.setEngines(generates ? this->fleet.decodePlaces(service, *declared->engines)
-                                   : std::vector<DecodePlaces>(),
-                         steadyNow());
+    gate.core.setEngines(
+        generates ? this->fleet.decodePlaces(service, *declared->engines) : std::vector<DecodePlaces>(), steadyNow());
 }
 
 void GateKeeper::onFleetChanged()
@@ -164,7 +165,8 @@
         return;
     }
     this->uplink(peer::AskPlace{ask.id, local.service, static_cast<std::uint64_t>(std::max(0, ask.rank)), ask.prompt,
-                                ask.output, ask.mostOutput, now - ask.arrival, ask.onTimeUntil - now, ask.usefulUntil - now, ask.dataCentre, ask.avoid});
+                                ask.output, ask.mostOutput, now - ask.arrival, ask.onTimeUntil - now,
+                                ask.usefulUntil - now, ask.dataCentre, ask.avoid});
 }
 
 GateAction GateKeeper::ask(const ServiceId &service, const GenerationAsk &ask, const asio::yield_context &yield)
@@ -185,7 +187,7 @@
         local->timer.expires_at(std::chrono::steady_clock::time_point::max());
         local->timer.async_wait(yield[ignored]);
     }
-    const GateAction decision = local->decision.value_or(RejectGeneration{id, Duration(0)});
+    GateAction decision = local->decision.value_or(RejectGeneration{id, Duration(0)});
     local->decision.reset();
     return decision;
 }
@@ -336,8 +338,8 @@
     }
 }
 
-// Its generations are taken for ended: where the host died, engines drop them with its connections, and where only the link
-// broke it says again what it holds.
+// Its generations are taken for ended: where the host died, engines drop them with its connections, and where only the
+// link broke it says again what it holds.
 void GateKeeper::onFollowerLost(LinkId link)
 {
     for (auto remote = this->remotes.begin(); remote != this->remotes.end();) {
--- a/programs/gateway/gatekeeper.h
+++ b/programs/gateway/gatekeeper.h
@@ -9,8 +9,8 @@
 //     keeper.setUplink([&](const peer::Message &message) { ... });   // the leader is another host and reachable
 //     keeper.setUplink({});                                          // it is not: this host decides alone
 //
-// Every host keeps a gate of the generations that it runs itself, so it can decide alone at any moment: then it sees only
-// its own part of the load, and engines refuse more often.
+// Every host keeps a gate of the generations that it runs itself, so it can decide alone at any moment: then it sees
+// only its own part of the load, and engines refuse more often.
 
 #include "programs/gateway/fleetview.h"
 #include "wire/linkid.h"
--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -38,8 +38,10 @@
 
 struct GatewayMetrics::Families {
     prometheus::Registry registry;
-    prometheus::Family<prometheus::Counter> &calls =
-        BuildCounter().Name("fescuesill_gateway_calls_total").Help("Calls by kind and outcome").Register(this->registry);
+    prometheus::Family<prometheus::Counter> &calls = BuildCounter()
+                                                         .Name("fescuesill_gateway_calls_total")
+                                                         .Help("Calls by kind and outcome")
+                                                         .Register(this->registry);
     prometheus::Family<prometheus::Counter> &refusals = BuildCounter()
                                                             .Name("fescuesill_gateway_refused_total")
                                                             .Help("Refusals by code and whether the call ran")
@@ -49,10 +51,14 @@
                                        .Help("Sends beyond the first of a plain call")
                                        .Register(this->registry)
                                        .Add({});
-    prometheus::Family<prometheus::Histogram> &times =
-        BuildHistogram().Name("fescuesill_gateway_seconds").Help("Times of calls by what ended").Register(this->registry);
-    prometheus::Family<prometheus::Gauge> &gauges =
-        BuildGauge().Name("fescuesill_gateway_state").Help("What this host holds and believes").Register(this->registry);
+    prometheus::Family<prometheus::Histogram> &times = BuildHistogram()
+                                                           .Name("fescuesill_gateway_seconds")
+                                                           .Help("Times of calls by what ended")
+                                                           .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &gauges = BuildGauge()
+                                                        .Name("fescuesill_gateway_state")
+                                                        .Help("What this host holds and believes")
+                                                        .Register(this->registry);
     prometheus::Histogram &answer = this->times.Add({{"of", "plain_answer"}}, answerBuckets);
     prometheus::Histogram &placed = this->times.Add({{"of", "place"}}, eventBuckets);
     prometheus::Histogram &read = this->times.Add({{"of", "read"}}, eventBuckets);
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -29,7 +29,8 @@
 HttpClient::Options clientOptions(const GatewaySettings &settings)
 {
     HttpClient::Options options;
-    options.connections = settings.connections * 2; // a call has one connection to an endpoint at a time, and give-backs
+    options.connections =
+        settings.connections * 2; // a call has one connection to an endpoint at a time, and give-backs
     options.connectLimit = settings.connectLimit;
     options.idlePerAddress = 0;
     return options;
@@ -132,8 +133,10 @@
     const CallHead head = readCallHead(call);
     const auto config = this->fleet.inForce(); // stays as it is for this call, also where a newer one comes
     if (!this->fleet.isKnown()) {
-        sendRefusal(reply, head.id, {RefusalCode::NoConfiguration, RunState::NotRun, "no configuration read yet",
-                                     comeBackWithoutConfig}, yield);
+        sendRefusal(
+            reply, head.id,
+            {RefusalCode::NoConfiguration, RunState::NotRun, "no configuration read yet", comeBackWithoutConfig},
+            yield);
         return;
     }
     if (head.id.isEmpty()) {
@@ -145,7 +148,7 @@
         sendRefusal(reply, head.id, {RefusalCode::UnknownService, RunState::NotRun, "no route", std::nullopt}, yield);
         return;
     }
-    const ForwardedCall forwarded{this->services, head, call, reply, *route, chooseService(*route, head.id),
+    const ForwardedCall forwarded{this->services,  head,   call, reply, *route, chooseService(*route, head.id),
                                   config->version, arrival};
     if (route->kind == CallKind::Generation) {
         GenerationForward(forwarded).run(yield);
@@ -244,8 +247,10 @@
     });
     HttpServer::Options readyOptions;
     readyOptions.address = this->settings.ready;
-    auto openedReady = HttpServer::create(
-        this->io, readyOptions, [this](HttpCall &call, HttpReply &reply, const auto &yield) { this->answerReady(call, reply, yield); });
+    auto openedReady =
+        HttpServer::create(this->io, readyOptions, [this](HttpCall &call, HttpReply &reply, const auto &yield) {
+            this->answerReady(call, reply, yield);
+        });
     if (!opened || !openedReady) {
         Log::error("cannot_listen", {{"reason", (opened ? openedReady.error() : opened.error()).what()}});
         return 1;
@@ -269,10 +274,11 @@
         }
     });
     this->armTick();
-    Log::info("started", {{"host", this->settings.host.value()},
-                          {"data_centre", this->settings.dataCentre.value()},
-                          {"callers", this->settings.callers},
-                          {"version", FESCUESILL_VERSION}});
+    Log::info("started",
+              {{"host", this->settings.host.value()},
+               {"data_centre", this->settings.dataCentre.value()},
+               {"callers", this->settings.callers},
+               {"version", FESCUESILL_VERSION}});
     this->io.run();
     this->store->stop();
     if (this->links) {
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -1,9 +1,9 @@
 // The order is reserve, read, write. A prefill result lives for half a second or less and decode memory is what runs
 // short, so reading first would throw away whole prompts in every burst; the reservation costs one short call.
 //
-// A generation may run once, so it is sent again only where the engine said that it did not run it, or nothing was sent,
-// or the route lets another engine go on after the last whole event. What was reserved or read and not used is given
-// back at once: it is memory that other callers wait for.
+// A generation may run once, so it is sent again only where the engine said that it did not run it, or nothing was
+// sent, or the route lets another engine go on after the last whole event. What was reserved or read and not used is
+// given back at once: it is memory that other callers wait for.
 
 #include "programs/gateway/generationforward.h"
 
@@ -18,8 +18,8 @@
 
 // A caller that says nothing of the size of its prompt gets the place of a long one.
 constexpr Tokens unknownSize(8000);
-// A caller gives up on a stream that shows nothing for two seconds, four times its target or eight times its longest pause,
-// whichever is longest.
+// A caller gives up on a stream that shows nothing for two seconds, four times its target or eight times its longest
+// pause, whichever is longest.
 constexpr Duration leastPatience{2s};
 // Time kept for the read and the first step when a place comes free: a prompt of 5,000 tokens is read in 100 ms, and a
 // prefill engine has seldom more than one before it.
@@ -81,7 +81,8 @@
                                                                      const asio::yield_context &yield)
 {
     const auto &services = this->call.services;
-    const HttpRequest request = reservationRequest(decode.id, this->ask().prompt + Tokens(500), this->traits().longestReservation);
+    const HttpRequest request =
+        reservationRequest(decode.id, this->ask().prompt + Tokens(500), this->traits().longestReservation);
     try {
         const HttpResponse response = services.client.call(
             decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
@@ -321,24 +322,27 @@
 {
     this->call.services.metrics.onGenerationEnd(outcome, this->times);
     const GenerationAsk asked = this->ask();
-    const auto millis = [](const std::optional<Duration> &time) { return time ? time->count() / 1000 : -1; };
-    Log::info("generation_ended", {{"request", this->call.head.id.value()},
-                                   {"route", this->call.route.name},
-                                   {"config", this->call.version.value()},
-                                   {"outcome", outcome},
-                                   {"engine", this->engine.value()},
-                                   {"sends", this->sends},
-                                   {"self_read", this->readsItself},
-                                   {"prompt", asked.prompt.value()},
-                                   {"expected_output", asked.output.value()},
-                                   {"output", this->made().value()},
-                                   {"reader", this->reader.value()},
-                                   {"placed_ms", millis(this->times.placed)},
-                                   {"read_ms", millis(this->times.read)},
-                                   {"longest_pause_ms", millis(this->times.longestPause)},
-                                   {"first_event_ms", millis(this->times.firstEvent)},
-                                   {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
-                                   {"last_fault", this->lastFault}});
+    const auto millis = [](const std::optional<Duration> &time) {
+        return time ? time->count() / 1000 : -1;
+    };
+    Log::info("generation_ended",
+              {{"request", this->call.head.id.value()},
+               {"route", this->call.route.name},
+               {"config", this->call.version.value()},
+               {"outcome", outcome},
+               {"engine", this->engine.value()},
+               {"sends", this->sends},
+               {"self_read", this->readsItself},
+               {"prompt", asked.prompt.value()},
+               {"expected_output", asked.output.value()},
+               {"output", this->made().value()},
+               {"reader", this->reader.value()},
+               {"placed_ms", millis(this->times.placed)},
+               {"read_ms", millis(this->times.read)},
+               {"longest_pause_ms", millis(this->times.longestPause)},
+               {"first_event_ms", millis(this->times.firstEvent)},
+               {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
+               {"last_fault", this->lastFault}});
 }
 
 void GenerationForward::finish(Ended ended, const asio::yield_context &yield)
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -1,6 +1,7 @@
-// The node of the links has a thread of its own; what happens there comes to the forwarding thread through a ring. A ring
-// that is full drops an ask or a piece of news: a dropped ask waits at its host until its caller is refused, and a dropped
-// end is mended when the link is opened anew. Both need thousands of messages within one turn of the forwarding thread.
+// The node of the links has a thread of its own; what happens there comes to the forwarding thread through a ring. A
+// ring that is full drops an ask or a piece of news: a dropped ask waits at its host until its caller is refused, and a
+// dropped end is mended when the link is opened anew. Both need thousands of messages within one turn of the forwarding
+// thread.
 
 #include "programs/gateway/leaderlink.h"
 
@@ -31,8 +32,12 @@
     std::unique_ptr<LeaderLink> link(new LeaderLink(io, gates));
     LeaderLink *self = link.get();
     PeerNode::Handlers handlers;
-    handlers.opened = [self](LinkId id) { self->push({Change::Opened, id, {}}); };
-    handlers.closed = [self](LinkId id) { self->push({Change::Closed, id, {}}); };
+    handlers.opened = [self](LinkId id) {
+        self->push({Change::Opened, id, {}});
+    };
+    handlers.closed = [self](LinkId id) {
+        self->push({Change::Closed, id, {}});
+    };
     handlers.received = [self](LinkId id, peer::Message message) {
         self->push({Change::Received, id, std::move(message)});
     };
@@ -167,12 +172,12 @@
         this->node->send(link, peer::LeadEnded{});
         return;
     }
-    const GateKeeper::Send reply = [this, link](const peer::Message &answer) { this->node->send(link, answer); };
+    const GateKeeper::Send reply = [this, link](const peer::Message &answer) {
+        this->node->send(link, answer);
+    };
     std::visit(Overloaded{[&](const peer::TryPlace &place) { this->gates.onTry(place); },
                           [&](const peer::NoPlace &none) { this->gates.onNone(none); },
-                          [&](const peer::RegistryNews &news) {
-                              this->store->onNews(news);
-                          },
+                          [&](const peer::RegistryNews &news) { this->store->onNews(news); },
                           [&](const peer::ConfigNews &news) { this->store->onNews(news); },
                           [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
                           [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
@@ -184,7 +189,9 @@
                               this->followers.insert(link);
                               this->store->addFollower(link, follow.version);
                           },
-                          [&](const auto &) { Log::warning("link_message_unexpected"); }},
+                          [&](const auto &) {
+                              Log::warning("link_message_unexpected");
+                          }},
                message);
 }
 
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -25,8 +25,8 @@
         Duration heartbeat{300ms};
     };
 
-    static tl::expected<std::unique_ptr<LeaderLink>, WireError>
-    create(asio::io_context &io, const Options &options, GateKeeper &gates);
+    static tl::expected<std::unique_ptr<LeaderLink>, WireError> create(asio::io_context &io, const Options &options,
+                                                                       GateKeeper &gates);
     // Which follows the store; outlives the links.
     void setStore(StoreDuty &duty)
     {
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -2,8 +2,8 @@
 // call cannot be told, and bytes that an endpoint sends after an answer would be read as the answer to the next call.
 //
 // Another endpoint is asked only where that is harmless: the call may be repeated, or not one byte of it left, or the
-// endpoint said that it did not run it. The route bounds the endpoints that one call may reach, and the budget the retries
-// of a service.
+// endpoint said that it did not run it. The route bounds the endpoints that one call may reach, and the budget the
+// retries of a service.
 
 #include "programs/gateway/plainforward.h"
 
@@ -42,8 +42,8 @@
 Duration PlainForward::tryLimit() const
 {
     const Duration left = this->call.timeLeft();
-    const bool isLast = this->sends + 1 >= this->call.route.attempts
-        || this->call.services.fleet.budget(this->call.service).left() < 1;
+    const bool isLast =
+        this->sends + 1 >= this->call.route.attempts || this->call.services.fleet.budget(this->call.service).left() < 1;
     if (this->call.route.kind != CallKind::Repeatable || isLast) {
         return left;
     }
@@ -57,13 +57,13 @@
     const HttpRequest request = forwardedRequest(this->call.http, endpoint.id, this->call.timeLeft());
     picker.onSent(endpoint.id);
     const auto ended = [&](EndpointOutcome outcome) {
-        picker.onEnded(endpoint.id, this->abort.isAborted() ? EndpointOutcome::Abandoned : outcome,
-                       steadyNow() - begin, steadyNow());
+        picker.onEnded(endpoint.id, this->abort.isAborted() ? EndpointOutcome::Abandoned : outcome, steadyNow() - begin,
+                       steadyNow());
     };
     HttpResponse response;
     try {
         response = this->call.services.client.call(endpoint.address, request,
-                                                         {this->tryLimit(), Reuse::Never, &this->abort}, yield);
+                                                   {this->tryLimit(), Reuse::Never, &this->abort}, yield);
     } catch (const HttpError &error) {
         this->lastFault = error.what();
         ended(EndpointOutcome::Failed);
@@ -94,8 +94,8 @@
         return this->tried.size() < static_cast<std::size_t>(mostConnects);
     }
     const bool isRepeatable = this->call.route.kind == CallKind::Repeatable;
-    const bool isFailure = sent == Sent::Lost
-        || (sent == Sent::Answered && this->answered->head.status >= firstServerError);
+    const bool isFailure =
+        sent == Sent::Lost || (sent == Sent::Answered && this->answered->head.status >= firstServerError);
     if (isFailure ? !isRepeatable : sent == Sent::Answered) {
         return false;
     }
@@ -106,15 +106,16 @@
 {
     const Answer &answer = *this->answered;
     this->call.services.metrics.onPlainEnd("answered", steadyNow() - this->call.arrival);
-    Log::info("forwarded", {{"request", this->call.head.id.value()},
-                            {"route", this->call.route.name},
-                            {"config", this->call.version.value()},
-                            {"endpoint", answer.endpoint.value()},
-                            {"sends", this->sends},
-                            {"tried", static_cast<std::uint64_t>(this->tried.size())},
-                            {"last_fault", this->lastFault},
-                            {"status", answer.head.status},
-                            {"took_ms", (steadyNow() - this->call.arrival).count() / 1000}});
+    Log::info("forwarded",
+              {{"request", this->call.head.id.value()},
+               {"route", this->call.route.name},
+               {"config", this->call.version.value()},
+               {"endpoint", answer.endpoint.value()},
+               {"sends", this->sends},
+               {"tried", static_cast<std::uint64_t>(this->tried.size())},
+               {"last_fault", this->lastFault},
+               {"status", answer.head.status},
+               {"took_ms", (steadyNow() - this->call.arrival).count() / 1000}});
     this->call.reply.forward(answer.head.status, answer.response.body, answer.head.headers, yield);
 }
 
--- a/programs/gateway/stageorders.cpp
+++ b/programs/gateway/stageorders.cpp
@@ -1,7 +1,7 @@
 // Decode memory and prompt reading run out at different loads, and a deployment's split between them is a guess. Where
 // generations wait for memory while prefill engines are idle enough to spare one, one is ordered over. An order costs
-// little, but the engine is away while it changes, and an engine that goes to and fro serves nobody: it moves only where
-// the pool that gives still has half of its time left afterwards.
+// little, but the engine is away while it changes, and an engine that goes to and fro serves nobody: it moves only
+// where the pool that gives still has half of its time left afterwards.
 //
 // Only the holder of the lease orders, and asks its lease right before the first byte. An order that gets no answer may
 // be carried out later; the count of orders that the engine had accepted makes it void where another came first.
@@ -22,8 +22,8 @@
 constexpr Duration beyondChange{2s}; // until the registry shows it, and work that still runs there
 constexpr int leastPerPool = 2; // one may crash
 
-// The split that is right lasts for the day, so it pays to move soon: generations that wait for 300 ms are about to miss
-// their target. What keeps engines from moving back is the spare time that the giving pool must keep.
+// The split that is right lasts for the day, so it pays to move soon: generations that wait for 300 ms are about to
+// miss their target. What keeps engines from moving back is the spare time that the giving pool must keep.
 RoleShift::Options shiftOptions()
 {
     RoleShift::Options options;
@@ -48,9 +48,8 @@
 
 int StageOrders::pendingOf(const Service &service, const std::vector<EndpointRecord> &engines, Instant now)
 {
-    return static_cast<int>(std::count_if(engines.begin(), engines.end(), [&](const EndpointRecord &engine) {
-        return isPending(service, engine, now);
-    }));
+    return static_cast<int>(std::count_if(
+        engines.begin(), engines.end(), [&](const EndpointRecord &engine) { return isPending(service, engine, now); }));
 }
 
 void StageOrders::onTick(const StoreDuty &store, Instant now)
@@ -90,17 +89,17 @@
         return;
     }
     const bool toDecode = *wanted == Pool::Decode;
-    const auto engine =
-        this->chooseEngine(id, toDecode ? EndpointPart::Prefill : EndpointPart::Decode, service, now);
+    const auto engine = this->chooseEngine(id, toDecode ? EndpointPart::Prefill : EndpointPart::Decode, service, now);
     if (!engine) {
         return;
     }
-    Log::info("stage_wanted", {{"engine", engine->id.value()},
-                               {"stage", toDecode ? "decode" : "prefill"},
-                               {"prefill_busy", view.prefillBusy},
-                               {"decode_use", view.decodeUse},
-                               {"prefills", view.prefillEngines},
-                               {"decodes", view.decodeEngines}});
+    Log::info("stage_wanted",
+              {{"engine", engine->id.value()},
+               {"stage", toDecode ? "decode" : "prefill"},
+               {"prefill_busy", view.prefillBusy},
+               {"decode_use", view.decodeUse},
+               {"prefills", view.prefillEngines},
+               {"decodes", view.decodeEngines}});
     const EndpointPart to = toDecode ? EndpointPart::Decode : EndpointPart::Prefill;
     service.ordered[engine->id] = {to, now};
     this->order(*engine, to, traits, store);
@@ -137,8 +136,8 @@
     });
 }
 
-// The hosts hear of it before the engine does: it refuses work while it changes, and each refusal is paid from the budget
-// of retries that all hosts share.
+// The hosts hear of it before the engine does: it refuses work while it changes, and each refusal is paid from the
+// budget of retries that all hosts share.
 void StageOrders::sendOrder(const EndpointRecord &engine, EndpointPart part, Duration lasts, const StoreDuty &store,
                             const asio::yield_context &yield)
 {
@@ -160,10 +159,11 @@
     const HttpRequest request =
         stageOrderRequest({engine.id, part, this->services.settings.host, *fencing, report->acceptedOrders});
     const HttpResponse response = client.call(engine.address, request, {orderLimit, Reuse::Never}, yield);
-    Log::info("stage_ordered", {{"engine", engine.id.value()},
-                                {"fencing", fencing->value()},
-                                {"taken", isOrderTaken(response)},
-                                {"status", response.status}});
+    Log::info("stage_ordered",
+              {{"engine", engine.id.value()},
+               {"fencing", fencing->value()},
+               {"taken", isOrderTaken(response)},
+               {"status", response.status}});
     if (!isOrderTaken(response)) {
         this->announce({id, Duration(0)});
     }
--- a/programs/gateway/stageorders.h
+++ b/programs/gateway/stageorders.h
@@ -40,7 +40,8 @@
     static bool isPending(const Service &service, const EndpointRecord &engine, Instant now);
     static int pendingOf(const Service &service, const std::vector<EndpointRecord> &engines, Instant now);
     void consider(const ServiceId &id, const EngineTraits &traits, const StoreDuty &store, Instant now);
-    std::optional<EndpointRecord> chooseEngine(const ServiceId &id, EndpointPart from, Service &service, Instant now) const;
+    std::optional<EndpointRecord> chooseEngine(const ServiceId &id, EndpointPart from, Service &service,
+                                               Instant now) const;
     void order(const EndpointRecord &engine, EndpointPart part, const EngineTraits &traits, const StoreDuty &store);
     void sendOrder(const EndpointRecord &engine, EndpointPart part, Duration lasts, const StoreDuty &store,
                    const asio::yield_context &yield);
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -1,12 +1,14 @@
-// The leader follows the tables and hands their changes on to all other hosts, which read the store themselves only while
-// they have no leader that can: a fleet of 75 hosts that all followed both tables made 150 calls a second, and one leader
-// makes four. Rows of the registry go with the news. The configuration's row may be large and is read by each host.
+// The leader follows the tables and hands their changes on to all other hosts, which read the store themselves only
+// while they have no leader that can: a fleet of 75 hosts that all followed both tables made 150 calls a second, and
+// one leader makes four. Rows of the registry go with the news. The configuration's row may be large and is read by
+// each host.
 //
-// Each table is read whole once and then followed from that version. A gap in the store's history, or a failed list, leads
-// back to the whole list; any other fault is tried again from the same version, so no change is missed.
+// Each table is read whole once and then followed from that version. A gap in the store's history, or a failed list,
+// leads back to the whole list; any other fault is tried again from the same version, so no change is missed.
 //
 // The wait of one call is half of the contact time. A connection that went silent without a reset shows only as a reply
-// that is late; waiting longer would leave this host unaware of a leaving endpoint for longer than its callers can bear.
+// that is late; waiting longer would leave this host unaware of a leaving endpoint for longer than its callers can
+// bear.
 
 #include "programs/gateway/storeduty.h"
 
@@ -84,9 +86,13 @@
 }
 
 // A ring that is full is a moment's matter: the other side drains it without waiting for anything.
-void StoreDuty::push(StoreUpdate update)
+void StoreDuty::push(const StoreUpdate &update)
 {
-    while (!this->isStopping && !this->updates.tryPush(std::move(update))) {
+    while (!this->isStopping) {
+        StoreUpdate offered = update;
+        if (this->updates.tryPush(std::move(offered))) {
+            return;
+        }
         std::this_thread::sleep_for(pauseWhenFull);
     }
 }
@@ -152,7 +158,8 @@
     const char *name = nameOf(table == Table::Config);
     const bool isWhole = !followed.version;
     // The leader learns of a silent connection sooner, since all others wait for it.
-    const Duration wait = this->isLeading() ? std::min(leaderWait, this->options.contact / 2) : this->options.contact / 2;
+    const Duration wait =
+        this->isLeading() ? std::min(leaderWait, this->options.contact / 2) : this->options.contact / 2;
     const StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
     if (followed.isLost) {
         followed.isLost = false;
@@ -327,8 +334,9 @@
     if (isSameHolder && now.isSelf == this->told.isSelf) {
         return;
     }
-    Log::info("leader_changed", {{"leader", now.holder ? now.holder->host.value() : ""}, {"self", now.isSelf},
-                                 {"lease", now.term.value()}});
+    Log::info(
+        "leader_changed",
+        {{"leader", now.holder ? now.holder->host.value() : ""}, {"self", now.isSelf}, {"lease", now.term.value()}});
     this->told = now;
     this->push(now);
 }
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -59,9 +59,9 @@
 };
 } // namespace store_update
 
-using StoreUpdate = std::variant<store_update::Config, store_update::Listed, store_update::Changed,
-                                 store_update::Removed, store_update::Lost, store_update::Back, store_update::Leader,
-                                 store_update::News>;
+using StoreUpdate =
+    std::variant<store_update::Config, store_update::Listed, store_update::Changed, store_update::Removed,
+                 store_update::Lost, store_update::Back, store_update::Leader, store_update::News>;
 
 class StoreClient;
 struct StoreRow;
@@ -143,7 +143,7 @@
     void welcomeFollowers();
     peer::RegistryNews wholeRegistry() const;
     bool isLeading() const;
-    void push(StoreUpdate update);
+    void push(const StoreUpdate &update);
     void tell(bool isLost, Table table, const std::string &reason);
     void lead(const asio::yield_context &yield);
     void leadOnce(StoreClient &store, const asio::yield_context &yield);
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -1,7 +1,7 @@
-// A removed row means "takes no new work" at once, with one exception: rows lapse by themselves while the table is away,
-// and treating those as gone would empty the fleet at the very moment the table returns. So what is found missing from
-// the moment the table was lost until a grace after its return is kept until that grace ends; by then a live endpoint has
-// written its row again, and what is still missing is gone.
+// A removed row means "takes no new work" at once, with one exception: rows lapse by themselves while the table is
+// away, and treating those as gone would empty the fleet at the very moment the table returns. So what is found missing
+// from the moment the table was lost until a grace after its return is kept until that grace ends; by then a live
+// endpoint has written its row again, and what is still missing is gone.
 
 #include "promise/endpointregistry.h"
 
--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -1,11 +1,11 @@
-// The holder renews by writing the row again under the condition that nobody else has. Another host takes the lease only
-// after it has itself watched one version of the row stand still for a whole lease and a margin; it needs no clock of the
-// holder's. The holder counts its lease from before it sent the renewal, so it stops believing in it before anybody can
-// take it. Since every write is conditional, two takers cannot both succeed.
+// The holder renews by writing the row again under the condition that nobody else has. Another host takes the lease
+// only after it has itself watched one version of the row stand still for a whole lease and a margin; it needs no clock
+// of the holder's. The holder counts its lease from before it sent the renewal, so it stops believing in it before
+// anybody can take it. Since every write is conditional, two takers cannot both succeed.
 //
-// A write whose reply was lost may have been done, or may be done seconds later if its condition still holds. The row is
-// read back and decides: where it names this host, the renewal counts only from that read's doubt on, that is not at all
-// until the next accepted write.
+// A write whose reply was lost may have been done, or may be done seconds later if its condition still holds. The row
+// is read back and decides: where it names this host, the renewal counts only from that read's doubt on, that is not at
+// all until the next accepted write.
 
 #include "promise/leadership.h"
 
@@ -16,15 +16,16 @@
 
 std::string encode(const LeaseRow &row)
 {
-    const nlohmann::json object = {
-        {"host", row.host.value()}, {"address", row.address}, {"renewals", row.renewals}};
+    const nlohmann::json object = {{"host", row.host.value()}, {"address", row.address}, {"renewals", row.renewals}};
     return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 tl::expected<LeaseRow, LeaseRowError> decodeLeaseRow(const std::string &text)
 {
     const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
-    const auto isText = [&](const char *name) { return object.contains(name) && object[name].is_string(); };
+    const auto isText = [&](const char *name) {
+        return object.contains(name) && object[name].is_string();
+    };
     if (!object.is_object() || !isText("host") || !isText("address") || !object.contains("renewals")
         || !object["renewals"].is_number_integer()) {
         return tl::unexpected(LeaseRowError{"not a lease"});
@@ -44,8 +45,8 @@
     return this->row && this->row->isSameHolder(this->self);
 }
 
-// The next look stays as far from the last as ever: a leader that can be reached and has ended its lead would else be looked
-// up again at once, many times a second.
+// The next look stays as far from the last as ever: a leader that can be reached and has ended its lead would else be
+// looked up again at once, many times a second.
 void Leadership::onLeaderSeen(bool seen)
 {
     this->isSeen = seen;
--- a/promise/leadership.h
+++ b/promise/leadership.h
@@ -87,8 +87,8 @@
 
     // Whether this host holds the lease for sure. Checked right before each act of a leader.
     bool isLeading(Instant now) const;
-    // Until when this host may give orders, and none before it may. A holder begins only a whole lease after it took the
-    // lease from another: an endpoint must not hear two holders within one.
+    // Until when this host may give orders, and none before it may. A holder begins only a whole lease after it took
+    // the lease from another: an endpoint must not hear two holders within one.
     std::optional<Instant> ordersUntil(Instant now) const;
     // Whether this host was the last to hold the lease as far as it knows. Enough for what costs only quality where two
     // hosts do it at once: a leader that is cut off from the table goes on with it for all hosts that still reach it.
--- a/promise/testing/endpointregistry_test.cpp
+++ b/promise/testing/endpointregistry_test.cpp
@@ -34,8 +34,8 @@
     EXPECT_TRUE(registry.usable(service).empty());
 }
 
-// The table is away for some seconds. Rows lapse meanwhile, and live endpoints write them again within two seconds. If a
-// host believed the first list after the outage, it would turn every caller away though every endpoint is well.
+// The table is away for some seconds. Rows lapse meanwhile, and live endpoints write them again within two seconds. If
+// a host believed the first list after the outage, it would turn every caller away though every endpoint is well.
 TEST(EndpointRegistry, KeepsWhatLapsedInAnOutage)
 {
     EndpointRegistry registry({});
--- a/promise/testing/eventrelay_test.cpp
+++ b/promise/testing/eventrelay_test.cpp
@@ -42,7 +42,8 @@
     const auto count = *rc::gen::inRange(0, 6);
     std::string text;
     for (int number = 1; number <= count; ++number) {
-        text += "id: " + std::to_string(number) + "\ndata: " + *rc::gen::element<std::string>("x", "id: 3", "") + "\n\n";
+        text +=
+            "id: " + std::to_string(number) + "\ndata: " + *rc::gen::element<std::string>("x", "id: 3", "") + "\n\n";
     }
     const std::string sent = text + *rc::gen::element<std::string>("", "id: 99", "data: cut\n");
     EventRelay relay;
--- a/promise/testing/leadership_test.cpp
+++ b/promise/testing/leadership_test.cpp
@@ -34,8 +34,8 @@
     Instant frozenUntil;
 };
 
-// One turn of a host, with the fault that strikes it: 0 none, 1 the store is away, 2 a reply is lost after the write, 3 the
-// write is done late, 4 the host freezes.
+// One turn of a host, with the fault that strikes it: 0 none, 1 the store is away, 2 a reply is lost after the write, 3
+// the write is done late, 4 the host freezes.
 void turn(Host &host, LeaseStore &store, int fault, Instant now, std::optional<leadership_action::WriteLease> &late)
 {
     if (now < host.frozenUntil) {
@@ -71,8 +71,8 @@
     }
 }
 
-// Hosts are frozen, cut off from the store, lose replies, and writes are done seconds late, in any order. Two hosts that
-// both believed in their lease would give one engine contradicting orders; at no moment may there be two.
+// Hosts are frozen, cut off from the store, lose replies, and writes are done seconds late, in any order. Two hosts
+// that both believed in their lease would give one engine contradicting orders; at no moment may there be two.
 RC_GTEST_PROP(Leadership, HasNeverTwoLeaders, ())
 {
     const Leadership::Options options;
@@ -146,8 +146,9 @@
     EXPECT_TRUE(next.leadership.isLeading(now));
 }
 
-// The leader stops as planned. Without its word the others would wait for its lease to end, seconds in which each decides by
-// its own part of the load; it gives the lease back and the next one takes it at its next look. Orders still wait.
+// The leader stops as planned. Without its word the others would wait for its lease to end, seconds in which each
+// decides by its own part of the load; it gives the lease back and the next one takes it at its next look. Orders still
+// wait.
 TEST(Leadership, IsHandedOverInAPlannedStop)
 {
     LeaseStore store;
@@ -172,8 +173,8 @@
     EXPECT_FALSE(stopping.leadership.isLeading(now));
 }
 
-// The leader is cut off from the table and from nothing else. Its lease ends, so it gives no orders; it goes on placing for
-// the hosts that reach it, until it reads that another one leads.
+// The leader is cut off from the table and from nothing else. Its lease ends, so it gives no orders; it goes on placing
+// for the hosts that reach it, until it reads that another one leads.
 TEST(Leadership, GoesOnWithWhatNeedsNoLease)
 {
     LeaseStore store;
@@ -219,7 +220,8 @@
     EXPECT_EQ(back->address, "10.0.0.1:7660");
     EXPECT_EQ(back->renewals, 7);
     EXPECT_TRUE(decodeLeaseRow(encode(LeaseRow{}))->host.isEmpty());
-    for (const char *bad : {"", "{", "[]", "7", "{\"host\":1}", "{\"host\":\"a\",\"address\":\"b\",\"renewals\":\"c\"}"}) {
+    for (const char *bad :
+         {"", "{", "[]", "7", "{\"host\":1}", "{\"host\":\"a\",\"address\":\"b\",\"renewals\":\"c\"}"}) {
         EXPECT_FALSE(decodeLeaseRow(bad)) << bad;
     }
 }
--- a/wire/log.cpp
+++ b/wire/log.cpp
@@ -12,16 +12,16 @@
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
-// A line is built by the thread that logs and written by the logger's own, so a pipe that nobody reads holds up no caller.
-// The queue takes the last lines rather than the first: after a fault the end is what explains it.
+// A line is built by the thread that logs and written by the logger's own, so a pipe that nobody reads holds up no
+// caller. The queue takes the last lines rather than the first: after a fault the end is what explains it.
 
 namespace fescuesill
 {
 namespace
 {
 
-// Lines that wait to be written; some 400 bytes each. A busy host logs some hundred lines a second, so this is seconds of
-// a reader that does not read.
+// Lines that wait to be written; some 400 bytes each. A busy host logs some hundred lines a second, so this is seconds
+// of a reader that does not read.
 constexpr std::size_t queuedLines = 1024;
 
 struct LogState {
@@ -181,9 +181,9 @@
     state().host = host.empty() ? std::string() : " host=" + host;
     state().least = least;
     state().writer = std::make_shared<spdlog::details::thread_pool>(queuedLines, 1);
-    state().logger = std::make_shared<spdlog::async_logger>(
-        "fescuesill", std::make_shared<spdlog::sinks::stdout_sink_st>(), state().writer,
-        spdlog::async_overflow_policy::overrun_oldest);
+    state().logger =
+        std::make_shared<spdlog::async_logger>("fescuesill", std::make_shared<spdlog::sinks::stdout_sink_st>(),
+                                               state().writer, spdlog::async_overflow_policy::overrun_oldest);
     state().logger->set_pattern("%v");
     state().logger->flush_on(spdlog::level::info);
 }
--- a/wire/log.h
+++ b/wire/log.h
@@ -2,7 +2,8 @@
 
 // Structured logs on standard output, one key=value line for each event.
 //
-//     Log::open("entry", LogLevel::Info);                 // a program that only answers an operator leaves this out, and
+//     Log::open("entry", LogLevel::Info);                 // a program that only answers an operator leaves this out,
+//     and
 //                                                         // its few lines go to standard error
 //     Log::info("placed", {{"request", id.value()}, {"engine", engine.value()}, {"waited_ms", 12}});
 //     // time=2026-01-02T03:04:05.678Z level=info process=entry event=placed request=r1 engine=a-p1 waited_ms=12
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -166,8 +166,8 @@
     bool wanted = true;
 };
 
-// A gateway to the leader: find a decode engine for this generation. `onTime` and `useful`: how much longer a place meets
-// the target, or is of any use.
+// A gateway to the leader: find a decode engine for this generation. `onTime` and `useful`: how much longer a place
+// meets the target, or is of any use.
 struct AskPlace {
     RequestId request;
     ServiceId service;
@@ -225,8 +225,8 @@
     std::vector<HeldPlace> places;
 };
 
-// A gateway to the leader: hand on what changes in the store after this version. One that is newer than the leader's own
-// is answered when the leader has caught up.
+// A gateway to the leader: hand on what changes in the store after this version. One that is newer than the leader's
+// own is answered when the leader has caught up.
 struct FollowStore {
     std::uint64_t version = 0;
 };
@@ -244,8 +244,8 @@
     std::vector<RegistryRow> rows;
 };
 
-// The leader to a gateway: the configuration's row has this version. It is read from the store, which has more room on its
-// links than the leader.
+// The leader to a gateway: the configuration's row has this version. It is read from the store, which has more room on
+// its links than the leader.
 struct ConfigNews {
     std::uint64_t rowVersion = 0;
 };
@@ -265,8 +265,8 @@
 };
 
 using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
-                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, AskPlace,
-                             TryPlace, NoPlace, PlaceNews, HeldPlaces, FollowStore, RegistryNews, ConfigNews,
+                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
+                             AskPlace, TryPlace, NoPlace, PlaceNews, HeldPlaces, FollowStore, RegistryNews, ConfigNews,
                              EngineChanging, StoreLost, LeadEnded>;
 
 std::string encodeMessage(const Message &message);
--- a/wire/testing/log_test.cpp
+++ b/wire/testing/log_test.cpp
@@ -54,8 +54,8 @@
     int saved = -1;
 };
 
-// Whoever collects the logs hangs. A host that waited for it would stop serving; it must go on, keep the newest lines, and
-// say how many it left out.
+// Whoever collects the logs hangs. A host that waited for it would stop serving; it must go on, keep the newest lines,
+// and say how many it left out.
 TEST(Log, WaitsForNobodyAndSaysWhatItLeftOut)
 {
     UnreadOutput output;
--- /dev/null
+++ b/wire/testing/messages_placing_test.cpp
@@ -0,0 +1,51 @@
+#include "wire/messages.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuesill::peer
+{
+namespace
+{
+
+template<typename Struct>
+Struct passedOn(const Struct &sent)
+{
+    const auto read = decodeMessage(encodeMessage(sent));
+    EXPECT_TRUE(read);
+    return std::get<Struct>(*read);
+}
+
+TEST(PlacingMessages, ArriveAsTheyWereSent)
+{
+    const AskPlace ask = passedOn(AskPlace{RequestId("r"), ServiceId("s"), 2, Tokens(5200), Tokens(3500), Tokens(6500),
+                                           40ms, -10ms, 3s, DataCentreId("a"), EngineId("d1")});
+    EXPECT_EQ(ask.mostOutput, Tokens(6500));
+    EXPECT_EQ(ask.onTime, -10ms);
+    EXPECT_EQ(ask.avoid, EngineId("d1"));
+    const PlaceNews news = passedOn(PlaceNews{RequestId("r"), ServiceId("s"), PlaceEvent::EndedByFault, Tokens(7)});
+    EXPECT_EQ(news.event, PlaceEvent::EndedByFault);
+    const HeldPlaces held =
+        passedOn(HeldPlaces{{{RequestId("r"), ServiceId("s"), EngineId("d"), Tokens(1), Tokens(2), Tokens(3), 4s}}});
+    ASSERT_EQ(held.places.size(), 1U);
+    EXPECT_EQ(held.places[0].age, 4s);
+    EXPECT_EQ(passedOn(NoPlace{RequestId("r"), 700ms}).retryAfter, 700ms);
+    EXPECT_EQ(passedOn(TryPlace{RequestId("r"), EngineId("d")}).engine, EngineId("d"));
+    EXPECT_EQ(passedOn(EngineChanging{EngineId("d"), 8s}).lasts, 8s);
+    EXPECT_EQ(passedOn(ConfigNews{41}).rowVersion, 41U);
+    EXPECT_EQ(passedOn(FollowStore{7}).version, 7U);
+    passedOn(StoreLost{});
+    passedOn(LeadEnded{});
+}
+
+// A row of another writer may hold any bytes; they go through as they are.
+TEST(PlacingMessages, CarryAnyBytesOfARow)
+{
+    const std::string bytes("\xff\x00\x80{", 4);
+    const RegistryNews news = passedOn(RegistryNews{true, 9, {{"k", bytes, false}, {"gone", "", true}}});
+    ASSERT_EQ(news.rows.size(), 2U);
+    EXPECT_EQ(news.rows[0].value, bytes);
+    EXPECT_TRUE(news.rows[1].isRemoved);
+}
+
+} // namespace
+} // namespace fescuesill::peer
