Hand followers what came after their own version, try unmeasured endpoints, mend a random test

A follower is handed the rows after the version that it has now. An endpoint that turned slow was never left while its peers had not been measured: they were taken for slower still; and one that was well again was never tried again beside well ones. The random test of routes evaluated both sides of an or and crashed; the burst test measures its endpoints first, its bounds are the same.

--- a/decide/endpointpicker.cpp
+++ b/decide/endpointpicker.cpp
@@ -14,6 +14,7 @@
 EndpointPicker::EndpointPicker(const Options &given, std::uint64_t seed)
     : options(given)
     , random(seed)
+    , usualUs(static_cast<double>(given.unknownTime.count()))
 {
 }
 
@@ -26,24 +27,26 @@
             best = std::min(best, *found->second.meanUs);
         }
     }
-    const auto unknown = static_cast<double>(this->options.unknownTime.count());
-    return best == std::numeric_limits<double>::max() ? unknown : best;
+    return std::min(best, this->usualUs);
+}
+
+// How much of an endpoint's own measurement still counts; the rest is what an unknown one is taken to need.
+double EndpointPicker::kept(const Load &load, Instant now) const
+{
+    const double age = std::chrono::duration<double>(now - load.measured).count();
+    return load.meanUs ? std::exp2(-age / std::chrono::duration<double>(this->options.forget).count()) : 0.0;
 }
 
 double EndpointPicker::costUs(const EndpointCandidate &candidate, double bestUs, Instant now) const
 {
-    const double unmeasured = bestUs + (candidate.isNear ? 0.0 : static_cast<double>(this->options.farExtra.count()));
+    const double unmeasured = bestUs * this->options.trialShare
+        + (candidate.isNear ? 0.0 : static_cast<double>(this->options.farExtra.count()));
     const auto found = this->loads.find(candidate.id);
     if (found == this->loads.end()) {
         return unmeasured;
     }
     const Load &load = found->second;
-    double mean = unmeasured;
-    if (load.meanUs) {
-        const double age = std::chrono::duration<double>(now - load.measured).count();
-        const double kept = std::exp2(-age / std::chrono::duration<double>(this->options.forget).count());
-        mean = unmeasured + kept * (*load.meanUs - unmeasured);
-    }
+    const double mean = unmeasured + this->kept(load, now) * (load.meanUs.value_or(unmeasured) - unmeasured);
     const double crowd = 1.0 + static_cast<double>(load.inFlight) / candidate.slots;
     return mean * crowd + load.faults.at(now) * static_cast<double>(this->options.faultCost.count());
 }
@@ -98,8 +101,11 @@
         break;
     }
     const auto us = static_cast<double>(took.count());
-    load.meanUs = load.meanUs ? *load.meanUs + this->options.weight * (us - *load.meanUs) : us;
+    // After a long rest the old mean says little, and one answer says how the endpoint is now.
+    const double weight = std::max(this->options.weight, 1.0 - this->kept(load, now));
+    load.meanUs = load.meanUs ? *load.meanUs + weight * (us - *load.meanUs) : us;
     load.measured = now;
+    this->usualUs += this->options.usualWeight * (us - this->usualUs);
 }
 
 void EndpointPicker::forget(const EndpointId &endpoint)
--- a/decide/endpointpicker.h
+++ b/decide/endpointpicker.h
@@ -47,11 +47,17 @@
         double errorWeight = 0.15;
         // Weight of one answer in the mean time. Work times vary by half their mean; a tenth brings that to a tenth.
         double weight = 0.1;
-        // Time after which an unused endpoint's mean has gone halfway back to the best one's, so that it is tried
-        // again.
-        Duration forget{5s};
+        // Time after which an unused endpoint's mean has gone halfway back to what an unknown one is taken to need. One
+        // that was twenty times slower is tried again after some 17 s, and costs one call if it still is.
+        Duration forget{3s};
+        // An endpoint that was not measured lately is taken for a little faster than the best, or it would never be
+        // tried again beside one that is well.
+        double trialShare = 0.8;
         // Until anything was measured.
         Duration unknownTime{15ms};
+        // Weight of one answer in the usual time of all endpoints, which an endpoint that was not measured is taken to
+        // need: slow enough that one endpoint that turns slow does not make its unknown peers look slow as well.
+        double usualWeight = 0.01;
         // A far endpoint is asked for what its own answers take; until then it is taken for this much slower.
         Duration farExtra{10ms};
     };
@@ -73,12 +79,14 @@
         FaultRate faults;
     };
 
+    double kept(const Load &load, Instant now) const;
     double costUs(const EndpointCandidate &candidate, double bestUs, Instant now) const;
     double bestMeanUs(const std::vector<EndpointCandidate> &candidates) const;
 
     Options options;
     std::mt19937_64 random;
     std::unordered_map<EndpointId, Load> loads;
+    double usualUs; // of all endpoints
 };
 
 } // namespace fescuesill
--- a/decide/testing/endpointpicker_test.cpp
+++ b/decide/testing/endpointpicker_test.cpp
@@ -85,6 +85,11 @@
 TEST(EndpointPicker, SpillsABurst)
 {
     EndpointPicker picker({}, 1);
+    const std::map<std::string, Duration> times = {{"near", 15ms}, {"far1", 24ms}, {"far2", 24ms}};
+    for (const auto &[name, took] : times) {
+        picker.onSent(EndpointId(name));
+        picker.onEnded(EndpointId(name), EndpointOutcome::Answered, took, start);
+    }
     std::map<std::string, int> sent;
     for (int call = 0; call < 24; ++call) {
         const EndpointId chosen =
--- a/decide/testing/routetable_test.cpp
+++ b/decide/testing/routetable_test.cpp
@@ -2,7 +2,6 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
-#include <set>
 
 namespace fescuesill
 {
@@ -65,9 +64,16 @@
 // The oracle looks at every route.
 RC_GTEST_PROP(RouteTable, AgreesWithASearchOfAllRoutes, ())
 {
-    const auto part = rc::gen::element<std::string>("", "a/", "b/", "a/b/", "a/a/");
-    const auto prefixes = *rc::gen::container<std::set<std::string>>(part);
-    const std::string path = "/" + *part + *rc::gen::element<std::string>("", "a", "b", "c");
+    const std::vector<std::string> parts = {"", "a/", "b/", "a/b/", "a/a/"};
+    std::vector<std::string> prefixes;
+    for (const std::string &part : parts) {
+        if (*rc::gen::inRange(0, 2) == 1) {
+            prefixes.push_back(part);
+        }
+    }
+    const std::vector<std::string> ends = {"", "a", "b", "c"};
+    const std::string path = "/" + parts[static_cast<std::size_t>(*rc::gen::inRange(0, 5))]
+        + ends[static_cast<std::size_t>(*rc::gen::inRange(0, 4))];
     std::vector<Route> routes;
     routes.reserve(prefixes.size());
     const Route *expected = nullptr;
@@ -83,7 +89,9 @@
     const RouteTable table = RouteTable::create(routes).value();
     const Route *found = table.find("h", path);
     RC_ASSERT((found == nullptr) == (expected == nullptr));
-    RC_ASSERT(found == nullptr || found->prefix == expected->prefix);
+    if (found != nullptr) { // the assertion evaluates both sides of an or
+        RC_ASSERT(found->prefix == expected->prefix);
+    }
 }
 
 TEST(RouteTable, SplitsByWeightAndTheSameWayForTheSameRequest)
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -21,6 +21,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <utility>
 
 namespace fescuesill
 {
@@ -31,6 +32,7 @@
 constexpr Duration pauseAfterFault{250ms}; // a store that refuses is asked four times a second by each table
 constexpr Duration leaderWait{500ms}; // a quarter of the time within which a change must be in force everywhere
 constexpr Duration relayedPause{10s}; // ended by whatever ends the relay
+constexpr std::size_t mostRecentRows = 500; // some 300 bytes each; a follower is behind by a second or two
 constexpr std::size_t mostNewFollowers = 4096; // hosts of a fleet that link to a new leader at the same moment
 constexpr Duration pauseWhenFull{5ms}; // the forwarding thread drains its ring in well under that
 
@@ -168,8 +170,9 @@
     if (followed.isRelayed && read.version < followed.version.value_or(0)) {
         return; // the leader's news overtook this reply
     }
+    const std::int64_t before = followed.version.value_or(0);
     followed.version = read.version;
-    this->takeRows(table, read.rows, isWhole);
+    this->takeRows(table, read.rows, isWhole, before);
 }
 
 void StoreDuty::setRelayed(Table table, bool isRelayed)
@@ -183,68 +186,79 @@
     }
 }
 
-void StoreDuty::takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole)
+void StoreDuty::takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before)
 {
     if (table == Table::Registry) {
         this->registryRead = steadyNow().time_since_epoch().count();
-        if (isWhole) {
-            this->registryRows.clear();
-            this->takeList(rows);
-        }
-        for (const StoreRow &row : rows) {
-            if (row.isRemoved) {
-                this->registryRows.erase(row.key);
-            } else {
-                this->registryRows[row.key] = row.value;
-            }
-        }
-        this->handOn(rows, isWhole);
+        this->remember(rows, before, isWhole);
     }
-    for (const StoreRow &row : rows) {
-        if (table == Table::Config || !isWhole) {
+    if (table == Table::Registry && isWhole) {
+        this->takeList(rows);
+    } else {
+        for (const StoreRow &row : rows) {
             this->takeRow(table, row);
         }
     }
+    if (table == Table::Registry) {
+        this->handOn(rows, before);
+    }
     this->known = static_cast<std::uint64_t>(this->registry.version.value_or(0));
     this->welcomeFollowers();
 }
 
-void StoreDuty::handOn(const std::vector<StoreRow> &rows, bool isWhole)
+void StoreDuty::remember(const std::vector<StoreRow> &rows, std::int64_t before, bool isWhole)
 {
-    if (!this->isLeading() || (rows.empty() && !isWhole)) {
+    if (isWhole) {
+        this->recentRows.clear();
+        this->recentSince = *this->registry.version;
         return;
     }
-    peer::RegistryNews news{isWhole, static_cast<std::uint64_t>(*this->registry.version), {}};
+    if (this->recentRows.empty() && this->recentSince == 0) {
+        this->recentSince = before;
+    }
     for (const StoreRow &row : rows) {
-        news.rows.push_back({row.key, row.value, row.isRemoved});
+        this->recentRows.push_back({static_cast<std::uint64_t>(row.version), row.key, row.value, row.isRemoved});
+    }
+    while (this->recentRows.size() > mostRecentRows) {
+        this->recentSince = static_cast<std::int64_t>(this->recentRows.front().version);
+        this->recentRows.pop_front();
+    }
+}
+
+void StoreDuty::handOn(const std::vector<StoreRow> &rows, std::int64_t before)
+{
+    if (this->isLeading() && !rows.empty() && before >= this->recentSince) {
+        this->push(store_update::News{this->newsAfter(before), std::nullopt});
     }
-    this->push(store_update::News{news, std::nullopt});
 }
 
-peer::RegistryNews StoreDuty::wholeRegistry() const
+peer::RegistryNews StoreDuty::newsAfter(std::int64_t version) const
 {
-    peer::RegistryNews news{true, this->known, {}};
-    for (const auto &[key, value] : this->registryRows) {
-        news.rows.push_back({key, value, false});
+    const auto after = static_cast<std::uint64_t>(version);
+    peer::RegistryNews news{after, static_cast<std::uint64_t>(*this->registry.version), {}};
+    for (const peer::RegistryRow &row : this->recentRows) {
+        if (row.version > after) {
+            news.rows.push_back(row);
+        }
     }
     return news;
 }
 
-// Only with all that the follower has: an older list would bring endpoints back that have left.
+// A follower has read the whole table itself and is handed what came since: whole tables to all hosts of a large fleet
+// at once took 90 MB of the leader's memory at 300 hosts and 3,000 endpoints, and the platform killed it. One that is
+// behind what is kept here, or ahead of this host, goes on reading the store and asks again.
 void StoreDuty::welcomeFollowers()
 {
-    if (!this->isLeading() || this->registry.isLost || this->config.isLost) {
+    if (!this->isLeading() || !this->registry.version || this->registry.isLost || this->config.isLost) {
         return;
     }
-    auto &waiting = this->newFollowers;
-    for (auto follower = waiting.begin(); follower != waiting.end();) {
-        const auto current = follower++;
-        if (current->second > this->known) {
+    for (const auto &[link, version] : std::exchange(this->newFollowers, {})) {
+        const auto has = static_cast<std::int64_t>(version);
+        if (has < this->recentSince || has > *this->registry.version) {
             continue;
         }
-        this->push(store_update::News{this->wholeRegistry(), current->first});
-        this->push(store_update::News{peer::ConfigNews{static_cast<std::uint64_t>(this->configRow)}, current->first});
-        waiting.erase(current);
+        this->push(store_update::News{this->newsAfter(has), link});
+        this->push(store_update::News{peer::ConfigNews{static_cast<std::uint64_t>(this->configRow)}, link});
     }
 }
 
@@ -261,23 +275,25 @@
 void StoreDuty::onNews(const peer::RegistryNews &news)
 {
     asio::post(this->io, [this, news] {
-        const auto version = static_cast<std::int64_t>(news.version);
-        const bool isOld = this->registry.version && version < *this->registry.version;
-        const bool hasGap = !news.isWhole && !this->registry.isRelayed; // LeaderLink asks for the whole
-        if (isOld || hasGap) {
+        const std::int64_t has = this->registry.version.value_or(-1);
+        if (static_cast<std::int64_t>(news.after) > has) {
+            this->setRelayed(Table::Registry, false); // something between is missing; LeaderLink asks for it
             return;
         }
-        this->registry.version = version;
         std::vector<StoreRow> rows;
         for (const peer::RegistryRow &row : news.rows) {
-            rows.push_back({row.key, row.value, version, row.isRemoved});
+            const auto version = static_cast<std::int64_t>(row.version);
+            if (version > has) { // an older one would bring endpoints back that have left
+                rows.push_back({row.key, row.value, version, row.isRemoved});
+            }
         }
+        this->registry.version = std::max(has, static_cast<std::int64_t>(news.version));
         if (this->registry.isLost) {
             this->registry.isLost = false;
             this->tell(false, Table::Registry, {});
         }
         this->setRelayed(Table::Registry, true);
-        this->takeRows(Table::Registry, rows, news.isWhole);
+        this->takeRows(Table::Registry, rows, false, has);
     });
 }
 
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -17,6 +17,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <thread>
@@ -135,13 +136,14 @@
     void followOnce(Table table, StoreClient &store, const asio::yield_context &yield);
     void waitFor(Followed &table, Duration time, const asio::yield_context &yield);
     void setRelayed(Table table, bool isRelayed);
-    void takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole);
+    void takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before);
     void takeRow(Table table, const StoreRow &row);
     void takeConfig(const StoreRow &row);
     void takeList(const std::vector<StoreRow> &rows);
-    void handOn(const std::vector<StoreRow> &rows, bool isWhole);
+    void handOn(const std::vector<StoreRow> &rows, std::int64_t before);
+    void remember(const std::vector<StoreRow> &rows, std::int64_t before, bool isWhole);
     void welcomeFollowers();
-    peer::RegistryNews wholeRegistry() const;
+    peer::RegistryNews newsAfter(std::int64_t version) const;
     bool isLeading() const;
     void push(const StoreUpdate &update);
     void tell(bool isLost, Table table, const std::string &reason);
@@ -161,7 +163,8 @@
     // Of the duty's own thread, like all below.
     Followed config;
     Followed registry;
-    std::map<std::string, std::string> registryRows; // as they were written, for followers
+    std::deque<peer::RegistryRow> recentRows; // of the registry, for followers that are a little behind
+    std::int64_t recentSince = 0; // all changes after this version are among them
     std::int64_t configRow = 0; // version of the configuration's row here
     std::optional<std::int64_t> configAtLeader; // the newest that the leader told of
     std::map<LinkId, std::uint64_t> newFollowers; // not answered yet, with the version that each has
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -97,20 +97,11 @@
 
 void HttpReply::startStream(int status, const asio::yield_context &yield, const std::vector<HttpHeader> &headers)
 {
-    std::string text;
-    fmt::format_to(
-        std::back_inserter(text),
-        "HTTP/1.1 {} {}\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\nX-Request-Id: {}\r\n", status,
-        reasonOf(status), this->connection.id.value());
-    appendHeaders(text, headers);
-    if (this->connection.isChunked) {
-        text += "Transfer-Encoding: chunked\r\n";
-    } else {
-        this->connection.keepAlive = false;
-    }
-    text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
-    this->connection.started = true;
-    this->connection.send(text, yield);
+    std::vector<HttpHeader> all = {{"Content-Type", "text/event-stream"},
+                                   {"Cache-Control", "no-cache"},
+                                   {"X-Request-Id", this->connection.id.value()}};
+    all.insert(all.end(), headers.begin(), headers.end());
+    this->startForward(status, all, yield);
 }
 
 void HttpReply::write(std::string_view piece, const asio::yield_context &yield)
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -236,6 +236,7 @@
 template<typename Visitor>
 void fields(Visitor &visit, RegistryRow &m)
 {
+    visit(m.version);
     visit(m.key);
     visit(m.value);
     visit(m.isRemoved);
@@ -244,7 +245,7 @@
 template<typename Visitor>
 void fields(Visitor &visit, RegistryNews &m)
 {
-    visit(m.isWhole);
+    visit(m.after);
     visit(m.version);
     visit(m.rows);
 }
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -232,15 +232,16 @@
 };
 
 struct RegistryRow {
+    std::uint64_t version = 0;
     std::string key;
     std::string value; // as it was written
     bool isRemoved = false;
 };
 
-// The leader to a gateway: rows of the registry that changed, or all of them.
+// The leader to a gateway: the rows of the registry that changed after one version of the store and up to another.
 struct RegistryNews {
-    bool isWhole = false;
-    std::uint64_t version = 0; // of the store
+    std::uint64_t after = 0;
+    std::uint64_t version = 0;
     std::vector<RegistryRow> rows;
 };
 
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -41,7 +41,7 @@
 TEST(PlacingMessages, CarryAnyBytesOfARow)
 {
     const std::string bytes("\xff\x00\x80{", 4);
-    const RegistryNews news = passedOn(RegistryNews{true, 9, {{"k", bytes, false}, {"gone", "", true}}});
+    const RegistryNews news = passedOn(RegistryNews{4, 9, {{5, "k", bytes, false}, {9, "gone", "", true}}});
     ASSERT_EQ(news.rows.size(), 2U);
     EXPECT_EQ(news.rows[0].value, bytes);
     EXPECT_TRUE(news.rows[1].isRemoved);
