--- a/decide/prefillchoice.cpp
+++ b/decide/prefillchoice.cpp
@@ -46,9 +46,12 @@
 
 void PrefillChoice::onEnded(const EngineId &engine, Tokens prompt, bool isFault, Instant now)
 {
-    Load &load = this->loads[engine];
-    load.reading -= prompt;
-    load.faults.add(isFault ? 1 : 0, now);
+    const auto found = this->loads.find(engine);
+    if (found == this->loads.end()) {
+        return; // gone meanwhile
+    }
+    found->second.reading -= prompt;
+    found->second.faults.add(isFault ? 1 : 0, now);
 }
 
 void PrefillChoice::onRead(Tokens prompt, Duration took)
--- a/decide/prefillchoice.h
+++ b/decide/prefillchoice.h
@@ -36,6 +36,11 @@
     bool isSound(const EngineId &engine, Instant now) const;
     void onSent(const EngineId &engine, Tokens prompt);
     void onEnded(const EngineId &engine, Tokens prompt, bool isFault, Instant now);
+    // Its state is dropped; it may come back as another start.
+    void forget(const EngineId &engine)
+    {
+        this->loads.erase(engine);
+    }
     // A read that came to its end. What the fastest of late took for each token: without waits; none before the first.
     void onRead(Tokens prompt, Duration took);
     std::optional<double> microsecondsPerToken() const
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -46,6 +46,7 @@
                    },
                    [&](const store_update::Removed &removed) {
                        this->registry.onRemoved(removed.id, now);
+                       this->forgetGone(removed.id);
                        Log::info("endpoint_removed", {{"endpoint", removed.id.value()}});
                    },
                    [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
@@ -87,6 +88,14 @@
     return places;
 }
 
+void FleetView::forgetGone(const EndpointId &id)
+{
+    if (this->registry.find(id) == nullptr) {
+        this->plainPicker.forget(id);
+        this->prefillChoice.forget(EngineId(id.value()));
+    }
+}
+
 void FleetView::setChanging(const EndpointId &id, Instant until)
 {
     if (const EndpointRecord *record = this->registry.find(id)) {
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -63,6 +63,8 @@
 
     void takeConfig(const std::shared_ptr<const RoutingConfig> &read);
     bool isChanging(const EndpointRecord &record) const;
+    // What was measured of an endpoint that is gone for good is of no use, and names come and go for months.
+    void forgetGone(const EndpointId &id);
 
     DataCentreId dataCentre;
     RetryBudget::Options retries;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -24,6 +24,9 @@
 // Time kept for the read and the first step when a place comes free: a prompt of 5,000 tokens is read in 100 ms, and a
 // prefill engine has seldom more than one before it.
 constexpr Duration readTime{250ms};
+// Reserved beside the prompt: some ten events. All of the output would push other generations out of the engine's
+// memory long before it is made; how much all of them will grow is what the gate forecasts.
+constexpr Tokens reservedOutput(500);
 // A read that takes longer waits behind several others or at an engine that went dark; the decode engine reads sooner.
 constexpr Duration readLimit{700ms};
 constexpr Duration comeBackSoonest{500ms};
@@ -82,7 +85,7 @@
 {
     const auto &services = this->call.services;
     const HttpRequest request =
-        reservationRequest(decode.id, this->ask().prompt + Tokens(500), this->traits().longestReservation);
+        reservationRequest(decode.id, this->ask().prompt + reservedOutput, this->traits().longestReservation);
     try {
         const HttpResponse response = services.client.call(
             decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
@@ -93,6 +96,7 @@
         this->lastFault = "no room at " + decode.id.value();
         this->tell(peer::PlaceEvent::Full);
     } catch (const HttpError &error) {
+        this->checkCaller(); // it ended the call, and the engine has no fault
         this->lastFault = error.what();
         this->tell(peer::PlaceEvent::Fault);
     }
@@ -198,7 +202,7 @@
     this->lastEventAt = now;
 }
 
-GenerationForward::Ended GenerationForward::relay(LineStream &stream, const Place &, const asio::yield_context &yield)
+GenerationForward::Ended GenerationForward::relay(LineStream &stream, const asio::yield_context &yield)
 {
     std::string bytes;
     while (stream.readSome(bytes, this->call.timeLeft(), yield)) {
@@ -249,7 +253,7 @@
             this->isStarted = true;
             this->call.reply.startForward(head.status, head.headers, yield);
         }
-        return this->relay(stream, place, yield);
+        return this->relay(stream, yield);
     } catch (const HttpError &error) {
         this->lastFault = error.what();
         this->sends -= error.isKnownNotSent() ? 1 : 0;
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -44,7 +44,7 @@
     std::optional<Prefill> prefill(const EndpointRecord &decode, const asio::yield_context &yield);
     std::optional<Prefill> prefillAt(const EndpointRecord &engine, const asio::yield_context &yield);
     Ended generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
-    Ended relay(LineStream &events, const Place &place, const asio::yield_context &yield);
+    Ended relay(LineStream &events, const asio::yield_context &yield);
     Ended handOnError(LineStream &answer, const AnswerHead &head, const asio::yield_context &yield);
     void release(const Place &place, const std::optional<Prefill> &prefill);
     void finish(Ended ended, const asio::yield_context &yield);
