Start no more reads than the prefill engines keep up with; look at the lease again soon after it changed

Decode engines were empty, so all were placed at once; six prefill engines had 1.6 s of prompts before them, reads were given up at 700 ms and done once more by decode engines, whose answers stalled. And for half a second three hosts placed alone, since they had reached the leader of the last term 30 ms before it held the lease again and looked at the row only 500 ms later. Ruled out: engines that still ran what the killed hosts had sent (they drop it within 1.5 s; pauses lasted 8 s). Change: the gate keeps a virtual queue of the prefill pool (decide/readpace) and places at most 150 ms of reads ahead; the lease is read 60 ms after a change, then at doubling pauses up to the old one.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -37,6 +37,7 @@
     , random(seed)
     , queue(given.queue)
     , admission(given.admission)
+    , reads(given.reads)
     , perTokenUs(static_cast<double>(given.perToken.count()))
 {
 }
@@ -56,6 +57,11 @@
     this->engines = std::move(next);
 }
 
+void GenerationGate::setReaders(std::size_t count, std::optional<double> perTokenUs)
+{
+    this->reads.setPool(count, perTokenUs);
+}
+
 // The part of all the memory that a generation takes, for as long as it lives: the time of the whole pool it uses up.
 Duration GenerationGate::costOf(const GenerationAsk &ask) const
 {
@@ -146,7 +152,11 @@
 
 void GenerationGate::placeWaiting(std::vector<GateAction> &actions, Instant now)
 {
-    while (const QueueItem *head = this->queue.head()) {
+    while (this->reads.mayStart(now)) {
+        const QueueItem *head = this->queue.head();
+        if (head == nullptr) {
+            return;
+        }
         const GenerationAsk ask = this->waitingAsks.at(head->request);
         Engine *engine = this->choose(ask, now);
         if (engine == nullptr) {
@@ -155,6 +165,7 @@
         this->queue.pop();
         this->waitingAsks.erase(ask.id);
         this->place(ask, *engine, now);
+        this->reads.onStarted(ask.prompt, now);
         actions.push_back(TryReserve{ask.id, engine->places.engine});
     }
 }
@@ -249,6 +260,9 @@
             wake = std::min(*wake, *engine.fullUntil);
         }
     }
+    if (!this->reads.mayStart(now)) {
+        wake = std::min(*wake, this->reads.nextStart());
+    }
     return std::max(*wake, now);
 }
 
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -16,6 +16,7 @@
 #include "decide/classqueue.h"
 #include "decide/faultrate.h"
 #include "decide/memoryforecast.h"
+#include "decide/readpace.h"
 
 #include <optional>
 #include <random>
@@ -109,11 +110,14 @@
         Duration loadWindow{5s};
         ClassQueue::Options queue;
         Admission::Options admission;
+        ReadPace::Options reads;
     };
 
     GenerationGate(const Options &options, std::uint64_t seed);
 
     void setEngines(const std::vector<DecodePlaces> &engines, Instant now);
+    // Engines that read prompts for the decode engines, and the time of one token at one of them as measured.
+    void setReaders(std::size_t count, std::optional<double> perTokenUs);
     void submit(const GenerationAsk &ask, Instant now);
     // What follows from all events so far; ask again after each event and at nextWake().
     std::vector<GateAction> poll(Instant now);
@@ -177,6 +181,7 @@
     std::mt19937_64 random;
     ClassQueue queue;
     Admission admission;
+    ReadPace reads;
     std::unordered_map<RequestId, GenerationAsk> waitingAsks;
     std::unordered_map<RequestId, Placement> placements;
     OutputEstimate estimate;
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -218,6 +218,34 @@
     EXPECT_FALSE(gate.nextWake(start));
 }
 
+// All hosts of a fleet start again and a hundred callers come back within some milliseconds. Decode engines are empty
+// and have room for all of them; the six prefill engines read 60 prompts a second. Placed all at once, the last prompt
+// would be read after 1.6 s, long after its target.
+TEST(GenerationGate, StartsNoMoreReadsThanThePrefillEnginesKeepUpWith)
+{
+    GenerationGate gate({}, 3);
+    gate.setEngines(engines(20), start);
+    gate.setReaders(6, 19.0);
+    for (int number = 0; number < 100; ++number) {
+        gate.submit(ask("r" + std::to_string(number), start), start);
+    }
+    Duration queued{0}; // in front of the prefill engines
+    Duration longest{0};
+    int placed = 0;
+    for (Duration at{0}; at < 700ms; at += 1ms) {
+        queued = std::max(Duration(0), queued - 1ms);
+        for (const GateAction &action : gate.poll(start + at)) {
+            placed += std::holds_alternative<TryReserve>(action) ? 1 : 0;
+            queued += std::holds_alternative<TryReserve>(action) ? Duration(5200 * 19 / 6) : Duration(0);
+        }
+        longest = std::max(longest, queued);
+        ASSERT_TRUE(gate.nextWake(start + at));
+        EXPECT_LE(*gate.nextWake(start + at), start + at + 20ms); // nobody else wakes it
+    }
+    EXPECT_LE(longest, 200ms);
+    EXPECT_GE(placed, 45); // and the prefill engines are kept busy
+}
+
 TEST(GenerationGate, GivesALargeRequestAnEmptyEngine)
 {
     GenerationGate gate({}, 3);
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -64,6 +64,7 @@
     const bool generates = declared != nullptr && declared->engines;
     gate.core.setEngines(
         generates ? this->fleet.decodePlaces(service, *declared->engines) : std::vector<DecodePlaces>(), steadyNow());
+    gate.readers = this->fleet.prefillCandidates(service, {}).size();
 }
 
 void GateKeeper::onFleetChanged()
@@ -100,6 +101,7 @@
 
 void GateKeeper::poll(Gate &gate)
 {
+    gate.core.setReaders(gate.readers, this->fleet.prefills().microsecondsPerToken());
     for (const GateAction &action : gate.core.poll(steadyNow())) {
         logDecision(action, gate.core.view(steadyNow()));
         this->deliver(action);
--- a/programs/gateway/gatekeeper.h
+++ b/programs/gateway/gatekeeper.h
@@ -92,6 +92,7 @@
 
         GenerationGate core;
         asio::steady_timer timer;
+        std::size_t readers = 0; // prefill engines
     };
 
     Gate &gate(const ServiceId &service);
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -45,6 +45,7 @@
     options.lease = lease;
     options.renew = lease / 3;
     options.look = lease / 6;
+    options.firstLook = lease / 50;
     options.margin = lease / 15;
     return options;
 }
--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -9,6 +9,7 @@
 
 #include "promise/leadership.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace fescuesill
@@ -37,6 +38,7 @@
 Leadership::Leadership(LeaseRow own, Options given)
     : self(std::move(own))
     , options(given)
+    , untilNextLook(given.look)
 {
 }
 
@@ -45,8 +47,8 @@
     return this->row && this->row->isSameHolder(this->self);
 }
 
-// The next look stays as far from the last as ever: a leader that can be reached and has ended its lead would else be
-// looked up again at once, many times a second.
+// The next look stays where it was: a leader that can be reached and has ended its lead would else be looked up again at
+// once, many times a second.
 void Leadership::onLeaderSeen(bool seen)
 {
     this->isSeen = seen;
@@ -118,7 +120,14 @@
     this->row = read;
     this->rowVersion = version;
     this->isRead = true;
-    this->nextLook = now + this->options.look;
+    this->planLook(isNew, now);
+}
+
+void Leadership::planLook(bool isChanged, Instant now)
+{
+    const Duration next = isChanged ? this->options.firstLook : this->untilNextLook * 2;
+    this->untilNextLook = std::min(next, this->options.look);
+    this->nextLook = now + this->untilNextLook;
 }
 
 void Leadership::onWritten(RowVersion version, Instant sent)
--- a/promise/testing/leadership_test.cpp
+++ b/promise/testing/leadership_test.cpp
@@ -107,6 +107,32 @@
     }
 }
 
+// All hosts start again at once. One finds the row that "b" wrote in its last term, reaches "b" and hears that it does
+// not lead; some milliseconds later "b" takes the lease again. Until the host looks at the row once more, its callers'
+// generations are placed without the leader. A row that stays as it was is looked at ever less often.
+TEST(Leadership, LooksAgainSoonAfterTheRowChanged)
+{
+    const Leadership::Options options;
+    LeaseStore store;
+    store.row = LeaseRow{HostId("b"), "b:1", 5};
+    store.version = 9;
+    Host host("a", options);
+    std::optional<leadership_action::WriteLease> late;
+    const Instant begin(Duration(1'000'000));
+    std::vector<std::int64_t> looks; // milliseconds
+    for (Duration at{0}; at < 2s; at += 5ms) {
+        if (std::holds_alternative<leadership_action::ReadLease>(host.leadership.next(begin + at))) {
+            looks.push_back(at / 1ms);
+        }
+        turn(host, store, 0, begin + at, late);
+    }
+    ASSERT_GE(looks.size(), 4U);
+    EXPECT_LE(looks[1], 100);
+    EXPECT_LE(looks.size(), 2000U / 500 + 4); // at most half a second apart in the end, and no oftener
+    const auto last = static_cast<std::int64_t>(options.look / 1ms);
+    EXPECT_NEAR(static_cast<double>(looks.back() - looks[looks.size() - 2]), static_cast<double>(last), 10);
+}
+
 TEST(Leadership, TakesAFreeLeaseAndRenewsIt)
 {
     LeaseStore store;
