Tell at once those who will be late and not served after that

Change: while the load of the last seconds is above the rate of placing by a fifth, those that cannot be on time at that rate are late at once, else those that could not at twice the rate; the late queue refuses as before.

--- a/decide/classqueue.cpp
+++ b/decide/classqueue.cpp
@@ -179,16 +179,24 @@
     return expired;
 }
 
-std::optional<QueueItem> ClassQueue::takeLast(int rank)
+const QueueItem *ClassQueue::last(int rank) const
 {
     const auto found = this->ranks.find(rank);
     if (found == this->ranks.end() || found->second.flows.empty()) {
-        return std::nullopt;
+        return nullptr;
     }
     const Flow &flow = found->second.flows.find(found->second.byBacklog.rbegin()->second)->second;
-    const auto last = this->items.find(flow.waiting.rbegin()->second);
-    QueueItem item = last->second.item;
-    this->take(last);
+    return &this->items.find(flow.waiting.rbegin()->second)->second.item;
+}
+
+std::optional<QueueItem> ClassQueue::takeLast(int rank)
+{
+    const QueueItem *found = this->last(rank);
+    if (found == nullptr) {
+        return std::nullopt;
+    }
+    QueueItem item = *found;
+    this->take(this->items.find(item.request));
     return item;
 }
 
@@ -217,6 +225,17 @@
     return std::nullopt;
 }
 
+std::vector<int> ClassQueue::waitingRanks() const
+{
+    std::vector<int> waiting;
+    for (const auto &[number, rank] : this->ranks) {
+        if (!rank.flows.empty()) {
+            waiting.push_back(number);
+        }
+    }
+    return waiting;
+}
+
 std::optional<Instant> ClassQueue::nextExpiry() const
 {
     if (this->byLatest.empty()) {
--- a/decide/classqueue.h
+++ b/decide/classqueue.h
@@ -62,6 +62,8 @@
     std::vector<QueueItem> takeExpired(Instant now);
     // Removes the one that goes last within a rank, from the workspace with the most work waiting.
     std::optional<QueueItem> takeLast(int rank);
+    // The one that takeLast() would remove; null when nothing of the rank waits.
+    const QueueItem *last(int rank) const;
 
     std::size_t size() const
     {
@@ -72,6 +74,7 @@
     // Work waiting at this rank alone.
     Duration backlogAt(int rank) const;
     std::optional<int> lastRank() const;
+    std::vector<int> waitingRanks() const;
     std::optional<Instant> nextExpiry() const;
 
 private:
--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -30,6 +30,11 @@
     return rank * 2 + (isLate ? 1 : 0);
 }
 
+bool isLateRank(int queueRank)
+{
+    return queueRank % 2 != 0;
+}
+
 } // namespace
 
 GenerationGate::GenerationGate(const Options &given, std::uint64_t seed)
@@ -70,9 +75,8 @@
     return Duration(static_cast<std::int64_t>(static_cast<double>(ask.need().value()) / all * life));
 }
 
-void GenerationGate::enqueue(const GenerationAsk &ask, Instant now)
+void GenerationGate::enqueue(const GenerationAsk &ask, bool isLate)
 {
-    const bool isLate = now >= ask.onTimeUntil;
     this->waitingAsks[ask.id] = ask;
     this->queue.push({ask.id, WorkspaceId(), queueRank(ask.rank, isLate), this->costOf(ask), ask.arrival,
                       isLate ? ask.usefulUntil : ask.onTimeUntil});
@@ -90,7 +94,7 @@
     const auto window = static_cast<double>(this->options.loadWindow.count());
     this->offered = this->offeredLoad(now) * window + static_cast<double>(this->costOf(ask).count());
     this->offeredAt = now;
-    this->enqueue(ask, now);
+    this->enqueue(ask, now >= ask.onTimeUntil);
 }
 
 Duration GenerationGate::perToken(const Engine &engine) const
@@ -182,19 +186,43 @@
     for (const QueueItem &item : this->queue.takeExpired(now)) {
         const GenerationAsk ask = this->waitingAsks.at(item.request);
         if (now < ask.usefulUntil) {
-            this->enqueue(ask, now);
+            this->enqueue(ask, true);
         } else {
             this->reject(actions, item, now);
         }
     }
 }
 
+// Those behind which more waits than is placed until their last moment in time will be late. Known now, they need not
+// wait for that moment: they are late already, and those that will not be served even late are told so at once. A burst
+// may be over before that moment, and the rate of placing is known to some half only; so until the load has lasted,
+// only those count that would be late at twice the rate.
+void GenerationGate::demoteHopeless(Instant now)
+{
+    const bool lasts = this->offeredLoad(now) > this->options.lastingLoad * this->admission.rate();
+    const double hope = lasts ? 1 : this->options.hopeInBurst;
+    for (const int rank : this->queue.waitingRanks()) {
+        while (!isLateRank(rank)) {
+            const QueueItem *last = this->queue.last(rank);
+            if (last == nullptr) {
+                break;
+            }
+            const Duration wait = this->admission.expectedWait(this->queue.backlog(rank) - last->cost);
+            if (static_cast<double>(wait.count()) <= static_cast<double>((last->latest - now).count()) * hope) {
+                break;
+            }
+            const RequestId request = last->request;
+            this->queue.takeLast(rank);
+            this->enqueue(this->waitingAsks.at(request), true);
+        }
+    }
+}
+
 // Those in time go first, so what is late gets only the rate that they leave, and the small share that the queue keeps
 // for it.
 Duration GenerationGate::expectedWait(int rank, Instant now) const
 {
-    const bool isLate = rank % 2 == 1;
-    if (!isLate) {
+    if (!isLateRank(rank)) {
         return this->admission.expectedWait(this->queue.backlog(rank));
     }
     const double rate = this->admission.rate();
@@ -226,6 +254,7 @@
     std::vector<GateAction> actions;
     this->demoteLate(actions, now);
     this->placeWaiting(actions, now);
+    this->demoteHopeless(now);
     this->rejectSurplus(actions, now);
     return actions;
 }
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -108,6 +108,12 @@
         // Weight of time in the load that is offered. A burst of a few seconds passes, and those that it made late are
         // served after it; a load that lasts leaves nothing for them, and they are told so at once.
         Duration loadWindow{5s};
+        // By how much the rate of placing may be better than it is believed while a load has not lasted for the window
+        // above. In a burst of five seconds at twice the capacity, 135 of 190 are on time with 2 and 130 with 1.
+        double hopeInBurst = 2;
+        // Load offered over that window, as a multiple of the rate, that is taken for lasting. At twice the capacity
+        // it is reached after some five seconds; from then on those that are refused wait 0.48 s on average, not 0.84.
+        double lastingLoad = 1.2;
         ClassQueue::Options queue;
         Admission::Options admission;
         ReadPace::Options reads;
@@ -168,10 +174,11 @@
     Duration costOf(const GenerationAsk &ask) const;
     Duration perToken(const Engine &engine) const;
     void learn(Engine *engine, const Placement &placement, Tokens made, Instant now);
-    void enqueue(const GenerationAsk &ask, Instant now);
+    void enqueue(const GenerationAsk &ask, bool isLate);
     void place(const GenerationAsk &ask, Engine &engine, Instant now);
     void placeWaiting(std::vector<GateAction> &actions, Instant now);
     void demoteLate(std::vector<GateAction> &actions, Instant now);
+    void demoteHopeless(Instant now);
     void rejectSurplus(std::vector<GateAction> &actions, Instant now);
     Duration expectedWait(int queueRank, Instant now) const;
     double offeredLoad(Instant now) const;
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -157,7 +157,7 @@
     EXPECT_LE(served.worstMemory, 76000);
     EXPECT_GT(served.onTime, 350);
     EXPECT_LE(served.longestWaitOfRejected, 3s + 5ms); // one step of this world
-    EXPECT_LT(served.meanWaitOfRejected(), 1.5);
+    EXPECT_LT(served.meanWaitOfRejected(), 0.7); // before the moment at which they would be late
 }
 
 // An engine answers that it is full, though the forecast had room: somebody else fills it too. The request is tried at
