Give each prompt one prefill engine that every host asks first

Ruled out: following the engines' cache events (a read by every host, or one more duty of the leader, and nothing known after the leader itself died). Change: the highest hash of prompt and engine names its home; it is left where it is behind by nearly the read.

--- a/decide/testing/readpace_test.cpp
+++ b/decide/testing/readpace_test.cpp
@@ -32,10 +32,8 @@
     };
     const Case cases[] = {
         {6, 20.0, 66, 71}, // 60 a second
-        {3, 20.0, 33, 37},
-        {6, 40.0, 33, 37},
-        {6, std::nullopt, 66, 71},
-        {0, 20.0, 1000, 1000}, // nobody reads apart: nothing is held back
+        {3, 20.0, 33, 37},         {6, 40.0, 33, 37},
+        {6, std::nullopt, 66, 71}, {0, 20.0, 1000, 1000}, // nobody reads apart: nothing is held back
     };
     for (const Case &each : cases) {
         ReadPace pace({});
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -55,7 +55,7 @@
 GenerationAsk GenerationForward::ask() const
 {
     const Route &route = this->call.route;
-    const GenerationSize size = this->call.head.generation.value_or(GenerationSize{unknownSize, Tokens(0), {}});
+    const GenerationSize size = this->call.head.generation.value_or(GenerationSize{unknownSize, Tokens(0), {}, {}});
     GenerationAsk ask;
     ask.id = this->call.head.id;
     ask.rank = route.rank;
@@ -73,6 +73,12 @@
     return ask;
 }
 
+PromptKey GenerationForward::promptKey() const
+{
+    const auto &size = this->call.head.generation;
+    return size ? PromptKey{size->ownPart, size->prompt} : PromptKey{{}, unknownSize};
+}
+
 void GenerationForward::checkCaller() const
 {
     if (this->abort.isAborted()) {
@@ -127,7 +133,7 @@
 {
     const auto &services = this->call.services;
     const HttpRequest request = prefillRequest(this->call.http, reader.id, this->call.timeLeft());
-    const Tokens prompt = this->call.head.generation ? this->call.head.generation->prompt : unknownSize;
+    const Tokens prompt = this->promptKey().size;
     const EngineId id(reader.id.value());
     services.fleet.prefills().onSent(id, prompt);
     const Instant begin = steadyNow();
@@ -154,7 +160,8 @@
     RetryBudget &budget = fleet.budget(this->call.service);
     std::vector<PrefillCandidate> candidates = fleet.prefillCandidates(this->call.service, decode.dataCentre);
     PromptRead plan(this->sends == 0);
-    auto chosen = fleet.prefills().pick(candidates, steadyNow());
+    const PromptKey key = this->promptKey();
+    auto chosen = fleet.prefills().pick(candidates, key, steadyNow());
     if (!chosen) {
         return std::nullopt;
     }
@@ -173,7 +180,7 @@
                                         [&](const PrefillCandidate &other) { return other.engine == *chosen; }),
                          candidates.end());
         step = plan.onFailed(budget);
-        chosen = fleet.prefills().pick(candidates, steadyNow());
+        chosen = fleet.prefills().pick(candidates, key, steadyNow());
     }
     return std::nullopt;
 }
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -50,6 +50,7 @@
     void finish(Ended ended, const asio::yield_context &yield);
     bool mayTryAgain(Ended ended);
     GenerationAsk ask() const;
+    PromptKey promptKey() const;
     void tell(peer::PlaceEvent event);
     Tokens made() const;
     const EngineTraits &traits() const;
--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -47,8 +47,8 @@
     return this->row && this->row->isSameHolder(this->self);
 }
 
-// The next look stays where it was: a leader that can be reached and has ended its lead would else be looked up again at
-// once, many times a second.
+// The next look stays where it was: a leader that can be reached and has ended its lead would else be looked up again
+// at once, many times a second.
 void Leadership::onLeaderSeen(bool seen)
 {
     this->isSeen = seen;
