Name in each line of a request what it was decided by, tell what is missing, and add a timeline

Ruled out: the age of the store's last answer (a host that follows the leader is told only of changes). Change: config, registry version and age, forecast and wait in the lines of decisions; no_retry with the reason; explain shows changes of the hosts and engines around a request and names what is missing; timeline host|engine|endpoint.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -122,9 +122,9 @@
     return fits ? std::optional(share) : std::nullopt;
 }
 
-GenerationGate::Engine *GenerationGate::choose(const GenerationAsk &ask, Instant now)
+GenerationGate::Choice GenerationGate::choose(const GenerationAsk &ask, Instant now)
 {
-    Engine *chosen = nullptr;
+    Choice chosen;
     double least = std::numeric_limits<double>::max();
     for (auto &[id, engine] : this->engines) {
         const auto share = this->fullness(engine, ask, now);
@@ -138,7 +138,7 @@
         const double cost = *share + far + this->options.faultShare * engine.faults.at(now) + jitter;
         if (cost < least) {
             least = cost;
-            chosen = &engine;
+            chosen = {&engine, *share};
         }
     }
     return chosen;
@@ -162,15 +162,15 @@
             return;
         }
         const GenerationAsk ask = this->waitingAsks.at(head->request);
-        Engine *engine = this->choose(ask, now);
-        if (engine == nullptr) {
+        const Choice choice = this->choose(ask, now);
+        if (choice.engine == nullptr) {
             return;
         }
         this->queue.pop();
         this->waitingAsks.erase(ask.id);
-        this->place(ask, *engine, now);
+        this->place(ask, *choice.engine, now);
         this->reads.onStarted(ask.prompt, now);
-        actions.push_back(TryReserve{ask.id, engine->places.engine});
+        actions.push_back(TryReserve{ask.id, choice.engine->places.engine, choice.forecast, now - ask.arrival});
     }
 }
 
@@ -178,7 +178,8 @@
 {
     this->waitingAsks.erase(item.request);
     const Duration backlog = this->queue.backlog(item.rank);
-    actions.push_back(RejectGeneration{item.request, this->admission.retryAfter(backlog, item.cost, now)});
+    actions.push_back(
+        RejectGeneration{item.request, this->admission.retryAfter(backlog, item.cost, now), now - item.arrival});
 }
 
 void GenerationGate::demoteLate(std::vector<GateAction> &actions, Instant now)
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -56,11 +56,14 @@
 struct TryReserve {
     RequestId id;
     EngineId engine;
+    double forecast = 0; // how full the engine will get with it, as a share of its memory
+    Duration waited{0}; // in this queue and those before
 };
 
 struct RejectGeneration {
     RequestId id;
     Duration retryAfter;
+    Duration waited{0};
 };
 
 // What a gate decides by, for the log.
@@ -166,7 +169,11 @@
         bool isReserved = false;
     };
 
-    Engine *choose(const GenerationAsk &ask, Instant now);
+    struct Choice {
+        Engine *engine = nullptr; // null where none has room
+        double forecast = 0;
+    };
+    Choice choose(const GenerationAsk &ask, Instant now);
     // Its memory as a share, at its fullest with one more; none where it does not fit.
     std::optional<double> fullness(const Engine &engine, const GenerationAsk &ask, Instant now) const;
     Engine *engineOf(const Placement &placement);
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -22,6 +22,7 @@
 ExitCode runDrain(const CommandLine &line);
 ExitCode runReport(const CommandLine &line);
 ExitCode runExplain(const CommandLine &line);
+ExitCode runTimeline(const CommandLine &line);
 ExitCode runDoubtful(const CommandLine &line);
 ExitCode runSettle(const CommandLine &line);
 ExitCode runCompletion(const CommandLine &line);
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -56,6 +56,14 @@
         update);
 }
 
+void FleetView::setRegistryVersion(std::uint64_t known, Instant now)
+{
+    if (known != this->version) {
+        this->version = known;
+        this->versionSince = now;
+    }
+}
+
 std::vector<EndpointCandidate> FleetView::plainCandidates(const ServiceId &service) const
 {
     std::vector<EndpointCandidate> candidates;
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -33,6 +33,18 @@
         return this->config;
     }
 
+    // Which state of the registry this is: all changes up to that version of the store, and since when. For the log: it
+    // is what each choice of an endpoint was made by.
+    void setRegistryVersion(std::uint64_t version, Instant now);
+    std::uint64_t registryVersion() const
+    {
+        return this->version;
+    }
+    Duration registryAge(Instant now) const
+    {
+        return now - this->versionSince;
+    }
+
     std::vector<EndpointCandidate> plainCandidates(const ServiceId &service) const;
     std::vector<PrefillCandidate> prefillCandidates(const ServiceId &service, const DataCentreId &decode) const;
     std::vector<DecodePlaces> decodePlaces(const ServiceId &service, const EngineTraits &traits) const;
@@ -71,6 +83,8 @@
     std::shared_ptr<const RoutingConfig> config;
     bool isListed = false;
     EndpointRegistry registry;
+    std::uint64_t version = 0; // of the registry
+    Instant versionSince;
     std::map<EndpointId, Change> changes; // one for each engine that was ever ordered, while it is known
     EndpointPicker plainPicker;
     PrefillChoice prefillChoice;
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -9,6 +9,25 @@
 namespace fescuesill
 {
 
+const char *nameOf(NoRetry reason)
+{
+    switch (reason) {
+    case NoRetry::None:
+        return "none";
+    case NoRetry::CallerGone:
+        return "caller_gone";
+    case NoRetry::NoTime:
+        return "no_time";
+    case NoRetry::NotRepeatable:
+        return "not_repeatable";
+    case NoRetry::Attempts:
+        return "attempts";
+    case NoRetry::Budget:
+        return "budget";
+    }
+    return "none";
+}
+
 Instant ForwardedCall::deadline() const
 {
     const Duration limit =
@@ -21,7 +40,7 @@
     return this->deadline() - steadyNow();
 }
 
-void ForwardedCall::refuse(const Refusal &refusal, const asio::yield_context &yield) const
+void ForwardedCall::refuse(const Refusal &refusal, NoRetry noRetry, const asio::yield_context &yield) const
 {
     this->services.metrics.onRefused(refusal);
     Log::info("refused",
@@ -31,6 +50,10 @@
                {"code", codeName(refusal.code)},
                {"run", runStateName(refusal.run)},
                {"reason", refusal.text},
+               {"no_retry", nameOf(noRetry)},
+               {"retry_after_ms", refusal.retryAfter ? refusal.retryAfter->count() / 1000 : -1},
+               {"registry", this->services.fleet.registryVersion()},
+               {"registry_age_ms", this->services.fleet.registryAge(steadyNow()).count() / 1000},
                {"after_ms", (steadyNow() - this->arrival).count() / 1000}});
     sendRefusal(this->reply, this->head.id, refusal, yield);
 }
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -22,6 +22,17 @@
     GatewayMetrics &metrics;
 };
 
+// Why a call that failed at one endpoint was not sent to another.
+enum class NoRetry {
+    None, // there was no reason to
+    CallerGone,
+    NoTime, // the caller's patience or the route's timeout is over
+    NotRepeatable, // it may have run, and may run once only
+    Attempts, // the route's bound
+    Budget, // retries of the service are spent here
+};
+const char *nameOf(NoRetry reason);
+
 struct ForwardedCall {
     GatewayServices &services;
     const CallHead &head;
@@ -35,8 +46,8 @@
     // The caller's patience or the route's timeout, whichever ends first.
     Instant deadline() const;
     Duration timeLeft() const;
-    // Answers with an error of our own, and logs it with its reason.
-    void refuse(const Refusal &refusal, const asio::yield_context &yield) const;
+    // Answers with an error of our own, and logs it with its reason and with why no other endpoint was asked.
+    void refuse(const Refusal &refusal, NoRetry noRetry, const asio::yield_context &yield) const;
 };
 
 // How a refusal reads: its status, and when to come back.
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -17,26 +17,36 @@
 namespace
 {
 
-void logDecision(const GateAction &action, const GateView &view)
+void logDecision(const GateAction &action, const GateView &view, const FleetView &fleet)
 {
+    const auto waiting = static_cast<std::uint64_t>(view.waiting);
+    const auto placed = static_cast<std::uint64_t>(view.placed);
+    const std::int64_t ageMs = fleet.registryAge(steadyNow()).count() / 1000;
     if (const auto *place = std::get_if<TryReserve>(&action)) {
         Log::info("place_tried",
                   {{"request", place->id.value()},
                    {"engine", place->engine.value()},
-                   {"waiting", static_cast<std::uint64_t>(view.waiting)},
-                   {"placed", static_cast<std::uint64_t>(view.placed)}});
+                   {"forecast", place->forecast},
+                   {"waited_ms", place->waited.count() / 1000},
+                   {"waiting", waiting},
+                   {"placed", placed},
+                   {"registry", fleet.registryVersion()},
+                   {"registry_age_ms", ageMs}});
         return;
     }
     const auto &rejected = std::get<RejectGeneration>(action);
     Log::info("place_rejected",
               {{"request", rejected.id.value()},
                {"retry_after_ms", rejected.retryAfter.count() / 1000},
-               {"waiting", static_cast<std::uint64_t>(view.waiting)},
-               {"placed", static_cast<std::uint64_t>(view.placed)},
+               {"waited_ms", rejected.waited.count() / 1000},
+               {"waiting", waiting},
+               {"placed", placed},
                {"engines", static_cast<std::uint64_t>(view.engines)},
                {"offered_load", view.offeredLoad},
                {"rate", view.rate},
-               {"token_us", view.perToken.count()}});
+               {"token_us", view.perToken.count()},
+               {"registry", fleet.registryVersion()},
+               {"registry_age_ms", ageMs}});
 }
 
 } // namespace
@@ -103,7 +113,7 @@
 {
     gate.core.setReaders(gate.readers, this->fleet.prefills().microsecondsPerToken());
     for (const GateAction &action : gate.core.poll(steadyNow())) {
-        logDecision(action, gate.core.view(steadyNow()));
+        logDecision(action, gate.core.view(steadyNow()), this->fleet);
         this->deliver(action);
     }
     this->armTimer(gate);
@@ -189,7 +199,7 @@
         local->timer.expires_at(std::chrono::steady_clock::time_point::max());
         local->timer.async_wait(yield[ignored]);
     }
-    GateAction decision = local->decision.value_or(RejectGeneration{id, Duration(0)});
+    GateAction decision = local->decision.value_or(RejectGeneration{id, Duration(0), Duration(0)});
     local->decision.reset();
     return decision;
 }
@@ -280,7 +290,7 @@
 {
     const auto found = this->locals.find(message.request);
     if (found != this->locals.end() && found->second->isAtLeader) {
-        this->decide(*found->second, TryReserve{message.request, message.engine});
+        this->decide(*found->second, TryReserve{message.request, message.engine, 0, Duration(0)});
     }
 }
 
@@ -288,7 +298,7 @@
 {
     const auto found = this->locals.find(message.request);
     if (found != this->locals.end() && found->second->isAtLeader) {
-        this->decide(*found->second, RejectGeneration{message.request, message.retryAfter});
+        this->decide(*found->second, RejectGeneration{message.request, message.retryAfter, Duration(0)});
     }
 }
 
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -99,6 +99,7 @@
             this->fleet.take(*update, steadyNow());
         }
     }
+    this->fleet.setRegistryVersion(this->store->knownVersion(), steadyNow());
     this->applyLimits();
     this->gates.onFleetChanged();
 }
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -321,18 +321,23 @@
     }
 }
 
-bool GenerationForward::mayTryAgain(Ended ended)
+std::optional<NoRetry> GenerationForward::claimRetry(Ended ended)
 {
+    if (ended == Ended::Whole || ended == Ended::NoPlace) {
+        return NoRetry::None;
+    }
     if (this->call.timeLeft() <= 0ms) {
-        return false;
+        return NoRetry::NoTime;
     }
-    const bool mayGoOn = ended == Ended::Broken && this->call.route.isResumable;
     const bool mayStartAnew = ended == Ended::NotRun && !this->isStarted;
-    if (!mayGoOn && !mayStartAnew) {
-        return false;
+    if (!mayStartAnew && !(ended == Ended::Broken && this->call.route.isResumable)) {
+        return NoRetry::NotRepeatable;
     }
     const int allowed = std::max(this->call.route.attempts, mayStartAnew ? 2 : 1);
-    return this->sends < allowed && this->call.services.fleet.budget(this->call.service).take();
+    if (this->sends >= allowed) {
+        return NoRetry::Attempts;
+    }
+    return this->call.services.fleet.budget(this->call.service).take() ? std::nullopt : std::optional(NoRetry::Budget);
 }
 
 void GenerationForward::logEnd(const char *outcome) const
@@ -359,7 +364,10 @@
                {"longest_pause_ms", millis(this->times.longestPause)},
                {"first_event_ms", millis(this->times.firstEvent)},
                {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
-               {"last_fault", this->lastFault}});
+               {"last_fault", this->lastFault},
+               {"no_retry", nameOf(this->noRetry)},
+               {"registry", this->call.services.fleet.registryVersion()},
+               {"registry_age_ms", this->call.services.fleet.registryAge(steadyNow()).count() / 1000}});
 }
 
 void GenerationForward::finish(Ended ended, const asio::yield_context &yield)
@@ -379,13 +387,13 @@
         const bool isLate = this->call.timeLeft() <= 0ms;
         this->call.refuse({isLate ? RefusalCode::OutcomeUnknown : RefusalCode::EndpointFailed, RunState::MayHaveRun,
                            this->lastFault, std::nullopt},
-                          yield);
+                          this->noRetry, yield);
         return;
     }
     const std::string reason = this->lastFault.empty() ? "no engine has room in time" : this->lastFault;
     this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, reason,
                        std::max<Duration>(this->retryAfter.value_or(comeBackSoonest), comeBackSoonest)},
-                      yield);
+                      this->noRetry, yield);
 }
 
 void GenerationForward::run(const asio::yield_context &yield)
@@ -399,10 +407,13 @@
     services.fleet.budget(this->call.service).onSuccess();
     try {
         Ended ended = this->tryOnce(yield);
-        while (this->mayTryAgain(ended)) {
+        auto reason = this->claimRetry(ended);
+        while (!reason) {
             this->events.dropRest();
             ended = this->tryOnce(yield);
+            reason = this->claimRetry(ended);
         }
+        this->noRetry = *reason;
         this->tell(peer::PlaceEvent::Ended);
         this->finish(ended, yield);
     } catch (const CallerGone &) {
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -48,7 +48,8 @@
     Ended handOnError(LineStream &answer, const AnswerHead &head, const asio::yield_context &yield);
     void release(const Place &place, const std::optional<Prefill> &prefill);
     void finish(Ended ended, const asio::yield_context &yield);
-    bool mayTryAgain(Ended ended);
+    // Takes a retry from the budget; or why there may be none.
+    std::optional<NoRetry> claimRetry(Ended ended);
     GenerationAsk ask() const;
     PromptKey promptKey() const;
     void tell(peer::PlaceEvent event);
@@ -63,6 +64,7 @@
     EventRelay events;
     std::optional<Duration> retryAfter;
     std::string lastFault;
+    NoRetry noRetry = NoRetry::None; // why the last fault was the end
     EngineId avoid; // the engine that broke off
     EndpointId engine; // that is or was asked last
     std::int64_t eventsMade = 0; // by the engine asked last
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -11,6 +11,7 @@
 #include "wire/log.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace fescuesill
 {
@@ -80,26 +81,39 @@
         ended(EndpointOutcome::Failed);
         return Sent::Lost;
     }
-    ended(head.status >= firstServerError ? EndpointOutcome::ErrorAnswer : EndpointOutcome::Answered);
+    const bool isError = head.status >= firstServerError;
+    if (isError) {
+        this->lastFault = fmt::format("{} answered {}", endpoint.id.value(), head.status);
+    }
+    ended(isError ? EndpointOutcome::ErrorAnswer : EndpointOutcome::Answered);
     this->answered = Answer{endpoint.id, std::move(response), std::move(head)};
     return Sent::Answered;
 }
 
-bool PlainForward::mayTryAgain(Sent sent)
+std::optional<NoRetry> PlainForward::claimRetry(Sent sent)
 {
-    if (this->abort.isAborted() || this->call.timeLeft() <= 0ms) {
-        return false;
+    if (this->abort.isAborted()) {
+        return NoRetry::CallerGone;
+    }
+    if (this->call.timeLeft() <= 0ms) {
+        return NoRetry::NoTime;
     }
     if (sent == Sent::NeverSent) {
-        return this->tried.size() < static_cast<std::size_t>(mostConnects);
+        const bool mayConnect = this->tried.size() < static_cast<std::size_t>(mostConnects);
+        return mayConnect ? std::nullopt : std::optional(NoRetry::Attempts);
     }
-    const bool isRepeatable = this->call.route.kind == CallKind::Repeatable;
     const bool isFailure =
         sent == Sent::Lost || (sent == Sent::Answered && this->answered->head.status >= firstServerError);
-    if (isFailure ? !isRepeatable : sent == Sent::Answered) {
-        return false;
+    if (sent == Sent::Answered && !isFailure) {
+        return NoRetry::None;
+    }
+    if (isFailure && this->call.route.kind != CallKind::Repeatable) {
+        return NoRetry::NotRepeatable;
     }
-    return this->sends < this->call.route.attempts && this->call.services.fleet.budget(this->call.service).take();
+    if (this->sends >= this->call.route.attempts) {
+        return NoRetry::Attempts;
+    }
+    return this->call.services.fleet.budget(this->call.service).take() ? std::nullopt : std::optional(NoRetry::Budget);
 }
 
 void PlainForward::answer(const asio::yield_context &yield)
@@ -115,6 +129,8 @@
                {"tried", static_cast<std::uint64_t>(this->tried.size())},
                {"last_fault", this->lastFault},
                {"status", answer.head.status},
+               {"no_retry", nameOf(this->noRetry)},
+               {"registry", this->call.services.fleet.registryVersion()},
                {"took_ms", (steadyNow() - this->call.arrival).count() / 1000}});
     this->call.reply.forward(answer.head.status, answer.response.body, answer.head.headers, yield);
 }
@@ -125,12 +141,27 @@
         const bool isLate = this->call.timeLeft() <= 0ms;
         this->call.refuse({isLate ? RefusalCode::OutcomeUnknown : RefusalCode::EndpointFailed, RunState::MayHaveRun,
                            this->lastFault, std::nullopt},
-                          yield);
+                          this->noRetry, yield);
         return;
     }
     const Duration comeBack = last == Sent::SaidNotRun ? comeBackWhenFull : comeBackWhenNone;
     const std::string reason = this->lastFault.empty() ? "no endpoint takes calls" : this->lastFault;
-    this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, reason, comeBack}, yield);
+    this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, reason, comeBack}, this->noRetry, yield);
+}
+
+void PlainForward::logGone() const
+{
+    const auto &patience = this->call.head.patience;
+    Log::info("caller_gone",
+              {{"request", this->call.head.id.value()},
+               {"route", this->call.route.name},
+               {"config", this->call.version.value()},
+               {"endpoint", this->tried.empty() ? std::string() : this->tried.back().value()},
+               {"sends", this->sends},
+               {"last_fault", this->lastFault},
+               {"patience_ms", patience ? patience->count() / 1000 : -1},
+               {"registry", this->call.services.fleet.registryVersion()},
+               {"took_ms", (steadyNow() - this->call.arrival).count() / 1000}});
 }
 
 void PlainForward::finish(Sent last, const asio::yield_context &yield)
@@ -138,7 +169,7 @@
     this->call.reply.onGone({});
     if (this->abort.isAborted()) {
         this->call.services.metrics.onPlainEnd("caller_gone", steadyNow() - this->call.arrival);
-        Log::info("caller_gone", {{"request", this->call.head.id.value()}, {"route", this->call.route.name}});
+        this->logGone();
         throw CallerGone();
     }
     if (this->answered) {
@@ -162,7 +193,8 @@
         last = this->send(*endpoint, yield);
         this->sends += last == Sent::NeverSent ? 0 : 1;
         this->mayHaveRun = this->mayHaveRun || last == Sent::Lost;
-        if (!this->mayTryAgain(last)) {
+        if (const auto reason = this->claimRetry(last)) {
+            this->noRetry = *reason;
             break;
         }
     }
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -30,11 +30,13 @@
 
     std::optional<EndpointRecord> choose(Instant now);
     Sent send(const EndpointRecord &endpoint, const asio::yield_context &yield);
-    bool mayTryAgain(Sent sent);
+    // Takes a retry from the budget; or why there may be none.
+    std::optional<NoRetry> claimRetry(Sent sent);
     Duration tryLimit() const;
     void finish(Sent last, const asio::yield_context &yield);
     void answer(const asio::yield_context &yield);
     void refuse(Sent last, const asio::yield_context &yield);
+    void logGone() const;
 
     const ForwardedCall &call;
     CallAbort abort;
@@ -49,6 +51,7 @@
     };
     std::optional<Answer> answered;
     std::string lastFault;
+    NoRetry noRetry = NoRetry::None; // why the last fault was the end
 };
 
 } // namespace fescuesill
--- a/report/requestlife.cpp
+++ b/report/requestlife.cpp
@@ -1,12 +1,18 @@
 // A line belongs to the request when its value of `request` or `original` (of a caller that came back) is the id.
-// Times are UTC in one form, so they sort as text; clocks of hosts differ, so lines of two hosts that are
+// Around it stand the changes of what its hosts believed or could reach, and of the engines and endpoints that its own
+// lines name, from some seconds before its first line to some after its last: a cause comes before its effect, and an
+// engine that died is seen to be gone some seconds later. Clocks of hosts differ, so lines of two hosts that are
 // milliseconds apart may stand in the wrong order.
 
 #include "report/requestlife.h"
 
+#include "report/logevents.h"
+#include "report/logtime.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace fescuesill
 {
@@ -16,48 +22,36 @@
 
 // Of one request: a stream that is moved a hundred times is a fault in itself.
 constexpr std::size_t mostMoments = 10000;
+// Of all processes: some hundred for each host in a bad hour.
+constexpr std::size_t mostChanges = 200000;
+// Shown around one request; the nearest ones count.
+constexpr std::size_t mostShown = 40;
+// An engine's entry lapses after three heartbeats, and a frozen host is missed after some seconds.
+constexpr Duration around{5s};
 
-struct Field {
-    std::string key;
-    std::string value;
-};
-
-std::string readValue(std::string_view &line)
+std::set<std::string> partnersOf(const std::vector<LogLine> &moments)
 {
-    std::string value;
-    if (line.empty() || line.front() != '"') {
-        const auto end = std::min(line.find(' '), line.size());
-        value = line.substr(0, end);
-        line.remove_prefix(end);
-        return value;
-    }
-    line.remove_prefix(1);
-    while (!line.empty() && line.front() != '"') {
-        if (line.front() == '\\' && line.size() > 1) {
-            line.remove_prefix(1);
+    std::set<std::string> partners;
+    for (const LogLine &moment : moments) {
+        for (std::string &partner : partnersIn(moment)) {
+            partners.insert(std::move(partner));
         }
-        value += line.front();
-        line.remove_prefix(1);
     }
-    line.remove_prefix(std::min<std::size_t>(1, line.size()));
-    return value;
+    return partners;
 }
 
-std::vector<Field> fieldsOf(std::string_view line)
+std::set<std::string> hostsOf(const std::vector<LogLine> &moments)
 {
-    std::vector<Field> fields;
-    while (!line.empty()) {
-        const auto equals = line.find('=');
-        if (equals == std::string_view::npos) {
-            break;
-        }
-        Field field{std::string(line.substr(0, equals)), ""};
-        line.remove_prefix(equals + 1);
-        field.value = readValue(line);
-        fields.push_back(std::move(field));
-        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+    std::set<std::string> hosts;
+    for (const LogLine &moment : moments) {
+        hosts.insert(moment.host);
     }
-    return fields;
+    return hosts;
+}
+
+void sortByTime(std::vector<LogLine> &lines)
+{
+    std::stable_sort(lines.begin(), lines.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
 }
 
 } // namespace
@@ -69,33 +63,21 @@
 
 void RequestLife::read(std::string_view log)
 {
-    while (!log.empty() && this->moments.size() < mostMoments) {
-        const auto end = std::min(log.find('\n'), log.size());
-        const std::string_view line = log.substr(0, end);
-        log.remove_prefix(std::min(end + 1, log.size()));
-        if (line.find(this->request) == std::string_view::npos) {
-            continue;
+    forEachLine(log, [this](std::string_view text) {
+        auto line = LogLine::parse(text);
+        if (!line) {
+            return;
         }
-        Moment moment;
-        bool ours = false;
-        for (const Field &field : fieldsOf(line)) {
-            if (field.key == "time") {
-                moment.time = field.value;
-            } else if (field.key == "process") {
-                moment.process = field.value;
-            } else if (field.key == "event") {
-                moment.event = field.value;
-            } else if (field.key != "level") {
-                ours = ours || ((field.key == "request" || field.key == "original") && field.value == this->request);
-                moment.rest += fmt::format(" {}={}", field.key, field.value);
+        if (line->value("request") == this->request || line->value("original") == this->request) {
+            if (this->moments.size() < mostMoments) {
+                this->moments.push_back(std::move(*line));
             }
+        } else if (isChange(*line) && this->changes.size() < mostChanges) {
+            this->changes.push_back(std::move(*line));
         }
-        if (ours) {
-            this->moments.push_back(std::move(moment));
-        }
-    }
-    std::stable_sort(this->moments.begin(), this->moments.end(),
-                     [](const Moment &a, const Moment &b) { return a.time < b.time; });
+    });
+    sortByTime(this->moments);
+    sortByTime(this->changes);
 }
 
 bool RequestLife::isEmpty() const
@@ -103,11 +85,80 @@
     return this->moments.empty();
 }
 
+// Of the registry every host tells the same; the hosts of the request are enough.
+bool RequestLife::concerns(const LogLine &line) const
+{
+    if (hostsOf(this->moments).count(line.host) == 0) {
+        return false;
+    }
+    if (!isEndpointChange(line)) {
+        return true;
+    }
+    const auto partners = partnersOf(this->moments);
+    const auto named = partnersIn(line);
+    return std::any_of(named.begin(), named.end(),
+                       [&partners](const std::string &name) { return partners.count(name) != 0; });
+}
+
+bool RequestLife::isNear(const LogLine &line) const
+{
+    const auto at = parseLogTime(line.time);
+    const auto first = parseLogTime(this->moments.front().time);
+    const auto last = parseLogTime(this->moments.back().time);
+    return at && first && last && *at >= *first - around && *at <= *last + around;
+}
+
+std::vector<std::string> RequestLife::missing() const
+{
+    std::vector<std::string> missing;
+    const LogLine &last = this->moments.back();
+    if (!std::any_of(this->moments.begin(), this->moments.end(), isEnd)) {
+        missing.push_back("no line tells how it ended: the host that took it died or its log is not here");
+        for (const LogLine &change : this->changes) {
+            if (change.event == "started" && change.time > last.time && this->isNear(change)) {
+                missing.push_back(fmt::format("host {} started again at {}", change.host, change.time));
+            }
+        }
+    }
+    const bool hasPlace = std::any_of(this->moments.begin(), this->moments.end(), [](const LogLine &moment) {
+        return moment.event == "place_tried" || moment.event == "place_rejected";
+    });
+    const bool needsPlace = std::any_of(this->moments.begin(), this->moments.end(), [](const LogLine &moment) {
+        return moment.event == "generation_ended" && !moment.value("engine").empty();
+    });
+    if (needsPlace && !hasPlace) {
+        missing.push_back("no line tells who placed it: the log of the host that led then is not here");
+    }
+    return missing;
+}
+
 std::string RequestLife::text() const
 {
     std::string out;
-    for (const Moment &moment : this->moments) {
-        out += fmt::format("{}  {:<10} {:<18}{}\n", moment.time, moment.process, moment.event, moment.rest);
+    for (const LogLine &moment : this->moments) {
+        out += moment.text() + "\n";
+    }
+    if (this->moments.empty()) {
+        return out;
+    }
+    std::vector<const LogLine *> shown;
+    for (const LogLine &change : this->changes) {
+        if (this->concerns(change) && this->isNear(change)) {
+            shown.push_back(&change);
+        }
+    }
+    if (!shown.empty()) {
+        out += "around it, on its hosts and of its engines:\n";
+    }
+    const std::size_t skipped = shown.size() > mostShown ? shown.size() - mostShown : 0;
+    for (std::size_t i = skipped; i < shown.size(); ++i) {
+        out += "  " + shown[i]->text() + "\n";
+    }
+    if (skipped > 0) {
+        out += fmt::format("  {} earlier ones are left out\n", skipped);
+    }
+    for (const std::string &what : this->missing()) {
+        out += "missing: " + what + "\n";
     }
     return out;
 }
--- a/report/requestlife.h
+++ b/report/requestlife.h
@@ -3,13 +3,13 @@
 // The life of one request out of the logs of several processes.
 //
 //     RequestLife life("r-17");
-//     life.read(logOfEntry);
-//     life.read(logOfScheduler);
-//     print(life.text());        // in the order of time
+//     life.read(logOfOneHost);
+//     life.read(logOfAnother);
+//     print(life.text());        // its own lines, what changed around it, what is missing
+//
+// The logs of all hosts together tell most: a generation is placed by another host than the one that answers it.
 
-#include <string>
-#include <string_view>
-#include <vector>
+#include "report/logline.h"
 
 namespace fescuesill
 {
@@ -25,15 +25,13 @@
     std::string text() const;
 
 private:
-    struct Moment {
-        std::string time;
-        std::string process;
-        std::string event;
-        std::string rest;
-    };
+    bool concerns(const LogLine &line) const;
+    bool isNear(const LogLine &line) const;
+    std::vector<std::string> missing() const;
 
     std::string request;
-    std::vector<Moment> moments;
+    std::vector<LogLine> moments; // in the order of time
+    std::vector<LogLine> changes; // of what processes believe or depend on, whomever they concern
 };
 
 } // namespace fescuesill
--- a/testing/process/test_gateway.py
+++ b/testing/process/test_gateway.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import socket
+import subprocess
 import tempfile
 import threading
 import unittest
@@ -98,6 +99,43 @@
         self.assertEqual(send(gateway.callers, "GET", "/book/1", host="other.example")[0], 404)
         self.assertEqual(self.runs(), [])
 
+    # On-call has the id of a failed request and the logs, and nothing else. The three kinds that operators are told of, and
+    # what one host went through: each must name what decided it and the state of the registry that it was decided by.
+    def test_logs_lead_from_an_id_to_its_cause(self):
+        gateway = self.start()
+        self.both("cut")
+        send(gateway.callers, "POST", "/book/1", b"x", X_Request_Id="lost")
+        for writer in self.writers:
+            writer.behave = "half"
+        with self.assertRaises(http.client.IncompleteRead):
+            send(gateway.callers, "POST", "/write/1", b"x", X_Request_Id="half", **SIZE)
+        for writer in self.writers:
+            writer.behave = "full"
+        send(gateway.callers, "POST", "/write/1", b"x", X_Request_Id="full", **{**SIZE, "X_Deadline_Ms": "1200"})
+        log = pathlib.Path(self.folder) / "g1.log"
+        wait_until(lambda: "request=full" in gateway.log(), "the refusal to be logged")
+        log.write_text(gateway.log(), encoding="utf-8")
+        told = {each: self.ctl("explain", each, log) for each in ("lost", "half", "full")}
+        self.assertIn("run=may_have_run", told["lost"])
+        self.assertIn("no_retry=not_repeatable", told["lost"])
+        self.assertIn("outcome=broken_off", told["half"])
+        self.assertIn("place_tried", told["half"])
+        self.assertIn("reply cut short", told["half"])
+        self.assertIn("run=not_run", told["full"])
+        for each, text in told.items():
+            self.assertRegex(text, r"registry=\d+", each)
+            self.assertNotIn("missing:", text)
+        span = self.ctl("timeline", "host", "g1", log)
+        self.assertIn("leader_changed", span)
+        self.assertIn("refused:overloaded=1", span)
+        writer = self.ctl("timeline", "engine", self.writers[0].name, log)
+        self.assertIn("requests", writer)
+
+    def ctl(self, *words):
+        run = subprocess.run([binary("fescuesillctl"), *map(str, words)], capture_output=True, text=True, timeout=30)
+        self.assertEqual(run.returncode, 0, run.stderr)
+        return run.stdout
+
     # An endpoint breaks off in the middle of its answer to a booking. The caller must not be told that it did not run, the
     # booking must not go to the other endpoint, and the half answer must not look like a whole one.
     def test_a_booking_whose_answer_is_lost_runs_once(self):
