--- a/decide/promptread.h
+++ b/decide/readplan.h
@@ -2,7 +2,7 @@
 
 // Where the prompt of one generation is read: at a prefill engine, at a second one, or at the decode engine itself.
 //
-//     PromptRead read(isFirstSend);
+//     ReadPlan read(isFirstSend);
 //     ReadStep step = read.first(budget, isSound);    // of the engine that would be asked
 //     while (step == ReadStep::AskPrefill) { ... read.onFailed(budget) is the next step ... }
 //
@@ -20,14 +20,14 @@
     AtDecode, // by the engine that writes the answer: slower, and no further send
 };
 
-class PromptRead
+class ReadPlan
 {
 public:
     // Prefill engines asked for one generation. A third would come too late for the target.
     static constexpr int mostAsked = 2;
 
     // `isFirstSend`: nothing of this generation was sent before.
-    explicit PromptRead(bool isFirstSend)
+    explicit ReadPlan(bool isFirstSend)
         : isFree(isFirstSend)
     {
     }
--- a/decide/routingconfig.h
+++ b/decide/routingconfig.h
@@ -26,8 +26,6 @@
 
 struct ForwardedService {
     ServiceId id;
-    std::string healthPath;
-    int connections = 0; // that one endpoint accepts from all hosts together
     std::optional<EngineTraits> engines; // of a generating service
 };
 
--- a/decide/testing/promptread_test.cpp
+++ b/decide/testing/readplan_test.cpp
@@ -1,4 +1,4 @@
-#include "decide/promptread.h"
+#include "decide/readplan.h"
 
 #include <gtest/gtest.h>
 
@@ -15,14 +15,14 @@
 // Every prefill engine is dark. Each generation that asked one sends at least twice, so without a check before the
 // first read the fleet overspends its retries by as many as it has callers; generations must go straight to decode
 // engines once the budget is used up, and be served there.
-TEST(PromptRead, StaysWithinTheBudgetWhileAllPrefillEnginesAreDark)
+TEST(ReadPlan, StaysWithinTheBudgetWhileAllPrefillEnginesAreDark)
 {
     RetryBudget budget(budgetOf(2));
     const int generations = 300;
     int beyondFirst = 0;
     for (int number = 0; number < generations; ++number) {
         budget.onSuccess();
-        PromptRead read(true);
+        ReadPlan read(true);
         int sends = 0;
         ReadStep step = read.first(budget, false);
         while (step == ReadStep::AskPrefill) {
@@ -35,39 +35,39 @@
     EXPECT_LE(beyondFirst, generations * 0.1 + 2);
 }
 
-TEST(PromptRead, AsksPrefillWhileAllIsWell)
+TEST(ReadPlan, AsksPrefillWhileAllIsWell)
 {
     RetryBudget budget(budgetOf(2));
     for (int number = 0; number < 100; ++number) {
-        EXPECT_EQ(PromptRead(true).first(budget, true), ReadStep::AskPrefill);
+        EXPECT_EQ(ReadPlan(true).first(budget, true), ReadStep::AskPrefill);
     }
     EXPECT_EQ(budget.left(), 2);
 }
 
 // Retries are used up by something else. Engines that have no fault are still asked: reading at the decode engine would
 // stall the answers that it writes.
-TEST(PromptRead, AsksSoundEnginesWithoutBudget)
+TEST(ReadPlan, AsksSoundEnginesWithoutBudget)
 {
     RetryBudget budget({0.1, 2, 0});
-    EXPECT_EQ(PromptRead(true).first(budget, true), ReadStep::AskPrefill);
-    EXPECT_EQ(PromptRead(true).first(budget, false), ReadStep::AtDecode);
+    EXPECT_EQ(ReadPlan(true).first(budget, true), ReadStep::AskPrefill);
+    EXPECT_EQ(ReadPlan(true).first(budget, false), ReadStep::AtDecode);
 }
 
-TEST(PromptRead, AsksASecondEngineAfterOneFailure)
+TEST(ReadPlan, AsksASecondEngineAfterOneFailure)
 {
     RetryBudget budget(budgetOf(5));
-    PromptRead read(true);
+    ReadPlan read(true);
     EXPECT_EQ(read.first(budget, true), ReadStep::AskPrefill);
     EXPECT_EQ(read.onFailed(budget), ReadStep::AskPrefill);
     EXPECT_EQ(read.onFailed(budget), ReadStep::AtDecode);
     EXPECT_EQ(budget.left(), 3);
 }
 
-TEST(PromptRead, PaysForAReadOfASecondSend)
+TEST(ReadPlan, PaysForAReadOfASecondSend)
 {
     RetryBudget budget(budgetOf(1));
-    EXPECT_EQ(PromptRead(false).first(budget, true), ReadStep::AskPrefill);
-    EXPECT_EQ(PromptRead(false).first(budget, true), ReadStep::AtDecode);
+    EXPECT_EQ(ReadPlan(false).first(budget, true), ReadStep::AskPrefill);
+    EXPECT_EQ(ReadPlan(false).first(budget, true), ReadStep::AtDecode);
 }
 
 } // namespace
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -7,7 +7,7 @@
 
 #include "programs/gateway/generationforward.h"
 
-#include "decide/promptread.h"
+#include "decide/readplan.h"
 #include "wire/clock.h"
 #include "wire/log.h"
 
@@ -159,7 +159,7 @@
     FleetView &fleet = this->call.services.fleet;
     RetryBudget &budget = fleet.budget(this->call.service);
     std::vector<PrefillCandidate> candidates = fleet.prefillCandidates(this->call.service, decode.dataCentre);
-    PromptRead plan(this->sends == 0);
+    ReadPlan plan(this->sends == 0);
     const PromptKey key = this->promptKey();
     auto chosen = fleet.prefills().pick(candidates, key, steadyNow());
     if (!chosen) {
--- a/testing/process/test_gateway.py
+++ b/testing/process/test_gateway.py
@@ -247,6 +247,26 @@
         self.platform.store.is_down = False
         wait_until(lambda: send(gateway.callers, "GET", "/new/1")[0] == 200, "the change to be in force")
 
+    # Every open connection to the store falls silent without a reset, right before an endpoint says that it leaves. Only
+    # a new connection shows it: the host must notice by itself, or it goes on sending work to an endpoint that is going.
+    def test_a_silent_connection_to_the_store_is_replaced(self):
+        gateway = self.start()
+        self.platform.silence_open_connections()
+        self.platform.register(self.one, state="draining")
+        wait_until(lambda: "leaving=yes" in gateway.log(), "the endpoint's leaving")
+        asked = len(self.one.seen)
+        for number in range(6):
+            self.assertEqual(send(gateway.callers, "GET", f"/look/{number}")[0], 200)
+        self.assertEqual(len(self.one.seen), asked)
+
+    # The store writes the lease and its answers are lost. The host must find its own row and not wait for somebody else's
+    # lease to end, and callers notice nothing.
+    def test_lost_answers_to_the_lease_stop_nobody(self):
+        self.platform.lose_answers(3)
+        gateway = self.start()
+        self.assertEqual(send(gateway.callers, "POST", "/write/1", b"prompt", **SIZE)[0], 200)
+        wait_until(gateway.leads, "the host to lead")
+
     def test_rows_of_other_writers_stop_nobody(self):
         self.platform.store.put("servers", "torn", b'{"service":"booking","addr')
         self.platform.store.put("servers", "forged", b'{"service":7}')
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -127,14 +127,36 @@
 
 
 class StoreServer(Server):
+    """The store on its port. Connections that are open may fall silent; answers to writes may be lost."""
+
     def __init__(self):
         self.store = Store()
+        self.connections = set()
+        self.silent = set()
+        self.ended = threading.Event()
+        self.lost_answers = 0  # of the next writes: done, and the connection closed without a word
         super().__init__()
 
+    def silence_open_connections(self):
+        """Nothing more comes on them, and no reset; new ones work."""
+        self.silent |= set(self.connections)
+
+    def end(self):
+        self.ended.set()
+        super().end()
+
     def handle(self, request, body):
         url = urllib.parse.urlsplit(request.path)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
-        request.reply(*self.store.answer(request.command, url.path, query, body))
+        self.connections.add(request.client_address)
+        answer = self.store.answer(request.command, url.path, query, body)
+        if request.client_address in self.silent:
+            self.ended.wait()
+        elif url.path == "/rows-tx" and self.lost_answers > 0:
+            self.lost_answers -= 1
+            request.close_connection = True
+        else:
+            request.reply(*answer)
 
 
 class Endpoint(Server):
@@ -239,6 +261,12 @@
     def address(self):
         return self.server.address
 
+    def silence_open_connections(self):
+        self.server.silence_open_connections()
+
+    def lose_answers(self, count):
+        self.server.lost_answers = count
+
     def endpoint(self, service, stage=None):
         made = Endpoint(f"i-{len(self.endpoints)}", stage)
         made.service = service
