Soak gateways as processes: signals, proxies that harm, a faulty store and endpoints, callers that go on

Cause: random faults ran over the cores in virtual time only; nothing overlapped signals, cuts and changes over the real program with callers on open connections. The judge is itself tested on nine broken promises.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# soak.sh BUILD_DIR [ROUNDS]: random faults and interleavings with a new seed each round. Prints every seed; a failing round
-# is repeated with RC_PARAMS="seed=SEED max_success=N" BUILD_DIR/proof_test --gtest_filter='RandomFaults*'.
+# soak.sh BUILD_DIR [ROUNDS]: random faults and interleavings with a new seed each round, first over the cores in virtual
+# time, then over gateways as processes. Prints every seed; a failing round is repeated with
+# RC_PARAMS="seed=SEED max_success=N" BUILD_DIR/proof_test --gtest_filter='RandomFaults*', or testing/soak/soak.py --seed SEED.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
@@ -16,3 +17,4 @@
         }
     done
 done
+FESCUESILL_BUILD="$build" python3 testing/soak/soak.py --rounds "$rounds"
--- /dev/null
+++ b/testing/process/gatewayprocess.py
@@ -0,0 +1,49 @@
+"""The gateway as a process of its own, and a call to it.
+
+    gateway = Gateway(folder, "g1", platform.address)
+    status, headers, body = send(gateway.callers, "POST", "/book/1", b"x")
+"""
+
+import http.client
+import itertools
+import pathlib
+
+from standin import Process, binary, free_address
+
+ids = (f"{number:016x}" for number in itertools.count(1))
+
+
+class Gateway(Process):
+    def __init__(self, folder, name, store, grace=None):
+        self.name = name
+        self.callers, self.ready, self.peers = free_address(), free_address(), free_address()
+        settings = pathlib.Path(folder) / f"{name}.ini"
+        stop = "announce = 300ms\n" + (f"grace_s = {grace}\n" if grace else "")
+        settings.write_text(f"[process]\nhost = {name}\ndata_centre = a\n[listen]\ncallers = {self.callers}\n"
+                            f"ready = {self.ready}\npeers = {self.peers}\n[store]\naddress = {store}\n"
+                            f"lease_ms = 1500\n[stop]\n{stop}")
+        super().__init__(binary("fescuesill-gateway"), "--config", settings)
+
+    def start_again(self):
+        """At the same addresses; ends the process first where it still runs."""
+        self.end()
+        super().__init__(*self.command)
+
+    def is_ready(self):
+        return send(self.ready, "GET", "/ready")[0] == 200
+
+    def leads(self):
+        return "event=leader_changed leader=" in self.log() and " self=yes" in self.log()
+
+
+def send(address, method, path, body=None, host="shop.example", **headers):
+    """Status, headers and body; a body that breaks off raises http.client.IncompleteRead."""
+    name, port = address.split(":")
+    connection = http.client.HTTPConnection(name, int(port), timeout=20)
+    try:
+        named = {key.replace("_", "-"): str(value) for key, value in headers.items()}
+        connection.request(method, path, body, {"Host": host, "X-Request-Id": next(ids), "X-Deadline-Ms": "4000", **named})
+        reply = connection.getresponse()
+        return reply.status, dict(reply.getheaders()), reply.read()
+    finally:
+        connection.close()
--- a/testing/process/test_gateway.py
+++ b/testing/process/test_gateway.py
@@ -1,7 +1,6 @@
 """The gateway against a stand-in of the users' platform, as separate processes."""
 
 import http.client
-import itertools
 import pathlib
 import signal
 import socket
@@ -10,41 +9,10 @@
 import threading
 import unittest
 
-from standin import Process, binary, free_address, wait_until
+from gatewayprocess import Gateway, send
+from standin import binary, wait_until
 from userplatform import EVENTS, UserPlatform, route
 
-ids = (f"{number:016x}" for number in itertools.count(1))
-
-
-class Gateway(Process):
-    def __init__(self, folder, name, store):
-        self.callers, self.ready, self.peers = free_address(), free_address(), free_address()
-        settings = pathlib.Path(folder) / f"{name}.ini"
-        settings.write_text(f"[process]\nhost = {name}\ndata_centre = a\n[listen]\ncallers = {self.callers}\n"
-                            f"ready = {self.ready}\npeers = {self.peers}\n[store]\naddress = {store}\n"
-                            "lease_ms = 1500\n[stop]\nannounce = 300ms\n")
-        super().__init__(binary("fescuesill-gateway"), "--config", settings)
-
-    def is_ready(self):
-        return send(self.ready, "GET", "/ready")[0] == 200
-
-    def leads(self):
-        return "event=leader_changed leader=" in self.log() and " self=yes" in self.log()
-
-
-def send(address, method, path, body=None, host="shop.example", **headers):
-    """Status, headers and body; a body that breaks off raises http.client.IncompleteRead."""
-    name, port = address.split(":")
-    connection = http.client.HTTPConnection(name, int(port), timeout=20)
-    try:
-        named = {key.replace("_", "-"): str(value) for key, value in headers.items()}
-        connection.request(method, path, body, {"Host": host, "X-Request-Id": next(ids), "X-Deadline-Ms": "4000", **named})
-        reply = connection.getresponse()
-        return reply.status, dict(reply.getheaders()), reply.read()
-    finally:
-        connection.close()
-
-
 SIZE = {"X_Token_Count": "100,400", "X_Length_Hint": "300", "X_Model": "m"}
 
 
--- /dev/null
+++ b/testing/process/test_soak.py
@@ -0,0 +1,69 @@
+"""Short runs of the fault soak with fixed seeds, each seed that ever failed, and the judge of the soak itself."""
+
+import pathlib
+import sys
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
+
+import checker  # noqa: E402  pylint: disable=wrong-import-position
+import soak  # noqa: E402  pylint: disable=wrong-import-position
+from callers import Call  # noqa: E402  pylint: disable=wrong-import-position
+
+SEEDS = (1, 2)
+# Each with a line on its cause.
+SEEDS_THAT_FAILED = ()
+SECONDS = 4
+
+
+class Ran:
+    """An endpoint that ran these calls."""
+
+    def __init__(self, name, *ids):
+        self.name = name
+        self.seen = [{"id": each, "path": "/book/" + each, "body": b"body " + each.encode()} for each in ids]
+
+
+def answered(kind, body, whole=True, stamp="a.1"):
+    return Call("r1", kind, 200, {"x-request-id": "r1", "x-server-stamp": stamp}, body, whole)
+
+
+def events(*numbers):
+    return b"".join(b"id: %d\ndata: a\n\n" % number for number in numbers)
+
+
+class CheckerTest(unittest.TestCase):
+    def test_finds_each_broken_promise(self):
+        cases = (
+            ("run twice", Call("r1", "unsafe"), [Ran("a", "r1"), Ran("b", "r1")]),
+            ("refused and run", Call("r1", "unsafe", 503), [Ran("a", "r1")]),
+            ("half a body that looks whole", answered("safe", b"answ"), [Ran("a", "r1")]),
+            ("a stamp that nobody gave", answered("safe", b"answer of a", stamp="b.1"), [Ran("a", "r1")]),
+            ("an event twice", answered("resumable", events(1, 2, 2, 3, 4, 5, 6)), [Ran("a", "r1")]),
+            ("an event left out", answered("resumable", events(1, 3), whole=False), [Ran("a", "r1")]),
+            ("an end too early", answered("stream", events(1, 2)), [Ran("a", "r1")]),
+            ("nobody's call", answered("safe", b"answer of a"), [Ran("a", "r1", "smuggled")]),
+            ("a stamp on our own refusal", Call("r1", "safe", 503, {"x-server-stamp": "a.1"}), [Ran("a")]),
+        )
+        for name, call, endpoints in cases:
+            with self.subTest(name):
+                self.assertTrue(checker.check([call], endpoints))
+
+    def test_finds_nothing_where_promises_hold(self):
+        for call in (answered("unsafe", b"answer of a"), answered("stream", events(1, 2, 3, 4, 5, 6)),
+                     answered("stream", events(1, 2), whole=False), Call("r1", "unsafe", 502), Call("r1", "unsafe")):
+            self.assertEqual(checker.check([call], [Ran("a", "r1")]), [])
+        self.assertEqual(checker.check([Call("r1", "unsafe", 503)], [Ran("a")]), [])
+
+
+class SoakTest(unittest.TestCase):
+    # Faults of all kinds overlap for some seconds while callers go on. Whatever they are told must be true, whatever they
+    # get whole, and everybody is served once the faults are over.
+    def test_promises_hold_under_overlapping_faults(self):
+        for seed in SEEDS + SEEDS_THAT_FAILED:
+            with self.subTest(seed=seed):
+                self.assertEqual(soak.run(seed, SECONDS, hosts=3, keep="soak-findings"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -13,6 +13,7 @@
 import contextlib
 import http.server
 import json
+import sys
 import threading
 import time
 import urllib.parse
@@ -113,10 +114,18 @@
         self.wfile.write(data)
 
 
+class QuietServer(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], ConnectionError):  # callers may go at any time
+            super().handle_error(request, client_address)
+
+
 class Server:
     def __init__(self):
-        self.http = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.http.daemon_threads = True
+        self.http = QuietServer(("127.0.0.1", 0), Handler)
         self.http.owner = self
         self.address = f"127.0.0.1:{self.http.server_address[1]}"
         threading.Thread(target=self.http.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True).start()
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,80 @@
+"""Callers that use their connections until the process is gone, and what they were told.
+
+    callers = Callers(gateways, seed, count=6)
+    callers.start() ... callers.stop()
+    for call in callers.calls: ...
+"""
+
+import dataclasses
+import http.client
+import random
+import threading
+
+PATHS = {"unsafe": "/book/", "safe": "/look/", "stream": "/write/", "resumable": "/resume/"}
+SIZE = {"X-Token-Count": "100,400", "X-Length-Hint": "300", "X-Model": "m"}
+PATIENCE_MS = 3000
+
+
+@dataclasses.dataclass
+class Call:
+    id: str
+    kind: str
+    status: int = 0  # none came
+    headers: dict = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+
+
+class Callers:
+    def __init__(self, gateways, seed, count):
+        self.gateways = gateways
+        self.calls = []
+        self.stopping = threading.Event()
+        self.threads = [threading.Thread(target=self.run, args=(number, random.Random(f"{seed}-{number}")), daemon=True)
+                        for number in range(count)]
+
+    def start(self):
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+
+    def run(self, number, chance):
+        connection = None
+        sent = 0
+        while not self.stopping.is_set():
+            if connection is None:
+                host, port = chance.choice(self.gateways).callers.split(":")
+                connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_MS / 1000 + 3)
+            sent += 1
+            call = Call(f"{number:04x}{sent:012x}", chance.choice(list(PATHS)))
+            self.calls.append(call)
+            if not self.ask(connection, call):
+                connection.close()
+                connection = None
+            self.stopping.wait(chance.uniform(0, 0.05))
+        if connection is not None:
+            connection.close()
+
+    def ask(self, connection, call):
+        """Whether the connection may be used again."""
+        headers = {"Host": "shop.example", "X-Request-Id": call.id, "X-Deadline-Ms": str(PATIENCE_MS)}
+        if call.kind in ("stream", "resumable"):
+            headers.update(SIZE)
+        method = "GET" if call.kind == "safe" else "POST"
+        try:
+            connection.request(method, PATHS[call.kind] + call.id, None if method == "GET" else b"body " + call.id.encode(),
+                               headers)
+            reply = connection.getresponse()
+            call.status, call.headers = reply.status, {name.lower(): value for name, value in reply.getheaders()}
+            call.body = reply.read()
+            call.is_whole = True
+            return not reply.will_close
+        except http.client.IncompleteRead as torn:
+            call.body = torn.partial
+        except (OSError, http.client.HTTPException):
+            pass
+        return False
--- /dev/null
+++ b/testing/soak/checker.py
@@ -0,0 +1,57 @@
+"""Judges what callers were told by what endpoints ran. Each finding is one line.
+
+    findings = check(callers.calls, platform.endpoints, ids_that_others_sent)
+"""
+
+import collections
+import re
+
+from userplatform import EVENTS
+
+NOT_RUN = (408, 421, 429, 503)  # our word that a call has not run and never will
+
+
+def check(calls, endpoints, others=()):
+    runs = collections.defaultdict(list)
+    by_name = {endpoint.name: endpoint for endpoint in endpoints}
+    for endpoint in endpoints:
+        for run in list(endpoint.seen):
+            runs[run["id"]].append((endpoint, run))
+    findings = []
+    known = {call.id for call in calls} | set(others)
+    findings += [f"{each}: run, and no caller sent it" for each in runs if each not in known]
+    for call in calls:
+        findings += [f"{call.id} ({call.kind}): {what}" for what in judge(call, runs[call.id], by_name)]
+    return findings
+
+
+def judge(call, runs, by_name):
+    if call.kind in ("unsafe", "stream") and len(runs) > 1:
+        yield f"run {len(runs)} times, allowed once"
+    if call.kind != "safe" and call.status in NOT_RUN and runs:
+        yield f"told {call.status}, and it ran"
+    for _, run in runs:
+        if not run["path"].endswith(call.id) or (run["body"] and run["body"] != b"body " + call.id.encode()):
+            yield "run with another path or body"
+    stamp = call.headers.get("x-server-stamp", "")
+    if call.status == 200:
+        yield from judge_success(call, runs, stamp, by_name)
+    elif stamp and call.status != 500:
+        yield f"answer {call.status} with the stamp of an endpoint"
+
+
+def judge_success(call, runs, stamp, by_name):
+    name = stamp.rsplit(".", 1)[0]
+    if call.headers.get("x-request-id") != call.id:
+        yield "the answer of another call"
+    if name not in by_name or not any(endpoint.name == name for endpoint, _ in runs):
+        yield f"answered with a stamp that no run of it gave: {stamp!r}"
+    if call.kind in ("unsafe", "safe"):
+        if call.is_whole and call.body != b"answer of " + name.encode():
+            yield f"a body that looks whole and is not: {call.body!r}"
+        return
+    events = [int(number) for number in re.findall(rb"id: (\d+)\ndata: [^\n]+\n\n", call.body)]
+    if events != list(range(1, len(events) + 1)):
+        yield f"events {events}"
+    if call.is_whole and len(events) != EVENTS:
+        yield f"looks whole with {len(events)} of {EVENTS} events"
--- /dev/null
+++ b/testing/soak/proxy.py
@@ -0,0 +1,74 @@
+"""A loopback proxy that harms what goes through it.
+
+    proxy = Proxy("127.0.0.1:24001")
+    proxy.mode = "silent"          # passed on from now: nothing, and no reset
+    proxy.reset()                  # all open connections at once
+
+Modes: pass; delay (each piece waits 200 ms); one_way (nothing comes back); silent (nothing goes either way); refuse (new
+connections are reset).
+"""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+
+DELAY_SECONDS = 0.2
+MODES = ("delay", "one_way", "silent", "refuse")
+
+
+class Proxy:
+    def __init__(self, target):
+        host, port = target.split(":")
+        self.target = (host, int(port))
+        self.mode = "pass"
+        self.pairs = []
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                caller, _ = self.listener.accept()
+                if self.mode == "refuse":
+                    reset(caller)
+                    continue
+                try:
+                    callee = socket.create_connection(self.target, timeout=5)
+                    callee.settimeout(None)
+                except OSError:
+                    reset(caller)
+                    continue
+                self.pairs.append((caller, callee))
+                threading.Thread(target=self.pump, args=(caller, callee, False), daemon=True).start()
+                threading.Thread(target=self.pump, args=(callee, caller, True), daemon=True).start()
+
+    def pump(self, source, sink, is_back):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                if self.mode == "silent" or (is_back and self.mode == "one_way"):
+                    continue  # lost on the way
+                if self.mode == "delay":
+                    time.sleep(DELAY_SECONDS)
+                sink.sendall(data)
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+    def reset(self):
+        pairs, self.pairs = self.pairs, []
+        for pair in pairs:
+            for end in pair:
+                reset(end)
+
+    def end(self):
+        self.listener.close()
+        self.reset()
+
+
+def reset(connection):
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RDWR)
+    connection.close()
--- /dev/null
+++ b/testing/soak/soak.py
@@ -0,0 +1,234 @@
+#!/usr/bin/env python3
+"""Random faults against gateways as processes, with callers that go on all the while.
+
+    soak.py --build build --seed 7 --seconds 10          one run
+    soak.py --build build --rounds 50                    new seeds, each printed before its run
+
+Processes are stopped, frozen, killed and started again by signals; what goes to the store and to plain endpoints goes
+through proxies that delay, silence, cut one way, refuse and reset; endpoints break off, fall silent, refuse and add bytes;
+entries lapse and come back, configurations change, the store loses answers and forgets. Faults overlap. A run fails if a
+promise to a caller was broken (checker.py), or if not everybody is served again after the last fault.
+"""
+
+import argparse
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "testing" / "process"))
+sys.path.insert(0, str(ROOT / "testing" / "soak"))
+
+# pylint: disable=wrong-import-position
+from callers import Callers  # noqa: E402
+from checker import check  # noqa: E402
+from gatewayprocess import Gateway, send  # noqa: E402
+from proxy import MODES, Proxy  # noqa: E402
+from standin import wait_until  # noqa: E402
+from userplatform import UserPlatform, route  # noqa: E402
+
+GRACE_SECONDS = 3
+LONGEST_FAULT_SECONDS = 3.0
+PLAIN_FAULTS = ("cut", "mute", "error", "full", "extra", "other_id", "encoded", "unframed")
+DECODE_FAULTS = ("half", "full")
+LATE_RUNS_SECONDS = 1.0  # a call that was refused must not run later either
+ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
+          route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
+
+
+class Soak:
+    def __init__(self, seed, hosts, folder):
+        self.chance = random.Random(seed)
+        self.platform = UserPlatform()
+        self.plain = [self.platform.endpoint("booking") for _ in range(3)]
+        self.proxies = []
+        for endpoint in self.plain:
+            self.proxies.append(Proxy(endpoint.address))
+            endpoint.address = self.proxies[-1].address
+            self.platform.register(endpoint)
+        self.readers = [self.platform.endpoint("llm", "prefill") for _ in range(2)]
+        self.writers = [self.platform.endpoint("llm", "decode") for _ in range(3)]
+        self.platform.configure(ROUTES)
+        self.stores = [Proxy(self.platform.address) for _ in range(hosts)]
+        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS)
+                         for number, store in enumerate(self.stores)]
+        self.busy = [threading.Lock() for _ in self.gateways]  # a process has one fault of its own at a time
+        self.callers = Callers(self.gateways, seed, count=3 * hosts)
+        self.own_calls = []
+        self.log = []
+
+    def play(self, seconds):
+        for gateway in self.gateways:
+            wait_until(gateway.is_ready, "a gateway to be ready")
+        self.callers.start()
+        end = time.monotonic() + seconds
+        faults = []
+        while time.monotonic() < end:
+            kind = self.chance.choice((self.signal_fault, self.signal_fault, self.store_fault, self.endpoint_fault,
+                                       self.engine_fault, self.entry_fault, self.platform_fault))
+            lasts = self.chance.uniform(0.1, LONGEST_FAULT_SECONDS)
+            faults.append(threading.Thread(target=kind, args=(random.Random(self.chance.random()), lasts), daemon=True))
+            faults[-1].start()
+            time.sleep(self.chance.uniform(0.05, 0.6))
+        for fault in faults:
+            fault.join()
+        self.check_recovery()
+        self.callers.stop()
+        time.sleep(LATE_RUNS_SECONDS)
+        return check(self.callers.calls, self.platform.endpoints, self.own_calls)
+
+    def note(self, *words):
+        self.log.append(f"{time.monotonic():.3f} " + " ".join(map(str, words)))
+
+    def signal_fault(self, chance, lasts):
+        number = chance.randrange(len(self.gateways))
+        if not self.busy[number].acquire(blocking=False):
+            return
+        gateway = self.gateways[number]
+        kind = chance.choice(("freeze", "kill", "stop", "hup"))
+        self.note(kind, gateway.name, f"{lasts:.2f}")
+        try:
+            if kind == "freeze":
+                gateway.send(signal.SIGSTOP)
+                time.sleep(lasts)
+                gateway.send(signal.SIGCONT)
+            elif kind == "hup":
+                gateway.send(signal.SIGHUP)
+            else:
+                if kind == "stop":
+                    gateway.send(signal.SIGTERM)
+                    gateway.process.wait(timeout=GRACE_SECONDS + 10)
+                else:
+                    gateway.kill()
+                    time.sleep(lasts / 3)
+                gateway.start_again()
+        finally:
+            self.busy[number].release()
+
+    def proxy_fault(self, proxy, chance, lasts):
+        mode = chance.choice(MODES + ("reset",))
+        self.note("proxy", proxy.address, mode, f"{lasts:.2f}")
+        if mode == "reset":
+            proxy.reset()
+            return
+        proxy.mode = mode
+        time.sleep(lasts)
+        proxy.mode = "pass"
+        if mode != "delay":
+            proxy.reset()  # what was lost on the way leaves no half messages behind
+
+    def store_fault(self, chance, lasts):
+        for proxy in chance.sample(self.stores, chance.randint(1, len(self.stores))):
+            threading.Thread(target=self.proxy_fault, args=(proxy, chance, lasts), daemon=True).start()
+        time.sleep(lasts + 0.1)
+
+    def endpoint_fault(self, chance, lasts):
+        if chance.random() < 0.4:
+            self.proxy_fault(chance.choice(self.proxies), chance, lasts)
+        else:
+            self.behave(chance.choice(self.plain), chance.choice(PLAIN_FAULTS), lasts)
+
+    def engine_fault(self, chance, lasts):
+        self.behave(chance.choice(self.writers), chance.choice(DECODE_FAULTS), lasts)
+
+    def behave(self, endpoint, behaviour, lasts):
+        self.note(endpoint.name, behaviour, f"{lasts:.2f}")
+        endpoint.behave = behaviour
+        time.sleep(lasts)
+        endpoint.behave = "ok"
+
+    def entry_fault(self, chance, lasts):
+        endpoint = chance.choice(self.platform.endpoints)
+        self.note("entry of", endpoint.name, f"{lasts:.2f}")
+        if chance.random() < 0.5:
+            self.platform.remove(endpoint)
+        else:
+            self.platform.register(endpoint, state="draining")
+        time.sleep(lasts)
+        self.platform.register(endpoint, born=int(time.time() * 1000))
+
+    def platform_fault(self, chance, lasts):
+        kind = chance.choice(("down", "forget", "lose", "storm", "silence"))
+        self.note("store", kind, f"{lasts:.2f}")
+        if kind == "down":
+            self.platform.store.is_down = True
+            time.sleep(lasts)
+            self.platform.store.is_down = False
+        elif kind == "forget":
+            self.platform.store.forget_history()
+        elif kind == "lose":
+            self.platform.lose_answers(chance.randint(1, 4))
+        elif kind == "silence":
+            self.platform.silence_open_connections()
+        else:
+            for _ in range(chance.randint(2, 8)):
+                self.platform.configure(ROUTES)
+                time.sleep(lasts / 8)
+
+    def check_recovery(self):
+        """Everybody is served again: each kind of call on each host."""
+        for proxy in self.proxies + self.stores:
+            proxy.mode = "pass"
+        size = {"X_Token_Count": "100,400", "X_Length_Hint": "300", "X_Model": "m"}
+        for gateway in self.gateways:
+            wait_until(gateway.is_ready, f"{gateway.name} to be ready again")
+            for path, headers in (("/look/", {}), ("/write/", size)):
+                wait_until(lambda: self.is_served(gateway, path, headers), f"{gateway.name} to serve {path}")
+
+    def is_served(self, gateway, path, headers):
+        self.own_calls.append(f"after-{len(self.own_calls)}")
+        return send(gateway.callers, "GET", path + "x", X_Request_Id=self.own_calls[-1], **headers)[0] == 200
+
+    def end(self):
+        for gateway in self.gateways:
+            gateway.end()
+        for proxy in self.proxies + self.stores:
+            proxy.end()
+        self.platform.__exit__()
+
+
+def run(seed, seconds, hosts, keep=None):
+    """The findings; where there are any, the faults and the gateways' logs are kept in that folder."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, hosts, folder)
+        try:
+            findings = soak.play(seconds)
+            served = sum(call.status == 200 and call.is_whole for call in soak.callers.calls)
+            print(f"soak: seed {seed}: {len(soak.callers.calls)} calls, {served} served, {len(findings)} findings", flush=True)
+        except AssertionError as error:
+            findings = [str(error)]
+        if findings and keep:
+            store = pathlib.Path(keep) / f"seed-{seed}"
+            store.mkdir(parents=True, exist_ok=True)
+            (store / "faults.txt").write_text("\n".join(soak.log + findings), encoding="utf-8")
+            for gateway in soak.gateways:
+                (store / f"{gateway.name}.log").write_text(gateway.log(), encoding="utf-8")
+        soak.end()
+        return findings
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--rounds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--hosts", type=int, default=3)
+    parser.add_argument("--keep", default="soak-findings", help="folder for the logs of a run that failed")
+    options = parser.parse_args()
+    failed = 0
+    for _ in range(options.rounds):
+        seed = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 31)
+        findings = run(seed, options.seconds, options.hosts, options.keep)
+        for finding in findings:
+            print(f"soak: seed {seed}: {finding}", flush=True)
+        failed += bool(findings)
+    print(f"soak: {options.rounds} rounds, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
