--- a/decide/testing/prefillchoice_test.cpp
+++ b/decide/testing/prefillchoice_test.cpp
@@ -14,6 +14,7 @@
 std::vector<PrefillCandidate> engines(int count)
 {
     std::vector<PrefillCandidate> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         made.push_back({EngineId("p" + std::to_string(number)), false});
     }
