--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -32,7 +32,6 @@
 constexpr Duration pauseAfterFault{250ms}; // a store that refuses is asked four times a second by each table
 constexpr Duration leaderWait{500ms}; // a quarter of the time within which a change must be in force everywhere
 constexpr Duration relayedPause{10s}; // ended by whatever ends the relay
-constexpr std::size_t mostRecentRows = 500; // some 300 bytes each; a follower is behind by a second or two
 constexpr std::size_t mostNewFollowers = 4096; // hosts of a fleet that link to a new leader at the same moment
 constexpr Duration pauseWhenFull{5ms}; // the forwarding thread drains its ring in well under that
 
@@ -210,44 +209,26 @@
 void StoreDuty::remember(const std::vector<StoreRow> &rows, std::int64_t before, bool isWhole)
 {
     if (isWhole) {
-        this->recentRows.clear();
-        this->recentSince = *this->registry.version;
+        this->recent.restart(*this->registry.version);
         return;
     }
-    if (this->recentRows.empty() && this->recentSince == 0) {
-        this->recentSince = before;
-    }
+    std::vector<peer::RegistryRow> changed;
+    changed.reserve(rows.size());
     for (const StoreRow &row : rows) {
-        this->recentRows.push_back({static_cast<std::uint64_t>(row.version), row.key, row.value, row.isRemoved});
-    }
-    while (this->recentRows.size() > mostRecentRows) {
-        this->recentSince = static_cast<std::int64_t>(this->recentRows.front().version);
-        this->recentRows.pop_front();
+        changed.push_back({static_cast<std::uint64_t>(row.version), row.key, row.value, row.isRemoved});
     }
+    this->recent.add(changed, before, *this->registry.version);
 }
 
 void StoreDuty::handOn(const std::vector<StoreRow> &rows, std::int64_t before)
 {
-    if (this->isLeading() && !rows.empty() && before >= this->recentSince) {
-        this->push(store_update::News{this->newsAfter(before), std::nullopt});
-    }
-}
-
-peer::RegistryNews StoreDuty::newsAfter(std::int64_t version) const
-{
-    const auto after = static_cast<std::uint64_t>(version);
-    peer::RegistryNews news{after, static_cast<std::uint64_t>(*this->registry.version), {}};
-    for (const peer::RegistryRow &row : this->recentRows) {
-        if (row.version > after) {
-            news.rows.push_back(row);
-        }
+    if (this->isLeading() && !rows.empty() && this->recent.reaches(before)) {
+        this->push(store_update::News{this->recent.after(before), std::nullopt});
     }
-    return news;
 }
 
-// A follower has read the whole table itself and is handed what came since: whole tables to all hosts of a large fleet
-// at once took 90 MB of the leader's memory at 300 hosts and 3,000 endpoints, and the platform killed it. One that is
-// behind what is kept here, or ahead of this host, goes on reading the store and asks again.
+// A follower has read the whole table itself and is handed what came since. One that is behind what is kept here, or
+// ahead of this host, goes on reading the store and asks again.
 void StoreDuty::welcomeFollowers()
 {
     if (!this->isLeading() || !this->registry.version || this->registry.isLost || this->config.isLost) {
@@ -255,10 +236,10 @@
     }
     for (const auto &[link, version] : std::exchange(this->newFollowers, {})) {
         const auto has = static_cast<std::int64_t>(version);
-        if (has < this->recentSince || has > *this->registry.version) {
+        if (!this->recent.reaches(has)) {
             continue;
         }
-        this->push(store_update::News{this->newsAfter(has), link});
+        this->push(store_update::News{this->recent.after(has), link});
         this->push(store_update::News{peer::ConfigNews{static_cast<std::uint64_t>(this->configRow)}, link});
     }
 }
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -7,6 +7,7 @@
 //     duty.stop();
 
 #include "decide/routingconfig.h"
+#include "programs/gateway/recentrows.h"
 #include "promise/endpointregistry.h"
 #include "promise/leadership.h"
 #include "wire/linkid.h"
@@ -17,7 +18,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <map>
 #include <memory>
 #include <thread>
@@ -143,7 +143,6 @@
     void handOn(const std::vector<StoreRow> &rows, std::int64_t before);
     void remember(const std::vector<StoreRow> &rows, std::int64_t before, bool isWhole);
     void welcomeFollowers();
-    peer::RegistryNews newsAfter(std::int64_t version) const;
     bool isLeading() const;
     void push(const StoreUpdate &update);
     void tell(bool isLost, Table table, const std::string &reason);
@@ -163,8 +162,7 @@
     // Of the duty's own thread, like all below.
     Followed config;
     Followed registry;
-    std::deque<peer::RegistryRow> recentRows; // of the registry, for followers that are a little behind
-    std::int64_t recentSince = 0; // all changes after this version are among them
+    RecentRows recent; // of the registry, for followers that are a little behind
     std::int64_t configRow = 0; // version of the configuration's row here
     std::optional<std::int64_t> configAtLeader; // the newest that the leader told of
     std::map<LinkId, std::uint64_t> newFollowers; // not answered yet, with the version that each has
--- /dev/null
+++ b/programs/gateway/testing/recentrows_test.cpp
@@ -0,0 +1,86 @@
+#include "programs/gateway/recentrows.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+using Table = std::map<std::string, std::string>;
+
+void change(Table &table, const peer::RegistryRow &row)
+{
+    if (row.isRemoved) {
+        table.erase(row.key);
+    } else {
+        table[row.key] = row.value;
+    }
+}
+
+// A host reads the table, falls behind by some changes, and links to the leader. What the leader hands it must bring it
+// to exactly the leader's state, or it is told nothing and reads the table again; never a state in between.
+RC_GTEST_PROP(RecentRows, BringAHostThatIsBehindToTheSameState, ())
+{
+    RecentRows recent;
+    Table leader;
+    std::map<std::int64_t, Table> states; // by version, as a host may have read them
+    std::int64_t version = *rc::gen::inRange<std::int64_t>(1, 1000);
+    recent.restart(version);
+    states[version] = leader;
+    const int transactions = *rc::gen::inRange(1, 300);
+    for (int number = 0; number < transactions; ++number) {
+        const std::int64_t before = version;
+        version += *rc::gen::inRange(1, 4); // other tables count with the same numbers
+        std::vector<peer::RegistryRow> rows;
+        const int changed = *rc::gen::inRange(1, 6);
+        for (int each = 0; each < changed; ++each) {
+            const std::string key = "e" + std::to_string(*rc::gen::inRange(0, 40));
+            const bool isRemoved = *rc::gen::inRange(0, 4) == 0;
+            rows.push_back(
+                peer::RegistryRow{static_cast<std::uint64_t>(version), key, std::to_string(version), isRemoved});
+            change(leader, rows.back());
+        }
+        recent.add(rows, before, version);
+        states[version] = leader;
+    }
+    for (const auto &[has, state] : states) {
+        if (!recent.reaches(has)) {
+            continue;
+        }
+        Table follower = state;
+        const auto news = recent.after(has);
+        for (const peer::RegistryRow &row : news.rows) {
+            change(follower, row);
+        }
+        RC_ASSERT(follower == leader);
+        RC_ASSERT(news.version == static_cast<std::uint64_t>(version));
+    }
+    RC_ASSERT(recent.reaches(version));
+    RC_ASSERT(!recent.reaches(version + 1));
+}
+
+TEST(RecentRows, ServesNobodyThatIsTooFarBehind)
+{
+    RecentRows recent;
+    recent.restart(10);
+    EXPECT_FALSE(recent.reaches(9));
+    EXPECT_TRUE(recent.reaches(10));
+    for (std::int64_t version = 11; version <= 10 + static_cast<std::int64_t>(RecentRows::mostRows) + 3; ++version) {
+        const std::vector<peer::RegistryRow> row = {
+            peer::RegistryRow{static_cast<std::uint64_t>(version), "e", "", false}};
+        recent.add(row, version - 1, version);
+    }
+    EXPECT_FALSE(recent.reaches(10));
+    EXPECT_FALSE(recent.reaches(12));
+    EXPECT_TRUE(recent.reaches(13));
+    EXPECT_EQ(recent.after(13).rows.size(), RecentRows::mostRows);
+    recent.restart(2000);
+    EXPECT_FALSE(recent.reaches(13));
+    EXPECT_TRUE(recent.after(2000).rows.empty());
+}
+
+} // namespace
+} // namespace fescuesill
