Tell the leader how fast other hosts see prompts read

Cause: the leader paces the reads of all hosts by what it measured itself. One without callers of its own measures nothing and takes 20 us a token: with engines four times faster the pool would be held to a quarter of what it can do. Ruled out: no pace until something was measured (the flood after a restart comes before the first read has ended). Change: each ask for a place carries what its host last measured; test that fails without it.

--- a/decide/prefillchoice.cpp
+++ b/decide/prefillchoice.cpp
@@ -90,6 +90,16 @@
     found->second.faults.add(isFault ? 1 : 0, now);
 }
 
+void PrefillChoice::onHeard(Duration thousand)
+{
+    if (thousand <= Duration(0)) {
+        return;
+    }
+    const double each = static_cast<double>(thousand.count()) / 1000;
+    this->meanUs = this->perTokenUs ? this->meanUs : each;
+    this->perTokenUs = this->perTokenUs ? std::min(each, *this->perTokenUs * slackEachRead) : each;
+}
+
 void PrefillChoice::onRead(Tokens prompt, Duration took)
 {
     if (prompt.value() < leastPrompt) {
--- a/decide/prefillchoice.h
+++ b/decide/prefillchoice.h
@@ -59,6 +59,13 @@
     {
         return this->perTokenUs;
     }
+    // The same for a thousand tokens, to be told to the leader; 0 before the first.
+    Duration thousandTokens() const
+    {
+        return Duration(static_cast<std::int64_t>(this->perTokenUs.value_or(0) * 1000));
+    }
+    // What another host measured. The leader paces the reads of all hosts, and may have no callers of its own.
+    void onHeard(Duration thousand);
 
     // How many times the fastest the mean read takes: its wait behind others.
     double slowdown() const
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -178,7 +178,8 @@
     }
     this->uplink(peer::AskPlace{ask.id, local.service, static_cast<std::uint64_t>(std::max(0, ask.rank)), ask.prompt,
                                 ask.output, ask.mostOutput, now - ask.arrival, ask.onTimeUntil - now,
-                                ask.usefulUntil - now, ask.dataCentre, ask.avoid});
+                                ask.usefulUntil - now, ask.dataCentre, ask.avoid,
+                                this->fleet.prefills().thousandTokens()});
 }
 
 GateAction GateKeeper::ask(const ServiceId &service, const GenerationAsk &ask, const asio::yield_context &yield)
@@ -322,6 +323,7 @@
     ask.usefulUntil = now + message.useful;
     ask.dataCentre = message.dataCentre;
     ask.avoid = message.avoid;
+    this->fleet.prefills().onHeard(message.thousandRead);
     this->remotes[ask.id] = Remote{link, message.service, reply};
     Gate &gate = this->gate(message.service);
     gate.core.submit(ask, now);
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -184,6 +184,7 @@
     visit(m.useful);
     visit(m.dataCentre);
     visit(m.avoid);
+    visit(m.thousandRead);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -180,6 +180,7 @@
     Duration useful{0};
     DataCentreId dataCentre;
     EngineId avoid;
+    Duration thousandRead{0}; // what a thousand prompt tokens take, as this host last measured; 0: it has not
 };
 
 // The leader to a gateway: ask this engine for a reservation.
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -18,10 +18,11 @@
 TEST(PlacingMessages, ArriveAsTheyWereSent)
 {
     const AskPlace ask = passedOn(AskPlace{RequestId("r"), ServiceId("s"), 2, Tokens(5200), Tokens(3500), Tokens(6500),
-                                           40ms, -10ms, 3s, DataCentreId("a"), EngineId("d1")});
+                                           40ms, -10ms, 3s, DataCentreId("a"), EngineId("d1"), 18ms});
     EXPECT_EQ(ask.mostOutput, Tokens(6500));
     EXPECT_EQ(ask.onTime, -10ms);
     EXPECT_EQ(ask.avoid, EngineId("d1"));
+    EXPECT_EQ(ask.thousandRead, 18ms);
     const PlaceNews news = passedOn(PlaceNews{RequestId("r"), ServiceId("s"), PlaceEvent::EndedByFault, Tokens(7)});
     EXPECT_EQ(news.event, PlaceEvent::EndedByFault);
     const HeldPlaces held =
