Order log lines and gather a request's surroundings once, not for each log and each change

explain sorted all lines again after each file and built the request's hosts and engines anew for every change it compared; timeline sorted after each file as well, with the same comparison written twice. Both are done once, when the text is made. Checked: report tests, format, lint of the three files.

--- a/report/logline.cpp
+++ b/report/logline.cpp
@@ -100,4 +100,10 @@
     return out;
 }
 
+std::vector<LogLine> inOrderOfTime(std::vector<LogLine> lines)
+{
+    std::stable_sort(lines.begin(), lines.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
+    return lines;
+}
+
 } // namespace fescuesill
--- a/report/logline.h
+++ b/report/logline.h
@@ -34,6 +34,8 @@
     std::string text() const;
 };
 
+std::vector<LogLine> inOrderOfTime(std::vector<LogLine> lines);
+
 // Hands each line of a log to `take`, without its end.
 template<typename Take>
 void forEachLine(std::string_view log, Take take)
--- a/report/requestlife.cpp
+++ b/report/requestlife.cpp
@@ -29,29 +29,65 @@
 // An engine's entry lapses after three heartbeats, and a frozen host is missed after some seconds.
 constexpr Duration around{5s};
 
-std::set<std::string> partnersOf(const std::vector<LogLine> &moments)
-{
-    std::set<std::string> partners;
-    for (const LogLine &moment : moments) {
-        for (std::string &partner : partnersIn(moment)) {
-            partners.insert(std::move(partner));
+// What a change is compared with, of a request that has a line.
+struct Scene {
+    explicit Scene(const std::vector<LogLine> &moments)
+        : first(parseLogTime(moments.front().time))
+        , last(parseLogTime(moments.back().time))
+    {
+        for (const LogLine &moment : moments) {
+            this->hosts.insert(moment.host);
+            for (std::string &partner : partnersIn(moment)) {
+                this->partners.insert(std::move(partner));
+            }
         }
     }
-    return partners;
-}
 
-std::set<std::string> hostsOf(const std::vector<LogLine> &moments)
-{
-    std::set<std::string> hosts;
-    for (const LogLine &moment : moments) {
-        hosts.insert(moment.host);
+    bool isNear(const LogLine &line) const
+    {
+        const auto at = parseLogTime(line.time);
+        return at && this->first && this->last && *at >= *this->first - around && *at <= *this->last + around;
     }
-    return hosts;
-}
+    // Of the registry every host tells the same; the hosts of the request are enough.
+    bool concerns(const LogLine &line) const
+    {
+        if (this->hosts.count(line.host) == 0) {
+            return false;
+        }
+        const auto named = partnersIn(line);
+        return !isEndpointChange(line) || std::any_of(named.begin(), named.end(), [this](const std::string &name) {
+            return this->partners.count(name) != 0;
+        });
+    }
+
+    std::optional<Duration> first;
+    std::optional<Duration> last;
+    std::set<std::string> hosts;
+    std::set<std::string> partners; // engines and endpoints
+};
 
-void sortByTime(std::vector<LogLine> &lines)
+std::vector<std::string> missingFrom(const std::vector<LogLine> &moments, const std::vector<LogLine> &changes,
+                                     const Scene &scene)
 {
-    std::stable_sort(lines.begin(), lines.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
+    std::vector<std::string> missing;
+    if (std::none_of(moments.begin(), moments.end(), isEnd)) {
+        missing.push_back("no line tells how it ended: the host that took it died or its log is not here");
+        for (const LogLine &change : changes) {
+            if (change.event == "started" && change.time > moments.back().time && scene.isNear(change)) {
+                missing.push_back(fmt::format("host {} started again at {}", change.host, change.time));
+            }
+        }
+    }
+    const bool hasPlace = std::any_of(moments.begin(), moments.end(), [](const LogLine &moment) {
+        return moment.event == "place_tried" || moment.event == "place_rejected";
+    });
+    const bool needsPlace = std::any_of(moments.begin(), moments.end(), [](const LogLine &moment) {
+        return moment.event == "generation_ended" && !moment.value("engine").empty();
+    });
+    if (needsPlace && !hasPlace) {
+        missing.push_back("no line tells who placed it: the log of the host that led then is not here");
+    }
+    return missing;
 }
 
 } // namespace
@@ -76,8 +112,6 @@
             this->changes.push_back(std::move(*line));
         }
     });
-    sortByTime(this->moments);
-    sortByTime(this->changes);
 }
 
 bool RequestLife::isEmpty() const
@@ -85,65 +119,21 @@
     return this->moments.empty();
 }
 
-// Of the registry every host tells the same; the hosts of the request are enough.
-bool RequestLife::concerns(const LogLine &line) const
-{
-    if (hostsOf(this->moments).count(line.host) == 0) {
-        return false;
-    }
-    if (!isEndpointChange(line)) {
-        return true;
-    }
-    const auto partners = partnersOf(this->moments);
-    const auto named = partnersIn(line);
-    return std::any_of(named.begin(), named.end(),
-                       [&partners](const std::string &name) { return partners.count(name) != 0; });
-}
-
-bool RequestLife::isNear(const LogLine &line) const
-{
-    const auto at = parseLogTime(line.time);
-    const auto first = parseLogTime(this->moments.front().time);
-    const auto last = parseLogTime(this->moments.back().time);
-    return at && first && last && *at >= *first - around && *at <= *last + around;
-}
-
-std::vector<std::string> RequestLife::missing() const
-{
-    std::vector<std::string> missing;
-    const LogLine &last = this->moments.back();
-    if (!std::any_of(this->moments.begin(), this->moments.end(), isEnd)) {
-        missing.push_back("no line tells how it ended: the host that took it died or its log is not here");
-        for (const LogLine &change : this->changes) {
-            if (change.event == "started" && change.time > last.time && this->isNear(change)) {
-                missing.push_back(fmt::format("host {} started again at {}", change.host, change.time));
-            }
-        }
-    }
-    const bool hasPlace = std::any_of(this->moments.begin(), this->moments.end(), [](const LogLine &moment) {
-        return moment.event == "place_tried" || moment.event == "place_rejected";
-    });
-    const bool needsPlace = std::any_of(this->moments.begin(), this->moments.end(), [](const LogLine &moment) {
-        return moment.event == "generation_ended" && !moment.value("engine").empty();
-    });
-    if (needsPlace && !hasPlace) {
-        missing.push_back("no line tells who placed it: the log of the host that led then is not here");
-    }
-    return missing;
-}
-
 std::string RequestLife::text() const
 {
+    if (this->moments.empty()) {
+        return {};
+    }
+    const auto ordered = inOrderOfTime(this->moments);
+    const auto orderedChanges = inOrderOfTime(this->changes);
+    const Scene scene(ordered);
     std::string out;
-    for (const LogLine &moment : this->moments) {
+    for (const LogLine &moment : ordered) {
         out += moment.text() + "\n";
     }
-    if (this->moments.empty()) {
-        return out;
-    }
     std::vector<const LogLine *> shown;
-    for (const LogLine &change : this->changes) {
-        if (this->concerns(change) && this->isNear(change)) {
+    for (const LogLine &change : orderedChanges) {
+        if (scene.concerns(change) && scene.isNear(change)) {
             shown.push_back(&change);
         }
     }
@@ -157,7 +147,7 @@
     if (skipped > 0) {
         out += fmt::format("  {} earlier ones are left out\n", skipped);
     }
-    for (const std::string &what : this->missing()) {
+    for (const std::string &what : missingFrom(ordered, orderedChanges, scene)) {
         out += "missing: " + what + "\n";
     }
     return out;
--- a/report/requestlife.h
+++ b/report/requestlife.h
@@ -25,12 +25,8 @@
     std::string text() const;
 
 private:
-    bool concerns(const LogLine &line) const;
-    bool isNear(const LogLine &line) const;
-    std::vector<std::string> missing() const;
-
     std::string request;
-    std::vector<LogLine> moments; // in the order of time
+    std::vector<LogLine> moments;
     std::vector<LogLine> changes; // of what processes believe or depend on, whomever they concern
 };
 
--- a/report/spanreport.cpp
+++ b/report/spanreport.cpp
@@ -60,8 +60,6 @@
             ++this->leftOut;
         }
     });
-    std::stable_sort(this->changes.begin(), this->changes.end(),
-                     [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
 }
 
 bool SpanReport::isEmpty() const
@@ -72,9 +70,10 @@
 std::string SpanReport::text() const
 {
     std::string out;
-    auto change = this->changes.begin();
+    const auto ordered = inOrderOfTime(this->changes);
+    auto change = ordered.begin();
     const auto putChangesBefore = [&](const std::string &time) {
-        for (; change != this->changes.end() && (time.empty() || change->time < time); ++change) {
+        for (; change != ordered.end() && (time.empty() || change->time < time); ++change) {
             out += change->text() + "\n";
         }
     };
