Close both sockets of a proxied connection when its two directions have ended

The soak's proxy kept them until a reset: each forwarded call left two descriptors behind, and at 40 hosts the harness ran out of 20,000 and aborted before it could judge.

--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -42,8 +42,18 @@
                     reset(caller)
                     continue
                 self.pairs.append((caller, callee))
-                threading.Thread(target=self.pump, args=(caller, callee, False), daemon=True).start()
-                threading.Thread(target=self.pump, args=(callee, caller, True), daemon=True).start()
+                threading.Thread(target=self.carry, args=(caller, callee), daemon=True).start()
+
+    def carry(self, caller, callee):
+        """Until both directions have ended; then nobody holds the two sockets any more."""
+        back = threading.Thread(target=self.pump, args=(callee, caller, True), daemon=True)
+        back.start()
+        self.pump(caller, callee, False)
+        back.join()
+        caller.close()
+        callee.close()
+        with contextlib.suppress(ValueError):  # a reset took it out
+            self.pairs.remove((caller, callee))
 
     def pump(self, source, sink, is_back):
         with contextlib.suppress(OSError):
