Choose the prefill engine of each prompt on the leader; hold lost results against the engine that made them

Cause: each host chose a prefill engine by its own reads and by the hash of the prompt. With 88 hosts each sees a tenth of a read at a time, so prompts queue at one engine beside idle ones (reads of 150 ms at the median, 250 to 430 ms at the ninth tenth, where an unloaded one takes 100 ms). The time of a read was the fastest of late, which a cached prompt makes eight times too small, so starts were not paced. Change: PrefillPool, in the gate of the leader, knows all reads, paces their starts and names the engine in TryPlace; hosts report how the read ended (Read, ReadFailed). It replaces ReadPace; its tests cover the old cases. A decode engine that cannot get a result no longer counts as faulty: the engine that made the result is avoided for a while (ResultLost). PrefillChoice stays for hosts without a leader. PoolPlan replaces the reactive rule behind [engines] move, which stays off: it splits the pools by their measured needs. Tests: PrefillPool, PoolPlan; LearnsTheSpeedOfReadsFromOtherHosts went with what it tested, the pool learns from reported reads.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -22,6 +22,7 @@
 constexpr double tokenWeight = 0.05; // of one generation in the mean time of a token, over all engines
 constexpr double engineTokenWeight = 0.2; // and at one engine, which ends few of them
 constexpr int mostDoublings = 4;
+constexpr std::int64_t leastEnded = 10; // generations before the time of a token is believed
 constexpr std::int64_t leastMade = 200; // tokens; the time of fewer says little about a step
 
 // Within one rank of the callers, those that are late already go behind the others.
@@ -42,7 +43,7 @@
     , random(seed)
     , queue(given.queue)
     , admission(given.admission)
-    , reads(given.reads)
+    , prefill(given.prefill)
     , perTokenUs(static_cast<double>(given.perToken.count()))
 {
 }
@@ -62,9 +63,9 @@
     this->engines = std::move(next);
 }
 
-void GenerationGate::setReaders(std::size_t count, std::optional<double> perTokenUs)
+void GenerationGate::setPrefillEngines(const std::vector<PrefillPlace> &listed)
 {
-    this->reads.setPool(count, perTokenUs);
+    this->prefill.setEngines(listed);
 }
 
 // The part of all the memory that a generation takes, for as long as it lives: the time of the whole pool it uses up.
@@ -94,9 +95,26 @@
     const auto window = static_cast<double>(this->options.loadWindow.count());
     this->offered = this->offeredLoad(now) * window + static_cast<double>(this->costOf(ask).count());
     this->offeredAt = now;
+    this->addNeed(ask, now);
     this->enqueue(ask, now >= ask.onTimeUntil);
 }
 
+double GenerationGate::needFade(Instant now) const
+{
+    const auto window = static_cast<double>(this->options.needWindow.count());
+    return std::exp(-static_cast<double>((now - this->needAt).count()) / window);
+}
+
+void GenerationGate::addNeed(const GenerationAsk &ask, Instant now)
+{
+    const double fade = this->needFade(now);
+    const auto output = static_cast<double>(this->estimate.expect(ask.output, ask.mostOutput).left(Tokens(0)).value());
+    const double meanHeld = static_cast<double>(ask.prompt.value()) + output / 2;
+    this->promptTokens = this->promptTokens * fade + static_cast<double>(ask.prompt.value());
+    this->heldTokenUs = this->heldTokenUs * fade + meanHeld * output * this->perTokenUs;
+    this->needAt = now;
+}
+
 Duration GenerationGate::perToken(const Engine &engine) const
 {
     return Duration(static_cast<std::int64_t>(engine.perTokenUs.value_or(this->perTokenUs)));
@@ -146,17 +164,13 @@
 
 void GenerationGate::place(const GenerationAsk &ask, Engine &engine, Instant now)
 {
-    const auto window = static_cast<double>(this->options.loadWindow.count());
-    this->promptTokens *= std::exp(-static_cast<double>((now - this->promptTokensAt).count()) / window);
-    this->promptTokens += static_cast<double>(ask.prompt.value());
-    this->promptTokensAt = now;
     engine.runs[ask.id] = GrowingRun{ask.prompt, this->estimate.expect(ask.output, ask.mostOutput), now};
     this->placements[ask.id] = Placement{ask, engine.places.engine, engine.places.incarnation, now, false};
 }
 
 void GenerationGate::placeWaiting(std::vector<GateAction> &actions, Instant now)
 {
-    while (this->reads.mayStart(now)) {
+    while (this->prefill.mayStart(now)) {
         const QueueItem *head = this->queue.head();
         if (head == nullptr) {
             return;
@@ -169,8 +183,11 @@
         this->queue.pop();
         this->waitingAsks.erase(ask.id);
         this->place(ask, *choice.engine, now);
-        this->reads.onStarted(ask.prompt, now);
-        actions.push_back(TryReserve{ask.id, choice.engine->places.engine, choice.forecast, now - ask.arrival});
+        const auto reader =
+            this->prefill.start({ask.id, ask.promptName, ask.prompt, choice.engine->places.dataCentre}, now);
+        this->placements.at(ask.id).prefill = reader.value_or(EngineId());
+        actions.push_back(TryReserve{ask.id, choice.engine->places.engine, reader.value_or(EngineId()), choice.forecast,
+                                     now - ask.arrival});
     }
 }
 
@@ -260,17 +277,13 @@
     return actions;
 }
 
-StageLoad GenerationGate::stageLoad(Instant now) const
+std::optional<StageLoad> GenerationGate::stageLoad(Instant now) const
 {
-    const auto window = static_cast<double>(this->options.loadWindow.count());
-    const double faded =
-        this->promptTokens * std::exp(-static_cast<double>((now - this->promptTokensAt).count()) / window);
-    std::int64_t need = 0;
-    for (const auto &[id, placement] : this->placements) {
-        need += placement.ask.need().value();
+    if (this->ended < leastEnded) {
+        return std::nullopt;
     }
-    const auto all = static_cast<double>(std::max<std::int64_t>(1, this->memory.value()));
-    return {faded / (window / 1e6), static_cast<double>(need) / all, this->queue.size() > 0};
+    const double perUs = this->needFade(now) / static_cast<double>(this->options.needWindow.count());
+    return StageLoad{this->promptTokens * this->prefill.perTokenUs() * perUs, this->heldTokenUs * perUs};
 }
 
 GateView GenerationGate::view(Instant now) const
@@ -290,8 +303,8 @@
             wake = std::min(*wake, *engine.fullUntil);
         }
     }
-    if (!this->reads.mayStart(now)) {
-        wake = std::min(*wake, this->reads.nextStart());
+    if (!this->prefill.mayStart(now)) {
+        wake = std::min(*wake, this->prefill.nextStart(now));
     }
     return std::max(*wake, now);
 }
@@ -343,8 +356,27 @@
     }
 }
 
+void GenerationGate::onRead(const RequestId &id, Instant now)
+{
+    this->prefill.onRead(id, now);
+}
+
+void GenerationGate::onReadFailed(const RequestId &id, Instant now)
+{
+    this->prefill.onFailed(id, now);
+}
+
+void GenerationGate::onResultLost(const RequestId &id, Instant now)
+{
+    const auto placement = this->placements.find(id);
+    if (placement != this->placements.end()) {
+        this->prefill.onResultLost(placement->second.prefill, now);
+    }
+}
+
 void GenerationGate::onFull(const RequestId &id, Instant now)
 {
+    this->prefill.onDropped(id, now);
     const auto placement = this->take(id);
     if (!placement) {
         return;
@@ -356,6 +388,7 @@
 
 void GenerationGate::onFault(const RequestId &id, Instant now)
 {
+    this->prefill.onDropped(id, now);
     const auto placement = this->take(id);
     if (!placement) {
         return;
@@ -370,6 +403,7 @@
 
 void GenerationGate::onEnded(const RequestId &id, bool isEngineFault, Tokens made, Instant now)
 {
+    this->prefill.onDropped(id, now);
     if (this->queue.remove(id)) {
         this->waitingAsks.erase(id);
         return;
@@ -391,7 +425,9 @@
 void GenerationGate::learn(Engine *engine, const Placement &placement, Tokens made, Instant now)
 {
     const double each = static_cast<double>((now - placement.since).count()) / static_cast<double>(made.value());
-    this->perTokenUs += tokenWeight * (each - this->perTokenUs);
+    ++this->ended;
+    const double weight = std::max(tokenWeight, 1.0 / static_cast<double>(this->ended));
+    this->perTokenUs += weight * (each - this->perTokenUs);
     this->estimate.learn(placement.ask.output, made);
     if (engine != nullptr) {
         const double before = engine->perTokenUs.value_or(this->perTokenUs);
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -16,7 +16,7 @@
 #include "decide/classqueue.h"
 #include "decide/faultrate.h"
 #include "decide/memoryforecast.h"
-#include "decide/readpace.h"
+#include "decide/prefillpool.h"
 
 #include <optional>
 #include <random>
@@ -46,6 +46,7 @@
     Instant usefulUntil; // later than this the caller has gone
     DataCentreId dataCentre; // where its answer goes first
     EngineId avoid = {}; // it just failed there; none where empty
+    std::string promptName = {}; // of the prompt's own part; none where empty
 
     Tokens need() const
     {
@@ -56,6 +57,7 @@
 struct TryReserve {
     RequestId id;
     EngineId engine;
+    EngineId prefill = {}; // reads the prompt; none where empty
     double forecast = 0; // how full the engine will get with it, as a share of its memory
     Duration waited{0}; // in this queue and those before
 };
@@ -76,11 +78,10 @@
     Duration perToken{0};
 };
 
-// How busy the two pools are, for moving engines between them.
+// What the generations that were submitted lately need of the two pools, for moving engines between them.
 struct StageLoad {
-    double promptTokensPerSecond = 0;
-    double decodeUse = 0; // share of the decode memory that the placed generations will take
-    bool isWaiting = false;
+    double prefillEngines = 0; // in use all the time
+    double heldTokens = 0; // decode memory in use all the time
 };
 
 using GateAction = std::variant<TryReserve, RejectGeneration>;
@@ -114,19 +115,21 @@
         // By how much the rate of placing may be better than it is believed while a load has not lasted for the window
         // above. In a burst of five seconds at twice the capacity, 135 of 190 are on time with 2 and 130 with 1.
         double hopeInBurst = 2;
+        // Weight of time in the need of the two pools, which follows the mix of requests and not its bursts.
+        Duration needWindow{10s};
         // Load offered over that window, as a multiple of the rate, that is taken for lasting. At twice the capacity
         // it is reached after some five seconds; from then on those that are refused wait 0.48 s on average, not 0.84.
         double lastingLoad = 1.2;
         ClassQueue::Options queue;
         Admission::Options admission;
-        ReadPace::Options reads;
+        PrefillPool::Options prefill;
     };
 
     GenerationGate(const Options &options, std::uint64_t seed);
 
     void setEngines(const std::vector<DecodePlaces> &engines, Instant now);
-    // Engines that read prompts for the decode engines, and the time of one token at one of them as measured.
-    void setReaders(std::size_t count, std::optional<double> perTokenUs);
+    // Engines that read prompts for the decode engines.
+    void setPrefillEngines(const std::vector<PrefillPlace> &engines);
     void submit(const GenerationAsk &ask, Instant now);
     // What follows from all events so far; ask again after each event and at nextWake().
     std::vector<GateAction> poll(Instant now);
@@ -135,6 +138,11 @@
     // One that another gate placed, or this one before it was the leader's; `since`: when it was.
     void adopt(const GenerationAsk &ask, const EngineId &engine, Instant since);
     void onReserved(const RequestId &id);
+    // How the read at the prefill engine of its place ended.
+    void onRead(const RequestId &id, Instant now);
+    void onReadFailed(const RequestId &id, Instant now);
+    // The result of that read was gone when its decode engine asked for it.
+    void onResultLost(const RequestId &id, Instant now);
     void onFull(const RequestId &id, Instant now);
     void onFault(const RequestId &id, Instant now);
     // The generation ended there, whole or by the engine's fault. `made`: its output; none where it did not come to
@@ -142,7 +150,8 @@
     void onEnded(const RequestId &id, bool isEngineFault, Tokens made, Instant now);
 
     GateView view(Instant now) const;
-    StageLoad stageLoad(Instant now) const;
+    // None until generations have shown how long they take.
+    std::optional<StageLoad> stageLoad(Instant now) const;
     std::size_t waiting() const
     {
         return this->queue.size();
@@ -167,6 +176,7 @@
         std::int64_t incarnation = 0;
         Instant since;
         bool isReserved = false;
+        EngineId prefill = {};
     };
 
     struct Choice {
@@ -189,20 +199,25 @@
     void rejectSurplus(std::vector<GateAction> &actions, Instant now);
     Duration expectedWait(int queueRank, Instant now) const;
     double offeredLoad(Instant now) const;
+    double needFade(Instant now) const;
+    void addNeed(const GenerationAsk &ask, Instant now);
     void reject(std::vector<GateAction> &actions, const QueueItem &item, Instant now);
 
     Options options;
     std::mt19937_64 random;
     ClassQueue queue;
     Admission admission;
-    ReadPace reads;
+    PrefillPool prefill;
     std::unordered_map<RequestId, GenerationAsk> waitingAsks;
     std::unordered_map<RequestId, Placement> placements;
     OutputEstimate estimate;
     double offered = 0; // cost in microseconds of the pool's time that came within the window, faded
-    double promptTokens = 0; // placed within the window, faded
-    Instant promptTokensAt;
     Instant offeredAt;
+    // Submitted within the window of the need, faded. One that is submitted again counts again, for both pools.
+    double promptTokens = 0;
+    double heldTokenUs = 0; // tokens of decode memory times how long they are held
+    Instant needAt;
+    std::int64_t ended = 0; // generations that taught the time of a token
     std::unordered_map<EngineId, Engine> engines;
     Tokens memory; // of all engines
     double perTokenUs;
--- a/decide/prefillchoice.cpp
+++ b/decide/prefillchoice.cpp
@@ -17,9 +17,6 @@
 
 constexpr double farTokens = 6000; // one long prompt: the wait behind it costs about what the longer transfer does
 constexpr double soundFaults = 0.1; // one fault is forgotten after two seconds, several after some more
-constexpr std::int64_t leastPrompt = 500; // the way there and back is most of the time of a shorter one
-constexpr double readWeight = 0.1; // of one read in the mean
-constexpr double slackEachRead = 1.01; // the fastest read is forgotten over a hundred
 constexpr double faultTokens = 50000; // ten of them: a failed read costs the caller its target
 
 // Share of a prompt's own tokens by which its home is preferred.
@@ -90,24 +87,12 @@
     found->second.faults.add(isFault ? 1 : 0, now);
 }
 
-void PrefillChoice::onHeard(Duration thousand)
+void PrefillChoice::onResultLost(const EngineId &engine, Instant now)
 {
-    if (thousand <= Duration(0)) {
-        return;
-    }
-    const double each = static_cast<double>(thousand.count()) / 1000;
-    this->meanUs = this->perTokenUs ? this->meanUs : each;
-    this->perTokenUs = this->perTokenUs ? std::min(each, *this->perTokenUs * slackEachRead) : each;
-}
-
-void PrefillChoice::onRead(Tokens prompt, Duration took)
-{
-    if (prompt.value() < leastPrompt) {
-        return;
+    const auto found = this->loads.find(engine);
+    if (found != this->loads.end()) {
+        found->second.faults.add(1, now);
     }
-    const double each = static_cast<double>(took.count()) / static_cast<double>(prompt.value());
-    this->meanUs = this->perTokenUs ? this->meanUs + readWeight * (each - this->meanUs) : each;
-    this->perTokenUs = this->perTokenUs ? std::min(each, *this->perTokenUs * slackEachRead) : each;
 }
 
 } // namespace fescuesill
--- a/decide/prefillchoice.h
+++ b/decide/prefillchoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Which prefill engine reads a prompt, on one host that sees its own share of the load.
+// Which prefill engine reads a prompt where the leader named none or the one that it named failed, on one host that sees
+// its own share of the load.
 //
 //     PrefillChoice choice(seed);
 //     const PromptKey prompt{"a41f", Tokens(5200)};
@@ -48,30 +49,13 @@
     bool isSound(const EngineId &engine, Instant now) const;
     void onSent(const EngineId &engine, Tokens prompt);
     void onEnded(const EngineId &engine, Tokens prompt, bool isFault, Instant now);
+    // A result that it had made could not be had from it.
+    void onResultLost(const EngineId &engine, Instant now);
     // Its state is dropped; it may come back as another start.
     void forget(const EngineId &engine)
     {
         this->loads.erase(engine);
     }
-    // A read that came to its end. What the fastest of late took for each token: without waits; none before the first.
-    void onRead(Tokens prompt, Duration took);
-    std::optional<double> microsecondsPerToken() const
-    {
-        return this->perTokenUs;
-    }
-    // The same for a thousand tokens, to be told to the leader; 0 before the first.
-    Duration thousandTokens() const
-    {
-        return Duration(static_cast<std::int64_t>(this->perTokenUs.value_or(0) * 1000));
-    }
-    // What another host measured. The leader paces the reads of all hosts, and may have no callers of its own.
-    void onHeard(Duration thousand);
-
-    // How many times the fastest the mean read takes: its wait behind others.
-    double slowdown() const
-    {
-        return this->perTokenUs ? this->meanUs / *this->perTokenUs : 1;
-    }
 
 private:
     struct Load {
@@ -81,8 +65,6 @@
 
     std::mt19937_64 random;
     std::unordered_map<EngineId, Load> loads;
-    std::optional<double> perTokenUs;
-    double meanUs = 0;
 };
 
 } // namespace fescuesill
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -218,31 +218,43 @@
     EXPECT_FALSE(gate.nextWake(start));
 }
 
-// All hosts of a fleet start again and a hundred callers come back within some milliseconds. Decode engines are empty
-// and have room for all of them; the six prefill engines read 60 prompts a second. Placed all at once, the last prompt
-// would be read after 1.6 s, long after its target.
+// Flood after a restart: decode engines have room for a hundred prompts, prefill engines read sixty a second.
 TEST(GenerationGate, StartsNoMoreReadsThanThePrefillEnginesKeepUpWith)
 {
     GenerationGate gate({}, 3);
     gate.setEngines(engines(20), start);
-    gate.setReaders(6, 19.0);
+    std::vector<PrefillPlace> pool;
+    for (int number = 0; number < 6; ++number) {
+        pool.push_back({EngineId("p" + std::to_string(number)), DataCentreId("a")});
+    }
+    gate.setPrefillEngines(pool);
     for (int number = 0; number < 100; ++number) {
         gate.submit(ask("r" + std::to_string(number), start), start);
     }
-    Duration queued{0}; // in front of the prefill engines
+    std::map<EngineId, Instant> freeAt;
+    std::multimap<Instant, RequestId> reads;
     Duration longest{0};
     int placed = 0;
     for (Duration at{0}; at < 700ms; at += 1ms) {
-        queued = std::max(Duration(0), queued - 1ms);
-        for (const GateAction &action : gate.poll(start + at)) {
-            placed += std::holds_alternative<TryReserve>(action) ? 1 : 0;
-            queued += std::holds_alternative<TryReserve>(action) ? Duration(5200 * 19 / 6) : Duration(0);
+        const Instant now = start + at;
+        while (!reads.empty() && reads.begin()->first <= now) {
+            gate.onRead(reads.begin()->second, now);
+            reads.erase(reads.begin());
+        }
+        for (const GateAction &action : gate.poll(now)) {
+            const auto *place = std::get_if<TryReserve>(&action);
+            ASSERT_NE(place, nullptr);
+            ++placed;
+            Instant &free = freeAt[place->prefill];
+            free = std::max(free, now) + Duration(5200 * 19);
+            reads.emplace(free, place->id);
+            longest = std::max(longest, free - now);
         }
-        longest = std::max(longest, queued);
-        ASSERT_TRUE(gate.nextWake(start + at));
-        EXPECT_LE(*gate.nextWake(start + at), start + at + 20ms); // nobody else wakes it
+        ASSERT_TRUE(gate.nextWake(now));
+        EXPECT_LE(*gate.nextWake(now), now + 130ms); // the longest read: nobody else wakes it
     }
-    EXPECT_LE(longest, 200ms);
+    EXPECT_EQ(freeAt.size(), 6U);
+    EXPECT_LE(longest, 300ms); // the queue of 150 ms and the read
     EXPECT_GE(placed, 45); // and the prefill engines are kept busy
 }
 
--- a/decide/testing/prefillchoice_test.cpp
+++ b/decide/testing/prefillchoice_test.cpp
@@ -79,24 +79,6 @@
     EXPECT_EQ(choice.pick(engines(3), prompt(0), start + 30s), home);
 }
 
-// The balancer sends the leader no callers: it learns from the other hosts how fast prompts are read. Taken for four
-// times slower than they are, prefill engines would be handed a quarter of what they can do.
-TEST(PrefillChoice, LearnsTheSpeedOfReadsFromOtherHosts)
-{
-    PrefillChoice leader(1);
-    EXPECT_EQ(leader.thousandTokens(), Duration(0));
-    leader.onHeard(Duration(0)); // of a host that has not measured either
-    EXPECT_FALSE(leader.microsecondsPerToken());
-    leader.onHeard(5ms);
-    EXPECT_EQ(leader.thousandTokens(), Duration(5ms));
-    leader.onHeard(4ms);
-    EXPECT_EQ(leader.thousandTokens(), Duration(4ms));
-    for (int heard = 0; heard < 200; ++heard) {
-        leader.onHeard(8ms); // engines turned slow: the fastest of long ago is forgotten
-    }
-    EXPECT_EQ(leader.thousandTokens(), Duration(8ms));
-}
-
 // Callers that name no part of their own are spread by load alone.
 TEST(PrefillChoice, SpreadsPromptsWithoutAName)
 {
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -84,6 +84,17 @@
     return candidates;
 }
 
+std::vector<PrefillPlace> FleetView::prefillPlaces(const ServiceId &service) const
+{
+    std::vector<PrefillPlace> places;
+    for (const EndpointRecord *record : this->registry.usable(service)) {
+        if (record->part == EndpointPart::Prefill && !this->isChanging(*record)) {
+            places.push_back({EngineId(record->id.value()), record->dataCentre});
+        }
+    }
+    return places;
+}
+
 std::vector<DecodePlaces> FleetView::decodePlaces(const ServiceId &service, const EngineTraits &traits) const
 {
     std::vector<DecodePlaces> places;
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -26,6 +26,7 @@
         Log::info("place_tried",
                   {{"request", place->id.value()},
                    {"engine", place->engine.value()},
+                   {"prefill", place->prefill.value()},
                    {"forecast", place->forecast},
                    {"waited_ms", place->waited.count() / 1000},
                    {"waiting", waiting},
@@ -74,7 +75,7 @@
     const bool generates = declared != nullptr && declared->engines;
     gate.core.setEngines(
         generates ? this->fleet.decodePlaces(service, *declared->engines) : std::vector<DecodePlaces>(), steadyNow());
-    gate.readers = this->fleet.prefillCandidates(service, {}).size();
+    gate.core.setPrefillEngines(this->fleet.prefillPlaces(service));
 }
 
 void GateKeeper::onFleetChanged()
@@ -106,12 +107,11 @@
 std::optional<StageLoad> GateKeeper::stageLoad(const ServiceId &service) const
 {
     const auto found = this->gates.find(service);
-    return found == this->gates.end() ? std::nullopt : std::optional(found->second.core.stageLoad(steadyNow()));
+    return found == this->gates.end() ? std::nullopt : found->second.core.stageLoad(steadyNow());
 }
 
 void GateKeeper::poll(Gate &gate)
 {
-    gate.core.setReaders(gate.readers, this->fleet.prefills().microsecondsPerToken());
     for (const GateAction &action : gate.core.poll(steadyNow())) {
         logDecision(action, gate.core.view(steadyNow()), this->fleet);
         this->deliver(action);
@@ -158,7 +158,7 @@
     }
     const Send reply = remote->second.reply;
     if (const auto *place = std::get_if<TryReserve>(&action)) {
-        reply(peer::TryPlace{id, place->engine});
+        reply(peer::TryPlace{id, place->engine, place->prefill});
         return;
     }
     reply(peer::NoPlace{id, std::get<RejectGeneration>(action).retryAfter});
@@ -178,8 +178,7 @@
     }
     this->uplink(peer::AskPlace{ask.id, local.service, static_cast<std::uint64_t>(std::max(0, ask.rank)), ask.prompt,
                                 ask.output, ask.mostOutput, now - ask.arrival, ask.onTimeUntil - now,
-                                ask.usefulUntil - now, ask.dataCentre, ask.avoid,
-                                this->fleet.prefills().thousandTokens()});
+                                ask.usefulUntil - now, ask.dataCentre, ask.avoid, ask.promptName});
 }
 
 GateAction GateKeeper::ask(const ServiceId &service, const GenerationAsk &ask, const asio::yield_context &yield)
@@ -212,6 +211,15 @@
     case peer::PlaceEvent::Reserved:
         gate.core.onReserved(id);
         return;
+    case peer::PlaceEvent::Read:
+        gate.core.onRead(id, now);
+        break;
+    case peer::PlaceEvent::ReadFailed:
+        gate.core.onReadFailed(id, now);
+        break;
+    case peer::PlaceEvent::ResultLost:
+        gate.core.onResultLost(id, now);
+        break;
     case peer::PlaceEvent::Full:
         gate.core.onFull(id, now);
         break;
@@ -291,7 +299,7 @@
 {
     const auto found = this->locals.find(message.request);
     if (found != this->locals.end() && found->second->isAtLeader) {
-        this->decide(*found->second, TryReserve{message.request, message.engine, 0, Duration(0)});
+        this->decide(*found->second, TryReserve{message.request, message.engine, message.prefill, 0, Duration(0)});
     }
 }
 
@@ -323,7 +331,7 @@
     ask.usefulUntil = now + message.useful;
     ask.dataCentre = message.dataCentre;
     ask.avoid = message.avoid;
-    this->fleet.prefills().onHeard(message.thousandRead);
+    ask.promptName = message.promptName;
     this->remotes[ask.id] = Remote{link, message.service, reply};
     Gate &gate = this->gate(message.service);
     gate.core.submit(ask, now);
--- a/programs/gateway/gatekeeper.h
+++ b/programs/gateway/gatekeeper.h
@@ -92,7 +92,6 @@
 
         GenerationGate core;
         asio::steady_timer timer;
-        std::size_t readers = 0; // prefill engines
     };
 
     Gate &gate(const ServiceId &service);
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -70,6 +70,7 @@
     ask.usefulUntil = std::min(this->call.deadline(), ask.arrival + patience) - readTime;
     ask.dataCentre = this->call.services.settings.dataCentre;
     ask.avoid = this->avoid;
+    ask.promptName = size.ownPart;
     return ask;
 }
 
@@ -97,7 +98,7 @@
             decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
         if (const auto reservation = readReservation(response)) {
             this->tell(peer::PlaceEvent::Reserved);
-            return Place{decode, *reservation};
+            return Place{decode, *reservation, {}};
         }
         this->lastFault = "no room at " + decode.id.value();
         this->tell(peer::PlaceEvent::Full);
@@ -119,6 +120,7 @@
         if (!decode) {
             this->tell(peer::PlaceEvent::Full);
         } else if (auto place = this->reserveAt(*decode, yield)) {
+            place->prefill = attempt->prefill;
             return place;
         }
         action = services.gates.again(this->call.head.id, yield);
@@ -136,7 +138,6 @@
     const Tokens prompt = this->promptKey().size;
     const EngineId id(reader.id.value());
     services.fleet.prefills().onSent(id, prompt);
-    const Instant begin = steadyNow();
     std::optional<KvId> result;
     try {
         const HttpResponse response = services.client.call(
@@ -146,22 +147,22 @@
     } catch (const HttpError &error) {
         this->lastFault = error.what();
     }
-    if (result) {
-        services.fleet.prefills().onRead(prompt, steadyNow() - begin);
-    }
     services.fleet.prefills().onEnded(id, prompt, !result && !this->abort.isAborted(), steadyNow());
     return result ? std::optional(Prefill{reader.address, *result}) : std::nullopt;
 }
 
-std::optional<GenerationForward::Prefill> GenerationForward::prefill(const EndpointRecord &decode,
+std::optional<GenerationForward::Prefill> GenerationForward::prefill(const Place &place,
                                                                      const asio::yield_context &yield)
 {
     FleetView &fleet = this->call.services.fleet;
     RetryBudget &budget = fleet.budget(this->call.service);
-    std::vector<PrefillCandidate> candidates = fleet.prefillCandidates(this->call.service, decode.dataCentre);
+    std::vector<PrefillCandidate> candidates = fleet.prefillCandidates(this->call.service, place.engine.dataCentre);
     ReadPlan plan(this->sends == 0);
     const PromptKey key = this->promptKey();
-    auto chosen = fleet.prefills().pick(candidates, key, steadyNow());
+    std::optional<EngineId> chosen = place.prefill;
+    if (chosen->isEmpty() || !fleet.usable(EndpointId(chosen->value()))) {
+        chosen = fleet.prefills().pick(candidates, key, steadyNow());
+    }
     if (!chosen) {
         return std::nullopt;
     }
@@ -172,10 +173,16 @@
             return std::nullopt;
         }
         this->reader = found->id;
-        if (auto result = this->prefillAt(*found, yield)) {
+        auto result = this->prefillAt(*found, yield);
+        if (!result) {
+            this->checkCaller();
+        }
+        if (*chosen == place.prefill) {
+            this->tell(result ? peer::PlaceEvent::Read : peer::PlaceEvent::ReadFailed);
+        }
+        if (result) {
             return result;
         }
-        this->checkCaller();
         candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                         [&](const PrefillCandidate &other) { return other.engine == *chosen; }),
                          candidates.end());
@@ -288,6 +295,16 @@
     }
 }
 
+// The decode engine had room reserved, so it refused because it could not get the result.
+void GenerationForward::noteLostResult(const Place &place)
+{
+    const EngineId id(this->reader.value());
+    this->call.services.fleet.prefills().onResultLost(id, steadyNow());
+    if (id == place.prefill) {
+        this->tell(peer::PlaceEvent::ResultLost);
+    }
+}
+
 GenerationForward::Ended GenerationForward::tryOnce(const asio::yield_context &yield)
 {
     const auto place = this->reserve(yield);
@@ -299,7 +316,7 @@
     std::optional<Prefill> read;
     try {
         if (!this->readsItself) {
-            read = this->prefill(place->engine, yield);
+            read = this->prefill(*place, yield);
         }
         this->readsItself = !read;
         this->times.read = steadyNow() - this->call.arrival;
@@ -307,7 +324,11 @@
         if (ended == Ended::NotRun) {
             this->release(*place, read);
         }
-        const bool isFault = ended == Ended::Broken || ended == Ended::NotRun;
+        const bool isResultLost = ended == Ended::NotRun && read;
+        if (isResultLost) {
+            this->noteLostResult(*place);
+        }
+        const bool isFault = ended == Ended::Broken || (ended == Ended::NotRun && !isResultLost);
         this->tell(isFault ? peer::PlaceEvent::EndedByFault : peer::PlaceEvent::Ended);
         if (ended == Ended::Broken) {
             this->avoid = EngineId(place->engine.id.value());
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -32,6 +32,7 @@
     struct Place {
         EndpointRecord engine;
         ReservationId reservation;
+        EngineId prefill; // named by the leader; none where empty
     };
     struct Prefill {
         std::string address;
@@ -41,11 +42,12 @@
     Ended tryOnce(const asio::yield_context &yield);
     std::optional<Place> reserve(const asio::yield_context &yield);
     std::optional<Place> reserveAt(const EndpointRecord &engine, const asio::yield_context &yield);
-    std::optional<Prefill> prefill(const EndpointRecord &decode, const asio::yield_context &yield);
+    std::optional<Prefill> prefill(const Place &place, const asio::yield_context &yield);
     std::optional<Prefill> prefillAt(const EndpointRecord &engine, const asio::yield_context &yield);
     Ended generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
     Ended relay(LineStream &events, const asio::yield_context &yield);
     Ended handOnError(LineStream &answer, const AnswerHead &head, const asio::yield_context &yield);
+    void noteLostResult(const Place &place);
     void release(const Place &place, const std::optional<Prefill> &prefill);
     void finish(Ended ended, const asio::yield_context &yield);
     // Takes a retry from the budget; or why there may be none.
--- a/programs/gateway/stageorders.cpp
+++ b/programs/gateway/stageorders.cpp
@@ -1,10 +1,9 @@
-// Decode memory and prompt reading run out at different loads, and a deployment's split between them is a guess. Where
-// generations wait for memory while prefill engines are idle enough to spare one, one is ordered over. An order costs
-// little, but the engine is away while it changes, and an engine that goes to and fro serves nobody: it moves only
-// where the pool that gives still has half of its time left afterwards.
+// PoolPlan says how many engines each pool should have; this finds the engines and gives the orders.
 //
 // Only the holder of the lease orders, and asks its lease right before the first byte. An order that gets no answer may
-// be carried out later; the count of orders that the engine had accepted makes it void where another came first.
+// be carried out later; the count of orders that the engine had accepted makes it void where another came first. No
+// host sends work to an engine that is changing or that an unanswered order may still change: each refusal is paid from
+// the retry budget that all hosts share.
 
 #include "programs/gateway/stageorders.h"
 
@@ -17,28 +16,15 @@
 {
 
 constexpr Duration orderLimit{500ms}; // one short call
-constexpr Duration leastPause{15s}; // until an engine is ordered again: a late order may be carried out 12 s after
-constexpr double slowReads = 4; // times the fastest of late: three others before each
+constexpr Duration settle{200ms}; // for reads that were on their way to the engine when it was announced
+constexpr Duration latestEffect{12s}; // of an order that got no answer
+constexpr Duration leastPause{15s}; // until an engine is ordered again
 constexpr Duration beyondChange{2s}; // until the registry shows it, and work that still runs there
-constexpr int leastPerPool = 2; // one may crash
-
-// The split that is right lasts for the day, so it pays to move soon: generations that wait for 300 ms are about to
-// miss their target. What keeps engines from moving back is the spare time that the giving pool must keep.
-RoleShift::Options shiftOptions()
-{
-    RoleShift::Options options;
-    options.shortUse = 0.85;
-    options.spareUse = 0.5; // a third of the engines that read may crash, and those left still carry the load
-    options.sustained = 300ms;
-    options.pause = 1s;
-    options.leastPerPool = leastPerPool;
-    return options;
-}
+// An engine that crashed is back within seconds, and a pool that lost it for good is no shorter for waiting so long.
+constexpr Duration missedFor{10s};
 
 } // namespace
 
-// Ordered and not to be seen yet in the registry. Counted as moved: else every tick of the seconds that a change takes
-// would order one more, until no engine is left in the pool that gives.
 bool StageOrders::isPending(const Service &service, const EndpointRecord &engine, Instant now)
 {
     const auto ordered = service.ordered.find(engine.id);
@@ -46,12 +32,6 @@
         && now < ordered->second.at + leastPause;
 }
 
-int StageOrders::pendingOf(const Service &service, const std::vector<EndpointRecord> &engines, Instant now)
-{
-    return static_cast<int>(std::count_if(
-        engines.begin(), engines.end(), [&](const EndpointRecord &engine) { return isPending(service, engine, now); }));
-}
-
 void StageOrders::onTick(const StoreDuty &store, Instant now)
 {
     const auto &config = this->services.fleet.inForce();
@@ -65,58 +45,85 @@
     }
 }
 
-void StageOrders::consider(const ServiceId &id, const EngineTraits &traits, const StoreDuty &store, Instant now)
+void StageOrders::see(const ServiceId &id, Service &service, Instant now) const
+{
+    for (const EndpointPart part : {EndpointPart::Prefill, EndpointPart::Decode}) {
+        for (const EndpointRecord &engine : this->services.fleet.enginesOf(id, part)) {
+            const bool pending = isPending(service, engine, now);
+            service.seen[engine.address] = {pending ? service.ordered.at(engine.id).to : part, now};
+        }
+    }
+    for (auto seen = service.seen.begin(); seen != service.seen.end();) {
+        seen = now >= seen->second.at + missedFor ? service.seen.erase(seen) : std::next(seen);
+    }
+}
+
+PoolSizes StageOrders::sizes(const Service &service, Instant)
+{
+    PoolSizes sizes;
+    for (const auto &[address, seen] : service.seen) {
+        ++(seen.part == EndpointPart::Prefill ? sizes.prefill : sizes.decode);
+    }
+    return sizes;
+}
+
+std::optional<PoolNeed> StageOrders::need(const ServiceId &id, const EngineTraits &traits) const
 {
-    FleetView &fleet = this->services.fleet;
-    const auto perTokenUs = fleet.prefills().microsecondsPerToken();
     const auto load = this->services.gates.stageLoad(id);
-    if (!perTokenUs || !load) {
-        return;
+    if (!load || traits.memory.value() <= 0) {
+        return std::nullopt;
     }
-    RoleShift::View view;
-    Service &service = this->shifts.try_emplace(id, Service{RoleShift(shiftOptions()), {}}).first->second;
-    const int toDecodeNow = pendingOf(service, fleet.enginesOf(id, EndpointPart::Prefill), now);
-    const int toPrefillNow = pendingOf(service, fleet.enginesOf(id, EndpointPart::Decode), now);
-    view.prefillEngines =
-        static_cast<int>(fleet.enginesOf(id, EndpointPart::Prefill).size()) - toDecodeNow + toPrefillNow;
-    view.decodeEngines =
-        static_cast<int>(fleet.enginesOf(id, EndpointPart::Decode).size()) - toPrefillNow + toDecodeNow;
-    view.prefillBusy = load->promptTokensPerSecond * *perTokenUs / 1e6 / std::max(1, view.prefillEngines);
-    view.decodeUse = load->decodeUse;
-    view.waiting = load->isWaiting || fleet.prefills().slowdown() > slowReads;
-    const auto wanted = service.shift.observe(view, now);
-    if (!wanted) {
+    return PoolNeed{load->prefillEngines, load->heldTokens / static_cast<double>(traits.memory.value())};
+}
+
+void StageOrders::consider(const ServiceId &id, const EngineTraits &traits, const StoreDuty &store, Instant now)
+{
+    Service &service = this->plans.try_emplace(id, Service{PoolPlan(PoolPlan::Options{}), {}, {}}).first->second;
+    this->see(id, service, now);
+    const auto need = this->need(id, traits);
+    const PoolSizes split = sizes(service, now);
+    if (!need || split.prefill == 0 || split.decode == 0) {
         return;
     }
-    const bool toDecode = *wanted == Pool::Decode;
-    const auto engine = this->chooseEngine(id, toDecode ? EndpointPart::Prefill : EndpointPart::Decode, service, now);
-    if (!engine) {
+    const auto move = service.plan.observe(split, *need, now);
+    if (!move) {
         return;
     }
-    Log::info("stage_wanted",
-              {{"engine", engine->id.value()},
-               {"stage", toDecode ? "decode" : "prefill"},
-               {"prefill_busy", view.prefillBusy},
-               {"decode_use", view.decodeUse},
-               {"prefills", view.prefillEngines},
-               {"decodes", view.decodeEngines}});
+    const bool toDecode = move->pool == Pool::Decode;
     const EndpointPart to = toDecode ? EndpointPart::Decode : EndpointPart::Prefill;
-    service.ordered[engine->id] = {to, now};
-    this->order(*engine, to, traits, store);
+    for (int moved = 0; moved < move->engines; ++moved) {
+        const auto engine =
+            this->chooseEngine(id, toDecode ? EndpointPart::Prefill : EndpointPart::Decode, service, now);
+        if (!engine) {
+            return;
+        }
+        Log::info("stage_wanted",
+                  {{"engine", engine->id.value()},
+                   {"stage", toDecode ? "decode" : "prefill"},
+                   {"prefill_need", need->prefill},
+                   {"decode_need", need->decode},
+                   {"prefills", split.prefill},
+                   {"decodes", split.decode}});
+        service.ordered[engine->id] = {to, now};
+        this->order(*engine, to, traits, store);
+    }
 }
 
 // From the data centre that has most of that part, so that each keeps some.
-std::optional<EndpointRecord> StageOrders::chooseEngine(const ServiceId &id, EndpointPart from, Service &service,
+std::optional<EndpointRecord> StageOrders::chooseEngine(const ServiceId &id, EndpointPart from, const Service &service,
                                                         Instant now) const
 {
     std::map<DataCentreId, int> counts;
-    const auto records = this->services.fleet.enginesOf(id, from);
+    auto records = this->services.fleet.enginesOf(id, from);
+    records.erase(std::remove_if(records.begin(), records.end(),
+                                 [&](const EndpointRecord &engine) { return isPending(service, engine, now); }),
+                  records.end());
     for (const EndpointRecord &record : records) {
         ++counts[record.dataCentre];
     }
     std::optional<EndpointRecord> chosen;
     for (const EndpointRecord &record : records) {
-        if (!isPending(service, record, now) && (!chosen || counts[record.dataCentre] > counts[chosen->dataCentre])) {
+        if (!chosen || counts[record.dataCentre] > counts[chosen->dataCentre]) {
             chosen = record;
         }
     }
@@ -136,8 +143,6 @@
     });
 }
 
-// The hosts hear of it before the engine does: it refuses work while it changes, and each refusal is paid from the
-// budget of retries that all hosts share.
 void StageOrders::sendOrder(const EndpointRecord &engine, EndpointPart part, Duration lasts, const StoreDuty &store,
                             const asio::yield_context &yield)
 {
@@ -149,7 +154,10 @@
         return;
     }
     const EngineId id(engine.id.value());
-    this->announce({id, lasts});
+    this->announce({id, lasts + latestEffect});
+    boost::system::error_code ignored;
+    asio::steady_timer timer(this->services.io, settle);
+    timer.async_wait(yield[ignored]);
     const auto fencing = store.mayOrder();
     if (!fencing) {
         Log::info("stage_order_withheld", {{"engine", engine.id.value()}, {"reason", "the lease ended"}});
@@ -164,9 +172,7 @@
                {"fencing", fencing->value()},
                {"taken", isOrderTaken(response)},
                {"status", response.status}});
-    if (!isOrderTaken(response)) {
-        this->announce({id, Duration(0)});
-    }
+    this->announce({id, isOrderTaken(response) ? lasts : Duration(0)});
 }
 
 } // namespace fescuesill
--- a/programs/gateway/stageorders.h
+++ b/programs/gateway/stageorders.h
@@ -5,7 +5,7 @@
 //     StageOrders orders(services, gates);
 //     orders.onTick(store, now);          // several times a second
 
-#include "decide/roleshift.h"
+#include "decide/poolplan.h"
 #include "platform/enginedialect.h"
 #include "programs/gateway/forwarding.h"
 
@@ -27,20 +27,27 @@
     void onTick(const StoreDuty &store, Instant now);
 
 private:
+    // An engine that was ordered to change and does not show it in the registry yet.
+    struct Order {
+        EndpointPart to = EndpointPart::Decode;
+        Instant at;
+    };
+    struct Seen {
+        EndpointPart part = EndpointPart::Decode;
+        Instant at;
+    };
     struct Service {
-        RoleShift shift;
-        // Ordered and not to be seen yet in the registry; each once until then.
-        struct Order {
-            EndpointPart to = EndpointPart::Decode;
-            Instant at;
-        };
+        PoolPlan plan;
         std::map<EndpointId, Order> ordered;
+        std::map<std::string, Seen> seen; // by address: engines that take work or did so within `missedFor`
     };
 
     static bool isPending(const Service &service, const EndpointRecord &engine, Instant now);
-    static int pendingOf(const Service &service, const std::vector<EndpointRecord> &engines, Instant now);
     void consider(const ServiceId &id, const EngineTraits &traits, const StoreDuty &store, Instant now);
-    std::optional<EndpointRecord> chooseEngine(const ServiceId &id, EndpointPart from, Service &service,
+    void see(const ServiceId &id, Service &service, Instant now) const;
+    static PoolSizes sizes(const Service &service, Instant now);
+    std::optional<PoolNeed> need(const ServiceId &id, const EngineTraits &traits) const;
+    std::optional<EndpointRecord> chooseEngine(const ServiceId &id, EndpointPart from, const Service &service,
                                                Instant now) const;
     void order(const EndpointRecord &engine, EndpointPart part, const EngineTraits &traits, const StoreDuty &store);
     void sendOrder(const EndpointRecord &engine, EndpointPart part, Duration lasts, const StoreDuty &store,
@@ -48,7 +55,7 @@
 
     const GatewayServices &services;
     Announce announce;
-    std::map<ServiceId, Service> shifts; // of the generating services that the configuration names or named
+    std::map<ServiceId, Service> plans; // of the generating services that the configuration names or named
 };
 
 } // namespace fescuesill
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -184,7 +184,7 @@
     visit(m.useful);
     visit(m.dataCentre);
     visit(m.avoid);
-    visit(m.thousandRead);
+    visit(m.promptName);
 }
 
 template<typename Visitor>
@@ -192,6 +192,7 @@
 {
     visit(m.request);
     visit(m.engine);
+    visit(m.prefill);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -180,13 +180,14 @@
     Duration useful{0};
     DataCentreId dataCentre;
     EngineId avoid;
-    Duration thousandRead{0}; // what a thousand prompt tokens take, as this host last measured; 0: it has not
+    std::string promptName; // of the prompt's own part; none where empty
 };
 
 // The leader to a gateway: ask this engine for a reservation.
 struct TryPlace {
     RequestId request;
     EngineId engine;
+    EngineId prefill; // reads the prompt; none where empty
 };
 
 // The leader to a gateway: there is no place in time.
@@ -197,6 +198,9 @@
 
 enum class PlaceEvent {
     Reserved,
+    Read, // by the prefill engine that the leader named
+    ReadFailed,
+    ResultLost, // the decode engine could not get the result from the prefill engine
     Full, // the engine has no room; another AskPlace follows
     Fault, // the engine did not answer; another AskPlace follows
     Ended,
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -18,11 +18,11 @@
 TEST(PlacingMessages, ArriveAsTheyWereSent)
 {
     const AskPlace ask = passedOn(AskPlace{RequestId("r"), ServiceId("s"), 2, Tokens(5200), Tokens(3500), Tokens(6500),
-                                           40ms, -10ms, 3s, DataCentreId("a"), EngineId("d1"), 18ms});
+                                           40ms, -10ms, 3s, DataCentreId("a"), EngineId("d1"), "a41f"});
     EXPECT_EQ(ask.mostOutput, Tokens(6500));
     EXPECT_EQ(ask.onTime, -10ms);
     EXPECT_EQ(ask.avoid, EngineId("d1"));
-    EXPECT_EQ(ask.thousandRead, 18ms);
+    EXPECT_EQ(ask.promptName, "a41f");
     const PlaceNews news = passedOn(PlaceNews{RequestId("r"), ServiceId("s"), PlaceEvent::EndedByFault, Tokens(7)});
     EXPECT_EQ(news.event, PlaceEvent::EndedByFault);
     const HeldPlaces held =
@@ -30,7 +30,9 @@
     ASSERT_EQ(held.places.size(), 1U);
     EXPECT_EQ(held.places[0].age, 4s);
     EXPECT_EQ(passedOn(NoPlace{RequestId("r"), 700ms}).retryAfter, 700ms);
-    EXPECT_EQ(passedOn(TryPlace{RequestId("r"), EngineId("d")}).engine, EngineId("d"));
+    const TryPlace place = passedOn(TryPlace{RequestId("r"), EngineId("d"), EngineId("p")});
+    EXPECT_EQ(place.engine, EngineId("d"));
+    EXPECT_EQ(place.prefill, EngineId("p"));
     EXPECT_EQ(passedOn(EngineChanging{EngineId("d"), 8s}).lasts, 8s);
     EXPECT_EQ(passedOn(ConfigNews{41}).rowVersion, 41U);
     EXPECT_EQ(passedOn(FollowStore{7}).version, 7U);
