Place through a deputy while the leader cannot be reached

Cause: a leader that freezes is missed for 4.4 s: 0.9 s until its followers notice, and a lease until another leads. Ruled out: a shorter lease (the platform's bound) and polls of the engines (0.9 s old). Change: the leader names the follower that has been linked longest; hosts that lose the leader place through it, hold their generations for up to half a second until it accepts, and it names the next one (PlacingRoute, DeputyChoice, pure). A host that is alone in the end fills no more than its part of the engines' memory.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -168,6 +168,18 @@
     this->placements[ask.id] = Placement{ask, engine.places.engine, engine.places.incarnation, now, false};
 }
 
+bool GenerationGate::isWithinShare(const GenerationAsk &ask) const
+{
+    if (this->share >= 1 || this->placements.empty()) {
+        return true;
+    }
+    std::int64_t need = ask.need().value();
+    for (const auto &[id, placement] : this->placements) {
+        need += placement.ask.need().value();
+    }
+    return static_cast<double>(need) <= this->share * static_cast<double>(this->memory.value());
+}
+
 void GenerationGate::placeWaiting(std::vector<GateAction> &actions, Instant now)
 {
     while (this->prefill.mayStart(now)) {
@@ -176,7 +188,7 @@
             return;
         }
         const GenerationAsk ask = this->waitingAsks.at(head->request);
-        const Choice choice = this->choose(ask, now);
+        const Choice choice = this->isWithinShare(ask) ? this->choose(ask, now) : Choice();
         if (choice.engine == nullptr) {
             return;
         }
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -130,6 +130,11 @@
     void setEngines(const std::vector<DecodePlaces> &engines, Instant now);
     // Engines that read prompts for the decode engines.
     void setPrefillEngines(const std::vector<PrefillPlace> &engines);
+    // The part of the engines' memory that this gate may fill, where other gates fill the same engines unseen.
+    void setShare(double part)
+    {
+        this->share = part;
+    }
     void submit(const GenerationAsk &ask, Instant now);
     // What follows from all events so far; ask again after each event and at nextWake().
     std::vector<GateAction> poll(Instant now);
@@ -193,6 +198,7 @@
     void learn(Engine *engine, const Placement &placement, Tokens made, Instant now);
     void enqueue(const GenerationAsk &ask, bool isLate);
     void place(const GenerationAsk &ask, Engine &engine, Instant now);
+    bool isWithinShare(const GenerationAsk &ask) const;
     void placeWaiting(std::vector<GateAction> &actions, Instant now);
     void demoteLate(std::vector<GateAction> &actions, Instant now);
     void demoteHopeless(Instant now);
@@ -220,6 +226,7 @@
     std::int64_t ended = 0; // generations that taught the time of a token
     std::unordered_map<EngineId, Engine> engines;
     Tokens memory; // of all engines
+    double share = 1;
     double perTokenUs;
 };
 
--- a/decide/prefillchoice.h
+++ b/decide/prefillchoice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Which prefill engine reads a prompt where the leader named none or the one that it named failed, on one host that sees
-// its own share of the load.
+// Which prefill engine reads a prompt where the leader named none or the one that it named failed, on one host that
+// sees its own share of the load.
 //
 //     PrefillChoice choice(seed);
 //     const PromptKey prompt{"a41f", Tokens(5200)};
--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -63,6 +63,7 @@
 {
     const auto [found, isNew] = this->gates.try_emplace(service, this->io, this->seed + this->gates.size());
     if (isNew) {
+        found->second.core.setShare(this->share);
         this->refresh(service, found->second);
     }
     return found->second;
@@ -169,7 +170,10 @@
 {
     const GenerationAsk &ask = local.ask;
     const Instant now = steadyNow();
-    local.isAtLeader = static_cast<bool>(this->uplink);
+    local.isAtLeader = this->uplink || this->isHeld;
+    if (this->isHeld) {
+        return;
+    }
     if (!this->uplink) {
         Gate &gate = this->gate(local.service);
         gate.core.submit(ask, now);
@@ -271,7 +275,8 @@
 
 void GateKeeper::setUplink(Send send)
 {
-    const bool wasUp = static_cast<bool>(this->uplink);
+    const bool wasElsewhere = this->uplink || this->isHeld;
+    this->isHeld = false;
     this->uplink = std::move(send);
     if (this->uplink) {
         peer::HeldPlaces held;
@@ -283,9 +288,8 @@
             }
         }
         this->uplink(held);
-        return;
     }
-    if (!wasUp) {
+    if (!wasElsewhere) {
         return;
     }
     for (const auto &[id, local] : this->locals) {
@@ -295,6 +299,24 @@
     }
 }
 
+void GateKeeper::hold()
+{
+    this->uplink = {};
+    this->isHeld = true;
+}
+
+void GateKeeper::setShare(double part)
+{
+    if (part == this->share) {
+        return;
+    }
+    this->share = part;
+    for (auto &[service, gate] : this->gates) {
+        gate.core.setShare(part);
+        this->poll(gate);
+    }
+}
+
 void GateKeeper::onTry(const peer::TryPlace &message)
 {
     const auto found = this->locals.find(message.request);
--- a/programs/gateway/gatekeeper.h
+++ b/programs/gateway/gatekeeper.h
@@ -51,6 +51,10 @@
 
     // Towards the leader; empty where there is none to be reached.
     void setUplink(Send send);
+    // Nobody places now: generations wait for the next setUplink().
+    void hold();
+    // The part of the engines' memory that this host may fill.
+    void setShare(double share);
     void onTry(const peer::TryPlace &message);
     void onNone(const peer::NoPlace &message);
     void onChanging(const peer::EngineChanging &message);
@@ -110,6 +114,8 @@
     std::unordered_map<RequestId, std::shared_ptr<Local>> locals; // bounded by the callers' connections
     std::unordered_map<RequestId, Remote> remotes; // by those of all hosts
     Send uplink;
+    bool isHeld = false;
+    double share = 1;
 };
 
 } // namespace fescuesill
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -274,6 +274,9 @@
             Log::info("stopping", {{"in_progress", this->inProgress}});
             this->draining.start(steadyNow());
             this->store->release();
+            if (this->links) {
+                this->links->onStopping();
+            }
         }
     });
     this->armTick();
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -6,6 +6,7 @@
 #include "programs/gateway/leaderlink.h"
 
 #include "fescuesill/overloaded.h"
+#include "wire/clock.h"
 #include "wire/log.h"
 
 #include <boost/asio/post.hpp>
@@ -20,8 +21,10 @@
 
 } // namespace
 
-LeaderLink::LeaderLink(asio::io_context &io, GateKeeper &keeper)
+LeaderLink::LeaderLink(asio::io_context &io, const std::string &address, GateKeeper &keeper)
     : gates(keeper)
+    , ownAddress(address)
+    , route(address, PlacingRoute::Options{})
     , events(eventRing, [this, &io] { asio::post(io, [this] { this->drain(); }); })
 {
 }
@@ -29,7 +32,7 @@
 tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
                                                                         GateKeeper &gates)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, gates));
+    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options.listen, gates));
     LeaderLink *self = link.get();
     PeerNode::Handlers handlers;
     handlers.opened = [self](LinkId id) {
@@ -87,13 +90,97 @@
     this->store->setLeaderSeen(isSeen);
 }
 
-// Its followers would wait for news that does not come, and two gates would fill the same engines.
-void LeaderLink::endLead()
+bool LeaderLink::isDeputyLink(LinkId link) const
 {
-    for (const LinkId follower : this->followers) {
+    return this->deputy && this->deputy->link == link;
+}
+
+void LeaderLink::steer(Instant now)
+{
+    const auto wanted = this->route.wantedDeputy(now);
+    if (this->deputy && (!wanted || *wanted != this->deputy->address)) {
+        this->node->disconnect(this->deputy->link);
+        this->deputy.reset();
+    }
+    if (wanted && !this->deputy) {
+        this->deputy = DeputyLink{*wanted, this->node->connect(*wanted)};
+    }
+    this->takePath(this->route.path(now));
+    const bool wasStandingIn = this->isStandingIn;
+    this->isStandingIn = this->route.isStandingIn();
+    const bool placesForAll = this->isLeading || this->isStandingIn || this->path != PlacingPath::Alone;
+    this->gates.setShare(placesForAll ? 1 : 1.0 / static_cast<double>(this->hosts));
+    if (this->isStandingIn != wasStandingIn) {
+        Log::info("standing_in", {{"for_leader", this->isStandingIn}, {"address", this->leaderAddress}});
+    }
+    if (wasStandingIn && !this->isStandingIn && !this->isLeading) {
+        this->endPlacing();
+    }
+}
+
+void LeaderLink::takePath(PlacingPath next)
+{
+    std::optional<LinkId> link;
+    if (next == PlacingPath::Leader) {
+        link = this->leader;
+    } else if (next == PlacingPath::Deputy) {
+        link = this->deputy->link;
+    }
+    if (next == this->path && link == this->uplink) {
+        return;
+    }
+    this->path = next;
+    this->uplink = link;
+    if (next == PlacingPath::Waiting) {
+        this->gates.hold();
+    } else if (link) {
+        this->gates.setUplink([this, to = *link](const peer::Message &message) { this->node->send(to, message); });
+    } else {
+        this->gates.setUplink({});
+    }
+}
+
+void LeaderLink::onStopping()
+{
+    this->route.onStopping();
+    if (this->uplink) {
+        this->node->send(*this->uplink, peer::FollowerAddress{});
+    }
+    this->steer(steadyNow());
+}
+
+void LeaderLink::nameDeputy()
+{
+    if (this->namedDeputy == this->deputies.deputy()) {
+        return;
+    }
+    this->namedDeputy = this->deputies.deputy();
+    for (const auto &[link, address] : this->deputies.followers()) {
+        this->node->send(link, this->deputyNamed());
+    }
+}
+
+peer::DeputyNamed LeaderLink::deputyNamed() const
+{
+    return {this->namedDeputy, this->deputies.followers().size() + 1};
+}
+
+// Two gates would fill the same engines.
+void LeaderLink::endPlacing()
+{
+    for (const LinkId follower : this->placedFor) {
         this->node->send(follower, peer::LeadEnded{});
         this->gates.onFollowerLost(follower);
     }
+    this->placedFor.clear();
+    this->deputies.clear();
+    this->namedDeputy.clear();
+}
+
+// Its followers would wait for news that does not come.
+void LeaderLink::endLead()
+{
+    this->endPlacing();
     this->followers.clear();
 }
 
@@ -112,20 +199,21 @@
         this->endLead();
     }
     this->isLeading = update.isSelf;
+    this->route.onLeading(update.isSelf);
     const std::string address = update.holder && !update.isSelf ? update.holder->address : std::string();
-    if (address == this->leaderAddress) {
-        return;
-    }
-    if (this->leader) {
-        this->node->disconnect(*this->leader);
-        this->gates.setUplink({});
-        this->setSeen(false);
-        this->leader.reset();
-    }
-    this->leaderAddress = address;
-    if (!address.empty()) {
-        this->leader = this->node->connect(address);
+    if (address != this->leaderAddress) {
+        if (this->leader) {
+            this->node->disconnect(*this->leader);
+            this->route.onLeaderLost(steadyNow());
+            this->setSeen(false);
+            this->leader.reset();
+        }
+        this->leaderAddress = address;
+        if (!address.empty()) {
+            this->leader = this->node->connect(address);
+        }
     }
+    this->steer(steadyNow());
 }
 
 // News may arrive too late to be of use, and a leader that lost the store may have it again.
@@ -136,63 +224,114 @@
         this->askedToFollow = now;
         this->node->send(*this->leader, peer::FollowStore{this->store->knownVersion()});
     }
+    this->steer(now);
+}
+
+void LeaderLink::onOpened(LinkId link)
+{
+    if (this->leader && link == *this->leader) {
+        this->route.onLeaderReached();
+        this->setSeen(true);
+        this->askedToFollow = Instant();
+        this->node->send(link, peer::FollowerAddress{this->ownAddress});
+    } else if (this->isDeputyLink(link)) {
+        this->route.onDeputyReached();
+        this->node->send(link, peer::FollowerAddress{this->ownAddress});
+        Log::info("deputy_reached", {{"address", this->deputy->address}});
+    }
+}
+
+void LeaderLink::onClosed(LinkId link)
+{
+    if (this->leader && link == *this->leader) {
+        this->route.onLeaderLost(steadyNow());
+        this->setSeen(false);
+    } else if (this->isDeputyLink(link)) {
+        this->route.onDeputyLost(steadyNow());
+    } else {
+        this->followers.erase(link);
+        this->placedFor.erase(link);
+        this->deputies.remove(link);
+        this->nameDeputy();
+        this->gates.onFollowerLost(link);
+    }
 }
 
 void LeaderLink::on(const Event &event)
 {
-    const bool isLeader = this->leader && event.link == *this->leader;
     switch (event.change) {
     case Change::Received:
         this->onMessage(event.link, event.message);
-        return;
+        break;
     case Change::Opened:
-        if (isLeader) {
-            this->gates.setUplink(
-                [this, link = event.link](const peer::Message &message) { this->node->send(link, message); });
-            this->setSeen(true);
-            this->askedToFollow = Instant();
-        }
-        return;
+        this->onOpened(event.link);
+        break;
     case Change::Closed:
-        if (isLeader) {
-            this->gates.setUplink({});
-            this->setSeen(false);
-        } else {
-            this->followers.erase(event.link);
-            this->gates.onFollowerLost(event.link);
-        }
-        return;
+        this->onClosed(event.link);
+        break;
+    }
+    this->steer(steadyNow());
+}
+
+void LeaderLink::onFollowerAddress(LinkId link, const std::string &address)
+{
+    if (address.empty()) {
+        this->deputies.remove(link);
+    } else {
+        this->deputies.add(link, address);
+        this->node->send(link, this->deputyNamed());
     }
+    this->nameDeputy();
 }
 
 void LeaderLink::onMessage(LinkId link, const peer::Message &message)
 {
     const bool isFromLeader = this->leader && link == *this->leader;
-    if (!isFromLeader && !this->isLeading) {
+    const bool isFromPlacer = isFromLeader || this->isDeputyLink(link);
+    if (!isFromPlacer && !this->isLeading && !this->isStandingIn) {
         this->node->send(link, peer::LeadEnded{});
         return;
     }
     const GateKeeper::Send reply = [this, link](const peer::Message &answer) {
         this->node->send(link, answer);
     };
-    std::visit(Overloaded{[&](const peer::TryPlace &place) { this->gates.onTry(place); },
-                          [&](const peer::NoPlace &none) { this->gates.onNone(none); },
-                          [&](const peer::RegistryNews &news) { this->store->onNews(news); },
-                          [&](const peer::ConfigNews &news) { this->store->onNews(news); },
-                          [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
-                          [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
-                          [&](const peer::LeadEnded &) { this->onLeader({}); },
-                          [&](const peer::AskPlace &ask) { this->gates.onAsk(link, reply, ask); },
-                          [&](const peer::PlaceNews &news) { this->gates.onNews(link, news); },
-                          [&](const peer::HeldPlaces &held) { this->gates.onHeld(link, held); },
-                          [&](const peer::FollowStore &follow) {
-                              this->followers.insert(link);
-                              this->store->addFollower(link, follow.version);
-                          },
-                          [&](const auto &) {
-                              Log::warning("link_message_unexpected");
-                          }},
-               message);
+    std::visit(
+        Overloaded{[&](const peer::TryPlace &place) { this->gates.onTry(place); },
+                   [&](const peer::NoPlace &none) { this->gates.onNone(none); },
+                   [&](const peer::RegistryNews &news) { this->store->onNews(news); },
+                   [&](const peer::ConfigNews &news) { this->store->onNews(news); },
+                   [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
+                   [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
+                   [&](const peer::LeadEnded &) {
+                       if (isFromLeader) {
+                           this->onLeader({});
+                       } else {
+                           this->route.onDeputyLost(steadyNow());
+                       }
+                   },
+                   [&](const peer::AskPlace &ask) { this->gates.onAsk(link, reply, ask); },
+                   [&](const peer::PlaceNews &news) { this->gates.onNews(link, news); },
+                   [&](const peer::HeldPlaces &held) {
+                       this->placedFor.insert(link);
+                       this->gates.onHeld(link, held);
+                   },
+                   [&](const peer::FollowerAddress &follower) { this->onFollowerAddress(link, follower.address); },
+                   [&](const peer::DeputyNamed &named) {
+                       this->hosts = std::max<std::uint64_t>(1, named.hosts);
+                       if (isFromLeader) {
+                           this->route.onDeputyNamed(named.address);
+                       } else {
+                           this->route.onNextDeputyNamed(named.address);
+                       }
+                   },
+                   [&](const peer::FollowStore &follow) {
+                       this->followers.insert(link);
+                       this->store->addFollower(link, follow.version);
+                   },
+                   [&](const auto &) {
+                       Log::warning("link_message_unexpected");
+                   }},
+        message);
 }
 
 } // namespace fescuesill
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -7,6 +7,8 @@
 //     link.value()->onLeader(update);          // who leads, as the lease says
 
 #include "programs/gateway/gatekeeper.h"
+#include "promise/deputychoice.h"
+#include "promise/placingroute.h"
 #include "wire/peernode.h"
 
 #include <set>
@@ -43,6 +45,8 @@
     {
         return this->isLeading;
     }
+    // This host stops: it will place for no other.
+    void onStopping();
     // Now and then.
     void onTick(Instant now);
     void stop();
@@ -59,17 +63,41 @@
         peer::Message message;
     };
 
-    LeaderLink(asio::io_context &io, GateKeeper &gates);
+    LeaderLink(asio::io_context &io, const std::string &ownAddress, GateKeeper &gates);
     void push(Event event);
     void drain();
     void on(const Event &event);
     void onMessage(LinkId link, const peer::Message &message);
+    void onOpened(LinkId link);
+    void onClosed(LinkId link);
     void setSeen(bool isSeen);
+    bool isDeputyLink(LinkId link) const;
+    // Brings links and the gates in line with the route.
+    void steer(Instant now);
+    void takePath(PlacingPath next);
+    void nameDeputy();
+    peer::DeputyNamed deputyNamed() const;
+    void onFollowerAddress(LinkId link, const std::string &address);
+    void endPlacing();
     void endLead();
 
     GateKeeper &gates;
     StoreDuty *store = nullptr;
     std::set<LinkId> followers; // links to this host while it leads
+    std::set<LinkId> placedFor; // hosts that this one places for
+    DeputyChoice<LinkId> deputies;
+    std::string namedDeputy; // as the followers know it
+    std::string ownAddress;
+    PlacingRoute route;
+    struct DeputyLink {
+        std::string address;
+        LinkId link{};
+    };
+    std::optional<DeputyLink> deputy;
+    PlacingPath path = PlacingPath::Alone; // that the gates take
+    std::optional<LinkId> uplink;
+    std::uint64_t hosts = 1; // of the fleet, as the last leader said
+    bool isStandingIn = false;
     Ring<Event> events;
     std::unique_ptr<PeerNode> node;
     std::optional<LinkId> leader; // the link to it, where this host follows
--- /dev/null
+++ b/promise/deputychoice.h
@@ -0,0 +1,61 @@
+#pragma once
+
+// The leader's choice of the follower that places for the others while the leader cannot be reached.
+//
+//     DeputyChoice<LinkId> choice;
+//     choice.add(link, "10.1.0.21:7660");
+//     if (choice.deputy() != told) { ... tell all followers ... }
+//     choice.remove(link);
+//
+// The follower that has been there longest: it changes only when that one leaves.
+
+#include <map>
+#include <string>
+
+namespace fescuesill
+{
+
+template<typename Link>
+class DeputyChoice
+{
+public:
+    void add(const Link &link, const std::string &address)
+    {
+        this->addresses[link] = address;
+        if (this->chosen.empty()) {
+            this->chosen = address;
+        }
+    }
+    void remove(const Link &link)
+    {
+        const auto left = this->addresses.find(link);
+        if (left == this->addresses.end()) {
+            return;
+        }
+        const bool wasChosen = left->second == this->chosen;
+        this->addresses.erase(left);
+        if (wasChosen) {
+            this->chosen = this->addresses.empty() ? std::string() : this->addresses.begin()->second;
+        }
+    }
+    void clear()
+    {
+        this->addresses.clear();
+        this->chosen.clear();
+    }
+    // IP:PORT of its links; empty where there is no follower.
+    const std::string &deputy() const
+    {
+        return this->chosen;
+    }
+    const std::map<Link, std::string> &followers() const
+    {
+        return this->addresses;
+    }
+
+private:
+    std::map<Link, std::string> addresses;
+    std::string chosen;
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/promise/placingroute.cpp
@@ -0,0 +1,102 @@
+// A lease must run out before another host may lead, and a host that places alone sees a fraction of the load: it takes
+// full engines for empty ones. Placing needs no lease, since an engine never gives the same memory twice. So the leader
+// names a deputy ahead of need, and hosts that lose the leader turn to it at once. It knows what they have placed, for
+// each says so when it arrives.
+//
+// The deputy refuses while it reaches the leader itself: then the leader places for most hosts, and two that place for
+// parts of the fleet would fill the same engines. Hosts do not find a leader lost at the same moment, so generations
+// wait a little for a deputy that refuses. It names a deputy of its own to the hosts that it places for.
+
+#include "promise/placingroute.h"
+
+namespace fescuesill
+{
+
+bool PlacingRoute::needsDeputy() const
+{
+    return !this->leads && !this->isLeaderReached && !this->deputy.empty();
+}
+
+void PlacingRoute::onLeading(bool isLeading)
+{
+    this->leads = isLeading;
+    if (isLeading) {
+        this->isLeaderReached = false;
+        this->isDeputyReached = false;
+        this->deputy.clear(); // named by an earlier leader
+    }
+}
+
+void PlacingRoute::onLeaderReached()
+{
+    this->isLeaderReached = true;
+    this->isDeputyReached = false;
+    this->deputy.clear(); // the leader names its own
+    this->nextDeputy.clear();
+    this->notBefore = Instant();
+}
+
+void PlacingRoute::onLeaderLost(Instant now)
+{
+    if (this->isLeaderReached) {
+        this->isLeaderReached = false;
+        this->waitUntil = now + this->options.patience;
+    }
+}
+
+void PlacingRoute::onDeputyNamed(const std::string &address)
+{
+    this->deputy = address;
+}
+
+void PlacingRoute::onNextDeputyNamed(const std::string &address)
+{
+    this->nextDeputy = address;
+}
+
+void PlacingRoute::onStopping()
+{
+    this->isStopping = true;
+}
+
+void PlacingRoute::onDeputyReached()
+{
+    this->isDeputyReached = this->needsDeputy() && this->deputy != this->self;
+}
+
+void PlacingRoute::onDeputyLost(Instant now)
+{
+    this->isDeputyReached = false;
+    this->notBefore = now + this->options.retry;
+    if (!this->nextDeputy.empty()) {
+        this->deputy = this->nextDeputy;
+        this->nextDeputy.clear();
+        this->notBefore = now;
+        this->waitUntil = now + this->options.patience;
+    }
+}
+
+PlacingPath PlacingRoute::path(Instant now) const
+{
+    if (this->isLeaderReached) {
+        return PlacingPath::Leader;
+    }
+    if (this->isDeputyReached) {
+        return PlacingPath::Deputy;
+    }
+    const bool mayComeSoon = this->needsDeputy() && this->deputy != this->self && now < this->waitUntil;
+    return mayComeSoon ? PlacingPath::Waiting : PlacingPath::Alone;
+}
+
+std::optional<std::string> PlacingRoute::wantedDeputy(Instant now) const
+{
+    const bool isWanted = this->needsDeputy() && this->deputy != this->self && now >= this->notBefore;
+    return isWanted ? std::optional(this->deputy) : std::nullopt;
+}
+
+bool PlacingRoute::isStandingIn() const
+{
+    return this->needsDeputy() && this->deputy == this->self && !this->isStopping;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/promise/testing/placingroute_test.cpp
@@ -0,0 +1,123 @@
+#include "promise/placingroute.h"
+
+#include "promise/deputychoice.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+constexpr Instant start{Duration(1'000'000)};
+const std::string self = "10.1.0.20:7660";
+const std::string other = "10.2.0.20:7660";
+
+PlacingRoute following(const std::string &deputy)
+{
+    PlacingRoute route(self, {});
+    route.onLeaderReached();
+    route.onDeputyNamed(deputy);
+    return route;
+}
+
+// Frozen leader: its followers place through the deputy and not each for itself.
+TEST(PlacingRoute, TurnsToTheDeputyWhenTheLeaderIsLost)
+{
+    PlacingRoute route = following(other);
+    EXPECT_EQ(route.path(start), PlacingPath::Leader);
+    EXPECT_FALSE(route.wantedDeputy(start));
+    route.onLeaderLost(start);
+    EXPECT_EQ(route.path(start), PlacingPath::Waiting);
+    EXPECT_EQ(route.wantedDeputy(start), other);
+    route.onDeputyReached();
+    EXPECT_EQ(route.path(start), PlacingPath::Deputy);
+    route.onLeaderReached(); // of the next term, which names its own deputy
+    EXPECT_EQ(route.path(start), PlacingPath::Leader);
+    EXPECT_FALSE(route.wantedDeputy(start));
+    route.onLeaderLost(start);
+    EXPECT_FALSE(route.wantedDeputy(start));
+}
+
+TEST(PlacingRoute, StandsInOnlyWhileItHasNoLeader)
+{
+    PlacingRoute route = following(self);
+    EXPECT_FALSE(route.isStandingIn());
+    route.onLeaderLost(start);
+    EXPECT_TRUE(route.isStandingIn());
+    EXPECT_FALSE(route.wantedDeputy(start)); // no link to itself
+    route.onLeading(true);
+    EXPECT_FALSE(route.isStandingIn());
+    route.onLeading(false);
+    EXPECT_FALSE(route.isStandingIn());
+}
+
+// Only this host lost the leader: the deputy still follows it and refuses; the leader may come back into reach.
+TEST(PlacingRoute, PlacesAloneWhereTheDeputyKeepsRefusing)
+{
+    PlacingRoute route = following(other);
+    route.onLeaderLost(start);
+    Instant now = start;
+    for (; now < start + 450ms; now += 100ms) {
+        EXPECT_EQ(route.wantedDeputy(now), other);
+        route.onDeputyReached();
+        route.onDeputyLost(now);
+        EXPECT_EQ(route.path(now), PlacingPath::Waiting);
+        EXPECT_FALSE(route.wantedDeputy(now + 99ms));
+    }
+    EXPECT_EQ(route.path(now), PlacingPath::Alone);
+    EXPECT_EQ(route.wantedDeputy(now), other); // and goes on asking
+}
+
+// Rolling restart with the leader frozen: the deputy stops as well, and the host that it named takes over.
+TEST(PlacingRoute, TurnsToTheNextDeputyWhenTheFirstIsLost)
+{
+    PlacingRoute route = following(other);
+    route.onLeaderLost(start);
+    route.onDeputyReached();
+    route.onNextDeputyNamed("10.3.0.20:7660");
+    const Instant later = start + 3s;
+    route.onDeputyLost(later);
+    EXPECT_EQ(route.path(later), PlacingPath::Waiting);
+    EXPECT_EQ(route.wantedDeputy(later), "10.3.0.20:7660");
+
+    PlacingRoute next = following(other);
+    next.onLeaderLost(start);
+    next.onDeputyReached();
+    next.onNextDeputyNamed(self);
+    EXPECT_FALSE(next.isStandingIn());
+    next.onDeputyLost(later);
+    EXPECT_TRUE(next.isStandingIn());
+    next.onStopping();
+    EXPECT_FALSE(next.isStandingIn());
+}
+
+TEST(PlacingRoute, StaysAloneWithoutADeputy)
+{
+    PlacingRoute route = following("");
+    route.onLeaderLost(start);
+    EXPECT_FALSE(route.wantedDeputy(start));
+    EXPECT_FALSE(route.isStandingIn());
+    route.onDeputyReached(); // a link that was opened before
+    EXPECT_EQ(route.path(start), PlacingPath::Alone);
+}
+
+TEST(DeputyChoice, ChangesOnlyWhenTheDeputyLeaves)
+{
+    DeputyChoice<int> choice;
+    EXPECT_TRUE(choice.deputy().empty());
+    choice.add(3, "c");
+    choice.add(1, "a");
+    EXPECT_EQ(choice.deputy(), "c");
+    choice.remove(1);
+    EXPECT_EQ(choice.deputy(), "c");
+    choice.add(5, "e");
+    choice.remove(3);
+    EXPECT_EQ(choice.deputy(), "e");
+    choice.remove(3);
+    choice.remove(5);
+    EXPECT_TRUE(choice.deputy().empty());
+}
+
+} // namespace
+} // namespace fescuesill
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -270,6 +270,19 @@
 {
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, FollowerAddress &m)
+{
+    visit(m.address);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, DeputyNamed &m)
+{
+    visit(m.address);
+    visit(m.hosts);
+}
+
 template<typename Visitor>
 void fields(Visitor & /*visit*/, LeadEnded & /*m*/)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -270,10 +270,21 @@
 struct LeadEnded {
 };
 
+// A gateway to the leader, when the link has opened: where others reach it.
+struct FollowerAddress {
+    std::string address; // IP:PORT of its links; empty: it stops and is to be nobody's deputy
+};
+
+// The leader to a gateway: who places while the leader cannot be reached; empty: none.
+struct DeputyNamed {
+    std::string address;
+    std::uint64_t hosts = 1; // that the leader places for, with itself
+};
+
 using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
                              DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
                              AskPlace, TryPlace, NoPlace, PlaceNews, HeldPlaces, FollowStore, RegistryNews, ConfigNews,
-                             EngineChanging, StoreLost, LeadEnded>;
+                             EngineChanging, StoreLost, LeadEnded, FollowerAddress, DeputyNamed>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -38,6 +38,8 @@
     EXPECT_EQ(passedOn(FollowStore{7}).version, 7U);
     passedOn(StoreLost{});
     passedOn(LeadEnded{});
+    EXPECT_EQ(passedOn(FollowerAddress{"10.0.0.1:1"}).address, "10.0.0.1:1");
+    EXPECT_EQ(passedOn(DeputyNamed{"10.0.0.2:1", 9}).hosts, 9U);
 }
 
 // A row of another writer may hold any bytes; they go through as they are.
