--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -302,7 +302,7 @@
     const auto load = gate.stageLoad(now);
     ASSERT_TRUE(load);
     EXPECT_NEAR(load->prefillEngines, 10 * 5200 * 20e-6, 0.4);
-    EXPECT_NEAR(load->heldTokens, 10 * 3.5 * (5200 + 3500 / 2), 40000);
+    EXPECT_NEAR(load->heldTokens, 10 * 3.5 * (5200 + 1750), 40000);
 }
 
 TEST(GenerationGate, GivesALargeRequestAnEmptyEngine)
