Name the reports of a place and the prefill engine by the terms of the field; forget orders that can act no more

PlaceNews is PlaceReport, tell() is report(), the log field reader is prefill. StageOrders kept an entry for each engine that was ever ordered; engines come under new names for months, so entries older than the latest effect of an order are dropped.

--- a/programs/gateway/gatekeeper.cpp
+++ b/programs/gateway/gatekeeper.cpp
@@ -238,7 +238,7 @@
     this->poll(gate);
 }
 
-void GateKeeper::tell(const ServiceId &service, const RequestId &id, peer::PlaceEvent event, Tokens made)
+void GateKeeper::report(const ServiceId &service, const RequestId &id, peer::PlaceEvent event, Tokens made)
 {
     const auto found = this->locals.find(id);
     if (found == this->locals.end()) {
@@ -252,7 +252,7 @@
     }
     Gate &gate = this->gate(service);
     if (this->uplink) {
-        this->uplink(peer::PlaceNews{id, service, event, made});
+        this->uplink(peer::PlaceReport{id, service, event, made});
     }
     if (event == peer::PlaceEvent::Reserved && this->uplink) {
         gate.core.adopt(local->ask, local->engine, local->since);
@@ -360,7 +360,7 @@
     this->poll(gate);
 }
 
-void GateKeeper::onNews(LinkId, const peer::PlaceNews &message)
+void GateKeeper::onReport(LinkId, const peer::PlaceReport &message)
 {
     this->apply(this->gate(message.service), message.request, message.event, message.made);
     if (message.event == peer::PlaceEvent::Ended || message.event == peer::PlaceEvent::EndedByFault) {
--- a/programs/gateway/gatekeeper.h
+++ b/programs/gateway/gatekeeper.h
@@ -4,7 +4,7 @@
 //
 //     GateKeeper keeper(io, fleet, seed);
 //     const GateAction action = keeper.ask(service, ask, yield);     // waits until there is a place to try, or none
-//     keeper.tell(service, id, peer::PlaceEvent::Full);              // the same generation asks again
+//     keeper.report(service, id, peer::PlaceEvent::Full);              // the same generation asks again
 //     const GateAction next = keeper.again(id, yield);
 //     keeper.setUplink([&](const peer::Message &message) { ... });   // the leader is another host and reachable
 //     keeper.setUplink({});                                          // it is not: this host decides alone
@@ -34,7 +34,7 @@
     // Waits for the next decision after a place that was full or failed.
     GateAction again(const RequestId &id, const asio::yield_context &yield);
     // What became of the place of a generation of this host.
-    void tell(const ServiceId &service, const RequestId &id, peer::PlaceEvent event, Tokens made = Tokens(0));
+    void report(const ServiceId &service, const RequestId &id, peer::PlaceEvent event, Tokens made = Tokens(0));
     // The caller went: a wait ends at once.
     void wake(const RequestId &id);
     // Engines came, left or changed.
@@ -61,7 +61,7 @@
 
     // From a host that follows this one.
     void onAsk(LinkId link, const Send &reply, const peer::AskPlace &message);
-    void onNews(LinkId link, const peer::PlaceNews &message);
+    void onReport(LinkId link, const peer::PlaceReport &message);
     void onHeld(LinkId link, const peer::HeldPlaces &message);
     void onFollowerLost(LinkId link);
 
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -46,9 +46,9 @@
     return Tokens(this->eventsMade * this->traits().perEvent.value());
 }
 
-void GenerationForward::tell(peer::PlaceEvent event)
+void GenerationForward::report(peer::PlaceEvent event)
 {
-    this->call.services.gates.tell(this->call.service, this->call.head.id, event, this->made());
+    this->call.services.gates.report(this->call.service, this->call.head.id, event, this->made());
 }
 
 GenerationAsk GenerationForward::ask() const
@@ -96,15 +96,15 @@
         const HttpResponse response = services.client.call(
             decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
         if (const auto reservation = readReservation(response)) {
-            this->tell(peer::PlaceEvent::Reserved);
+            this->report(peer::PlaceEvent::Reserved);
             return Place{decode, *reservation, {}};
         }
         this->lastFault = "no room at " + decode.id.value();
-        this->tell(peer::PlaceEvent::Full);
+        this->report(peer::PlaceEvent::Full);
     } catch (const HttpError &error) {
         this->checkCaller(); // it ended the call, and the engine has no fault
         this->lastFault = error.what();
-        this->tell(peer::PlaceEvent::Fault);
+        this->report(peer::PlaceEvent::Fault);
     }
     return std::nullopt;
 }
@@ -117,7 +117,7 @@
         this->checkCaller();
         const auto decode = services.fleet.usable(EndpointId(attempt->engine.value()));
         if (!decode) {
-            this->tell(peer::PlaceEvent::Full);
+            this->report(peer::PlaceEvent::Full);
         } else if (auto place = this->reserveAt(*decode, yield)) {
             place->prefill = attempt->prefill;
             return place;
@@ -129,25 +129,25 @@
     return std::nullopt;
 }
 
-std::optional<GenerationForward::Prefill> GenerationForward::prefillAt(const EndpointRecord &reader,
+std::optional<GenerationForward::Prefill> GenerationForward::prefillAt(const EndpointRecord &engine,
                                                                        const asio::yield_context &yield)
 {
     const auto &services = this->call.services;
-    const HttpRequest request = prefillRequest(this->call.http, reader.id, this->call.timeLeft());
+    const HttpRequest request = prefillRequest(this->call.http, engine.id, this->call.timeLeft());
     const Tokens prompt = this->promptKey().size;
-    const EngineId id(reader.id.value());
+    const EngineId id(engine.id.value());
     services.fleet.prefills().onSent(id, prompt);
     std::optional<KvId> result;
     try {
         const HttpResponse response = services.client.call(
-            reader.address, request, {std::min(this->call.timeLeft(), readLimit), Reuse::Never, &this->abort}, yield);
+            engine.address, request, {std::min(this->call.timeLeft(), readLimit), Reuse::Never, &this->abort}, yield);
         result = readPrefillResult(response);
-        this->lastFault = result ? "" : "prefill refused by " + reader.id.value();
+        this->lastFault = result ? "" : "prefill refused by " + engine.id.value();
     } catch (const HttpError &error) {
         this->lastFault = error.what();
     }
     services.fleet.prefills().onEnded(id, prompt, !result && !this->abort.isAborted(), steadyNow());
-    return result ? std::optional(Prefill{reader.address, *result}) : std::nullopt;
+    return result ? std::optional(Prefill{engine.address, *result}) : std::nullopt;
 }
 
 std::optional<GenerationForward::Prefill> GenerationForward::prefill(const Place &place,
@@ -171,13 +171,13 @@
         if (!found) {
             return std::nullopt;
         }
-        this->reader = found->id;
+        this->prefillEngine = found->id;
         auto result = this->prefillAt(*found, yield);
         if (!result) {
             this->checkCaller();
         }
         if (*chosen == place.prefill) {
-            this->tell(result ? peer::PlaceEvent::Read : peer::PlaceEvent::ReadFailed);
+            this->report(result ? peer::PlaceEvent::Read : peer::PlaceEvent::ReadFailed);
         }
         if (result) {
             return result;
@@ -297,10 +297,10 @@
 // The decode engine had room reserved, so it refused because it could not get the result.
 void GenerationForward::noteLostResult(const Place &place)
 {
-    const EngineId id(this->reader.value());
+    const EngineId id(this->prefillEngine.value());
     this->call.services.fleet.prefills().onResultLost(id, steadyNow());
     if (id == place.prefill) {
-        this->tell(peer::PlaceEvent::ResultLost);
+        this->report(peer::PlaceEvent::ResultLost);
     }
 }
 
@@ -328,7 +328,7 @@
             this->noteLostResult(*place);
         }
         const bool isFault = ended == Ended::Broken || (ended == Ended::NotRun && !isResultLost);
-        this->tell(isFault ? peer::PlaceEvent::EndedByFault : peer::PlaceEvent::Ended);
+        this->report(isFault ? peer::PlaceEvent::EndedByFault : peer::PlaceEvent::Ended);
         if (ended == Ended::Broken) {
             this->avoid = EngineId(place->engine.id.value());
         }
@@ -378,7 +378,7 @@
                {"prompt", asked.prompt.value()},
                {"expected_output", asked.output.value()},
                {"output", this->made().value()},
-               {"reader", this->reader.value()},
+               {"prefill", this->prefillEngine.value()},
                {"placed_ms", millis(this->times.placed)},
                {"read_ms", millis(this->times.read)},
                {"longest_pause_ms", millis(this->times.longestPause)},
@@ -434,11 +434,11 @@
             reason = this->claimRetry(ended);
         }
         this->noRetry = *reason;
-        this->tell(peer::PlaceEvent::Ended);
+        this->report(peer::PlaceEvent::Ended);
         this->finish(ended, yield);
     } catch (const CallerGone &) {
         this->call.reply.onGone({});
-        this->tell(peer::PlaceEvent::Ended);
+        this->report(peer::PlaceEvent::Ended);
         this->logEnd("caller_gone");
         throw;
     }
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -54,7 +54,7 @@
     std::optional<NoRetry> claimRetry(Ended ended);
     GenerationAsk ask() const;
     PromptKey promptKey() const;
-    void tell(peer::PlaceEvent event);
+    void report(peer::PlaceEvent event);
     Tokens made() const;
     const EngineTraits &traits() const;
     void checkCaller() const;
@@ -76,7 +76,7 @@
     // From the arrival, for the log.
     GenerationTimes times;
     Instant lastEventAt;
-    EndpointId reader; // the prefill engine asked last
+    EndpointId prefillEngine; // the prefill engine asked last
 };
 
 } // namespace fescuesill
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -310,7 +310,7 @@
                        }
                    },
                    [&](const peer::AskPlace &ask) { this->gates.onAsk(link, reply, ask); },
-                   [&](const peer::PlaceNews &news) { this->gates.onNews(link, news); },
+                   [&](const peer::PlaceReport &report) { this->gates.onReport(link, report); },
                    [&](const peer::HeldPlaces &held) {
                        this->placedFor.insert(link);
                        this->gates.onHeld(link, held);
--- a/programs/gateway/stageorders.cpp
+++ b/programs/gateway/stageorders.cpp
@@ -45,7 +45,7 @@
     }
 }
 
-void StageOrders::see(const ServiceId &id, Service &service, Instant now) const
+void StageOrders::recordEngines(const ServiceId &id, Service &service, Instant now) const
 {
     for (const EndpointPart part : {EndpointPart::Prefill, EndpointPart::Decode}) {
         for (const EndpointRecord &engine : this->services.fleet.enginesOf(id, part)) {
@@ -56,9 +56,12 @@
     for (auto seen = service.seen.begin(); seen != service.seen.end();) {
         seen = now >= seen->second.at + missedFor ? service.seen.erase(seen) : std::next(seen);
     }
+    for (auto order = service.ordered.begin(); order != service.ordered.end();) {
+        order = now >= order->second.at + leastPause ? service.ordered.erase(order) : std::next(order);
+    }
 }
 
-PoolSizes StageOrders::sizes(const Service &service, Instant)
+PoolSizes StageOrders::sizes(const Service &service)
 {
     PoolSizes sizes;
     for (const auto &[address, seen] : service.seen) {
@@ -79,9 +82,9 @@
 void StageOrders::consider(const ServiceId &id, const EngineTraits &traits, const StoreDuty &store, Instant now)
 {
     Service &service = this->plans.try_emplace(id, Service{PoolPlan(PoolPlan::Options{}), {}, {}}).first->second;
-    this->see(id, service, now);
+    this->recordEngines(id, service, now);
     const auto need = this->need(id, traits);
-    const PoolSizes split = sizes(service, now);
+    const PoolSizes split = sizes(service);
     if (!need || split.prefill == 0 || split.decode == 0) {
         return;
     }
--- a/programs/gateway/stageorders.h
+++ b/programs/gateway/stageorders.h
@@ -44,8 +44,8 @@
 
     static bool isPending(const Service &service, const EndpointRecord &engine, Instant now);
     void consider(const ServiceId &id, const EngineTraits &traits, const StoreDuty &store, Instant now);
-    void see(const ServiceId &id, Service &service, Instant now) const;
-    static PoolSizes sizes(const Service &service, Instant now);
+    void recordEngines(const ServiceId &id, Service &service, Instant now) const;
+    static PoolSizes sizes(const Service &service);
     std::optional<PoolNeed> need(const ServiceId &id, const EngineTraits &traits) const;
     std::optional<EndpointRecord> chooseEngine(const ServiceId &id, EndpointPart from, const Service &service,
                                                Instant now) const;
--- a/report/logevents.cpp
+++ b/report/logevents.cpp
@@ -16,7 +16,7 @@
                                                              "engine_silent"};
 constexpr std::array<std::string_view, 6> ends = {"generation_ended", "forwarded", "refused",
                                                   "caller_gone",      "ended",     "call_failed"};
-constexpr std::array<std::string_view, 4> partnerKeys = {"engine", "endpoint", "reader", "decode"};
+constexpr std::array<std::string_view, 4> partnerKeys = {"engine", "endpoint", "prefill", "decode"};
 
 template<std::size_t size>
 bool isOneOf(std::string_view name, const std::array<std::string_view, size> &names)
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -203,7 +203,7 @@
 }
 
 template<typename Visitor>
-void fields(Visitor &visit, PlaceNews &m)
+void fields(Visitor &visit, PlaceReport &m)
 {
     visit(m.request);
     visit(m.service);
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -208,7 +208,7 @@
 };
 
 // A gateway to the leader: what became of a place.
-struct PlaceNews {
+struct PlaceReport {
     RequestId request;
     ServiceId service;
     PlaceEvent event = PlaceEvent::Ended;
@@ -283,8 +283,8 @@
 
 using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
                              DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
-                             AskPlace, TryPlace, NoPlace, PlaceNews, HeldPlaces, FollowStore, RegistryNews, ConfigNews,
-                             EngineChanging, StoreLost, LeadEnded, FollowerAddress, DeputyNamed>;
+                             AskPlace, TryPlace, NoPlace, PlaceReport, HeldPlaces, FollowStore, RegistryNews,
+                             ConfigNews, EngineChanging, StoreLost, LeadEnded, FollowerAddress, DeputyNamed>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -23,8 +23,9 @@
     EXPECT_EQ(ask.onTime, -10ms);
     EXPECT_EQ(ask.avoid, EngineId("d1"));
     EXPECT_EQ(ask.promptName, "a41f");
-    const PlaceNews news = passedOn(PlaceNews{RequestId("r"), ServiceId("s"), PlaceEvent::EndedByFault, Tokens(7)});
-    EXPECT_EQ(news.event, PlaceEvent::EndedByFault);
+    const PlaceReport report =
+        passedOn(PlaceReport{RequestId("r"), ServiceId("s"), PlaceEvent::EndedByFault, Tokens(7)});
+    EXPECT_EQ(report.event, PlaceEvent::EndedByFault);
     const HeldPlaces held =
         passedOn(HeldPlaces{{{RequestId("r"), ServiceId("s"), EngineId("d"), Tokens(1), Tokens(2), Tokens(3), 4s}}});
     ASSERT_EQ(held.places.size(), 1U);
