--- a/programs/gateway/gatekeeper.h
+++ b/programs/gateway/gatekeeper.h
@@ -4,10 +4,11 @@
 //
 //     GateKeeper keeper(io, fleet, seed);
 //     const GateAction action = keeper.ask(service, ask, yield);     // waits until there is a place to try, or none
-//     keeper.report(service, id, peer::PlaceEvent::Full);              // the same generation asks again
+//     keeper.report(service, id, peer::PlaceEvent::Full);            // the same generation asks again
 //     const GateAction next = keeper.again(id, yield);
-//     keeper.setUplink([&](const peer::Message &message) { ... });   // the leader is another host and reachable
-//     keeper.setUplink({});                                          // it is not: this host decides alone
+//     keeper.setUplink([&](const peer::Message &message) { ... });   // the leader, or its deputy, is another host
+//     keeper.hold();                                                 // it was lost, and a deputy may take over soon
+//     keeper.setUplink({});                                          // there is none: this host decides alone
 //
 // Every host keeps a gate of the generations that it runs itself, so it can decide alone at any moment: then it sees
 // only its own part of the load, and engines refuse more often.
