Find the home of a prompt in one place; derive whether the leader is reached

PrefillPool repeated the rendezvous hash of PrefillChoice. Both must agree on it, since a prompt read through the one is looked for through the other; PromptHome serves both now. LeaderLink kept a flag beside its path that said the same. Behaviour unchanged.

--- a/decide/prefillchoice.cpp
+++ b/decide/prefillchoice.cpp
@@ -2,15 +2,15 @@
 // is priced so, hence a far engine counts as having one more prompt of typical length; one that fails as having many
 // more.
 //
-// The home of a prompt is the engine with the highest hash of both names: each host finds the same one without a word
-// between them, and an engine that comes or goes moves only the prompts that it has or gets. A prompt goes home unless
-// another engine is ahead by nearly the time of reading it, which is all that going home can save.
+// A prompt goes home (PromptHome) unless another engine is ahead by nearly the time of reading it, which is all that
+// going home can save.
 
 #include "decide/prefillchoice.h"
 
+#include "decide/prompthome.h"
+
 #include <algorithm>
 #include <limits>
-#include <xxhash.h>
 
 namespace fescuesill
 {
@@ -22,42 +22,20 @@
 // Share of a prompt's own tokens by which its home is preferred.
 constexpr double homeShare = 0.9;
 
-namespace
-{
-
-std::uint64_t hashOf(const EngineId &engine, const std::string &prompt)
-{
-    return XXH3_64bits_withSeed(prompt.data(), prompt.size(),
-                                XXH3_64bits(engine.value().data(), engine.value().size()));
-}
-
-const EngineId *homeOf(const std::vector<PrefillCandidate> &candidates, const std::string &prompt)
-{
-    const EngineId *home = nullptr;
-    std::uint64_t highest = 0;
-    for (const PrefillCandidate &candidate : candidates) {
-        const std::uint64_t hash = hashOf(candidate.engine, prompt);
-        if (home == nullptr || hash > highest) {
-            highest = hash;
-            home = &candidate.engine;
-        }
-    }
-    return prompt.empty() ? nullptr : home;
-}
-
-} // namespace
-
 std::optional<EngineId> PrefillChoice::pick(const std::vector<PrefillCandidate> &candidates, const PromptKey &prompt,
                                             Instant now)
 {
-    const EngineId *home = homeOf(candidates, prompt.name);
+    PromptHome home(prompt.name);
+    for (const PrefillCandidate &candidate : candidates) {
+        home.offer(candidate.engine);
+    }
     std::optional<EngineId> chosen;
     double least = std::numeric_limits<double>::max();
     for (const PrefillCandidate &candidate : candidates) {
         const Load &load = this->loads[candidate.engine];
         const double cost = static_cast<double>(load.reading.value()) + (candidate.isNearDecode ? 0 : farTokens)
             + faultTokens * load.faults.at(now) + static_cast<double>(this->random() % 100)
-            - (home == &candidate.engine ? homeShare * static_cast<double>(prompt.size.value()) : 0);
+            - (home.is(candidate.engine) ? homeShare * static_cast<double>(prompt.size.value()) : 0);
         if (cost < least) {
             least = cost;
             chosen = candidate.engine;
--- a/decide/prefillpool.cpp
+++ b/decide/prefillpool.cpp
@@ -5,7 +5,7 @@
 //
 // Prompts wait with the scheduler, where they cost nothing, and not at an engine, where each holds decode memory.
 //
-// The home of a prompt is the engine with the highest hash of both names. A caller whose answer broke off comes back
+// A prompt has a home (PromptHome). A caller whose answer broke off comes back
 // with the same prompt, perhaps when every scheduler was restarted, and finds most of it in the cache of its home. The
 // preference is worth less than a read, so it never sends a prompt behind another one that has just begun.
 //
@@ -13,9 +13,9 @@
 
 #include "decide/prefillpool.h"
 
+#include "decide/prompthome.h"
+
 #include <algorithm>
-#include <limits>
-#include <xxhash.h>
 
 namespace fescuesill
 {
@@ -31,12 +31,6 @@
     return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
 }
 
-std::uint64_t hashOf(const EngineId &engine, const std::string &prompt)
-{
-    return XXH3_64bits_withSeed(prompt.data(), prompt.size(),
-                                XXH3_64bits(engine.value().data(), engine.value().size()));
-}
-
 } // namespace
 
 void PrefillPool::setEngines(const std::vector<PrefillPlace> &listed)
@@ -115,23 +109,12 @@
     return now + least;
 }
 
-const EngineId *PrefillPool::homeOf(const std::string &prompt) const
+std::optional<EngineId> PrefillPool::start(const PrefillAsk &read, Instant now)
 {
-    const EngineId *home = nullptr;
-    std::uint64_t highest = 0;
+    PromptHome home(read.prompt);
     for (const auto &[id, engine] : this->engines) {
-        const std::uint64_t hash = hashOf(id, prompt);
-        if (home == nullptr || hash > highest) {
-            highest = hash;
-            home = &id;
-        }
+        home.offer(id);
     }
-    return prompt.empty() ? nullptr : home;
-}
-
-std::optional<EngineId> PrefillPool::start(const PrefillAsk &read, Instant now)
-{
-    const EngineId *home = this->homeOf(read.prompt);
     const Duration nominal = this->nominal(read.size);
     const EngineId *chosen = nullptr;
     Duration least = Duration::max();
@@ -141,7 +124,7 @@
         }
         Duration cost = this->ahead(engine, now) + scaled(nominal, engine.slowness);
         cost += engine.dataCentre == read.decode ? Duration(0) : this->options.farCost;
-        cost -= home == &id ? scaled(nominal, this->options.homeShare) : Duration(0);
+        cost -= home.is(id) ? scaled(nominal, this->options.homeShare) : Duration(0);
         if (cost < least) {
             least = cost;
             chosen = &id;
--- a/decide/prefillpool.h
+++ b/decide/prefillpool.h
@@ -95,7 +95,6 @@
     Duration nominal(Tokens size) const;
     Duration ahead(const Engine &engine, Instant now) const;
     bool isWorking(const Engine &engine, Instant now) const;
-    const EngineId *homeOf(const std::string &prompt) const;
     // Removes the job; its engine and whether it was the one being read.
     struct Removed {
         Engine *engine = nullptr;
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -85,7 +85,6 @@
 
 void LeaderLink::setSeen(bool isSeen)
 {
-    this->isReached = isSeen;
     Log::info(isSeen ? "leader_reached" : "leader_lost", {{"address", this->leaderAddress}});
     this->store->setLeaderSeen(isSeen);
 }
@@ -219,7 +218,8 @@
 // News may arrive too late to be of use, and a leader that lost the store may have it again.
 void LeaderLink::onTick(Instant now)
 {
-    const bool isDue = this->isReached && !this->store->isRelayed() && now >= this->askedToFollow + askToFollowAgain;
+    const bool isDue =
+        this->path == PlacingPath::Leader && !this->store->isRelayed() && now >= this->askedToFollow + askToFollowAgain;
     if (isDue) {
         this->askedToFollow = now;
         this->node->send(*this->leader, peer::FollowStore{this->store->knownVersion()});
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -103,7 +103,6 @@
     std::optional<LinkId> leader; // the link to it, where this host follows
     std::string leaderAddress;
     bool isLeading = false;
-    bool isReached = false; // the leader
     Instant askedToFollow;
 };
 
