Log each failed read of a table with the bytes that had arrived, and what reading a configuration took

A host behind a slow link kept an old configuration for seven seconds, and its log had one line of it: the first failed read, without how much of the row had come. Whether the store answered late, refused, or was cut off in the middle of a long reply could not be told apart.

store_read_failed now says how many reads failed in a row, after how long, and how many bytes had arrived; config_read the row's version and size, the time of the read and of decoding; the gauge config_version shows a host that stays behind. No decision changes.

--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -108,6 +108,7 @@
     put("in_progress", now.inProgress);
     put("waiting_for_place", static_cast<double>(now.waitingForPlace));
     put("placed", static_cast<double>(now.placed));
+    put("config_version", static_cast<double>(now.config.value()));
     put("registry_age_seconds", seconds(now.registryAge));
     put("leading", now.isLeading ? 1 : 0);
     put("following", now.isFollowing ? 1 : 0);
--- a/programs/gateway/gatewaymetrics.h
+++ b/programs/gateway/gatewaymetrics.h
@@ -8,6 +8,7 @@
 //     metrics.text();                              // in the exposition format
 
 #include "fescuesill/errors.h"
+#include "fescuesill/ids.h"
 
 #include <memory>
 #include <optional>
@@ -28,6 +29,7 @@
     int inProgress = 0;
     std::size_t waitingForPlace = 0;
     std::size_t placed = 0; // as the gate of this host knows them: of all hosts on the leader
+    ConfigVersion config; // in force; 0 before the first
     Duration registryAge{0}; // since the store or the leader last confirmed what is believed
     bool isLeading = false;
     bool isFollowing = false;
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -183,7 +183,9 @@
 void Gateway::answerReady(const HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
 {
     if (call.target == "/metrics") {
-        this->metrics.set({this->inProgress, this->gates.waiting(), this->gates.placed(), this->store->registryAge(),
+        const auto &config = this->fleet.inForce();
+        this->metrics.set({this->inProgress, this->gates.waiting(), this->gates.placed(),
+                           config ? config->version : ConfigVersion(), this->store->registryAge(),
                            this->links && this->links->leads(), this->gates.isFollowing()});
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -132,6 +132,7 @@
     StoreClient store(this->io, {this->options.address, replyLimit});
     Followed &followed = this->of(table);
     while (!this->isStopping) {
+        followed.asked = steadyNow();
         try {
             this->followOnce(table, store, yield);
             continue;
@@ -141,15 +142,27 @@
                 followed.version.reset();
                 continue;
             }
-            if (!followed.isLost) {
-                followed.isLost = true;
-                this->tell(true, table, error.what());
-            }
+            this->onReadFailed(table, error);
         }
         this->waitFor(followed, pauseAfterFault, yield);
     }
 }
 
+void StoreDuty::onReadFailed(Table table, const StoreError &error)
+{
+    Followed &followed = this->of(table);
+    ++followed.failures;
+    Log::info("store_read_failed",
+              {{"table", nameOf(table == Table::Config)},
+               {"in_a_row", followed.failures},
+               {"took_ms", (steadyNow() - followed.asked).count() / 1000},
+               {"reason", error.what()}});
+    if (!followed.isLost) {
+        followed.isLost = true;
+        this->tell(true, table, error.what());
+    }
+}
+
 void StoreDuty::followOnce(Table table, StoreClient &store, const asio::yield_context &yield)
 {
     Followed &followed = this->of(table);
@@ -163,6 +176,7 @@
     const Duration wait =
         this->isLeading() ? std::min(leaderWait, this->options.contact / 2) : this->options.contact / 2;
     const StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
+    followed.failures = 0;
     if (followed.isLost) {
         followed.isLost = false;
         this->tell(false, table, {});
@@ -443,7 +457,13 @@
     if (this->configAtLeader && this->configRow >= *this->configAtLeader) {
         this->setRelayed(Table::Config, true);
     }
+    const Instant read = steadyNow();
     auto decoded = decodeConfigRow(row.value);
+    Log::info("config_read",
+              {{"row", row.version},
+               {"bytes", static_cast<std::int64_t>(row.value.size())},
+               {"took_ms", (read - this->config.asked).count() / 1000},
+               {"decode_ms", (steadyNow() - read).count() / 1000}});
     if (!decoded) {
         Log::error("config_unreadable", {{"reason", decoded.error().text}});
         return;
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -65,6 +65,7 @@
                  store_update::Lost, store_update::Back, store_update::Leader, store_update::News>;
 
 class StoreClient;
+class StoreError;
 struct StoreRow;
 
 class StoreDuty
@@ -124,6 +125,8 @@
 
         std::optional<std::int64_t> version; // all changes up to it are here
         bool isLost = false;
+        int failures = 0; // reads in a row
+        Instant asked; // when the last read began; one that follows also waits for a change
         bool isRelayed = false; // the leader hands on its changes
         asio::steady_timer pause;
     };
@@ -134,6 +137,7 @@
     }
     void follow(Table table, const asio::yield_context &yield);
     void followOnce(Table table, StoreClient &store, const asio::yield_context &yield);
+    void onReadFailed(Table table, const StoreError &error);
     void waitFor(Followed &table, Duration time, const asio::yield_context &yield);
     void setRelayed(Table table, bool isRelayed);
     void takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before);
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -157,7 +157,7 @@
             connection->readHeader(deadline, yield);
             return connection;
         } catch (const HttpError &error) {
-            const bool wasStale = error.fault() == HttpFault::Closed && !connection->replied;
+            const bool wasStale = error.fault() == HttpFault::Closed && connection->received == 0;
             if (!wasStale) {
                 throw;
             }
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -76,7 +76,7 @@
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     this->parser->eager(true);
     this->parser->skip(isHead);
-    this->replied = false;
+    this->received = 0;
     this->atEnd = false;
     this->partial.clear();
 
@@ -94,13 +94,14 @@
     this->stream.expires_at(deadline);
     const std::size_t count = this->stream.async_read_some(this->buffer.prepare(readSize), yield[error]);
     this->buffer.commit(count);
-    this->replied = this->replied || count > 0;
+    this->received += count;
     if (error == asio::error::eof) {
         this->atEnd = true;
         return;
     }
     if (error) {
-        throw HttpError(faultOf(error), false, fmt::format("read {}: {}", this->address, error.message()));
+        throw HttpError(faultOf(error), false,
+                        fmt::format("read {}: {} after {} bytes", this->address, error.message(), this->received));
     }
 }
 
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -89,7 +89,7 @@
     std::string address;
     std::string partial; // the start of a line whose end has not come yet
     bool reused = false;
-    bool replied = false; // at least one byte of a reply came
+    std::size_t received = 0; // bytes of the reply
 
     int status() const
     {
