Bound a reply of the store by silence, not by the time of all of it

What callers saw: up to seven seconds after a configuration was confirmed, hosts of the far data centres still used the one before it (CONFIG), refused routes that were there with 404 (DENIED), and after all hosts had been killed nobody was ready again (RECOVER).

Cause: a call to the store had 600 ms from its start to the last byte of the reply. The reply that carries the configuration grows with it; 2,849 routes take 530 ms on a link of 10 Mbit/s, and with the round trips of a new connection more than 600. What had arrived was thrown away and the next try began from nothing, so a host that was too slow once was too slow for good, while each try took the link whole. Class of fault: a time limit on a transfer whose size grows with the deployment, with retries that make no progress.

Evidence: every failed read ended at 600 ms, most with 620 to 670 KB received; hosts with 200 Mbit/s never failed; no read was refused.

Why it works: silence still shows within the limits, and a reply that arrives is never given up, so each read makes progress.

--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -144,6 +144,7 @@
         self.silent = set()
         self.ended = threading.Event()
         self.lost_answers = 0  # of the next writes: done, and the connection closed without a word
+        self.configs_sent = 0  # whole configurations
         super().__init__()
 
     def silence_open_connections(self):
@@ -159,6 +160,7 @@
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         self.connections.add(request.client_address)
         answer = self.store.answer(request.command, url.path, query, body)
+        self.configs_sent += any(row["key"] == "config" for row in answer[1].get("rows", ()))
         if request.client_address in self.silent:
             self.ended.wait()
         elif url.path == "/rows-tx" and self.lost_answers > 0:
@@ -270,6 +272,10 @@
     def address(self):
         return self.server.address
 
+    @property
+    def configs_sent(self):
+        return self.server.configs_sent
+
     def silence_open_connections(self):
         self.server.silence_open_connections()
 
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -2,6 +2,7 @@
 
     proxy = Proxy("127.0.0.1:24001")
     proxy.mode = "silent"          # passed on from now: nothing, and no reset
+    proxy.bytes_per_second = 100_000  # of each connection, either way
     proxy.reset()                  # all open connections at once
 
 Modes: pass; delay (each piece waits 200 ms); one_way (nothing comes back); silent (nothing goes either way); refuse (new
@@ -15,6 +16,7 @@
 import time
 
 DELAY_SECONDS = 0.2
+SLOW_PIECES_PER_SECOND = 20
 MODES = ("delay", "one_way", "silent", "refuse")
 
 
@@ -23,6 +25,7 @@
         host, port = target.split(":")
         self.target = (host, int(port))
         self.mode = "pass"
+        self.bytes_per_second = None
         self.pairs = []
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -57,15 +60,20 @@
 
     def pump(self, source, sink, is_back):
         with contextlib.suppress(OSError):
-            while data := source.recv(65536):
+            while data := source.recv(self.piece_size()):
                 if self.mode == "silent" or (is_back and self.mode == "one_way"):
                     continue  # lost on the way
                 if self.mode == "delay":
                     time.sleep(DELAY_SECONDS)
                 sink.sendall(data)
+                if self.bytes_per_second:
+                    time.sleep(len(data) / self.bytes_per_second)
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
 
+    def piece_size(self):
+        return self.bytes_per_second // SLOW_PIECES_PER_SECOND if self.bytes_per_second else 65536
+
     def reset(self):
         pairs, self.pairs = self.pairs, []
         for pair in pairs:
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -192,7 +192,11 @@
     HttpResponse response = connection->response();
     response.body = std::move(connection->partial);
     connection->partial.clear();
-    while (connection->readSome(response.body, deadline, yield)) {
+    const SteadyTime bodyEnd = std::chrono::steady_clock::now() + (options.body ? options.body->total : Duration(0));
+    const auto bodyDeadline = [&] {
+        return options.body ? std::min(bodyEnd, std::chrono::steady_clock::now() + options.body->pause) : deadline;
+    };
+    while (connection->readSome(response.body, bodyDeadline(), yield)) {
         if (response.body.size() > static_cast<std::size_t>(this->pool->options.bodyLimit.value())) {
             throw HttpError(HttpFault::TooLarge, false, fmt::format("{}: reply too large", address));
         }
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -22,6 +22,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -87,10 +88,19 @@
     bool aborted = false;
 };
 
+// How long the body of a reply may take that grows with the deployment.
+struct BodyLimits {
+    Duration pause; // without a byte
+    Duration total;
+};
+
 struct CallOptions {
     Duration deadline{2s}; // from the start to the last byte of the reply; of open(): to the end of the reply's header
     Reuse reuse = Reuse::Allowed;
     CallAbort *abort = nullptr; // outlives the call, and the stream that open() returns
+    // Of call(): where set, the deadline ends with the reply's header. A limit on a whole reply of growing size fails
+    // each try alike once the link is too slow for it.
+    std::optional<BodyLimits> body = std::nullopt;
 };
 
 enum class HttpFault {
