Send small changes of the configuration with the leader's news

What it cost: every change, even of one route, had each host read the whole configuration from the store, 531 KB of JSON for 3,000 routes; at two changes in a row a host behind a slow link read it twice.

Change: ConfigNews carries what differs from the row before (routes set and removed, services, limits), deflated, up to 500 routes and 256 KB for all followers together; larger ones are read from the store as before. A change applies only to the row it was made from and is checked against a digest of the row it leads to, so a host is at one row of the store or another and never goes back. A change that overtakes the read of its base waits for it. Gateways take it from their leader only.

--- a/decide/routetable.cpp
+++ b/decide/routetable.cpp
@@ -5,6 +5,7 @@
 #include "decide/routetable.h"
 
 #include <numeric>
+#include <tuple>
 #include <xxhash.h>
 
 namespace fescuesill
@@ -43,8 +44,24 @@
     return {};
 }
 
+auto fieldsOf(const Route &route)
+{
+    return std::tie(route.name, route.host, route.prefix, route.kind, route.isResumable, route.timeout, route.target,
+                    route.longestPause, route.rank, route.attempts, route.services);
+}
+
 } // namespace
 
+bool operator==(const WeightedService &a, const WeightedService &b)
+{
+    return a.service == b.service && a.weight == b.weight;
+}
+
+bool operator==(const Route &a, const Route &b)
+{
+    return fieldsOf(a) == fieldsOf(b);
+}
+
 tl::expected<RouteTable, RouteError> RouteTable::create(std::vector<Route> routes)
 {
     RouteTable table;
@@ -76,6 +93,12 @@
     return nullptr;
 }
 
+const Route *RouteTable::at(std::string_view host, std::string_view prefix) const
+{
+    const auto found = this->byPlace.find(placeOf(host, prefix));
+    return found == this->byPlace.end() ? nullptr : &this->routes[found->second];
+}
+
 const ServiceId &chooseService(const Route &route, const RequestId &request)
 {
     const auto addWeight = [](std::uint64_t sum, const WeightedService &share) {
--- a/decide/routetable.h
+++ b/decide/routetable.h
@@ -29,6 +29,7 @@
     ServiceId service;
     int weight = 1;
 };
+bool operator==(const WeightedService &a, const WeightedService &b);
 
 struct Route {
     std::string name;
@@ -43,6 +44,7 @@
     int attempts = 1; // endpoints that one call may be sent to
     std::vector<WeightedService> services;
 };
+bool operator==(const Route &a, const Route &b);
 
 struct RouteError {
     std::string route;
@@ -58,6 +60,8 @@
 
     // The longest prefix of the path among the routes of this host; a port behind the host's name does not count.
     const Route *find(std::string_view host, std::string_view path) const;
+    // The route of exactly this prefix.
+    const Route *at(std::string_view host, std::string_view prefix) const;
     const std::vector<Route> &all() const
     {
         return this->routes;
--- /dev/null
+++ b/decide/routingchange.cpp
@@ -0,0 +1,163 @@
+// Routes are known by their place: a host and a prefix have one route. The change lists the places that have none any
+// more and every route that differs, so its size is that of the difference, not of the configuration.
+//
+// The digest adds the hashes of the single routes. It needs no common order, and a route that is missing, doubled or
+// different on one side changes the sum.
+
+#include "decide/routingchange.h"
+
+#include <memory>
+#include <unordered_set>
+#include <xxhash.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+class Digest
+{
+public:
+    Digest()
+        : state(XXH3_createState(), XXH3_freeState)
+    {
+        this->restart();
+    }
+
+    void restart()
+    {
+        XXH3_64bits_reset(this->state.get());
+    }
+    void add(std::int64_t number)
+    {
+        XXH3_64bits_update(this->state.get(), &number, sizeof number);
+    }
+    // With its length: two texts side by side are not two others of the same bytes.
+    void add(const std::string &text)
+    {
+        this->add(static_cast<std::int64_t>(text.size()));
+        XXH3_64bits_update(this->state.get(), text.data(), text.size());
+    }
+    std::uint64_t value() const
+    {
+        return XXH3_64bits_digest(this->state.get());
+    }
+
+private:
+    std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t *)> state;
+};
+
+std::uint64_t digestOfRoute(Digest &digest, const Route &route)
+{
+    digest.restart();
+    digest.add(route.name);
+    digest.add(route.host);
+    digest.add(route.prefix);
+    digest.add(static_cast<std::int64_t>(route.kind));
+    digest.add(std::int64_t{route.isResumable});
+    digest.add(route.timeout.count());
+    digest.add(route.target.count());
+    digest.add(route.longestPause.count());
+    digest.add(std::int64_t{route.rank});
+    digest.add(std::int64_t{route.attempts});
+    for (const WeightedService &share : route.services) {
+        digest.add(share.service.value());
+        digest.add(std::int64_t{share.weight});
+    }
+    return digest.value();
+}
+
+void addService(Digest &digest, const ForwardedService &service)
+{
+    digest.add(service.id.value());
+    digest.add(std::int64_t{service.engines.has_value()});
+    if (const auto &engines = service.engines) {
+        digest.add(engines->memory.value());
+        digest.add(std::int64_t{engines->slots});
+        digest.add(engines->resultLife.count());
+        digest.add(engines->longestReservation.count());
+        digest.add(engines->stageChange.count());
+        digest.add(engines->perEvent.value());
+    }
+}
+
+} // namespace
+
+std::uint64_t digestOf(const RoutingConfig &config)
+{
+    Digest digest;
+    std::uint64_t routes = 0;
+    for (const Route &route : config.routes.all()) {
+        routes += digestOfRoute(digest, route);
+    }
+    digest.restart();
+    digest.add(static_cast<std::int64_t>(routes));
+    digest.add(config.version.value());
+    for (const auto &[id, service] : config.services) {
+        addService(digest, service);
+    }
+    digest.add(config.limits.header.value());
+    digest.add(config.limits.body.value());
+    digest.add(config.limits.headerTime.count());
+    digest.add(config.limits.idle.count());
+    return digest.value();
+}
+
+RoutingChange changeBetween(const RoutingConfig &earlier, const RoutingConfig &later)
+{
+    RoutingChange change;
+    change.version = later.version;
+    change.limits = later.limits;
+    change.digest = digestOf(later);
+    for (const auto &[id, service] : later.services) {
+        change.services.push_back(service);
+    }
+    for (const Route &route : later.routes.all()) {
+        const Route *before = earlier.routes.at(route.host, route.prefix);
+        if (before == nullptr || !(*before == route)) {
+            change.set.push_back(route);
+        }
+    }
+    for (const Route &route : earlier.routes.all()) {
+        if (later.routes.at(route.host, route.prefix) == nullptr) {
+            change.removed.push_back({route.host, route.prefix});
+        }
+    }
+    return change;
+}
+
+tl::expected<RoutingConfig, RoutingChangeError> applyChange(const RoutingConfig &earlier, const RoutingChange &change)
+{
+    std::unordered_set<const Route *> replaced;
+    for (const RoutePlace &place : change.removed) {
+        replaced.insert(earlier.routes.at(place.host, place.prefix));
+    }
+    for (const Route &route : change.set) {
+        replaced.insert(earlier.routes.at(route.host, route.prefix));
+    }
+    std::vector<Route> routes;
+    routes.reserve(earlier.routes.all().size() + change.set.size());
+    for (const Route &route : earlier.routes.all()) {
+        if (replaced.count(&route) == 0) {
+            routes.push_back(route);
+        }
+    }
+    routes.insert(routes.end(), change.set.begin(), change.set.end());
+    auto table = RouteTable::create(std::move(routes));
+    if (!table) {
+        return tl::make_unexpected(RoutingChangeError{"route " + table.error().route + ": " + table.error().text});
+    }
+    RoutingConfig config;
+    config.version = change.version;
+    config.routes = std::move(*table);
+    config.limits = change.limits;
+    for (const ForwardedService &service : change.services) {
+        config.services.emplace(service.id, service);
+    }
+    if (digestOf(config) != change.digest) {
+        return tl::make_unexpected(RoutingChangeError{"the result differs from the configuration it was made from"});
+    }
+    return config;
+}
+
+} // namespace fescuesill
--- /dev/null
+++ b/decide/testing/routingchange_test.cpp
@@ -0,0 +1,141 @@
+#include "decide/routingchange.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace fescuesill
+{
+namespace
+{
+
+Route routeAt(int place, int service)
+{
+    const std::string number = std::to_string(place);
+    Route route;
+    route.name.append("r").append(number);
+    route.host = "shop.example";
+    route.prefix.append("/p").append(number).append("/");
+    route.timeout = 2s;
+    route.services = {{ServiceId(std::string("s").append(std::to_string(service))), 1}};
+    return route;
+}
+
+RouteTable tableOf(std::vector<Route> routes)
+{
+    const auto table = RouteTable::create(std::move(routes));
+    return table ? *table : RouteTable();
+}
+
+RoutingConfig anyConfig(std::int64_t version)
+{
+    std::vector<Route> routes;
+    for (int place = 0; place < 12; ++place) {
+        const int service = *rc::gen::inRange(0, 4);
+        if (service > 0) {
+            routes.push_back(routeAt(place, service));
+        }
+    }
+    RoutingConfig config;
+    config.version = ConfigVersion(version);
+    config.routes = tableOf(std::move(routes));
+    const ServiceId service("s1");
+    config.services[service] = {service, *rc::gen::arbitrary<bool>() ? std::optional(EngineTraits{}) : std::nullopt};
+    config.limits.idle = std::chrono::seconds(*rc::gen::inRange(1, 3));
+    return config;
+}
+
+RC_GTEST_PROP(RoutingChange, LeadsFromAnyVersionToAnyOther, ())
+{
+    const RoutingConfig earlier = anyConfig(3);
+    const RoutingConfig later = anyConfig(5);
+    const RoutingChange change = changeBetween(earlier, later);
+    const auto applied = applyChange(earlier, change);
+    RC_ASSERT(applied.has_value());
+    RC_ASSERT(applied->version == later.version);
+    RC_ASSERT(digestOf(*applied) == digestOf(later));
+    RC_ASSERT(applied->routes.all().size() == later.routes.all().size());
+    for (const Route &route : later.routes.all()) {
+        const Route *found = applied->routes.at(route.host, route.prefix);
+        RC_ASSERT(found != nullptr && *found == route);
+    }
+}
+
+// Guards against a change that is applied to a configuration it was not made from.
+RC_GTEST_PROP(RoutingChange, IsRefusedOrHarmlessOnAnotherBase, ())
+{
+    const RoutingConfig later = anyConfig(5);
+    const RoutingChange change = changeBetween(anyConfig(3), later);
+    const auto applied = applyChange(anyConfig(4), change);
+    if (applied) {
+        RC_ASSERT(digestOf(*applied) == digestOf(later));
+    }
+}
+
+TEST(RoutingChange, IsAsLargeAsTheDifference)
+{
+    std::vector<Route> routes;
+    for (int place = 0; place < 5000; ++place) {
+        routes.push_back(routeAt(place, 1));
+    }
+    RoutingConfig earlier;
+    earlier.routes = tableOf(routes);
+    RoutingConfig later;
+    routes[7].timeout = 9s;
+    routes.pop_back();
+    routes.push_back(routeAt(9000, 2));
+    later.routes = tableOf(routes);
+    const RoutingChange change = changeBetween(earlier, later);
+    EXPECT_EQ(change.set.size(), 2U);
+    ASSERT_EQ(change.removed.size(), 1U);
+    EXPECT_EQ(change.removed[0].prefix, "/p4999/");
+}
+
+TEST(RoutingChange, DigestSeesEveryField)
+{
+    using Alter = void (*)(Route &, ForwardedService &, CallerLimits &);
+    const auto digestWith = [](Alter alter) {
+        Route route = routeAt(1, 1);
+        ForwardedService service{ServiceId("s1"), EngineTraits{}};
+        CallerLimits limits;
+        alter(route, service, limits);
+        RoutingConfig config;
+        std::vector<Route> routes;
+        routes.push_back(std::move(route));
+        config.routes = tableOf(std::move(routes));
+        config.services[service.id] = service;
+        config.limits = limits;
+        return digestOf(config);
+    };
+    const std::vector<Alter> alterations = {
+        [](Route &, ForwardedService &, CallerLimits &) {},
+        [](Route &route, ForwardedService &, CallerLimits &) { route.name = "other"; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.kind = CallKind::Generation; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.isResumable = true; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.timeout = 1s; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.target = 1s; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.longestPause = 1s; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.rank = 1; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.attempts = 2; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.services[0].weight = 2; },
+        [](Route &, ForwardedService &service, CallerLimits &) { service.engines.reset(); },
+        [](Route &, ForwardedService &service, CallerLimits &) { service.engines->slots = 9; },
+        [](Route &, ForwardedService &service, CallerLimits &) { service.engines->memory = Tokens(9); },
+        [](Route &, ForwardedService &service, CallerLimits &) { service.engines->resultLife = 9s; },
+        [](Route &, ForwardedService &service, CallerLimits &) { service.engines->longestReservation = 9s; },
+        [](Route &, ForwardedService &service, CallerLimits &) { service.engines->stageChange = 9s; },
+        [](Route &, ForwardedService &service, CallerLimits &) { service.engines->perEvent = Tokens(9); },
+        [](Route &, ForwardedService &, CallerLimits &limits) { limits.header = Bytes(9); },
+        [](Route &, ForwardedService &, CallerLimits &limits) { limits.body = Bytes(9); },
+        [](Route &, ForwardedService &, CallerLimits &limits) { limits.headerTime = 9s; },
+        [](Route &, ForwardedService &, CallerLimits &limits) { limits.idle = 9s; },
+    };
+    std::set<std::uint64_t> digests;
+    for (const Alter alter : alterations) {
+        digests.insert(digestWith(alter));
+    }
+    EXPECT_EQ(digests.size(), alterations.size());
+}
+
+} // namespace
+} // namespace fescuesill
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -17,6 +17,8 @@
 {
 
 constexpr std::size_t eventRing = 4096;
+// Bytes to all followers. More would hold up places for generations on a leader with a slow link; the store has room.
+constexpr std::size_t mostChangeFanOut = 256 << 10;
 constexpr Duration askToFollowAgain{1s}; // one message of a few bytes; meanwhile this host reads the store itself
 
 } // namespace
@@ -185,9 +187,15 @@
 
 void LeaderLink::onNews(const store_update::News &news)
 {
+    peer::Message message = news.message;
+    if (auto *config = std::get_if<peer::ConfigNews>(&message)) {
+        if (config->change.size() * this->followers.size() > mostChangeFanOut) {
+            config->change.clear();
+        }
+    }
     for (const LinkId follower : this->followers) {
         if (!news.follower || *news.follower == follower) {
-            this->node->send(follower, news.message);
+            this->node->send(follower, message);
         }
     }
 }
@@ -299,7 +307,11 @@
         Overloaded{[&](const peer::TryPlace &place) { this->gates.onTry(place); },
                    [&](const peer::NoPlace &none) { this->gates.onNone(none); },
                    [&](const peer::RegistryNews &news) { this->store->onNews(news); },
-                   [&](const peer::ConfigNews &news) { this->store->onNews(news); },
+                   [&](const peer::ConfigNews &news) {
+                       if (isFromLeader) {
+                           this->store->onNews(news);
+                       }
+                   },
                    [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
                    [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
                    [&](const peer::LeadEnded &) {
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -1,7 +1,7 @@
 // The leader follows the tables and hands their changes on to all other hosts, which read the store themselves only
 // while they have no leader that can: a fleet of 75 hosts that all followed both tables made 150 calls a second, and
-// one leader makes four. Rows of the registry go with the news. The configuration's row may be large and is read by
-// each host.
+// one leader makes four. Rows of the registry go with the news, and so does a small change of the configuration; after
+// a large one each host reads the row.
 //
 // Each table is read whole once and then followed from that version. A gap in the store's history, or a failed list,
 // leads back to the whole list; any other fault is tried again from the same version, so no change is missed.
@@ -254,7 +254,7 @@
             continue;
         }
         this->push(store_update::News{this->recent.after(has), link});
-        this->push(store_update::News{peer::ConfigNews{static_cast<std::uint64_t>(this->configRow)}, link});
+        this->push(store_update::News{this->configSummary(), link});
     }
 }
 
@@ -296,13 +296,18 @@
 void StoreDuty::onNews(const peer::ConfigNews &news)
 {
     asio::post(this->io, [this, news] {
-        const bool isKnown = static_cast<std::int64_t>(news.rowVersion) <= this->configRow;
-        if (!isKnown) {
+        const ConfigReplica::NewsOutcome outcome = this->replica.takeNews(news);
+        if (outcome == ConfigReplica::NewsOutcome::Applied) {
+            this->config.version = std::max(this->config.version.value_or(0), this->replica.row().value());
+            this->push(store_update::Config{this->replica.config()});
+        }
+        const bool isRowNeeded = outcome == ConfigReplica::NewsOutcome::RowNeeded;
+        if (isRowNeeded) {
             this->config.version.reset(); // read it whole, then rest again
         }
-        // The news that follows the read sets this again; until then the table is followed from here.
-        this->setRelayed(Table::Config, isKnown);
-        this->configAtLeader = static_cast<std::int64_t>(news.rowVersion);
+        // takeConfig() sets this again after the read; until then the table is followed from here.
+        this->setRelayed(Table::Config, !isRowNeeded);
+        this->configAtLeader = RowVersion(static_cast<std::int64_t>(news.rowVersion));
     });
 }
 
@@ -447,16 +452,8 @@
     this->push(store_update::Changed{std::move(*record)});
 }
 
-void StoreDuty::takeConfig(const StoreRow &row)
+std::shared_ptr<const RoutingConfig> StoreDuty::decodeConfig(const StoreRow &row)
 {
-    this->configRow = std::max(this->configRow, row.version);
-    if (this->isLeading()) {
-        this->push(store_update::News{peer::ConfigNews{static_cast<std::uint64_t>(this->configRow)}, std::nullopt});
-    }
-    // The leader had this version: it will tell of the next one.
-    if (this->configAtLeader && this->configRow >= *this->configAtLeader) {
-        this->setRelayed(Table::Config, true);
-    }
     const Instant read = steadyNow();
     auto decoded = decodeConfigRow(row.value);
     Log::info("config_read",
@@ -465,10 +462,32 @@
                {"took_ms", (read - this->config.asked).count() / 1000},
                {"decode_ms", (steadyNow() - read).count() / 1000}});
     if (!decoded) {
-        Log::error("config_unreadable", {{"reason", decoded.error().text}});
-        return;
+        Log::error("config_unreadable", {{"row", row.version}, {"reason", decoded.error().text}});
+        return nullptr;
+    }
+    return std::make_shared<const RoutingConfig>(std::move(*decoded));
+}
+
+peer::ConfigNews StoreDuty::configSummary() const
+{
+    return {static_cast<std::uint64_t>(this->replica.row().value()), 0, {}};
+}
+
+void StoreDuty::takeConfig(const StoreRow &row)
+{
+    std::optional<ConfigStep> step;
+    if (const RowVersion version(row.version); version > this->replica.row()) {
+        step = this->replica.takeRow(version, this->decodeConfig(row));
+    }
+    if (step) {
+        this->push(store_update::Config{step->config});
+    }
+    if (this->isLeading()) {
+        this->push(store_update::News{step ? newsOf(*step) : this->configSummary(), std::nullopt});
+    }
+    if (this->configAtLeader && this->replica.row() >= *this->configAtLeader) {
+        this->setRelayed(Table::Config, true); // the leader will notify of the next version
     }
-    this->push(store_update::Config{std::make_shared<const RoutingConfig>(std::move(*decoded))});
 }
 
 } // namespace fescuesill
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -7,6 +7,7 @@
 //     duty.stop();
 
 #include "decide/routingconfig.h"
+#include "programs/gateway/configreplica.h"
 #include "programs/gateway/recentrows.h"
 #include "promise/endpointregistry.h"
 #include "promise/leadership.h"
@@ -143,6 +144,8 @@
     void takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before);
     void takeRow(Table table, const StoreRow &row);
     void takeConfig(const StoreRow &row);
+    std::shared_ptr<const RoutingConfig> decodeConfig(const StoreRow &row);
+    peer::ConfigNews configSummary() const;
     void takeList(const std::vector<StoreRow> &rows);
     void handOn(const std::vector<StoreRow> &rows, std::int64_t before);
     void remember(const std::vector<StoreRow> &rows, std::int64_t before, bool isWhole);
@@ -167,8 +170,8 @@
     Followed config;
     Followed registry;
     RecentRows recent; // of the registry, for followers that are a little behind
-    std::int64_t configRow = 0; // version of the configuration's row here
-    std::optional<std::int64_t> configAtLeader; // the newest that the leader told of
+    ConfigReplica replica;
+    std::optional<RowVersion> configAtLeader; // the newest row that the leader notified of
     std::map<LinkId, std::uint64_t> newFollowers; // not answered yet, with the version that each has
     Leadership leadership;
     asio::steady_timer leadTimer;
--- a/testing/process/test_gateway_config.py
+++ b/testing/process/test_gateway_config.py
@@ -17,6 +17,7 @@
 
 ROUTES = 3000
 HOSTS = 24
+LONGEST_FOLLOW_SECONDS = 2  # a read that waited for a change when the leader took over has ended by then
 SLOW_BYTES_PER_SECOND = 250_000  # the whole row takes several times the limit for a short reply
 
 
@@ -66,6 +67,23 @@
         wait_until(gateway.is_ready, "the gateway to be ready again")
         self.assertTrue(self.is_served(gateway, ROUTES - 1))
 
+    # Guards against a small change of a large configuration that every host reads whole from the store.
+    def test_a_small_change_reaches_followers_without_a_read_of_the_store(self):
+        self.platform.configure(routes(ROUTES))
+        gateways = [self.start(f"g{number}", self.platform.address) for number in range(4)]
+        wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
+        followers = [gateway for gateway in gateways if not gateway.leads()]
+        for gateway in followers:
+            wait_until(lambda: "table=op relayed=yes" in gateway.log(), "the relay")
+        time.sleep(LONGEST_FOLLOW_SECONDS)
+        sent = self.platform.configs_sent
+        version = self.platform.configure(routes(ROUTES + 1))
+        for gateway in followers:
+            wait_until(lambda: f"config_in_force version={version} " in gateway.log(), "the change to be in force")
+            self.assertIn("event=config_changed ", gateway.log())
+            self.assertTrue(self.is_served(gateway, ROUTES))
+        self.assertEqual(self.platform.configs_sent - sent, 1)
+
     # Guards against hosts that keep an old configuration, or fall back to it, while it grows and engines are replaced.
     def test_many_hosts_follow_a_growing_configuration_during_a_rollout(self):
         gateways = [self.start(f"g{number}", self.slow_store() if number % 3 else self.platform.address)
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -256,6 +256,8 @@
 void fields(Visitor &visit, ConfigNews &m)
 {
     visit(m.rowVersion);
+    visit(m.after);
+    visit(m.change);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -250,10 +250,13 @@
     std::vector<RegistryRow> rows;
 };
 
-// The leader to a gateway: the configuration's row has this version. It is read from the store, which has more room on
-// its links than the leader.
+// The leader to a gateway: the configuration's row has this version. Where there is no change with it, or the gateway
+// has another row than the change is based on, the row is read from the store, which has more room on its links than
+// the leader.
 struct ConfigNews {
     std::uint64_t rowVersion = 0;
+    std::uint64_t after = 0; // the row that the change is based on
+    std::string change; // encodeRoutingChange(), or empty
 };
 
 // The leader to a gateway: this engine is ordered to change its stage and takes no work for so long.
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -35,7 +35,10 @@
     EXPECT_EQ(place.engine, EngineId("d"));
     EXPECT_EQ(place.prefill, EngineId("p"));
     EXPECT_EQ(passedOn(EngineChanging{EngineId("d"), 8s}).lasts, 8s);
-    EXPECT_EQ(passedOn(ConfigNews{41}).rowVersion, 41U);
+    const ConfigNews config = passedOn(ConfigNews{41, 38, std::string("\xff\x00{", 3)});
+    EXPECT_EQ(config.rowVersion, 41U);
+    EXPECT_EQ(config.after, 38U);
+    EXPECT_EQ(config.change, std::string("\xff\x00{", 3));
     EXPECT_EQ(passedOn(FollowStore{7}).version, 7U);
     passedOn(StoreLost{});
     passedOn(LeadEnded{});
