Have followers read a change themselves while the leader reads it slowly

What callers would see: with replies bound by silence, a leader with a slow or lossy link may take seconds for a change, and 74 hosts on good links would wait for it although they are in touch with the store. Before, its read failed after 1.1 s and it notified them of a lost store.

Change: where a read of the leader takes longer than its wait and the 600 ms for a first byte, followers are notified: ConfigDelayed for the configuration, StoreLost for the registry. They follow the table themselves until the leader has the row. No host begins to follow a leader that is in the middle of such a read. store_read_slow logs it.

--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -312,6 +312,11 @@
                            this->store->onNews(news);
                        }
                    },
+                   [&](const peer::ConfigDelayed &) {
+                       if (isFromLeader) {
+                           this->store->onConfigDelayed();
+                       }
+                   },
                    [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
                    [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
                    [&](const peer::LeadEnded &) {
--- a/programs/gateway/storeduty.cpp
+++ b/programs/gateway/storeduty.cpp
@@ -137,6 +137,7 @@
             this->followOnce(table, store, yield);
             continue;
         } catch (const StoreError &error) {
+            this->endRead(table);
             if (error.isHistoryGone()) {
                 Log::info("store_history_gone", {{"table", nameOf(table == Table::Config)}});
                 followed.version.reset();
@@ -148,6 +149,44 @@
     }
 }
 
+// A long reply may take seconds on the leader's link, in which all others would wait for it.
+void StoreDuty::beginRead(Table table, Duration expected)
+{
+    Followed &followed = this->of(table);
+    followed.isReading = true;
+    followed.slow.expires_after(expected);
+    followed.slow.async_wait([this, table](const boost::system::error_code &error) {
+        if (!error) {
+            this->onSlowRead(table);
+        }
+    });
+}
+
+void StoreDuty::endRead(Table table)
+{
+    Followed &followed = this->of(table);
+    followed.isReading = false;
+    followed.isSlow = false;
+    followed.slow.cancel();
+}
+
+void StoreDuty::onSlowRead(Table table)
+{
+    Followed &followed = this->of(table);
+    // The read may have ended, and the next one begun, between the timer's expiry and this call.
+    if (!followed.isReading || asio::steady_timer::clock_type::now() < followed.slow.expiry()) {
+        return;
+    }
+    followed.isSlow = true;
+    if (!this->isLeading()) {
+        return;
+    }
+    Log::info("store_read_slow", {{"table", nameOf(table == Table::Config)}});
+    const peer::Message message =
+        table == Table::Config ? peer::Message(peer::ConfigDelayed{}) : peer::Message(peer::StoreLost{});
+    this->push(store_update::News{message, std::nullopt});
+}
+
 void StoreDuty::onReadFailed(Table table, const StoreError &error)
 {
     Followed &followed = this->of(table);
@@ -175,7 +214,9 @@
     // The leader learns of a silent connection sooner, since all others wait for it.
     const Duration wait =
         this->isLeading() ? std::min(leaderWait, this->options.contact / 2) : this->options.contact / 2;
+    this->beginRead(table, isWhole ? replyLimit : wait + replyLimit);
     const StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
+    this->endRead(table);
     followed.failures = 0;
     if (followed.isLost) {
         followed.isLost = false;
@@ -245,7 +286,8 @@
 // ahead of this host, goes on reading the store and asks again.
 void StoreDuty::welcomeFollowers()
 {
-    if (!this->isLeading() || !this->registry.version || this->registry.isLost || this->config.isLost) {
+    const bool isBehind = this->registry.isLost || this->config.isLost || this->registry.isSlow || this->config.isSlow;
+    if (!this->isLeading() || !this->registry.version || isBehind) {
         return;
     }
     for (const auto &[link, version] : std::exchange(this->newFollowers, {})) {
@@ -311,6 +353,14 @@
     });
 }
 
+void StoreDuty::onConfigDelayed()
+{
+    asio::post(this->io, [this] {
+        this->setRelayed(Table::Config, false);
+        this->configAtLeader.reset();
+    });
+}
+
 void StoreDuty::onLeaderLostStore()
 {
     asio::post(this->io, [this] {
--- a/programs/gateway/storeduty.h
+++ b/programs/gateway/storeduty.h
@@ -93,6 +93,7 @@
     // The leader hands on changes: this host reads the store itself only where the leader cannot.
     void onNews(const peer::RegistryNews &news);
     void onNews(const peer::ConfigNews &news);
+    void onConfigDelayed();
     void onLeaderLostStore();
     // A host that follows this one has all up to a version.
     void addFollower(LinkId link, std::uint64_t version);
@@ -121,6 +122,7 @@
     struct Followed {
         Followed(asio::io_context &io)
             : pause(io)
+            , slow(io)
         {
         }
 
@@ -129,7 +131,10 @@
         int failures = 0; // reads in a row
         Instant asked; // when the last read began; one that follows also waits for a change
         bool isRelayed = false; // the leader hands on its changes
+        bool isReading = false;
+        bool isSlow = false; // the read that is under way
         asio::steady_timer pause;
+        asio::steady_timer slow;
     };
 
     Followed &of(Table table)
@@ -138,6 +143,9 @@
     }
     void follow(Table table, const asio::yield_context &yield);
     void followOnce(Table table, StoreClient &store, const asio::yield_context &yield);
+    void beginRead(Table table, Duration expected);
+    void endRead(Table table);
+    void onSlowRead(Table table);
     void onReadFailed(Table table, const StoreError &error);
     void waitFor(Followed &table, Duration time, const asio::yield_context &yield);
     void setRelayed(Table table, bool isRelayed);
--- a/testing/process/test_gateway_config.py
+++ b/testing/process/test_gateway_config.py
@@ -18,6 +18,7 @@
 ROUTES = 3000
 HOSTS = 24
 LONGEST_FOLLOW_SECONDS = 2  # a read that waited for a change when the leader took over has ended by then
+LEADER_BYTES_PER_SECOND = 100_000  # its read takes some eight seconds
 SLOW_BYTES_PER_SECOND = 250_000  # the whole row takes several times the limit for a short reply
 
 
@@ -40,9 +41,9 @@
         self.addCleanup(gateway.end)
         return gateway
 
-    def slow_store(self):
+    def slow_store(self, bytes_per_second=SLOW_BYTES_PER_SECOND):
         proxy = Proxy(self.platform.address)
-        proxy.bytes_per_second = SLOW_BYTES_PER_SECOND
+        proxy.bytes_per_second = bytes_per_second
         self.addCleanup(proxy.end)
         return proxy.address
 
@@ -84,6 +85,23 @@
             self.assertTrue(self.is_served(gateway, ROUTES))
         self.assertEqual(self.platform.configs_sent - sent, 1)
 
+    # Guards against a leader with a slow link that keeps a configuration from all others while it reads it.
+    def test_followers_do_not_wait_for_a_leader_that_reads_slowly(self):
+        leader = self.start("leader", self.slow_store(LEADER_BYTES_PER_SECOND))
+        wait_until(leader.leads, "the slow host to lead")
+        followers = [self.start(f"g{number}", self.platform.address) for number in range(3)]
+        for gateway in followers:
+            wait_until(lambda: "table=op relayed=yes" in gateway.log(), "the relay")
+        time.sleep(LONGEST_FOLLOW_SECONDS)
+        version = self.platform.configure(routes(ROUTES))
+        for gateway in followers:
+            wait_until(lambda: f"config_in_force version={version} " in gateway.log(), "the change on a follower")
+        self.assertNotIn(f"config_in_force version={version} ", leader.log())
+        wait_until(lambda: f"config_in_force version={version} " in leader.log(), "the change on the leader")
+        small = self.platform.configure(routes(ROUTES + 1))
+        for gateway in followers + [leader]:
+            wait_until(lambda: f"config_in_force version={small} " in gateway.log(), "the next change")
+
     # Guards against hosts that keep an old configuration, or fall back to it, while it grows and engines are replaced.
     def test_many_hosts_follow_a_growing_configuration_during_a_rollout(self):
         gateways = [self.start(f"g{number}", self.slow_store() if number % 3 else self.platform.address)
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -260,6 +260,11 @@
     visit(m.change);
 }
 
+template<typename Visitor>
+void fields(Visitor & /*visit*/, ConfigDelayed & /*m*/)
+{
+}
+
 template<typename Visitor>
 void fields(Visitor &visit, EngineChanging &m)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -259,6 +259,10 @@
     std::string change; // encodeRoutingChange(), or empty
 };
 
+// The leader to a gateway: the configuration has changed, and the leader is slow to read it.
+struct ConfigDelayed {
+};
+
 // The leader to a gateway: this engine is ordered to change its stage and takes no work for so long.
 struct EngineChanging {
     EngineId engine;
@@ -284,10 +288,11 @@
     std::uint64_t hosts = 1; // that the leader places for, with itself
 };
 
-using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
-                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
-                             AskPlace, TryPlace, NoPlace, PlaceReport, HeldPlaces, FollowStore, RegistryNews,
-                             ConfigNews, EngineChanging, StoreLost, LeadEnded, FollowerAddress, DeputyNamed>;
+using Message =
+    std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
+                 Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, AskPlace, TryPlace,
+                 NoPlace, PlaceReport, HeldPlaces, FollowStore, RegistryNews, ConfigNews, ConfigDelayed, EngineChanging,
+                 StoreLost, LeadEnded, FollowerAddress, DeputyNamed>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -40,6 +40,7 @@
     EXPECT_EQ(config.after, 38U);
     EXPECT_EQ(config.change, std::string("\xff\x00{", 3));
     EXPECT_EQ(passedOn(FollowStore{7}).version, 7U);
+    passedOn(ConfigDelayed{});
     passedOn(StoreLost{});
     passedOn(LeadEnded{});
     EXPECT_EQ(passedOn(FollowerAddress{"10.0.0.1:1"}).address, "10.0.0.1:1");
