Bound the scheduler's reads of the platform by silence too

The same cause as in the gateway's store client: the scheduler had two seconds for the whole reply that carries the declaration or the host list, and began from nothing after it. At 10 Mbit/s a row over 2.5 MB would never be read (reckoned, not seen). Its reads end where nothing comes for 1.2 s, or after 15 s. Commits and the ledger's reads keep two seconds: a booking waits for them, and their replies do not grow. PlatformClient.ReadsALargeRowForAsLongAsItArrives: a row that takes a second, with a deadline of 500 ms, fails without the new limits and is read with them.

--- a/programs/scheduler/platformduty.cpp
+++ b/programs/scheduler/platformduty.cpp
@@ -28,6 +28,16 @@
 
 constexpr int fullEvery = 30;
 constexpr double spread = 0.2;
+// Of reads: without a byte, and in all. The configuration and the host list grow with the fleet.
+constexpr BodyLimits readBody{1200ms, 15s};
+
+PlatformClient::Options clientOptions(const PlatformDuty::Options &options)
+{
+    PlatformClient::Options client;
+    client.address = options.address;
+    client.readBody = readBody;
+    return client;
+}
 
 } // namespace
 
@@ -35,7 +45,7 @@
     Impl(Options given, Output callback)
         : options(std::move(given))
         , output(std::move(callback))
-        , client(context, PlatformClient::Options{options.address})
+        , client(context, clientOptions(options))
         , random(std::random_device()())
         , sweeper(context, client, options.sweeper)
     {
--- a/wire/platformclient.cpp
+++ b/wire/platformclient.cpp
@@ -132,6 +132,7 @@
 PlatformClient::PlatformClient(asio::io_context &io, const Options &options)
     : address(options.address)
     , deadline(options.deadline)
+    , readBody(options.readBody)
     , client(io, [&options] {
         HttpClient::Options limits;
         limits.connections = options.connections;
@@ -142,9 +143,11 @@
 
 HttpResponse PlatformClient::call(const HttpRequest &request, const asio::yield_context &yield)
 {
-    const Reuse reuse = request.method == "GET" ? Reuse::Allowed : Reuse::Never;
+    const CallOptions options = request.method == "GET"
+        ? CallOptions{this->deadline, Reuse::Allowed, nullptr, this->readBody}
+        : CallOptions{this->deadline, Reuse::Never};
     try {
-        HttpResponse response = this->client.call(this->address, request, {this->deadline, reuse}, yield);
+        HttpResponse response = this->client.call(this->address, request, options, yield);
         if (response.status == statusRateLimited) {
             throw PlatformError(RateLimited{});
         }
--- a/wire/platformclient.h
+++ b/wire/platformclient.h
@@ -93,6 +93,9 @@
     struct Options {
         std::string address = {}; // IP:PORT
         Duration deadline{2s}; // of one call; a store slower than this counts as down
+        // Where set, the deadline of a read ends with the reply's header: for rows whose size grows with the
+        // deployment.
+        std::optional<BodyLimits> readBody = std::nullopt;
         std::size_t connections = 32; // at once; several hundred writes a second at a few ms each need under ten
     };
 
@@ -114,6 +117,7 @@
 
     std::string address;
     Duration deadline;
+    std::optional<BodyLimits> readBody;
     HttpClient client;
 };
 
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -210,6 +210,35 @@
     }
 }
 
+// Guards against a configuration that no host behind a slow link ever reads, since its whole row must come within the
+// deadline.
+TEST(PlatformClient, ReadsALargeRowForAsLongAsItArrives)
+{
+    const std::string reply = R"({"key":"config/current","value":"text","version":7})";
+    const ServedThread slow({}, [&](HttpCall &, HttpReply &answer, const asio::yield_context &yield) {
+        answer.startStream(200, yield);
+        for (const char byte : reply) {
+            asio::steady_timer pause(asio::get_associated_executor(yield.handler_), std::chrono::milliseconds(20));
+            boost::system::error_code ignored;
+            pause.async_wait(yield[ignored]);
+            answer.write(std::string_view(&byte, 1), yield);
+        }
+        answer.finish(yield);
+    });
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        PlatformClient::Options options;
+        options.address = slow.address();
+        options.deadline = 500ms;
+        PlatformClient wholeInTime(io, options);
+        EXPECT_THROW(wholeInTime.get("config/current", yield), PlatformError);
+        options.readBody = BodyLimits{5s, 15s};
+        PlatformClient platform(io, options);
+        const auto row = platform.get("config/current", yield);
+        ASSERT_TRUE(row);
+        EXPECT_EQ(row->version, RowVersion(7));
+    });
+}
+
 // The store carries the write out and its reply is lost on the way. One commit must reach it: a second could report a
 // conflict with the first.
 TEST(PlatformClient, CallsALostReplyLost)
