Soak with configurations that grow by thousands of routes, and slow links to the store

Configurations in the soak had four routes, and its proxies harmed connections but never made them slow, so a reply that takes long could not show. It now adds up to 3,000 routes, limits links to 150 to 1,000 KB/s for up to six seconds, and asks each host at the end by a route that only the newest configuration has.

--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -35,6 +35,8 @@
 LONGEST_FAULT_SECONDS = 3.0
 PLAIN_FAULTS = ("cut", "mute", "error", "full", "extra", "other_id", "encoded", "unframed")
 DECODE_FAULTS = ("half", "full")
+MOST_ROUTES_MORE = 3000  # a whole configuration of them is some 600 KB
+SLOW_BYTES_PER_SECOND = (150_000, 1_000_000)  # of a host's link to the store
 LATE_RUNS_SECONDS = 1.0  # a call that was refused must not run later either
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
@@ -52,7 +54,8 @@
             self.platform.register(endpoint)
         self.readers = [self.platform.endpoint("llm", "prefill") for _ in range(2)]
         self.writers = [self.platform.endpoint("llm", "decode") for _ in range(3)]
-        self.platform.configure(ROUTES)
+        self.routes = ROUTES
+        self.platform.configure(self.routes)
         self.stores = [Proxy(self.platform.address) for _ in range(hosts)]
         self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS)
                          for number, store in enumerate(self.stores)]
@@ -122,10 +125,22 @@
             proxy.reset()  # what was lost on the way leaves no half messages behind
 
     def store_fault(self, chance, lasts):
-        for proxy in chance.sample(self.stores, chance.randint(1, len(self.stores))):
+        proxies = chance.sample(self.stores, chance.randint(1, len(self.stores)))
+        if chance.random() < 0.3:
+            self.slow_links(proxies, chance, lasts)
+            return
+        for proxy in proxies:
             threading.Thread(target=self.proxy_fault, args=(proxy, chance, lasts), daemon=True).start()
         time.sleep(lasts + 0.1)
 
+    def slow_links(self, proxies, chance, lasts):
+        self.note("slow links", len(proxies), f"{lasts:.2f}")
+        for proxy in proxies:
+            proxy.bytes_per_second = chance.randint(*SLOW_BYTES_PER_SECOND)
+        time.sleep(2 * lasts)
+        for proxy in proxies:
+            proxy.bytes_per_second = None
+
     def endpoint_fault(self, chance, lasts):
         if chance.random() < 0.4:
             self.proxy_fault(chance.choice(self.proxies), chance, lasts)
@@ -152,7 +167,7 @@
         self.platform.register(endpoint, born=int(time.time() * 1000))
 
     def platform_fault(self, chance, lasts):
-        kind = chance.choice(("down", "forget", "lose", "storm", "silence"))
+        kind = chance.choice(("down", "forget", "lose", "storm", "silence", "grow"))
         self.note("store", kind, f"{lasts:.2f}")
         if kind == "down":
             self.platform.store.is_down = True
@@ -164,19 +179,25 @@
             self.platform.lose_answers(chance.randint(1, 4))
         elif kind == "silence":
             self.platform.silence_open_connections()
+        elif kind == "grow":
+            more = chance.randint(1, MOST_ROUTES_MORE)
+            self.routes = ROUTES + [route(f"/more-{number}/", "safe", "booking") for number in range(more)]
+            self.platform.configure(self.routes)
         else:
             for _ in range(chance.randint(2, 8)):
-                self.platform.configure(ROUTES)
+                self.platform.configure(self.routes)
                 time.sleep(lasts / 8)
 
     def check_recovery(self):
-        """Everybody is served again: each kind of call on each host."""
+        """Everybody is served again: each kind of call on each host, by the newest configuration."""
         for proxy in self.proxies + self.stores:
             proxy.mode = "pass"
+        self.routes = self.routes + [route("/newest/", "safe", "booking", max_attempts=2)]
+        self.platform.configure(self.routes)
         size = {"X_Token_Count": "100,400", "X_Length_Hint": "300", "X_Model": "m"}
         for gateway in self.gateways:
             wait_until(gateway.is_ready, f"{gateway.name} to be ready again")
-            for path, headers in (("/look/", {}), ("/write/", size)):
+            for path, headers in (("/look/", {}), ("/write/", size), ("/newest/", {})):
                 wait_until(lambda: self.is_served(gateway, path, headers), f"{gateway.name} to serve {path}")
 
     def is_served(self, gateway, path, headers):
