--- a/decide/testing/routingchange_test.cpp
+++ b/decide/testing/routingchange_test.cpp
@@ -75,6 +75,7 @@
 TEST(RoutingChange, IsAsLargeAsTheDifference)
 {
     std::vector<Route> routes;
+    routes.reserve(5000);
     for (int place = 0; place < 5000; ++place) {
         routes.push_back(routeAt(place, 1));
     }
--- a/programs/gateway/testing/configreplica_test.cpp
+++ b/programs/gateway/testing/configreplica_test.cpp
@@ -26,6 +26,7 @@
 Config configOf(std::int64_t version, const std::map<int, int> &weights)
 {
     std::vector<Route> routes;
+    routes.reserve(weights.size());
     for (const auto &[place, weight] : weights) {
         routes.push_back(routeAt(place, weight));
     }
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -5,6 +5,7 @@
 build=$1
 "$build/fescuesill-slopes"
 "$build/fescuesill-slopes" links
+"$build/fescuesill-slopes" configuration
 "$build/fakeengine" --listen 127.0.0.1:23500 >/dev/null &
 engine=$!
 trap 'kill "$engine"' EXIT
--- a/testing/slopes/main.cpp
+++ b/testing/slopes/main.cpp
@@ -1,6 +1,7 @@
 // fescuesill-slopes [HOSTS…]: what the pure cores cost as the fleet grows, one JSON line for each size.
 // fescuesill-slopes links [LINKS…]: links between entries and one scheduler, and the news that goes over them.
 // fescuesill-slopes polls IP:PORT [ENGINES…]: an owner's polling of a stand-in engine that runs there.
+// fescuesill-slopes configuration [ROUTES…]: what a gateway's configuration costs, and a change of three routes of it.
 // fescuesill-slopes lateness [HOSTS [CELLS]]: how late the summaries of cells are, one line for each publishing period.
 //
 // Membership runs in virtual time (fleet.h). Processor time is this process's own; it depends on the machine, its
@@ -139,6 +140,8 @@
         measureLinks(orElse({3, 9, 36, 340}));
     } else if (mode == "polls" && words.size() > 1) {
         measureEnginePolls(words[1], orElse({1, 4, 13}));
+    } else if (mode == "configuration") {
+        measureConfiguration(orElse({300, 1000, 3000, 5000, 10000}));
     } else if (mode == "lateness") {
         for (const Duration period : {1s, 5s, 10s, 30s}) {
             measureLateness(sizes.empty() ? 340 : sizes[0], sizes.size() > 1 ? sizes[1] : 48, period);
--- a/testing/slopes/measures.h
+++ b/testing/slopes/measures.h
@@ -34,5 +34,7 @@
 void measureCellNews(const std::vector<int> &cells);
 // Polling by the owner of a cell, against a stand-in engine that runs at this address; every engine is that one.
 void measureEnginePolls(const std::string &address, const std::vector<int> &engines);
+// A gateway's configuration of so many routes: read whole, and a change of it.
+void measureConfiguration(const std::vector<int> &sizes);
 
 } // namespace fescuesill
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -291,8 +291,8 @@
 using Message =
     std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
                  Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, AskPlace, TryPlace,
-                 NoPlace, PlaceReport, HeldPlaces, FollowStore, RegistryNews, ConfigNews, ConfigDelayed, EngineChanging,
-                 StoreLost, LeadEnded, FollowerAddress, DeputyNamed>;
+                 NoPlace, PlaceReport, HeldPlaces, FollowStore, RegistryNews, ConfigNews, EngineChanging, StoreLost,
+                 LeadEnded, FollowerAddress, DeputyNamed, ConfigDelayed>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/routingchangecodec.cpp
+++ b/wire/routingchangecodec.cpp
@@ -3,6 +3,8 @@
 #include "wire/routingchangecodec.h"
 
 #include <nlohmann/json.hpp>
+
+#define ZLIB_CONST // inflate() takes bytes that it does not change
 #include <zlib.h>
 
 namespace fescuesill
@@ -36,7 +38,7 @@
         throw WireError("a change could not be inflated");
     }
     const std::unique_ptr<z_stream, int (*)(z_stream *)> ended(&stream, inflateEnd);
-    stream.next_in = reinterpret_cast<Bytef *>(const_cast<char *>(bytes.data()));
+    stream.next_in = reinterpret_cast<const Bytef *>(bytes.data());
     stream.avail_in = static_cast<uInt>(bytes.size());
     std::string out;
     int result = Z_OK;
