--- /dev/null
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -0,0 +1,246 @@
+// A watcher against a store on the same host. The test changes the store's registry and answers, and reads the updates
+// that the watcher pushes to the forwarding thread.
+
+#include "programs/gateway/storewatcher.h"
+
+#include "wire/clock.h"
+#include "wire/testing/servedthread.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace fescuesill
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr Duration contactLimit{400ms};
+constexpr Duration lease{300ms};
+constexpr Duration patience{5s}; // for updates that must come
+constexpr Duration pollStep{5ms};
+
+void pauseFor(Duration time, const asio::yield_context &yield)
+{
+    asio::steady_timer timer(asio::get_associated_executor(yield.handler_), time);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+// The values of the rows are opaque to the store, and to the watcher where the row is removed.
+class FakeStore
+{
+public:
+    enum class Feed {
+        Working,
+        Silent, // reads get no reply
+        Down, // all calls get 503
+    };
+
+    FakeStore()
+        : served({}, [this](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+            this->handle(call, reply, yield);
+        })
+    {
+    }
+
+    ~FakeStore()
+    {
+        this->set(Feed::Working); // ends the reads that are waiting
+    }
+    FakeStore(const FakeStore &) = delete;
+    FakeStore &operator=(const FakeStore &) = delete;
+
+    std::string address() const
+    {
+        return this->served.address();
+    }
+
+    void remove(const std::string &key)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->removeLocked(key);
+    }
+
+    // Readers of the feed get 410 instead of the change.
+    void removeInAGap(const std::string &key)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->removeLocked(key);
+        this->historyFrom = this->version;
+    }
+
+    void set(Feed state)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->feed = state;
+    }
+
+    // The version after the last change of the registry.
+    std::int64_t registryVersion()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return this->removedAt;
+    }
+
+private:
+    void removeLocked(const std::string &key)
+    {
+        ++this->version;
+        this->removedKey = key;
+        this->removedAt = this->version;
+    }
+
+    Feed state()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return this->feed;
+    }
+
+    static std::int64_t numberIn(const std::string &target, const std::string &name)
+    {
+        const std::size_t at = target.find(name + "=");
+        return at == std::string::npos ? 0 : std::stoll(target.substr(at + name.size() + 1));
+    }
+
+    void handle(HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
+    {
+        if (this->state() == Feed::Down) {
+            reply.send(503, "{}", yield);
+            return;
+        }
+        if (call.target.rfind("/rows-feed", 0) == 0) {
+            this->answerFeed(call.target, reply, yield);
+        } else if (call.target == "/rows-tx") {
+            this->write(Json::parse(call.body), reply, yield);
+        } else {
+            this->list(call.target, reply, yield);
+        }
+    }
+
+    void list(const std::string &target, HttpReply &reply, const asio::yield_context &yield)
+    {
+        Json rows = Json::array();
+        std::unique_lock<std::mutex> lock(this->mutex);
+        if (target.find("table=leases") != std::string::npos && this->leaseAt > 0) {
+            rows.push_back({{"key", "placing"}, {"value", this->leaseValue}, {"ver", this->leaseAt}});
+        }
+        const std::string text = Json({{"rows", rows}, {"ver", this->version}}).dump();
+        lock.unlock();
+        reply.send(200, text, yield);
+    }
+
+    void write(const Json &body, HttpReply &reply, const asio::yield_context &yield)
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        const bool isExpected = body["expected"][0]["ver"].get<std::int64_t>() == this->leaseAt;
+        if (isExpected) {
+            this->leaseAt = ++this->version;
+            this->leaseValue = body["set_keys"][0]["value"].get<std::string>();
+        }
+        const std::string text = Json({{"ver", this->version}, {"rows", Json::array()}}).dump();
+        lock.unlock();
+        reply.send(isExpected ? 200 : 412, text, yield);
+    }
+
+    void answerFeed(const std::string &target, HttpReply &reply, const asio::yield_context &yield)
+    {
+        const bool isRegistry = target.find("table=servers") != std::string::npos;
+        const std::int64_t after = numberIn(target, "after");
+        const Instant until = steadyNow() + std::chrono::milliseconds(numberIn(target, "wait_ms"));
+        while (this->state() == Feed::Silent) {
+            pauseFor(pollStep, yield);
+        }
+        while (steadyNow() < until && !this->hasNews(isRegistry, after)) {
+            pauseFor(pollStep, yield);
+        }
+        std::unique_lock<std::mutex> lock(this->mutex);
+        if (after < this->historyFrom) {
+            lock.unlock();
+            reply.send(410, "{}", yield);
+            return;
+        }
+        Json rows = Json::array();
+        if (isRegistry && this->removedAt > after) {
+            rows.push_back({{"key", this->removedKey}, {"ver", this->removedAt}, {"deleted", true}});
+        }
+        const std::string text = Json({{"rows", rows}, {"ver", this->version}}).dump();
+        lock.unlock();
+        reply.send(200, text, yield);
+    }
+
+    bool hasNews(bool isRegistry, std::int64_t after)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return after < this->historyFrom || (isRegistry && this->removedAt > after);
+    }
+
+    std::mutex mutex;
+    Feed feed = Feed::Working;
+    std::int64_t version = 10; // of the whole store; each write takes the next one
+    std::int64_t historyFrom = 0;
+    std::int64_t removedAt = 0;
+    std::string removedKey;
+    std::int64_t leaseAt = 0;
+    std::string leaseValue;
+    ServedThread served; // last, so that it ends before the members that it uses
+};
+
+// Collects the updates of one watcher. The tests poll it, so it needs no wake-up.
+class Updates
+{
+public:
+    Ring<StoreUpdate> ring{1024, [] {
+                           }};
+
+    // Whether an update for which the predicate holds arrives in time. Updates before it are dropped.
+    template<typename Predicate>
+    bool waitFor(Predicate predicate, Duration limit = patience)
+    {
+        const Instant until = steadyNow() + limit;
+        while (steadyNow() < until) {
+            while (const auto update = this->ring.tryPop()) {
+                if (predicate(*update)) {
+                    return true;
+                }
+            }
+            std::this_thread::sleep_for(pollStep);
+        }
+        return false;
+    }
+
+    template<typename Kind>
+    bool waitFor(Duration limit = patience)
+    {
+        return this->waitFor([](const StoreUpdate &update) { return std::holds_alternative<Kind>(update); }, limit);
+    }
+};
+
+StoreWatcher::Options optionsOf(const FakeStore &store, const LeaseRow &self)
+{
+    return {store.address(), contactLimit, self, lease};
+}
+
+const LeaseRow neverLeading;
+
+// Guards against a registry that stays marked as lost, so that endpoints missing from it are kept for good.
+TEST(StoreWatcher, KeepsARelayedRegistryWhenAnOlderReadFails)
+{
+    FakeStore store;
+    Updates updates;
+    StoreWatcher watcher(optionsOf(store, neverLeading), updates.ring);
+    ASSERT_TRUE(updates.waitFor<store_update::Listed>());
+    store.set(FakeStore::Feed::Silent);
+    std::this_thread::sleep_for(contactLimit); // the read that was running has ended, and the next one hangs
+    const auto version = watcher.knownVersion();
+    watcher.onUpdate(peer::RegistryUpdate{version, version + 1, {{version + 1, "e1", "", true}}});
+    ASSERT_TRUE(updates.waitFor<store_update::Removed>());
+    EXPECT_FALSE(updates.waitFor<store_update::Lost>(2s));
+}
+
+} // namespace
+} // namespace fescuesill
