Log endpoints that are kept though their row is missing

The log of a gateway could not tell an endpoint that was removed from one that is kept for a grace period: both were 'endpoint_removed', and nothing was logged when the grace period ended or when a whole list left an endpoint out.

'endpoint_missing' now says that the endpoint is still used, 'endpoint_removed' that it is not. Endpoints that leave by the end of the grace period or by a list also lose their measurements, which were kept for good before.

--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -32,7 +32,7 @@
         Overloaded{[&](const store_update::Config &read) { this->takeConfig(read.config); },
                    [&](const store_update::Listed &listed) {
                        this->hasEndpointList = true;
-                       this->registry.onListed(listed.records, now);
+                       this->reportMissing(this->registry.onListed(listed.records, now));
                        Log::info("endpoints_listed", {{"count", static_cast<std::int64_t>(listed.records.size())}});
                    },
                    [&](const store_update::Changed &changed) {
@@ -45,9 +45,7 @@
                                   {"leaving", record.isLeaving}});
                    },
                    [&](const store_update::Removed &removed) {
-                       this->registry.onRemoved(removed.id, now);
-                       this->forgetRemoved(removed.id);
-                       Log::info("endpoint_removed", {{"endpoint", removed.id.value()}});
+                       this->reportMissing(this->registry.onRemoved(removed.id, now));
                    },
                    [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
                    [&](const store_update::Restored &) { this->registry.onStoreRecovered(now); },
@@ -107,11 +105,14 @@
     return places;
 }
 
-void FleetView::forgetRemoved(const EndpointId &id)
+void FleetView::reportMissing(const std::vector<MissingEndpoint> &missing)
 {
-    if (this->registry.find(id) == nullptr) {
-        this->plainPicker.forget(id);
-        this->prefillChoice.forget(EngineId(id.value()));
+    for (const MissingEndpoint &endpoint : missing) {
+        Log::info(endpoint.isKept ? "endpoint_missing" : "endpoint_removed", {{"endpoint", endpoint.id.value()}});
+        if (!endpoint.isKept) {
+            this->plainPicker.forget(endpoint.id);
+            this->prefillChoice.forget(EngineId(endpoint.id.value()));
+        }
     }
 }
 
@@ -130,7 +131,7 @@
 
 void FleetView::expire(Instant now)
 {
-    this->registry.expire(now);
+    this->reportMissing(this->registry.expire(now));
     for (auto change = this->changes.begin(); change != this->changes.end();) {
         const EndpointRecord *record = this->registry.find(change->first);
         const bool isOver = now >= change->second.until || record == nullptr || record->part != change->second.from;
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -78,8 +78,9 @@
 
     void takeConfig(const std::shared_ptr<const RoutingConfig> &read);
     bool isChanging(const EndpointRecord &record) const;
-    // Drops the measurements of a removed endpoint. The process runs for months while endpoint names come and go.
-    void forgetRemoved(const EndpointId &id);
+    // Logs the endpoints, and drops the measurements of those that were removed. The process runs for months while
+    // endpoint names come and go.
+    void reportMissing(const std::vector<MissingEndpoint> &missing);
 
     DataCentreId dataCentre;
     RetryBudget::Options retries;
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -15,20 +15,23 @@
     return this->isStoreLost || (this->recoveredAt && now < *this->recoveredAt + this->options.returnGrace);
 }
 
-void EndpointRegistry::onMissing(std::map<EndpointId, Entry>::iterator entry, Instant now)
+MissingEndpoint EndpointRegistry::onMissing(std::map<EndpointId, Entry>::iterator entry, Instant now)
 {
+    const EndpointId id = entry->first;
     // An endpoint that announced that it is leaving and is missing from the table has left; the outage is not the
     // cause.
     if (!this->isWithinGrace(now) || entry->second.record.isLeaving) {
         this->entries.erase(entry);
-        return;
+        return {id, false};
     }
     const Instant recovered = this->isStoreLost ? now : *this->recoveredAt;
     entry->second.missingUntil = recovered + this->options.returnGrace;
+    return {id, true};
 }
 
-void EndpointRegistry::onListed(const std::vector<EndpointRecord> &records, Instant now)
+std::vector<MissingEndpoint> EndpointRegistry::onListed(const std::vector<EndpointRecord> &records, Instant now)
 {
+    std::vector<MissingEndpoint> missing;
     std::set<EndpointId> listed;
     for (const EndpointRecord &record : records) {
         listed.insert(record.id);
@@ -37,9 +40,10 @@
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
         const auto current = entry++;
         if (listed.count(current->first) == 0 && !current->second.missingUntil) {
-            this->onMissing(current, now);
+            missing.push_back(this->onMissing(current, now));
         }
     }
+    return missing;
 }
 
 void EndpointRegistry::onChanged(const EndpointRecord &record, Instant)
@@ -47,12 +51,13 @@
     this->entries[record.id] = Entry{record, std::nullopt};
 }
 
-void EndpointRegistry::onRemoved(const EndpointId &id, Instant now)
+std::vector<MissingEndpoint> EndpointRegistry::onRemoved(const EndpointId &id, Instant now)
 {
     const auto found = this->entries.find(id);
-    if (found != this->entries.end()) {
-        this->onMissing(found, now);
+    if (found == this->entries.end()) {
+        return {};
     }
+    return {this->onMissing(found, now)};
 }
 
 void EndpointRegistry::onStoreLost(Instant)
@@ -69,17 +74,20 @@
     this->recoveredAt = now;
 }
 
-void EndpointRegistry::expire(Instant now)
+std::vector<MissingEndpoint> EndpointRegistry::expire(Instant now)
 {
+    std::vector<MissingEndpoint> removed;
     if (this->isStoreLost) {
-        return;
+        return removed;
     }
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
         const auto current = entry++;
         if (current->second.missingUntil && now >= *current->second.missingUntil) {
+            removed.push_back({current->first, false});
             this->entries.erase(current);
         }
     }
+    return removed;
 }
 
 std::vector<const EndpointRecord *> EndpointRegistry::usable(const ServiceId &service) const
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -5,7 +5,7 @@
 //     EndpointRegistry registry(EndpointRegistry::Options{});
 //     registry.onListed(records, now);                  // the whole list, at start-up and after a gap
 //     registry.onChanged(record, now);                  // one row
-//     registry.onRemoved(EndpointId("e7"), now);
+//     for (const MissingEndpoint &missing : registry.onRemoved(EndpointId("e7"), now)) { ... }
 //     registry.onStoreLost(now);                        // the table is unavailable
 //     registry.onStoreRecovered(now);
 //     for (const EndpointRecord *record : registry.usable(service)) { ... }
@@ -44,6 +44,12 @@
     }
 };
 
+// An endpoint whose row is missing from the table.
+struct MissingEndpoint {
+    EndpointId id;
+    bool isKept = false; // until its row returns or its grace period ends; otherwise it was removed
+};
+
 class EndpointRegistry
 {
 public:
@@ -58,13 +64,14 @@
     {
     }
 
-    void onListed(const std::vector<EndpointRecord> &records, Instant now);
+    // Return the endpoints that are newly missing.
+    std::vector<MissingEndpoint> onListed(const std::vector<EndpointRecord> &records, Instant now);
+    std::vector<MissingEndpoint> onRemoved(const EndpointId &id, Instant now);
     void onChanged(const EndpointRecord &record, Instant now);
-    void onRemoved(const EndpointId &id, Instant now);
     void onStoreLost(Instant now);
     void onStoreRecovered(Instant now);
-    // Removes endpoints that are still missing after their grace period.
-    void expire(Instant now);
+    // Removes endpoints that are still missing after their grace period, and returns them.
+    std::vector<MissingEndpoint> expire(Instant now);
 
     // Endpoints of the service that are not leaving, in order of their IDs.
     std::vector<const EndpointRecord *> usable(const ServiceId &service) const;
@@ -84,7 +91,7 @@
     };
 
     bool isWithinGrace(Instant now) const;
-    void onMissing(std::map<EndpointId, Entry>::iterator entry, Instant now);
+    MissingEndpoint onMissing(std::map<EndpointId, Entry>::iterator entry, Instant now);
 
     Options options;
     std::map<EndpointId, Entry> entries;
--- a/report/logevents.cpp
+++ b/report/logevents.cpp
@@ -12,8 +12,8 @@
 constexpr std::array<std::string_view, 12> hostChanges = {
     "started",        "stopping",    "stopped",         "store_lost",       "store_back",       "leader_changed",
     "leader_reached", "leader_lost", "config_in_force", "endpoints_listed", "degraded_placing", "log_lines_left_out"};
-constexpr std::array<std::string_view, 4> endpointChanges = {"endpoint_changed", "endpoint_removed", "stage_ordered",
-                                                             "engine_silent"};
+constexpr std::array<std::string_view, 5> endpointChanges = {"endpoint_changed", "endpoint_missing", "endpoint_removed",
+                                                             "stage_ordered", "engine_silent"};
 constexpr std::array<std::string_view, 6> ends = {"generation_ended", "forwarded", "refused",
                                                   "caller_gone",      "ended",     "call_failed"};
 constexpr std::array<std::string_view, 4> partnerKeys = {"engine", "endpoint", "prefill", "decode"};
