A read that fails after the leader took over does not mark the table as lost

Cause: the result of an operation that has been superseded was applied as news. A host that follows the leader reads nothing, so nothing could take the mark back until the registry changed again.

Change: the failure of a read counts only while the host relies on its own reads. The line store_read_failed says whether it did (relayed=).

--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -195,8 +195,11 @@
               {{"table", nameOf(table == Table::Config)},
                {"in_a_row", followed.failures},
                {"took_ms", (steadyNow() - followed.readStart).count() / 1000},
+               {"relayed", followed.isRelayed},
                {"reason", error.what()}});
-    if (!followed.isLost) {
+    // A read that began before the leader took over says nothing about the table now, and no read would follow to
+    // report its recovery.
+    if (!followed.isLost && !followed.isRelayed) {
         followed.isLost = true;
         this->reportAvailability(true, table, error.what());
     }
