Notify followers of registry changes that the leader can't forward

What callers can see: requests to an endpoint that has left, on every host but the leader, until the registry changes again.

Cause: a leader whose feed answers that the history is gone lists the whole table, and a list was not forwarded: the rows kept for followers start at its version. The same for more changes at once than are kept. Followers were not told either, and a host that follows reads nothing.

Change: in both cases the leader sends an update without rows that starts at its current version. Followers that are behind it notice the gap, as they do for a lost update, and read the table themselves. 'store_changes_not_relayed' logs it.

StoreWatcher.NotifiesFollowersOfChangesThatTheHistoryLost failed before (no update within 5 s) and passes.

--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -278,11 +278,18 @@
     this->recent.add(changed, before, *this->registry.version);
 }
 
+// After a list, or more changes than are kept, the update has no rows and starts at the current version. Followers that
+// are behind it read the table themselves.
 void StoreWatcher::forwardToFollowers(const std::vector<StoreRow> &rows, std::int64_t before)
 {
-    if (this->isLeading() && !rows.empty() && this->recent.covers(before)) {
-        this->push(store_update::PeerUpdate{this->recent.after(before), std::nullopt});
+    const bool isGap = !this->recent.covers(before);
+    if (!this->isLeading() || (rows.empty() && !isGap)) {
+        return;
+    }
+    if (isGap) {
+        Log::info("store_changes_not_relayed", {{"version", *this->registry.version}});
     }
+    this->push(store_update::PeerUpdate{this->recent.after(isGap ? *this->registry.version : before), std::nullopt});
 }
 
 // A new follower has read the whole table itself and receives the changes since then. One that is older than the
--- a/programs/gateway/testing/storewatcher_test.cpp
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -225,8 +225,36 @@
     return {store.address(), contactLimit, self, lease};
 }
 
+const LeaseRow leading{HostId("a"), "127.0.0.1:1", 0};
 const LeaseRow neverLeading;
 
+const peer::RegistryUpdate *registryUpdateIn(const StoreUpdate &update)
+{
+    const auto *sent = std::get_if<store_update::PeerUpdate>(&update);
+    return sent == nullptr ? nullptr : std::get_if<peer::RegistryUpdate>(&sent->message);
+}
+
+// Guards against followers that keep sending to an endpoint that left while the leader's feed had a gap.
+TEST(StoreWatcher, NotifiesFollowersOfChangesThatTheHistoryLost)
+{
+    FakeStore store;
+    Updates updates;
+    StoreWatcher watcher(optionsOf(store, leading), updates.ring);
+    ASSERT_TRUE(updates.waitFor([](const StoreUpdate &update) {
+        const auto *leader = std::get_if<store_update::Leader>(&update);
+        return leader != nullptr && leader->isSelf;
+    }));
+    store.remove("e1");
+    ASSERT_TRUE(updates.waitFor([](const StoreUpdate &update) { return registryUpdateIn(update) != nullptr; }));
+    const std::int64_t known = store.registryVersion(); // by a follower
+    store.removeInAGap("e2");
+    // A follower reads the store itself if the update starts after what it knows.
+    EXPECT_TRUE(updates.waitFor([known](const StoreUpdate &update) {
+        const auto *sent = registryUpdateIn(update);
+        return sent != nullptr && (static_cast<std::int64_t>(sent->after) > known || !sent->rows.empty());
+    }));
+}
+
 // Guards against a registry that stays marked as lost, so that endpoints missing from it are kept for good.
 TEST(StoreWatcher, KeepsARelayedRegistryWhenAnOlderReadFails)
 {
