Bound the use of missing endpoints by the time at which the table recovered

Cause: the grace period of a missing endpoint, two seconds in which live endpoints write their rows again, counted from the moment at which the host noticed the recovery. A read that met silence asked the store to wait 1.5 s for a change and gave up 0.6 s after that, so a recovery was noticed up to 2.35 s late.

Change: while the table is lost, reads ask for no wait and so fail after 0.6 s. The end of the loss says when the last failed read began, the earliest time at which the table can have recovered; a missing endpoint is used for the grace period from the notice, and at most for the contact limit less 250 ms from that time.

StoreWatcher.DoesNotWaitForChangesWhileTheRegistryIsLost failed before (the reads asked for 200 ms) and passes. EndpointRegistry.BoundsTheUseOfMissingEndpointsIfTheRecoveryIsNoticedLate needs the new argument; with the grace period from the notice alone its last three cases keep the endpoint for 2.85, 4.35 and 5 s.

--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -5,10 +5,27 @@
 
 namespace fescuesill
 {
-FleetView::FleetView(DataCentreId where, const RetryBudget::Options &retryOptions, std::uint64_t seed)
+namespace
+{
+
+// An endpoint that has left must get no calls once the host has been in contact with the store for the contact limit.
+// The margin covers the interval of expire() and a call that has already chosen the endpoint.
+constexpr Duration contactMargin{250ms};
+
+EndpointRegistry::Options registryOptions(Duration contactLimit)
+{
+    EndpointRegistry::Options options;
+    options.useLimit = std::max<Duration>(contactLimit - contactMargin, Duration(0));
+    return options;
+}
+
+} // namespace
+
+FleetView::FleetView(DataCentreId where, const RetryBudget::Options &retryOptions, Duration contactLimit,
+                     std::uint64_t seed)
     : dataCentre(std::move(where))
     , retries(retryOptions)
-    , registry(EndpointRegistry::Options{})
+    , registry(registryOptions(contactLimit))
     , plainPicker(EndpointPicker::Options{}, seed)
     , prefillChoice(seed + 1)
 {
@@ -29,28 +46,29 @@
 void FleetView::apply(const StoreUpdate &update, Instant now)
 {
     std::visit(
-        Overloaded{[&](const store_update::Config &read) { this->takeConfig(read.config); },
-                   [&](const store_update::Listed &listed) {
-                       this->hasEndpointList = true;
-                       this->reportMissing(this->registry.onListed(listed.records, now));
-                       Log::info("endpoints_listed", {{"count", static_cast<std::int64_t>(listed.records.size())}});
-                   },
-                   [&](const store_update::Changed &changed) {
-                       const EndpointRecord &record = changed.record;
-                       this->registry.onChanged(record, now);
-                       Log::info("endpoint_changed",
-                                 {{"endpoint", record.id.value()},
-                                  {"service", record.service.value()},
-                                  {"address", record.address},
-                                  {"leaving", record.isLeaving}});
-                   },
-                   [&](const store_update::Removed &removed) {
-                       this->reportMissing(this->registry.onRemoved(removed.id, now));
-                   },
-                   [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
-                   [&](const store_update::Restored &) { this->registry.onStoreRecovered(now); },
-                   [&](const auto &) {
-                   }}, // handled by LeaderLink
+        Overloaded{
+            [&](const store_update::Config &read) { this->takeConfig(read.config); },
+            [&](const store_update::Listed &listed) {
+                this->hasEndpointList = true;
+                this->reportMissing(this->registry.onListed(listed.records, now));
+                Log::info("endpoints_listed", {{"count", static_cast<std::int64_t>(listed.records.size())}});
+            },
+            [&](const store_update::Changed &changed) {
+                const EndpointRecord &record = changed.record;
+                this->registry.onChanged(record, now);
+                Log::info("endpoint_changed",
+                          {{"endpoint", record.id.value()},
+                           {"service", record.service.value()},
+                           {"address", record.address},
+                           {"leaving", record.isLeaving}});
+            },
+            [&](const store_update::Removed &removed) {
+                this->reportMissing(this->registry.onRemoved(removed.id, now));
+            },
+            [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
+            [&](const store_update::Restored &restored) { this->registry.onStoreRecovered(restored.lastFailure, now); },
+            [&](const auto &) {
+            }}, // handled by LeaderLink
         update);
 }
 
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -3,7 +3,7 @@
 // The gateway's view of routes and endpoints, with the state of the decisions based on it. Used only by the forwarding
 // thread.
 //
-//     FleetView fleet(dataCentre, budgetOptions, seed);
+//     FleetView fleet(dataCentre, budgetOptions, contactLimit, seed);
 //     fleet.apply(update, now);
 //     if (!fleet.isInitialised()) { ... not ready ... }
 //     const std::vector<EndpointCandidate> candidates = fleet.plainCandidates(service, now);
@@ -20,7 +20,7 @@
 class FleetView
 {
 public:
-    FleetView(DataCentreId dataCentre, const RetryBudget::Options &retries, std::uint64_t seed);
+    FleetView(DataCentreId dataCentre, const RetryBudget::Options &retries, Duration contactLimit, std::uint64_t seed);
 
     void apply(const StoreUpdate &update, Instant now);
     // Whether a configuration and a list of endpoints have been read since the start.
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -44,7 +44,8 @@
     explicit Gateway(const GatewaySettings &given)
         : settings(given)
         , seed(std::random_device()())
-        , fleet(given.dataCentre, {given.retryShare, given.retriesSaved, given.retriesSaved}, this->seed)
+        , fleet(given.dataCentre, {given.retryShare, given.retriesSaved, given.retriesSaved}, given.contactLimit,
+                this->seed)
         , gates(this->io, this->fleet, this->seed + 2)
         , client(this->io, clientOptions(given))
         , services{this->settings, this->io, this->fleet, this->gates, this->client, this->metrics}
--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -29,6 +29,8 @@
 {
 
 constexpr Duration replyLimit{600ms}; // after the wait; a slow store replies within a few hundred milliseconds
+// A read that has waited for longer, without a wait of its own, was sent while the store was unavailable.
+constexpr Duration silenceOfARead{200ms};
 constexpr Duration pauseAfterFault{250ms}; // a store that refuses is called four times a second for each table
 constexpr Duration leaderWait{500ms}; // a quarter of the time in which a change must take effect everywhere
 constexpr Duration relayedPause{10s}; // cancelled when the leader stops forwarding
@@ -111,7 +113,8 @@
         this->push(store_update::PeerUpdate{peer::StoreLost{}, std::nullopt});
     }
     if (table == Table::Registry) {
-        this->push(isLost ? StoreUpdate(store_update::Lost{}) : StoreUpdate(store_update::Restored{}));
+        this->push(isLost ? StoreUpdate(store_update::Lost{})
+                          : StoreUpdate(store_update::Restored{this->registry.lastFailure}));
     }
 }
 
@@ -199,12 +202,27 @@
                {"reason", error.what()}});
     // A read that began before the leader took over says nothing about the table now, and no read would follow to
     // report its recovery.
-    if (!followed.isLost && !followed.isRelayed) {
+    if (followed.isRelayed) {
+        return;
+    }
+    followed.lastFailure = followed.readStart;
+    if (!followed.isLost) {
         followed.isLost = true;
         this->reportAvailability(true, table, error.what());
     }
 }
 
+Duration StoreWatcher::waitForChange(const FollowedTable &table) const
+{
+    // While the store gives no replies, each read must fail soon, so that the next one finds it recovered.
+    if (table.isLost) {
+        return Duration(0);
+    }
+    // The leader must detect a silent connection sooner, since all other hosts depend on it.
+    const Duration wait = this->options.contactLimit / 2;
+    return this->isLeading() ? std::min(leaderWait, wait) : wait;
+}
+
 void StoreWatcher::followOnce(Table table, StoreClient &store, const asio::yield_context &yield)
 {
     FollowedTable &followed = this->stateOf(table);
@@ -214,9 +232,7 @@
     }
     const char *name = nameOf(table == Table::Config);
     const bool isWhole = !followed.version;
-    // The leader must detect a silent connection sooner, since all other hosts depend on it.
-    const Duration wait =
-        this->isLeading() ? std::min(leaderWait, this->options.contactLimit / 2) : this->options.contactLimit / 2;
+    const Duration wait = this->waitForChange(followed);
     this->beginRead(table, isWhole ? replyLimit : wait + replyLimit);
     const StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
     this->endRead(table);
@@ -338,6 +354,9 @@
         this->registry.version = std::max(has, static_cast<std::int64_t>(update.version));
         if (this->registry.isLost) {
             this->registry.isLost = false;
+            if (this->registry.isReading && steadyNow() - this->registry.readStart > silenceOfARead) {
+                this->registry.lastFailure = this->registry.readStart;
+            }
             this->reportAvailability(false, Table::Registry, {});
         }
         this->setRelayed(Table::Registry, true);
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -58,6 +58,7 @@
 struct Lost {
 };
 struct Restored {
+    Instant lastFailure; // the start of the last read that failed; the store returned after it
 };
 } // namespace store_update
 
@@ -130,6 +131,7 @@
         bool isLost = false;
         int failures = 0; // consecutive failed reads
         Instant readStart; // of the last read; a long poll includes the wait for a change
+        Instant lastFailure; // the start of the last read that failed
         bool isRelayed = false; // the leader forwards its changes
         bool isReading = false;
         bool isSlow = false; // the current read exceeds its expected time
@@ -147,6 +149,7 @@
     void endRead(Table table);
     void onSlowRead(Table table);
     void onReadFailed(Table table, const StoreError &error);
+    Duration waitForChange(const FollowedTable &table) const;
     void waitFor(FollowedTable &table, Duration time, const asio::yield_context &yield);
     void setRelayed(Table table, bool isRelayed);
     void takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before);
--- a/programs/gateway/testing/storewatcher_test.cpp
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -80,6 +80,13 @@
         this->feed = state;
     }
 
+    // How long the last read of the registry's feed asked to wait for a change.
+    Duration lastWait()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return this->registryWait;
+    }
+
     // The version after the last change of the registry.
     std::int64_t registryVersion()
     {
@@ -109,6 +116,10 @@
 
     void handle(HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
     {
+        if (call.target.rfind("/rows-feed?table=servers", 0) == 0) {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            this->registryWait = std::chrono::milliseconds(numberIn(call.target, "wait_ms"));
+        }
         if (this->state() == Feed::Down) {
             reply.send(503, "{}", yield);
             return;
@@ -185,6 +196,7 @@
     std::int64_t historyFrom = 0;
     std::int64_t removedAt = 0;
     std::string removedKey;
+    Duration registryWait{0};
     std::int64_t leaseAt = 0;
     std::string leaseValue;
     ServedThread served; // last, so that it ends before the members that it uses
@@ -270,5 +282,24 @@
     EXPECT_FALSE(updates.waitFor<store_update::Lost>(2s));
 }
 
+// Guards against a recovery that is noticed seconds late, so that endpoints which left meanwhile are used for too long.
+TEST(StoreWatcher, DoesNotWaitForChangesWhileTheRegistryIsLost)
+{
+    FakeStore store;
+    Updates updates;
+    StoreWatcher watcher(optionsOf(store, neverLeading), updates.ring);
+    ASSERT_TRUE(updates.waitFor<store_update::Listed>());
+    std::this_thread::sleep_for(contactLimit);
+    EXPECT_GT(store.lastWait(), 0ms);
+    store.set(FakeStore::Feed::Down);
+    ASSERT_TRUE(updates.waitFor<store_update::Lost>());
+    std::this_thread::sleep_for(contactLimit); // at least one read has failed since
+    EXPECT_EQ(store.lastWait(), 0ms);
+    store.set(FakeStore::Feed::Working);
+    ASSERT_TRUE(updates.waitFor<store_update::Restored>());
+    std::this_thread::sleep_for(contactLimit);
+    EXPECT_GT(store.lastWait(), 0ms);
+}
+
 } // namespace
 } // namespace fescuesill
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -1,10 +1,13 @@
 // An endpoint whose row is removed takes no new work from then on, with one exception: rows expire while the table is
 // unavailable, and treating those as removed would empty the fleet as soon as the table recovers. Therefore endpoints
 // found missing between the loss of the table and the end of a grace period after its recovery are kept until that
-// grace period ends. By then every live endpoint has written its row again, and those still missing are removed.
+// grace period ends. By then every live endpoint has written its row again, and those still missing are removed. The
+// table recovered at an unknown time between the last failed read and the first successful one. The grace period counts
+// from the latter, for live endpoints, but ends a bounded time after the former, for those that have left.
 
 #include "promise/endpointregistry.h"
 
+#include <algorithm>
 #include <set>
 
 namespace fescuesill
@@ -12,7 +15,7 @@
 
 bool EndpointRegistry::isWithinGrace(Instant now) const
 {
-    return this->isStoreLost || (this->recoveredAt && now < *this->recoveredAt + this->options.returnGrace);
+    return this->isStoreLost || (this->graceEnd && now < *this->graceEnd);
 }
 
 MissingEndpoint EndpointRegistry::onMissing(std::map<EndpointId, Entry>::iterator entry, Instant now)
@@ -24,8 +27,7 @@
         this->entries.erase(entry);
         return {id, false};
     }
-    const Instant recovered = this->isStoreLost ? now : *this->recoveredAt;
-    entry->second.missingUntil = recovered + this->options.returnGrace;
+    entry->second.missingUntil = this->isStoreLost ? now + this->options.returnGrace : *this->graceEnd;
     return {id, true};
 }
 
@@ -65,13 +67,13 @@
     this->isStoreLost = true;
 }
 
-void EndpointRegistry::onStoreRecovered(Instant now)
+void EndpointRegistry::onStoreRecovered(Instant lastFailure, Instant now)
 {
     if (!this->isStoreLost) {
         return;
     }
     this->isStoreLost = false;
-    this->recoveredAt = now;
+    this->graceEnd = std::min(now + this->options.returnGrace, lastFailure + this->options.useLimit);
 }
 
 std::vector<MissingEndpoint> EndpointRegistry::expire(Instant now)
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -7,7 +7,7 @@
 //     registry.onChanged(record, now);                  // one row
 //     for (const MissingEndpoint &missing : registry.onRemoved(EndpointId("e7"), now)) { ... }
 //     registry.onStoreLost(now);                        // the table is unavailable
-//     registry.onStoreRecovered(now);
+//     registry.onStoreRecovered(lastFailure, now);
 //     for (const EndpointRecord *record : registry.usable(service)) { ... }
 //     registry.expire(now);                             // periodically
 
@@ -57,6 +57,9 @@
         // How long after the table's recovery a row that disappeared during the outage is kept: rows of live endpoints
         // expire during an outage, and the endpoints write them again within two seconds.
         Duration returnGrace{2s};
+        // The longest that such an endpoint may be used after the table was last known to be unavailable. The recovery
+        // may be noticed late, and an endpoint that left during the outage never returns.
+        Duration useLimit{2750ms};
     };
 
     explicit EndpointRegistry(const Options &options)
@@ -69,7 +72,8 @@
     std::vector<MissingEndpoint> onRemoved(const EndpointId &id, Instant now);
     void onChanged(const EndpointRecord &record, Instant now);
     void onStoreLost(Instant now);
-    void onStoreRecovered(Instant now);
+    // `lastFailure`: the start of the last read that failed. The table recovered between then and now.
+    void onStoreRecovered(Instant lastFailure, Instant now);
     // Removes endpoints that are still missing after their grace period, and returns them.
     std::vector<MissingEndpoint> expire(Instant now);
 
@@ -96,7 +100,7 @@
     Options options;
     std::map<EndpointId, Entry> entries;
     bool isStoreLost = false;
-    std::optional<Instant> recoveredAt;
+    std::optional<Instant> graceEnd; // of the last recovery
 };
 
 } // namespace fescuesill
--- a/promise/testing/endpointregistry_test.cpp
+++ b/promise/testing/endpointregistry_test.cpp
@@ -41,7 +41,7 @@
     EndpointRegistry registry({});
     registry.onListed({record("back"), record("gone")}, start);
     registry.onStoreLost(start + 1s);
-    registry.onStoreRecovered(start + 6s);
+    registry.onStoreRecovered(start + 6s, start + 6s);
     registry.onListed({}, start + 6s);
     EXPECT_EQ(registry.usable(service).size(), 2U);
     registry.onChanged(record("back"), start + 7s);
@@ -58,7 +58,7 @@
     leaving.isLeaving = true;
     registry.onListed({record("live"), leaving}, start);
     registry.onStoreLost(start);
-    registry.onStoreRecovered(start + 1s);
+    registry.onStoreRecovered(start + 1s, start + 1s);
     registry.onRemoved(EndpointId("leaving"), start + 1s);
     registry.onRemoved(EndpointId("live"), start + 1s);
     EXPECT_EQ(registry.size(), 1U);
@@ -71,11 +71,42 @@
     EndpointRegistry registry({});
     registry.onListed({record("a")}, start);
     registry.onStoreLost(start);
-    registry.onStoreRecovered(start + 1s);
+    registry.onStoreRecovered(start + 1s, start + 1s);
     registry.onRemoved(EndpointId("a"), start + 4s);
     EXPECT_EQ(registry.size(), 0U);
 }
 
+// Guards against using an endpoint that left during an outage for seconds after the table's recovery.
+TEST(EndpointRegistry, BoundsTheUseOfMissingEndpointsIfTheRecoveryIsNoticedLate)
+{
+    struct Case {
+        const char *name;
+        Duration noticed; // after the last failed read began
+        Duration kept; // after the last failed read began
+    };
+    const Case cases[] = {
+        {"noticed at once", 0ms, 2000ms},
+        {"noticed after a short read and a pause", 700ms, 2700ms},
+        {"noticed after the longest read and a pause", 850ms, 2750ms},
+        {"noticed much later", 2350ms, 2750ms},
+        {"noticed too late for any use", 3s, 0ms},
+    };
+    for (const Case &each : cases) {
+        EndpointRegistry registry({});
+        registry.onListed({record("gone")}, start);
+        registry.onStoreLost(start + 1s);
+        const Instant failed = start + 10s;
+        registry.onStoreRecovered(failed, failed + each.noticed);
+        registry.onRemoved(EndpointId("gone"), failed + each.noticed);
+        if (each.kept > 0ms) {
+            registry.expire(failed + each.kept - 1ms);
+            EXPECT_EQ(registry.usable(service).size(), 1U) << each.name;
+            registry.expire(failed + each.kept);
+        }
+        EXPECT_TRUE(registry.usable(service).empty()) << each.name;
+    }
+}
+
 TEST(EndpointRegistry, DistinguishesIncarnationsOfAnEndpoint)
 {
     EndpointRegistry registry({});
