Keep to the limits that endpoints state, by permits of the leader for all hosts

Cause: the header that states the limit was not read. The choice of an endpoint knows only what a host sees itself (times, calls in flight, faults); nothing bounds what all hosts send together.

Change: the limit in an answer is read for plain calls, generations and prefills. The leader gives a permit for each call to such an endpoint from one token bucket; the host that is denied chooses another endpoint at once, and asks again after the time that the leader stated. Hosts tell the leader what answers state, and the leader all hosts, so a host that has no answer yet keeps to it too. Without a leader or deputy a host uses its share. A limit ends with an answer to a call sent after it was last stated. Where every endpoint is at its limit the call is refused as not run, with the time until the next permit. Equal shares for each host were weighed: of ten calls a second each of 75 hosts has one in eight seconds, and whole calls of all hosts at once exceed the limit.

--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -27,6 +27,7 @@
     , retries(retryOptions)
     , registry(registryOptions(contactLimit))
     , plainPicker(EndpointPicker::Options{}, seed)
+    , endpointLimits(EndpointLimits::Options{})
     , prefillChoice(seed + 1)
 {
 }
@@ -129,6 +130,7 @@
         Log::info(endpoint.isKept ? "endpoint_missing" : "endpoint_removed", {{"endpoint", endpoint.id.value()}});
         if (!endpoint.isKept) {
             this->plainPicker.forget(endpoint.id);
+            this->endpointLimits.forget(endpoint.id);
             this->prefillChoice.forget(EngineId(endpoint.id.value()));
         }
     }
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -8,6 +8,7 @@
 //     if (!fleet.isInitialised()) { ... not ready ... }
 //     const std::vector<EndpointCandidate> candidates = fleet.plainCandidates(service, now);
 
+#include "decide/endpointlimits.h"
 #include "decide/endpointpicker.h"
 #include "decide/generationgate.h"
 #include "decide/prefillchoice.h"
@@ -62,6 +63,10 @@
     {
         return this->plainPicker;
     }
+    EndpointLimits &limits()
+    {
+        return this->endpointLimits;
+    }
     PrefillChoice &prefills()
     {
         return this->prefillChoice;
@@ -92,6 +97,7 @@
     // Engines that are changing their stage, with at most one entry for each known engine.
     std::map<EndpointId, Change> changes;
     EndpointPicker plainPicker;
+    EndpointLimits endpointLimits;
     PrefillChoice prefillChoice;
     std::map<ServiceId, RetryBudget> budgets; // for services of the current or an earlier configuration
 };
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -6,6 +6,7 @@
 //     call.refuse({RefusalCode::Overloaded, RunState::NotRun, "all endpoints are full", 100ms}, yield);
 
 #include "platform/calldialect.h"
+#include "programs/gateway/endpointpermits.h"
 #include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
 #include "programs/gateway/placementgates.h"
@@ -18,6 +19,7 @@
     asio::io_context &io;
     FleetView &fleet;
     PlacementGates &gates;
+    EndpointPermits &permits;
     HttpClient &client;
     GatewayMetrics &metrics;
 };
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -47,8 +47,9 @@
         , fleet(given.dataCentre, {given.retryShare, given.retriesSaved, given.retriesSaved}, given.contactLimit,
                 this->seed)
         , gates(this->io, this->fleet, this->seed + 2)
+        , permits(this->io, this->fleet.limits())
         , client(this->io, clientOptions(given))
-        , services{this->settings, this->io, this->fleet, this->gates, this->client, this->metrics}
+        , services{this->settings, this->io, this->fleet, this->gates, this->permits, this->client, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
@@ -75,6 +76,7 @@
     asio::io_context io{1};
     FleetView fleet;
     PlacementGates gates;
+    EndpointPermits permits;
     HttpClient client;
     GatewayMetrics metrics;
     GatewayServices services;
@@ -235,7 +237,7 @@
     }
     LeaderLink::Options options;
     options.listen = this->settings.peers;
-    auto opened = LeaderLink::create(this->io, options, this->gates);
+    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits);
     if (!opened) {
         Log::error("cannot_listen", {{"reason", opened.error().what()}});
         return false;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -95,6 +95,13 @@
     const auto &services = this->call.services;
     const HttpRequest request = reservationRequest(decode.id, this->placementRequest().prompt + reservedOutput,
                                                    this->traits().longestReservation);
+    const Duration limitedFor = services.permits.take(decode.id, yield);
+    this->checkCaller();
+    if (limitedFor > 0ms || !services.fleet.usable(decode.id)) {
+        this->lastFault = decode.id.value() + " is at its limit or leaving";
+        this->report(peer::PlacementEvent::Full);
+        return std::nullopt;
+    }
     try {
         const HttpResponse response = services.client.call(
             decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
@@ -141,10 +148,12 @@
     const EngineId id(engine.id.value());
     services.fleet.prefills().onSent(id, prompt);
     std::optional<KvId> result;
+    const Instant sent = steadyNow();
     try {
         const HttpResponse response =
             services.client.call(engine.address, request,
                                  {std::min(this->call.timeLeft(), prefillLimit), Reuse::Never, &this->abort}, yield);
+        services.permits.onAnswer(engine.id, readLimit(response), sent);
         result = readPrefillResult(response);
         this->lastFault = result ? "" : "prefill refused by " + engine.id.value();
     } catch (const HttpError &error) {
@@ -169,12 +178,29 @@
     if (!chosen) {
         return std::nullopt;
     }
+    const auto passOver = [&](const EngineId &engine) {
+        const auto isSame = [&engine](const PrefillCandidate &other) {
+            return other.engine == engine;
+        };
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isSame), candidates.end());
+        chosen = fleet.prefills().pick(candidates, key, steadyNow());
+    };
     PrefillStep step = plan.first(budget, fleet.prefills().isHealthy(*chosen, steadyNow()));
     while (step == PrefillStep::AtPrefillEngine && chosen) {
-        const auto found = fleet.usable(EndpointId(chosen->value()));
+        const EndpointId id(chosen->value());
+        const bool isLimited = this->call.services.permits.take(id, yield) > 0ms;
+        this->checkCaller();
+        const auto found = fleet.usable(id);
         if (!found) {
             return std::nullopt;
         }
+        if (isLimited) {
+            if (*chosen == place.prefill) {
+                this->report(peer::PlacementEvent::PrefillFailed);
+            }
+            passOver(*chosen);
+            continue;
+        }
         this->prefillEngine = found->id;
         auto result = this->prefillAt(*found, yield);
         if (!result) {
@@ -186,11 +212,8 @@
         if (result) {
             return result;
         }
-        candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                                        [&](const PrefillCandidate &other) { return other.engine == *chosen; }),
-                         candidates.end());
         step = plan.onFailed(budget);
-        chosen = fleet.prefills().pick(candidates, key, steadyNow());
+        passOver(*chosen);
     }
     return std::nullopt;
 }
@@ -251,10 +274,14 @@
     }
     const HttpRequest request = generationRequest(this->call.http, start, this->call.timeLeft());
     ++this->sends;
+    const Instant sent = steadyNow();
     try {
         LineStream stream = services.client.open(place.engine.address, request,
                                                  {this->call.timeLeft(), Reuse::Never, &this->abort}, yield);
         const AnswerHead head = readAnswerHead(stream.head(), this->call.head.id);
+        if (head.isForThisCall) {
+            services.permits.onAnswer(place.engine.id, head.limit, sent);
+        }
         if (head.reportsNotRun) {
             this->lastFault = "the engine did not take it";
             return Outcome::NotRun;
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -25,8 +25,10 @@
 
 } // namespace
 
-LeaderLink::LeaderLink(asio::io_context &io, const std::string &address, PlacementGates &placementGates)
+LeaderLink::LeaderLink(asio::io_context &io, const std::string &address, PlacementGates &placementGates,
+                       EndpointPermits &endpointPermits)
     : gates(placementGates)
+    , permits(endpointPermits)
     , ownAddress(address)
     , route(address, PlacingRoute::Options{})
     , events(eventRingSize, [this, &io] { asio::post(io, [this] { this->drain(); }); })
@@ -34,10 +36,11 @@
 }
 
 tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
-                                                                        PlacementGates &gates)
+                                                                        PlacementGates &gates, EndpointPermits &permits)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options.listen, gates));
+    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options.listen, gates, permits));
     LeaderLink *self = link.get();
+    permits.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     PeerNode::Handlers handlers;
     handlers.opened = [self](LinkId id) {
         self->push({Change::Opened, id, {}});
@@ -111,8 +114,10 @@
     this->switchPath(this->route.path(now));
     const bool wasActing = this->isActing;
     this->isActing = this->route.isActingLeader();
-    const bool placesForAll = this->isLeading || this->isActing || this->path != PlacingPath::Alone;
-    this->gates.setShare(placesForAll ? 1 : 1.0 / static_cast<double>(this->hosts));
+    const double ownPart = 1.0 / static_cast<double>(this->hosts);
+    const bool decidesForAll = this->isLeading || this->isActing;
+    this->permits.setShare(decidesForAll ? 1 : ownPart);
+    this->gates.setShare(decidesForAll || this->path != PlacingPath::Alone ? 1 : ownPart);
     if (this->isActing != wasActing) {
         Log::info("standing_in", {{"for_leader", this->isActing}, {"address", this->leaderAddress}});
     }
@@ -134,10 +139,17 @@
     }
     this->path = next;
     this->uplink = link;
+    if (!link) {
+        this->permits.setUplink({});
+    }
     if (next == PlacingPath::Waiting) {
         this->gates.suspend();
     } else if (link) {
-        this->gates.setUplink([this, to = *link](const peer::Message &message) { this->node->send(to, message); });
+        const auto send = [this, to = *link](const peer::Message &message) {
+            this->node->send(to, message);
+        };
+        this->gates.setUplink(send);
+        this->permits.setUplink(send);
     } else {
         this->gates.setUplink({});
     }
@@ -291,6 +303,7 @@
     } else {
         this->deputies.add(link, address);
         this->node->send(link, this->deputyAnnouncement());
+        this->permits.sendLimits([this, link](const peer::Message &message) { this->node->send(link, message); });
     }
     this->announceDeputy();
 }
@@ -322,6 +335,9 @@
                 }
             },
             [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
+            [&](const peer::EndpointLimit &limit) { this->permits.onLimit(limit); },
+            [&](const peer::RequestPermit &request) { this->permits.onRequested(reply, request); },
+            [&](const peer::PermitReply &answer) { this->permits.onReply(answer); },
             [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
             [&](const peer::LeadershipEnded &) {
                 if (isFromLeader) {
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -6,6 +6,7 @@
 //     link.value()->setStore(store);
 //     link.value()->onLeader(update);          // the current leader, according to the lease
 
+#include "programs/gateway/endpointpermits.h"
 #include "programs/gateway/placementgates.h"
 #include "promise/deputychoice.h"
 #include "promise/placingroute.h"
@@ -28,7 +29,7 @@
     };
 
     static tl::expected<std::unique_ptr<LeaderLink>, WireError> create(asio::io_context &io, const Options &options,
-                                                                       PlacementGates &gates);
+                                                                       PlacementGates &gates, EndpointPermits &permits);
     // Sets the watcher of the store, which outlives the links.
     void setStore(StoreWatcher &watcher)
     {
@@ -63,7 +64,7 @@
         peer::Message message;
     };
 
-    LeaderLink(asio::io_context &io, const std::string &ownAddress, PlacementGates &gates);
+    LeaderLink(asio::io_context &io, const std::string &ownAddress, PlacementGates &gates, EndpointPermits &permits);
     void push(Event event);
     void drain();
     void on(const Event &event);
@@ -82,6 +83,7 @@
     void endLeading();
 
     PlacementGates &gates;
+    EndpointPermits &permits;
     StoreWatcher *store = nullptr;
     std::set<LinkId> followers; // links to this host while it leads
     std::set<LinkId> placementClients; // links to hosts that this one places for
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-std::optional<EndpointRecord> PlainForward::choose(Instant now)
+std::optional<EndpointRecord> PlainForward::choose(const asio::yield_context &yield)
 {
     FleetView &fleet = this->call.services.fleet;
     auto candidates = fleet.plainCandidates(this->call.service);
@@ -34,8 +34,25 @@
         return std::find(this->tried.begin(), this->tried.end(), candidate.id) != this->tried.end();
     };
     candidates.erase(std::remove_if(candidates.begin(), candidates.end(), wasTried), candidates.end());
-    const auto chosen = fleet.picker().pick(candidates, now);
-    return chosen ? fleet.usable(*chosen) : std::nullopt;
+    while (const auto chosen = fleet.picker().pick(candidates, steadyNow())) {
+        const Duration wait = this->call.services.permits.take(*chosen, yield);
+        if (this->abort.isAborted()) {
+            return std::nullopt;
+        }
+        // It may have left while the permit was requested.
+        const auto usable = wait > 0ms ? std::nullopt : fleet.usable(*chosen);
+        if (usable) {
+            return usable;
+        }
+        if (wait > 0ms) {
+            this->limitedFor = std::min(this->limitedFor.value_or(wait), wait);
+        }
+        candidates.erase(
+            std::remove_if(candidates.begin(), candidates.end(),
+                           [&chosen](const EndpointCandidate &candidate) { return candidate.id == *chosen; }),
+            candidates.end());
+    }
+    return std::nullopt;
 }
 
 // A repeatable call abandons a silent endpoint while a response from another one can still meet the target. The last
@@ -71,6 +88,9 @@
         return error.isKnownNotSent() ? SendResult::NeverSent : SendResult::Lost;
     }
     AnswerHead head = readAnswerHead(response, this->call.head.id);
+    if (head.isForThisCall) {
+        this->call.services.permits.onAnswer(endpoint.id, head.limit, begin);
+    }
     if (head.reportsNotRun) {
         this->lastFault = "the endpoint did not take it";
         ended(EndpointOutcome::Full);
@@ -144,8 +164,12 @@
                           this->noRetry, yield);
         return;
     }
-    const Duration retryAfter = last == SendResult::ReportedNotRun ? retryAfterWhenFull : retryAfterWhenNone;
-    const std::string reason = this->lastFault.empty() ? "no endpoint takes calls" : this->lastFault;
+    Duration retryAfter = last == SendResult::ReportedNotRun ? retryAfterWhenFull : retryAfterWhenNone;
+    std::string reason = this->lastFault.empty() ? "no endpoint takes calls" : this->lastFault;
+    if (this->limitedFor && this->lastFault.empty()) {
+        retryAfter = std::max(retryAfterWhenFull, *this->limitedFor);
+        reason = "all endpoints are at their limits";
+    }
     this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, reason, retryAfter}, this->noRetry, yield);
 }
 
@@ -185,7 +209,7 @@
     this->call.reply.onCallerGone([this] { this->abort.abort(); });
     this->call.services.fleet.budget(this->call.service).onSuccess();
     SendResult last = SendResult::NeverSent;
-    while (const auto endpoint = this->choose(steadyNow())) {
+    while (const auto endpoint = this->choose(yield)) {
         this->tried.push_back(endpoint->id);
         if (this->sends > 0) {
             this->call.services.metrics.onRetry();
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -28,7 +28,8 @@
         Lost, // failed, and may have run
     };
 
-    std::optional<EndpointRecord> choose(Instant now);
+    // Also takes a permit for the call if the endpoint states a limit.
+    std::optional<EndpointRecord> choose(const asio::yield_context &yield);
     SendResult send(const EndpointRecord &endpoint, const asio::yield_context &yield);
     // Takes a retry from the budget and returns nothing, or returns why there is no retry.
     std::optional<NoRetry> claimRetry(SendResult sent);
@@ -41,6 +42,7 @@
     const ForwardedCall &call;
     CallAbort abort;
     std::vector<EndpointId> tried;
+    std::optional<Duration> limitedFor; // until one of the endpoints that were passed over may take a call
     int sends = 0; // of which at least one byte was sent
     bool mayHaveRun = false;
     // The response of the last endpoint that answered; an error response is kept while another endpoint is tried.
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -273,6 +273,28 @@
     visit(m.duration);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, EndpointLimit &m)
+{
+    visit(m.endpoint);
+    visit(m.isLimited);
+    visit(m.perSecond);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, RequestPermit &m)
+{
+    visit(m.number);
+    visit(m.endpoint);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, PermitReply &m)
+{
+    visit(m.number);
+    visit(m.wait);
+}
+
 template<typename Visitor>
 void fields(Visitor & /*visit*/, StoreLost & /*m*/)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -272,6 +272,26 @@
     Duration duration{0};
 };
 
+// The limit that an endpoint states in its answers, or that it states none any more. From a gateway that has received
+// such an answer to the leader, and from the leader to the others.
+struct EndpointLimit {
+    EndpointId endpoint;
+    bool isLimited = false;
+    double perSecond = 0;
+};
+
+// Gateway to the leader: requests a permit to send one call to an endpoint that has a limit.
+struct RequestPermit {
+    std::uint64_t number = 0; // repeated in the reply
+    EndpointId endpoint;
+};
+
+// Leader to a gateway: the call may be sent if `wait` is zero; otherwise no permit is available for that time.
+struct PermitReply {
+    std::uint64_t number = 0;
+    Duration wait{0};
+};
+
 // Leader to a gateway: the leader cannot read the store.
 struct StoreLost {
 };
@@ -291,11 +311,11 @@
     std::uint64_t hosts = 1; // number of hosts that the leader places for, including itself
 };
 
-using Message =
-    std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
-                 Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
-                 OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements, FollowStore, RegistryUpdate,
-                 ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded, FollowerAddress, DeputyNamed, ConfigDelayed>;
+using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
+                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
+                             RequestPlacement, OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements,
+                             FollowStore, RegistryUpdate, ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded,
+                             FollowerAddress, DeputyNamed, ConfigDelayed, EndpointLimit, RequestPermit, PermitReply>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -41,6 +41,12 @@
     EXPECT_EQ(config.after, 38U);
     EXPECT_EQ(config.change, std::string("\xff\x00{", 3));
     EXPECT_EQ(passedOn(FollowStore{7}).version, 7U);
+    const EndpointLimit limit = passedOn(EndpointLimit{EndpointId("e"), true, 6.4});
+    EXPECT_EQ(limit.endpoint, EndpointId("e"));
+    EXPECT_TRUE(limit.isLimited);
+    EXPECT_EQ(limit.perSecond, 6.4);
+    EXPECT_EQ(passedOn(RequestPermit{7, EndpointId("e")}).number, 7U);
+    EXPECT_EQ(passedOn(PermitReply{7, 150ms}).wait, 150ms);
     passedOn(ConfigDelayed{});
     passedOn(StoreLost{});
     passedOn(LeadershipEnded{});
