Start an update of the registry where the last one ended

Cause: an update started at the store's version at the leader's last read. The version is common to all tables and moves on with each renewal of the lease, so followers took nearly every update for one that comes after a gap, and ignored its rows.

Change: an update starts where the last one to all followers ended.

StoreWatcher.StartsAnUpdateWhereTheLastOneEnded failed before and passes.

--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -274,7 +274,7 @@
         }
     }
     if (table == Table::Registry) {
-        this->forwardToFollowers(rows, before);
+        this->forwardToFollowers(rows);
     }
     this->known = static_cast<std::uint64_t>(this->registry.version.value_or(0));
     this->updateNewFollowers();
@@ -294,18 +294,25 @@
     this->recent.add(changed, before, *this->registry.version);
 }
 
-// After a list, or more changes than are kept, the update has no rows and starts at the current version. Followers that
-// are behind it read the table themselves.
-void StoreWatcher::forwardToFollowers(const std::vector<StoreRow> &rows, std::int64_t before)
+// An update starts where the last one ended, since the store's version moves on without changes of this table. After a
+// list, or more changes than are kept, it has no rows and starts at the current version: followers that are behind it
+// read the table themselves.
+void StoreWatcher::forwardToFollowers(const std::vector<StoreRow> &rows)
 {
-    const bool isGap = !this->recent.covers(before);
-    if (!this->isLeading() || (rows.empty() && !isGap)) {
+    const std::int64_t version = *this->registry.version;
+    if (!this->isLeading()) {
+        this->forwarded = version;
+        return;
+    }
+    const bool isGap = !this->recent.covers(this->forwarded);
+    if (rows.empty() && !isGap) {
         return;
     }
     if (isGap) {
-        Log::info("store_changes_not_relayed", {{"version", *this->registry.version}});
+        Log::info("store_changes_not_relayed", {{"version", version}});
     }
-    this->push(store_update::PeerUpdate{this->recent.after(isGap ? *this->registry.version : before), std::nullopt});
+    this->push(store_update::PeerUpdate{this->recent.after(isGap ? version : this->forwarded), std::nullopt});
+    this->forwarded = version;
 }
 
 // A new follower has read the whole table itself and receives the changes since then. One that is older than the
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -158,7 +158,7 @@
     std::shared_ptr<const RoutingConfig> decodeConfig(const StoreRow &row);
     peer::ConfigUpdate configSummary() const;
     void takeList(const std::vector<StoreRow> &rows);
-    void forwardToFollowers(const std::vector<StoreRow> &rows, std::int64_t before);
+    void forwardToFollowers(const std::vector<StoreRow> &rows);
     void recordRecentRows(const std::vector<StoreRow> &rows, std::int64_t before, bool isWhole);
     void updateNewFollowers();
     bool isLeading() const;
@@ -181,6 +181,7 @@
     FollowedTable config;
     FollowedTable registry;
     RecentRows recent; // of the registry, for followers that are a few changes behind
+    std::int64_t forwarded = 0; // version of the registry at the end of the last update to all followers
     ConfigReplica replica;
     std::optional<RowVersion> configAtLeader; // the newest row that the leader announced
     std::map<LinkId, std::uint64_t> newFollowers; // without a reply yet, with the version that each has
--- a/programs/gateway/testing/storewatcher_test.cpp
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -267,6 +267,33 @@
     }));
 }
 
+// Guards against followers that take each change for a gap and read the store themselves, since other tables have moved
+// the store's version on between two changes.
+TEST(StoreWatcher, StartsAnUpdateWhereTheLastOneEnded)
+{
+    FakeStore store;
+    Updates updates;
+    StoreWatcher watcher(optionsOf(store, leading), updates.ring);
+    ASSERT_TRUE(updates.waitFor([](const StoreUpdate &update) {
+        const auto *leader = std::get_if<store_update::Leader>(&update);
+        return leader != nullptr && leader->isSelf;
+    }));
+    store.remove("e1");
+    std::uint64_t known = 0;
+    ASSERT_TRUE(updates.waitFor([&known](const StoreUpdate &update) {
+        const auto *sent = registryUpdateIn(update);
+        known = sent != nullptr ? sent->version : 0;
+        return sent != nullptr;
+    }));
+    std::this_thread::sleep_for(2 * lease); // its renewals are writes
+    ASSERT_GT(watcher.knownVersion(), known);
+    store.remove("e2");
+    ASSERT_TRUE(updates.waitFor([known](const StoreUpdate &update) {
+        const auto *sent = registryUpdateIn(update);
+        return sent != nullptr && sent->after <= known && sent->rows.size() == 1;
+    }));
+}
+
 // Guards against a registry that stays marked as lost, so that endpoints missing from it are kept for good.
 TEST(StoreWatcher, KeepsARelayedRegistryWhenAnOlderReadFails)
 {
