Soak: an endpoint leaves during an outage of the store

The soak took endpoints out of the registry only while the store could be read, and no check looked at where calls went afterwards. Each run now ends with an outage in silence on all hosts, an endpoint that leaves meanwhile, and no calls to it three seconds (the contact limit) after the outage.

--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -37,6 +37,7 @@
 DECODE_FAULTS = ("half", "full")
 MOST_ROUTES_MORE = 3000  # a whole configuration of them is some 600 KB
 SLOW_BYTES_PER_SECOND = (150_000, 1_000_000)  # of a host's link to the store
+CONTACT_SECONDS = 3.0  # from the end of an outage of the store until all hosts must know what changed
 LATE_RUNS_SECONDS = 1.0  # a call that was refused must not run later either
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
@@ -80,6 +81,7 @@
         for fault in faults:
             fault.join()
         self.check_recovery()
+        self.check_leaving()
         self.callers.stop()
         time.sleep(LATE_RUNS_SECONDS)
         return check(self.callers.calls, self.platform.endpoints, self.own_calls)
@@ -200,6 +202,24 @@
             for path, headers in (("/look/", {}), ("/write/", size), ("/newest/", {})):
                 wait_until(lambda: self.is_served(gateway, path, headers), f"{gateway.name} to serve {path}")
 
+    # Guards against hosts that keep an endpoint which left while they could not read the store.
+    def check_leaving(self):
+        """An endpoint leaves during an outage of the store, and gets no calls once the hosts have been in contact again."""
+        gone = self.plain[0]
+        for proxy in self.stores:
+            proxy.mode = "silent"
+        time.sleep(self.chance.uniform(0, LONGEST_FAULT_SECONDS))
+        self.platform.remove(gone)
+        time.sleep(self.chance.uniform(0, LONGEST_FAULT_SECONDS))
+        for proxy in self.stores:
+            proxy.mode = "pass"
+        time.sleep(CONTACT_SECONDS)
+        since = time.time()
+        time.sleep(LATE_RUNS_SECONDS)
+        late = [run for run in gone.seen if run["at"] > since]
+        if late:
+            raise AssertionError(f"{len(late)} calls to {gone.name}, which has left")
+
     def is_served(self, gateway, path, headers):
         self.own_calls.append(f"after-{len(self.own_calls)}")
         return send(gateway.callers, "GET", path + "x", X_Request_Id=self.own_calls[-1], **headers)[0] == 200
