Choose an endpoint in fewer steps where it states a limit

No change of behaviour: the choice of an endpoint, its permit and the check that it has not left read in one place, as lint asks (a const local prevented a move).

--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -39,13 +39,10 @@
         if (this->abort.isAborted()) {
             return std::nullopt;
         }
-        // It may have left while the permit was requested.
-        const auto usable = wait > 0ms ? std::nullopt : fleet.usable(*chosen);
-        if (usable) {
-            return usable;
-        }
         if (wait > 0ms) {
             this->limitedFor = std::min(this->limitedFor.value_or(wait), wait);
+        } else if (auto endpoint = fleet.usable(*chosen)) { // it may have left while the permit was requested
+            return endpoint;
         }
         candidates.erase(
             std::remove_if(candidates.begin(), candidates.end(),
