--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -5,7 +5,7 @@
     soak.py --build build --rounds 50                    new seeds, each printed before its run
 
 Processes are stopped, frozen, killed and started again by signals; what goes to the store and to plain endpoints goes
-through proxies that delay, silence, cut one way, refuse and reset; endpoints break off, fall silent, refuse and add bytes;
+through proxies that delay, silence, cut one way, refuse and reset; endpoints break off, fall silent, refuse, add bytes and state limits;
 entries lapse and come back, configurations change, the store loses answers and forgets. Faults overlap. A run fails if a
 promise to a caller was broken (checker.py), or if not everybody is served again after the last fault.
 """
@@ -37,6 +37,7 @@
 DECODE_FAULTS = ("half", "full")
 MOST_ROUTES_MORE = 3000  # a whole configuration of them is some 600 KB
 SLOW_BYTES_PER_SECOND = (150_000, 1_000_000)  # of a host's link to the store
+MOST_LIMIT = 20.0  # calls a second
 CONTACT_SECONDS = 3.0  # from the end of an outage of the store until all hosts must know what changed
 LATE_RUNS_SECONDS = 1.0  # a call that was refused must not run later either
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
@@ -73,7 +74,7 @@
         faults = []
         while time.monotonic() < end:
             kind = self.chance.choice((self.signal_fault, self.signal_fault, self.store_fault, self.endpoint_fault,
-                                       self.engine_fault, self.entry_fault, self.platform_fault))
+                                       self.engine_fault, self.entry_fault, self.platform_fault, self.limit_fault))
             lasts = self.chance.uniform(0.1, LONGEST_FAULT_SECONDS)
             faults.append(threading.Thread(target=kind, args=(random.Random(self.chance.random()), lasts), daemon=True))
             faults[-1].start()
@@ -158,6 +159,13 @@
         time.sleep(lasts)
         endpoint.behave = "ok"
 
+    def limit_fault(self, chance, lasts):
+        endpoint = chance.choice(self.plain + self.writers)
+        endpoint.limit = round(chance.uniform(0, MOST_LIMIT), 1)
+        self.note("limit of", endpoint.name, endpoint.limit, f"{lasts:.2f}")
+        time.sleep(lasts)
+        endpoint.limit = None
+
     def entry_fault(self, chance, lasts):
         endpoint = chance.choice(self.platform.endpoints)
         self.note("entry of", endpoint.name, f"{lasts:.2f}")
