--- a/programs/gateway/testing/storewatcher_test.cpp
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -240,6 +240,14 @@
 const LeaseRow leading{HostId("a"), "127.0.0.1:1", 0};
 const LeaseRow neverLeading;
 
+bool waitForLead(Updates &updates)
+{
+    return updates.waitFor([](const StoreUpdate &update) {
+        const auto *leader = std::get_if<store_update::Leader>(&update);
+        return leader != nullptr && leader->isSelf;
+    });
+}
+
 const peer::RegistryUpdate *registryUpdateIn(const StoreUpdate &update)
 {
     const auto *sent = std::get_if<store_update::PeerUpdate>(&update);
@@ -252,10 +260,7 @@
     FakeStore store;
     Updates updates;
     StoreWatcher watcher(optionsOf(store, leading), updates.ring);
-    ASSERT_TRUE(updates.waitFor([](const StoreUpdate &update) {
-        const auto *leader = std::get_if<store_update::Leader>(&update);
-        return leader != nullptr && leader->isSelf;
-    }));
+    ASSERT_TRUE(waitForLead(updates));
     store.remove("e1");
     ASSERT_TRUE(updates.waitFor([](const StoreUpdate &update) { return registryUpdateIn(update) != nullptr; }));
     const std::int64_t known = store.registryVersion(); // by a follower
@@ -274,10 +279,7 @@
     FakeStore store;
     Updates updates;
     StoreWatcher watcher(optionsOf(store, leading), updates.ring);
-    ASSERT_TRUE(updates.waitFor([](const StoreUpdate &update) {
-        const auto *leader = std::get_if<store_update::Leader>(&update);
-        return leader != nullptr && leader->isSelf;
-    }));
+    ASSERT_TRUE(waitForLead(updates));
     store.remove("e1");
     std::uint64_t known = 0;
     ASSERT_TRUE(updates.waitFor([&known](const StoreUpdate &update) {
--- a/testing/process/test_limit.py
+++ b/testing/process/test_limit.py
@@ -41,8 +41,8 @@
         for gateway in self.gateways:
             wait_until(lambda: gateway.leads() or "event=leader_reached" in gateway.log(), "the links")
 
-    def load(self, seconds):
-        """Calls every host at a steady rate; status, headers and seconds that each call took."""
+    def load(self, seconds, gateways=None):
+        """Calls the hosts at a steady rate; status, headers and seconds that each call took."""
         answers = []
 
         def call(gateway):
@@ -53,7 +53,7 @@
         threads = []
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            for gateway in self.gateways:
+            for gateway in gateways or self.gateways:
                 threads.append(threading.Thread(target=call, args=(gateway,)))
                 threads[-1].start()
             time.sleep(1 / CALLS_PER_SECOND)
@@ -76,6 +76,22 @@
         statuses = collections.Counter(status for status, _, _ in answers)
         self.assertEqual(set(statuses), {200}, statuses)  # the third endpoint takes the rest
 
+    # Guards against hosts that lose the limit, or each use all of it, when the host that gives the permits dies.
+    def test_a_limit_holds_when_the_leader_dies(self):
+        for endpoint in self.endpoints[:2]:
+            endpoint.limit = LIMIT
+        begin = time.time()
+        leader = next(gateway for gateway in self.gateways if gateway.leads())
+        others = [gateway for gateway in self.gateways if gateway is not leader]
+        self.load(CONTACT_SECONDS)
+        leader.kill()
+        answers = self.load(WINDOW_SECONDS + 2, others)
+        for endpoint in self.endpoints[:2]:
+            arrivals = [run["at"] for run in endpoint.seen if run["at"] >= begin + CONTACT_SECONDS]
+            self.assertLessEqual(most_in_a_window(arrivals), ALLOWED)
+        statuses = collections.Counter(status for status, _, _ in answers)
+        self.assertEqual(set(statuses), {200}, statuses)
+
     # Guards against calls that wait in vain, or are lost, where every endpoint names a limit.
     def test_calls_beyond_all_limits_are_refused_at_once(self):
         for endpoint in self.endpoints:
