Read the store without a wait when the leader stops forwarding

Cause: the bound counts from the start of the last failed read, and the first read after the leader has lost the store asked for a wait of 1.5 s, so in silence it failed after 2.1 s and its start said little about the recovery.

Change: until a read of its own has succeeded, a host asks for no wait, as while the table is lost.

StoreWatcher.ReadsAtOnceWhenTheLeaderStopsForwarding failed before (the read asked for 200 ms) and passes.

--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -214,8 +214,8 @@
 
 Duration StoreWatcher::waitForChange(const FollowedTable &table) const
 {
-    // While the store gives no replies, each read must fail soon, so that the next one finds it recovered.
-    if (table.isLost) {
+    // If the store may be unavailable, a read must fail soon, so that the next one finds it recovered.
+    if (table.isLost || table.isUnconfirmed) {
         return Duration(0);
     }
     // The leader must detect a silent connection sooner, since all other hosts depend on it.
@@ -237,6 +237,7 @@
     const StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
     this->endRead(table);
     followed.failures = 0;
+    followed.isUnconfirmed = false;
     if (followed.isLost) {
         followed.isLost = false;
         this->reportAvailability(false, table, {});
@@ -255,6 +256,7 @@
     if (followed.isRelayed != isRelayed) {
         Log::info("store_relayed", {{"table", nameOf(table == Table::Config)}, {"relayed", isRelayed}});
         followed.isRelayed = isRelayed;
+        followed.isUnconfirmed = !isRelayed;
         followed.pauseTimer.cancel();
         this->relayed = this->registry.isRelayed;
     }
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -129,6 +129,7 @@
 
         std::optional<std::int64_t> version; // all changes up to it are applied
         bool isLost = false;
+        bool isUnconfirmed = false; // no read has succeeded since the leader stopped forwarding
         int failures = 0; // consecutive failed reads
         Instant readStart; // of the last read; a long poll includes the wait for a change
         Instant lastFailure; // the start of the last read that failed
--- a/programs/gateway/testing/storewatcher_test.cpp
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -330,5 +330,22 @@
     EXPECT_GT(store.lastWait(), 0ms);
 }
 
+// Guards against a long read by each host when the leader loses the store. In silence it hides the store's recovery.
+TEST(StoreWatcher, ReadsAtOnceWhenTheLeaderStopsForwarding)
+{
+    FakeStore store;
+    Updates updates;
+    StoreWatcher watcher(optionsOf(store, neverLeading), updates.ring);
+    ASSERT_TRUE(updates.waitFor<store_update::Listed>());
+    const auto version = watcher.knownVersion();
+    watcher.onUpdate(peer::RegistryUpdate{version, version + 1, {}});
+    std::this_thread::sleep_for(contactLimit); // the read that was running has ended
+    store.set(FakeStore::Feed::Silent);
+    watcher.onLeaderLostStore();
+    std::this_thread::sleep_for(contactLimit / 4);
+    EXPECT_EQ(store.lastWait(), 0ms);
+    ASSERT_TRUE(updates.waitFor<store_update::Lost>());
+}
+
 } // namespace
 } // namespace fescuesill
