Tests of the store's watcher wait for what they check, not for a time

Sleeps of a few hundred milliseconds could end before the watcher's next read on a busy machine. The first wait that a read asks for is now recorded from a change of the store's state on.

--- a/programs/gateway/testing/storewatcher_test.cpp
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -78,13 +78,14 @@
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
         this->feed = state;
+        this->waits.clear();
     }
 
-    // How long the last read of the registry's feed asked to wait for a change.
-    Duration lastWait()
+    // How long each read of the registry's feed since the last set() asked to wait for a change.
+    std::vector<Duration> registryWaits()
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
-        return this->registryWait;
+        return this->waits;
     }
 
     // The version after the last change of the registry.
@@ -118,7 +119,7 @@
     {
         if (call.target.rfind("/rows-feed?table=servers", 0) == 0) {
             const std::lock_guard<std::mutex> lock(this->mutex);
-            this->registryWait = std::chrono::milliseconds(numberIn(call.target, "wait_ms"));
+            this->waits.emplace_back(std::chrono::milliseconds(numberIn(call.target, "wait_ms")));
         }
         if (this->state() == Feed::Down) {
             reply.send(503, "{}", yield);
@@ -196,12 +197,22 @@
     std::int64_t historyFrom = 0;
     std::int64_t removedAt = 0;
     std::string removedKey;
-    Duration registryWait{0};
+    std::vector<Duration> waits;
     std::int64_t leaseAt = 0;
     std::string leaseValue;
     ServedThread served; // last, so that it ends before the members that it uses
 };
 
+template<typename Condition>
+bool waitUntil(Condition condition)
+{
+    const Instant until = steadyNow() + patience;
+    while (!condition() && steadyNow() < until) {
+        std::this_thread::sleep_for(pollStep);
+    }
+    return condition();
+}
+
 // Collects the updates of one watcher. The tests poll it, so it needs no wake-up.
 class Updates
 {
@@ -287,8 +298,7 @@
         known = sent != nullptr ? sent->version : 0;
         return sent != nullptr;
     }));
-    std::this_thread::sleep_for(2 * lease); // its renewals are writes
-    ASSERT_GT(watcher.knownVersion(), known);
+    ASSERT_TRUE(waitUntil([&] { return watcher.knownVersion() > known; })); // the renewals of the lease are writes
     store.remove("e2");
     ASSERT_TRUE(updates.waitFor([known](const StoreUpdate &update) {
         const auto *sent = registryUpdateIn(update);
@@ -317,17 +327,20 @@
     FakeStore store;
     Updates updates;
     StoreWatcher watcher(optionsOf(store, neverLeading), updates.ring);
-    ASSERT_TRUE(updates.waitFor<store_update::Listed>());
-    std::this_thread::sleep_for(contactLimit);
-    EXPECT_GT(store.lastWait(), 0ms);
+    const auto lastWaits = [&store] {
+        const auto waits = store.registryWaits();
+        return !waits.empty() && waits.back() > 0ms;
+    };
+    ASSERT_TRUE(waitUntil(lastWaits));
     store.set(FakeStore::Feed::Down);
     ASSERT_TRUE(updates.waitFor<store_update::Lost>());
-    std::this_thread::sleep_for(contactLimit); // at least one read has failed since
-    EXPECT_EQ(store.lastWait(), 0ms);
+    store.set(FakeStore::Feed::Down);
+    ASSERT_TRUE(waitUntil([&store] { return store.registryWaits().size() >= 2; }));
+    EXPECT_EQ(store.registryWaits().front(), 0ms);
+    EXPECT_EQ(store.registryWaits().back(), 0ms);
     store.set(FakeStore::Feed::Working);
     ASSERT_TRUE(updates.waitFor<store_update::Restored>());
-    std::this_thread::sleep_for(contactLimit);
-    EXPECT_GT(store.lastWait(), 0ms);
+    EXPECT_TRUE(waitUntil(lastWaits));
 }
 
 // Guards against a long read by each host when the leader loses the store. In silence it hides the store's recovery.
@@ -342,9 +355,9 @@
     std::this_thread::sleep_for(contactLimit); // the read that was running has ended
     store.set(FakeStore::Feed::Silent);
     watcher.onLeaderLostStore();
-    std::this_thread::sleep_for(contactLimit / 4);
-    EXPECT_EQ(store.lastWait(), 0ms);
-    ASSERT_TRUE(updates.waitFor<store_update::Lost>());
+    ASSERT_TRUE(waitUntil([&store] { return !store.registryWaits().empty(); }));
+    EXPECT_EQ(store.registryWaits().front(), 0ms);
+    EXPECT_TRUE(updates.waitFor<store_update::Lost>());
 }
 
 } // namespace
