Hold the changes since an empty store

Cause: RecentRows took version 0 for "nothing held yet". On a store without any write the first list has version 0, and the first feeds, which bring no row, moved the start of what is held on. The first change then looked like a gap to every follower, and each read the registry itself.

RecentRows.CoverTheChangesFromAnEmptyStore fails without the change.

--- a/programs/gateway/recentrows.cpp
+++ b/programs/gateway/recentrows.cpp
@@ -17,7 +17,7 @@
 
 void RecentRows::add(const std::vector<peer::RegistryRow> &changed, std::int64_t before, std::int64_t version)
 {
-    if (this->rows.empty() && this->since == 0) {
+    if (!this->since) {
         this->since = before;
     }
     this->rows.insert(this->rows.end(), changed.begin(), changed.end());
@@ -30,7 +30,7 @@
 
 bool RecentRows::covers(std::int64_t version) const
 {
-    return version >= this->since && version <= this->newest;
+    return this->since && version >= *this->since && version <= this->newest;
 }
 
 peer::RegistryUpdate RecentRows::after(std::int64_t version) const
--- a/programs/gateway/recentrows.h
+++ b/programs/gateway/recentrows.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace fescuesill
@@ -34,7 +35,7 @@
 
 private:
     std::deque<peer::RegistryRow> rows;
-    std::int64_t since = 0; // all changes after this version are held
+    std::optional<std::int64_t> since; // all changes after this version are held; empty before the first
     std::int64_t newest = 0;
 };
 
--- a/programs/gateway/testing/recentrows_test.cpp
+++ b/programs/gateway/testing/recentrows_test.cpp
@@ -83,5 +83,17 @@
     EXPECT_TRUE(recent.after(2000).rows.empty());
 }
 
+// Guards against followers that take the first change in a new store for a gap and read the store themselves.
+TEST(RecentRows, CoverTheChangesFromAnEmptyStore)
+{
+    RecentRows recent;
+    recent.restart(0);
+    recent.add({}, 0, 2);
+    recent.add({}, 2, 3);
+    EXPECT_TRUE(recent.covers(0));
+    recent.add({{4, "a", "", false}}, 3, 4);
+    EXPECT_EQ(recent.after(0).rows.size(), 1U);
+}
+
 } // namespace
 } // namespace fescuesill
