Claim a free lease after a delay of each host's own, and leave it to the deputy where there is one

Cause: all hosts that find the lease free write it in the same moment. A host whose leader is lost wrote first and read then, with a version that it had last seen minutes before.

Change: a host claims only after its own delay, and only if a read at that time shows the lease free. A host that is linked to the deputy of a lost leader leaves lease and reads to it, for a bounded time.

--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -3,6 +3,10 @@
 // clock. The holder counts its lease from before it sent the renewal, so for the holder the lease ends before any other
 // host can claim it. Since every write is conditional, two claims cannot both succeed.
 //
+// All hosts that wait for the same lease see it end within one interval of their reads. A host claims it only after a
+// read that shows it free at the time of the claim: of hosts that come late, each then makes one call, which names the
+// new holder, and not a failed write and a read.
+//
 // A write whose reply was lost may have taken effect, or may take effect seconds later if its condition still holds.
 // The row is read back and decides. Even when it names this host, such a renewal does not extend the lease; only the
 // next accepted write does.
@@ -54,6 +58,25 @@
     this->isSeen = seen;
 }
 
+void Leadership::onDeputySeen(bool seen, Instant now)
+{
+    if (!seen) {
+        this->deputyUntil.reset();
+    } else if (!this->deputyUntil) {
+        this->deputyUntil = now + this->options.lease + this->options.margin + this->options.deputyClaim;
+    }
+}
+
+// Since when the lease may be claimed, as far as the last read shows; none if it is this host's own.
+std::optional<Instant> Leadership::freeSince() const
+{
+    if (this->isOwnRow()) {
+        return std::nullopt;
+    }
+    const bool isHeld = this->row && !this->row->host.isEmpty();
+    return isHeld ? this->changedAt + this->options.lease + this->options.margin : this->changedAt;
+}
+
 bool Leadership::isLeading(Instant now) const
 {
     return this->lastRenewal && now < *this->lastRenewal + this->options.lease - this->options.margin;
@@ -94,15 +117,22 @@
         renewed.renewals = this->row ? this->row->renewals + 1 : 1;
         return leadership_action::WriteLease{renewed, this->rowVersion};
     }
-    const bool isFree = !this->row || this->row->host.isEmpty() || this->isOwnRow()
-        || now >= this->changedAt + this->options.lease + this->options.margin;
-    if (isFree && !this->isSeen) {
+    if (this->isSeen || (this->deputyUntil && now < *this->deputyUntil)) {
+        return leadership_action::WaitUntil{now + this->options.pollInterval};
+    }
+    const auto free = this->freeSince();
+    const bool isClaimable = !free || now >= *free + this->options.claimDelay;
+    const bool isConfirmed = !free || this->readAt >= *free + this->options.claimDelay;
+    if (isClaimable && isConfirmed) {
         LeaseRow claimed = this->self;
         claimed.renewals = this->row ? this->row->renewals + 1 : 1;
         return leadership_action::WriteLease{claimed, this->rowVersion};
     }
-    if (this->isSeen) {
-        return leadership_action::WaitUntil{now + this->options.pollInterval};
+    if (isClaimable) {
+        return leadership_action::ReadLease{};
+    }
+    if (now >= *free) {
+        return leadership_action::WaitUntil{*free + this->options.claimDelay};
     }
     return now < this->nextPoll ? LeadershipAction(leadership_action::WaitUntil{this->nextPoll})
                                 : leadership_action::ReadLease{};
@@ -119,6 +149,7 @@
     }
     this->row = read;
     this->rowVersion = version;
+    this->readAt = now;
     this->isRead = true;
     this->schedulePoll(isNew, now);
 }
--- a/promise/leadership.h
+++ b/promise/leadership.h
@@ -75,12 +75,20 @@
         Duration firstPollDelay{60ms};
         // The maximum drift between the clocks of two hosts over one lease.
         Duration margin{200ms};
+        // The delay of a claim after the lease has become free. Hosts draw different delays, since a write of each of
+        // hundreds of hosts in the same moment exceeds what the table takes, and the first claim waits behind them.
+        Duration claimDelay{0};
+        // How long after the end of the lease a host leaves the claim to the deputy that it is linked to.
+        Duration deputyClaim{1500ms};
     };
 
     Leadership(LeaseRow self, Options options);
 
     // Whether this host currently has a connection to the leader.
     void onLeaderSeen(bool isSeen);
+    // Whether this host has a connection to the deputy of a lost leader. The deputy claims the lease and names the next
+    // leader, so this host neither reads nor claims the lease until the deputy has had the time to do so.
+    void onDeputySeen(bool isSeen, Instant now);
     // This host stops: it releases the lease, so that another host need not wait for its end, and never claims it
     // again.
     void release();
@@ -117,6 +125,7 @@
 
 private:
     bool isOwnRow() const;
+    std::optional<Instant> freeSince() const;
     void schedulePoll(bool isChanged, Instant now);
 
     LeaseRow self;
@@ -125,10 +134,12 @@
     RowVersion rowVersion;
     bool isRead = false; // since the start or the last failure
     bool isSeen = false;
+    std::optional<Instant> deputyUntil; // the deputy may still claim the lease
     bool hasHeldLease = false; // since the start
     bool isReleasing = false;
     Instant termStart; // when this host claimed the lease
     Instant changedAt; // when this host first saw the current version
+    Instant readAt; // when the row was last read
     std::optional<Instant> lastRenewal; // when the last accepted renewal was sent
     Instant nextPoll;
     Duration pollDelay; // between the last poll and the next
--- a/promise/testing/leadership_test.cpp
+++ b/promise/testing/leadership_test.cpp
@@ -1,5 +1,6 @@
 #include "promise/leadership.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -226,6 +227,85 @@
     EXPECT_FALSE(cut.leadership.isLastHolder());
 }
 
+// Guards against a write of each of hundreds of hosts in the moment in which a lease ends, which the table cannot take.
+TEST(Leadership, FewHostsClaimAFreeLeaseAtOnce)
+{
+    constexpr int hosts = 300;
+    constexpr Duration reply{25ms}; // of the table
+    for (const bool isHeld : {false, true}) {
+        LeaseStore store;
+        if (isHeld) {
+            store.row = LeaseRow{HostId("dead"), "dead:1", 5};
+            store.version = 9;
+        }
+        std::vector<Host> fleet;
+        std::vector<std::optional<std::pair<Instant, LeadershipAction>>> calls(hosts);
+        for (int number = 0; number < hosts; ++number) {
+            Leadership::Options options;
+            options.claimDelay = number * 1ms;
+            fleet.emplace_back("h" + std::to_string(number), options);
+        }
+        int writes = 0;
+        for (Instant now(Duration(1'000'000)); now < Instant(Duration(6'000'000)); now += 1ms) {
+            for (int number = 0; number < hosts; ++number) {
+                Leadership &leadership = fleet[number].leadership;
+                auto &call = calls[number];
+                if (!call) {
+                    const LeadershipAction action = leadership.next(now);
+                    if (!std::holds_alternative<leadership_action::WaitUntil>(action)) {
+                        call = std::pair(now + reply, action);
+                    }
+                    continue;
+                }
+                if (now < call->first) {
+                    continue;
+                }
+                if (const auto *write = std::get_if<leadership_action::WriteLease>(&call->second)) {
+                    ++writes;
+                    if (store.write(*write)) {
+                        leadership.onWritten(RowVersion(store.version), now - reply);
+                    } else {
+                        leadership.onFailed(now - 3s);
+                    }
+                } else {
+                    leadership.onRead(store.row, RowVersion(store.version), now);
+                    leadership.onLeaderSeen(store.row && store.row->host != HostId("dead"));
+                }
+                call.reset();
+            }
+        }
+        const auto leading = std::count_if(fleet.begin(), fleet.end(), [](const Host &host) {
+            return host.leadership.isLeading(Instant(Duration(6'000'000)));
+        });
+        EXPECT_EQ(leading, 1) << isHeld;
+        EXPECT_LE(writes, 70) << isHeld; // 25 ms of claims, of which each makes one write, and the holder's renewals
+    }
+}
+
+// Guards against reads of the lease by the whole fleet while the deputy is about to claim it, and against a fleet that
+// waits for a deputy which cannot.
+TEST(Leadership, LeavesTheClaimToTheDeputyForABoundedTime)
+{
+    const Leadership::Options options;
+    LeaseStore store;
+    store.row = LeaseRow{HostId("dead"), "dead:1", 5};
+    store.version = 9;
+    Host host("a", options);
+    std::optional<leadership_action::WriteLease> late;
+    Instant now(Duration(1'000'000));
+    turn(host, store, 0, now, late);
+    host.leadership.onDeputySeen(true, now);
+    const Instant begin = now;
+    while (std::holds_alternative<leadership_action::WaitUntil>(host.leadership.next(now)) && now < begin + 20s) {
+        now += 10ms;
+    }
+    EXPECT_GE(now - begin, options.lease + options.margin);
+    EXPECT_LE(now - begin, options.lease + options.margin + options.deputyClaim + 10ms);
+    host.leadership.onDeputySeen(false, now);
+    host.leadership.onDeputySeen(true, now);
+    EXPECT_TRUE(std::holds_alternative<leadership_action::WaitUntil>(host.leadership.next(now)));
+}
+
 // A holder resumes after a suspension during which its steady clock did not advance. Its lease must be over by the
 // clock that includes suspension.
 TEST(Leadership, IsOverAfterASuspension)
