--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -178,10 +178,11 @@
     this->hasHeldLease = true;
 }
 
+// The first call after a failure follows soon: one lost packet must not keep a fleet that restarts from its leader.
 void Leadership::onFailed(Instant now)
 {
+    this->schedulePoll(this->isRead, now);
     this->isRead = false;
-    this->nextPoll = now + this->options.pollInterval;
     if (this->lastRenewal && !this->isLeading(now)) {
         this->lastRenewal.reset();
     }
--- a/promise/testing/leadership_test.cpp
+++ b/promise/testing/leadership_test.cpp
@@ -306,6 +306,25 @@
     EXPECT_TRUE(std::holds_alternative<leadership_action::WaitUntil>(host.leadership.next(now)));
 }
 
+// Guards against a restarted fleet without a leader for a second because one packet of the holder's claim was lost.
+TEST(Leadership, TriesAgainSoonAfterALostReply)
+{
+    LeaseStore store;
+    store.row = LeaseRow{HostId("a"), "a:1", 5};
+    store.version = 9;
+    Host holder("a", {});
+    std::optional<leadership_action::WriteLease> late;
+    Instant now(Duration(1'000'000));
+    turn(holder, store, 0, now, late);
+    turn(holder, store, 1, now, late); // the claim
+    const Instant lost = now;
+    while (!holder.leadership.isLeading(now) && now < lost + 5s) {
+        now += 10ms;
+        turn(holder, store, 0, now, late);
+    }
+    EXPECT_LE(now - lost, 150ms);
+}
+
 // A holder resumes after a suspension during which its steady clock did not advance. Its lease must be over by the
 // clock that includes suspension.
 TEST(Leadership, IsOverAfterASuspension)
