One host reads the users' store for the whole fleet, also in an outage and between two leaders

Cause: followers read both tables and the lease themselves whenever the leader could not forward changes: while the store refused or cut off the leader alone, in each outage, and from a leader's death until the next one.

Change: a leader that cannot read the store asks two followers at a time, at random, to read it (ReaderChoice). Their updates go to the leader, which forwards them like its own. Only if nobody asked can read either, an outage is announced, and followers wait for its end, which carries when the last read failed. The deputy of a lost leader forwards the changes and names the next leader. A host that starts waits for the first update after its list. A list after a lost history is forwarded as changes (RegistryRelay). Each host tries itself in a long outage, once in some 20 s. What leads, what reads and what is exchanged are files of their own.

Ruled out: a longer pause between tries (calls still grow with the fleet); the deputy as the only other reader (refused as likely as the leader).

--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -100,6 +100,10 @@
             this->links->onLeader(*leader);
         } else if (const auto *peerUpdate = std::get_if<store_update::PeerUpdate>(&*update)) {
             this->links->onUpdate(*peerUpdate);
+        } else if (const auto *leaderUpdate = std::get_if<store_update::LeaderUpdate>(&*update)) {
+            this->links->onUpdate(*leaderUpdate);
+        } else if (const auto *reads = std::get_if<store_update::OwnReads>(&*update)) {
+            this->links->onUpdate(*reads);
         } else {
             this->fleet.apply(*update, steadyNow());
         }
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -10,6 +10,7 @@
 #include "wire/log.h"
 
 #include <boost/asio/post.hpp>
+#include <random>
 
 namespace fescuesill
 {
@@ -29,6 +30,7 @@
                        EndpointPermits &endpointPermits)
     : gates(placementGates)
     , permits(endpointPermits)
+    , readers({}, std::random_device()())
     , ownAddress(address)
     , route(address, PlacingRoute::Options{})
     , events(eventRingSize, [this, &io] { asio::post(io, [this] { this->drain(); }); })
@@ -122,7 +124,10 @@
         Log::info("standing_in", {{"for_leader", this->isActing}, {"address", this->leaderAddress}});
     }
     if (wasActing && !this->isActing && !this->isLeading) {
-        this->endPlacing();
+        this->endLeading();
+    }
+    if (this->isActing != wasActing) {
+        this->store->setActing(this->isActing);
     }
 }
 
@@ -137,8 +142,15 @@
     if (next == this->path && link == this->uplink) {
         return;
     }
+    const bool wasDeputy = this->path == PlacingPath::Deputy;
+    const bool isDeputy = next == PlacingPath::Deputy;
     this->path = next;
     this->uplink = link;
+    this->store->onRelayLost();
+    this->lastFollowRequest = Instant();
+    if (isDeputy != wasDeputy) {
+        this->store->setDeputyReachable(isDeputy);
+    }
     if (!link) {
         this->permits.setUplink({});
     }
@@ -197,6 +209,37 @@
 {
     this->endPlacing();
     this->followers.clear();
+    this->readers.clear();
+}
+
+void LeaderLink::announceLeader(const store_update::Leader &leader)
+{
+    const peer::LeaderNamed named{leader.holder->host, leader.holder->address,
+                                  static_cast<std::uint64_t>(leader.term.value())};
+    for (const LinkId client : this->placementClients) {
+        this->node->send(client, named);
+    }
+}
+
+void LeaderLink::applyReaders(Instant now)
+{
+    for (const auto &change : this->readers.next(now)) {
+        this->node->send(change.link, peer::DelegateReading{change.isWanted, this->store->knownVersion()});
+    }
+    const bool isOutage = this->readers.isOutage(now);
+    if (isOutage && !this->isOutage) {
+        this->store->onNoReader();
+    }
+    this->isOutage = isOutage;
+}
+
+void LeaderLink::onStoreLost(LinkId link)
+{
+    if (link == this->uplink) {
+        this->store->onStoreLost();
+    } else {
+        this->readers.onFailed(link, steadyNow());
+    }
 }
 
 void LeaderLink::onUpdate(const store_update::PeerUpdate &update)
@@ -214,8 +257,29 @@
     }
 }
 
+void LeaderLink::onUpdate(const store_update::LeaderUpdate &update)
+{
+    if (this->uplink) {
+        this->node->send(*this->uplink, update.message);
+    }
+}
+
+void LeaderLink::onUpdate(const store_update::OwnReads &reads)
+{
+    const Instant now = steadyNow();
+    if (reads.isWorking) {
+        this->readers.stop();
+    } else if (this->isLeading || this->isActing) {
+        this->readers.start(now);
+    }
+    this->applyReaders(now);
+}
+
 void LeaderLink::onLeader(const store_update::Leader &update)
 {
+    if (update.isSelf && this->isActing) {
+        this->announceLeader(update);
+    }
     if (this->isLeading && !update.isSelf) {
         this->endLeading();
     }
@@ -241,13 +305,14 @@
 // reconnected to it.
 void LeaderLink::onTick(Instant now)
 {
-    const bool isDue = this->path == PlacingPath::Leader && !this->store->isRelayed()
-        && now >= this->lastFollowRequest + followRequestInterval;
+    const bool isDue =
+        this->uplink && !this->store->isRelayed() && now >= this->lastFollowRequest + followRequestInterval;
     if (isDue) {
         this->lastFollowRequest = now;
-        this->node->send(*this->leader, peer::FollowStore{this->store->knownVersion()});
+        this->node->send(*this->uplink, peer::FollowStore{this->store->knownVersion()});
     }
     this->applyRoute(now);
+    this->applyReaders(now);
 }
 
 void LeaderLink::onOpened(LinkId link)
@@ -255,7 +320,6 @@
     if (this->leader && link == *this->leader) {
         this->route.onLeaderReached();
         this->setLeaderReachable(true);
-        this->lastFollowRequest = Instant();
         this->node->send(link, peer::FollowerAddress{this->ownAddress});
     } else if (this->isDeputyLink(link)) {
         this->route.onDeputyReached();
@@ -273,6 +337,7 @@
         this->route.onDeputyLost(steadyNow());
     } else {
         this->followers.erase(link);
+        this->readers.removeFollower(link, steadyNow());
         this->placementClients.erase(link);
         this->deputies.remove(link);
         this->announceDeputy();
@@ -293,7 +358,9 @@
         this->onClosed(event.link);
         break;
     }
-    this->applyRoute(steadyNow());
+    const Instant now = steadyNow();
+    this->applyRoute(now);
+    this->applyReaders(now);
 }
 
 void LeaderLink::onFollowerAddress(LinkId link, const std::string &address)
@@ -312,6 +379,7 @@
 {
     const bool isFromLeader = this->leader && link == *this->leader;
     const bool isFromPlacer = isFromLeader || this->isDeputyLink(link);
+    const bool isFromRelay = this->uplink && link == *this->uplink;
     if (!isFromPlacer && !this->isLeading && !this->isActing) {
         this->node->send(link, peer::LeadershipEnded{});
         return;
@@ -323,22 +391,46 @@
         Overloaded{
             [&](const peer::OfferPlacement &place) { this->gates.onPlacementOffered(place); },
             [&](const peer::RejectPlacement &none) { this->gates.onPlacementRejected(none); },
-            [&](const peer::RegistryUpdate &update) { this->store->onUpdate(update); },
+            [&](const peer::RegistryUpdate &update) {
+                if (isFromRelay) {
+                    this->store->onUpdate(update);
+                } else if (this->readers.isReader(link)) {
+                    this->readers.onRead(link, steadyNow());
+                    this->store->onReaderUpdate(update);
+                }
+            },
             [&](const peer::ConfigUpdate &update) {
-                if (isFromLeader) {
+                if (isFromRelay) {
                     this->store->onUpdate(update);
+                } else if (this->readers.isReader(link)) {
+                    this->store->onReaderUpdate(update);
                 }
             },
             [&](const peer::ConfigDelayed &) {
-                if (isFromLeader) {
+                if (isFromRelay) {
                     this->store->onConfigDelayed();
                 }
             },
+            [&](const peer::DelegateReading &request) {
+                if (isFromRelay) {
+                    this->store->onReadingDelegated(request);
+                }
+            },
+            [&](const peer::StoreRestored &restored) {
+                if (isFromRelay) {
+                    this->store->onStoreRestored(restored);
+                }
+            },
+            [&](const peer::LeaderNamed &named) {
+                if (isFromRelay) {
+                    this->store->onLeaderNamed(named);
+                }
+            },
             [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
             [&](const peer::EndpointLimit &limit) { this->permits.onLimit(limit); },
             [&](const peer::RequestPermit &request) { this->permits.onRequested(reply, request); },
             [&](const peer::PermitReply &answer) { this->permits.onReply(answer); },
-            [&](const peer::StoreLost &) { this->store->onLeaderLostStore(); },
+            [&](const peer::StoreLost &) { this->onStoreLost(link); },
             [&](const peer::LeadershipEnded &) {
                 if (isFromLeader) {
                     this->onLeader({});
@@ -363,6 +455,7 @@
             },
             [&](const peer::FollowStore &follow) {
                 this->followers.insert(link);
+                this->readers.addFollower(link);
                 this->store->addFollower(link, follow.version);
             },
             [&](const auto &) {
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -8,8 +8,10 @@
 
 #include "programs/gateway/endpointpermits.h"
 #include "programs/gateway/placementgates.h"
+#include "programs/gateway/storewatcher.h"
 #include "promise/deputychoice.h"
 #include "promise/placingroute.h"
+#include "promise/readerchoice.h"
 #include "wire/peernode.h"
 
 #include <set>
@@ -42,6 +44,10 @@
     void onLeader(const store_update::Leader &leader);
     // Sends the update to one follower or to all.
     void onUpdate(const store_update::PeerUpdate &update);
+    // Sends the update to the host that this one follows.
+    void onUpdate(const store_update::LeaderUpdate &update);
+    // Asks followers to read the store for this host while its own reads fail.
+    void onUpdate(const store_update::OwnReads &reads);
     bool leads() const
     {
         return this->isLeading;
@@ -79,13 +85,18 @@
     void announceDeputy();
     peer::DeputyNamed deputyAnnouncement() const;
     void onFollowerAddress(LinkId link, const std::string &address);
+    void applyReaders(Instant now);
+    void onStoreLost(LinkId link);
+    void announceLeader(const store_update::Leader &leader);
     void endPlacing();
     void endLeading();
 
     PlacementGates &gates;
     EndpointPermits &permits;
     StoreWatcher *store = nullptr;
-    std::set<LinkId> followers; // links to this host while it leads
+    std::set<LinkId> followers; // links of the hosts that this one forwards the store's changes to
+    ReaderChoice<LinkId> readers;
+    bool isOutage = false; // neither this host nor its readers can read the store
     std::set<LinkId> placementClients; // links to hosts that this one places for
     DeputyChoice<LinkId> deputies;
     std::string announcedDeputy; // the deputy last announced to the followers
--- /dev/null
+++ b/programs/gateway/storeupdate.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// What the store watcher reports to the forwarding thread.
+
+#include "decide/routingconfig.h"
+#include "promise/endpointregistry.h"
+#include "promise/leadership.h"
+#include "wire/linkid.h"
+#include "wire/messages.h"
+
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace fescuesill
+{
+
+namespace store_update
+{
+struct Config {
+    std::shared_ptr<const RoutingConfig> config;
+};
+struct Listed {
+    std::vector<EndpointRecord> records;
+};
+struct Changed {
+    EndpointRecord record;
+};
+struct Removed {
+    EndpointId id;
+};
+// The current leader, according to the last read of the lease; empty if none is known.
+struct Leader {
+    std::optional<LeaseRow> holder;
+    bool isSelf = false;
+    RowVersion term; // the version of the lease
+};
+// A message for the hosts that follow this one.
+struct PeerUpdate {
+    peer::Message message;
+    std::optional<LinkId> follower; // to all if empty
+};
+// A message for the leader, from a host that reads the store for it.
+struct LeaderUpdate {
+    peer::Message message;
+};
+// Whether this host's own reads of the registry succeed. Sent only while other hosts follow this one.
+struct OwnReads {
+    bool isWorking = false;
+};
+// The registry can't be read by this host, nor by the host that it follows; or it can be read again.
+struct Lost {
+};
+struct Restored {
+    Instant lastFailure; // the start of the last read that failed; the store returned after it
+};
+} // namespace store_update
+
+using StoreUpdate =
+    std::variant<store_update::Config, store_update::Listed, store_update::Changed, store_update::Removed,
+                 store_update::Lost, store_update::Restored, store_update::Leader, store_update::PeerUpdate,
+                 store_update::LeaderUpdate, store_update::OwnReads>;
+
+} // namespace fescuesill
--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -1,7 +1,11 @@
-// The leader watches the tables and forwards their changes to all other hosts, which read the store themselves only if
-// no leader can: in a fleet of 75 hosts, watching both tables on every host took 150 calls a second, and one leader
-// makes four. Updates contain the changed rows of the registry and small changes of the configuration; after a large
-// change of the configuration each host reads the row.
+// The leader watches the tables and forwards their changes to all other hosts, so the calls of the store do not grow
+// with the fleet. Updates contain the changed rows of the registry and small changes of the configuration; after a
+// large change of the configuration each host reads the row.
+//
+// A leader that cannot read the store asks a few followers to read it instead (promise/readerchoice.h). Their updates
+// go to the leader, which forwards them like its own. Only if none of them can read the store either, the followers are
+// notified of an outage. They do not try themselves as long as they are linked to the leader, which notifies them of
+// the recovery. Where the leader is lost, its deputy takes its place; a host without either reads the store itself.
 //
 // Each table is listed once and then followed from that version by long polls. After a gap in the store's history or a
 // failed list, the whole table is listed again; after any other failure, the poll is retried from the same version, so
@@ -19,8 +23,7 @@
 #include "wire/coroutine.h"
 #include "wire/log.h"
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <algorithm>
 #include <utility>
 
 namespace fescuesill
@@ -29,47 +32,40 @@
 {
 
 constexpr Duration replyLimit{600ms}; // after the wait; a slow store replies within a few hundred milliseconds
-// A read that has waited for longer, without a wait of its own, was sent while the store was unavailable.
-constexpr Duration silenceOfARead{200ms};
-constexpr Duration pauseAfterFault{250ms}; // a store that refuses is called four times a second for each table
+// A reply that has not begun within its limit has failed by then; one that still arrives is slow.
+constexpr Duration slowMargin{100ms};
+// After a failed read: of a host that others follow, of the first read of any other host, and at most.
+constexpr Duration pauseAfterFault{250ms};
+constexpr Duration longestPause{500ms};
+// Of the configuration while the registry cannot be read. Its next read begins at once when the registry is read again.
+constexpr Duration configPauseInOutage{2s};
 constexpr Duration leaderWait{500ms}; // a quarter of the time in which a change must take effect everywhere
 constexpr Duration relayedPause{10s}; // cancelled when the leader stops forwarding
-constexpr std::size_t maxNewFollowers = 4096; // hosts that connect to a new leader at the same time
+// How long a host that has started waits for the first update of the leader.
+constexpr Duration firstUpdateWait{1500ms};
 constexpr Duration pauseWhenFull{5ms}; // the forwarding thread drains its ring in much less
 
-constexpr const char *leaseTable = "leases";
-constexpr const char *leaseKey = "placing";
-
-Leadership::Options leadershipOptions(Duration lease)
-{
-    Leadership::Options options;
-    options.lease = lease;
-    options.renew = lease / 3;
-    options.pollInterval = lease / 6;
-    options.firstPollDelay = lease / 50;
-    options.margin = lease / 15;
-    return options;
-}
+} // namespace
 
-const char *nameOf(bool isConfig)
+const char *StoreWatcher::nameOf(Table table)
 {
-    return isConfig ? configTable : registryTable;
+    return table == Table::Config ? configTable : registryTable;
 }
 
-} // namespace
-
 StoreWatcher::StoreWatcher(Options given, Ring<StoreUpdate> &ring)
     : options(std::move(given))
     , updates(ring)
+    , random(std::random_device()())
     , config(this->io)
     , registry(this->io)
-    , leadership(this->options.self, leadershipOptions(this->options.lease))
-    , leadTimer(this->io)
+    , lease(this->io, {this->options.address, this->options.self, this->options.lease},
+            [this](const store_update::Leader &leader) { this->onLeader(leader); })
 {
-    if (!this->options.self.address.empty()) {
-        startCoroutine(this->io, [this](const asio::yield_context &yield) { this->lead(yield); });
-    }
+    this->lease.start();
     for (const Table table : {Table::Config, Table::Registry}) {
+        if (!this->options.self.address.empty()) {
+            this->stateOf(table).holdUntil = steadyNow() + firstUpdateWait;
+        }
         startCoroutine(this->io, [this, table](const asio::yield_context &yield) { this->follow(table, yield); });
     }
     this->thread = std::thread([this] { this->io.run(); });
@@ -101,33 +97,12 @@
     }
 }
 
-void StoreWatcher::reportAvailability(bool isLost, Table table, const std::string &reason)
+bool StoreWatcher::waitFor(FollowedTable &table, Duration time, const asio::yield_context &yield)
 {
-    const char *name = nameOf(table == Table::Config);
-    if (isLost) {
-        Log::warning("store_lost", {{"table", name}, {"reason", reason}});
-    } else {
-        Log::info("store_back", {{"table", name}});
-    }
-    if (isLost && this->isLeading()) {
-        this->push(store_update::PeerUpdate{peer::StoreLost{}, std::nullopt});
-    }
-    if (table == Table::Registry) {
-        this->push(isLost ? StoreUpdate(store_update::Lost{})
-                          : StoreUpdate(store_update::Restored{this->registry.lastFailure}));
-    }
-}
-
-bool StoreWatcher::isLeading() const
-{
-    return this->leadership.isLastHolder();
-}
-
-void StoreWatcher::waitFor(FollowedTable &table, Duration time, const asio::yield_context &yield)
-{
-    boost::system::error_code ignored;
+    boost::system::error_code error;
     table.pauseTimer.expires_after(time);
-    table.pauseTimer.async_wait(yield[ignored]);
+    table.pauseTimer.async_wait(yield[error]);
+    return !error;
 }
 
 void StoreWatcher::follow(Table table, const asio::yield_context &yield)
@@ -135,6 +110,9 @@
     StoreClient store(this->io, {this->options.address, replyLimit});
     FollowedTable &followed = this->stateOf(table);
     while (!this->isStopping) {
+        if (this->waitBeforeRead(table, yield)) {
+            continue;
+        }
         followed.readStart = steadyNow();
         try {
             this->followOnce(table, store, yield);
@@ -142,17 +120,62 @@
         } catch (const StoreError &error) {
             this->endRead(table);
             if (error.isHistoryGone()) {
-                Log::info("store_history_gone", {{"table", nameOf(table == Table::Config)}});
+                Log::info("store_history_gone", {{"table", nameOf(table)}});
                 followed.version.reset();
                 continue;
             }
             this->onReadFailed(table, error);
         }
-        this->waitFor(followed, pauseAfterFault, yield);
+        this->waitFor(followed, this->pauseAfterFailure(table), yield);
+    }
+}
+
+// Returns whether it has waited because another host reads the table for this one, or may do so soon.
+bool StoreWatcher::waitBeforeRead(Table table, const asio::yield_context &yield)
+{
+    FollowedTable &followed = this->stateOf(table);
+    if (this->isReader) {
+        return false;
+    }
+    if (followed.isRelayed) {
+        return this->waitWhileRelayed(table, yield);
     }
+    const Instant now = steadyNow();
+    if (followed.version && now < followed.holdUntil) {
+        this->waitFor(followed, followed.holdUntil - now, yield);
+        return true;
+    }
+    return false;
+}
+
+// In a long outage this host reads the registry once in a while, since the one that announced the outage may be wrong.
+bool StoreWatcher::waitWhileRelayed(Table table, const asio::yield_context &yield)
+{
+    const bool wasOutage = this->isOutage && table == Table::Registry;
+    const Duration time = wasOutage ? this->varied(this->options.outageDoubt) : relayedPause;
+    const bool isOver = this->waitFor(this->stateOf(table), time, yield);
+    return !(isOver && wasOutage && this->isOutage && this->registry.isRelayed);
 }
 
-// A long reply may take seconds on the leader's link. Followers are notified of a slow read so that they don't wait.
+// Hosts without a leader try at different times, since all of them lose and find the store at the same moment.
+Duration StoreWatcher::pauseAfterFailure(Table table)
+{
+    if (table == Table::Config && this->registry.isLost) {
+        return configPauseInOutage;
+    }
+    if (this->isFollowed()) {
+        return pauseAfterFault;
+    }
+    return this->varied(this->stateOf(table).failures > 1 ? longestPause : pauseAfterFault);
+}
+
+Duration StoreWatcher::varied(Duration time)
+{
+    std::uniform_real_distribution<double> part(0.75, 1.25);
+    return std::chrono::duration_cast<Duration>(time * part(this->random));
+}
+
+// A long reply may take seconds on the leader's link. Other hosts read in the meantime.
 void StoreWatcher::beginRead(Table table, Duration expected)
 {
     FollowedTable &followed = this->stateOf(table);
@@ -181,13 +204,16 @@
         return;
     }
     followed.isSlow = true;
-    if (!this->isLeading()) {
+    if (!this->isFollowed()) {
         return;
     }
-    Log::info("store_read_slow", {{"table", nameOf(table == Table::Config)}});
-    const peer::Message message =
-        table == Table::Config ? peer::Message(peer::ConfigDelayed{}) : peer::Message(peer::StoreLost{});
-    this->push(store_update::PeerUpdate{message, std::nullopt});
+    Log::info("store_read_slow", {{"table", nameOf(table)}});
+    if (table == Table::Config) {
+        this->isConfigDelayed = true;
+        this->sendToFollowers(peer::ConfigDelayed{});
+    } else {
+        this->reportOwnReads();
+    }
 }
 
 void StoreWatcher::onReadFailed(Table table, const StoreError &error)
@@ -195,11 +221,17 @@
     FollowedTable &followed = this->stateOf(table);
     ++followed.failures;
     Log::info("store_read_failed",
-              {{"table", nameOf(table == Table::Config)},
+              {{"table", nameOf(table)},
                {"in_a_row", followed.failures},
                {"took_ms", (steadyNow() - followed.readStart).count() / 1000},
                {"relayed", followed.isRelayed},
                {"reason", error.what()}});
+    if (this->isReader) {
+        if (table == Table::Registry) {
+            this->push(store_update::LeaderUpdate{peer::StoreLost{}});
+        }
+        return;
+    }
     // A read that began before the leader took over says nothing about the table now, and no read would follow to
     // report its recovery.
     if (followed.isRelayed) {
@@ -208,300 +240,121 @@
     followed.lastFailure = followed.readStart;
     if (!followed.isLost) {
         followed.isLost = true;
-        this->reportAvailability(true, table, error.what());
+        Log::warning("store_lost", {{"table", nameOf(table)}, {"reason", error.what()}});
     }
-}
-
-Duration StoreWatcher::waitForChange(const FollowedTable &table) const
-{
-    // If the store may be unavailable, a read must fail soon, so that the next one finds it recovered.
-    if (table.isLost || table.isUnconfirmed) {
-        return Duration(0);
+    if (table == Table::Registry) {
+        this->lease.setStoreLost(true);
+        this->reportOwnReads();
+        if (!this->isFollowed()) {
+            this->setOutage(true);
+        }
     }
-    // The leader must detect a silent connection sooner, since all other hosts depend on it.
-    const Duration wait = this->options.contactLimit / 2;
-    return this->isLeading() ? std::min(leaderWait, wait) : wait;
 }
 
-void StoreWatcher::followOnce(Table table, StoreClient &store, const asio::yield_context &yield)
+void StoreWatcher::onReadSucceeded(Table table)
 {
     FollowedTable &followed = this->stateOf(table);
-    if (followed.isRelayed) {
-        this->waitFor(followed, relayedPause, yield);
-        return;
-    }
-    const char *name = nameOf(table == Table::Config);
-    const bool isWhole = !followed.version;
-    const Duration wait = this->waitForChange(followed);
-    this->beginRead(table, isWhole ? replyLimit : wait + replyLimit);
-    const StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
-    this->endRead(table);
     followed.failures = 0;
     followed.isUnconfirmed = false;
     if (followed.isLost) {
         followed.isLost = false;
-        this->reportAvailability(false, table, {});
+        Log::info("store_back", {{"table", nameOf(table)}});
     }
-    if (followed.isRelayed && read.version < followed.version.value_or(0)) {
-        return; // an update from the leader is newer than this reply
+    if (table == Table::Registry) {
+        if (this->isOutage && !this->isReader) {
+            this->onRelayWrong();
+        }
+        this->onRegistryReadable();
     }
-    const std::int64_t before = followed.version.value_or(0);
-    followed.version = read.version;
-    this->takeRows(table, read.rows, isWhole, before);
 }
 
-void StoreWatcher::setRelayed(Table table, bool isRelayed)
+// The host that this one follows has announced an outage, and this host can read the store. It does so until updates
+// come again.
+void StoreWatcher::onRelayWrong()
 {
-    FollowedTable &followed = this->stateOf(table);
-    if (followed.isRelayed != isRelayed) {
-        Log::info("store_relayed", {{"table", nameOf(table == Table::Config)}, {"relayed", isRelayed}});
-        followed.isRelayed = isRelayed;
-        followed.isUnconfirmed = !isRelayed;
-        followed.pauseTimer.cancel();
-        this->relayed = this->registry.isRelayed;
+    for (const Table each : {Table::Config, Table::Registry}) {
+        this->setRelayed(each, false);
     }
 }
 
-void StoreWatcher::takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before)
+// By this host or by the one that it follows.
+void StoreWatcher::onRegistryReadable()
 {
-    if (table == Table::Registry) {
-        this->registryRead = steadyNow().time_since_epoch().count();
-        this->recordRecentRows(rows, before, isWhole);
-    }
-    if (table == Table::Registry && isWhole) {
-        this->takeList(rows);
-    } else {
-        for (const StoreRow &row : rows) {
-            this->takeRow(table, row);
-        }
-    }
-    if (table == Table::Registry) {
-        this->forwardToFollowers(rows);
+    this->setOutage(false);
+    this->lease.setStoreLost(false);
+    this->reportOwnReads();
+    if (this->config.isLost && !this->config.isReading) {
+        this->config.pauseTimer.cancel();
     }
-    this->known = static_cast<std::uint64_t>(this->registry.version.value_or(0));
-    this->updateNewFollowers();
 }
 
-void StoreWatcher::recordRecentRows(const std::vector<StoreRow> &rows, std::int64_t before, bool isWhole)
+Duration StoreWatcher::waitForChange(const FollowedTable &table) const
 {
-    if (isWhole) {
-        this->recent.restart(*this->registry.version);
-        return;
-    }
-    std::vector<peer::RegistryRow> changed;
-    changed.reserve(rows.size());
-    for (const StoreRow &row : rows) {
-        changed.push_back({static_cast<std::uint64_t>(row.version), row.key, row.value, row.isRemoved});
+    // If the store may be unavailable, a read must fail soon, so that the next one finds it recovered.
+    if (table.isLost || table.isUnconfirmed) {
+        return Duration(0);
     }
-    this->recent.add(changed, before, *this->registry.version);
+    // A host that others rely on must detect a silent connection sooner.
+    const Duration wait = this->options.contactLimit / 2;
+    return this->isFollowed() || this->isReader ? std::min(leaderWait, wait) : wait;
 }
 
-// An update starts where the last one ended, since the store's version moves on without changes of this table. After a
-// list, or more changes than are kept, it has no rows and starts at the current version: followers that are behind it
-// read the table themselves.
-void StoreWatcher::forwardToFollowers(const std::vector<StoreRow> &rows)
+void StoreWatcher::followOnce(Table table, StoreClient &store, const asio::yield_context &yield)
 {
-    const std::int64_t version = *this->registry.version;
-    if (!this->isLeading()) {
-        this->forwarded = version;
-        return;
-    }
-    const bool isGap = !this->recent.covers(this->forwarded);
-    if (rows.empty() && !isGap) {
+    FollowedTable &followed = this->stateOf(table);
+    const char *name = nameOf(table);
+    const bool isWhole = !followed.version;
+    const Duration wait = this->waitForChange(followed);
+    this->beginRead(table, (isWhole ? Duration(0) : wait) + replyLimit + slowMargin);
+    StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
+    this->endRead(table);
+    this->onReadSucceeded(table);
+    // Updates from other hosts may have arrived meanwhile, and their rows may be newer than those of this reply.
+    const std::int64_t before = followed.version.value_or(0);
+    if (read.version < before) {
         return;
     }
-    if (isGap) {
-        Log::info("store_changes_not_relayed", {{"version", version}});
-    }
-    this->push(store_update::PeerUpdate{this->recent.after(isGap ? version : this->forwarded), std::nullopt});
-    this->forwarded = version;
+    read.rows.erase(std::remove_if(read.rows.begin(), read.rows.end(),
+                                   [before](const StoreRow &row) { return row.version <= before; }),
+                    read.rows.end());
+    followed.version = read.version;
+    this->takeRows(table, read.rows, isWhole, before);
 }
 
-// A new follower has read the whole table itself and receives the changes since then. One that is older than the
-// changes kept here, or ahead of this host, continues to read the store and sends its request again.
-void StoreWatcher::updateNewFollowers()
+void StoreWatcher::takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before)
 {
-    const bool isBehind = this->registry.isLost || this->config.isLost || this->registry.isSlow || this->config.isSlow;
-    if (!this->isLeading() || !this->registry.version || isBehind) {
-        return;
-    }
-    for (const auto &[link, version] : std::exchange(this->newFollowers, {})) {
-        const auto has = static_cast<std::int64_t>(version);
-        if (!this->recent.covers(has)) {
-            continue;
+    if (table == Table::Config) {
+        for (const StoreRow &row : rows) {
+            this->takeRow(table, row);
         }
-        this->push(store_update::PeerUpdate{this->recent.after(has), link});
-        this->push(store_update::PeerUpdate{this->configSummary(), link});
-    }
-}
-
-void StoreWatcher::addFollower(LinkId link, std::uint64_t version)
-{
-    asio::post(this->io, [this, link, version] {
-        if (this->newFollowers.size() < maxNewFollowers) {
-            this->newFollowers[link] = version;
+        if (std::exchange(this->isConfigDelayed, false)) {
+            this->sendToFollowers(this->configSummary()); // they wait for updates again
         }
         this->updateNewFollowers();
-    });
-}
-
-void StoreWatcher::onUpdate(const peer::RegistryUpdate &update)
-{
-    asio::post(this->io, [this, update] {
-        const std::int64_t has = this->registry.version.value_or(-1);
-        if (static_cast<std::int64_t>(update.after) > has) {
-            this->setRelayed(Table::Registry, false); // changes in between are missing; LeaderLink requests them
-            return;
-        }
-        std::vector<StoreRow> rows;
-        for (const peer::RegistryRow &row : update.rows) {
-            const auto version = static_cast<std::int64_t>(row.version);
-            if (version > has) { // an older row would restore endpoints that have left
-                rows.push_back({row.key, row.value, version, row.isRemoved});
-            }
-        }
-        this->registry.version = std::max(has, static_cast<std::int64_t>(update.version));
-        if (this->registry.isLost) {
-            this->registry.isLost = false;
-            if (this->registry.isReading && steadyNow() - this->registry.readStart > silenceOfARead) {
-                this->registry.lastFailure = this->registry.readStart;
-            }
-            this->reportAvailability(false, Table::Registry, {});
-        }
-        this->setRelayed(Table::Registry, true);
-        this->takeRows(Table::Registry, rows, false, has);
-    });
-}
-
-void StoreWatcher::onUpdate(const peer::ConfigUpdate &update)
-{
-    asio::post(this->io, [this, update] {
-        const ConfigReplica::UpdateOutcome outcome = this->replica.takeUpdate(update);
-        if (outcome == ConfigReplica::UpdateOutcome::Applied) {
-            this->config.version = std::max(this->config.version.value_or(0), this->replica.row().value());
-            this->push(store_update::Config{this->replica.config()});
-        }
-        const bool isRowNeeded = outcome == ConfigReplica::UpdateOutcome::RowNeeded;
-        if (isRowNeeded) {
-            this->config.version.reset(); // list the table, then wait for updates again
-        }
-        // After the read takeConfig() sets it to true again; until then this host reads the table itself.
-        this->setRelayed(Table::Config, !isRowNeeded);
-        this->configAtLeader = RowVersion(static_cast<std::int64_t>(update.rowVersion));
-    });
-}
-
-void StoreWatcher::onConfigDelayed()
-{
-    asio::post(this->io, [this] {
-        this->setRelayed(Table::Config, false);
-        this->configAtLeader.reset();
-    });
-}
-
-void StoreWatcher::onLeaderLostStore()
-{
-    asio::post(this->io, [this] {
-        this->setRelayed(Table::Config, false);
-        this->setRelayed(Table::Registry, false);
-        this->configAtLeader.reset();
-    });
-}
-
-void StoreWatcher::setLeaderReachable(bool isReachable)
-{
-    asio::post(this->io, [this, isReachable] {
-        this->leadership.onLeaderSeen(isReachable);
-        this->mustReportLeader = !isReachable; // even if the same host leads again
-        this->leadTimer.cancel();
-    });
-    if (!isReachable) {
-        this->onLeaderLostStore();
-    }
-}
-
-void StoreWatcher::release()
-{
-    asio::post(this->io, [this] {
-        this->leadership.release();
-        this->leadTimer.cancel();
-    });
-}
-
-// Notifies the forwarding thread of a new holder, or when this host's own lease begins or ends.
-void StoreWatcher::reportLeader()
-{
-    const auto &row = this->leadership.holder();
-    store_update::Leader now{row && !row->host.isEmpty() ? row : std::nullopt, this->isLeading(),
-                             this->leadership.version()};
-    const bool isSameHolder = now.holder.has_value() == this->reportedLeader.holder.has_value()
-        && (!now.holder || now.holder->isSameHolder(*this->reportedLeader.holder));
-    if (isSameHolder && now.isSelf == this->reportedLeader.isSelf) {
         return;
     }
-    Log::info(
-        "leader_changed",
-        {{"leader", now.holder ? now.holder->host.value() : ""}, {"self", now.isSelf}, {"lease", now.term.value()}});
-    this->reportedLeader = now;
-    this->push(now);
-}
-
-Duration StoreWatcher::registryAge() const
-{
-    return steadyNow() - Instant(Duration(this->registryRead));
-}
-
-std::optional<FencingNumber> StoreWatcher::fencingForOrder() const
-{
-    const bool isAllowed = bootNow().time_since_epoch().count() < this->ordersUntil;
-    return isAllowed ? std::optional(FencingNumber(this->orderFencing)) : std::nullopt;
-}
-
-void StoreWatcher::leadOnce(StoreClient &store, const asio::yield_context &yield)
-{
-    const LeadershipAction action = this->leadership.next(bootNow());
-    if (const auto *write = std::get_if<leadership_action::WriteLease>(&action)) {
-        const Instant sent = bootNow();
-        const auto version = store.write(leaseTable, leaseKey, encode(write->row), write->expected.value(), yield);
-        if (version) {
-            this->leadership.onWritten(RowVersion(*version), sent);
-        } else {
-            this->leadership.onFailed(bootNow() - this->options.lease); // read at once which host was first
+    this->registryRead = steadyNow().time_since_epoch().count();
+    const std::int64_t version = *this->registry.version;
+    if (isWhole) {
+        this->relay.onListed(rows, version);
+        this->takeList(rows);
+    } else {
+        this->relay.onChanged(rows, before, version);
+        for (const StoreRow &row : rows) {
+            this->takeRow(table, row);
         }
-        return;
     }
-    if (const auto *wait = std::get_if<leadership_action::WaitUntil>(&action)) {
-        boost::system::error_code ignored;
-        this->leadTimer.expires_after(std::max<Duration>(wait->until - bootNow(), 1ms));
-        this->leadTimer.async_wait(yield[ignored]);
-        return;
-    }
-    const auto row = store.read(leaseTable, leaseKey, yield);
-    if (this->mustReportLeader) {
-        this->mustReportLeader = false;
-        this->reportedLeader = {};
+    this->known = static_cast<std::uint64_t>(version);
+    this->forwardToFollowers();
+    this->updateNewFollowers();
+    if (this->isReader) {
+        this->sendToLeader();
     }
-    const auto lease = row ? decodeLeaseRow(row->value) : tl::make_unexpected(LeaseRowError{"no row"});
-    this->leadership.onRead(lease ? std::optional(*lease) : std::nullopt, RowVersion(row ? row->version : 0),
-                            bootNow());
 }
 
-void StoreWatcher::lead(const asio::yield_context &yield)
+Duration StoreWatcher::registryAge() const
 {
-    StoreClient store(this->io, {this->options.address, replyLimit});
-    while (!this->isStopping) {
-        try {
-            this->leadOnce(store, yield);
-        } catch (const StoreError &error) {
-            Log::info("lease_unknown", {{"reason", error.what()}});
-            this->leadership.onFailed(bootNow());
-        }
-        const auto until = this->leadership.ordersUntil(bootNow());
-        // The number is stored before the deadline, so a thread that sees the new deadline also sees its number.
-        this->orderFencing = this->leadership.version().value();
-        this->ordersUntil = until ? until->time_since_epoch().count() : 0;
-        this->reportLeader();
-    }
+    return steadyNow() - Instant(Duration(this->registryRead));
 }
 
 void StoreWatcher::takeList(const std::vector<StoreRow> &rows)
@@ -556,11 +409,6 @@
     return std::make_shared<const RoutingConfig>(std::move(*decoded));
 }
 
-peer::ConfigUpdate StoreWatcher::configSummary() const
-{
-    return {static_cast<std::uint64_t>(this->replica.row().value()), 0, {}};
-}
-
 void StoreWatcher::takeConfig(const StoreRow &row)
 {
     std::optional<ConfigStep> step;
@@ -568,10 +416,12 @@
         step = this->replica.takeRow(version, this->decodeConfig(row));
     }
     if (step) {
+        this->keepConfigUpdate(updateOf(*step));
         this->push(store_update::Config{step->config});
     }
-    if (this->isLeading()) {
-        this->push(store_update::PeerUpdate{step ? updateOf(*step) : this->configSummary(), std::nullopt});
+    this->sendToFollowers(step ? updateOf(*step) : this->configSummary());
+    if (this->isReader && step) {
+        this->push(store_update::LeaderUpdate{updateOf(*step)});
     }
     if (this->configAtLeader && this->replica.row() >= *this->configAtLeader) {
         this->setRelayed(Table::Config, true); // the leader will announce the next version
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -6,69 +6,24 @@
 //     ... ring.tryPop() on the other side ...
 //     watcher.stop();
 
-#include "decide/routingconfig.h"
 #include "programs/gateway/configreplica.h"
-#include "programs/gateway/recentrows.h"
-#include "promise/endpointregistry.h"
-#include "promise/leadership.h"
-#include "wire/linkid.h"
-#include "wire/messages.h"
+#include "programs/gateway/leasewatcher.h"
+#include "programs/gateway/registryrelay.h"
+#include "programs/gateway/storeupdate.h"
 #include "wire/ring.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <map>
-#include <memory>
+#include <deque>
+#include <random>
 #include <thread>
-#include <variant>
 
 namespace fescuesill
 {
 
-namespace asio = boost::asio;
-
-namespace store_update
-{
-struct Config {
-    std::shared_ptr<const RoutingConfig> config;
-};
-struct Listed {
-    std::vector<EndpointRecord> records;
-};
-struct Changed {
-    EndpointRecord record;
-};
-struct Removed {
-    EndpointId id;
-};
-// The current leader, according to the last read of the lease; empty if none is known.
-struct Leader {
-    std::optional<LeaseRow> holder;
-    bool isSelf = false;
-    RowVersion term; // the version of the lease
-};
-// A message for the hosts that follow this one. Sent only by the leader.
-struct PeerUpdate {
-    peer::Message message;
-    std::optional<LinkId> follower; // to all if empty
-};
-// The registry can't be read, or can be read again.
-struct Lost {
-};
-struct Restored {
-    Instant lastFailure; // the start of the last read that failed; the store returned after it
-};
-} // namespace store_update
-
-using StoreUpdate =
-    std::variant<store_update::Config, store_update::Listed, store_update::Changed, store_update::Removed,
-                 store_update::Lost, store_update::Restored, store_update::Leader, store_update::PeerUpdate>;
-
-class StoreClient;
 class StoreError;
-struct StoreRow;
 
 class StoreWatcher
 {
@@ -78,6 +33,8 @@
         Duration contactLimit{3s};
         LeaseRow self; // the row that this host writes to lead; with an empty address it never leads
         Duration lease{3s};
+        // How long this host believes another one that the store cannot be read before it tries itself.
+        Duration outageDoubt{20s};
     };
 
     StoreWatcher(Options options, Ring<StoreUpdate> &updates);
@@ -89,20 +46,40 @@
     // The functions below may be called on any thread.
     // Sets whether the leader is reachable from this host.
     void setLeaderReachable(bool isReachable);
+    // Sets whether the deputy of a lost leader places for this host.
+    void setDeputyReachable(bool isReachable);
+    // Sets whether this host is the deputy of a lost leader, so that other hosts follow it.
+    void setActing(bool isActing);
+    // The host that this one follows, the leader or its deputy, was lost. Until another one forwards the changes, this
+    // host reads the store itself, after a short wait.
+    void onRelayLost();
+    // The lease now names this leader, according to the deputy.
+    void onLeaderNamed(const peer::LeaderNamed &named);
     // Gives up the leadership, since this host is stopping.
     void release();
-    // Updates from the leader. While they arrive, this host does not read the store itself.
+    // Messages from the host that this one follows. While they arrive, this host does not read the store itself.
     void onUpdate(const peer::RegistryUpdate &update);
     void onUpdate(const peer::ConfigUpdate &update);
     void onConfigDelayed();
-    void onLeaderLostStore();
+    void onStoreLost();
+    void onStoreRestored(const peer::StoreRestored &restored);
+    // This host shall read the store for the leader, or no longer.
+    void onReadingDelegated(const peer::DelegateReading &request);
+    // Messages from a host that reads the store for this one.
+    void onReaderUpdate(const peer::RegistryUpdate &update);
+    void onReaderUpdate(const peer::ConfigUpdate &update);
+    // No host that follows this one can read the store either.
+    void onNoReader();
     // Adds a host that follows this one and has all changes up to `version`.
     void addFollower(LinkId link, std::uint64_t version);
     // Time since this thread last read the registry or received an update of it.
     Duration registryAge() const;
     // The fencing number for an order sent now; empty if this host may not give orders. Called right before each order.
-    std::optional<FencingNumber> fencingForOrder() const;
-    // Whether the leader forwards the registry's changes.
+    std::optional<FencingNumber> fencingForOrder() const
+    {
+        return this->lease.fencingForOrder();
+    }
+    // Whether the leader or its deputy forwards the registry's changes.
     bool isRelayed() const
     {
         return this->relayed;
@@ -119,6 +96,8 @@
         Registry,
     };
 
+    static const char *nameOf(Table table);
+
     // The state of one table on this host.
     struct FollowedTable {
         FollowedTable(asio::io_context &io)
@@ -128,11 +107,12 @@
         }
 
         std::optional<std::int64_t> version; // all changes up to it are applied
-        bool isLost = false;
+        bool isLost = false; // the own reads fail
         bool isUnconfirmed = false; // no read has succeeded since the leader stopped forwarding
         int failures = 0; // consecutive failed reads
         Instant readStart; // of the last read; a long poll includes the wait for a change
         Instant lastFailure; // the start of the last read that failed
+        Instant holdUntil; // a host that may soon forward the changes makes reads before then needless
         bool isRelayed = false; // the leader forwards its changes
         bool isReading = false;
         bool isSlow = false; // the current read exceeds its expected time
@@ -146,28 +126,41 @@
     }
     void follow(Table table, const asio::yield_context &yield);
     void followOnce(Table table, StoreClient &store, const asio::yield_context &yield);
+    bool waitBeforeRead(Table table, const asio::yield_context &yield);
+    bool waitWhileRelayed(Table table, const asio::yield_context &yield);
     void beginRead(Table table, Duration expected);
     void endRead(Table table);
     void onSlowRead(Table table);
     void onReadFailed(Table table, const StoreError &error);
+    void onReadSucceeded(Table table);
+    void onRegistryReadable();
+    void onRelayWrong();
+    void onLeader(const store_update::Leader &leader);
+    void onFollowed();
+    void reportOwnReads();
     Duration waitForChange(const FollowedTable &table) const;
-    void waitFor(FollowedTable &table, Duration time, const asio::yield_context &yield);
+    Duration pauseAfterFailure(Table table);
+    // Returns whether the whole time has passed.
+    bool waitFor(FollowedTable &table, Duration time, const asio::yield_context &yield);
+    Duration varied(Duration time);
     void setRelayed(Table table, bool isRelayed);
+    void setReader(bool isReader);
+    void setOutage(bool isOutage);
     void takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before);
     void takeRow(Table table, const StoreRow &row);
     void takeConfig(const StoreRow &row);
+    void takeList(const std::vector<StoreRow> &rows);
+    void takeUpdate(const peer::RegistryUpdate &update);
+    bool takeConfigUpdate(const peer::ConfigUpdate &update);
+    void keepConfigUpdate(const peer::ConfigUpdate &update);
+    void sendToLeader();
     std::shared_ptr<const RoutingConfig> decodeConfig(const StoreRow &row);
     peer::ConfigUpdate configSummary() const;
-    void takeList(const std::vector<StoreRow> &rows);
-    void forwardToFollowers(const std::vector<StoreRow> &rows);
-    void recordRecentRows(const std::vector<StoreRow> &rows, std::int64_t before, bool isWhole);
+    void forwardToFollowers();
     void updateNewFollowers();
-    bool isLeading() const;
+    bool isFollowed() const;
     void push(const StoreUpdate &update);
-    void reportAvailability(bool isLost, Table table, const std::string &reason);
-    void lead(const asio::yield_context &yield);
-    void leadOnce(StoreClient &store, const asio::yield_context &yield);
-    void reportLeader();
+    void sendToFollowers(const peer::Message &message);
 
     Options options;
     Ring<StoreUpdate> &updates;
@@ -176,20 +169,22 @@
     std::atomic<std::uint64_t> known{0};
     std::atomic<bool> relayed{false};
     std::atomic<std::int64_t> registryRead{0}; // microseconds of the steady clock
-    std::atomic<std::int64_t> ordersUntil{0}; // microseconds of the clock that counts suspension
-    std::atomic<std::int64_t> orderFencing{0};
     // The members below are used only by the watcher's thread.
+    std::mt19937_64 random;
     FollowedTable config;
     FollowedTable registry;
-    RecentRows recent; // of the registry, for followers that are a few changes behind
-    std::int64_t forwarded = 0; // version of the registry at the end of the last update to all followers
+    RegistryRelay relay;
     ConfigReplica replica;
     std::optional<RowVersion> configAtLeader; // the newest row that the leader announced
-    std::map<LinkId, std::uint64_t> newFollowers; // without a reply yet, with the version that each has
-    Leadership leadership;
-    asio::steady_timer leadTimer;
-    store_update::Leader reportedLeader;
-    bool mustReportLeader = false; // after the next read of the lease, even if the holder is unchanged
+    LeaseWatcher lease;
+    bool isActing = false;
+    bool isReader = false; // reads the store for the leader
+    bool isConfigDelayed = false; // the followers were notified that it is read late
+    std::int64_t leaderVersion = 0; // of the registry, up to which the leader has all changes from this host
+    bool hasSentConfig = false; // to the leader, since this host reads for it
+    std::deque<peer::ConfigUpdate> recentConfigs; // the latest changes, for a leader that has missed them
+    bool areReadsReported = true; // as working, to the forwarding thread
+    bool isOutage = false; // neither this host nor one that it is linked to can read the registry
     std::thread thread;
 };
 
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -145,6 +145,7 @@
         self.ended = threading.Event()
         self.lost_answers = 0  # of the next writes: done, and the connection closed without a word
         self.configs_sent = 0  # whole configurations
+        self.calls = []  # path and table of each
         super().__init__()
 
     def silence_open_connections(self):
@@ -159,6 +160,7 @@
         url = urllib.parse.urlsplit(request.path)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         self.connections.add(request.client_address)
+        self.calls.append((url.path, query.get("table", "")))
         answer = self.store.answer(request.command, url.path, query, body)
         self.configs_sent += any(row["key"] == "config" for row in answer[1].get("rows", ()))
         if request.client_address in self.silent:
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -295,6 +295,27 @@
     visit(m.wait);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, DelegateReading &m)
+{
+    visit(m.isWanted);
+    visit(m.registryVersion);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, StoreRestored &m)
+{
+    visit(m.sinceFailure);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, LeaderNamed &m)
+{
+    visit(m.host);
+    visit(m.address);
+    visit(m.lease);
+}
+
 template<typename Visitor>
 void fields(Visitor & /*visit*/, StoreLost & /*m*/)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -233,8 +233,8 @@
     std::vector<HeldPlacement> places;
 };
 
-// Gateway to the leader: subscribes to the changes in the store after this version. If the version is newer than the
-// leader's own, the leader answers when it has caught up.
+// Gateway to the leader or its deputy: subscribes to the changes in the store after this version. If the version is
+// newer than the leader's own, the leader answers when it has caught up.
 struct FollowStore {
     std::uint64_t version = 0;
 };
@@ -246,16 +246,17 @@
     bool isRemoved = false;
 };
 
-// Leader to a gateway: the rows of the registry that changed after version `after` of the store, up to `version`.
+// Leader to a gateway, or from a gateway that reads for the leader: the rows of the registry that changed after version
+// `after` of the store, up to `version`.
 struct RegistryUpdate {
     std::uint64_t after = 0;
     std::uint64_t version = 0;
     std::vector<RegistryRow> rows;
 };
 
-// Leader to a gateway: the row of the configuration has this version. If `change` is empty, or is based on another row
-// than the gateway has, the gateway reads the row from the store, whose links have more spare bandwidth than the
-// leader's.
+// Leader to a gateway, or from a gateway that reads for the leader: the row of the configuration has this version. If
+// `change` is empty, or is based on another row than the gateway has, the gateway reads the row from the store, whose
+// links have more spare bandwidth than the leader's.
 struct ConfigUpdate {
     std::uint64_t rowVersion = 0;
     std::uint64_t after = 0; // version of the row that the change is based on
@@ -292,10 +293,30 @@
     Duration wait{0};
 };
 
-// Leader to a gateway: the leader cannot read the store.
+// Leader to a gateway: reads the store for the leader and sends it all changes after this version of the
+// registry, or stops doing so. Sent while the leader itself cannot read the store.
+struct DelegateReading {
+    bool isWanted = false;
+    std::uint64_t registryVersion = 0;
+};
+
+// Leader to a gateway: neither the leader nor the gateways that read for it can read the store. From a gateway that
+// reads for the leader: it cannot read the store.
 struct StoreLost {
 };
 
+// Leader to a gateway: the store can be read again.
+struct StoreRestored {
+    Duration sinceFailure{0}; // since the start of the last read that failed
+};
+
+// Deputy to a gateway that it places for: the lease now names this leader.
+struct LeaderNamed {
+    HostId host;
+    std::string address; // IP:PORT for links
+    std::uint64_t lease = 0; // the version of the lease's row
+};
+
 // Leader to a gateway: the sender is no longer the leader.
 struct LeadershipEnded {
 };
@@ -311,11 +332,12 @@
     std::uint64_t hosts = 1; // number of hosts that the leader places for, including itself
 };
 
-using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
-                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
-                             RequestPlacement, OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements,
-                             FollowStore, RegistryUpdate, ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded,
-                             FollowerAddress, DeputyNamed, ConfigDelayed, EndpointLimit, RequestPermit, PermitReply>;
+using Message =
+    std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
+                 Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
+                 OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements, FollowStore, RegistryUpdate,
+                 ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded, FollowerAddress, DeputyNamed, ConfigDelayed,
+                 EndpointLimit, RequestPermit, PermitReply, DelegateReading, StoreRestored, LeaderNamed>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -52,6 +52,14 @@
     passedOn(LeadershipEnded{});
     EXPECT_EQ(passedOn(FollowerAddress{"10.0.0.1:1"}).address, "10.0.0.1:1");
     EXPECT_EQ(passedOn(DeputyNamed{"10.0.0.2:1", 9}).hosts, 9U);
+    const DelegateReading request = passedOn(DelegateReading{true, 41});
+    EXPECT_TRUE(request.isWanted);
+    EXPECT_EQ(request.registryVersion, 41U);
+    EXPECT_EQ(passedOn(StoreRestored{700ms}).sinceFailure, 700ms);
+    const LeaderNamed named = passedOn(LeaderNamed{HostId("h"), "10.0.0.3:1", 42});
+    EXPECT_EQ(named.host, HostId("h"));
+    EXPECT_EQ(named.address, "10.0.0.3:1");
+    EXPECT_EQ(named.lease, 42U);
 }
 
 // A row from another writer may contain any bytes. They must arrive unchanged.
