A restarted leader does not link itself

Cause: the lease still names the host that restarts. It read its own name, did not lead yet, and connected to itself as a follower.

test_a_restarted_leader_does_not_follow_itself fails without the change.

--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -285,7 +285,9 @@
     }
     this->isLeading = update.isSelf;
     this->route.onLeading(update.isSelf);
-    const std::string address = update.holder && !update.isSelf ? update.holder->address : std::string();
+    // After a restart the row may name this host before it leads again.
+    const bool isOther = update.holder && !update.isSelf && update.holder->address != this->ownAddress;
+    const std::string address = isOther ? update.holder->address : std::string();
     if (address != this->leaderAddress) {
         if (this->leader) {
             this->node->disconnect(*this->leader);
--- a/testing/process/test_gateway.py
+++ b/testing/process/test_gateway.py
@@ -252,6 +252,15 @@
         wait_until(other.leads, "the other to lead")
         self.assertEqual(send(other.callers, "POST", "/write/3", b"prompt", **SIZE)[0], 200)
 
+    # Guards against a leader that links itself as a follower when it restarts before its lease has ended.
+    def test_a_restarted_leader_does_not_follow_itself(self):
+        gateway = self.start()
+        wait_until(gateway.leads, "the host to lead")
+        gateway.kill()
+        gateway.start_again()
+        wait_until(gateway.leads, "the host to lead again")
+        self.assertNotIn("event=leader_reached", gateway.log())
+
     # The leader stops as planned while its own generation still runs: the other leads long before that host is gone.
     def test_a_stopping_leader_hands_over(self):
         first, second = self.start("g1"), self.start("g2")
