--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -245,19 +245,25 @@
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, hosts, folder)
         try:
-            findings = soak.play(seconds)
-            served = sum(call.status == 200 and call.is_whole for call in soak.callers.calls)
-            print(f"soak: seed {seed}: {len(soak.callers.calls)} calls, {served} served, {len(findings)} findings", flush=True)
-        except AssertionError as error:
-            findings = [str(error)]
-        if findings and keep:
-            store = pathlib.Path(keep) / f"seed-{seed}"
-            store.mkdir(parents=True, exist_ok=True)
-            (store / "faults.txt").write_text("\n".join(soak.log + findings), encoding="utf-8")
-            for gateway in soak.gateways:
-                (store / f"{gateway.name}.log").write_text(gateway.log(), encoding="utf-8")
-        soak.end()
-        return findings
+            return play(soak, seed, seconds, keep)
+        finally:
+            soak.end()
+
+
+def play(soak, seed, seconds, keep):
+    try:
+        findings = soak.play(seconds)
+        served = sum(call.status == 200 and call.is_whole for call in soak.callers.calls)
+        print(f"soak: seed {seed}: {len(soak.callers.calls)} calls, {served} served, {len(findings)} findings", flush=True)
+    except AssertionError as error:
+        findings = [str(error)]
+    if findings and keep:
+        store = pathlib.Path(keep) / f"seed-{seed}"
+        store.mkdir(parents=True, exist_ok=True)
+        (store / "faults.txt").write_text("\n".join(soak.log + findings), encoding="utf-8")
+        for gateway in soak.gateways:
+            (store / f"{gateway.name}.log").write_text(gateway.log(), encoding="utf-8")
+    return findings
 
 
 def main():
@@ -268,6 +274,7 @@
     parser.add_argument("--hosts", type=int, default=3)
     parser.add_argument("--keep", default="soak-findings", help="folder for the logs of a run that failed")
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # ends the gateways, which would call ports of a later run
     failed = 0
     for _ in range(options.rounds):
         seed = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 31)
