Blame the decode engine that refuses prompts prefilled by many engines

A decode engine that sheds load after it granted a reservation was taken for one that did not find the prefill result, so the prefill engine was avoided, for up to 2 s. Ten such refusals a second kept half of the pool out of use; the shedding engine looked empty and was chosen again.

HandoverFaults counts the refusals of both engines. The one with more of them is at fault: a lossy prefill engine meets many decode engines, a shedding decode engine many prefill engines.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -44,12 +44,14 @@
     , queue(given.queue)
     , admission(given.admission)
     , prefill(given.prefill)
+    , handoverFaults(given.handover)
     , perTokenUs(static_cast<double>(given.perToken.count()))
 {
 }
 
-void GenerationGate::setEngines(const std::vector<DecodeEngine> &listed, Instant)
+void GenerationGate::setEngines(const std::vector<DecodeEngine> &listed, Instant now)
 {
+    this->handoverFaults.removeOld(now);
     std::unordered_map<EngineId, Engine> next;
     this->memory = Tokens(0);
     for (const DecodeEngine &spec : listed) {
@@ -384,8 +386,15 @@
 void GenerationGate::onResultLost(const RequestId &id, Instant now)
 {
     const auto placement = this->placements.find(id);
-    if (placement != this->placements.end()) {
-        this->prefill.onResultLost(placement->second.prefill, now);
+    if (placement == this->placements.end()) {
+        return;
+    }
+    const EngineId &prefillEngine = placement->second.prefill;
+    placement->second.isRefused = true;
+    if (this->handoverFaults.onRefused(prefillEngine, placement->second.engine, now) == Pool::Prefill) {
+        this->prefill.onResultLost(prefillEngine, now);
+    } else if (Engine *engine = this->engineOf(placement->second)) {
+        this->avoid(*engine, now);
     }
 }
 
@@ -409,13 +418,18 @@
         return;
     }
     if (Engine *engine = this->engineOf(*placement)) {
-        engine->faults.add(1, now);
-        const Duration pause = this->options.faultBackoff * (1 << std::min(engine->consecutiveFaults, maxDoublings));
-        engine->fullUntil = now + std::min(pause, this->options.maxFaultBackoff);
-        ++engine->consecutiveFaults;
+        this->avoid(*engine, now);
     }
 }
 
+void GenerationGate::avoid(Engine &engine, Instant now) const
+{
+    engine.faults.add(1, now);
+    const Duration pause = this->options.faultBackoff * (1 << std::min(engine.consecutiveFaults, maxDoublings));
+    engine.fullUntil = now + std::min(pause, this->options.maxFaultBackoff);
+    ++engine.consecutiveFaults;
+}
+
 void GenerationGate::onEnded(const RequestId &id, bool isEngineFault, Tokens generated, Instant now)
 {
     this->prefill.onDropped(id, now);
@@ -427,6 +441,12 @@
     if (!placement) {
         return;
     }
+    if (placement->isRefused) {
+        return;
+    }
+    if (generated.value() > 0 && !placement->prefill.isEmpty()) {
+        this->handoverFaults.onTaken(placement->prefill, placement->engine, now);
+    }
     Engine *engine = this->engineOf(*placement);
     if (engine != nullptr) {
         engine->fullUntil.reset();
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -15,6 +15,7 @@
 #include "decide/admission.h"
 #include "decide/classqueue.h"
 #include "decide/faultrate.h"
+#include "decide/handoverfaults.h"
 #include "decide/memoryforecast.h"
 #include "decide/prefillpool.h"
 
@@ -125,6 +126,7 @@
         ClassQueue::Options queue;
         Admission::Options admission;
         PrefillPool::Options prefill;
+        HandoverFaults::Options handover;
     };
 
     GenerationGate(const Options &options, std::uint64_t seed);
@@ -150,7 +152,8 @@
     // Outcome of the prefill at the prefill engine of the placement.
     void onPrefilled(const RequestId &id, Instant now);
     void onPrefillFailed(const RequestId &id, Instant now);
-    // The prefill result was gone when the decode engine fetched it.
+    // The decode engine refused the generation although it had granted the reservation, so it may not have found the
+    // prefill result.
     void onResultLost(const RequestId &id, Instant now);
     void onFull(const RequestId &id, Instant now);
     void onFault(const RequestId &id, Instant now);
@@ -185,6 +188,7 @@
         Instant since;
         bool isReserved = false;
         EngineId prefill = {};
+        bool isRefused = false; // by the decode engine, after the prefill
     };
 
     struct Choice {
@@ -195,6 +199,7 @@
     // Peak memory of the engine with one more generation, as a share of its memory; empty if it does not fit.
     std::optional<double> peakShare(const Engine &engine, const GenerationRequest &request, Instant now) const;
     Engine *engineOf(const Placement &placement);
+    void avoid(Engine &engine, Instant now) const;
     std::optional<Placement> take(const RequestId &id);
     Duration costOf(const GenerationRequest &request) const;
     Duration perToken(const Engine &engine) const;
@@ -217,6 +222,7 @@
     ClassQueue queue;
     Admission admission;
     PrefillPool prefill;
+    HandoverFaults handoverFaults;
     std::unordered_map<RequestId, GenerationRequest> waitingRequests;
     std::unordered_map<RequestId, Placement> placements;
     OutputEstimate estimate;
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -323,5 +323,113 @@
     EXPECT_TRUE(gate.poll(start).empty());
 }
 
+// A pool in virtual time whose decode engines may refuse a generation after its prompt was prefilled.
+class HandoverPool
+{
+public:
+    static constexpr int decodes = 24;
+    static constexpr int prefills = 8;
+
+    explicit HandoverPool(std::uint64_t seed)
+        : gate({}, seed)
+        , random(seed)
+    {
+        this->gate.setEngines(engines(decodes), start);
+        std::vector<PrefillEngine> pool;
+        pool.reserve(prefills);
+        for (int number = 0; number < prefills; ++number) {
+            pool.push_back({EngineId("p" + std::to_string(number)), DataCentreId("a")});
+        }
+        this->gate.setPrefillEngines(pool);
+    }
+
+    std::set<EngineId> refusingDecodes; // refuse half of the generations
+    std::set<EngineId> losingPrefills; // lose all of their results
+
+    struct Outcome {
+        int placed = 0; // including retries
+        int refused = 0;
+        Duration longestWait{0};
+    };
+    // Callers submit `perSecond` generations; a refused one is retried at once.
+    Outcome run(int perSecond, Duration length)
+    {
+        Outcome outcome;
+        int submitted = 0;
+        for (Duration at{0}; at < length; at += 1ms) {
+            const Instant now = start + at;
+            this->end(now, outcome);
+            while (submitted < perSecond * (at / 1ms) / 1000) {
+                this->gate.submit(makeRequest("r" + std::to_string(submitted++), now), now);
+            }
+            for (const GateAction &action : this->gate.poll(now)) {
+                if (const auto *place = std::get_if<TryReserve>(&action)) {
+                    ++outcome.placed;
+                    outcome.longestWait = std::max(outcome.longestWait, place->waited);
+                    this->gate.onReserved(place->id);
+                    Instant &free = this->freeAt[place->prefill];
+                    free = std::max(free, now) + 100ms;
+                    this->prefilling.emplace(free, *place);
+                }
+            }
+        }
+        return outcome;
+    }
+
+private:
+    void end(Instant now, Outcome &outcome)
+    {
+        while (!this->prefilling.empty() && this->prefilling.begin()->first <= now) {
+            const TryReserve place = this->prefilling.begin()->second;
+            this->prefilling.erase(this->prefilling.begin());
+            this->gate.onPrefilled(place.id, now);
+            const bool isShed = this->refusingDecodes.count(place.engine) > 0 && this->random() % 2 == 0;
+            if (!isShed && this->losingPrefills.count(place.prefill) == 0) {
+                this->decoding.emplace(now + 1s, place.id);
+                continue;
+            }
+            ++outcome.refused;
+            this->gate.onResultLost(place.id, now);
+            this->gate.onEnded(place.id, false, Tokens(0), now);
+            this->gate.submit(makeRequest(place.id.value() + "'", now), now);
+        }
+        while (!this->decoding.empty() && this->decoding.begin()->first <= now) {
+            this->gate.onEnded(this->decoding.begin()->second, false, Tokens(1000), now);
+            this->decoding.erase(this->decoding.begin());
+        }
+    }
+
+    GenerationGate gate;
+    std::mt19937_64 random;
+    std::map<EngineId, Instant> freeAt;
+    std::multimap<Instant, TryReserve> prefilling;
+    std::multimap<Instant, RequestId> decoding;
+};
+
+// Guards against idle prefill engines: a few decode engines that shed load after the prefill must not take healthy
+// prefill engines out of use, nor attract further generations because they look empty.
+TEST(GenerationGate, KeepsPrefillEnginesInUseWhileDecodeEnginesRefuse)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        HandoverPool pool(seed);
+        pool.refusingDecodes = {EngineId("d0"), EngineId("d1"), EngineId("d2")};
+        const auto outcome = pool.run(50, 10s);
+        EXPECT_LE(outcome.longestWait, 250ms) << "seed " << seed; // the queue limit of a prefill engine and one prefill
+        EXPECT_LE(outcome.refused, outcome.placed / 20) << "seed " << seed; // an eighth of the engines shed half
+    }
+}
+
+// Guards against prompts that are prefilled again and again at an engine whose results lapse.
+TEST(GenerationGate, AvoidsPrefillEnginesThatLoseResults)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        HandoverPool pool(seed);
+        pool.losingPrefills = {EngineId("p0"), EngineId("p1")};
+        const auto outcome = pool.run(30, 10s);
+        EXPECT_LE(outcome.longestWait, 250ms) << "seed " << seed;
+        EXPECT_LE(outcome.refused, outcome.placed / 10) << "seed " << seed; // a quarter of the engines lose all
+    }
+}
+
 } // namespace
 } // namespace fescuesill
