Hosts that wait for the deputy do not read the lease

The link to the deputy opens some 50 ms later, and from then on a host reads nothing; but in between it counted as alone. The watcher learns of the deputy before it learns that the leader is lost.

--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -24,6 +24,13 @@
 // A message of a few bytes; until it succeeds, this host reads the store itself.
 constexpr Duration followRequestInterval{1s};
 
+// The deputy claims the lease of a lost leader and names the next one. A host that expects it need not read the lease:
+// otherwise each host of the fleet would, in the moment in which the leader is lost.
+bool leavesLeaseToDeputy(PlacingPath path)
+{
+    return path == PlacingPath::Deputy || path == PlacingPath::Waiting;
+}
+
 } // namespace
 
 LeaderLink::LeaderLink(asio::io_context &io, const std::string &address, PlacementGates &placementGates,
@@ -98,6 +105,15 @@
     this->store->setLeaderReachable(isReachable);
 }
 
+// The watcher learns first whether a deputy is expected, so that it does not read the lease in between.
+void LeaderLink::onLeaderLost()
+{
+    const Instant now = steadyNow();
+    this->route.onLeaderLost(now);
+    this->applyRoute(now);
+    this->setLeaderReachable(false);
+}
+
 bool LeaderLink::isDeputyLink(LinkId link) const
 {
     return this->deputy && this->deputy->link == link;
@@ -142,8 +158,8 @@
     if (next == this->path && link == this->uplink) {
         return;
     }
-    const bool wasDeputy = this->path == PlacingPath::Deputy;
-    const bool isDeputy = next == PlacingPath::Deputy;
+    const bool wasDeputy = leavesLeaseToDeputy(this->path);
+    const bool isDeputy = leavesLeaseToDeputy(next);
     this->path = next;
     this->uplink = link;
     this->store->onRelayLost();
@@ -291,9 +307,8 @@
     if (address != this->leaderAddress) {
         if (this->leader) {
             this->node->disconnect(*this->leader);
-            this->route.onLeaderLost(steadyNow());
-            this->setLeaderReachable(false);
             this->leader.reset();
+            this->onLeaderLost();
         }
         this->leaderAddress = address;
         if (!address.empty()) {
@@ -333,8 +348,7 @@
 void LeaderLink::onClosed(LinkId link)
 {
     if (this->leader && link == *this->leader) {
-        this->route.onLeaderLost(steadyNow());
-        this->setLeaderReachable(false);
+        this->onLeaderLost();
     } else if (this->isDeputyLink(link)) {
         this->route.onDeputyLost(steadyNow());
     } else {
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -78,6 +78,7 @@
     void onOpened(LinkId link);
     void onClosed(LinkId link);
     void setLeaderReachable(bool isReachable);
+    void onLeaderLost();
     bool isDeputyLink(LinkId link) const;
     // Updates the links and the gates to match the route.
     void applyRoute(Instant now);
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -46,7 +46,7 @@
     // The functions below may be called on any thread.
     // Sets whether the leader is reachable from this host.
     void setLeaderReachable(bool isReachable);
-    // Sets whether the deputy of a lost leader places for this host.
+    // Sets whether the deputy of a lost leader places for this host, or is expected to do so in a moment.
     void setDeputyReachable(bool isReachable);
     // Sets whether this host is the deputy of a lost leader, so that other hosts follow it.
     void setActing(bool isActing);
--- a/testing/process/test_store_calls.py
+++ b/testing/process/test_store_calls.py
@@ -65,6 +65,19 @@
             wait_until(lambda: send(gateway.callers, "GET", "/new/1")[0] == 200, "the change to be in force")
             wait_until(lambda: "leaving=yes" in gateway.log(), "the endpoint's leaving")
 
+    # Guards against a read of the lease by each host of the fleet in the moment in which its leader is lost.
+    def test_the_deputy_alone_reads_the_lease_of_a_lost_leader(self):
+        def lease_reads(gateway):
+            return gateway.log().count("event=store_called call=rows-get table=leases")
+
+        before = {gateway: lease_reads(gateway) for gateway in self.others}
+        self.leader.kill()
+        wait_until(lambda: any(each.leads() for each in self.others), "another leader")
+        deputy = next(gateway for gateway in self.others if "event=standing_in for_leader=yes" in gateway.log())
+        for gateway in self.others:
+            if gateway is not deputy:
+                self.assertEqual(lease_reads(gateway), before[gateway])
+
     # Guards against calls that grow with the fleet.
     def test_one_host_calls_the_store_at_rest(self):
         self.assertLessEqual(self.calls_in(SECONDS), SECONDS * CALLS_AT_REST_PER_SECOND + MARGIN)
