A deputy names any new leader, and hosts wait for the link to it

A deputy now names any new holder. A host that has heard of a new leader forgets the next deputies and waits for its link to that leader, for at most 0.5 s as for a deputy; a deputy places until it reaches the leader itself.

--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -24,9 +24,9 @@
 // A message of a few bytes; until it succeeds, this host reads the store itself.
 constexpr Duration followRequestInterval{1s};
 
-// The deputy claims the lease of a lost leader and names the next one. A host that expects it need not read the lease:
-// otherwise each host of the fleet would, in the moment in which the leader is lost.
-bool leavesLeaseToDeputy(PlacingPath path)
+// The deputy claims the lease of a lost leader and names the next one. A host that expects it, or the link to a leader
+// that was just named, need not read the lease: otherwise each host of the fleet would, in the same moment.
+bool leavesLeaseToOthers(PlacingPath path)
 {
     return path == PlacingPath::Deputy || path == PlacingPath::Waiting;
 }
@@ -158,8 +158,8 @@
     if (next == this->path && link == this->uplink) {
         return;
     }
-    const bool wasDeputy = leavesLeaseToDeputy(this->path);
-    const bool isDeputy = leavesLeaseToDeputy(next);
+    const bool wasDeputy = leavesLeaseToOthers(this->path);
+    const bool isDeputy = leavesLeaseToOthers(next);
     this->path = next;
     this->uplink = link;
     this->store->onRelayLost();
@@ -228,6 +228,8 @@
     this->readers.clear();
 }
 
+// The hosts that this one places for, as a deputy, leave the lease to it. Without the announcement they would follow
+// the next deputy, and then the one after it.
 void LeaderLink::announceLeader(const store_update::Leader &leader)
 {
     const peer::LeaderNamed named{leader.holder->host, leader.holder->address,
@@ -293,7 +295,8 @@
 
 void LeaderLink::onLeader(const store_update::Leader &update)
 {
-    if (update.isSelf && this->isActing) {
+    const bool isNewHolder = update.holder && update.holder->address != this->leaderAddress;
+    if (this->isActing && isNewHolder) {
         this->announceLeader(update);
     }
     if (this->isLeading && !update.isSelf) {
@@ -305,6 +308,11 @@
     const bool isOther = update.holder && !update.isSelf && update.holder->address != this->ownAddress;
     const std::string address = isOther ? update.holder->address : std::string();
     if (address != this->leaderAddress) {
+        if (address.empty()) {
+            this->route.onLeaderUnknown();
+        } else {
+            this->route.onLeaderNamed(steadyNow());
+        }
         if (this->leader) {
             this->node->disconnect(*this->leader);
             this->leader.reset();
@@ -439,6 +447,7 @@
             },
             [&](const peer::LeaderNamed &named) {
                 if (isFromRelay) {
+                    this->route.onLeaderNamed(steadyNow());
                     this->store->onLeaderNamed(named);
                 }
             },
--- a/promise/placingroute.cpp
+++ b/promise/placingroute.cpp
@@ -7,6 +7,9 @@
 // place for parts of the fleet would fill the same engines. Hosts do not detect the loss of the leader at the same
 // moment, so generations wait for a short time for a deputy that refuses. The deputy names a deputy of its own to the
 // hosts that it places for.
+//
+// A deputy places until it reaches the new leader. The leader's name has reached the other hosts by then, so they wait
+// for their links to the new leader and do not try the next deputy, which would end in the same moment.
 
 #include "promise/placingroute.h"
 
@@ -22,15 +25,33 @@
 {
     this->leads = isLeading;
     if (isLeading) {
+        this->isLeaderExpected = false;
         this->isLeaderReached = false;
         this->isDeputyReached = false;
         this->deputy.clear(); // named by an earlier leader
     }
 }
 
+void PlacingRoute::onLeaderNamed(Instant now)
+{
+    this->isLeaderExpected = true;
+    this->waitUntil = now + this->options.deputyWait;
+    this->nextDeputy.clear();
+    const bool isDeputyUsed = this->isDeputyReached || this->deputy == this->self;
+    if (!isDeputyUsed) {
+        this->deputy.clear();
+    }
+}
+
+void PlacingRoute::onLeaderUnknown()
+{
+    this->isLeaderExpected = false;
+}
+
 void PlacingRoute::onLeaderReached()
 {
     this->isLeaderReached = true;
+    this->isLeaderExpected = false;
     this->isDeputyReached = false;
     this->deputy.clear(); // the leader names its own
     this->nextDeputy.clear();
@@ -69,7 +90,9 @@
 {
     this->isDeputyReached = false;
     this->notBefore = now + this->options.retry;
-    if (!this->nextDeputy.empty()) {
+    if (this->isLeaderExpected) {
+        this->deputy.clear();
+    } else if (!this->nextDeputy.empty()) {
         this->deputy = this->nextDeputy;
         this->nextDeputy.clear();
         this->notBefore = now;
@@ -85,8 +108,9 @@
     if (this->isDeputyReached) {
         return PlacingPath::Deputy;
     }
-    const bool mayComeSoon = this->needsDeputy() && this->deputy != this->self && now < this->waitUntil;
-    return mayComeSoon ? PlacingPath::Waiting : PlacingPath::Alone;
+    const bool isDeputyExpected = this->needsDeputy() && this->deputy != this->self;
+    const bool isExpecting = this->isLeaderExpected || isDeputyExpected;
+    return isExpecting && now < this->waitUntil ? PlacingPath::Waiting : PlacingPath::Alone;
 }
 
 std::optional<std::string> PlacingRoute::wantedDeputy(Instant now) const
--- a/promise/placingroute.h
+++ b/promise/placingroute.h
@@ -21,7 +21,7 @@
     Alone,
     Leader,
     Deputy,
-    Waiting, // for the deputy; nothing is placed meanwhile
+    Waiting, // for the deputy or a new leader; nothing is placed meanwhile
 };
 
 class PlacingRoute
@@ -32,7 +32,7 @@
         // is lost.
         Duration retry{100ms};
         // How long generations wait for a deputy before this host places them alone. Two hosts detect the loss of the
-        // same leader within one heartbeat of each other.
+        // same leader within one heartbeat of each other. They wait as long for the link to a new leader.
         Duration deputyWait{500ms};
     };
 
@@ -43,6 +43,10 @@
     }
 
     void onLeading(bool isLeading);
+    // Another host leads from now on, and this host connects to it.
+    void onLeaderNamed(Instant now);
+    // The host that was named does not lead, and no other is known.
+    void onLeaderUnknown();
     void onLeaderReached();
     void onLeaderLost(Instant now);
     // The leader named its deputy while it was reachable; empty: none.
@@ -70,6 +74,7 @@
     bool leads = false;
     bool isStopping = false;
     bool isLeaderReached = false;
+    bool isLeaderExpected = false; // it was named, and the link to it is not open yet
     bool isDeputyReached = false;
     Instant notBefore;
     Instant waitUntil;
--- a/promise/testing/placingroute_test.cpp
+++ b/promise/testing/placingroute_test.cpp
@@ -92,6 +92,47 @@
     EXPECT_FALSE(next.isActingLeader());
 }
 
+// Guards against a fleet that tries one deputy after the other while it connects to a new leader.
+TEST(PlacingRoute, WaitsForANamedLeaderAndNotForTheNextDeputy)
+{
+    for (const std::string &next : {std::string("10.3.0.20:7660"), self}) {
+        PlacingRoute route = following(other);
+        route.onLeaderLost(start);
+        route.onDeputyReached();
+        route.onNextDeputyNamed(next);
+        route.onLeaderNamed(start + 3s);
+        EXPECT_EQ(route.path(start + 3s), PlacingPath::Deputy); // until it ends
+        route.onDeputyLost(start + 3s);
+        EXPECT_EQ(route.path(start + 3s), PlacingPath::Waiting);
+        EXPECT_FALSE(route.wantedDeputy(start + 3s));
+        EXPECT_FALSE(route.isActingLeader());
+        EXPECT_EQ(route.path(start + 3500ms), PlacingPath::Alone); // the named leader cannot be reached
+        route.onLeaderReached();
+        EXPECT_EQ(route.path(start + 3600ms), PlacingPath::Leader);
+    }
+}
+
+// Guards against hosts that all place alone in the moments between reading who leads and reaching it.
+TEST(PlacingRoute, WaitsForTheFirstLeader)
+{
+    PlacingRoute route(self, {});
+    EXPECT_EQ(route.path(start), PlacingPath::Alone);
+    route.onLeaderNamed(start);
+    EXPECT_EQ(route.path(start + 400ms), PlacingPath::Waiting);
+    route.onLeaderUnknown(); // the named host refuses, since it does not lead
+    EXPECT_EQ(route.path(start + 400ms), PlacingPath::Alone);
+}
+
+TEST(PlacingRoute, ADeputyPlacesUntilItReachesTheNewLeader)
+{
+    PlacingRoute route = following(self);
+    route.onLeaderLost(start);
+    route.onLeaderNamed(start + 3s);
+    EXPECT_TRUE(route.isActingLeader());
+    route.onLeaderReached();
+    EXPECT_FALSE(route.isActingLeader());
+}
+
 TEST(PlacingRoute, StaysAloneWithoutADeputy)
 {
     PlacingRoute route = following("");
--- a/testing/process/test_store_calls.py
+++ b/testing/process/test_store_calls.py
@@ -28,6 +28,7 @@
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.folder = folder.name
         self.platform = UserPlatform()
         self.addCleanup(self.platform.__exit__)
         self.one, self.two = self.platform.endpoint("booking"), self.platform.endpoint("booking")
@@ -78,6 +79,21 @@
             if gateway is not deputy:
                 self.assertEqual(lease_reads(gateway), before[gateway])
 
+    # Guards against a fleet that tries one deputy after the other, because none names a leader that it does not follow.
+    def test_the_deputy_names_a_leader_that_does_not_follow_it(self):
+        self.leader.kill()
+        wait_until(lambda: any("event=standing_in for_leader=yes" in each.log() for each in self.others), "a deputy")
+        deputy = next(each for each in self.others if "event=standing_in for_leader=yes" in each.log())
+        self.refuse(deputy)
+        stranger = Gateway(self.folder, "g9", self.platform.address)  # has read of the leader, but not of its deputy
+        self.addCleanup(stranger.end)
+        wait_until(stranger.leads, "the stranger to lead")
+        self.proxies[deputy].mode = "pass"
+        for gateway in self.others:
+            wait_until(lambda: f"event=leader_reached address={stranger.peers}" in gateway.log(), "the new leader")
+            if gateway is not deputy:
+                self.assertNotIn("event=standing_in for_leader=yes", gateway.log())
+
     # Guards against calls that grow with the fleet.
     def test_one_host_calls_the_store_at_rest(self):
         self.assertLessEqual(self.calls_in(SECONDS), SECONDS * CALLS_AT_REST_PER_SECOND + MARGIN)
