Hosts of a first start call the store twice, not five times

295 hosts that start together made some 1,490 calls in their first second: each read the lease twice (before its claim, and to learn who was first), the configuration twice (it is written after the start, and was too large for the leader to send to all), the endpoints once. The users' platform tells a process that the whole system starts for the first time; the template hands it on as [process] first_start.

A host then reads the lease after a delay of its own, within 0.3 s, and claims it at once if there is none; most others find the holder with their first read. It takes the configuration from the leader, and reads it itself only if none has come after 1.5 s. The change from nothing to the first configuration is a complete configuration, which any host can apply; while the leader places nothing it may send 2.5 MB in all, and 256 KB as before otherwise. StoreWatcher computes the update of a row once, no longer up to three times.

Tests: 300 hosts in virtual time; the replica takes the first configuration from the leader; five gateways of a first start.

--- a/programs/gateway/configreplica.cpp
+++ b/programs/gateway/configreplica.cpp
@@ -16,7 +16,9 @@
 {
 
 // Larger changes are read from the store, whose links have more bandwidth than the leader's.
-constexpr std::size_t mostChangedRoutes = 500;
+constexpr std::size_t maxChangedRoutes = 500;
+// The base of a change that contains a complete configuration. No row has this version.
+constexpr std::uint64_t emptyBase = 0;
 
 std::uint64_t numberOf(RowVersion row)
 {
@@ -32,12 +34,10 @@
 
 peer::ConfigUpdate updateOf(const ConfigStep &step)
 {
-    peer::ConfigUpdate update{numberOf(step.row), numberOf(step.beforeRow), {}};
-    if (step.before) {
-        const RoutingChange change = changeBetween(*step.before, *step.config);
-        if (change.set.size() + change.removed.size() <= mostChangedRoutes) {
-            update.change = encodeRoutingChange(change);
-        }
+    peer::ConfigUpdate update{numberOf(step.row), step.before ? numberOf(step.beforeRow) : emptyBase, {}};
+    const RoutingChange change = changeBetween(step.before ? *step.before : RoutingConfig(), *step.config);
+    if (change.set.size() + change.removed.size() <= maxChangedRoutes) {
+        update.change = encodeRoutingChange(change);
     }
     return update;
 }
@@ -70,8 +70,9 @@
         return UpdateOutcome::RowNeeded;
     }
     const RowVersion from = rowOf(update.after);
-    if (this->held && from == this->heldRow) {
-        if (!this->apply(row, update.change)) {
+    const bool isComplete = update.after == emptyBase;
+    if (isComplete || (this->held && from == this->heldRow)) {
+        if (!this->apply(isComplete ? RoutingConfig() : *this->held, row, update.change)) {
             return UpdateOutcome::RowNeeded;
         }
         this->applyPendingChanges();
@@ -83,14 +84,14 @@
     return UpdateOutcome::RowNeeded;
 }
 
-bool ConfigReplica::apply(RowVersion row, const std::string &change)
+bool ConfigReplica::apply(const RoutingConfig &base, RowVersion row, const std::string &change)
 {
     const auto decoded = decodeRoutingChange(change);
     if (!decoded) {
         Log::warning("config_change_refused", {{"row", row.value()}, {"reason", decoded.error().what()}});
         return false;
     }
-    auto changed = applyChange(*this->held, *decoded);
+    auto changed = applyChange(base, *decoded);
     if (!changed) {
         Log::warning("config_change_refused", {{"row", row.value()}, {"reason", changed.error().text}});
         return false;
@@ -114,7 +115,7 @@
          next = this->pendingChanges.find(this->heldRow)) {
         const PendingChange change = std::move(next->second);
         this->pendingChanges.erase(next);
-        if (change.row <= this->newestRow || !this->apply(change.row, change.change)) {
+        if (change.row <= this->newestRow || !this->apply(*this->held, change.row, change.change)) {
             return;
         }
     }
--- a/programs/gateway/configreplica.h
+++ b/programs/gateway/configreplica.h
@@ -27,7 +27,8 @@
     std::shared_ptr<const RoutingConfig> config;
 };
 
-// The message for followers: the row's version, and the change from the previous row if that is small.
+// The message for followers: the row's version, and the change from the previous row if that is small. Before the first
+// row the configuration is empty, so the change contains all of it.
 peer::ConfigUpdate updateOf(const ConfigStep &step);
 
 class ConfigReplica
@@ -62,7 +63,7 @@
         std::string change;
     };
 
-    bool apply(RowVersion row, const std::string &change);
+    bool apply(const RoutingConfig &base, RowVersion row, const std::string &change);
     void applyPendingChanges();
 
     std::shared_ptr<const RoutingConfig> held;
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -275,9 +275,9 @@
         return 1;
     }
     const LeaseRow self{this->settings.host, this->settings.peers, 0};
-    this->store = std::make_unique<StoreWatcher>(
-        StoreWatcher::Options{this->settings.store, this->settings.contactLimit, self, this->settings.lease},
-        this->updates);
+    StoreWatcher::Options storeOptions{this->settings.store, this->settings.contactLimit, self, this->settings.lease};
+    storeOptions.isFirstStart = this->settings.isFirstStart;
+    this->store = std::make_unique<StoreWatcher>(storeOptions, this->updates);
     if (this->links) {
         this->links->setStore(*this->store);
     }
--- a/programs/gateway/gatewaysettings.cpp
+++ b/programs/gateway/gatewaysettings.cpp
@@ -12,6 +12,7 @@
     GatewaySettings settings;
     settings.host = HostId(reader->text("process", "host"));
     settings.dataCentre = DataCentreId(reader->text("process", "data_centre"));
+    settings.isFirstStart = reader->flag("process", "first_start", settings.isFirstStart);
     settings.callers = reader->address("listen", "callers");
     settings.ready = reader->address("listen", "ready");
     settings.peers = reader->text("listen", "peers", "");
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -21,6 +21,9 @@
 // To all followers together. Larger updates would delay placements on a leader with a slow link; followers read the
 // store instead, which has the bandwidth.
 constexpr std::size_t maxChangeFanOutBytes = 256 << 10;
+// The same while no generation is placed or waits: a second of a link of 20 Mbit/s. After the first start of a fleet of
+// 300 hosts this is enough for a configuration of dozens of routes.
+constexpr std::size_t maxIdleFanOutBytes = 2560 << 10;
 // A message of a few bytes; until it succeeds, this host reads the store itself.
 constexpr Duration followRequestInterval{1s};
 
@@ -264,7 +267,9 @@
 {
     peer::Message message = update.message;
     if (auto *config = std::get_if<peer::ConfigUpdate>(&message)) {
-        if (config->change.size() * this->followers.size() > maxChangeFanOutBytes) {
+        const bool isIdle = this->gates.placed() == 0 && this->gates.waiting() == 0;
+        const std::size_t limit = isIdle ? maxIdleFanOutBytes : maxChangeFanOutBytes;
+        if (config->change.size() * this->followers.size() > limit) {
             config->change.clear();
         }
     }
--- a/programs/gateway/leasewatcher.cpp
+++ b/programs/gateway/leasewatcher.cpp
@@ -24,7 +24,7 @@
 // takes a tenth of it.
 constexpr Duration claimSpread{300ms};
 
-Leadership::Options leadershipOptions(Duration lease)
+Leadership::Options leadershipOptions(Duration lease, bool isFirstStart)
 {
     std::random_device random;
     std::uniform_real_distribution<double> part(0, 1);
@@ -35,6 +35,7 @@
     options.firstPollDelay = lease / 50;
     options.margin = lease / 15;
     options.claimDelay = std::chrono::duration_cast<Duration>(claimSpread * part(random));
+    options.firstReadDelay = isFirstStart ? options.claimDelay : Duration(0);
     return options;
 }
 
@@ -44,7 +45,7 @@
     : io(context)
     , options(std::move(given))
     , report(std::move(reporter))
-    , leadership(this->options.self, leadershipOptions(this->options.lease))
+    , leadership(this->options.self, leadershipOptions(this->options.lease, this->options.isFirstStart))
     , timer(context)
 {
 }
@@ -160,6 +161,7 @@
 void LeaseWatcher::run(const asio::yield_context &yield)
 {
     StoreClient store(this->io, {this->options.address});
+    this->leadership.start(bootNow());
     while (true) {
         try {
             this->runOnce(store, yield);
--- a/programs/gateway/leasewatcher.h
+++ b/programs/gateway/leasewatcher.h
@@ -31,6 +31,7 @@
         std::string address; // of the store
         LeaseRow self; // the row that this host writes to lead; with an empty address it never leads
         Duration lease{3s};
+        bool isFirstStart = false; // all hosts start together, and there is no lease yet
     };
     using Report = std::function<void(const store_update::Leader &)>;
 
--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -58,7 +58,7 @@
     , random(std::random_device()())
     , config(this->io)
     , registry(this->io)
-    , lease(this->io, {this->options.address, this->options.self, this->options.lease},
+    , lease(this->io, {this->options.address, this->options.self, this->options.lease, this->options.isFirstStart},
             [this](const store_update::Leader &leader) { this->onLeader(leader); })
 {
     this->lease.start();
@@ -141,7 +141,8 @@
         return this->waitWhileRelayed(table, yield);
     }
     const Instant now = steadyNow();
-    if (followed.version && now < followed.holdUntil) {
+    const bool canWait = followed.version || (table == Table::Config && this->options.isFirstStart);
+    if (canWait && now < followed.holdUntil) {
         this->waitFor(followed, followed.holdUntil - now, yield);
         return true;
     }
@@ -415,13 +416,14 @@
     if (const RowVersion version(row.version); version > this->replica.row()) {
         step = this->replica.takeRow(version, this->decodeConfig(row));
     }
+    const peer::ConfigUpdate update = step ? updateOf(*step) : this->configSummary();
     if (step) {
-        this->keepConfigUpdate(updateOf(*step));
+        this->keepConfigUpdate(update);
         this->push(store_update::Config{step->config});
     }
-    this->sendToFollowers(step ? updateOf(*step) : this->configSummary());
+    this->sendToFollowers(update);
     if (this->isReader && step) {
-        this->push(store_update::LeaderUpdate{updateOf(*step)});
+        this->push(store_update::LeaderUpdate{update});
     }
     if (this->configAtLeader && this->replica.row() >= *this->configAtLeader) {
         this->setRelayed(Table::Config, true); // the leader will announce the next version
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -35,6 +35,9 @@
         Duration lease{3s};
         // How long this host believes another one that the store cannot be read before it tries itself.
         Duration outageDoubt{20s};
+        // All hosts of the fleet start together, for the first time. Callers come later, so a host takes the
+        // configuration from the leader and reads it itself only if none comes.
+        bool isFirstStart = false;
     };
 
     StoreWatcher(Options options, Ring<StoreUpdate> &updates);
--- a/programs/gateway/testing/configreplica_test.cpp
+++ b/programs/gateway/testing/configreplica_test.cpp
@@ -75,6 +75,23 @@
     EXPECT_EQ(follower.takeUpdate(sent[0]), ConfigReplica::UpdateOutcome::Known);
 }
 
+// Guards against a read of the first configuration by each host of a fleet.
+TEST(ConfigReplica, TakesTheFirstConfigurationFromTheLeader)
+{
+    const auto sent = updatesOfLeader({{40, configWith(11, 30)}, {44, configWith(14, 31)}});
+    ConfigReplica follower;
+    EXPECT_EQ(follower.takeUpdate(sent[0]), ConfigReplica::UpdateOutcome::Applied);
+    EXPECT_EQ(follower.config()->version, ConfigVersion(11));
+    EXPECT_EQ(follower.config()->routes.all().size(), 30U);
+    EXPECT_EQ(follower.row(), RowVersion(40));
+    EXPECT_EQ(follower.takeUpdate(sent[1]), ConfigReplica::UpdateOutcome::Applied);
+    ConfigReplica behind;
+    behind.takeRow(RowVersion(36), configWith(8, 12)); // a complete configuration has no base
+    EXPECT_EQ(behind.takeUpdate(sent[0]), ConfigReplica::UpdateOutcome::Applied);
+    EXPECT_EQ(behind.config()->routes.all().size(), 30U);
+    EXPECT_EQ(behind.takeUpdate(sent[0]), ConfigReplica::UpdateOutcome::Known);
+}
+
 TEST(ConfigReplica, ReadsALargeChangeFromTheStore)
 {
     const auto sent = updatesOfLeader({{40, configWith(11, 10)}, {44, configWith(14, 5000)}});
--- a/promise/leadership.cpp
+++ b/promise/leadership.cpp
@@ -46,6 +46,11 @@
 {
 }
 
+void Leadership::start(Instant now)
+{
+    this->nextPoll = now + this->options.firstReadDelay;
+}
+
 bool Leadership::isOwnRow() const
 {
     return this->row && this->row->isSameHolder(this->self);
@@ -77,6 +82,13 @@
     return isHeld ? this->changedAt + this->options.lease + this->options.margin : this->changedAt;
 }
 
+// A host that delayed its first read has waited already.
+Duration Leadership::claimDelay() const
+{
+    const bool hasWaited = this->options.firstReadDelay > Duration(0) && this->rowVersion == RowVersion();
+    return hasWaited ? Duration(0) : this->options.claimDelay;
+}
+
 bool Leadership::isLeading(Instant now) const
 {
     return this->lastRenewal && now < *this->lastRenewal + this->options.lease - this->options.margin;
@@ -121,8 +133,8 @@
         return leadership_action::WaitUntil{now + this->options.pollInterval};
     }
     const auto free = this->freeSince();
-    const bool isClaimable = !free || now >= *free + this->options.claimDelay;
-    const bool isConfirmed = !free || this->readAt >= *free + this->options.claimDelay;
+    const bool isClaimable = !free || now >= *free + this->claimDelay();
+    const bool isConfirmed = !free || this->readAt >= *free + this->claimDelay();
     if (isClaimable && isConfirmed) {
         LeaseRow claimed = this->self;
         claimed.renewals = this->row ? this->row->renewals + 1 : 1;
@@ -132,7 +144,7 @@
         return leadership_action::ReadLease{};
     }
     if (now >= *free) {
-        return leadership_action::WaitUntil{*free + this->options.claimDelay};
+        return leadership_action::WaitUntil{*free + this->claimDelay()};
     }
     return now < this->nextPoll ? LeadershipAction(leadership_action::WaitUntil{this->nextPoll})
                                 : leadership_action::ReadLease{};
--- a/promise/leadership.h
+++ b/promise/leadership.h
@@ -78,12 +78,17 @@
         // The delay of a claim after the lease has become free. Hosts draw different delays, since a write of each of
         // hundreds of hosts in the same moment exceeds what the table takes, and the first claim waits behind them.
         Duration claimDelay{0};
+        // The delay of the first read after the start. Where hundreds of hosts start together and there is no row yet,
+        // each draws a different one: the first to read claims the lease at once, and most others then read its row.
+        Duration firstReadDelay{0};
         // How long after the end of the lease a host leaves the claim to the deputy that it is linked to.
         Duration deputyClaim{1500ms};
     };
 
     Leadership(LeaseRow self, Options options);
 
+    // This host has started; the first read follows after its delay.
+    void start(Instant now);
     // Whether this host currently has a connection to the leader.
     void onLeaderSeen(bool isSeen);
     // Whether this host has a connection to the deputy of a lost leader. The deputy claims the lease and names the next
@@ -126,6 +131,7 @@
 private:
     bool isOwnRow() const;
     std::optional<Instant> freeSince() const;
+    Duration claimDelay() const;
     void schedulePoll(bool isChanged, Instant now);
 
     LeaseRow self;
--- a/promise/testing/leadership_test.cpp
+++ b/promise/testing/leadership_test.cpp
@@ -227,59 +227,89 @@
     EXPECT_FALSE(cut.leadership.isLastHolder());
 }
 
-// Guards against a write of each of hundreds of hosts in the moment in which a lease ends, which the table cannot take.
-TEST(Leadership, FewHostsClaimAFreeLeaseAtOnce)
+// The calls of a fleet of hosts in virtual time, each with a reply after 25 ms.
+struct FleetCalls {
+    int reads = 0;
+    int writes = 0;
+    std::ptrdiff_t leading = 0; // hosts that hold the lease in the end
+};
+
+FleetCalls callsOfFleet(LeaseStore store, const std::vector<Leadership::Options> &options)
 {
-    constexpr int hosts = 300;
     constexpr Duration reply{25ms}; // of the table
-    for (const bool isHeld : {false, true}) {
-        LeaseStore store;
-        if (isHeld) {
-            store.row = LeaseRow{HostId("dead"), "dead:1", 5};
-            store.version = 9;
-        }
-        std::vector<Host> fleet;
-        std::vector<std::optional<std::pair<Instant, LeadershipAction>>> calls(hosts);
-        for (int number = 0; number < hosts; ++number) {
-            Leadership::Options options;
-            options.claimDelay = number * 1ms;
-            fleet.emplace_back("h" + std::to_string(number), options);
-        }
-        int writes = 0;
-        for (Instant now(Duration(1'000'000)); now < Instant(Duration(6'000'000)); now += 1ms) {
-            for (int number = 0; number < hosts; ++number) {
-                Leadership &leadership = fleet[number].leadership;
-                auto &call = calls[number];
-                if (!call) {
-                    const LeadershipAction action = leadership.next(now);
-                    if (!std::holds_alternative<leadership_action::WaitUntil>(action)) {
-                        call = std::pair(now + reply, action);
-                    }
-                    continue;
-                }
-                if (now < call->first) {
-                    continue;
+    constexpr Instant begin(Duration(1'000'000));
+    constexpr Instant end(Duration(6'000'000));
+    std::vector<Host> fleet;
+    std::vector<std::optional<std::pair<Instant, LeadershipAction>>> calls(options.size());
+    for (std::size_t number = 0; number < options.size(); ++number) {
+        fleet.emplace_back("h" + std::to_string(number), options[number]);
+        fleet.back().leadership.start(begin);
+    }
+    FleetCalls made;
+    for (Instant now = begin; now < end; now += 1ms) {
+        for (std::size_t number = 0; number < fleet.size(); ++number) {
+            Leadership &leadership = fleet[number].leadership;
+            auto &call = calls[number];
+            if (!call) {
+                const LeadershipAction action = leadership.next(now);
+                if (!std::holds_alternative<leadership_action::WaitUntil>(action)) {
+                    call = std::pair(now + reply, action);
                 }
-                if (const auto *write = std::get_if<leadership_action::WriteLease>(&call->second)) {
-                    ++writes;
-                    if (store.write(*write)) {
-                        leadership.onWritten(RowVersion(store.version), now - reply);
-                    } else {
-                        leadership.onFailed(now - 3s);
-                    }
+                continue;
+            }
+            if (now < call->first) {
+                continue;
+            }
+            if (const auto *write = std::get_if<leadership_action::WriteLease>(&call->second)) {
+                ++made.writes;
+                if (store.write(*write)) {
+                    leadership.onWritten(RowVersion(store.version), now - reply);
                 } else {
-                    leadership.onRead(store.row, RowVersion(store.version), now);
-                    leadership.onLeaderSeen(store.row && store.row->host != HostId("dead"));
+                    leadership.onFailed(now - 3s);
                 }
-                call.reset();
+            } else {
+                ++made.reads;
+                leadership.onRead(store.row, RowVersion(store.version), now);
+                leadership.onLeaderSeen(store.row && store.row->host != HostId("dead"));
             }
+            call.reset();
         }
-        const auto leading = std::count_if(fleet.begin(), fleet.end(), [](const Host &host) {
-            return host.leadership.isLeading(Instant(Duration(6'000'000)));
-        });
-        EXPECT_EQ(leading, 1) << isHeld;
-        EXPECT_LE(writes, 70) << isHeld; // 25 ms of claims, of which each makes one write, and the holder's renewals
     }
+    made.leading =
+        std::count_if(fleet.begin(), fleet.end(), [end](const Host &host) { return host.leadership.isLeading(end); });
+    return made;
+}
+
+std::vector<Leadership::Options> optionsOfFleet(bool isFirstStart)
+{
+    std::vector<Leadership::Options> options(300);
+    for (std::size_t number = 0; number < options.size(); ++number) {
+        options[number].claimDelay = static_cast<int>(number) * 1ms;
+        options[number].firstReadDelay = isFirstStart ? options[number].claimDelay : Duration(0);
+    }
+    return options;
+}
+
+// Guards against a write of each of hundreds of hosts in the moment in which a lease ends, which the table cannot take.
+TEST(Leadership, FewHostsClaimAFreeLeaseAtOnce)
+{
+    LeaseStore held;
+    held.row = LeaseRow{HostId("dead"), "dead:1", 5};
+    held.version = 9;
+    for (const LeaseStore &store : {LeaseStore(), held}) {
+        const FleetCalls made = callsOfFleet(store, optionsOfFleet(false));
+        EXPECT_EQ(made.leading, 1) << store.version;
+        EXPECT_LE(made.writes, 70) << store.version; // 25 ms of claims, of which each makes one write, and renewals
+    }
+}
+
+// Guards against a second read by each of hundreds of hosts that start together and find no lease.
+TEST(Leadership, HostsThatStartTogetherReadTheLeaseOnce)
+{
+    const FleetCalls made = callsOfFleet(LeaseStore(), optionsOfFleet(true));
+    EXPECT_EQ(made.leading, 1);
+    EXPECT_LE(made.writes, 60); // 50 ms of claims until the first is read, and renewals
+    EXPECT_LE(made.reads, 300 + 60); // those that claimed too late read once more
 }
 
 // Guards against reads of the lease by the whole fleet while the deputy is about to claim it, and against a fleet that
--- a/testing/process/gatewayprocess.py
+++ b/testing/process/gatewayprocess.py
@@ -14,12 +14,13 @@
 
 
 class Gateway(Process):
-    def __init__(self, folder, name, store, grace=None):
+    def __init__(self, folder, name, store, grace=None, first_start=False):
         self.name = name
         self.callers, self.ready, self.peers = free_address(), free_address(), free_address()
         settings = pathlib.Path(folder) / f"{name}.ini"
         stop = "announce = 300ms\n" + (f"grace_s = {grace}\n" if grace else "")
-        settings.write_text(f"[process]\nhost = {name}\ndata_centre = a\n[listen]\ncallers = {self.callers}\n"
+        settings.write_text(f"[process]\nhost = {name}\ndata_centre = a\n"
+                            f"first_start = {'yes' if first_start else 'no'}\n[listen]\ncallers = {self.callers}\n"
                             f"ready = {self.ready}\npeers = {self.peers}\n[store]\naddress = {store}\n"
                             f"lease_ms = 1500\n[stop]\n{stop}")
         super().__init__(binary("fescuesill-gateway"), "--config", settings)
--- a/testing/process/test_store_calls.py
+++ b/testing/process/test_store_calls.py
@@ -140,5 +140,33 @@
         self.assertLessEqual(len(self.platform.server.calls) - before, 45)
 
 
+class FirstStartTest(unittest.TestCase):
+    # Guards against several calls by each host of a fleet that starts for the first time, before its configuration exists.
+    def test_hosts_take_the_first_configuration_from_the_leader(self):
+        def calls(gateway, call):
+            return gateway.log().count(f"event=store_called {call} ")
+
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        platform = UserPlatform()
+        self.addCleanup(platform.__exit__)
+        platform.endpoint("booking")
+        gateways = [Gateway(folder.name, f"g{number}", platform.address, first_start=True) for number in range(HOSTS)]
+        for gateway in gateways:
+            self.addCleanup(gateway.end)
+        wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
+        others = [gateway for gateway in gateways if not gateway.leads()]
+        for gateway in others:
+            wait_until(lambda: "table=op relayed=yes" in gateway.log(), "the relay")
+            # A host that waits for the leader for too long reads the table once.
+            self.assertLessEqual(calls(gateway, "call=rows-get table=op"), 1)
+            self.assertLessEqual(calls(gateway, "call=rows-get table=leases"), 2)
+        before = {gateway: calls(gateway, "call=rows-get table=op") for gateway in others}
+        platform.configure([route("/look/", "safe", "booking")])
+        for gateway in others:
+            wait_until(lambda: send(gateway.callers, "GET", "/look/1")[0] == 200, "the configuration")
+            self.assertEqual(calls(gateway, "call=rows-get table=op"), before[gateway])
+
+
 if __name__ == "__main__":
     unittest.main()
