A message to many links is encoded once

The leader sends each update of the endpoints, the configuration and the deputy to all followers. PeerNode takes the list of links, encodes once and posts once.

--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -201,9 +201,12 @@
         return;
     }
     this->announcedDeputy = this->deputies.deputy();
+    std::vector<LinkId> informed;
+    informed.reserve(this->deputies.followers().size());
     for (const auto &[link, address] : this->deputies.followers()) {
-        this->node->send(link, this->deputyAnnouncement());
+        informed.push_back(link);
     }
+    this->node->send(std::move(informed), this->deputyAnnouncement());
 }
 
 peer::DeputyNamed LeaderLink::deputyAnnouncement() const
@@ -214,8 +217,8 @@
 // Ends the placements for other hosts, since two gates would fill the same engines.
 void LeaderLink::endPlacing()
 {
+    this->node->send({this->placementClients.begin(), this->placementClients.end()}, peer::LeadershipEnded{});
     for (const LinkId follower : this->placementClients) {
-        this->node->send(follower, peer::LeadershipEnded{});
         this->gates.onFollowerLost(follower);
     }
     this->placementClients.clear();
@@ -237,9 +240,7 @@
 {
     const peer::LeaderNamed named{leader.holder->host, leader.holder->address,
                                   static_cast<std::uint64_t>(leader.term.value())};
-    for (const LinkId client : this->placementClients) {
-        this->node->send(client, named);
-    }
+    this->node->send({this->placementClients.begin(), this->placementClients.end()}, named);
 }
 
 void LeaderLink::applyReaders(Instant now)
@@ -273,10 +274,10 @@
             config->change.clear();
         }
     }
-    for (const LinkId follower : this->followers) {
-        if (!update.follower || *update.follower == follower) {
-            this->node->send(follower, message);
-        }
+    if (!update.follower) {
+        this->node->send({this->followers.begin(), this->followers.end()}, message);
+    } else if (this->followers.count(*update.follower) > 0) {
+        this->node->send(*update.follower, message);
     }
 }
 
--- a/wire/peernode.cpp
+++ b/wire/peernode.cpp
@@ -490,6 +490,19 @@
                [impl = this->impl.get(), link, bytes = peer::encodeMessage(message)] { impl->send(link, bytes); });
 }
 
+void PeerNode::send(std::vector<LinkId> links, const peer::Message &message)
+{
+    if (links.empty()) {
+        return;
+    }
+    asio::post(this->impl->context,
+               [impl = this->impl.get(), links = std::move(links), bytes = peer::encodeMessage(message)] {
+                   for (const LinkId link : links) {
+                       impl->send(link, bytes);
+                   }
+               });
+}
+
 std::uint64_t PeerNode::refusedLinks() const
 {
     return this->impl->guard ? this->impl->guard->refused() : 0;
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -8,11 +8,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <atomic>
 #include <future>
 #include <mutex>
 #include <set>
 #include <thread>
+#include <vector>
 
 namespace fescuesill
 {
@@ -81,6 +83,45 @@
     EXPECT_TRUE(std::holds_alternative<peer::FetchConfig>(clientSeen.received.get_future().get()));
 }
 
+TEST(PeerNode, DeliversAMessageToSeveralLinks)
+{
+    const std::string address = freeAddress();
+    std::mutex mutex;
+    std::vector<LinkId> opened;
+    PeerNode::Handlers accepting;
+    accepting.opened = [&](LinkId link) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        opened.push_back(link);
+    };
+    accepting.received = [](LinkId, const peer::Message &) {
+    };
+    accepting.closed = [](LinkId) {
+    };
+    auto server = PeerNode::create(quickOptions(address), std::move(accepting)).value();
+    server->start();
+    constexpr std::size_t links = 3;
+    std::array<Seen, links> seen;
+    std::vector<std::unique_ptr<PeerNode>> clients;
+    for (Seen &each : seen) {
+        clients.push_back(PeerNode::create(quickOptions(""), handlersOf(each)).value());
+        clients.back()->start();
+        clients.back()->connect(address);
+        each.opened.get_future().wait();
+    }
+    const auto areOpen = [&] {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return opened.size() == links;
+    };
+    while (!areOpen()) {
+        std::this_thread::sleep_for(1ms);
+    }
+    server->send(std::vector<LinkId>(), peer::FetchConfig{});
+    server->send(opened, peer::Hello{HostId("a"), DataCentreId("d"), true});
+    for (Seen &each : seen) {
+        EXPECT_EQ(std::get<peer::Hello>(each.received.get_future().get()).host, HostId("a"));
+    }
+}
+
 // A peer restarts and its end of the link is lost. The link must reopen under the same id without another call of
 // connect().
 TEST(PeerNode, AnOutgoingLinkReconnectsAfterThePeerRestarts)
