Retry-After counts only on the rate that new callers leave

A refused caller was told to return when the work before it would be placed at the full rate. New callers take most of that rate, so in a long burst those that returned were refused again, for good: clients of the users repeat once. The time now follows from the share of the rate that the offered load leaves, and a quarter of the rate where it leaves less, since a burst ends.

In a burst of four times the capacity most are refused again with any time, since a third of what a caller has left is too short.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -211,9 +211,15 @@
 void GenerationGate::reject(std::vector<GateAction> &actions, const QueueItem &item, Instant now)
 {
     this->waitingRequests.erase(item.request);
-    const Duration backlog = this->queue.backlog(item.rank);
-    actions.push_back(
-        RejectGeneration{item.request, this->admission.retryAfter(backlog, item.cost, now), now - item.arrival});
+    // Callers that return compete with new ones, so only the rate that those leave serves them. Where they leave none,
+    // a burst is assumed to end.
+    const double share = std::max(1 - this->offeredLoad(now) / this->admission.rate(), this->options.minReturnShare);
+    const auto atThatRate = [share](Duration cost) {
+        return Duration(static_cast<std::int64_t>(static_cast<double>(cost.count()) / share));
+    };
+    const Duration retryAfter =
+        this->admission.retryAfter(atThatRate(this->queue.backlog(item.rank)), atThatRate(item.cost), now);
+    actions.push_back(RejectGeneration{item.request, retryAfter, now - item.arrival});
 }
 
 void GenerationGate::demoteLate(std::vector<GateAction> &actions, Instant now)
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -123,6 +123,8 @@
         // capacity this is reached after some five seconds; from then on refused requests wait 0.48 s on average
         // instead of 0.84 s.
         double sustainedLoad = 1.2;
+        // Least share of the placement rate that refused callers may expect to be left for them when they return.
+        double minReturnShare = 0.25;
         ClassQueue::Options queue;
         Admission::Options admission;
         PrefillPool::Options prefill;
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -323,6 +323,79 @@
     EXPECT_TRUE(gate.poll(start).empty());
 }
 
+struct Returned {
+    int refused = 0; // callers, the first time
+    int refusedAgain = 0;
+};
+
+// Callers of a pool of ten engines that sustains some 25 generations a second. A refused caller returns once, after the
+// stated time but within a third of the time that it has left.
+Returned returnedAfterBurst(double burstPerSecond, Duration burst, std::uint64_t seed)
+{
+    constexpr Duration patience{13s};
+    GenerationGate gate({}, seed);
+    gate.setEngines(engines(10), start);
+    std::multimap<Instant, RequestId> ends;
+    std::multimap<Instant, std::string> returns;
+    std::map<std::string, Instant> arrivals;
+    Returned returned;
+    double due = 0;
+    for (Duration at{0}; at < 30s; at += 5ms) {
+        const Instant now = start + at;
+        while (!ends.empty() && ends.begin()->first <= now) {
+            gate.onEnded(ends.begin()->second, false, Tokens(3500), now);
+            ends.erase(ends.begin());
+        }
+        while (!returns.empty() && returns.begin()->first <= now) {
+            gate.submit(makeRequest(returns.begin()->second, now), now);
+            returns.erase(returns.begin());
+        }
+        const bool isBurst = at >= 10s && at < 10s + burst;
+        due += (isBurst ? burstPerSecond : 12) * 0.005;
+        for (; due >= 1; due -= 1) {
+            const std::string id = "r" + std::to_string(arrivals.size());
+            arrivals[id] = now;
+            gate.submit(makeRequest(id, now), now);
+        }
+        for (const GateAction &action : gate.poll(now)) {
+            if (const auto *place = std::get_if<TryReserve>(&action)) {
+                gate.onReserved(place->id);
+                ends.emplace(now + 3500ms, place->id);
+                continue;
+            }
+            const auto &rejected = std::get<RejectGeneration>(action);
+            const auto first = arrivals.find(rejected.id.value());
+            if (first == arrivals.end()) {
+                ++returned.refusedAgain;
+                continue;
+            }
+            ++returned.refused;
+            const Duration left = first->second + patience - now;
+            returns.emplace(now + std::min(rejected.retryAfter, Duration(left / 3)), rejected.id.value() + "'");
+        }
+    }
+    return returned;
+}
+
+// Guards against callers that are refused in a burst, told to return while it lasts, and refused again.
+TEST(GenerationGate, CallersRefusedInABurstFindRoomWhenTheyReturn)
+{
+    struct Case {
+        double perSecond;
+        Duration burst;
+    };
+    for (const Case &each : {Case{35, 10s}, Case{35, 5s}, Case{30, 15s}}) { // a fifth to two fifths over the capacity
+        Returned sum;
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            const Returned returned = returnedAfterBurst(each.perSecond, each.burst, seed);
+            sum.refused += returned.refused;
+            sum.refusedAgain += returned.refusedAgain;
+        }
+        EXPECT_GT(sum.refused, 0);
+        EXPECT_LE(sum.refusedAgain * 10, sum.refused) << each.perSecond << " a second, of " << sum.refused;
+    }
+}
+
 // A pool in virtual time whose decode engines may refuse a generation after its prompt was prefilled.
 class HandoverPool
 {
