Read again: no copies of the configuration at updates, one computation of the rate that is left, clearer names

- ConfigReplica: a conditional between a temporary and the held configuration copied all of it at each update that a host applied, and at each that a leader computed.
Both sides are now references.
A row with far more routes than the one before is no longer compared only to find the change too large; hosts that read a large first row did so at their start.
The base of a complete configuration follows from the step.
- GenerationGate: the rate that new callers leave was worked out in two places.
- PeerNode::sendToAll: as an overload of send, braces chose the variant for one link.
- setDeputyExpected, and two comments that still said that a refused handover is the prefill engine's fault.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -93,6 +93,11 @@
     return this->offered * std::exp(-static_cast<double>((now - this->offeredAt).count()) / window) / window;
 }
 
+double GenerationGate::shareLeft(double minimum, Instant now) const
+{
+    return std::max(1 - this->offeredLoad(now) / this->admission.rate(), minimum);
+}
+
 void GenerationGate::submit(const GenerationRequest &request, Instant now)
 {
     const auto window = static_cast<double>(this->options.loadWindow.count());
@@ -213,7 +218,7 @@
     this->waitingRequests.erase(item.request);
     // Callers that return compete with new ones, so only the rate that those leave serves them. Where they leave none,
     // a burst is assumed to end.
-    const double share = std::max(1 - this->offeredLoad(now) / this->admission.rate(), this->options.minReturnShare);
+    const double share = this->shareLeft(this->options.minReturnShare, now);
     const auto atThatRate = [share](Duration cost) {
         return Duration(static_cast<std::int64_t>(static_cast<double>(cost.count()) / share));
     };
@@ -267,7 +272,7 @@
         return this->admission.expectedWait(this->queue.backlog(rank));
     }
     const double rate = this->admission.rate();
-    const double left = std::max(rate - this->offeredLoad(now), rate * this->options.queue.lowRankShare);
+    const double left = rate * this->shareLeft(this->options.queue.lowRankShare, now);
     const auto behind = static_cast<double>(this->queue.backlogAt(rank).count());
     const auto before = static_cast<double>(this->queue.backlog(rank - 1).count());
     return Duration(static_cast<std::int64_t>(before / rate + behind / left));
@@ -444,10 +449,7 @@
         return;
     }
     const auto placement = this->take(id);
-    if (!placement) {
-        return;
-    }
-    if (placement->isRefused) {
+    if (!placement || placement->isRefused) {
         return;
     }
     if (generated.value() > 0 && !placement->prefill.isEmpty()) {
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -215,6 +215,8 @@
     void rejectSurplus(std::vector<GateAction> &actions, Instant now);
     Duration expectedWait(int queueRank, Instant now) const;
     double offeredLoad(Instant now) const;
+    // Share of the placement rate that the offered load leaves, but at least `minimum`.
+    double shareLeft(double minimum, Instant now) const;
     double needDecay(Instant now) const;
     void addNeed(const GenerationRequest &request, Instant now);
     void reject(std::vector<GateAction> &actions, const QueueItem &item, Instant now);
--- a/programs/gateway/configreplica.cpp
+++ b/programs/gateway/configreplica.cpp
@@ -17,8 +17,6 @@
 
 // Larger changes are read from the store, whose links have more bandwidth than the leader's.
 constexpr std::size_t maxChangedRoutes = 500;
-// The base of a change that contains a complete configuration. No row has this version.
-constexpr std::uint64_t emptyBase = 0;
 
 std::uint64_t numberOf(RowVersion row)
 {
@@ -30,12 +28,23 @@
     return RowVersion(static_cast<std::int64_t>(number));
 }
 
+// The configuration before the first row.
+const RoutingConfig &emptyConfig()
+{
+    static const RoutingConfig empty;
+    return empty;
+}
+
 } // namespace
 
 peer::ConfigUpdate updateOf(const ConfigStep &step)
 {
-    peer::ConfigUpdate update{numberOf(step.row), step.before ? numberOf(step.beforeRow) : emptyBase, {}};
-    const RoutingChange change = changeBetween(step.before ? *step.before : RoutingConfig(), *step.config);
+    peer::ConfigUpdate update{numberOf(step.row), numberOf(step.beforeRow), {}};
+    const RoutingConfig &before = step.before ? *step.before : emptyConfig();
+    if (step.config->routes.all().size() > before.routes.all().size() + maxChangedRoutes) {
+        return update; // a comparison would only find that the change is too large
+    }
+    const RoutingChange change = changeBetween(before, *step.config);
     if (change.set.size() + change.removed.size() <= maxChangedRoutes) {
         update.change = encodeRoutingChange(change);
     }
@@ -70,9 +79,9 @@
         return UpdateOutcome::RowNeeded;
     }
     const RowVersion from = rowOf(update.after);
-    const bool isComplete = update.after == emptyBase;
+    const bool isComplete = from == RowVersion();
     if (isComplete || (this->held && from == this->heldRow)) {
-        if (!this->apply(isComplete ? RoutingConfig() : *this->held, row, update.change)) {
+        if (!this->apply(isComplete ? emptyConfig() : *this->held, row, update.change)) {
             return UpdateOutcome::RowNeeded;
         }
         this->applyPendingChanges();
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -325,7 +325,8 @@
     }
 }
 
-// The decode engine had memory reserved, so it must have refused because it could not fetch the prefill result.
+// The decode engine had memory reserved, so it may have refused because it could not fetch the prefill result. The gate
+// decides which of the two engines to avoid.
 void GenerationForward::reportLostResult(const Place &place)
 {
     const EngineId id(this->prefillEngine.value());
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -161,14 +161,14 @@
     if (next == this->path && link == this->uplink) {
         return;
     }
-    const bool wasDeputy = leavesLeaseToOthers(this->path);
-    const bool isDeputy = leavesLeaseToOthers(next);
+    const bool leftLease = leavesLeaseToOthers(this->path);
+    const bool leavesLease = leavesLeaseToOthers(next);
     this->path = next;
     this->uplink = link;
     this->store->onRelayLost();
     this->lastFollowRequest = Instant();
-    if (isDeputy != wasDeputy) {
-        this->store->setDeputyReachable(isDeputy);
+    if (leavesLease != leftLease) {
+        this->store->setDeputyExpected(leavesLease);
     }
     if (!link) {
         this->permits.setUplink({});
@@ -206,7 +206,7 @@
     for (const auto &[link, address] : this->deputies.followers()) {
         informed.push_back(link);
     }
-    this->node->send(std::move(informed), this->deputyAnnouncement());
+    this->node->sendToAll(std::move(informed), this->deputyAnnouncement());
 }
 
 peer::DeputyNamed LeaderLink::deputyAnnouncement() const
@@ -217,7 +217,7 @@
 // Ends the placements for other hosts, since two gates would fill the same engines.
 void LeaderLink::endPlacing()
 {
-    this->node->send({this->placementClients.begin(), this->placementClients.end()}, peer::LeadershipEnded{});
+    this->node->sendToAll({this->placementClients.begin(), this->placementClients.end()}, peer::LeadershipEnded{});
     for (const LinkId follower : this->placementClients) {
         this->gates.onFollowerLost(follower);
     }
@@ -240,7 +240,7 @@
 {
     const peer::LeaderNamed named{leader.holder->host, leader.holder->address,
                                   static_cast<std::uint64_t>(leader.term.value())};
-    this->node->send({this->placementClients.begin(), this->placementClients.end()}, named);
+    this->node->sendToAll({this->placementClients.begin(), this->placementClients.end()}, named);
 }
 
 void LeaderLink::applyReaders(Instant now)
@@ -275,7 +275,7 @@
         }
     }
     if (!update.follower) {
-        this->node->send({this->followers.begin(), this->followers.end()}, message);
+        this->node->sendToAll({this->followers.begin(), this->followers.end()}, message);
     } else if (this->followers.count(*update.follower) > 0) {
         this->node->send(*update.follower, message);
     }
--- a/programs/gateway/leasewatcher.cpp
+++ b/programs/gateway/leasewatcher.cpp
@@ -64,9 +64,9 @@
     this->timer.cancel();
 }
 
-void LeaseWatcher::setDeputyReachable(bool isReachable)
+void LeaseWatcher::setDeputyExpected(bool isExpected)
 {
-    this->leadership.onDeputySeen(isReachable, bootNow());
+    this->leadership.onDeputySeen(isExpected, bootNow());
     this->timer.cancel();
 }
 
--- a/programs/gateway/leasewatcher.h
+++ b/programs/gateway/leasewatcher.h
@@ -46,7 +46,7 @@
     void setLeaderReachable(bool isReachable);
     // Whether the deputy places for this host, or is expected to do so in a moment. The deputy claims the lease and
     // names the next leader.
-    void setDeputyReachable(bool isReachable);
+    void setDeputyExpected(bool isExpected);
     void onLeaderNamed(const LeaseRow &row, RowVersion version);
     // Whether the store can be read, as other reads show. While it cannot, a host that does not lead waits for them.
     void setStoreLost(bool isLost);
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -50,7 +50,7 @@
     // Sets whether the leader is reachable from this host.
     void setLeaderReachable(bool isReachable);
     // Sets whether the deputy of a lost leader places for this host, or is expected to do so in a moment.
-    void setDeputyReachable(bool isReachable);
+    void setDeputyExpected(bool isExpected);
     // Sets whether this host is the deputy of a lost leader, so that other hosts follow it.
     void setActing(bool isActing);
     // The host that this one follows, the leader or its deputy, was lost. Until another one forwards the changes, this
--- a/programs/gateway/storewatcherupdates.cpp
+++ b/programs/gateway/storewatcherupdates.cpp
@@ -347,9 +347,9 @@
     asio::post(this->io, [this, isReachable] { this->lease.setLeaderReachable(isReachable); });
 }
 
-void StoreWatcher::setDeputyReachable(bool isReachable)
+void StoreWatcher::setDeputyExpected(bool isExpected)
 {
-    asio::post(this->io, [this, isReachable] { this->lease.setDeputyReachable(isReachable); });
+    asio::post(this->io, [this, isExpected] { this->lease.setDeputyExpected(isExpected); });
 }
 
 void StoreWatcher::setActing(bool isNow)
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -203,7 +203,7 @@
     Reserved,
     Prefilled, // the prefill engine named by the leader has finished
     PrefillFailed,
-    ResultLost, // the decode engine could not fetch the result from the prefill engine
+    ResultLost, // the decode engine refused, perhaps because it could not fetch the prefill result
     Full, // the engine has no room; another RequestPlacement follows
     Fault, // the engine did not answer; another RequestPlacement follows
     Ended,
--- a/wire/peernode.cpp
+++ b/wire/peernode.cpp
@@ -490,7 +490,7 @@
                [impl = this->impl.get(), link, bytes = peer::encodeMessage(message)] { impl->send(link, bytes); });
 }
 
-void PeerNode::send(std::vector<LinkId> links, const peer::Message &message)
+void PeerNode::sendToAll(std::vector<LinkId> links, const peer::Message &message)
 {
     if (links.empty()) {
         return;
--- a/wire/peernode.h
+++ b/wire/peernode.h
@@ -74,7 +74,7 @@
     void disconnect(LinkId link);
     void send(LinkId link, const peer::Message &message);
     // Encodes the message once for all of the links.
-    void send(std::vector<LinkId> links, const peer::Message &message);
+    void sendToAll(std::vector<LinkId> links, const peer::Message &message);
     // The number of links that failed the handshake since the start, and whether one did within the last half minute.
     std::uint64_t refusedLinks() const;
     bool hasRefusedLately() const;
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -115,8 +115,8 @@
     while (!areOpen()) {
         std::this_thread::sleep_for(1ms);
     }
-    server->send(std::vector<LinkId>(), peer::FetchConfig{});
-    server->send(opened, peer::Hello{HostId("a"), DataCentreId("d"), true});
+    server->sendToAll({}, peer::FetchConfig{});
+    server->sendToAll(opened, peer::Hello{HostId("a"), DataCentreId("d"), true});
     for (Seen &each : seen) {
         EXPECT_EQ(std::get<peer::Hello>(each.received.get_future().get()).host, HostId("a"));
     }
