Log and count whether a host reaches its endpoints

Change: EndpointPaths counts connections that were opened and that failed. Two different endpoints in a row that cannot be reached, with none reached in between, are logged as endpoints_unreachable; the first connection that opens ends it. Failures of the host itself (no descriptors, a caller that left, a wait below 50 ms) do not count. No decision uses it yet.

--- a/programs/gateway/gatewaymetrics.h
+++ b/programs/gateway/gatewaymetrics.h
@@ -7,6 +7,7 @@
 //     metrics.onGenerationEnd("whole", {placed, prefilled, firstEvent, longestPause});
 //     metrics.text();                              // in the exposition format
 
+#include "decide/endpointpaths.h"
 #include "fescuesill/errors.h"
 #include "fescuesill/ids.h"
 
@@ -33,6 +34,8 @@
     Duration registryAge{0}; // since the store or the leader last confirmed the registry
     bool isLeading = false;
     bool isFollowing = false;
+    bool isCutOff = false; // no endpoint can be reached from this host
+    EndpointPaths::Counts connections; // to endpoints
 };
 
 class GatewayMetrics
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -28,13 +28,14 @@
 constexpr Duration retryAfterWhenStopping{100ms}; // the next connection goes to another host
 constexpr Bytes requestLineAllowance{4 << 10}; // for the request line, added to the limit on headers
 
-HttpClient::Options clientOptions(const GatewaySettings &settings)
+HttpClient::Options clientOptions(const GatewaySettings &settings, EndpointPaths &paths)
 {
     HttpClient::Options options;
     options.connections =
         settings.connections * 2; // a call uses one connection to an endpoint at a time, and more for releases
     options.connectLimit = settings.connectLimit;
     options.idlePerAddress = 0;
+    options.paths = &paths;
     return options;
 }
 
@@ -48,7 +49,8 @@
                 this->seed)
         , gates(this->io, this->fleet, this->seed + 2)
         , permits(this->io, this->fleet.limits())
-        , client(this->io, clientOptions(given))
+        , paths(EndpointPaths::Options{})
+        , client(this->io, clientOptions(given, this->paths))
         , services{this->settings, this->io, this->fleet, this->gates, this->permits, this->client, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
@@ -77,6 +79,7 @@
     FleetView fleet;
     PlacementGates gates;
     EndpointPermits permits;
+    EndpointPaths paths;
     HttpClient client;
     GatewayMetrics metrics;
     GatewayServices services;
@@ -195,7 +198,8 @@
         const auto &config = this->fleet.activeConfig();
         this->metrics.set({this->inProgress, this->gates.waiting(), this->gates.placed(),
                            config ? config->version : ConfigVersion(), this->store->registryAge(),
-                           this->links && this->links->leads(), this->gates.isFollowing()});
+                           this->links && this->links->leads(), this->gates.isFollowing(), this->paths.isCutOff(),
+                           this->paths.counts()});
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
     }
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -7,8 +7,11 @@
 
 #include "wire/httpclient.h"
 
+#include "decide/endpointpaths.h"
 #include "wire/address.h"
+#include "wire/clock.h"
 #include "wire/httpconnection.h"
+#include "wire/log.h"
 
 #include <fmt/format.h>
 
@@ -17,6 +20,20 @@
 namespace
 {
 
+// A shorter wait may have ended before a sound connection was opened.
+constexpr Duration minConnectTime{50ms};
+
+// Whether the failed connection says something about the path to the endpoint, and not about this host or the call.
+bool isPathFault(const boost::system::error_code &error, Duration waited)
+{
+    if (error == beast::error::timeout) {
+        return waited >= minConnectTime;
+    }
+    return error == asio::error::connection_refused || error == asio::error::connection_reset
+        || error == asio::error::timed_out || error == asio::error::host_unreachable
+        || error == asio::error::network_unreachable;
+}
+
 bool hasControlCharacter(std::string_view text)
 {
     return std::any_of(text.begin(), text.end(), [](char c) { return static_cast<unsigned char>(c) < 0x20; });
@@ -141,11 +158,31 @@
     const tcp::endpoint endpoint(asio::ip::make_address(parsed->ip), parsed->port);
     auto connection = std::make_unique<HttpConnection>(this->shared_from_this(), address);
     connection->setAbort(abort);
-    connection->connect(endpoint, std::min(deadline, std::chrono::steady_clock::now() + this->options.connectLimit),
-                        yield);
+    this->connectDirectly(*connection, endpoint, deadline, yield);
     return connection;
 }
 
+void HttpClient::Pool::connectDirectly(HttpConnection &connection, const tcp::endpoint &endpoint, SteadyTime deadline,
+                                       const asio::yield_context &yield)
+{
+    EndpointPaths *paths = this->options.paths;
+    const Instant begin = steadyNow();
+    const auto error = connection.connect(
+        endpoint, std::min(deadline, std::chrono::steady_clock::now() + this->options.connectLimit), yield);
+    const Instant now = steadyNow();
+    if (error) {
+        if (paths != nullptr && isPathFault(error, now - begin) && paths->onConnectFailed(connection.address, now)) {
+            Log::warning("endpoints_unreachable", {{"last", connection.address}, {"reason", error.message()}});
+        }
+        throw HttpError(HttpFault::Connect, true, fmt::format("connect {}: {}", connection.address, error.message()));
+    }
+    const Instant since = paths != nullptr ? paths->changedAt() : now;
+    if (paths != nullptr && paths->onConnected(now)) {
+        Log::info("endpoints_reachable",
+                  {{"endpoint", connection.address}, {"after_ms", (now - since).count() / 1000}});
+    }
+}
+
 std::unique_ptr<HttpConnection> HttpClient::Pool::exchange(const std::string &address, const std::string &request,
                                                            bool isHead, const CallOptions &options, SteadyTime deadline,
                                                            const asio::yield_context &yield)
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -128,6 +128,7 @@
     bool notSent;
 };
 
+class EndpointPaths;
 class HttpClient;
 
 // The body of one reply, read line by line or in parts. Destroying the stream closes its connection.
@@ -171,6 +172,7 @@
         Duration connectLimit{1s}; // links between data centres take milliseconds; a lost SYN is resent after 1 s
         Bytes bodyLimit{16 << 20}; // of a whole reply; a larger one is an endpoint fault
         Bytes lineLimit{1 << 20}; // of one line of a stream
+        EndpointPaths *paths = nullptr; // learns which connections could be opened; must outlive the client
     };
 
     HttpClient(asio::io_context &io, Options options);
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -56,15 +56,17 @@
     }
 }
 
-void HttpConnection::connect(const tcp::endpoint &endpoint, SteadyTime deadline, const asio::yield_context &yield)
+boost::system::error_code HttpConnection::connect(const tcp::endpoint &endpoint, SteadyTime deadline,
+                                                  const asio::yield_context &yield)
 {
     boost::system::error_code error;
     this->stream.expires_at(deadline);
     this->stream.async_connect(endpoint, yield[error]);
-    if (error) {
-        throw HttpError(HttpFault::Connect, true, fmt::format("connect {}: {}", this->address, error.message()));
+    if (!error) {
+        boost::system::error_code ignored;
+        this->stream.socket().set_option(tcp::no_delay(true), ignored);
     }
-    this->stream.socket().set_option(tcp::no_delay(true), error);
+    return error;
 }
 
 void HttpConnection::send(const std::string &request, bool isHead, SteadyTime deadline,
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -38,6 +38,8 @@
     void release(std::unique_ptr<HttpConnection> connection);
     std::unique_ptr<HttpConnection> connect(const std::string &address, CallAbort *abort, SteadyTime deadline,
                                             const asio::yield_context &yield);
+    void connectDirectly(HttpConnection &connection, const tcp::endpoint &endpoint, SteadyTime deadline,
+                         const asio::yield_context &yield);
     std::unique_ptr<HttpConnection> exchange(const std::string &address, const std::string &request, bool isHead,
                                              const CallOptions &options, SteadyTime deadline,
                                              const asio::yield_context &yield);
@@ -68,7 +70,8 @@
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
-    void connect(const tcp::endpoint &endpoint, SteadyTime deadline, const asio::yield_context &yield);
+    boost::system::error_code connect(const tcp::endpoint &endpoint, SteadyTime deadline,
+                                      const asio::yield_context &yield);
     void send(const std::string &request, bool isHead, SteadyTime deadline, const asio::yield_context &yield);
     void readHeader(SteadyTime deadline, const asio::yield_context &yield);
     // Reads more of the body and appends it. Returns false if the body is already complete.
