Failing tests: hosts that reach no endpoint refuse their callers

A shim that is preloaded into a gateway redirects its connections, so that one host of a test loses its paths while the others keep theirs: connections hang, are reset, or live on while new ones are refused.

--- a/testing/process/gatewayprocess.py
+++ b/testing/process/gatewayprocess.py
@@ -14,8 +14,9 @@
 
 
 class Gateway(Process):
-    def __init__(self, folder, name, store, grace=None, first_start=False):
+    def __init__(self, folder, name, store, grace=None, first_start=False, paths=None):
         self.name = name
+        self.paths = paths  # a paths.Paths, or None where all connections go straight to the endpoints
         self.callers, self.ready, self.peers = free_address(), free_address(), free_address()
         settings = pathlib.Path(folder) / f"{name}.ini"
         stop = "announce = 300ms\n" + (f"grace_s = {grace}\n" if grace else "")
@@ -23,12 +24,13 @@
                             f"first_start = {'yes' if first_start else 'no'}\n[listen]\ncallers = {self.callers}\n"
                             f"ready = {self.ready}\npeers = {self.peers}\n[store]\naddress = {store}\n"
                             f"lease_ms = 1500\n[stop]\n{stop}")
-        super().__init__(binary("fescuesill-gateway"), "--config", settings)
+        self.preload = {"LD_PRELOAD": binary("libpathshim.so"), **paths.environment} if paths else None
+        super().__init__(binary("fescuesill-gateway"), "--config", settings, environment=self.preload)
 
     def start_again(self):
         """At the same addresses; ends the process first where it still runs."""
         self.end()
-        super().__init__(*self.command)
+        super().__init__(*self.command, environment=self.preload)
 
     def is_ready(self):
         return send(self.ready, "GET", "/ready")[0] == 200
--- /dev/null
+++ b/testing/process/paths.py
@@ -0,0 +1,68 @@
+"""The paths of one gateway to the endpoints, which a test can cut while the other gateways keep theirs.
+
+    paths = Paths(folder, "g1", platform.endpoints)
+    gateway = Gateway(folder, "g1", platform.address, paths=paths)
+    paths.cut("hang")          # new connections hang, and what is sent on open ones is lost
+    paths.cut("reset")         # new connections are refused, open ones are reset
+    paths.cut("refuse")        # new connections are refused, open ones live on
+    paths.heal()
+"""
+
+import contextlib
+import pathlib
+import socket
+
+from proxy import Proxy
+
+KINDS = ("hang", "reset", "refuse")
+# Connections that fill the backlog of a listener, so that the kernel drops what comes after them.
+FILLING_CONNECTIONS = 4
+
+
+class Paths:
+    def __init__(self, folder, name, endpoints):
+        self.file = pathlib.Path(folder) / f"{name}.paths"
+        self.proxies = {endpoint.address: Proxy(endpoint.address) for endpoint in endpoints}
+        self.silent = socket.socket()
+        self.silent.bind(("127.0.0.1", 0))
+        self.silent.listen(0)
+        self.filling = [socket.socket() for _ in range(FILLING_CONNECTIONS)]
+        for connection in self.filling:
+            connection.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                connection.connect(self.silent.getsockname())
+        self.closed = socket.socket()  # bound and not listening: connections to it are refused
+        self.closed.bind(("127.0.0.1", 0))
+        self.heal()
+
+    @property
+    def environment(self):
+        return {"FESCUESILL_TEST_PATHS": str(self.file)}
+
+    def redirect(self, target_of):
+        lines = "".join(f"{address} {target_of(address)}\n" for address in self.proxies)
+        fresh = self.file.with_suffix(".new")
+        fresh.write_text(lines)
+        fresh.replace(self.file)
+
+    def cut(self, kind):
+        target = self.silent if kind == "hang" else self.closed
+        self.redirect(lambda _: "%s:%d" % target.getsockname())
+        for proxy in self.proxies.values():
+            if kind == "hang":
+                proxy.mode = "silent"
+            elif kind == "reset":
+                proxy.reset()
+
+    def heal(self):
+        for proxy in self.proxies.values():
+            if proxy.mode != "pass":
+                proxy.mode = "pass"
+                proxy.reset()  # what was lost on the way leaves no half messages behind
+        self.redirect(lambda address: self.proxies[address].address)
+
+    def end(self):
+        for proxy in self.proxies.values():
+            proxy.end()
+        for each in (self.silent, self.closed, *self.filling):
+            each.close()
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -9,6 +9,7 @@
 import http.client
 import random
 import threading
+import time
 
 PATHS = {"unsafe": "/book/", "safe": "/look/", "stream": "/write/", "resumable": "/resume/"}
 SIZE = {"X-Token-Count": "100,400", "X-Length-Hint": "300", "X-Model": "m"}
@@ -23,6 +24,8 @@
     headers: dict = dataclasses.field(default_factory=dict)
     body: bytes = b""
     is_whole: bool = False
+    host: str = ""  # the gateway that was called
+    at: float = 0  # when, in seconds of the monotonic clock
 
 
 class Callers:
@@ -47,10 +50,11 @@
         sent = 0
         while not self.stopping.is_set():
             if connection is None:
-                host, port = chance.choice(self.gateways).callers.split(":")
+                gateway = chance.choice(self.gateways)
+                host, port = gateway.callers.split(":")
                 connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_MS / 1000 + 3)
             sent += 1
-            call = Call(f"{number:04x}{sent:012x}", chance.choice(list(PATHS)))
+            call = Call(f"{number:04x}{sent:012x}", chance.choice(list(PATHS)), host=gateway.name, at=time.monotonic())
             self.calls.append(call)
             if not self.ask(connection, call):
                 connection.close()
