Connect to endpoints through other hosts while this one reaches none

Cause: a host had one path to an endpoint, its own connection. What is wrong at the host was taken for a fault of each endpoint: calls tried one after the other until their limits ended, and the leader paused sound engines for all hosts, since hosts that were cut off reported each of them as faulty. Evidence: no call was answered on the cut hosts, whatever endpoint it tried, while the other hosts were served by the same ones. Change: EndpointPaths notices that different endpoints in a row can't be reached. From then on connections are opened through tunnels of other hosts (TunnelServer); the call itself stays where it is, so deadlines, budgets, limits and what may be sent twice are as before, and nothing is sent before the tunnel is open. The leader, which may be cut off too, names some hosts at random and leaves out those that are cut off. Probes of a direct connection end it. Without any path a call is refused at once as not run and no engine is blamed. Orders to engines go directly only: engines must see one holder. The test's gateway has connect() linked in, instead of preloaded.

--- a/decide/endpointpicker.h
+++ b/decide/endpointpicker.h
@@ -26,7 +26,7 @@
     ErrorResponse, // an error response, which the call itself may have caused
     Full, // the endpoint stated that it did not run the call
     Failed, // no complete response
-    Abandoned, // the caller disconnected first; no evidence about the endpoint
+    Abandoned, // no evidence about the endpoint: the caller disconnected first, or this host reaches no endpoint
 };
 
 struct EndpointCandidate {
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -55,6 +55,12 @@
     // The current record of the endpoint; empty if it accepts no new work.
     std::optional<EndpointRecord> usable(const EndpointId &id) const;
 
+    // Whether an endpoint of any service has this address.
+    bool isEndpoint(const std::string &address) const
+    {
+        return this->registry.hasAddress(address);
+    }
+
     // Marks an engine that is changing its stage and accepts no work, until its row shows the other stage or until
     // `until`.
     void setChanging(const EndpointId &id, Instant until);
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -24,6 +24,8 @@
         return "attempts";
     case NoRetry::Budget:
         return "budget";
+    case NoRetry::NoPath:
+        return "no_path";
     }
     return "none";
 }
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -14,6 +14,9 @@
 namespace fescuesill
 {
 
+// For a call that this host can't send to any endpoint; the caller's next connection goes to another host.
+constexpr Duration retryAfterWithoutPath{100ms};
+
 struct GatewayServices {
     const GatewaySettings &settings;
     asio::io_context &io;
@@ -32,6 +35,7 @@
     NotRepeatable, // the call may have run, and must not run twice
     Attempts, // the route's limit on attempts is reached
     Budget, // this host's retry budget for the service is exhausted
+    NoPath, // no endpoint can be reached from this host
 };
 const char *nameOf(NoRetry reason);
 
--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -114,6 +114,7 @@
     put("following", now.isFollowing ? 1 : 0);
     put("endpoints_unreachable", now.isCutOff ? 1 : 0);
     put("endpoint_connections_opened", static_cast<double>(now.connections.opened));
+    put("endpoint_connections_tunnelled", static_cast<double>(now.connections.tunnelled));
     put("endpoint_connections_failed", static_cast<double>(now.connections.failed));
     put("log_lines_left_out", static_cast<double>(Log::droppedLines()));
 }
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -10,6 +10,7 @@
 #include "promise/draining.h"
 #include "wire/clock.h"
 #include "wire/log.h"
+#include "wire/tunnelserver.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -49,7 +50,7 @@
                 this->seed)
         , gates(this->io, this->fleet, this->seed + 2)
         , permits(this->io, this->fleet.limits())
-        , paths(EndpointPaths::Options{})
+        , paths(EndpointPaths::Options{}, this->seed + 3)
         , client(this->io, clientOptions(given, this->paths))
         , services{this->settings, this->io, this->fleet, this->gates, this->permits, this->client, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
@@ -72,6 +73,8 @@
     void onTick();
     void armTick();
     bool openLinks();
+    bool openTunnels();
+    void probeEndpoints(Instant now);
 
     const GatewaySettings &settings;
     std::uint64_t seed;
@@ -90,6 +93,7 @@
     Ring<StoreUpdate> updates;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> ready;
+    std::unique_ptr<TunnelServer> tunnels; // null if the settings have no address for it
     std::unique_ptr<LeaderLink> links; // null if the settings have no address for them
     std::unique_ptr<StoreWatcher> store;
     ConfigVersion limitsVersion;
@@ -227,7 +231,9 @@
     if (this->settings.moveEngines) {
         this->orders.onTick(*this->store, now);
     }
-    this->draining.onWork({this->inProgress, 0, 0});
+    this->probeEndpoints(now);
+    const int tunnelsOpen = this->tunnels ? static_cast<int>(this->tunnels->tunnels()) : 0;
+    this->draining.onWork({this->inProgress + tunnelsOpen, 0, 0});
     if (!this->draining.admits(now)) {
         this->callers->closeIdle();
     }
@@ -238,6 +244,38 @@
     this->armTick();
 }
 
+void Gateway::probeEndpoints(Instant now)
+{
+    if (const auto endpoint = this->paths.dueProbe(now)) {
+        startCoroutine(this->io, [this, address = *endpoint](const asio::yield_context &yield) {
+            this->client.probe(address, yield);
+        });
+    }
+}
+
+bool Gateway::openTunnels()
+{
+    if (this->settings.tunnels.empty()) {
+        return true;
+    }
+    TunnelServer::Options options;
+    options.address = this->settings.tunnels;
+    options.connectLimit = this->settings.connectLimit;
+    options.isEndpoint = [this](const std::string &address) {
+        return this->fleet.isEndpoint(address);
+    };
+    options.accepts = [this] {
+        return this->draining.isReady() && !this->paths.isCutOff();
+    };
+    auto opened = TunnelServer::create(this->io, options, this->paths);
+    if (!opened) {
+        Log::error("cannot_listen", {{"reason", opened.error().what()}});
+        return false;
+    }
+    this->tunnels = std::move(*opened);
+    return true;
+}
+
 bool Gateway::openLinks()
 {
     if (this->settings.peers.empty()) {
@@ -245,7 +283,8 @@
     }
     LeaderLink::Options options;
     options.listen = this->settings.peers;
-    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits);
+    options.tunnels = this->settings.tunnels;
+    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->paths);
     if (!opened) {
         Log::error("cannot_listen", {{"reason", opened.error().what()}});
         return false;
@@ -275,7 +314,7 @@
     }
     this->callers = std::move(*opened);
     this->ready = std::move(*openedReady);
-    if (!this->openLinks()) {
+    if (!this->openTunnels() || !this->openLinks()) {
         return 1;
     }
     const LeaseRow self{this->settings.host, this->settings.peers, 0};
--- a/programs/gateway/gatewaysettings.cpp
+++ b/programs/gateway/gatewaysettings.cpp
@@ -16,6 +16,7 @@
     settings.callers = reader->address("listen", "callers");
     settings.ready = reader->address("listen", "ready");
     settings.peers = reader->text("listen", "peers", "");
+    settings.tunnels = reader->text("listen", "tunnels", "");
     settings.store = reader->address("store", "address");
     settings.contactLimit = reader->decimal("store", "contact_ms", 1ms, settings.contactLimit, {100ms, 10min});
     settings.lease = reader->decimal("store", "lease_ms", 1ms, settings.lease, {100ms, 10min});
--- a/programs/gateway/gatewaysettings.h
+++ b/programs/gateway/gatewaysettings.h
@@ -22,6 +22,7 @@
     std::string callers; // IP:PORT of the port for callers
     std::string ready; // IP:PORT of the balancer's readiness check
     std::string peers; // IP:PORT for links of other gateways; if empty, this host neither leads nor follows
+    std::string tunnels; // IP:PORT for tunnels of other gateways to endpoints; if empty, this host opens none
     std::string store; // IP:PORT of the users' store
     // The longest time in which a host may miss a change. A long poll of the store lasts half of it, so that a silent
     // connection is detected and replaced in time.
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -82,6 +82,12 @@
     return size ? PromptKey{size->uniquePart, size->prompt} : PromptKey{{}, defaultPromptSize};
 }
 
+void GenerationForward::onFault(const HttpError &error)
+{
+    this->lastFault = error.what();
+    this->hasNoPath = error.fault() == HttpFault::NoPath;
+}
+
 void GenerationForward::checkCaller() const
 {
     if (this->abort.isAborted()) {
@@ -113,8 +119,10 @@
         this->report(peer::PlacementEvent::Full);
     } catch (const HttpError &error) {
         this->checkCaller(); // if the caller cancelled the call, the engine is not at fault
-        this->lastFault = error.what();
-        this->report(peer::PlacementEvent::Fault);
+        this->onFault(error);
+        if (!this->hasNoPath) {
+            this->report(peer::PlacementEvent::Fault);
+        }
     }
     return std::nullopt;
 }
@@ -131,6 +139,8 @@
         } else if (auto place = this->reserveAt(*decode, yield)) {
             place->prefill = attempt->prefill;
             return place;
+        } else if (this->hasNoPath) {
+            return std::nullopt;
         }
         action = services.gates.nextDecision(this->call.head.id, yield);
     }
@@ -157,9 +167,10 @@
         result = readPrefillResult(response);
         this->lastFault = result ? "" : "prefill refused by " + engine.id.value();
     } catch (const HttpError &error) {
-        this->lastFault = error.what();
+        this->onFault(error);
     }
-    services.fleet.prefills().onEnded(id, prompt, !result && !this->abort.isAborted(), steadyNow());
+    const bool isAtFault = !result && !this->abort.isAborted() && !this->hasNoPath;
+    services.fleet.prefills().onEnded(id, prompt, isAtFault, steadyNow());
     return result ? std::optional(Prefill{engine.address, *result}) : std::nullopt;
 }
 
@@ -206,6 +217,9 @@
         if (!result) {
             this->checkCaller();
         }
+        if (!result && this->hasNoPath) {
+            return std::nullopt;
+        }
         if (*chosen == place.prefill) {
             this->report(result ? peer::PlacementEvent::Prefilled : peer::PlacementEvent::PrefillFailed);
         }
@@ -274,6 +288,7 @@
     }
     const HttpRequest request = generationRequest(this->call.http, start, this->call.timeLeft());
     ++this->sends;
+    this->hasNoPath = false;
     const Instant sent = steadyNow();
     try {
         LineStream stream = services.client.open(place.engine.address, request,
@@ -299,9 +314,12 @@
         }
         return this->relay(stream, yield);
     } catch (const HttpError &error) {
-        this->lastFault = error.what();
+        this->onFault(error);
         this->sends -= error.isKnownNotSent() ? 1 : 0;
         this->checkCaller();
+        if (this->hasNoPath) {
+            return Outcome::NoPlacement;
+        }
         return error.isKnownNotSent() ? Outcome::NotRun : Outcome::Broken;
     }
 }
@@ -338,6 +356,7 @@
 
 GenerationForward::Outcome GenerationForward::tryOnce(const asio::yield_context &yield)
 {
+    this->hasNoPath = false;
     const auto place = this->reserve(yield);
     if (!place) {
         return Outcome::NoPlacement;
@@ -352,7 +371,7 @@
         this->isSelfPrefilled = !prefilled;
         this->times.prefilled = steadyNow() - this->call.arrival;
         const Outcome ended = this->generate(*place, prefilled, yield);
-        if (ended == Outcome::NotRun) {
+        if (ended == Outcome::NotRun || ended == Outcome::NoPlacement) {
             this->release(*place, prefilled);
         }
         const bool isResultLost = ended == Outcome::NotRun && prefilled;
@@ -375,6 +394,9 @@
 
 std::optional<NoRetry> GenerationForward::claimRetry(Outcome ended)
 {
+    if (ended == Outcome::NoPlacement && this->hasNoPath) {
+        return NoRetry::NoPath;
+    }
     if (ended == Outcome::Whole || ended == Outcome::NoPlacement) {
         return NoRetry::None;
     }
@@ -443,9 +465,10 @@
         return;
     }
     const std::string reason = this->lastFault.empty() ? "no engine has room in time" : this->lastFault;
-    this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, reason,
-                       std::max<Duration>(this->retryAfter.value_or(minRetryAfter), minRetryAfter)},
-                      this->noRetry, yield);
+    const Duration retryLater = std::max<Duration>(this->retryAfter.value_or(minRetryAfter), minRetryAfter);
+    this->call.refuse(
+        {RefusalCode::Overloaded, RunState::NotRun, reason, this->hasNoPath ? retryAfterWithoutPath : retryLater},
+        this->noRetry, yield);
 }
 
 void GenerationForward::run(const asio::yield_context &yield)
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -26,7 +26,7 @@
     // The result of one attempt, from the placement to the end of the events.
     enum class Outcome {
         Whole, // answered, possibly with an error of the engine
-        NoPlacement, // no engine had room in time
+        NoPlacement, // no engine had room in time, or none can be reached from this host
         NotRun, // the engine reported that it did not run it, or nothing was sent
         Broken, // failed, and may have run
     };
@@ -59,6 +59,7 @@
     Tokens outputTokens() const;
     const EngineTraits &traits() const;
     void checkCaller() const;
+    void onFault(const HttpError &error);
     void recordEvents();
     void logEnd(const char *outcome) const;
 
@@ -67,6 +68,7 @@
     EventRelay events;
     std::optional<Duration> retryAfter;
     std::string lastFault;
+    bool hasNoPath = false; // the last fault is that this host reaches no endpoint
     NoRetry noRetry = NoRetry::None; // why the last fault was not retried
     EngineId avoid; // the engine that failed during the last attempt
     EndpointId engine; // the decode engine of the current or last attempt
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -36,21 +36,25 @@
 
 } // namespace
 
-LeaderLink::LeaderLink(asio::io_context &io, const std::string &address, PlacementGates &placementGates,
-                       EndpointPermits &endpointPermits)
+LeaderLink::LeaderLink(asio::io_context &io, const Options &options, PlacementGates &placementGates,
+                       EndpointPermits &endpointPermits, EndpointPaths &endpointPaths)
     : gates(placementGates)
     , permits(endpointPermits)
+    , paths(endpointPaths)
     , readers({}, std::random_device()())
-    , ownAddress(address)
-    , route(address, PlacingRoute::Options{})
+    , tunnelHosts({}, std::random_device()())
+    , ownAddress(options.listen)
+    , ownTunnels(options.tunnels)
+    , route(options.listen, PlacingRoute::Options{})
     , events(eventRingSize, [this, &io] { asio::post(io, [this] { this->drain(); }); })
 {
 }
 
 tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
-                                                                        PlacementGates &gates, EndpointPermits &permits)
+                                                                        PlacementGates &gates, EndpointPermits &permits,
+                                                                        EndpointPaths &paths)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options.listen, gates, permits));
+    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, paths));
     LeaderLink *self = link.get();
     permits.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     PeerNode::Handlers handlers;
@@ -223,6 +227,7 @@
     }
     this->placementClients.clear();
     this->deputies.clear();
+    this->tunnelHosts.clear();
     this->announcedDeputy.clear();
 }
 
@@ -344,6 +349,37 @@
     }
     this->applyRoute(now);
     this->applyReaders(now);
+    this->requestTunnelHosts(now);
+}
+
+void LeaderLink::requestTunnelHosts(Instant now)
+{
+    const bool decidesForAll = this->isLeading || this->isActing;
+    if ((!this->uplink && !decidesForAll) || !this->paths.takeTunnelHostsDue(now)) {
+        return;
+    }
+    if (decidesForAll) {
+        this->paths.setTunnelHosts(this->tunnelHosts.choose(LinkId{}, now));
+    } else {
+        this->node->send(*this->uplink, peer::RequestTunnelHosts{});
+    }
+}
+
+void LeaderLink::onTunnelHostsRequested(LinkId link)
+{
+    const Instant now = steadyNow();
+    this->tunnelHosts.onCutOff(link, now);
+    this->nameTunnelHosts(link, now);
+}
+
+void LeaderLink::nameTunnelHosts(LinkId link, Instant now)
+{
+    if (this->paths.isCutOff() || this->ownTunnels.empty()) {
+        this->tunnelHosts.remove(LinkId{});
+    } else {
+        this->tunnelHosts.add(LinkId{}, this->ownTunnels);
+    }
+    this->node->send(link, peer::TunnelHostsNamed{this->tunnelHosts.choose(link, now)});
 }
 
 void LeaderLink::onOpened(LinkId link)
@@ -351,10 +387,10 @@
     if (this->leader && link == *this->leader) {
         this->route.onLeaderReached();
         this->setLeaderReachable(true);
-        this->node->send(link, peer::FollowerAddress{this->ownAddress});
+        this->node->send(link, peer::FollowerAddress{this->ownAddress, this->ownTunnels});
     } else if (this->isDeputyLink(link)) {
         this->route.onDeputyReached();
-        this->node->send(link, peer::FollowerAddress{this->ownAddress});
+        this->node->send(link, peer::FollowerAddress{this->ownAddress, this->ownTunnels});
         Log::info("deputy_reached", {{"address", this->deputy->address}});
     }
 }
@@ -370,6 +406,7 @@
         this->readers.removeFollower(link, steadyNow());
         this->placementClients.erase(link);
         this->deputies.remove(link);
+        this->tunnelHosts.remove(link);
         this->announceDeputy();
         this->gates.onFollowerLost(link);
     }
@@ -393,12 +430,15 @@
     this->applyReaders(now);
 }
 
-void LeaderLink::onFollowerAddress(LinkId link, const std::string &address)
+void LeaderLink::onFollowerAddressReceived(LinkId link, const peer::FollowerAddress &follower)
 {
-    if (address.empty()) {
+    if (follower.address.empty()) {
         this->deputies.remove(link);
+        this->tunnelHosts.remove(link);
     } else {
-        this->deputies.add(link, address);
+        this->deputies.add(link, follower.address);
+        this->tunnelHosts.add(link, follower.tunnels);
+        this->nameTunnelHosts(link, steadyNow());
         this->node->send(link, this->deputyAnnouncement());
         this->permits.sendLimits([this, link](const peer::Message &message) { this->node->send(link, message); });
     }
@@ -475,7 +515,13 @@
                 this->placementClients.insert(link);
                 this->gates.onHeldPlacements(link, held);
             },
-            [&](const peer::FollowerAddress &follower) { this->onFollowerAddress(link, follower.address); },
+            [&](const peer::FollowerAddress &follower) { this->onFollowerAddressReceived(link, follower); },
+            [&](const peer::RequestTunnelHosts &) { this->onTunnelHostsRequested(link); },
+            [&](const peer::TunnelHostsNamed &named) {
+                if (isFromPlacer) {
+                    this->paths.setTunnelHosts(named.addresses);
+                }
+            },
             [&](const peer::DeputyNamed &named) {
                 this->hosts = std::max<std::uint64_t>(1, named.hosts);
                 if (isFromLeader) {
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -6,6 +6,8 @@
 //     link.value()->setStore(store);
 //     link.value()->onLeader(update);          // the current leader, according to the lease
 
+#include "decide/endpointpaths.h"
+#include "decide/tunnelhostchoice.h"
 #include "programs/gateway/endpointpermits.h"
 #include "programs/gateway/placementgates.h"
 #include "programs/gateway/storewatcher.h"
@@ -24,6 +26,7 @@
 public:
     struct Options {
         std::string listen; // IP:PORT
+        std::string tunnels; // IP:PORT at which this host opens tunnels to endpoints; empty if it does not
         // A leader that hangs or is unreachable is detected within this time, and this host then places the generations
         // that wait there. Otherwise they would lose a fifth of the caller's target.
         Duration silence{900ms};
@@ -31,7 +34,8 @@
     };
 
     static tl::expected<std::unique_ptr<LeaderLink>, WireError> create(asio::io_context &io, const Options &options,
-                                                                       PlacementGates &gates, EndpointPermits &permits);
+                                                                       PlacementGates &gates, EndpointPermits &permits,
+                                                                       EndpointPaths &paths);
     // Sets the watcher of the store, which outlives the links.
     void setStore(StoreWatcher &watcher)
     {
@@ -70,7 +74,8 @@
         peer::Message message;
     };
 
-    LeaderLink(asio::io_context &io, const std::string &ownAddress, PlacementGates &gates, EndpointPermits &permits);
+    LeaderLink(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
+               EndpointPaths &paths);
     void push(Event event);
     void drain();
     void on(const Event &event);
@@ -85,7 +90,11 @@
     void switchPath(PlacingPath next);
     void announceDeputy();
     peer::DeputyNamed deputyAnnouncement() const;
-    void onFollowerAddress(LinkId link, const std::string &address);
+    void onFollowerAddressReceived(LinkId link, const peer::FollowerAddress &follower);
+    // Requests hosts that open tunnels if this host needs them.
+    void requestTunnelHosts(Instant now);
+    void onTunnelHostsRequested(LinkId link);
+    void nameTunnelHosts(LinkId link, Instant now);
     void applyReaders(Instant now);
     void onStoreLost(LinkId link);
     void announceLeader(const store_update::Leader &leader);
@@ -94,14 +103,17 @@
 
     PlacementGates &gates;
     EndpointPermits &permits;
+    EndpointPaths &paths;
     StoreWatcher *store = nullptr;
     std::set<LinkId> followers; // links of the hosts that this one forwards the store's changes to
     ReaderChoice<LinkId> readers;
     bool isOutage = false; // neither this host nor its readers can read the store
     std::set<LinkId> placementClients; // links to hosts that this one places for
     DeputyChoice<LinkId> deputies;
+    TunnelHostChoice<LinkId> tunnelHosts; // of this host and of those that it places for
     std::string announcedDeputy; // the deputy last announced to the followers
     std::string ownAddress;
+    std::string ownTunnels;
     PlacingRoute route;
     struct DeputyLink {
         std::string address;
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -81,6 +81,10 @@
                                                    {this->tryLimit(), Reuse::Never, &this->abort}, yield);
     } catch (const HttpError &error) {
         this->lastFault = error.what();
+        if (error.fault() == HttpFault::NoPath) {
+            ended(EndpointOutcome::Abandoned);
+            return SendResult::NoPath;
+        }
         ended(EndpointOutcome::Failed);
         return error.isKnownNotSent() ? SendResult::NeverSent : SendResult::Lost;
     }
@@ -115,6 +119,9 @@
     if (this->call.timeLeft() <= 0ms) {
         return NoRetry::NoTime;
     }
+    if (sent == SendResult::NoPath) {
+        return NoRetry::NoPath;
+    }
     if (sent == SendResult::NeverSent) {
         const bool mayConnect = this->tried.size() < static_cast<std::size_t>(maxConnectAttempts);
         return mayConnect ? std::nullopt : std::optional(NoRetry::Attempts);
@@ -167,6 +174,9 @@
         retryAfter = std::max(retryAfterWhenFull, *this->limitedFor);
         reason = "all endpoints are at their limits";
     }
+    if (last == SendResult::NoPath) {
+        retryAfter = retryAfterWithoutPath;
+    }
     this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, reason, retryAfter}, this->noRetry, yield);
 }
 
@@ -212,7 +222,8 @@
             this->call.services.metrics.onRetry();
         }
         last = this->send(*endpoint, yield);
-        this->sends += last == SendResult::NeverSent ? 0 : 1;
+        const bool wasSent = last != SendResult::NeverSent && last != SendResult::NoPath;
+        this->sends += wasSent ? 1 : 0;
         this->mayHaveRun = this->mayHaveRun || last == SendResult::Lost;
         if (const auto reason = this->claimRetry(last)) {
             this->noRetry = *reason;
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -24,6 +24,7 @@
     enum class SendResult {
         Answered,
         NeverSent,
+        NoPath, // nothing was sent: this host reaches no endpoint
         ReportedNotRun,
         Lost, // failed, and may have run
     };
--- a/programs/gateway/stageorders.cpp
+++ b/programs/gateway/stageorders.cpp
@@ -152,8 +152,10 @@
                             const asio::yield_context &yield)
 {
     HttpClient &client = this->services.client;
-    const auto report =
-        readReport(client.call(engine.address, reportRequest(engine.id), {orderLimit, Reuse::Never}, yield));
+    // Through another host, engines would get orders from two hosts.
+    CallOptions ownCall{orderLimit, Reuse::Never};
+    ownCall.via = Via::OwnHost;
+    const auto report = readReport(client.call(engine.address, reportRequest(engine.id), ownCall, yield));
     if (!report || report->isChanging || report->part == part) {
         Log::info("stage_order_needless", {{"engine", engine.id.value()}});
         return;
@@ -171,7 +173,7 @@
     }
     const HttpRequest request =
         stageOrderRequest({engine.id, part, this->services.settings.host, *fencing, report->acceptedOrders});
-    const HttpResponse response = client.call(engine.address, request, {orderLimit, Reuse::Never}, yield);
+    const HttpResponse response = client.call(engine.address, request, ownCall, yield);
     Log::info("stage_ordered",
               {{"engine", engine.id.value()},
                {"fencing", fencing->value()},
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -109,6 +109,12 @@
     return found == this->entries.end() ? nullptr : &found->second.record;
 }
 
+bool EndpointRegistry::hasAddress(const std::string &address) const
+{
+    return std::any_of(this->entries.begin(), this->entries.end(),
+                       [&address](const auto &entry) { return entry.second.record.address == address; });
+}
+
 bool EndpointRegistry::mayUse(const EndpointRecord &start) const
 {
     const EndpointRecord *current = this->find(start.id);
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -81,6 +81,8 @@
     std::vector<const EndpointRecord *> usable(const ServiceId &service) const;
     // Null if the endpoint is unknown.
     const EndpointRecord *find(const EndpointId &id) const;
+    // Whether an endpoint has this address, also one that is leaving.
+    bool hasAddress(const std::string &address) const;
     // Whether new work may still be sent to this incarnation of an endpoint.
     bool mayUse(const EndpointRecord &start) const;
     std::size_t size() const
--- a/testing/process/gatewayprocess.py
+++ b/testing/process/gatewayprocess.py
@@ -17,20 +17,21 @@
     def __init__(self, folder, name, store, grace=None, first_start=False, paths=None):
         self.name = name
         self.paths = paths  # a paths.Paths, or None where all connections go straight to the endpoints
-        self.callers, self.ready, self.peers = free_address(), free_address(), free_address()
+        self.callers, self.ready, self.peers, self.tunnels = (free_address() for _ in range(4))
         settings = pathlib.Path(folder) / f"{name}.ini"
         stop = "announce = 300ms\n" + (f"grace_s = {grace}\n" if grace else "")
         settings.write_text(f"[process]\nhost = {name}\ndata_centre = a\n"
                             f"first_start = {'yes' if first_start else 'no'}\n[listen]\ncallers = {self.callers}\n"
-                            f"ready = {self.ready}\npeers = {self.peers}\n[store]\naddress = {store}\n"
+                            f"ready = {self.ready}\npeers = {self.peers}\ntunnels = {self.tunnels}\n[store]\naddress = {store}\n"
                             f"lease_ms = 1500\n[stop]\n{stop}")
-        self.preload = {"LD_PRELOAD": binary("libpathshim.so"), **paths.environment} if paths else None
-        super().__init__(binary("fescuesill-gateway"), "--config", settings, environment=self.preload)
+        program = "gateway-with-test-paths" if paths else "fescuesill-gateway"
+        self.environment = paths.environment if paths else None
+        super().__init__(binary(program), "--config", settings, environment=self.environment)
 
     def start_again(self):
         """At the same addresses; ends the process first where it still runs."""
         self.end()
-        super().__init__(*self.command, environment=self.preload)
+        super().__init__(*self.command, environment=self.environment)
 
     def is_ready(self):
         return send(self.ready, "GET", "/ready")[0] == 200
--- a/testing/process/standin.py
+++ b/testing/process/standin.py
@@ -84,11 +84,10 @@
     """One running binary. What it prints, logs among it, goes to a file that is shown when a test fails."""
 
     def __init__(self, *command, environment=None):
-        self.environment = {**os.environ, **(environment or {})}
         self.command = [str(part) for part in command]
         self.errors = tempfile.NamedTemporaryFile(prefix="fescuesill-", suffix=".log", delete=False)
         self.process = subprocess.Popen(self.command, stdout=self.errors, stderr=self.errors,
-                                        env=self.environment)
+                                        env={**os.environ, **(environment or {})})
         self.pid = self.process.pid
         self.address = None
 
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -4,12 +4,14 @@
 //
 // The client may learn only after the write that the server had closed a pooled connection. If reuse is allowed, the
 // call may be retried, and it is retried once on a new connection. Otherwise each call uses a new connection.
+//
+// A tunnel is opened before any byte of the request is sent, so a failure until then changes nothing about whether the
+// request was sent. An open tunnel carries bytes like a direct connection.
 
 #include "wire/httpclient.h"
 
-#include "decide/endpointpaths.h"
-#include "wire/address.h"
 #include "wire/clock.h"
+#include "wire/connectionreport.h"
 #include "wire/httpconnection.h"
 #include "wire/log.h"
 
@@ -20,19 +22,11 @@
 namespace
 {
 
-// A shorter wait may have ended before a sound connection was opened.
-constexpr Duration minConnectTime{50ms};
-
-// Whether the failed connection says something about the path to the endpoint, and not about this host or the call.
-bool isPathFault(const boost::system::error_code &error, Duration waited)
-{
-    if (error == beast::error::timeout) {
-        return waited >= minConnectTime;
-    }
-    return error == asio::error::connection_refused || error == asio::error::connection_reset
-        || error == asio::error::timed_out || error == asio::error::host_unreachable
-        || error == asio::error::network_unreachable;
-}
+constexpr int maxTunnelAttempts = 3; // for one connection
+constexpr int statusOk = 200;
+// Replies of a TunnelServer: the endpoint can't be reached from there either, or is unknown there.
+constexpr int statusBadGateway = 502;
+constexpr int statusForbidden = 403;
 
 bool hasControlCharacter(std::string_view text)
 {
@@ -139,8 +133,7 @@
     queue.push_back({std::move(connection), std::chrono::steady_clock::now()});
 }
 
-std::unique_ptr<HttpConnection> HttpClient::Pool::connect(const std::string &address, CallAbort *abort,
-                                                          SteadyTime deadline, const asio::yield_context &yield)
+std::unique_ptr<HttpConnection> HttpClient::Pool::make(const std::string &address, CallAbort *abort)
 {
     if (abort != nullptr && abort->isAborted()) {
         throw HttpError(HttpFault::Closed, false, fmt::format("{}: call aborted", address));
@@ -151,36 +144,75 @@
     if (this->open >= this->options.connections) {
         throw HttpError(HttpFault::Busy, true, "bound on connections reached");
     }
-    const auto parsed = Address::parse(address);
-    if (!parsed) {
-        throw HttpError(HttpFault::Connect, true, fmt::format("not an address: {}", address));
-    }
-    const tcp::endpoint endpoint(asio::ip::make_address(parsed->ip), parsed->port);
     auto connection = std::make_unique<HttpConnection>(this->shared_from_this(), address);
     connection->setAbort(abort);
-    this->connectDirectly(*connection, endpoint, deadline, yield);
     return connection;
 }
 
-void HttpClient::Pool::connectDirectly(HttpConnection &connection, const tcp::endpoint &endpoint, SteadyTime deadline,
-                                       const asio::yield_context &yield)
+boost::system::error_code HttpClient::Pool::connectDirectly(HttpConnection &connection, SteadyTime deadline,
+                                                            const asio::yield_context &yield)
 {
-    EndpointPaths *paths = this->options.paths;
     const Instant begin = steadyNow();
     const auto error = connection.connect(
-        endpoint, std::min(deadline, std::chrono::steady_clock::now() + this->options.connectLimit), yield);
-    const Instant now = steadyNow();
-    if (error) {
-        if (paths != nullptr && isPathFault(error, now - begin) && paths->onConnectFailed(connection.address, now)) {
-            Log::warning("endpoints_unreachable", {{"last", connection.address}, {"reason", error.message()}});
+        connection.address, std::min(deadline, std::chrono::steady_clock::now() + this->options.connectLimit), yield);
+    if (this->options.paths != nullptr) {
+        reportConnection(*this->options.paths, connection.address, error, steadyNow() - begin);
+    }
+    return error;
+}
+
+std::unique_ptr<HttpConnection> HttpClient::Pool::connect(const std::string &address, const CallOptions &options,
+                                                          SteadyTime deadline, const asio::yield_context &yield)
+{
+    const EndpointPaths *paths = options.via == Via::AnyHost ? this->options.paths : nullptr;
+    if (paths == nullptr || !paths->usesTunnels()) {
+        auto connection = this->make(address, options.abort);
+        const auto error = this->connectDirectly(*connection, deadline, yield);
+        if (!error) {
+            return connection;
+        }
+        const bool hasTime = std::chrono::steady_clock::now() < deadline;
+        if (paths == nullptr || !paths->usesTunnels() || !hasTime) {
+            throw HttpError(HttpFault::Connect, true, fmt::format("connect {}: {}", address, error.message()));
         }
-        throw HttpError(HttpFault::Connect, true, fmt::format("connect {}: {}", connection.address, error.message()));
     }
-    const Instant since = paths != nullptr ? paths->changedAt() : now;
-    if (paths != nullptr && paths->onConnected(now)) {
-        Log::info("endpoints_reachable",
-                  {{"endpoint", connection.address}, {"after_ms", (now - since).count() / 1000}});
+    return this->connectThroughTunnel(address, options.abort, deadline, yield);
+}
+
+std::unique_ptr<HttpConnection> HttpClient::Pool::connectThroughTunnel(const std::string &address, CallAbort *abort,
+                                                                       SteadyTime deadline,
+                                                                       const asio::yield_context &yield)
+{
+    EndpointPaths &paths = *this->options.paths;
+    paths.onNeeded(address);
+    for (int attempt = 0; attempt < maxTunnelAttempts; ++attempt) {
+        const auto host = paths.nextTunnelHost(steadyNow());
+        if (!host) {
+            break;
+        }
+        auto connection = this->make(address, abort);
+        const SteadyTime begin = std::chrono::steady_clock::now();
+        std::optional<int> status;
+        if (!connection->connect(*host, std::min(deadline, begin + this->options.connectLimit), yield)) {
+            // The other host connects to the endpoint within the same limit.
+            status = connection->openTunnel(*host, std::min(deadline, begin + 2 * this->options.connectLimit), deadline,
+                                            yield);
+        }
+        if (status == statusOk) {
+            paths.onTunnelOpened(address);
+            return connection;
+        }
+        if (status == statusBadGateway || status == statusForbidden) {
+            throw HttpError(HttpFault::Connect, true,
+                            fmt::format("connect {}: status {}", connection->address, *status));
+        }
+        if (std::chrono::steady_clock::now() >= deadline || (abort != nullptr && abort->isAborted())) {
+            throw HttpError(HttpFault::Connect, true, fmt::format("connect {} through {}: no time", address, *host));
+        }
+        Log::info("tunnel_failed", {{"host", *host}, {"status", status.value_or(0)}});
+        paths.onTunnelHostFailed(*host, steadyNow());
     }
+    throw HttpError(HttpFault::NoPath, true, fmt::format("connect {}: no endpoint can be reached from here", address));
 }
 
 std::unique_ptr<HttpConnection> HttpClient::Pool::exchange(const std::string &address, const std::string &request,
@@ -201,7 +233,7 @@
             }
         }
     }
-    connection = this->connect(address, options.abort, deadline, yield);
+    connection = this->connect(address, options, deadline, yield);
     connection->send(request, isHead, deadline, yield);
     connection->readHeader(deadline, yield);
     return connection;
@@ -252,6 +284,12 @@
     return LineStream(this->pool->exchange(address, serialize(address, request), false, options, deadline, yield));
 }
 
+void HttpClient::probe(const std::string &address, const asio::yield_context &yield)
+{
+    const auto connection = this->pool->make(address, nullptr);
+    this->pool->connectDirectly(*connection, SteadyTime::max(), yield);
+}
+
 std::size_t HttpClient::openConnections() const
 {
     return this->pool->open;
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -95,6 +95,12 @@
     Duration total;
 };
 
+// How a client with EndpointPaths may connect.
+enum class Via {
+    AnyHost, // through another host while this one reaches no endpoint
+    OwnHost,
+};
+
 struct CallOptions {
     Duration deadline{2s}; // from the start to the last byte of the reply; for open(), to the end of the reply's header
     Reuse reuse = Reuse::Allowed;
@@ -102,10 +108,12 @@
     // For call(): if set, the deadline covers only the reply's header, and these limits apply to its body. With one
     // deadline for a whole reply of growing size, every attempt would fail once the link is too slow for it.
     std::optional<BodyLimits> body = std::nullopt;
+    Via via = Via::AnyHost;
 };
 
 enum class HttpFault {
     Connect, // no connection
+    NoPath, // this host can reach no endpoint, neither directly nor through another host
     Busy, // the maximum number of connections is open
     Timeout, // the deadline or the limit on progress was exceeded
     Closed, // the connection was closed or lost
@@ -172,7 +180,9 @@
         Duration connectLimit{1s}; // links between data centres take milliseconds; a lost SYN is resent after 1 s
         Bytes bodyLimit{16 << 20}; // of a whole reply; a larger one is an endpoint fault
         Bytes lineLimit{1 << 20}; // of one line of a stream
-        EndpointPaths *paths = nullptr; // learns which connections could be opened; must outlive the client
+        // Decides whether connections are opened directly or through another host (tunnelserver.h). If null, directly.
+        // Must outlive the client.
+        EndpointPaths *paths = nullptr;
     };
 
     HttpClient(asio::io_context &io, Options options);
@@ -186,6 +196,9 @@
     LineStream open(const std::string &address, const HttpRequest &request, const CallOptions &options,
                     const asio::yield_context &yield);
 
+    // Opens and closes a direct connection, to find out whether this host reaches its endpoints.
+    void probe(const std::string &address, const asio::yield_context &yield);
+
     std::size_t openConnections() const;
 
 private:
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -4,9 +4,13 @@
 
 #include "wire/httpconnection.h"
 
+#include "wire/address.h"
+
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
 #include <limits>
 
@@ -19,6 +23,9 @@
 constexpr std::size_t scratchSize = 16384;
 constexpr std::uint32_t headerLimit = 16 << 10; // bytes; headers of this server and common ones take under 1 KB
 
+// The other host ends a tunnel this long after the deadline of its call, which has closed it by then.
+constexpr std::chrono::milliseconds tunnelMargin{500};
+
 std::array<char, scratchSize> &scratch()
 {
     thread_local std::array<char, scratchSize> buffer;
@@ -56,12 +63,16 @@
     }
 }
 
-boost::system::error_code HttpConnection::connect(const tcp::endpoint &endpoint, SteadyTime deadline,
+boost::system::error_code HttpConnection::connect(const std::string &peer, SteadyTime deadline,
                                                   const asio::yield_context &yield)
 {
+    const auto parsed = Address::parse(peer);
+    if (!parsed) {
+        return asio::error::invalid_argument;
+    }
     boost::system::error_code error;
     this->stream.expires_at(deadline);
-    this->stream.async_connect(endpoint, yield[error]);
+    this->stream.async_connect(tcp::endpoint(asio::ip::make_address(parsed->ip), parsed->port), yield[error]);
     if (!error) {
         boost::system::error_code ignored;
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -69,6 +80,28 @@
     return error;
 }
 
+std::optional<int> HttpConnection::openTunnel(const std::string &host, SteadyTime deadline, SteadyTime callDeadline,
+                                              const asio::yield_context &yield)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(callDeadline - std::chrono::steady_clock::now());
+    const std::string request = fmt::format("CONNECT {0} HTTP/1.1\r\nHost: {0}\r\nTunnel-Lifetime-Ms: {1}\r\n\r\n",
+                                            this->address, std::max<std::int64_t>(1, (left + tunnelMargin).count()));
+    boost::system::error_code error;
+    this->stream.expires_at(deadline);
+    asio::async_write(this->stream, asio::buffer(request), yield[error]);
+    http::response_parser<http::empty_body> reply;
+    reply.skip(true);
+    if (!error) {
+        http::async_read_header(this->stream, this->buffer, reply, yield[error]);
+    }
+    if (error) {
+        return std::nullopt;
+    }
+    this->isTunnelled = true;
+    this->address = fmt::format("{} through {}", this->address, host);
+    return static_cast<int>(reply.get().result_int());
+}
+
 void HttpConnection::send(const std::string &request, bool isHead, SteadyTime deadline,
                           const asio::yield_context &yield)
 {
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -36,10 +36,13 @@
 
     std::unique_ptr<HttpConnection> take(const std::string &address);
     void release(std::unique_ptr<HttpConnection> connection);
-    std::unique_ptr<HttpConnection> connect(const std::string &address, CallAbort *abort, SteadyTime deadline,
+    std::unique_ptr<HttpConnection> make(const std::string &address, CallAbort *abort);
+    std::unique_ptr<HttpConnection> connect(const std::string &address, const CallOptions &options, SteadyTime deadline,
                                             const asio::yield_context &yield);
-    void connectDirectly(HttpConnection &connection, const tcp::endpoint &endpoint, SteadyTime deadline,
-                         const asio::yield_context &yield);
+    boost::system::error_code connectDirectly(HttpConnection &connection, SteadyTime deadline,
+                                              const asio::yield_context &yield);
+    std::unique_ptr<HttpConnection> connectThroughTunnel(const std::string &address, CallAbort *abort,
+                                                         SteadyTime deadline, const asio::yield_context &yield);
     std::unique_ptr<HttpConnection> exchange(const std::string &address, const std::string &request, bool isHead,
                                              const CallOptions &options, SteadyTime deadline,
                                              const asio::yield_context &yield);
@@ -70,8 +73,12 @@
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
-    boost::system::error_code connect(const tcp::endpoint &endpoint, SteadyTime deadline,
-                                      const asio::yield_context &yield);
+    // Connects to `address`, or to another host in its place.
+    boost::system::error_code connect(const std::string &peer, SteadyTime deadline, const asio::yield_context &yield);
+    // Requests from the TunnelServer that this is connected to a connection to `address`, and returns the status of its
+    // reply; empty if there was none.
+    std::optional<int> openTunnel(const std::string &host, SteadyTime deadline, SteadyTime callDeadline,
+                                  const asio::yield_context &yield);
     void send(const std::string &request, bool isHead, SteadyTime deadline, const asio::yield_context &yield);
     void readHeader(SteadyTime deadline, const asio::yield_context &yield);
     // Reads more of the body and appends it. Returns false if the body is already complete.
@@ -85,13 +92,14 @@
     bool isIdleAndOpen();
     bool canBeReused() const
     {
-        return this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0;
+        return !this->isTunnelled && this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0;
     }
 
     std::shared_ptr<HttpClient::Pool> pool;
     std::string address;
     std::string partial; // body bytes read but not yet returned, such as the start of an incomplete line
     bool reused = false;
+    bool isTunnelled = false; // the other host ends it soon after the deadline of its call
     std::size_t received = 0; // bytes of the current reply
 
     int status() const
--- a/wire/messagefields.h
+++ b/wire/messagefields.h
@@ -81,6 +81,10 @@
     {
         this->array.push_back(numbers);
     }
+    void operator()(const std::vector<std::string> &texts)
+    {
+        this->array.push_back(texts);
+    }
     template<typename Struct>
     void operator()(const std::vector<Struct> &items);
 
@@ -176,6 +180,14 @@
             numbers.push_back(item.get<std::uint64_t>());
         }
     }
+    void operator()(std::vector<std::string> &texts)
+    {
+        const Json &items = this->list();
+        texts.reserve(items.size());
+        for (const Json &item : items) {
+            texts.push_back(item.get_ref<const std::string &>());
+        }
+    }
     template<typename Struct>
     void operator()(std::vector<Struct> &items);
 
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -325,6 +325,18 @@
 void fields(Visitor &visit, FollowerAddress &m)
 {
     visit(m.address);
+    visit(m.tunnels);
+}
+
+template<typename Visitor>
+void fields(Visitor & /*visit*/, RequestTunnelHosts & /*m*/)
+{
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, TunnelHostsNamed &m)
+{
+    visit(m.addresses);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -324,6 +324,7 @@
 // Gateway to the leader, after the link has opened: the address at which other gateways reach the sender.
 struct FollowerAddress {
     std::string address; // IP:PORT for links; empty if the sender is stopping and must not become the deputy
+    std::string tunnels; // IP:PORT at which the sender opens tunnels to endpoints; empty if it does not
 };
 
 // Leader to a gateway: the deputy, which places while the leader is unreachable.
@@ -332,12 +333,21 @@
     std::uint64_t hosts = 1; // number of hosts that the leader places for, including itself
 };
 
-using Message =
-    std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
-                 Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
-                 OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements, FollowStore, RegistryUpdate,
-                 ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded, FollowerAddress, DeputyNamed, ConfigDelayed,
-                 EndpointLimit, RequestPermit, PermitReply, DelegateReading, StoreRestored, LeaderNamed>;
+// Gateway to the leader: the sender reaches no endpoint, and requests hosts through which it can connect to them.
+struct RequestTunnelHosts {
+};
+
+// Leader to a gateway: hosts that open tunnels to endpoints.
+struct TunnelHostsNamed {
+    std::vector<std::string> addresses; // IP:PORT
+};
+
+using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
+                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
+                             RequestPlacement, OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements,
+                             FollowStore, RegistryUpdate, ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded,
+                             FollowerAddress, DeputyNamed, ConfigDelayed, EndpointLimit, RequestPermit, PermitReply,
+                             DelegateReading, StoreRestored, LeaderNamed, RequestTunnelHosts, TunnelHostsNamed>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
