Use tunnels to single endpoints that only other hosts reach

Cause: the verdict was about all endpoints at once. A connection to an engine ended it, and the next plain calls lost their time on two connections that hung before it was reached again. Change: an endpoint that can't be reached directly is a suspect. A check, which takes no time of any call, connects to it directly and, if that fails, through a tunnel; if only the tunnel opens, connections to it use tunnels until a check succeeds directly. One check in 250 ms at most, and only for endpoints that calls needed in the last 10 s. A tunnel that a call opened shows the same.

--- a/decide/endpointpaths.cpp
+++ b/decide/endpointpaths.cpp
@@ -1,6 +1,9 @@
-// One endpoint that can't be reached is most likely down. If two in a row can't be reached, the common cause is more
-// likely at this host. A wrong verdict costs one more hop for a moment: the probes connect directly to the endpoints
-// that tunnels reach, and the first that succeeds reverses it.
+// An endpoint that can't be reached is either down or cut off from this host. The difference shows from another host:
+// if that one reaches it at the same moment, this host uses tunnels to it. That check takes no time of any call.
+//
+// If two endpoints in a row can't be reached, the common cause is more likely at this host, and it uses tunnels at
+// once. A wrong verdict costs one more hop for a moment: the endpoint that is checked is one that a tunnel reached, and
+// the first that is reached directly reverses it.
 
 #include "decide/endpointpaths.h"
 
@@ -14,13 +17,18 @@
     this->cutOff = isCutOff;
     this->changed = now;
     this->hostListDue = now;
-    this->probeDue = now + this->options.probeInterval;
 }
 
-bool EndpointPaths::onConnected(Instant now)
+bool EndpointPaths::onConnected(const std::string &endpoint, Instant now)
 {
     ++this->total.opened;
     this->failures = 0;
+    const auto suspect = this->suspects.find(endpoint);
+    if (suspect != this->suspects.end() && suspect->second.isTunnelOnly) {
+        this->suspects.clear(); // the cause has most likely ended for all
+    } else if (suspect != this->suspects.end()) {
+        this->suspects.erase(suspect);
+    }
     if (!this->cutOff) {
         return false;
     }
@@ -28,17 +36,19 @@
     return true;
 }
 
-bool EndpointPaths::onConnectFailed(const std::string &address, Instant now)
+bool EndpointPaths::onConnectFailed(const std::string &endpoint, Instant now)
 {
     ++this->total.failed;
+    Suspect &suspect = this->suspects.try_emplace(endpoint, Suspect{now, now}).first->second;
+    suspect.needed = now;
     if (this->failures++ == 0) {
-        this->failedAddress = address;
+        this->failedEndpoint = endpoint;
     }
-    const bool isCommon = address != this->failedAddress || this->failures >= this->options.failuresOfOne;
+    const bool isCommon = endpoint != this->failedEndpoint || this->failures >= this->options.failuresOfOne;
     if (this->cutOff || !isCommon) {
         return false;
     }
-    this->probeTarget = address;
+    this->checkTarget = endpoint;
     this->change(true, now);
     return true;
 }
@@ -54,6 +64,15 @@
     this->tunnelHosts = std::move(next);
 }
 
+bool EndpointPaths::usesTunnel(const std::string &endpoint) const
+{
+    if (this->tunnelHosts.empty()) {
+        return false;
+    }
+    const auto suspect = this->suspects.find(endpoint);
+    return this->cutOff || (suspect != this->suspects.end() && suspect->second.isTunnelOnly);
+}
+
 std::optional<std::string> EndpointPaths::nextTunnelHost(Instant now)
 {
     std::optional<std::string> chosen;
@@ -67,17 +86,22 @@
     return chosen;
 }
 
-void EndpointPaths::onNeeded(const std::string &endpoint)
+void EndpointPaths::onNeeded(const std::string &endpoint, Instant now)
 {
+    const auto suspect = this->suspects.find(endpoint);
+    if (suspect != this->suspects.end()) {
+        suspect->second.needed = now;
+    }
     if (!this->isTargetReached) {
-        this->probeTarget = endpoint;
+        this->checkTarget = endpoint;
     }
 }
 
 void EndpointPaths::onTunnelOpened(const std::string &endpoint)
 {
     ++this->total.tunnelled;
-    this->probeTarget = endpoint;
+    this->onTunnelOnly(endpoint);
+    this->checkTarget = endpoint;
     this->isTargetReached = true;
 }
 
@@ -92,21 +116,64 @@
 
 bool EndpointPaths::takeTunnelHostsDue(Instant now)
 {
-    if (!this->cutOff || now < this->hostListDue) {
+    const bool usesTunnels = this->cutOff
+        || std::any_of(this->suspects.begin(), this->suspects.end(),
+                       [](const auto &suspect) { return suspect.second.isTunnelOnly; });
+    if (!usesTunnels || now < this->hostListDue) {
         return false;
     }
     this->hostListDue = now + this->options.hostListInterval;
     return true;
 }
 
-std::optional<std::string> EndpointPaths::dueProbe(Instant now)
+std::optional<std::string> EndpointPaths::dueSuspect(Instant now)
 {
-    if (!this->cutOff || now < this->probeDue) {
+    auto chosen = this->suspects.end();
+    for (auto suspect = this->suspects.begin(); suspect != this->suspects.end();) {
+        if (now >= suspect->second.needed + this->options.suspectFor) {
+            suspect = this->suspects.erase(suspect);
+            continue;
+        }
+        const bool isFirst = chosen == this->suspects.end() || suspect->second.checkDue < chosen->second.checkDue;
+        if (now >= suspect->second.checkDue && isFirst) {
+            chosen = suspect;
+        }
+        ++suspect;
+    }
+    if (chosen == this->suspects.end()) {
         return std::nullopt;
     }
-    this->probeDue = now + this->options.probeInterval;
+    chosen->second.checkDue = now + this->options.recheckInterval;
+    return chosen->first;
+}
+
+std::optional<std::string> EndpointPaths::dueCheck(Instant now)
+{
+    const bool isNeeded = this->cutOff || (!this->suspects.empty() && !this->tunnelHosts.empty());
+    if (!isNeeded || now < this->checkDue) {
+        return std::nullopt;
+    }
+    this->checkDue = now + this->options.checkInterval;
+    if (!this->cutOff) {
+        return this->dueSuspect(now);
+    }
     this->isTargetReached = false;
-    return this->probeTarget;
+    return this->checkTarget;
+}
+
+void EndpointPaths::onCheckFailed()
+{
+    ++this->total.failed;
+}
+
+bool EndpointPaths::onTunnelOnly(const std::string &endpoint)
+{
+    const auto suspect = this->suspects.find(endpoint);
+    if (suspect == this->suspects.end() || suspect->second.isTunnelOnly) {
+        return false;
+    }
+    suspect->second.isTunnelOnly = true;
+    return true;
 }
 
 } // namespace fescuesill
--- a/decide/endpointpaths.h
+++ b/decide/endpointpaths.h
@@ -1,24 +1,28 @@
 #pragma once
 
-// Decides whether this host connects to endpoints directly or through a tunnel of another host.
+// Decides whether this host connects to an endpoint directly or through a tunnel of another host.
 //
 //     EndpointPaths paths(EndpointPaths::Options{}, seed);
-//     paths.setTunnelHosts({"10.1.0.21:7675", "10.2.0.30:7675"});        // of other hosts
-//     if (paths.usesTunnels()) {
-//         paths.onNeeded(endpoint);
+//     paths.setTunnelHosts({"10.1.0.21:7675", "10.2.0.30:7675"});
+//     if (paths.usesTunnel(endpoint)) {
+//         paths.onNeeded(endpoint, now);
 //         while (const auto host = paths.nextTunnelHost(now)) {
 //             ... connect through it, then onTunnelOpened(endpoint) or onTunnelHostFailed(*host, now) ...
 //         }
-//     } else { ... connect directly, then onConnected(now) or onConnectFailed(endpoint, now) ... }
-//     if (const auto endpoint = paths.dueProbe(now)) { ... connect to it directly, and report the outcome ... }
+//     } else { ... connect directly, then onConnected(endpoint, now) or onConnectFailed(endpoint, now) ... }
+//     if (const auto endpoint = paths.dueCheck(now)) {
+//         ... connect to it directly, then onConnected(*endpoint, now); or, if that fails, onCheckFailed(), and
+//         onTunnelOnly(*endpoint) if a tunnel to it can be opened ...
+//     }
 //
-// Guards against a host that loses its network to all endpoints and refuses every caller, although the other hosts
-// reach them.
+// Guards against a host that loses its network to endpoints, takes them for broken and refuses its callers, although
+// other hosts reach them.
 
 #include "fescuesill/units.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -33,8 +37,12 @@
     struct Options {
         // Failed connections in a row to one endpoint that count like failures to two: the fleet may have only one.
         std::size_t failuresOfOne = 4;
-        // Between two attempts to reach an endpoint directly again.
-        Duration probeInterval{250ms};
+        // Between two checks, of whichever endpoint.
+        Duration checkInterval{250ms};
+        // Between two checks of an endpoint that could not be reached by a tunnel either.
+        Duration recheckInterval{1s};
+        // For which an endpoint is checked after the last call that needed it.
+        Duration suspectFor{10s};
         // For which a host is not used after it opened no tunnel.
         Duration hostPause{2s};
         // Between two requests for a list of hosts while they are in use.
@@ -53,9 +61,9 @@
     }
 
     // A direct connection to an endpoint was opened. Returns whether this ends isCutOff().
-    bool onConnected(Instant now);
-    // A direct connection to the endpoint at `address` could not be opened. Returns whether this begins isCutOff().
-    bool onConnectFailed(const std::string &address, Instant now);
+    bool onConnected(const std::string &endpoint, Instant now);
+    // A direct connection to the endpoint could not be opened. Returns whether this begins isCutOff().
+    bool onConnectFailed(const std::string &endpoint, Instant now);
 
     // Whether this host reaches no endpoint: connections to different ones failed, and none was opened in between.
     bool isCutOff() const
@@ -74,30 +82,39 @@
 
     // Replaces the list of hosts that open tunnels. A host that stays in it keeps its pause.
     void setTunnelHosts(const std::vector<std::string> &addresses);
-    // Whether connections go through other hosts. Without any, this host keeps trying directly.
-    bool usesTunnels() const
-    {
-        return this->cutOff && !this->tunnelHosts.empty();
-    }
+    // Whether connections to the endpoint go through other hosts. Without any, this host keeps trying directly.
+    bool usesTunnel(const std::string &endpoint) const;
     // One of the hosts that are not paused, at random; empty if there is none.
     std::optional<std::string> nextTunnelHost(Instant now);
     // A tunnel to the endpoint is needed, and was opened.
-    void onNeeded(const std::string &endpoint);
+    void onNeeded(const std::string &endpoint, Instant now);
     void onTunnelOpened(const std::string &endpoint);
     void onTunnelHostFailed(const std::string &host, Instant now);
     // Whether a list of hosts should be requested now.
     bool takeTunnelHostsDue(Instant now);
 
-    // The endpoint to connect to directly now, to find out whether this host can reach endpoints again.
-    std::optional<std::string> dueProbe(Instant now);
+    // The endpoint to check now. While this host is cut off, one that shows whether it still is; otherwise one that
+    // could not be reached directly.
+    std::optional<std::string> dueCheck(Instant now);
+    // In a check, the endpoint was not reached directly.
+    void onCheckFailed();
+    // The endpoint was not reached directly but through a tunnel. Returns whether this is new.
+    bool onTunnelOnly(const std::string &endpoint);
 
 private:
     struct TunnelHost {
         std::string address;
         Instant pausedUntil;
     };
+    // An endpoint that could not be reached directly.
+    struct Suspect {
+        Instant needed; // last, by a call
+        Instant checkDue;
+        bool isTunnelOnly = false; // other hosts reach it
+    };
 
     void change(bool isCutOff, Instant now);
+    std::optional<std::string> dueSuspect(Instant now);
 
     Options options;
     std::mt19937_64 random;
@@ -105,13 +122,15 @@
     Instant changed;
     Counts total;
     // Since the last direct connection that was opened.
-    std::string failedAddress; // the first that failed
+    std::string failedEndpoint; // the first that failed
     std::size_t failures = 0;
+    std::map<std::string, Suspect> suspects;
     std::vector<TunnelHost> tunnelHosts;
     Instant hostListDue;
-    std::string probeTarget; // the endpoint last reached through a tunnel since the last probe, else the last needed
+    // While cut off: the endpoint last reached through a tunnel since the last check, else the last needed.
+    std::string checkTarget;
     bool isTargetReached = false;
-    Instant probeDue;
+    Instant checkDue;
 };
 
 } // namespace fescuesill
--- a/decide/testing/endpointpaths_test.cpp
+++ b/decide/testing/endpointpaths_test.cpp
@@ -31,7 +31,7 @@
         EndpointPaths paths(EndpointPaths::Options{}, 1);
         for (const std::string event : one.events) {
             if (event == "+") {
-                paths.onConnected(start);
+                paths.onConnected("a", start);
             } else {
                 paths.onConnectFailed(event, start);
             }
@@ -47,8 +47,8 @@
     EXPECT_TRUE(paths.onConnectFailed("b", start + 1s));
     EXPECT_EQ(paths.changedAt(), start + 1s);
     EXPECT_FALSE(paths.onConnectFailed("c", start + 2s));
-    EXPECT_TRUE(paths.onConnected(start + 3s));
-    EXPECT_FALSE(paths.onConnected(start + 4s));
+    EXPECT_TRUE(paths.onConnected("a", start + 3s));
+    EXPECT_FALSE(paths.onConnected("a", start + 4s));
     EXPECT_EQ(paths.changedAt(), start + 3s);
     EXPECT_EQ(paths.counts().opened, 2U);
     EXPECT_EQ(paths.counts().failed, 3U);
@@ -58,15 +58,15 @@
 {
     EndpointPaths paths(EndpointPaths::Options{}, 1);
     paths.setTunnelHosts({"x", "y"});
-    EXPECT_FALSE(paths.usesTunnels());
+    EXPECT_FALSE(paths.usesTunnel("a"));
     paths.onConnectFailed("a", start);
     paths.onConnectFailed("b", start);
-    EXPECT_TRUE(paths.usesTunnels());
+    EXPECT_TRUE(paths.usesTunnel("a"));
     paths.setTunnelHosts({});
-    EXPECT_FALSE(paths.usesTunnels()); // without another host, the direct path is the only one
+    EXPECT_FALSE(paths.usesTunnel("a")); // without another host, the direct path is the only one
     paths.setTunnelHosts({"x"});
-    paths.onConnected(start);
-    EXPECT_FALSE(paths.usesTunnels());
+    paths.onConnected("a", start);
+    EXPECT_FALSE(paths.usesTunnel("a"));
 }
 
 TEST(EndpointPaths, PausesAHostThatOpenedNoTunnel)
@@ -98,25 +98,25 @@
     EXPECT_EQ(chosen.size(), 3U);
 }
 
-// Guards against probes of endpoints that are down themselves, while others would show that this host reaches some.
-TEST(EndpointPaths, ProbesTheEndpointThatATunnelReached)
+// Guards against checks of endpoints that are down themselves, while others would show that this host reaches some.
+TEST(EndpointPaths, ChecksTheEndpointThatATunnelReachedWhileCutOff)
 {
-    const Duration interval = EndpointPaths::Options{}.probeInterval;
+    const Duration interval = EndpointPaths::Options{}.checkInterval;
     EndpointPaths paths(EndpointPaths::Options{}, 1);
-    EXPECT_EQ(paths.dueProbe(start), std::nullopt);
+    EXPECT_EQ(paths.dueCheck(start), std::nullopt);
     paths.onConnectFailed("a", start);
     paths.onConnectFailed("b", start);
-    EXPECT_EQ(paths.dueProbe(start), std::nullopt);
-    EXPECT_EQ(paths.dueProbe(start + interval), "b");
-    EXPECT_EQ(paths.dueProbe(start + interval), std::nullopt);
-    paths.onNeeded("c");
+    EXPECT_EQ(paths.dueCheck(start), "b");
+    EXPECT_EQ(paths.dueCheck(start), std::nullopt);
+    EXPECT_EQ(paths.dueCheck(start + interval), "b");
+    paths.onNeeded("c", start);
     paths.onTunnelOpened("c");
-    paths.onNeeded("d"); // not reached
-    EXPECT_EQ(paths.dueProbe(start + 2 * interval), "c");
-    paths.onNeeded("d");
-    EXPECT_EQ(paths.dueProbe(start + 3 * interval), "d");
-    paths.onConnected(start + 3 * interval);
-    EXPECT_EQ(paths.dueProbe(start + 4 * interval), std::nullopt);
+    paths.onNeeded("d", start); // not reached
+    EXPECT_EQ(paths.dueCheck(start + 2 * interval), "c");
+    paths.onNeeded("d", start);
+    EXPECT_EQ(paths.dueCheck(start + 3 * interval), "d");
+    paths.onConnected("a", start + 3 * interval);
+    EXPECT_EQ(paths.dueCheck(start + 4 * interval), std::nullopt);
 }
 
 TEST(EndpointPaths, RequestsHostsAtOnceAndThenNowAndAgain)
@@ -129,9 +129,85 @@
     EXPECT_TRUE(paths.takeTunnelHostsDue(start));
     EXPECT_FALSE(paths.takeTunnelHostsDue(start));
     EXPECT_TRUE(paths.takeTunnelHostsDue(start + interval));
-    paths.onConnected(start + interval);
+    paths.onConnected("a", start + interval);
     EXPECT_FALSE(paths.takeTunnelHostsDue(start + 2 * interval));
 }
 
+// Guards against a host that keeps refusing calls to the endpoints of one service, which it alone can't reach.
+TEST(EndpointPaths, UsesTunnelsToAnEndpointThatOnlyOtherHostsReach)
+{
+    const EndpointPaths::Options options;
+    EndpointPaths paths(options, 1);
+    paths.setTunnelHosts({"x"});
+    paths.onConnected("b", start);
+    paths.onConnectFailed("a", start);
+    EXPECT_FALSE(paths.usesTunnel("a")); // it may be down
+    EXPECT_EQ(paths.dueCheck(start), "a");
+    paths.onCheckFailed();
+    EXPECT_TRUE(paths.onTunnelOnly("a"));
+    EXPECT_FALSE(paths.onTunnelOnly("a"));
+    EXPECT_TRUE(paths.usesTunnel("a"));
+    EXPECT_FALSE(paths.usesTunnel("b"));
+    EXPECT_FALSE(paths.isCutOff());
+    paths.onConnected("b", start);
+    EXPECT_TRUE(paths.usesTunnel("a"));
+    EXPECT_EQ(paths.dueCheck(start + options.recheckInterval), "a");
+    paths.onConnected("a", start + options.recheckInterval);
+    EXPECT_FALSE(paths.usesTunnel("a"));
+    EXPECT_EQ(paths.dueCheck(start + 2 * options.recheckInterval), std::nullopt);
+}
+
+// Guards against a host that notices at each call anew that it reaches none of the endpoints of one service, since it
+// reaches those of others in between.
+TEST(EndpointPaths, KeepsWhatATunnelShowed)
+{
+    EndpointPaths paths(EndpointPaths::Options{}, 1);
+    paths.setTunnelHosts({"x"});
+    paths.onConnectFailed("a", start);
+    paths.onConnectFailed("b", start);
+    paths.onTunnelOpened("b");
+    paths.onConnected("c", start);
+    EXPECT_FALSE(paths.isCutOff());
+    EXPECT_TRUE(paths.usesTunnel("b"));
+    EXPECT_FALSE(paths.usesTunnel("a"));
+}
+
+TEST(EndpointPaths, ChecksAnEndpointOnlyWhileCallsNeedIt)
+{
+    const EndpointPaths::Options options;
+    EndpointPaths paths(options, 1);
+    paths.setTunnelHosts({"x"});
+    paths.onConnectFailed("a", start);
+    int checks = 0;
+    for (Instant now = start; now < start + 3 * options.suspectFor; now += options.checkInterval) {
+        if (paths.dueCheck(now)) {
+            paths.onCheckFailed();
+            ++checks;
+        }
+    }
+    EXPECT_EQ(checks, options.suspectFor / options.recheckInterval);
+}
+
+TEST(EndpointPaths, ChecksManyEndpointsInTurn)
+{
+    const EndpointPaths::Options options;
+    EndpointPaths paths(options, 1);
+    paths.setTunnelHosts({"x"});
+    std::map<std::string, int> checks;
+    for (int endpoint = 0; endpoint < 8; ++endpoint) {
+        paths.onConnectFailed(std::to_string(endpoint), start);
+        paths.onConnected("other", start);
+    }
+    for (Instant now = start; now < start + 4s; now += 50ms) {
+        if (const auto endpoint = paths.dueCheck(now)) {
+            ++checks[*endpoint];
+        }
+    }
+    EXPECT_EQ(checks.size(), 8U);
+    for (const auto &[endpoint, times] : checks) {
+        EXPECT_EQ(times, 2) << endpoint; // 16 checks in 4 s
+    }
+}
+
 } // namespace
 } // namespace fescuesill
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -74,7 +74,7 @@
     void armTick();
     bool openLinks();
     bool openTunnels();
-    void probeEndpoints(Instant now);
+    void checkEndpoints(Instant now);
 
     const GatewaySettings &settings;
     std::uint64_t seed;
@@ -231,7 +231,7 @@
     if (this->settings.moveEngines) {
         this->orders.onTick(*this->store, now);
     }
-    this->probeEndpoints(now);
+    this->checkEndpoints(now);
     const int tunnelsOpen = this->tunnels ? static_cast<int>(this->tunnels->tunnels()) : 0;
     this->draining.onWork({this->inProgress + tunnelsOpen, 0, 0});
     if (!this->draining.admits(now)) {
@@ -244,11 +244,11 @@
     this->armTick();
 }
 
-void Gateway::probeEndpoints(Instant now)
+void Gateway::checkEndpoints(Instant now)
 {
-    if (const auto endpoint = this->paths.dueProbe(now)) {
+    if (const auto endpoint = this->paths.dueCheck(now)) {
         startCoroutine(this->io, [this, address = *endpoint](const asio::yield_context &yield) {
-            this->client.probe(address, yield);
+            this->client.check(address, yield);
         });
     }
 }
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -361,14 +361,16 @@
     if (decidesForAll) {
         this->paths.setTunnelHosts(this->tunnelHosts.choose(LinkId{}, now));
     } else {
-        this->node->send(*this->uplink, peer::RequestTunnelHosts{});
+        this->node->send(*this->uplink, peer::RequestTunnelHosts{this->paths.isCutOff()});
     }
 }
 
-void LeaderLink::onTunnelHostsRequested(LinkId link)
+void LeaderLink::onTunnelHostsRequested(LinkId link, bool isCutOff)
 {
     const Instant now = steadyNow();
-    this->tunnelHosts.onCutOff(link, now);
+    if (isCutOff) {
+        this->tunnelHosts.onCutOff(link, now);
+    }
     this->nameTunnelHosts(link, now);
 }
 
@@ -516,7 +518,7 @@
                 this->gates.onHeldPlacements(link, held);
             },
             [&](const peer::FollowerAddress &follower) { this->onFollowerAddressReceived(link, follower); },
-            [&](const peer::RequestTunnelHosts &) { this->onTunnelHostsRequested(link); },
+            [&](const peer::RequestTunnelHosts &request) { this->onTunnelHostsRequested(link, request.isCutOff); },
             [&](const peer::TunnelHostsNamed &named) {
                 if (isFromPlacer) {
                     this->paths.setTunnelHosts(named.addresses);
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -93,7 +93,7 @@
     void onFollowerAddressReceived(LinkId link, const peer::FollowerAddress &follower);
     // Requests hosts that open tunnels if this host needs them.
     void requestTunnelHosts(Instant now);
-    void onTunnelHostsRequested(LinkId link);
+    void onTunnelHostsRequested(LinkId link, bool isCutOff);
     void nameTunnelHosts(LinkId link, Instant now);
     void applyReaders(Instant now);
     void onStoreLost(LinkId link);
--- a/testing/process/paths.py
+++ b/testing/process/paths.py
@@ -5,6 +5,7 @@
     paths.cut("hang")          # new connections hang, and what is sent on open ones is lost
     paths.cut("reset")         # new connections are refused, open ones are reset
     paths.cut("refuse")        # new connections are refused, open ones live on
+    paths.cut("hang", endpoints)  # only to these
     paths.heal()
 """
 
@@ -45,10 +46,11 @@
         fresh.write_text(lines)
         fresh.replace(self.file)
 
-    def cut(self, kind):
-        target = self.silent if kind == "hang" else self.closed
-        self.redirect(lambda _: "%s:%d" % target.getsockname())
-        for proxy in self.proxies.values():
+    def cut(self, kind, endpoints=None):
+        lost = self.proxies if endpoints is None else [endpoint.address for endpoint in endpoints]
+        target = "%s:%d" % (self.silent if kind == "hang" else self.closed).getsockname()
+        self.redirect(lambda address: target if address in lost else self.proxies[address].address)
+        for proxy in (self.proxies[address] for address in lost):
             if kind == "hang":
                 proxy.mode = "silent"
             elif kind == "reset":
--- a/testing/process/test_lost_paths.py
+++ b/testing/process/test_lost_paths.py
@@ -1,16 +1,18 @@
 """Hosts that lose their paths to all endpoints, while callers, the store and the other hosts still reach them."""
 
 import pathlib
+import signal
 import sys
 import tempfile
+import threading
 import time
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
 
-from callers import Callers  # noqa: E402  pylint: disable=wrong-import-position
+from callers import SIZE, Callers  # noqa: E402  pylint: disable=wrong-import-position
 from checker import check  # noqa: E402  pylint: disable=wrong-import-position
-from gatewayprocess import Gateway  # noqa: E402  pylint: disable=wrong-import-position
+from gatewayprocess import Gateway, send  # noqa: E402  pylint: disable=wrong-import-position
 from paths import Paths  # noqa: E402  pylint: disable=wrong-import-position
 from standin import wait_until  # noqa: E402  pylint: disable=wrong-import-position
 from userplatform import UserPlatform, route  # noqa: E402  pylint: disable=wrong-import-position
@@ -20,6 +22,7 @@
 CONTACT_SECONDS = 3  # from the start of a cut until its hosts must serve again
 CUT_SECONDS = CONTACT_SECONDS + 4
 FEWEST_CALLS = 30  # to judge by
+SHORT_DEADLINE_MS = 300  # of a caller that comes back with a third of its time left
 # What the users' rule allows: as many failures in all, and a share of what the other hosts serve.
 ALLOWED_FAILURES, ALLOWED_FAILURES_EACH = 10, 1 / 50
 ALLOWED_SHARE = 2 / 3
@@ -51,13 +54,19 @@
     def leader_first(self):
         return sorted(self.gateways, key=lambda gateway: not gateway.leads())
 
-    def play(self, cut, kind):
+    def endpoints_of(self, service):
+        return [endpoint for endpoint in self.platform.endpoints if endpoint.service == service]
+
+    def all_logs(self):
+        return "".join(gateway.log() for gateway in self.gateways)
+
+    def play(self, cut, kind, endpoints=None):
         """Cuts these hosts while callers go on. The first tries after contact, at the cut hosts and at the others."""
         callers = Callers(self.gateways, kind, CALLERS)
         callers.start()
         time.sleep(1)
         for gateway in cut:
-            gateway.paths.cut(kind)
+            gateway.paths.cut(kind, endpoints)
         since = time.monotonic() + CONTACT_SECONDS
         time.sleep(CUT_SECONDS)
         until = time.monotonic()
@@ -97,3 +106,86 @@
     # The host that places generations for all is among those that reach no endpoint, and only one host reaches any.
     def test_serves_while_most_hosts_and_the_leader_are_cut(self):
         self.check_served(*self.play(self.leader_first()[:3], "hang"))
+
+    # Guards against hosts that reach none of the endpoints of one service, and notice it anew at each call because they
+    # reach other endpoints: callers with little time get no answer.
+    def test_serves_while_plain_endpoints_are_out_of_reach(self):
+        cut = self.leader_first()[1]
+        cut.paths.cut("hang", self.endpoints_of("booking"))
+        self.check_share(cut, lambda: send(cut.callers, "POST", "/book/x", b"x", X_Deadline_Ms=SHORT_DEADLINE_MS))
+
+    def test_serves_while_decode_engines_are_out_of_reach(self):
+        cut = self.leader_first()[1]
+        cut.paths.cut("hang", [engine for engine in self.platform.endpoints if engine.stage == "decode"])
+        self.check_share(cut, lambda: send(cut.callers, "POST", "/write/x", b"x", X_Deadline_Ms=1000, **SIZE))
+
+    def check_share(self, cut, call):
+        """The share of these calls that is served after contact, while the host opens other connections."""
+        until = time.monotonic() + CONTACT_SECONDS
+        statuses = []
+        while len(statuses) < FEWEST_CALLS:
+            send(cut.callers, "GET", "/look/x")
+            send(cut.callers, "POST", "/write/x", b"x", **SIZE)
+            status = call()[0]
+            if time.monotonic() > until:
+                statuses.append(status)
+        self.assertGreaterEqual(statuses.count(200), ALLOWED_SHARE * len(statuses), statuses)
+
+    # Guards against calls that wait for their deadline at a host that knows that no host reaches an endpoint.
+    def test_refuses_at_once_while_all_hosts_are_cut(self):
+        for gateway in self.gateways:
+            gateway.paths.cut("hang")
+        first = self.gateways[0]
+        wait_until(lambda: send(first.callers, "GET", "/look/x")[0] == 503 and "endpoints_unreachable" in first.log(),
+                   "the first host to notice")
+        time.sleep(CONTACT_SECONDS)
+        for path in ("/look/x", "/book/x", "/write/x"):
+            begin = time.monotonic()
+            status, headers, body = send(first.callers, "POST", path, b"x")
+            with self.subTest(path=path):
+                self.assertEqual(status, 503)
+                self.assertIn(b'"not_run"', body)
+                self.assertGreater(float(headers["Retry-After"]), 0)
+                self.assertLess(time.monotonic() - begin, 1)  # a quarter of the route's timeout
+        self.assertEqual(sum(len(endpoint.seen) for endpoint in self.platform.endpoints), 0)
+
+    # Guards against tunnels that stay in use after the cut.
+    def test_connects_directly_after_the_cut(self):
+        cut = self.leader_first()[1]
+        cut.paths.cut("hang")
+        wait_until(lambda: send(cut.callers, "GET", "/look/x")[0] == 200 and "event=tunnel_ended" in self.all_logs(),
+                   "calls through another host")
+        cut.paths.heal()
+        wait_until(lambda: "event=endpoints_reachable" in cut.log(), "the host to notice", 2)
+        before = self.all_logs().count("event=tunnel_ended")
+        for _ in range(10):
+            self.assertEqual(send(cut.callers, "POST", "/book/x", b"x")[0], 200)
+        self.assertEqual(self.all_logs().count("event=tunnel_ended"), before)
+
+    # Guards against calls through a host that stops: it opens no new tunnels, and ends after those that are open.
+    def test_no_call_is_lost_when_a_host_with_tunnels_stops(self):
+        cut, *others = self.leader_first()[1:]
+        cut.paths.cut("refuse")
+        wait_until(lambda: send(cut.callers, "GET", "/look/x")[0] == 200, "calls through another host")
+        answers = []
+        ended = threading.Event()
+
+        def call():
+            while not ended.is_set():
+                path = ("/book/x", "/write/x")[len(answers) % 2]
+                status, _, body = send(cut.callers, "POST", path, b"x", **SIZE)
+                answers.append((path, status, body))
+
+        threads = [threading.Thread(target=call) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        for gateway in others:
+            gateway.send(signal.SIGTERM)
+            gateway.process.wait(timeout=20)
+            gateway.start_again()
+            wait_until(gateway.is_ready, "a gateway to be ready again")
+        ended.set()
+        for thread in threads:
+            thread.join()
+        self.assertGreater(len(answers), FEWEST_CALLS)
+        self.assertEqual({status for _, status, _ in answers}, {200})
--- a/wire/connectionreport.cpp
+++ b/wire/connectionreport.cpp
@@ -40,7 +40,7 @@
         return;
     }
     const Instant since = paths.changedAt();
-    if (paths.onConnected(now)) {
+    if (paths.onConnected(address, now)) {
         Log::info("endpoints_reachable", {{"endpoint", address}, {"after_ms", (now - since).count() / 1000}});
     }
 }
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -23,6 +23,7 @@
 {
 
 constexpr int maxTunnelAttempts = 3; // for one connection
+constexpr Duration checkLimit{1s};
 constexpr int statusOk = 200;
 // Replies of a TunnelServer: the endpoint can't be reached from there either, or is unknown there.
 constexpr int statusBadGateway = 502;
@@ -153,8 +154,7 @@
                                                             const asio::yield_context &yield)
 {
     const Instant begin = steadyNow();
-    const auto error = connection.connect(
-        connection.address, std::min(deadline, std::chrono::steady_clock::now() + this->options.connectLimit), yield);
+    const auto error = connection.connect(connection.address, std::min(deadline, this->connectDeadline()), yield);
     if (this->options.paths != nullptr) {
         reportConnection(*this->options.paths, connection.address, error, steadyNow() - begin);
     }
@@ -164,18 +164,19 @@
 std::unique_ptr<HttpConnection> HttpClient::Pool::connect(const std::string &address, const CallOptions &options,
                                                           SteadyTime deadline, const asio::yield_context &yield)
 {
-    const EndpointPaths *paths = options.via == Via::AnyHost ? this->options.paths : nullptr;
-    if (paths == nullptr || !paths->usesTunnels()) {
+    EndpointPaths *paths = options.via == Via::AnyHost ? this->options.paths : nullptr;
+    if (paths == nullptr || !paths->usesTunnel(address)) {
         auto connection = this->make(address, options.abort);
         const auto error = this->connectDirectly(*connection, deadline, yield);
         if (!error) {
             return connection;
         }
         const bool hasTime = std::chrono::steady_clock::now() < deadline;
-        if (paths == nullptr || !paths->usesTunnels() || !hasTime) {
+        if (paths == nullptr || !paths->usesTunnel(address) || !hasTime) {
             throw HttpError(HttpFault::Connect, true, fmt::format("connect {}: {}", address, error.message()));
         }
     }
+    paths->onNeeded(address, steadyNow());
     return this->connectThroughTunnel(address, options.abort, deadline, yield);
 }
 
@@ -184,7 +185,6 @@
                                                                        const asio::yield_context &yield)
 {
     EndpointPaths &paths = *this->options.paths;
-    paths.onNeeded(address);
     for (int attempt = 0; attempt < maxTunnelAttempts; ++attempt) {
         const auto host = paths.nextTunnelHost(steadyNow());
         if (!host) {
@@ -193,7 +193,7 @@
         auto connection = this->make(address, abort);
         const SteadyTime begin = std::chrono::steady_clock::now();
         std::optional<int> status;
-        if (!connection->connect(*host, std::min(deadline, begin + this->options.connectLimit), yield)) {
+        if (!connection->connect(*host, std::min(deadline, this->connectDeadline()), yield)) {
             // The other host connects to the endpoint within the same limit.
             status = connection->openTunnel(*host, std::min(deadline, begin + 2 * this->options.connectLimit), deadline,
                                             yield);
@@ -284,10 +284,28 @@
     return LineStream(this->pool->exchange(address, serialize(address, request), false, options, deadline, yield));
 }
 
-void HttpClient::probe(const std::string &address, const asio::yield_context &yield)
+void HttpClient::check(const std::string &address, const asio::yield_context &yield)
 {
-    const auto connection = this->pool->make(address, nullptr);
-    this->pool->connectDirectly(*connection, SteadyTime::max(), yield);
+    EndpointPaths &paths = *this->pool->options.paths;
+    const SteadyTime deadline = std::chrono::steady_clock::now() + checkLimit;
+    try {
+        const auto direct = this->pool->make(address, nullptr);
+        const auto error = direct->connect(address, std::min(deadline, this->pool->connectDeadline()), yield);
+        if (!error) {
+            reportConnection(paths, address, error, Duration(0));
+            return;
+        }
+        paths.onCheckFailed();
+        if (paths.isCutOff()) {
+            return;
+        }
+        this->pool->connectThroughTunnel(address, nullptr, deadline, yield);
+        if (paths.onTunnelOnly(address)) {
+            Log::warning("endpoint_needs_tunnel", {{"endpoint", address}, {"reason", error.message()}});
+        }
+    } catch (const HttpError &error) {
+        Log::info("endpoint_check_failed", {{"endpoint", address}, {"reason", error.what()}});
+    }
 }
 
 std::size_t HttpClient::openConnections() const
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -196,8 +196,8 @@
     LineStream open(const std::string &address, const HttpRequest &request, const CallOptions &options,
                     const asio::yield_context &yield);
 
-    // Opens and closes a direct connection, to find out whether this host reaches its endpoints.
-    void probe(const std::string &address, const asio::yield_context &yield);
+    // Makes a check that EndpointPaths has due: connects to the endpoint and sends nothing.
+    void check(const std::string &address, const asio::yield_context &yield);
 
     std::size_t openConnections() const;
 
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -39,6 +39,11 @@
     std::unique_ptr<HttpConnection> make(const std::string &address, CallAbort *abort);
     std::unique_ptr<HttpConnection> connect(const std::string &address, const CallOptions &options, SteadyTime deadline,
                                             const asio::yield_context &yield);
+    // Until when a connection that is begun now must be open.
+    SteadyTime connectDeadline() const
+    {
+        return std::chrono::steady_clock::now() + this->options.connectLimit;
+    }
     boost::system::error_code connectDirectly(HttpConnection &connection, SteadyTime deadline,
                                               const asio::yield_context &yield);
     std::unique_ptr<HttpConnection> connectThroughTunnel(const std::string &address, CallAbort *abort,
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -329,8 +329,9 @@
 }
 
 template<typename Visitor>
-void fields(Visitor & /*visit*/, RequestTunnelHosts & /*m*/)
+void fields(Visitor &visit, RequestTunnelHosts &m)
 {
+    visit(m.isCutOff);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -333,8 +333,9 @@
     std::uint64_t hosts = 1; // number of hosts that the leader places for, including itself
 };
 
-// Gateway to the leader: the sender reaches no endpoint, and requests hosts through which it can connect to them.
+// Gateway to the leader: the sender can't reach endpoints, and requests hosts through which it can connect to them.
 struct RequestTunnelHosts {
+    bool isCutOff = false; // it reaches none, so it opens no tunnels itself
 };
 
 // Leader to a gateway: hosts that open tunnels to endpoints.
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -53,7 +53,7 @@
     const FollowerAddress follower = passedOn(FollowerAddress{"10.0.0.1:1", "10.0.0.1:2"});
     EXPECT_EQ(follower.address, "10.0.0.1:1");
     EXPECT_EQ(follower.tunnels, "10.0.0.1:2");
-    passedOn(RequestTunnelHosts{});
+    EXPECT_TRUE(passedOn(RequestTunnelHosts{true}).isCutOff);
     EXPECT_EQ(passedOn(TunnelHostsNamed{{"10.0.0.1:2", "10.0.0.2:2"}}).addresses.size(), 2U);
     EXPECT_EQ(passedOn(DeputyNamed{"10.0.0.2:1", 9}).hosts, 9U);
     const DelegateReading request = passedOn(DelegateReading{true, 41});
--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -267,12 +267,11 @@
     });
 }
 
-// A probe opens a direct connection, and the next calls are direct again.
-TEST(TunnelServer, IsNotUsedOnceAProbeReachesAnEndpoint)
+TEST(TunnelServer, IsNotUsedOnceACheckReachesAnEndpoint)
 {
     runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
         World world(io, Ending::Closes);
-        world.client->probe(world.endpoint, yield);
+        world.client->check(world.endpoint, yield);
         EXPECT_FALSE(world.clientPaths.isCutOff());
         EXPECT_EQ(world.call(yield).body, "whole");
         EXPECT_EQ(world.serverPaths.counts().opened, 0U);
