Go on through a tunnel where single endpoints need tunnels already

Cause: such a host learned of each engine anew, and reported each as faulty to the leader at its first failure, which paused it for all hosts. A host that had lost the same path was asked for a tunnel and took 150 ms to find out. Change: while this host needs a tunnel to any endpoint, a call whose direct connection fails goes on through a tunnel and nothing is reported. A host that can't reach the endpoint either is passed over for one other, and says so at once if it knows.

--- a/decide/endpointpaths.cpp
+++ b/decide/endpointpaths.cpp
@@ -73,13 +73,25 @@
     return this->cutOff || (suspect != this->suspects.end() && suspect->second.isTunnelOnly);
 }
 
-std::optional<std::string> EndpointPaths::nextTunnelHost(Instant now)
+bool EndpointPaths::hasTunnelOnly() const
+{
+    return std::any_of(this->suspects.begin(), this->suspects.end(),
+                       [](const auto &suspect) { return suspect.second.isTunnelOnly; });
+}
+
+bool EndpointPaths::usesTunnelAfterFailure() const
+{
+    return !this->tunnelHosts.empty() && (this->cutOff || this->hasTunnelOnly());
+}
+
+std::optional<std::string> EndpointPaths::nextTunnelHost(Instant now, const std::string &avoid)
 {
     std::optional<std::string> chosen;
     std::uint64_t usable = 0;
     for (const TunnelHost &host : this->tunnelHosts) {
         // The n-th usable host replaces the choice with probability 1/n, so all are equally likely.
-        if (now >= host.pausedUntil && this->random() % ++usable == 0) {
+        const bool isUsable = now >= host.pausedUntil && host.address != avoid;
+        if (isUsable && this->random() % ++usable == 0) {
             chosen = host.address;
         }
     }
@@ -116,10 +128,7 @@
 
 bool EndpointPaths::takeTunnelHostsDue(Instant now)
 {
-    const bool usesTunnels = this->cutOff
-        || std::any_of(this->suspects.begin(), this->suspects.end(),
-                       [](const auto &suspect) { return suspect.second.isTunnelOnly; });
-    if (!usesTunnels || now < this->hostListDue) {
+    if (!(this->cutOff || this->hasTunnelOnly()) || now < this->hostListDue) {
         return false;
     }
     this->hostListDue = now + this->options.hostListInterval;
--- a/decide/endpointpaths.h
+++ b/decide/endpointpaths.h
@@ -84,8 +84,11 @@
     void setTunnelHosts(const std::vector<std::string> &addresses);
     // Whether connections to the endpoint go through other hosts. Without any, this host keeps trying directly.
     bool usesTunnel(const std::string &endpoint) const;
-    // One of the hosts that are not paused, at random; empty if there is none.
-    std::optional<std::string> nextTunnelHost(Instant now);
+    // Whether a call whose direct connection failed goes on through a tunnel. If this host needs tunnels already, one
+    // more endpoint that fails is more likely cut off than down.
+    bool usesTunnelAfterFailure() const;
+    // One of the hosts that are not paused, at random, other than `avoid`; empty if there is none.
+    std::optional<std::string> nextTunnelHost(Instant now, const std::string &avoid = {});
     // A tunnel to the endpoint is needed, and was opened.
     void onNeeded(const std::string &endpoint, Instant now);
     void onTunnelOpened(const std::string &endpoint);
@@ -114,6 +117,7 @@
     };
 
     void change(bool isCutOff, Instant now);
+    bool hasTunnelOnly() const;
     std::optional<std::string> dueSuspect(Instant now);
 
     Options options;
--- a/decide/testing/endpointpaths_test.cpp
+++ b/decide/testing/endpointpaths_test.cpp
@@ -79,6 +79,7 @@
     }
     paths.setTunnelHosts({"x", "z"}); // a new list does not end the pause
     EXPECT_EQ(paths.nextTunnelHost(start), "z");
+    EXPECT_EQ(paths.nextTunnelHost(start, "z"), std::nullopt);
     paths.onTunnelHostFailed("z", start);
     EXPECT_EQ(paths.nextTunnelHost(start), std::nullopt);
     EXPECT_NE(paths.nextTunnelHost(start + EndpointPaths::Options{}.hostPause), std::nullopt);
@@ -172,6 +173,20 @@
     EXPECT_FALSE(paths.usesTunnel("a"));
 }
 
+// Guards against engines that are reported as faulty one after the other by a host that can't reach them.
+TEST(EndpointPaths, UsesATunnelAfterAFailureOnlyIfTunnelsAreNeeded)
+{
+    EndpointPaths paths(EndpointPaths::Options{}, 1);
+    paths.setTunnelHosts({"x"});
+    paths.onConnected("c", start);
+    paths.onConnectFailed("a", start);
+    EXPECT_FALSE(paths.usesTunnelAfterFailure()); // the first that fails is most likely down
+    paths.onTunnelOnly("a");
+    EXPECT_TRUE(paths.usesTunnelAfterFailure());
+    paths.onConnected("a", start);
+    EXPECT_FALSE(paths.usesTunnelAfterFailure());
+}
+
 TEST(EndpointPaths, ChecksAnEndpointOnlyWhileCallsNeedIt)
 {
     const EndpointPaths::Options options;
--- a/testing/process/gatewayprocess.py
+++ b/testing/process/gatewayprocess.py
@@ -22,7 +22,8 @@
         stop = "announce = 300ms\n" + (f"grace_s = {grace}\n" if grace else "")
         settings.write_text(f"[process]\nhost = {name}\ndata_centre = a\n"
                             f"first_start = {'yes' if first_start else 'no'}\n[listen]\ncallers = {self.callers}\n"
-                            f"ready = {self.ready}\npeers = {self.peers}\ntunnels = {self.tunnels}\n[store]\naddress = {store}\n"
+                            f"ready = {self.ready}\npeers = {self.peers}\ntunnels = {self.tunnels}\n"
+                            f"[store]\naddress = {store}\n"
                             f"lease_ms = 1500\n[stop]\n{stop}")
         program = "gateway-with-test-paths" if paths else "fescuesill-gateway"
         self.environment = paths.environment if paths else None
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -5,9 +5,10 @@
     soak.py --build build --rounds 50                    new seeds, each printed before its run
 
 Processes are stopped, frozen, killed and started again by signals; what goes to the store and to plain endpoints goes
-through proxies that delay, silence, cut one way, refuse and reset; endpoints break off, fall silent, refuse, add bytes and state limits;
-entries lapse and come back, configurations change, the store loses answers and forgets. Faults overlap. A run fails if a
-promise to a caller was broken (checker.py), or if not everybody is served again after the last fault.
+through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; endpoints break
+off, fall silent, refuse, add bytes and state limits; entries lapse and come back, configurations change, the store loses
+answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py), or if not everybody is
+served again after the last fault.
 """
 
 import argparse
@@ -27,6 +28,7 @@
 from callers import Callers  # noqa: E402
 from checker import check  # noqa: E402
 from gatewayprocess import Gateway, send  # noqa: E402
+from paths import KINDS, Paths  # noqa: E402
 from proxy import MODES, Proxy  # noqa: E402
 from standin import wait_until  # noqa: E402
 from userplatform import UserPlatform, route  # noqa: E402
@@ -59,8 +61,10 @@
         self.routes = ROUTES
         self.platform.configure(self.routes)
         self.stores = [Proxy(self.platform.address) for _ in range(hosts)]
-        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS)
-                         for number, store in enumerate(self.stores)]
+        self.path_chance = random.Random(f"{seed}-paths")  # of its own, so that seeds keep their other faults
+        self.paths = [Paths(folder, f"g{number}", self.platform.endpoints) for number in range(hosts)]
+        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, paths=paths)
+                         for number, (store, paths) in enumerate(zip(self.stores, self.paths))]
         self.busy = [threading.Lock() for _ in self.gateways]  # a process has one fault of its own at a time
         self.callers = Callers(self.gateways, seed, count=3 * hosts)
         self.own_calls = []
@@ -71,7 +75,8 @@
             wait_until(gateway.is_ready, "a gateway to be ready")
         self.callers.start()
         end = time.monotonic() + seconds
-        faults = []
+        faults = [threading.Thread(target=self.path_faults, args=(end,), daemon=True)]
+        faults[0].start()
         while time.monotonic() < end:
             kind = self.chance.choice((self.signal_fault, self.signal_fault, self.store_fault, self.endpoint_fault,
                                        self.engine_fault, self.entry_fault, self.platform_fault, self.limit_fault))
@@ -136,6 +141,22 @@
             threading.Thread(target=self.proxy_fault, args=(proxy, chance, lasts), daemon=True).start()
         time.sleep(lasts + 0.1)
 
+    def path_faults(self, end):
+        """Hosts lose their paths to all endpoints or to those of one service: one, some or all of them."""
+        chance = self.path_chance
+        while time.monotonic() < end:
+            time.sleep(chance.uniform(0, 2))
+            cut = chance.sample(self.paths, chance.randint(1, len(self.paths)))
+            service = chance.choice((None, None, "booking", "llm"))
+            endpoints = [each for each in self.platform.endpoints if service in (None, each.service)]
+            kind, lasts = chance.choice(KINDS), chance.uniform(0.1, LONGEST_FAULT_SECONDS)
+            self.note("paths of", len(cut), "hosts", kind, service, f"{lasts:.2f}")
+            for paths in cut:
+                paths.cut(kind, endpoints)
+            time.sleep(lasts)
+            for paths in cut:
+                paths.heal()
+
     def slow_links(self, proxies, chance, lasts):
         self.note("slow links", len(proxies), f"{lasts:.2f}")
         for proxy in proxies:
@@ -235,8 +256,8 @@
     def end(self):
         for gateway in self.gateways:
             gateway.end()
-        for proxy in self.proxies + self.stores:
-            proxy.end()
+        for each in self.proxies + self.stores + self.paths:
+            each.end()
         self.platform.__exit__()
 
 
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -172,7 +172,7 @@
             return connection;
         }
         const bool hasTime = std::chrono::steady_clock::now() < deadline;
-        if (paths == nullptr || !paths->usesTunnel(address) || !hasTime) {
+        if (paths == nullptr || !paths->usesTunnelAfterFailure() || !hasTime) {
             throw HttpError(HttpFault::Connect, true, fmt::format("connect {}: {}", address, error.message()));
         }
     }
@@ -185,8 +185,9 @@
                                                                        const asio::yield_context &yield)
 {
     EndpointPaths &paths = *this->options.paths;
+    std::string unreachableFrom; // the host that could not reach the endpoint either
     for (int attempt = 0; attempt < maxTunnelAttempts; ++attempt) {
-        const auto host = paths.nextTunnelHost(steadyNow());
+        const auto host = paths.nextTunnelHost(steadyNow(), unreachableFrom);
         if (!host) {
             break;
         }
@@ -203,8 +204,11 @@
             return connection;
         }
         if (status == statusBadGateway || status == statusForbidden) {
-            throw HttpError(HttpFault::Connect, true,
-                            fmt::format("connect {}: status {}", connection->address, *status));
+            if (!unreachableFrom.empty()) {
+                break;
+            }
+            unreachableFrom = *host; // it may be cut off from this endpoint like this one
+            continue;
         }
         if (std::chrono::steady_clock::now() >= deadline || (abort != nullptr && abort->isAborted())) {
             throw HttpError(HttpFault::Connect, true, fmt::format("connect {} through {}: no time", address, *host));
@@ -212,6 +216,10 @@
         Log::info("tunnel_failed", {{"host", *host}, {"status", status.value_or(0)}});
         paths.onTunnelHostFailed(*host, steadyNow());
     }
+    if (!unreachableFrom.empty()) {
+        throw HttpError(HttpFault::Connect, true,
+                        fmt::format("connect {}: not reached from {} either", address, unreachableFrom));
+    }
     throw HttpError(HttpFault::NoPath, true, fmt::format("connect {}: no endpoint can be reached from here", address));
 }
 
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -150,6 +150,9 @@
 
 bool TunnelServer::Connection::connect(const Request &request, const asio::yield_context &yield)
 {
+    if (this->server->paths.usesTunnel(request.address)) {
+        return false;
+    }
     const auto parsed = Address::parse(request.address);
     boost::system::error_code error;
     const Instant start = steadyNow();
