Failing tests: an entry that reaches no engine or endpoint refuses its callers

A cell whose owner reaches no engine is served: its entries go to the cell of another data centre. Not mended: entries know of other hosts what the membership of the schedulers carries, which has no address for tunnels.

--- a/testing/process/cluster.py
+++ b/testing/process/cluster.py
@@ -52,6 +52,7 @@
         self.engines = {}  # name: (address, data centre, role)
         self.applications = {}  # name: (address, data centre)
         self.platform = None
+        self.paths = {}  # (program, host): a paths.Paths, for programs whose paths to endpoints a test cuts
 
     # Starting and ending.
 
@@ -92,14 +93,22 @@
                     "peers": {"seeds": others, "probe_period": "200ms"},
                     "engines": {"load_poll": "100ms", "stream_poll": "500ms"},
                     "resume": {"grace": "3s"}}
-        host.scheduler = self.run(binary("fescuesill-scheduler"), "--config", self.write("scheduler", host, sections))
+        host.scheduler = self.run_program("scheduler", host, sections)
 
     def start_entry(self, host):
         sections = {"process": {"host": host.name, "data_centre": host.data_centre},
                     "listen": {"callers": host.callers, "admin": host.entry_admin},
                     "platform": {"address": self.platform.address},
                     "scheduler": {"address": host.peers}}
-        host.entry = self.run(binary("fescuesill-entry"), "--config", self.write("entry", host, sections))
+        host.entry = self.run_program("entry", host, sections)
+
+    def run_program(self, name, host, sections):
+        paths = self.paths.get((name, host.name))
+        program = binary(f"{name}-with-test-paths" if paths else f"fescuesill-{name}")
+        settings = self.write(name, host, sections)
+        process = Process(program, "--config", settings, environment=paths.environment if paths else None)
+        self.processes.append(process)
+        return process
 
     def write(self, program, host, sections):
         for name, keys in self.settings.get(program, {}).items():
