--- a/testing/process/testpaths.cpp
+++ b/testing/process/testpaths.cpp
@@ -1,5 +1,5 @@
-// Replaces connect() in the gateway of a test: connections are redirected by a file of lines "IP:PORT IP:PORT", which is
-// read each time. So one host of a test can lose its path to endpoints that the other hosts still reach.
+// Replaces connect() in the gateway of a test: connections are redirected by a file of lines "IP:PORT IP:PORT", which
+// is read each time. So one host of a test can lose its path to endpoints that the other hosts still reach.
 
 #include <arpa/inet.h>
 #include <cstdlib>
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -23,7 +23,7 @@
 {
 
 constexpr int maxTunnelAttempts = 3; // for one connection
-constexpr Duration checkLimit{1s};
+constexpr Duration checkLimit{1s}; // for a direct connection and then a tunnel
 constexpr int statusOk = 200;
 // Replies of a TunnelServer: the endpoint can't be reached from there either, or is unknown there.
 constexpr int statusBadGateway = 502;
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -97,7 +97,7 @@
 
 // How a client with EndpointPaths may connect.
 enum class Via {
-    AnyHost, // through another host while this one reaches no endpoint
+    AnyHost, // through another host while this one can't reach the endpoint
     OwnHost,
 };
 
