Check each endpoint that tunnels reached before it is used directly again

Callers saw (found by a random test of EndpointPaths against an oracle that sees the network): where some endpoints are down and others cut off, calls to endpoints that other hosts reach failed again seconds after the cut began. Cause: the first endpoint that was reached directly again ended tunnels to all, also to those that were still cut off; and endpoints that had only been called while the host was cut off counted as reached directly. Change: an endpoint that a tunnel reached is used through tunnels until a check reaches itself directly. After one that succeeds, the next check follows without a pause.

--- a/decide/endpointpaths.cpp
+++ b/decide/endpointpaths.cpp
@@ -23,11 +23,12 @@
 {
     ++this->total.opened;
     this->failures = 0;
-    const auto suspect = this->suspects.find(endpoint);
-    if (suspect != this->suspects.end() && suspect->second.isTunnelOnly) {
-        this->suspects.clear(); // the cause has most likely ended for all
-    } else if (suspect != this->suspects.end()) {
-        this->suspects.erase(suspect);
+    if (this->suspects.erase(endpoint) > 0) {
+        // The cause may have ended for all: they are checked without a pause until one fails.
+        this->checkDue = now;
+        for (auto &[other, suspect] : this->suspects) {
+            suspect.checkDue = std::min(suspect.checkDue, now);
+        }
     }
     if (!this->cutOff) {
         return false;
@@ -109,9 +110,12 @@
     }
 }
 
-void EndpointPaths::onTunnelOpened(const std::string &endpoint)
+void EndpointPaths::onTunnelOpened(const std::string &endpoint, Instant now)
 {
     ++this->total.tunnelled;
+    if (this->cutOff) {
+        this->suspects.try_emplace(endpoint, Suspect{now, now}); // whether it is reached directly is not known
+    }
     this->onTunnelOnly(endpoint);
     this->checkTarget = endpoint;
     this->isTargetReached = true;
--- a/decide/endpointpaths.h
+++ b/decide/endpointpaths.h
@@ -7,7 +7,7 @@
 //     if (paths.usesTunnel(endpoint)) {
 //         paths.onNeeded(endpoint, now);
 //         while (const auto host = paths.nextTunnelHost(now)) {
-//             ... connect through it, then onTunnelOpened(endpoint) or onTunnelHostFailed(*host, now) ...
+//             ... connect through it, then onTunnelOpened(endpoint, now) or onTunnelHostFailed(*host, now) ...
 //         }
 //     } else { ... connect directly, then onConnected(endpoint, now) or onConnectFailed(endpoint, now) ... }
 //     if (const auto endpoint = paths.dueCheck(now)) {
@@ -91,7 +91,7 @@
     std::optional<std::string> nextTunnelHost(Instant now, const std::string &avoid = {});
     // A tunnel to the endpoint is needed, and was opened.
     void onNeeded(const std::string &endpoint, Instant now);
-    void onTunnelOpened(const std::string &endpoint);
+    void onTunnelOpened(const std::string &endpoint, Instant now);
     void onTunnelHostFailed(const std::string &host, Instant now);
     // Whether a list of hosts should be requested now.
     bool takeTunnelHostsDue(Instant now);
@@ -109,7 +109,7 @@
         std::string address;
         Instant pausedUntil;
     };
-    // An endpoint that could not be reached directly.
+    // An endpoint that could not be reached directly, or was reached through a tunnel while this host was cut off.
     struct Suspect {
         Instant needed; // last, by a call
         Instant checkDue;
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -200,7 +200,7 @@
                                             yield);
         }
         if (status == statusOk) {
-            paths.onTunnelOpened(address);
+            paths.onTunnelOpened(address, steadyNow());
             return connection;
         }
         if (status == statusBadGateway || status == statusForbidden) {
