A generation that was sent is not refused as not run when it finds no place to go on

Cause: an attempt that lost its connection before the first event is followed by another, since the route is resumable. If no engine had room for that one, the refusal spoke of the last attempt only. Change: the call remembers that an attempt may have run, and answers 502 with "may_have_run" then.

--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -381,6 +381,7 @@
         const bool isFault = ended == Outcome::Broken || (ended == Outcome::NotRun && !isResultLost);
         this->report(isFault ? peer::PlacementEvent::EndedByFault : peer::PlacementEvent::Ended);
         if (ended == Outcome::Broken) {
+            this->mayHaveRun = true;
             this->avoid = EngineId(place->engine.id.value());
         }
         return ended;
@@ -456,8 +457,8 @@
         this->call.reply.abort();
         return;
     }
-    this->logEnd(ended == Outcome::Broken ? "failed" : "refused");
-    if (ended == Outcome::Broken) {
+    this->logEnd(this->mayHaveRun ? "failed" : "refused");
+    if (this->mayHaveRun) {
         const bool isLate = this->call.timeLeft() <= 0ms;
         this->call.refuse({isLate ? RefusalCode::OutcomeUnknown : RefusalCode::EndpointFailed, RunState::MayHaveRun,
                            this->lastFault, std::nullopt},
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -74,6 +74,7 @@
     EndpointId engine; // the decode engine of the current or last attempt
     std::int64_t eventsProduced = 0; // complete events received so far
     int sends = 0; // requests to decode engines of which at least one byte was sent
+    bool mayHaveRun = false; // an attempt failed after it was sent
     bool isStarted = false; // the head of the response was sent to the caller
     bool isSelfPrefilled = false; // the decode engine runs the prefill itself, since no prefill engine could
     // For the log and the metrics.
--- a/testing/process/test_gateway.py
+++ b/testing/process/test_gateway.py
@@ -186,6 +186,20 @@
         found = [line for line in body.split(b"\n") if line.startswith(b"id: ")]
         self.assertEqual((status, found), (200, [b"id: %d" % number for number in range(1, EVENTS + 1)]))
 
+    # Guards against "not run" for a generation that was sent, lost its answer, and then found no place to go on.
+    def test_a_generation_that_may_have_run_is_not_refused_as_not_run(self):
+        def fill():
+            for writer in self.writers:
+                writer.behave = "full"
+
+        gateway = self.start()
+        for writer in self.writers:
+            writer.behave, writer.on_half = "lost", fill
+        status, _, body = send(gateway.callers, "POST", "/resume/1", b"prompt", **SIZE)
+        self.assertEqual(sum(len(writer.seen) for writer in self.writers), 1)
+        self.assertEqual(status, 502)
+        self.assertIn(b'"may_have_run"', body)
+
     # All engines are full for good: the caller hears so within its target, not at its deadline.
     def test_a_generation_without_a_place_is_refused(self):
         gateway = self.start()
--- a/testing/process/test_soak.py
+++ b/testing/process/test_soak.py
@@ -12,7 +12,10 @@
 
 SEEDS = (1, 2)
 # Each with a line on its cause.
-SEEDS_THAT_FAILED = (101,)  # the end of an outage of the store noticed seconds late
+SEEDS_THAT_FAILED = (
+    101,  # the end of an outage of the store noticed seconds late
+    718,  # a generation refused as not run after an attempt that was sent
+)
 SECONDS = 4
 
 
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -6,7 +6,7 @@
         booking.behave = "cut"                      # the next answers break off in the middle
 
 It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, other_id, encoded, extra,
-unframed. Of a decode engine also half: it breaks off within its third event.
+unframed. Of a decode engine also half: it breaks off within its third event; and lost: it runs and answers nothing.
 """
 
 import base64
@@ -238,6 +238,10 @@
 
     def generate(self, request, body):
         headers = {**self.note(request, body), "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        if self.behave == "lost":
+            request.close_connection = True
+            self.on_half()
+            return
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         request.send_response_only(200)
         for name, value in headers.items():
