Log when an endpoint is used through tunnels; one report of an opened tunnel

Change: onTunnelOpened returns whether the endpoint is used through tunnels from now on, and the one place that opens tunnels logs it. The separate onTunnelOnly is gone; a check opens its tunnel like a call. The leader enters its own address for tunnels in one line; an empty one is never named, as before.

--- a/decide/endpointpaths.cpp
+++ b/decide/endpointpaths.cpp
@@ -110,15 +110,20 @@
     }
 }
 
-void EndpointPaths::onTunnelOpened(const std::string &endpoint, Instant now)
+bool EndpointPaths::onTunnelOpened(const std::string &endpoint, Instant now)
 {
     ++this->total.tunnelled;
+    this->checkTarget = endpoint;
+    this->isTargetReached = true;
     if (this->cutOff) {
         this->suspects.try_emplace(endpoint, Suspect{now, now}); // whether it is reached directly is not known
     }
-    this->onTunnelOnly(endpoint);
-    this->checkTarget = endpoint;
-    this->isTargetReached = true;
+    const auto suspect = this->suspects.find(endpoint);
+    if (suspect == this->suspects.end() || suspect->second.isTunnelOnly) {
+        return false;
+    }
+    suspect->second.isTunnelOnly = true;
+    return true;
 }
 
 void EndpointPaths::onTunnelHostFailed(const std::string &host, Instant now)
@@ -179,14 +184,4 @@
     ++this->total.failed;
 }
 
-bool EndpointPaths::onTunnelOnly(const std::string &endpoint)
-{
-    const auto suspect = this->suspects.find(endpoint);
-    if (suspect == this->suspects.end() || suspect->second.isTunnelOnly) {
-        return false;
-    }
-    suspect->second.isTunnelOnly = true;
-    return true;
-}
-
 } // namespace fescuesill
--- a/decide/endpointpaths.h
+++ b/decide/endpointpaths.h
@@ -11,8 +11,8 @@
 //         }
 //     } else { ... connect directly, then onConnected(endpoint, now) or onConnectFailed(endpoint, now) ... }
 //     if (const auto endpoint = paths.dueCheck(now)) {
-//         ... connect to it directly, then onConnected(*endpoint, now); or, if that fails, onCheckFailed(), and
-//         onTunnelOnly(*endpoint) if a tunnel to it can be opened ...
+//         ... connect to it directly, then onConnected(*endpoint, now); or, if that fails, onCheckFailed(), and open a
+//         tunnel as above ...
 //     }
 //
 // Guards against a host that loses its network to endpoints, takes them for broken and refuses its callers, although
@@ -89,9 +89,11 @@
     bool usesTunnelAfterFailure() const;
     // One of the hosts that are not paused, at random, other than `avoid`; empty if there is none.
     std::optional<std::string> nextTunnelHost(Instant now, const std::string &avoid = {});
-    // A tunnel to the endpoint is needed, and was opened.
+    // A call needs a tunnel to the endpoint.
     void onNeeded(const std::string &endpoint, Instant now);
-    void onTunnelOpened(const std::string &endpoint, Instant now);
+    // A tunnel to the endpoint was opened, by a call or a check. Returns whether it is used through tunnels from now
+    // on.
+    bool onTunnelOpened(const std::string &endpoint, Instant now);
     void onTunnelHostFailed(const std::string &host, Instant now);
     // Whether a list of hosts should be requested now.
     bool takeTunnelHostsDue(Instant now);
@@ -101,8 +103,6 @@
     std::optional<std::string> dueCheck(Instant now);
     // In a check, the endpoint was not reached directly.
     void onCheckFailed();
-    // The endpoint was not reached directly but through a tunnel. Returns whether this is new.
-    bool onTunnelOnly(const std::string &endpoint);
 
 private:
     struct TunnelHost {
--- a/decide/testing/endpointpaths_test.cpp
+++ b/decide/testing/endpointpaths_test.cpp
@@ -152,8 +152,8 @@
     EXPECT_FALSE(paths.usesTunnel("a")); // it may be down
     EXPECT_EQ(paths.dueCheck(start), "a");
     paths.onCheckFailed();
-    EXPECT_TRUE(paths.onTunnelOnly("a"));
-    EXPECT_FALSE(paths.onTunnelOnly("a"));
+    EXPECT_TRUE(paths.onTunnelOpened("a", start));
+    EXPECT_FALSE(paths.onTunnelOpened("a", start));
     EXPECT_TRUE(paths.usesTunnel("a"));
     EXPECT_FALSE(paths.usesTunnel("b"));
     EXPECT_FALSE(paths.isCutOff());
@@ -188,7 +188,7 @@
     paths.onConnected("c", start);
     paths.onConnectFailed("a", start);
     EXPECT_FALSE(paths.usesTunnelAfterFailure()); // the first that fails is most likely down
-    paths.onTunnelOnly("a");
+    paths.onTunnelOpened("a", start);
     EXPECT_TRUE(paths.usesTunnelAfterFailure());
     paths.onConnected("a", start);
     EXPECT_FALSE(paths.usesTunnelAfterFailure());
@@ -269,7 +269,7 @@
         }
         this->paths.onCheckFailed();
         if (!this->paths.isCutOff() && this->isUp[endpoint]) {
-            this->paths.onTunnelOnly(*due);
+            this->paths.onTunnelOpened(*due, this->now);
         }
     }
     // Calls an endpoint at random. Returns whether the oracle, which sees the network, allows what came of it: an
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -376,11 +376,7 @@
 
 void LeaderLink::nameTunnelHosts(LinkId link, Instant now)
 {
-    if (this->paths.isCutOff() || this->ownTunnels.empty()) {
-        this->tunnelHosts.remove(LinkId{});
-    } else {
-        this->tunnelHosts.add(LinkId{}, this->ownTunnels);
-    }
+    this->tunnelHosts.add(LinkId{}, this->paths.isCutOff() ? std::string() : this->ownTunnels);
     this->node->send(link, peer::TunnelHostsNamed{this->tunnelHosts.choose(link, now)});
 }
 
--- a/testing/process/test_lost_paths.py
+++ b/testing/process/test_lost_paths.py
@@ -113,6 +113,7 @@
         cut = self.leader_first()[1]
         cut.paths.cut("hang", self.endpoints_of("booking"))
         self.check_share(cut, lambda: send(cut.callers, "POST", "/book/x", b"x", X_Deadline_Ms=SHORT_DEADLINE_MS))
+        self.assertIn("event=endpoint_needs_tunnel", cut.log())
 
     def test_serves_while_decode_engines_are_out_of_reach(self):
         cut = self.leader_first()[1]
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -200,7 +200,9 @@
                                             yield);
         }
         if (status == statusOk) {
-            paths.onTunnelOpened(address, steadyNow());
+            if (paths.onTunnelOpened(address, steadyNow())) {
+                Log::warning("endpoint_needs_tunnel", {{"endpoint", address}, {"host", *host}});
+            }
             return connection;
         }
         if (status == statusBadGateway || status == statusForbidden) {
@@ -304,12 +306,8 @@
             return;
         }
         paths.onCheckFailed();
-        if (paths.isCutOff()) {
-            return;
-        }
-        this->pool->connectThroughTunnel(address, nullptr, deadline, yield);
-        if (paths.onTunnelOnly(address)) {
-            Log::warning("endpoint_needs_tunnel", {{"endpoint", address}, {"reason", error.message()}});
+        if (!paths.isCutOff()) {
+            this->pool->connectThroughTunnel(address, nullptr, deadline, yield);
         }
     } catch (const HttpError &error) {
         Log::info("endpoint_check_failed", {{"endpoint", address}, {"reason", error.what()}});
