--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -293,7 +293,9 @@
     try {
         LineStream stream = services.client.open(place.engine.address, request,
                                                  {this->call.timeLeft(), Reuse::Never, &this->abort}, yield);
-        const AnswerHead head = readAnswerHead(stream.head(), this->call.head.id);
+        const HttpResponse response = stream.head();
+        this->framing = response.framing;
+        const AnswerHead head = readAnswerHead(response, this->call.head.id);
         if (head.isForThisCall) {
             services.permits.onAnswer(place.engine.id, head.limit, sent);
         }
@@ -440,6 +442,8 @@
                {"first_event_ms", millis(this->times.firstEvent)},
                {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
                {"last_fault", this->lastFault},
+               {"framing", nameOf(this->framing)},
+               {"unfinished_event_bytes", static_cast<std::uint64_t>(this->events.rest().size())},
                {"no_retry", nameOf(this->noRetry)},
                {"registry", this->call.services.fleet.registryVersion()},
                {"registry_age_ms", this->call.services.fleet.registryAge(steadyNow()).count() / 1000}});
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -68,6 +68,7 @@
     EventRelay events;
     std::optional<Duration> retryAfter;
     std::string lastFault;
+    BodyFraming framing = BodyFraming::Length; // of the last response of a decode engine
     bool hasNoPath = false; // the last fault is that this host reaches no endpoint
     NoRetry noRetry = NoRetry::None; // why the last fault was not retried
     EngineId avoid; // the engine that failed during the last attempt
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -153,6 +153,7 @@
                {"tried", static_cast<std::uint64_t>(this->tried.size())},
                {"last_fault", this->lastFault},
                {"status", answer.head.status},
+               {"framing", nameOf(answer.response.framing)},
                {"no_retry", nameOf(this->noRetry)},
                {"registry", this->call.services.fleet.registryVersion()},
                {"took_ms", (steadyNow() - this->call.arrival).count() / 1000}});
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -73,6 +73,19 @@
 
 } // namespace
 
+const char *nameOf(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunks:
+        return "chunks";
+    case BodyFraming::Connection:
+        return "connection";
+    }
+    return "length";
+}
+
 std::string_view HttpResponse::header(std::string_view name) const
 {
     for (const HttpHeader &header : this->headers) {
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -48,10 +48,19 @@
     bool isForwarded = false;
 };
 
+// What marks the end of a response body.
+enum class BodyFraming {
+    Length,
+    Chunks,
+    Connection, // neither: the body ends when the server closes the connection
+};
+const char *nameOf(BodyFraming framing);
+
 struct HttpResponse {
     int status = 0;
     std::vector<HttpHeader> headers;
     std::string body;
+    BodyFraming framing = BodyFraming::Length;
 
     // Returns an empty view if there is no such header. Names are case-insensitive.
     std::string_view header(std::string_view name) const;
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -201,6 +201,11 @@
 {
     HttpResponse response;
     response.status = this->status();
+    if (this->parser->chunked()) {
+        response.framing = BodyFraming::Chunks;
+    } else if (this->parser->need_eof()) {
+        response.framing = BodyFraming::Connection;
+    }
     for (const auto &field : this->parser->get()) {
         response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
