Failing tests: answers that were broken off look complete

What callers saw: a generation that had been broken off, with status 200 and the framing of a complete answer. The stand-in of the users' platform now has streams with neither a length nor chunks, and endpoints that reset or stop in the middle of such an answer.

- a stream that ends inside an event, or without any event, is framed as complete; a resumable one isn't resumed;
- an answer through a tunnel whose host is killed is framed as complete: 2 of 6 events, 5 of 13 bytes;
- a broken off stream ends in order at a caller of HTTP/1.0, which gets no chunks.

Pass on: resets of direct connections, plain and streamed, at gateways and at entries of our own hosts. The proxy of the soak had hidden this: it turned resets into ends in order. It passes them on now, which makes every run stricter.

--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -6,19 +6,26 @@
         booking.behave = "cut"                      # the next answers break off in the middle
 
 It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, other_id, encoded, extra,
-unframed. Of a decode engine also half: it breaks off within its third event; and lost: it runs and answers nothing.
+unframed (no length, ends with its connection), unframed_reset (resets the connection in the middle), unframed_stall (stops in
+the middle). Of a decode engine also half: it breaks off within its third event; half_reset: it resets its connection there;
+stall: it stops before its third event; empty: no event at all; and lost: it runs and answers nothing. With `is_framed` off,
+its streams have neither a length nor chunks and end with their connection.
 """
 
 import base64
 import contextlib
 import http.server
 import json
+import os
+import socket
+import struct
 import sys
 import threading
 import time
 import urllib.parse
 
 EVENTS = 6
+STALL_SECONDS = 3
 
 
 def route(prefix, kind, service, **other):
@@ -114,6 +121,13 @@
         self.wfile.write(data)
 
 
+def reset(request):
+    """Resets the connection, also where the other side has bytes left to read."""
+    request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    os.close(request.connection.detach())
+    request.close_connection = True
+
+
 class QuietServer(http.server.ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 256
@@ -180,6 +194,7 @@
         self.stage = stage
         self.behave = "ok"
         self.limit = None  # the requests a second that its answers name
+        self.is_framed = True
         self.seen, self.asked, self.released = [], [], []
         self.reservations = 0
         self.on_half = lambda: None  # called when it broke off
@@ -231,13 +246,20 @@
         elif self.behave == "unframed":
             request.reply(200, text, headers, length="none")
             request.close_connection = True
+        elif self.behave in ("unframed_reset", "unframed_stall"):
+            request.reply(200, text[:5], headers, length="none")
+            time.sleep(STALL_SECONDS if self.behave == "unframed_stall" else 0.02)
+            reset(request)
         else:
             request.reply(200, text, headers)
             if self.behave == "extra":
                 request.reply(200, b"bytes of nobody", headers)
 
     def generate(self, request, body):
-        headers = {**self.note(request, body), "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        headers = {**self.note(request, body), "Content-Type": "text/event-stream"}
+        is_framed = self.is_framed
+        if is_framed:
+            headers["Transfer-Encoding"] = "chunked"
         if self.behave == "lost":
             request.close_connection = True
             self.on_half()
@@ -249,16 +271,28 @@
         request.end_headers()
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
-            if self.behave == "half" and number == 3:
+            behave = self.behave
+            if behave == "empty":
+                break
+            if behave == "stall" and number == 3:
+                self.on_half()
+                time.sleep(STALL_SECONDS)
+            breaks_off = behave in ("half", "half_reset") and number == 3
+            if breaks_off:
                 event = event[:7]
-            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event) if is_framed else event)
             request.wfile.flush()
-            if self.behave == "half" and number == 3:
+            if breaks_off:
+                if behave == "half_reset":
+                    time.sleep(0.02)
+                    reset(request)
                 request.close_connection = True
                 self.on_half()
                 return
             time.sleep(0.02)
-        request.wfile.write(b"0\r\n\r\n")
+        if is_framed:
+            request.wfile.write(b"0\r\n\r\n")
+        request.close_connection = not is_framed
 
 
 class UserPlatform:
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -27,6 +27,7 @@
         self.mode = "pass"
         self.bytes_per_second = None
         self.pairs = []
+        self.lost = set()  # connections that are being reset
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -55,11 +56,12 @@
         back.join()
         caller.close()
         callee.close()
+        self.lost -= {caller, callee}
         with contextlib.suppress(ValueError):  # a reset took it out
             self.pairs.remove((caller, callee))
 
     def pump(self, source, sink, is_back):
-        with contextlib.suppress(OSError):
+        try:
             while data := source.recv(self.piece_size()):
                 if self.mode == "silent" or (is_back and self.mode == "one_way"):
                     continue  # lost on the way
@@ -68,6 +70,12 @@
                 sink.sendall(data)
                 if self.bytes_per_second:
                     time.sleep(len(data) / self.bytes_per_second)
+        except OSError:
+            self.lost |= {source, sink}
+        if source in self.lost:  # an end in order would make a part of an answer look complete
+            reset(source)
+            reset(sink)
+            return
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
 
@@ -77,6 +85,7 @@
     def reset(self):
         pairs, self.pairs = self.pairs, []
         for pair in pairs:
+            self.lost |= set(pair)
             for end in pair:
                 reset(end)
 
@@ -88,5 +97,5 @@
 def reset(connection):
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        connection.shutdown(socket.SHUT_RDWR)
+        connection.shutdown(socket.SHUT_RD)  # wakes a thread that reads, and sends nothing
     connection.close()
--- a/wire/testing/httpserver_test.cpp
+++ b/wire/testing/httpserver_test.cpp
@@ -2,7 +2,9 @@
 
 #include "wire/testing/servedthread.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <future>
 #include <gtest/gtest.h>
 
@@ -154,6 +156,40 @@
     EXPECT_LT(written.get_future().get(), maxPiecesInKernelBuffers);
 }
 
+// How a connection without keep-alive ended for its caller after it sent this request: eof or a reset.
+boost::system::error_code endOf(const ServedThread &served, std::string_view request)
+{
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::address_v4::loopback(), served.port()});
+    asio::write(socket, asio::buffer(request));
+    std::array<char, 512> bytes{};
+    boost::system::error_code error;
+    while (!error) {
+        socket.read_some(asio::buffer(bytes), error);
+    }
+    return error;
+}
+
+// Guards against a broken off stream that looks complete to a caller of HTTP/1.0, which gets no chunks.
+TEST(HttpServer, ResetsAnUnfinishedStreamWithoutChunks)
+{
+    const ServedThread served(smallLimits(), [](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+        reply.startStream(200, yield);
+        reply.write("data: a\n\n", yield);
+        if (call.target == "/whole") {
+            reply.finish(yield);
+        } else if (call.target == "/abort") {
+            reply.abort();
+        } else {
+            throw std::runtime_error("fault of the handler");
+        }
+    });
+    EXPECT_EQ(endOf(served, "GET /whole HTTP/1.0\r\n\r\n"), asio::error::eof);
+    EXPECT_EQ(endOf(served, "GET /abort HTTP/1.0\r\n\r\n"), asio::error::connection_reset);
+    EXPECT_EQ(endOf(served, "GET /throw HTTP/1.0\r\n\r\n"), asio::error::connection_reset);
+}
+
 TEST(HttpServer, RefusesConnectionsOverItsLimit)
 {
     HttpServer::Options options = smallLimits();
