A stream that ends inside an event, or unframed without one, is not complete

Cause: the relay took the end of the engine's body for the end of the stream. A body without a length or chunks ends with its connection, and the connections of a process that crashes are closed in order, so a crash looked like an end. The relay then passed on the unfinished event and ended its own answer with the last chunk; a route that may resume did not go on either.

Chunked streams and connections that are reset were not affected.

The relay now asks for an end of the events too: a stream that ends inside an event, whatever its framing, and an unframed answer without any event count as broken off. The route decides as ever whether another engine goes on; otherwise the caller's connection closes before the last chunk. An event may now also end in LF CRLF, which had been waited for in vain.

What remains: an unframed stream that a crash ends between two events looks complete; nothing on the wire tells it.

--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -5,6 +5,10 @@
 // A generation must not run twice, so it is retried only if the engine reported that it did not run it, if nothing was
 // sent, or if the route allows another engine to resume after the last complete event. Unused reservations and prefill
 // results are released at once, because other callers wait for that memory.
+//
+// The end of a body is not yet the end of its stream: an engine that crashes closes its connections in order, and a
+// body without a length or chunks ends with its connection. So a stream is complete only if it also ends after an
+// event.
 
 #include "programs/gateway/generationforward.h"
 
@@ -258,6 +262,7 @@
 
 GenerationForward::Outcome GenerationForward::relay(LineStream &stream, const asio::yield_context &yield)
 {
+    const std::int64_t eventsBefore = this->eventsProduced;
     std::string bytes;
     while (stream.readSome(bytes, this->call.timeLeft(), yield)) {
         const std::string whole = this->events.take(bytes);
@@ -272,11 +277,27 @@
             return Outcome::Broken;
         }
     }
+    if (!this->hasEnded(this->eventsProduced > eventsBefore)) {
+        return Outcome::Broken;
+    }
     this->call.reply.write(this->events.rest(), yield);
     this->call.reply.finish(yield);
     return Outcome::Whole;
 }
 
+bool GenerationForward::hasEnded(bool hasEvents)
+{
+    if (this->events.isInsideEvent()) {
+        this->lastFault = this->engine.value() + " ended its answer inside an event";
+        return false;
+    }
+    if (this->framing == BodyFraming::Connection && !hasEvents) {
+        this->lastFault = this->engine.value() + " closed the connection without an event";
+        return false;
+    }
+    return true;
+}
+
 GenerationForward::Outcome GenerationForward::generate(const Place &place, const std::optional<Prefill> &prefilled,
                                                        const asio::yield_context &yield)
 {
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -47,6 +47,8 @@
     std::optional<Prefill> prefillAt(const EndpointRecord &engine, const asio::yield_context &yield);
     Outcome generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
     Outcome relay(LineStream &events, const asio::yield_context &yield);
+    // Whether a body that has ended by its framing is a whole stream. Otherwise sets the last fault.
+    bool hasEnded(bool hasEvents);
     Outcome forwardError(LineStream &answer, const AnswerHead &head, const asio::yield_context &yield);
     void reportLostResult(const Place &place);
     void release(const Place &place, const std::optional<Prefill> &prefill);
--- a/promise/eventrelay.cpp
+++ b/promise/eventrelay.cpp
@@ -3,20 +3,25 @@
 
 #include "promise/eventrelay.h"
 
+#include <array>
+
 namespace fescuesill
 {
 namespace
 {
 
+// A blank line after the end of another one, in each mixture of line ends with a line feed.
+constexpr std::array<std::string_view, 2> blankLines = {"\n\n", "\n\r\n"};
+
 // The position after the last blank line; npos where there is none.
 std::size_t endOfLastEvent(std::string_view text)
 {
     std::size_t end = std::string_view::npos;
-    if (const auto plain = text.rfind("\n\n"); plain != std::string_view::npos) {
-        end = plain + 2;
-    }
-    if (const auto withReturns = text.rfind("\r\n\r\n"); withReturns != std::string_view::npos) {
-        end = end == std::string_view::npos ? withReturns + 4 : std::max(end, withReturns + 4);
+    for (const std::string_view blank : blankLines) {
+        const std::size_t found = text.rfind(blank);
+        if (found != std::string_view::npos) {
+            end = end == std::string_view::npos ? found + blank.size() : std::max(end, found + blank.size());
+        }
     }
     return end;
 }
@@ -49,6 +54,21 @@
     }
 }
 
+bool EventRelay::isInsideEvent() const
+{
+    std::string_view left = this->pending;
+    while (!left.empty()) {
+        const std::size_t end = left.find('\n');
+        const std::string_view line = trimmed(left.substr(0, end));
+        const bool isWhole = end != std::string_view::npos;
+        if (!isWhole || !(line.empty() || line.front() == ':')) {
+            return true;
+        }
+        left.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 std::string EventRelay::take(std::string_view bytes)
 {
     this->eventCount = 0;
--- a/promise/eventrelay.h
+++ b/promise/eventrelay.h
@@ -5,7 +5,8 @@
 //     EventRelay relay;
 //     reply.write(relay.take(bytes));            // the events that are complete so far
 //     relay.lastEvent();                         // "12": where another engine may continue
-//     relay.rest();                              // the bytes of an incomplete event
+//     if (relay.isInsideEvent()) { ... }         // at the end of the body: the stream was broken off
+//     relay.rest();                              // bytes that belong to no event yet
 //
 // An engine may stop in the middle of an event. If the partial event were relayed, the caller would parse it together
 // with the first event of the engine that continues, as one corrupt event.
@@ -34,6 +35,9 @@
     {
         return this->pending;
     }
+    // True if bytes of an event have arrived that has not ended. A stream that ends there was broken off, whatever its
+    // framing says. Complete comment lines after the last event are not an event.
+    bool isInsideEvent() const;
     // The number of events that the last take() returned.
     std::int64_t wholeEvents() const
     {
--- a/promise/testing/eventrelay_test.cpp
+++ b/promise/testing/eventrelay_test.cpp
@@ -36,6 +36,34 @@
     EXPECT_EQ(relay.lastEvent(), "7");
 }
 
+// Guards against a stream that was broken off inside an event and passes for a whole one.
+TEST(EventRelay, KnowsWhetherItEndedInsideAnEvent)
+{
+    struct Case {
+        const char *bytes;
+        bool isInside;
+    };
+    const Case cases[] = {
+        {"", false},
+        {"id: 1\ndata: a\n\n", false},
+        {"id: 1\r\ndata: a\r\n\r\n", false},
+        {"id: 1\ndata: a\r\n\r\n", false},
+        {"data: a\n\n\n", false},
+        {"data: a\n\n: comment\n", false},
+        {"data: a\n\n: comm", true},
+        {"i", true},
+        {"data: a\n\nid: 2", true},
+        {"data: a\n\nid: 2\ndata: b\n", true},
+        {"data: a\r\n\r\ndata: b\r\n\r", true},
+        {": comment\ndata: a", true},
+    };
+    for (const Case &one : cases) {
+        EventRelay relay;
+        relay.take(one.bytes);
+        EXPECT_EQ(relay.isInsideEvent(), one.isInside) << one.bytes;
+    }
+}
+
 // However the bytes are split, the output is the same and the last id is that of the last whole event.
 RC_GTEST_PROP(EventRelay, DoesNotDependOnHowBytesArrive, ())
 {
@@ -58,6 +86,7 @@
     RC_ASSERT(relayed == text);
     RC_ASSERT(events == count);
     RC_ASSERT(relay.lastEvent() == (count == 0 ? "" : std::to_string(count)));
+    RC_ASSERT(relay.isInsideEvent() == (sent != text));
 }
 
 } // namespace
