A tunnel that ends without the endpoint's end is broken off

What callers would see: an answer without a length, carried by another host, framed as complete with the part that came before that host was killed: 2 of 6 events, 5 of 13 bytes.

Cause: a tunnel passed on the end of the endpoint's connection as the end of its own, and the kernel closes the connections of a killed process in order as well. A reset was passed on.

Tunnels now carry the endpoint's bytes in frames, and the end of its connection as a frame of its own. A tunnel that ends without it is an error like a lost connection. Resetting tunnels by default (SO_LINGER) was weighed: it holds only where the kernel of a host that goes still sends the reset, and it is cleared where a socket is destroyed.

TunnelServer.TellsItsOwnEndFromThatOfTheEndpoint lists where such an end may fall.

--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::size_t readSize = 4096; // bytes in one read; holds a burst of some 80 decode lines
 constexpr std::size_t scratchSize = 16384;
+constexpr int statusOk = 200;
 constexpr std::uint32_t headerLimit = 16 << 10; // bytes; headers of this server and common ones take under 1 KB
 
 // The other host ends a tunnel this long after the deadline of its call, which has closed it by then.
@@ -84,8 +85,9 @@
                                               const asio::yield_context &yield)
 {
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(callDeadline - std::chrono::steady_clock::now());
-    const std::string request = fmt::format("CONNECT {0} HTTP/1.1\r\nHost: {0}\r\nTunnel-Lifetime-Ms: {1}\r\n\r\n",
-                                            this->address, std::max<std::int64_t>(1, (left + tunnelMargin).count()));
+    const std::string request =
+        fmt::format("CONNECT {0} HTTP/1.1\r\nHost: {0}\r\n{1}: {2}\r\nTunnel-Lifetime-Ms: {3}\r\n\r\n", this->address,
+                    tunnelFramingHeader, tunnelFraming, std::max<std::int64_t>(1, (left + tunnelMargin).count()));
     boost::system::error_code error;
     this->stream.expires_at(deadline);
     asio::async_write(this->stream, asio::buffer(request), yield[error]);
@@ -94,12 +96,15 @@
     if (!error) {
         http::async_read_header(this->stream, this->buffer, reply, yield[error]);
     }
-    if (error) {
+    const int status = error ? 0 : static_cast<int>(reply.get().result_int());
+    const bool isFramed = reply.get()[tunnelFramingHeader] == tunnelFraming;
+    // The endpoint sends nothing before a request, so bytes after the reply are not part of this protocol.
+    if (error || (status == statusOk && (!isFramed || this->buffer.size() > 0))) {
         return std::nullopt;
     }
     this->isTunnelled = true;
     this->address = fmt::format("{} through {}", this->address, host);
-    return static_cast<int>(reply.get().result_int());
+    return status;
 }
 
 void HttpConnection::send(const std::string &request, bool isHead, SteadyTime deadline,
@@ -127,19 +132,39 @@
 {
     boost::system::error_code error;
     this->stream.expires_at(deadline);
-    const std::size_t count = this->stream.async_read_some(this->buffer.prepare(readSize), yield[error]);
-    this->buffer.commit(count);
+    const auto space = this->buffer.prepare(readSize);
+    const std::size_t count = this->stream.async_read_some(space, yield[error]);
+    if (this->isTunnelled) {
+        this->unframe({static_cast<const char *>(space.data()), count});
+    } else {
+        this->buffer.commit(count);
+    }
     this->received += count;
-    if (error == asio::error::eof) {
+    if (error == asio::error::eof && !this->isTunnelled) {
         this->atEnd = true;
         return;
     }
+    if (error && this->atEnd) {
+        return; // of no matter after the last frame
+    }
     if (error) {
         throw HttpError(faultOf(error), false,
                         fmt::format("read {}: {} after {} bytes", this->address, error.message(), this->received));
     }
 }
 
+// Adds what these frames of a tunnel carry to the buffer.
+void HttpConnection::unframe(std::string_view received)
+{
+    std::string payload;
+    if (!this->frames.take(received, payload)) {
+        throw HttpError(HttpFault::Malformed, false, fmt::format("{}: not a frame of a tunnel", this->address));
+    }
+    asio::buffer_copy(this->buffer.prepare(payload.size()), asio::buffer(payload));
+    this->buffer.commit(payload.size());
+    this->atEnd = this->frames.hasEnded();
+}
+
 void HttpConnection::parse(std::string &out)
 {
     boost::system::error_code error;
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -3,6 +3,7 @@
 // One connection to a server, and the pool that it belongs to. Internal to HttpClient.
 
 #include "wire/httpclient.h"
+#include "wire/tunnelframes.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -119,10 +120,12 @@
 
 private:
     void fill(SteadyTime deadline, const asio::yield_context &yield);
+    void unframe(std::string_view received);
     void parse(std::string &out);
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    TunnelFrames frames;
     std::optional<http::response_parser<http::buffer_body>> parser;
     bool atEnd = false;
     CallAbort *abort = nullptr;
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -149,6 +149,54 @@
     });
 }
 
+// Guards against the part of an unframed body before a reset that passes for the whole body.
+TEST(HttpClient, KnowsWhetherABodyIsComplete)
+{
+    struct Case {
+        const char *head;
+        bool isReset; // after the body; otherwise the connection is closed in order
+        std::optional<BodyFraming> framing; // none: not complete
+    };
+    const Case cases[] = {
+        {"Content-Length: 4\r\n\r\nbody", false, BodyFraming::Length},
+        {"Content-Length: 4\r\n\r\nbody", true, BodyFraming::Length},
+        {"Content-Length: 5\r\n\r\nbody", false, std::nullopt},
+        {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false, BodyFraming::Chunks},
+        {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false, std::nullopt},
+        {"\r\nbody", false, BodyFraming::Connection},
+        {"\r\nbody", true, std::nullopt},
+    };
+    for (const Case &one : cases) {
+        runCoroutine([&one](asio::io_context &io, const asio::yield_context &yield) {
+            asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+            asio::spawn(io, [&](const asio::yield_context &inner) {
+                asio::ip::tcp::socket socket(io);
+                acceptor.async_accept(socket, inner);
+                std::array<char, 1024> request{};
+                socket.async_read_some(asio::buffer(request), inner);
+                asio::async_write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n") + one.head), inner);
+                if (one.isReset) {
+                    asio::steady_timer pause(io, std::chrono::milliseconds(20));
+                    pause.async_wait(inner);
+                    socket.set_option(asio::socket_base::linger(true, 0));
+                }
+                socket.close(); // the destructor would clear the option
+            });
+            HttpClient client(io, {});
+            std::optional<BodyFraming> framing;
+            try {
+                const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+                const HttpResponse response = client.call(address, {}, {}, yield);
+                framing = response.framing;
+                EXPECT_EQ(response.body, "body") << one.head;
+            } catch (const HttpError &error) {
+                EXPECT_EQ(error.fault(), HttpFault::Closed) << one.head;
+            }
+            EXPECT_EQ(framing, one.framing) << one.head;
+        });
+    }
+}
+
 TEST(HttpClient, ReadsLinesHoweverTheyAreSplit)
 {
     const ServedThread served({}, [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/clock.h"
 #include "wire/testing/servedthread.h"
+#include "wire/tunnelframes.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -187,7 +188,8 @@
         World world(io, Ending::Waits);
         tcp::socket host(io);
         host.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), world.server->port()), yield);
-        const std::string request = "CONNECT " + world.endpoint + " HTTP/1.1\r\nTunnel-Lifetime-Ms: 100\r\n\r\n";
+        const std::string request =
+            "CONNECT " + world.endpoint + " HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: 100\r\n\r\n";
         asio::async_write(host, asio::buffer(request), yield);
         world.wait(50ms, yield);
         asio::async_write(host, asio::buffer("x", 1), yield);
@@ -229,15 +231,74 @@
     }
 }
 
+// A host that answers a request for a tunnel with these bytes, and closes its connection in order.
+std::string hostThatSends(asio::io_context &io, tcp::acceptor &acceptor, std::string bytes)
+{
+    startCoroutine(io, [&io, &acceptor, bytes = std::move(bytes)](const asio::yield_context &yield) {
+        boost::system::error_code error;
+        tcp::socket socket(io);
+        std::array<char, 1024> request{};
+        acceptor.async_accept(socket, yield[error]);
+        socket.async_read_some(asio::buffer(request), yield[error]);
+        asio::async_write(socket, asio::buffer(std::string_view(bytes).substr(0, bytes.find("\r\n\r\n") + 4)),
+                          yield[error]);
+        socket.async_read_some(asio::buffer(request), yield[error]);
+        asio::async_write(socket, asio::buffer(std::string_view(bytes).substr(bytes.find("\r\n\r\n") + 4)),
+                          yield[error]);
+    });
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+// Guards against the end of a host that carries a tunnel being taken for the end of a body without a length.
+TEST(TunnelServer, TellsItsOwnEndFromThatOfTheEndpoint)
+{
+    const std::string opened = "HTTP/1.1 200 OK\r\nTunnel-Framing: length\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\n\r\nwhole";
+    const std::string framed = tunnelFrameHead(answer.size()) + answer;
+    struct Case {
+        const char *name;
+        std::string sent;
+        std::optional<HttpFault> fault;
+    };
+    const Case cases[] = {
+        {"the endpoint closed", opened + framed + tunnelEnd(), std::nullopt},
+        {"the host ended between frames", opened + framed, HttpFault::Closed},
+        {"the host ended within a frame", opened + framed.substr(0, framed.size() - 2), HttpFault::Closed},
+        {"the host ended within the head of a frame", opened + framed + tunnelEnd().substr(1), HttpFault::Closed},
+        {"no frames", opened + answer, HttpFault::Malformed},
+        {"a host without frames", "HTTP/1.1 200 OK\r\n\r\n" + answer, HttpFault::NoPath},
+    };
+    for (const Case &one : cases) {
+        runCoroutine([&one](asio::io_context &io, const asio::yield_context &yield) {
+            World world(io, Ending::Closes);
+            tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+            world.clientPaths.setTunnelHosts({hostThatSends(io, acceptor, one.sent)});
+            std::string body;
+            std::optional<HttpFault> fault;
+            try {
+                body = world.call(yield).body;
+            } catch (const HttpError &error) {
+                fault = error.fault();
+            }
+            EXPECT_EQ(fault, one.fault) << one.name;
+            EXPECT_EQ(body, one.fault ? "" : "whole") << one.name;
+            world.end();
+        });
+    }
+}
+
 TEST(TunnelServer, RefusesWhatIsNotARequestForATunnel)
 {
     const char *requests[] = {
         "GET / HTTP/1.1\r\n\r\n",
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\n\r\n", // no lifetime
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Lifetime-Ms: -1\r\n\r\n",
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Lifetime-Ms: 1x\r\n\r\n",
-        "CONNECT host.example:7 HTTP/1.1\r\nTunnel-Lifetime-Ms: 100\r\n\r\n",
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Lifetime-Ms: 100\r\n\r\nbytes that came too soon",
+        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: length\r\n\r\n", // no lifetime
+        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Lifetime-Ms: 100\r\n\r\n", // no framing
+        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: none\r\nTunnel-Lifetime-Ms: 100\r\n\r\n",
+        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: -1\r\n\r\n",
+        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: 1x\r\n\r\n",
+        "CONNECT host.example:7 HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: 100\r\n\r\n",
+        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: 100\r\n\r\nbytes that came too "
+        "soon",
     };
     for (const char *request : requests) {
         runCoroutine([request](asio::io_context &io, const asio::yield_context &yield) {
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -1,6 +1,7 @@
 // A tunnel must end at the other host as the connection ended at the endpoint: a body may have no length and end with
-// its connection, and it is complete only if the endpoint closed the connection in order. So the end of the endpoint's
-// bytes is passed on as such, and everything else resets both connections.
+// its connection, and it is complete only if the endpoint closed the connection in order. So the endpoint's bytes are
+// sent in frames, the end of its connection as a frame of its own, and everything else resets both connections. If this
+// process is killed, its connections are closed in order, but without that frame.
 //
 // A host that died, or whose link here is cut, never closes its connection. The lifetime that it stated, the deadline
 // of its call, bounds how long the endpoint works for it in vain.
@@ -11,6 +12,7 @@
 #include "wire/clock.h"
 #include "wire/connectionreport.h"
 #include "wire/log.h"
+#include "wire/tunnelframes.h"
 
 #include <algorithm>
 #include <array>
@@ -98,7 +100,8 @@
     void answer(int status, std::string_view reason, const asio::yield_context &yield);
     bool connect(const Request &request, const asio::yield_context &yield);
     void startTunnel(Duration lifetime);
-    void relay(tcp::socket &from, tcp::socket &to, std::size_t &bytes, const asio::yield_context &yield);
+    void relayFromHost(const asio::yield_context &yield);
+    void relayFromEndpoint(const asio::yield_context &yield);
     void end(const char *reason, bool resets);
 
     std::shared_ptr<State> server;
@@ -129,7 +132,9 @@
     const auto lifetime = readMillis({head["Tunnel-Lifetime-Ms"].data(), head["Tunnel-Lifetime-Ms"].size()});
     Request request{std::string(head.target()), Duration(0)};
     // The other host waits for the answer, so anything after the request is not part of this protocol.
-    if (head.method() != http::verb::connect || !lifetime || !Address::parse(request.address) || buffer.size() > 0) {
+    const bool isFramed = head[tunnelFramingHeader] == tunnelFraming;
+    if (head.method() != http::verb::connect || !isFramed || !lifetime || !Address::parse(request.address)
+        || buffer.size() > 0) {
         this->answer(400, "Bad Request", yield);
         return std::nullopt;
     }
@@ -139,7 +144,8 @@
 
 void TunnelServer::Connection::answer(int status, std::string_view reason, const asio::yield_context &yield)
 {
-    const std::string text = fmt::format("HTTP/1.1 {} {}\r\n\r\n", status, reason);
+    const std::string text =
+        fmt::format("HTTP/1.1 {} {}\r\n{}: {}\r\n\r\n", status, reason, tunnelFramingHeader, tunnelFraming);
     boost::system::error_code error;
     this->host.expires_after(this->server->options.requestLimit);
     asio::async_write(this->host, asio::buffer(text), yield[error]);
@@ -188,32 +194,51 @@
                {"took_ms", (steadyNow() - this->begin).count() / 1000}});
 }
 
-void TunnelServer::Connection::relay(tcp::socket &from, tcp::socket &to, std::size_t &bytes,
-                                     const asio::yield_context &yield)
+void TunnelServer::Connection::relayFromHost(const asio::yield_context &yield)
 {
-    const bool isFromHost = &from == &this->host.socket();
     std::array<char, readSize> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): written before it is read
     boost::system::error_code error;
     while (!this->hasEnded) {
-        const std::size_t count = from.async_read_some(asio::buffer(buffer), yield[error]);
-        if (error == asio::error::eof && isFromHost) {
+        const std::size_t count = this->host.socket().async_read_some(asio::buffer(buffer), yield[error]);
+        if (error == asio::error::eof) {
             this->end("host closed", false); // the call was aborted or is complete
             return;
         }
-        if (error == asio::error::eof) {
-            to.shutdown(tcp::socket::shutdown_send, error);
-            return; // the other host closes its connection then
+        if (error) {
+            this->end("host lost", true);
+            return;
         }
+        asio::async_write(this->endpoint.socket(), asio::buffer(buffer.data(), count), yield[error]);
         if (error) {
-            this->end(isFromHost ? "host lost" : "endpoint lost", true);
+            this->end("endpoint lost", true);
             return;
         }
-        asio::async_write(to, asio::buffer(buffer.data(), count), yield[error]);
+        this->sent += count;
+    }
+}
+
+void TunnelServer::Connection::relayFromEndpoint(const asio::yield_context &yield)
+{
+    std::array<char, readSize> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): written before it is read
+    boost::system::error_code error;
+    while (!this->hasEnded) {
+        const std::size_t count = this->endpoint.socket().async_read_some(asio::buffer(buffer), yield[error]);
+        const bool isEnd = error == asio::error::eof;
+        if (error && !isEnd) {
+            this->end("endpoint lost", true);
+            return;
+        }
+        const std::string head = isEnd ? tunnelEnd() : tunnelFrameHead(count);
+        const std::array<asio::const_buffer, 2> frame = {asio::buffer(head), asio::buffer(buffer.data(), count)};
+        asio::async_write(this->host.socket(), frame, yield[error]);
         if (error) {
-            this->end(isFromHost ? "endpoint lost" : "host lost", true);
+            this->end("host lost", true);
             return;
         }
-        bytes += count;
+        if (isEnd) {
+            return; // the other host closes its connection then
+        }
+        this->received += count;
     }
 }
 
@@ -228,9 +253,7 @@
             self->end("lifetime over", true);
         }
     });
-    startCoroutine(this->server->io, [self](const asio::yield_context &yield) {
-        self->relay(self->endpoint.socket(), self->host.socket(), self->received, yield);
-    });
+    startCoroutine(this->server->io, [self](const asio::yield_context &yield) { self->relayFromEndpoint(yield); });
 }
 
 void TunnelServer::Connection::serve(const asio::yield_context &yield)
@@ -258,7 +281,7 @@
     }
     this->answer(200, "OK", yield);
     this->startTunnel(request->lifetime);
-    this->relay(this->host.socket(), this->endpoint.socket(), this->sent, yield);
+    this->relayFromHost(yield);
 }
 
 void TunnelServer::State::accept()
