An unfinished stream to a caller of HTTP/1.0 ends with a reset

What callers would see: a stream that was broken off ends in order at a caller that gets no chunks, so it looks complete.

Cause: the connection was closed the same way after a whole and a broken off body. A body without chunks now resets the connection however it ends before finish(): an abort, a stalled caller, a fault of the handler, the end of the process.

--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -126,6 +126,8 @@
 {
     if (this->connection.isChunked) {
         this->connection.send("0\r\n\r\n", yield);
+    } else {
+        this->connection.endUnframedBody();
     }
 }
 
@@ -152,6 +154,7 @@
         text += "Transfer-Encoding: chunked\r\n";
     } else {
         this->connection.keepAlive = false;
+        this->connection.startUnframedBody();
     }
     text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
     this->connection.started = true;
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -70,7 +70,8 @@
                  const asio::yield_context &yield);
     // Starts forwarding a response whose body follows through write() and ends with finish().
     void startForward(int status, const std::vector<HttpHeader> &headers, const asio::yield_context &yield);
-    // Closes the connection before the end of the response, so that the caller can see that it is incomplete.
+    // Ends the connection before the end of the response, so that the caller can see that it is incomplete: closes it,
+    // or resets it if the response has no chunks.
     void abort();
 
     // Sets a callback that is called once, on the same thread, when the caller closes its connection. Closing only the
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -194,11 +194,27 @@
     } catch (const CallerGone &) {
         // The caller disconnected while its request was being refused; nothing is reserved for it.
     }
-    boost::system::error_code ignored;
-    this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    if (!this->isInUnframedBody) { // a shutdown would end the connection in order
+        boost::system::error_code ignored;
+        this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
     this->close();
 }
 
+void ServerConnection::startUnframedBody()
+{
+    boost::system::error_code ignored;
+    this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    this->isInUnframedBody = true;
+}
+
+void ServerConnection::endUnframedBody()
+{
+    boost::system::error_code ignored;
+    this->stream.socket().set_option(asio::socket_base::linger(false, 0), ignored);
+    this->isInUnframedBody = false;
+}
+
 void ServerConnection::send(std::string_view data, const asio::yield_context &yield)
 {
     boost::system::error_code error;
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -69,6 +69,10 @@
         boost::system::error_code ignored;
         this->stream.socket().close(ignored);
     }
+    // Around a body without chunks, which ends with the connection: until it has ended, closing the connection, also by
+    // the end of this process, resets it.
+    void startUnframedBody();
+    void endUnframedBody();
     RequestId newRequestId() const
     {
         return this->server->options.newRequestId ? this->server->options.newRequestId() : RequestId();
@@ -95,6 +99,7 @@
     beast::flat_buffer buffer;
     std::function<void()> callerGoneCallback;
     bool isWatching = false;
+    bool isInUnframedBody = false;
     bool isTimedOut = false; // the time limit on a header or body was exceeded
 };
 
