--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -8,7 +8,7 @@
 It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, other_id, encoded, extra,
 unframed (no length, ends with its connection), unframed_reset (resets the connection in the middle), unframed_stall (stops in
 the middle). Of a decode engine also half: it breaks off within its third event; half_reset: it resets its connection there;
-stall: it stops before its third event; empty: no event at all; and lost: it runs and answers nothing. With `is_framed` off,
+stall: it stops before its third event; empty: it closes the connection before an event; and lost: it runs and answers nothing. With `is_framed` off,
 its streams have neither a length nor chunks and end with their connection.
 """
 
@@ -272,8 +272,9 @@
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
             behave = self.behave
-            if behave == "empty":
-                break
+            if behave == "empty" and number == first:
+                request.close_connection = True
+                return
             if behave == "stall" and number == 3:
                 self.on_half()
                 time.sleep(STALL_SECONDS)
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -27,7 +27,7 @@
         self.mode = "pass"
         self.bytes_per_second = None
         self.pairs = []
-        self.lost = set()  # connections that are being reset
+        self.lost = set()  # connections that end with a reset
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -64,7 +64,8 @@
         try:
             while data := source.recv(self.piece_size()):
                 if self.mode == "silent" or (is_back and self.mode == "one_way"):
-                    continue  # lost on the way
+                    self.lost |= {source, sink}  # TCP never delivers an end after bytes that were lost
+                    continue
                 if self.mode == "delay":
                     time.sleep(DELAY_SECONDS)
                 sink.sendall(data)
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -6,7 +6,7 @@
 
 Processes are stopped, frozen, killed and started again by signals; what goes to the store and to plain endpoints goes
 through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; endpoints break
-off, fall silent, refuse, add bytes and state limits; entries lapse and come back, configurations change, the store loses
+off, also within answers that end with their connection, fall silent, refuse, add bytes and state limits; entries lapse and come back, configurations change, the store loses
 answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py), or if not everybody is
 served again after the last fault.
 """
@@ -35,8 +35,9 @@
 
 GRACE_SECONDS = 3
 LONGEST_FAULT_SECONDS = 3.0
-PLAIN_FAULTS = ("cut", "mute", "error", "full", "extra", "other_id", "encoded", "unframed")
-DECODE_FAULTS = ("half", "full")
+PLAIN_FAULTS = ("cut", "mute", "error", "full", "extra", "other_id", "encoded", "unframed", "unframed_reset")
+DECODE_FAULTS = ("half", "half_reset", "empty", "full")
+UNFRAMED_SHARE = 0.5  # of the decode engines: their streams end with their connection
 MOST_ROUTES_MORE = 3000  # a whole configuration of them is some 600 KB
 SLOW_BYTES_PER_SECOND = (150_000, 1_000_000)  # of a host's link to the store
 MOST_LIMIT = 20.0  # calls a second
@@ -58,6 +59,9 @@
             self.platform.register(endpoint)
         self.readers = [self.platform.endpoint("llm", "prefill") for _ in range(2)]
         self.writers = [self.platform.endpoint("llm", "decode") for _ in range(3)]
+        framing_chance = random.Random(f"{seed}-framing")  # of its own, so that seeds keep their other faults
+        for writer in self.writers:
+            writer.is_framed = framing_chance.random() >= UNFRAMED_SHARE
         self.routes = ROUTES
         self.platform.configure(self.routes)
         self.stores = [Proxy(self.platform.address) for _ in range(hosts)]
