Read and log the software version of engines, and what a caller takes up

The row of an engine states the version of its software, and a caller that takes a stream up names the request that brought its first event in Resumes.

No other decision changes.

--- a/include/fescuesill/ids.h
+++ b/include/fescuesill/ids.h
@@ -66,6 +66,8 @@
 // An application server that is not a model engine.
 using EndpointId = Id<struct EndpointTag>;
 using ModelId = Id<struct ModelTag>;
+// The version of an engine's software. A stream continues only at the version that began it.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using ServiceId = Id<struct ServiceTag>;
 // The tenant to which a request is accounted.
 using WorkspaceId = Id<struct WorkspaceTag>;
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -61,6 +61,7 @@
                           {{"endpoint", record.id.value()},
                            {"service", record.service.value()},
                            {"address", record.address},
+                           {"version", record.version.value()},
                            {"leaving", record.isLeaving}});
             },
             [&](const store_update::Removed &removed) {
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -385,6 +385,7 @@
         return Outcome::NoPlacement;
     }
     this->engine = place->engine.id;
+    this->version = place->engine.version;
     this->times.placed = steadyNow() - this->call.arrival;
     std::optional<Prefill> prefilled;
     try {
@@ -451,6 +452,9 @@
                {"config", this->call.version.value()},
                {"outcome", outcome},
                {"engine", this->engine.value()},
+               {"version", this->version.value()},
+               {"resumes", this->call.head.resumes.value()},
+               {"after_event", this->call.head.lastEvent},
                {"sends", this->sends},
                {"self_read", this->isSelfPrefilled},
                {"prompt", request.prompt.value()},
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -75,6 +75,7 @@
     NoRetry noRetry = NoRetry::None; // why the last fault was not retried
     EngineId avoid; // the engine that failed during the last attempt
     EndpointId engine; // the decode engine of the current or last attempt
+    SoftwareVersion version; // of that engine
     std::int64_t eventsProduced = 0; // complete events received so far
     int sends = 0; // requests to decode engines of which at least one byte was sent
     bool mayHaveRun = false; // an attempt failed after it was sent
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -35,6 +35,7 @@
     std::string address; // IP:PORT
     DataCentreId dataCentre;
     EndpointPart part = EndpointPart::Plain;
+    SoftwareVersion version;
     int slots = 1; // concurrent requests
     bool isLeaving = false; // takes no new work
 
