--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -8,6 +8,7 @@
 It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, other_id, encoded, extra,
 unframed (no length, ends with its connection), unframed_reset (resets the connection in the middle), unframed_stall (stops in
 the middle). Of a decode engine also half: it breaks off within its third event; half_reset: it resets its connection there;
+half_first: it breaks off so only streams that it begins;
 stall: it stops before its third event; empty: it closes the connection before an event; and lost: it runs and answers nothing. With `is_framed` off,
 its streams have neither a length nor chunks and end with their connection.
 """
@@ -189,9 +190,10 @@
 class Endpoint(Server):
     """A plain endpoint or an engine; `seen` has what it ran, `asked` all that reached it."""
 
-    def __init__(self, name, stage=None):
+    def __init__(self, name, stage=None, version="v1"):
         self.name = name
         self.stage = stage
+        self.version = version  # of its software
         self.behave = "ok"
         self.limit = None  # the requests a second that its answers name
         self.is_framed = True
@@ -278,7 +280,7 @@
             if behave == "stall" and number == 3:
                 self.on_half()
                 time.sleep(STALL_SECONDS)
-            breaks_off = behave in ("half", "half_reset") and number == 3
+            breaks_off = number == 3 and (behave in ("half", "half_reset") or (behave == "half_first" and first == 1))
             if breaks_off:
                 event = event[:7]
             request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event) if is_framed else event)
@@ -326,8 +328,8 @@
     def lose_answers(self, count):
         self.server.lost_answers = count
 
-    def endpoint(self, service, stage=None):
-        made = Endpoint(f"i-{len(self.endpoints)}", stage)
+    def endpoint(self, service, stage=None, version="v1"):
+        made = Endpoint(f"i-{len(self.endpoints)}", stage, version)
         made.service = service
         self.endpoints.append(made)
         self.services.add((service, stage is not None))
@@ -335,7 +337,8 @@
         return made
 
     def register(self, endpoint, state="ready", **other):
-        row = {"service": endpoint.service, "address": endpoint.address, "zone": "a", "version": "v1", "slots": 6,
+        row = {"service": endpoint.service, "address": endpoint.address, "zone": "a", "version": endpoint.version,
+               "slots": 6,
                "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1, **other}
         if endpoint.stage:
             row["stage"] = endpoint.stage
