A stream goes on only at the software version that began it

Cause: a decision was made again without what the first one had fixed. Hosts did not read the version of engines, and whoever went on with a stream, its host within the answer or its caller at another host, was placed like a new one.

- A resumable stream stays at the version of the first engine that reserves a place for it.
The gate places it at engines of this version only, before the queue, so that it holds up no others, and rejects it at once if no engine of the version is left.
- decide/streamorigins remembers which version began each stream: at the host that began it, at the leader, to which hosts report the reservation anyway, and at the leader's deputy.
Hosts report what they know to each leader that they follow next.
A stream that nobody knows goes on only if no other version has served for longer than a stream lives; otherwise the caller is told at once that it has not run.
- While a service has a single version, no message is sent, but for the version in the report of a reservation.

GenerationGate.* and StreamOrigins.* list the cases; StreamOrigins.NeverFindAnotherVersion compares with an oracle.

Gateways of this and earlier versions drop each other's links: the messages of placements have new fields.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -104,7 +104,11 @@
     this->offered = this->offeredLoad(now) * window + static_cast<double>(this->costOf(request).count());
     this->offeredAt = now;
     this->addNeed(request, now);
-    this->enqueue(request, now >= request.onTimeUntil);
+    if (request.version.isEmpty()) {
+        this->enqueue(request, now >= request.onTimeUntil);
+    } else {
+        this->pinned.push_back(request);
+    }
 }
 
 double GenerationGate::needDecay(Instant now) const
@@ -134,7 +138,8 @@
 {
     const bool isFull = (engine.fullUntil && now < *engine.fullUntil)
         || static_cast<int>(engine.runs.size()) >= engine.spec.slots || engine.spec.engine == request.avoid;
-    if (isFull) {
+    const bool isOtherVersion = !request.version.isEmpty() && engine.spec.version != request.version;
+    if (isFull || isOtherVersion) {
         return std::nullopt;
     }
     std::vector<GrowingRun> runs;
@@ -190,6 +195,21 @@
     return static_cast<double>(need) <= this->share * static_cast<double>(this->memory.value());
 }
 
+bool GenerationGate::tryPlace(const GenerationRequest &request, std::vector<GateAction> &actions, Instant now)
+{
+    const Choice choice = this->isWithinShare(request) ? this->choose(request, now) : Choice();
+    if (choice.engine == nullptr) {
+        return false;
+    }
+    this->place(request, *choice.engine, now);
+    const auto prefillEngine =
+        this->prefill.start({request.id, request.promptName, request.prompt, choice.engine->spec.dataCentre}, now);
+    this->placements.at(request.id).prefill = prefillEngine.value_or(EngineId());
+    actions.push_back(TryReserve{request.id, choice.engine->spec.engine, prefillEngine.value_or(EngineId()),
+                                 choice.forecast, now - request.arrival});
+    return true;
+}
+
 void GenerationGate::placeWaiting(std::vector<GateAction> &actions, Instant now)
 {
     while (this->prefill.mayStart(now)) {
@@ -198,21 +218,53 @@
             return;
         }
         const GenerationRequest request = this->waitingRequests.at(head->request);
-        const Choice choice = this->isWithinShare(request) ? this->choose(request, now) : Choice();
-        if (choice.engine == nullptr) {
+        if (!this->tryPlace(request, actions, now)) {
             return;
         }
         this->queue.pop();
         this->waitingRequests.erase(request.id);
-        this->place(request, *choice.engine, now);
-        const auto prefillEngine =
-            this->prefill.start({request.id, request.promptName, request.prompt, choice.engine->spec.dataCentre}, now);
-        this->placements.at(request.id).prefill = prefillEngine.value_or(EngineId());
-        actions.push_back(TryReserve{request.id, choice.engine->spec.engine, prefillEngine.value_or(EngineId()),
-                                     choice.forecast, now - request.arrival});
     }
 }
 
+bool GenerationGate::hasEngineFor(const GenerationRequest &request) const
+{
+    return std::any_of(this->engines.begin(), this->engines.end(), [&request](const auto &entry) {
+        const DecodeEngine &spec = entry.second.spec;
+        return spec.version == request.version && spec.engine != request.avoid;
+    });
+}
+
+void GenerationGate::placePinned(std::vector<GateAction> &actions, Instant now)
+{
+    std::vector<GenerationRequest> left;
+    for (const GenerationRequest &request : this->pinned) {
+        if (!this->hasEngineFor(request)) {
+            actions.push_back(
+                RejectGeneration{request.id, Duration(0), now - request.arrival, RejectReason::NoVersion});
+        } else if (now >= request.usefulUntil || left.size() >= this->options.maxWaiting) {
+            actions.push_back(RejectGeneration{request.id, Duration(0), now - request.arrival});
+        } else if (!this->prefill.mayStart(now) || !this->tryPlace(request, actions, now)) {
+            left.push_back(request);
+        }
+    }
+    this->pinned = std::move(left);
+}
+
+bool GenerationGate::removeWaiting(const RequestId &id)
+{
+    if (this->queue.remove(id)) {
+        this->waitingRequests.erase(id);
+        return true;
+    }
+    const auto found = std::find_if(this->pinned.begin(), this->pinned.end(),
+                                    [&id](const GenerationRequest &request) { return request.id == id; });
+    if (found == this->pinned.end()) {
+        return false;
+    }
+    this->pinned.erase(found);
+    return true;
+}
+
 void GenerationGate::reject(std::vector<GateAction> &actions, const QueueItem &item, Instant now)
 {
     this->waitingRequests.erase(item.request);
@@ -299,6 +351,7 @@
 {
     std::vector<GateAction> actions;
     this->demoteLate(actions, now);
+    this->placePinned(actions, now);
     this->placeWaiting(actions, now);
     this->demoteExpectedLate(now);
     this->rejectSurplus(actions, now);
@@ -316,13 +369,16 @@
 
 GateView GenerationGate::view(Instant now) const
 {
-    return {this->queue.size(),     this->placements.size(), this->engines.size(),
+    return {this->waiting(),        this->placements.size(), this->engines.size(),
             this->offeredLoad(now), this->admission.rate(),  Duration(static_cast<std::int64_t>(this->perTokenUs))};
 }
 
 std::optional<Instant> GenerationGate::nextWake(Instant now) const
 {
     std::optional<Instant> wake = this->queue.nextExpiry();
+    for (const GenerationRequest &request : this->pinned) {
+        wake = std::min(wake.value_or(request.usefulUntil), request.usefulUntil);
+    }
     if (!wake) {
         return std::nullopt;
     }
@@ -360,9 +416,7 @@
 
 void GenerationGate::adopt(const GenerationRequest &request, const EngineId &id, Instant since)
 {
-    if (this->queue.remove(request.id)) {
-        this->waitingRequests.erase(request.id);
-    }
+    this->removeWaiting(request.id);
     this->take(request.id);
     const auto engine = this->engines.find(id);
     if (engine != this->engines.end()) {
@@ -444,8 +498,7 @@
 void GenerationGate::onEnded(const RequestId &id, bool isEngineFault, Tokens generated, Instant now)
 {
     this->prefill.onDropped(id, now);
-    if (this->queue.remove(id)) {
-        this->waitingRequests.erase(id);
+    if (this->removeWaiting(id)) {
         return;
     }
     const auto placement = this->take(id);
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -34,6 +34,7 @@
     Tokens memory;
     int slots = 1;
     DataCentreId dataCentre;
+    SoftwareVersion version = {};
 };
 
 struct GenerationRequest {
@@ -48,6 +49,11 @@
     DataCentreId dataCentre; // of the gateway that receives the answer
     EngineId avoid = {}; // the engine that just failed the request; empty if none
     std::string promptName = {}; // name of the prompt's own part; empty if none
+    // The only version that may run it, since that one began its stream; empty if any may.
+    SoftwareVersion version = {};
+    // A stream that its caller takes up: its version is to be found by the request that brought its first event.
+    bool isTakenUp = false;
+    RequestId resumes = {}; // that request; empty if the caller did not name it
 
     Tokens need() const
     {
@@ -63,10 +69,16 @@
     Duration waited{0}; // in this queue and earlier ones
 };
 
+enum class RejectReason {
+    NoRoom, // no engine has room in time
+    NoVersion, // the stream's version is unknown, or no engine of it serves
+};
+
 struct RejectGeneration {
     RequestId id;
     Duration retryAfter;
     Duration waited{0};
+    RejectReason reason = RejectReason::NoRoom;
 };
 
 // State behind the decisions of a gate, for the log.
@@ -167,7 +179,7 @@
     std::optional<StageLoad> stageLoad(Instant now) const;
     std::size_t waiting() const
     {
-        return this->queue.size();
+        return this->queue.size() + this->pinned.size();
     }
     std::size_t placed() const
     {
@@ -210,6 +222,10 @@
     void place(const GenerationRequest &request, Engine &engine, Instant now);
     bool isWithinShare(const GenerationRequest &request) const;
     void placeWaiting(std::vector<GateAction> &actions, Instant now);
+    void placePinned(std::vector<GateAction> &actions, Instant now);
+    bool tryPlace(const GenerationRequest &request, std::vector<GateAction> &actions, Instant now);
+    bool hasEngineFor(const GenerationRequest &request) const; // now or later, as far as is known
+    bool removeWaiting(const RequestId &id);
     void demoteLate(std::vector<GateAction> &actions, Instant now);
     void demoteExpectedLate(Instant now);
     void rejectSurplus(std::vector<GateAction> &actions, Instant now);
@@ -228,6 +244,9 @@
     PrefillPool prefill;
     HandoverFaults handoverFaults;
     std::unordered_map<RequestId, GenerationRequest> waitingRequests;
+    // Waiting for an engine of their version, oldest first. They go before the queue, in which one of them would hold
+    // up the others while only engines of other versions have room.
+    std::vector<GenerationRequest> pinned;
     std::unordered_map<RequestId, Placement> placements;
     OutputEstimate estimate;
     double offered = 0; // cost in microseconds of pool time that arrived within the window, decayed
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -286,6 +286,95 @@
 
 // The mix of requests determines the need of the pools: engine time of the prompts, and memory times the duration of
 // the answers.
+std::vector<DecodeEngine> enginesOfVersions(const std::vector<std::string> &versions)
+{
+    std::vector<DecodeEngine> made = engines(static_cast<int>(versions.size()));
+    for (std::size_t number = 0; number < versions.size(); ++number) {
+        made[number].version = SoftwareVersion(versions[number]);
+    }
+    return made;
+}
+
+GenerationRequest makePinned(const std::string &id, const std::string &version)
+{
+    GenerationRequest made = makeRequest(id, start);
+    made.version = SoftwareVersion(version);
+    return made;
+}
+
+// Guards against a stream that goes on at an engine of another version, also if only others have room.
+TEST(GenerationGate, PlacesAStreamAtItsVersionOnly)
+{
+    GenerationGate gate({}, 3);
+    gate.setEngines(enginesOfVersions({"v1", "v2"}), start);
+    gate.submit(makePinned("a", "v2"), start);
+    const auto actions = gate.poll(start);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<TryReserve>(actions[0]).engine, EngineId("d1"));
+    gate.onFull(RequestId("a"), start);
+    gate.submit(makePinned("a", "v2"), start);
+    EXPECT_TRUE(gate.poll(start).empty());
+    EXPECT_EQ(gate.waiting(), 1U);
+    // The others are not held up.
+    gate.submit(makeRequest("b", start), start);
+    const auto others = gate.poll(start);
+    ASSERT_EQ(others.size(), 1U);
+    EXPECT_EQ(std::get<TryReserve>(others[0]).engine, EngineId("d0"));
+    ASSERT_TRUE(gate.nextWake(start));
+    const Instant later = *gate.nextWake(start);
+    const auto retried = gate.poll(later);
+    ASSERT_EQ(retried.size(), 1U);
+    EXPECT_EQ(std::get<TryReserve>(retried[0]).engine, EngineId("d1"));
+}
+
+// Guards against a stream that waits for its deadline although no engine can go on with it.
+TEST(GenerationGate, RejectsAStreamWithoutAnEngineOfItsVersionAtOnce)
+{
+    struct Case {
+        const char *name;
+        std::vector<std::string> versions;
+        EngineId avoid;
+    };
+    const Case cases[] = {
+        {"no engine of it", {"v1", "v3"}, {}},
+        {"only the one that has failed", {"v1", "v2"}, EngineId("d1")},
+        {"no engine", {}, {}},
+    };
+    for (const Case &one : cases) {
+        GenerationGate gate({}, 3);
+        gate.setEngines(enginesOfVersions(one.versions), start);
+        GenerationRequest request = makePinned("a", "v2");
+        request.avoid = one.avoid;
+        gate.submit(request, start);
+        const auto actions = gate.poll(start);
+        ASSERT_EQ(actions.size(), 1U) << one.name;
+        EXPECT_EQ(std::get<RejectGeneration>(actions[0]).reason, RejectReason::NoVersion) << one.name;
+        EXPECT_EQ(gate.waiting(), 0U) << one.name;
+    }
+}
+
+TEST(GenerationGate, RejectsAStreamWhoseCallerGivesUpAndForgetsOneThatHasLeft)
+{
+    GenerationGate gate({}, 3);
+    gate.setEngines(enginesOfVersions({"v1"}), start);
+    gate.submit(makePinned("a", "v1"), start);
+    gate.poll(start);
+    gate.onFault(RequestId("a"), start);
+    gate.submit(makePinned("a", "v1"), start);
+    gate.submit(makePinned("b", "v1"), start);
+    EXPECT_TRUE(gate.poll(start).empty());
+    gate.onEnded(RequestId("b"), false, Tokens(0), start);
+    EXPECT_EQ(gate.waiting(), 1U);
+    gate.setEngines(enginesOfVersions({"v1"}), start);
+    GenerationRequest useless = makePinned("c", "v1");
+    useless.usefulUntil = start;
+    gate.submit(useless, start);
+    const auto actions = gate.poll(start);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<RejectGeneration>(actions[0]).id, RequestId("c"));
+    EXPECT_EQ(std::get<RejectGeneration>(actions[0]).reason, RejectReason::NoRoom);
+}
+
 TEST(GenerationGate, MeasuresTheNeedOfBothPools)
 {
     GenerationGate gate({}, 3);
--- /dev/null
+++ b/decide/testing/streamorigins_test.cpp
@@ -0,0 +1,111 @@
+#include "decide/streamorigins.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+const ServiceId llm("llm");
+const SoftwareVersion v1("v1");
+const SoftwareVersion v2("v2");
+const Instant start = Instant() + 1h;
+
+BegunStream stream(const char *id, const SoftwareVersion &version, Instant since)
+{
+    return {RequestId(id), llm, version, since};
+}
+
+TEST(StreamOrigins, KnowReportedStreams)
+{
+    StreamOrigins origins({});
+    origins.onListed(llm, {v1, v2}, start);
+    origins.onBegun(stream("a", v1, start), start);
+    origins.onBegun(stream("b", v2, start), start);
+    EXPECT_EQ(origins.find(RequestId("a"), llm, start + 1s), v1);
+    EXPECT_EQ(origins.find(RequestId("b"), llm, start + 1s), v2);
+    EXPECT_EQ(origins.find(RequestId("c"), llm, start + 1s), std::nullopt);
+    EXPECT_EQ(origins.find(RequestId("a"), ServiceId("other"), start + 1s), std::nullopt);
+    EXPECT_EQ(origins.begun(start + 1s).size(), 2U);
+}
+
+// Guards against a guess at a version that another one may have been, at its beginning or after it has gone.
+TEST(StreamOrigins, KnowOtherStreamsOnlyOfASingleVersion)
+{
+    const RequestId other("other");
+    StreamOrigins origins({});
+    origins.onListed(llm, {v1}, start);
+    EXPECT_EQ(origins.find(other, llm, start + 45s), std::nullopt); // of a version before this process began
+    EXPECT_EQ(origins.find(other, llm, start + 46s), v1);
+    origins.onListed(llm, {v1, v2}, start + 50s);
+    EXPECT_EQ(origins.find(other, llm, start + 50s), std::nullopt);
+    EXPECT_TRUE(origins.isMixed(llm, start + 50s));
+    origins.onListed(llm, {v2}, start + 60s);
+    EXPECT_EQ(origins.find(other, llm, start + 105s), std::nullopt);
+    EXPECT_EQ(origins.find(other, llm, start + 106s), v2);
+    EXPECT_FALSE(origins.isMixed(llm, start + 106s));
+    EXPECT_EQ(origins.find(other, ServiceId("unlisted"), start + 106s), std::nullopt);
+}
+
+TEST(StreamOrigins, KnowAllVersionsSinceTheFirstStartOfTheFleet)
+{
+    StreamOrigins::Options options;
+    options.isFirstStart = true;
+    StreamOrigins origins(options);
+    origins.onListed(llm, {v1}, start);
+    EXPECT_EQ(origins.find(RequestId("a"), llm, start), v1);
+    origins.onListed(llm, {v1, v2}, start + 1s);
+    EXPECT_EQ(origins.find(RequestId("a"), llm, start + 1s), std::nullopt);
+}
+
+TEST(StreamOrigins, ForgetTheOldest)
+{
+    StreamOrigins::Options options;
+    options.maxStreams = 3;
+    StreamOrigins origins(options);
+    origins.onListed(llm, {v1, v2}, start);
+    for (const char *id : {"a", "b", "c", "d"}) {
+        origins.onBegun(stream(id, v1, start), start);
+    }
+    EXPECT_EQ(origins.find(RequestId("a"), llm, start), std::nullopt);
+    EXPECT_EQ(origins.begun(start).size(), 3U);
+    origins.onBegun(stream("e", v1, start + 31s), start + 31s);
+    EXPECT_EQ(origins.find(RequestId("d"), llm, start + 31s), std::nullopt);
+    EXPECT_EQ(origins.begun(start + 31s).size(), 1U);
+}
+
+// Against an oracle that keeps every event: a version that is found is the one that began the stream.
+RC_GTEST_PROP(StreamOrigins, NeverFindAnotherVersion, ())
+{
+    StreamOrigins origins({});
+    std::map<std::string, std::pair<SoftwareVersion, Instant>> truth;
+    std::set<SoftwareVersion> listed = {v1};
+    Instant now = start;
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 12000));
+        if (*rc::gen::inRange(0, 4) == 0) {
+            const std::vector<std::set<SoftwareVersion>> lists = {{v1}, {v2}, {v1, v2}, {}};
+            listed = *rc::gen::elementOf(lists);
+        }
+        origins.onListed(llm, listed, now);
+        const SoftwareVersion version = listed.empty() ? v1 : *rc::gen::elementOf(listed);
+        if (!listed.empty()) {
+            const std::string id = std::to_string(step);
+            truth[id] = {version, now};
+            if (*rc::gen::arbitrary<bool>()) { // the others began at hosts that have not reported them
+                origins.onBegun({RequestId(id), llm, version, now}, now);
+            }
+        }
+        for (const auto &[id, origin] : truth) {
+            const auto found = origins.find(RequestId(id), llm, now);
+            const bool lives = now - origin.second <= StreamOrigins::Options{}.keep;
+            RC_ASSERT(!lives || !found || *found == origin.first);
+        }
+    }
+}
+
+} // namespace
+} // namespace fescuesill
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -118,8 +118,8 @@
     std::vector<DecodeEngine> places;
     for (const EndpointRecord *record : this->registry.usable(service)) {
         if (record->part == EndpointPart::Decode && !this->isChanging(*record)) {
-            places.push_back(
-                {EngineId(record->id.value()), record->incarnation, traits.memory, record->slots, record->dataCentre});
+            places.push_back({EngineId(record->id.value()), record->incarnation, traits.memory, record->slots,
+                              record->dataCentre, record->version});
         }
     }
     return places;
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -55,6 +55,10 @@
     // The current record of the endpoint; empty if it accepts no new work.
     std::optional<EndpointRecord> usable(const EndpointId &id) const;
 
+    std::set<SoftwareVersion> versions(const ServiceId &service) const
+    {
+        return this->registry.versions(service);
+    }
     // Whether an endpoint of any service has this address.
     bool isEndpoint(const std::string &address) const
     {
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -48,7 +48,7 @@
         , seed(std::random_device()())
         , fleet(given.dataCentre, {given.retryShare, given.retriesSaved, given.retriesSaved}, given.contactLimit,
                 this->seed)
-        , gates(this->io, this->fleet, this->seed + 2)
+        , gates(this->io, this->fleet, given.isFirstStart, this->seed + 2)
         , permits(this->io, this->fleet.limits())
         , paths(EndpointPaths::Options{}, this->seed + 3)
         , client(this->io, clientOptions(given, this->paths))
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -77,6 +77,9 @@
     request.dataCentre = this->call.services.settings.dataCentre;
     request.avoid = this->avoid;
     request.promptName = size.uniquePart;
+    request.version = this->streamVersion;
+    request.isTakenUp = !this->call.head.lastEvent.empty();
+    request.resumes = this->call.head.resumes;
     return request;
 }
 
@@ -116,7 +119,10 @@
         const HttpResponse response = services.client.call(
             decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
         if (const auto reservation = readReservation(response)) {
-            this->report(peer::PlacementEvent::Reserved);
+            if (this->call.route.isResumable || !this->call.head.lastEvent.empty()) {
+                this->streamVersion = decode.version;
+            }
+            services.gates.reportReserved(this->call.service, this->call.head.id, this->streamVersion);
             return Place{decode, *reservation, {}};
         }
         this->lastFault = "no room at " + decode.id.value();
@@ -138,7 +144,8 @@
     while (const auto *attempt = std::get_if<TryReserve>(&action)) {
         this->checkCaller();
         const auto decode = services.fleet.usable(EndpointId(attempt->engine.value()));
-        if (!decode) {
+        const bool isOtherVersion = decode && !this->streamVersion.isEmpty() && decode->version != this->streamVersion;
+        if (!decode || isOtherVersion) {
             this->report(peer::PlacementEvent::Full);
         } else if (auto place = this->reserveAt(*decode, yield)) {
             place->prefill = attempt->prefill;
@@ -149,7 +156,11 @@
         action = services.gates.nextDecision(this->call.head.id, yield);
     }
     this->checkCaller();
-    this->retryAfter = std::get<RejectGeneration>(action).retryAfter;
+    const auto &rejected = std::get<RejectGeneration>(action);
+    this->retryAfter = rejected.retryAfter;
+    if (rejected.reason == RejectReason::NoVersion) {
+        this->lastFault = "no engine of the version that began the stream, or it is unknown";
+    }
     return std::nullopt;
 }
 
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -213,6 +213,24 @@
     this->node->sendToAll(std::move(informed), this->deputyAnnouncement());
 }
 
+void LeaderLink::reportStreams()
+{
+    const std::string deputy = this->deputies.deputy();
+    peer::StreamsBegun streams = this->gates.takeNewStreams();
+    if (deputy != this->informedDeputy) {
+        streams = this->gates.streamsBegun();
+        this->informedDeputy = deputy;
+    }
+    if (streams.streams.empty()) {
+        return;
+    }
+    for (const auto &[link, address] : this->deputies.followers()) {
+        if (address == deputy) {
+            this->node->send(link, streams);
+        }
+    }
+}
+
 peer::DeputyNamed LeaderLink::deputyAnnouncement() const
 {
     return {this->announcedDeputy, this->deputies.followers().size() + 1};
@@ -350,6 +368,7 @@
     this->applyRoute(now);
     this->applyReaders(now);
     this->requestTunnelHosts(now);
+    this->reportStreams();
 }
 
 void LeaderLink::requestTunnelHosts(Instant now)
@@ -513,6 +532,7 @@
                 this->placementClients.insert(link);
                 this->gates.onHeldPlacements(link, held);
             },
+            [&](const peer::StreamsBegun &begun) { this->gates.onStreamsBegun(begun); },
             [&](const peer::FollowerAddress &follower) { this->onFollowerAddressReceived(link, follower); },
             [&](const peer::RequestTunnelHosts &request) { this->onTunnelHostsRequested(link, request.isCutOff); },
             [&](const peer::TunnelHostsNamed &named) {
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -89,6 +89,8 @@
     void applyRoute(Instant now);
     void switchPath(PlacingPath next);
     void announceDeputy();
+    // Reports to the deputy what it would need to know in the place of this host.
+    void reportStreams();
     peer::DeputyNamed deputyAnnouncement() const;
     void onFollowerAddressReceived(LinkId link, const peer::FollowerAddress &follower);
     // Requests hosts that open tunnels if this host needs them.
@@ -112,6 +114,7 @@
     DeputyChoice<LinkId> deputies;
     TunnelHostChoice<LinkId> tunnelHosts; // of this host and of those that it places for
     std::string announcedDeputy; // the deputy last announced to the followers
+    std::string informedDeputy; // the deputy that knows all streams but the newest
     std::string ownAddress;
     std::string ownTunnels;
     PlacingRoute route;
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -5,6 +5,10 @@
 // With a leader, a generation of this host waits only in the leader's gate; the local gate adopts it once its engine is
 // known. If the leader is lost, the requests that wait there are submitted to the local gate at once. Two gates that
 // place at the same time only cause refusals by engines, because an engine never reserves the same memory twice.
+//
+// A stream stays at the version of the first engine that reserves a place for it, so a version that was reported once
+// is final. It is known to the host that began the stream, to the leader and to the leader's deputy, and hosts report
+// what they know to each leader that they follow next.
 
 #include "programs/gateway/placementgates.h"
 
@@ -40,6 +44,7 @@
               {{"request", rejected.id.value()},
                {"retry_after_ms", rejected.retryAfter.count() / 1000},
                {"waited_ms", rejected.waited.count() / 1000},
+               {"version_missing", rejected.reason == RejectReason::NoVersion},
                {"waiting", waiting},
                {"placed", placed},
                {"engines", static_cast<std::uint64_t>(view.engines)},
@@ -50,12 +55,31 @@
                {"registry_age_ms", ageMs}});
 }
 
+peer::StreamsBegun messageOf(const std::vector<BegunStream> &streams)
+{
+    const Instant now = steadyNow();
+    peer::StreamsBegun message;
+    message.streams.reserve(streams.size());
+    for (const BegunStream &stream : streams) {
+        message.streams.push_back({stream.request, stream.service, stream.version, now - stream.since});
+    }
+    return message;
+}
+
+StreamOrigins::Options originOptions(bool isFirstStart)
+{
+    StreamOrigins::Options options;
+    options.isFirstStart = isFirstStart;
+    return options;
+}
+
 } // namespace
 
-PlacementGates::PlacementGates(asio::io_context &context, FleetView &view, std::uint64_t number)
+PlacementGates::PlacementGates(asio::io_context &context, FleetView &view, bool isFirstStart, std::uint64_t number)
     : io(context)
     , fleet(view)
     , seed(number)
+    , origins(originOptions(isFirstStart))
 {
 }
 
@@ -81,6 +105,14 @@
 
 void PlacementGates::onFleetChanged()
 {
+    const auto &config = this->fleet.activeConfig();
+    if (config) {
+        for (const auto &[id, service] : config->services) {
+            if (service.engines) {
+                this->origins.onListed(id, this->fleet.versions(id), steadyNow());
+            }
+        }
+    }
     for (auto &[service, gate] : this->gates) {
         this->refresh(service, gate);
         this->poll(gate);
@@ -162,7 +194,8 @@
         reply(peer::OfferPlacement{id, place->engine, place->prefill});
         return;
     }
-    reply(peer::RejectPlacement{id, std::get<RejectGeneration>(action).retryAfter});
+    const auto &rejected = std::get<RejectGeneration>(action);
+    reply(peer::RejectPlacement{id, rejected.retryAfter, rejected.reason == RejectReason::NoVersion});
     this->remoteGenerations.erase(remote);
 }
 
@@ -174,8 +207,14 @@
     if (this->isSuspended) {
         return;
     }
+    // Each host knows its own streams best; the leader, those of the others.
+    const bool isVersionKnown = this->findVersion(local.service, local.request);
     if (!this->uplink) {
         Gate &gate = this->gate(local.service);
+        if (!isVersionKnown) {
+            this->decide(local, RejectGeneration{request.id, Duration(0), Duration(0), RejectReason::NoVersion});
+            return;
+        }
         gate.core.submit(request, now);
         this->poll(gate);
         return;
@@ -183,7 +222,7 @@
     this->uplink(peer::RequestPlacement{
         request.id, local.service, static_cast<std::uint64_t>(std::max(0, request.rank)), request.prompt,
         request.output, request.maxOutput, now - request.arrival, request.onTimeUntil - now, request.usefulUntil - now,
-        request.dataCentre, request.avoid, request.promptName});
+        request.dataCentre, request.avoid, request.promptName, request.version, request.isTakenUp, request.resumes});
 }
 
 GateAction PlacementGates::requestPlacement(const ServiceId &service, const GenerationRequest &request,
@@ -252,18 +291,76 @@
     if (isEnd) {
         this->localGenerations.erase(found);
     }
-    Gate &gate = this->gate(service);
+    this->send(peer::PlacementReport{id, service, event, output, {}});
+    this->apply(this->gate(service), id, event, output);
+    if (isRetry) {
+        local->engine = EngineId();
+        this->submit(*local);
+    }
+}
+
+void PlacementGates::send(const peer::PlacementReport &message)
+{
     if (this->uplink) {
-        this->uplink(peer::PlacementReport{id, service, event, output});
+        this->uplink(message);
+    }
+}
+
+void PlacementGates::reportReserved(const ServiceId &service, const RequestId &id, const SoftwareVersion &version)
+{
+    const auto found = this->localGenerations.find(id);
+    if (found == this->localGenerations.end()) {
+        return;
     }
-    if (event == peer::PlacementEvent::Reserved && this->uplink) {
-        gate.core.adopt(local->request, local->engine, local->since);
+    const LocalGeneration &local = *found->second;
+    if (!version.isEmpty()) {
+        this->onBegun({id, service, version, steadyNow()});
+    }
+    this->send(peer::PlacementReport{id, service, peer::PlacementEvent::Reserved, Tokens(0), version});
+    Gate &gate = this->gate(service);
+    if (this->uplink) {
+        gate.core.adopt(local.request, local.engine, local.since);
     } else {
-        this->apply(gate, id, event, output);
+        this->apply(gate, id, peer::PlacementEvent::Reserved, Tokens(0));
     }
-    if (isRetry) {
-        local->engine = EngineId();
-        this->submit(*local);
+}
+
+bool PlacementGates::findVersion(const ServiceId &service, GenerationRequest &request) const
+{
+    if (!request.isTakenUp || !request.version.isEmpty()) {
+        return true;
+    }
+    const auto version = this->origins.find(request.resumes, service, steadyNow());
+    request.version = version.value_or(SoftwareVersion());
+    return version.has_value();
+}
+
+void PlacementGates::onBegun(const BegunStream &stream)
+{
+    const Instant now = steadyNow();
+    this->origins.onBegun(stream, now);
+    if (this->origins.isMixed(stream.service, now)) {
+        this->newStreams.push_back(stream);
+    }
+}
+
+peer::StreamsBegun PlacementGates::streamsBegun() const
+{
+    return messageOf(this->origins.begun(steadyNow()));
+}
+
+peer::StreamsBegun PlacementGates::takeNewStreams()
+{
+    peer::StreamsBegun message = messageOf(this->newStreams);
+    this->newStreams.clear();
+    return message;
+}
+
+void PlacementGates::onStreamsBegun(const peer::StreamsBegun &message)
+{
+    const Instant now = steadyNow();
+    for (const peer::StreamOrigin &stream : message.streams) {
+        this->origins.onBegun({stream.request, stream.service, stream.version, now - stream.age}, now);
     }
 }
 
@@ -290,6 +387,10 @@
             }
         }
         this->uplink(held);
+        const peer::StreamsBegun begun = this->streamsBegun();
+        if (!begun.streams.empty()) {
+            this->uplink(begun);
+        }
     }
     if (!wasElsewhere) {
         return;
@@ -331,7 +432,8 @@
 {
     const auto found = this->localGenerations.find(message.request);
     if (found != this->localGenerations.end() && found->second->isAtLeader) {
-        this->decide(*found->second, RejectGeneration{message.request, message.retryAfter, Duration(0)});
+        const RejectReason reason = message.isVersionMissing ? RejectReason::NoVersion : RejectReason::NoRoom;
+        this->decide(*found->second, RejectGeneration{message.request, message.retryAfter, Duration(0), reason});
     }
 }
 
@@ -356,6 +458,14 @@
     request.dataCentre = message.dataCentre;
     request.avoid = message.avoid;
     request.promptName = message.promptName;
+    request.version = message.version;
+    request.isTakenUp = message.isTakenUp;
+    request.resumes = message.resumes;
+    if (!this->findVersion(message.service, request)) {
+        Log::info("stream_version_unknown", {{"request", request.id.value()}, {"resumes", request.resumes.value()}});
+        reply(peer::RejectPlacement{request.id, Duration(0), true});
+        return;
+    }
     this->remoteGenerations[request.id] = RemoteGeneration{link, message.service, reply};
     Gate &gate = this->gate(message.service);
     gate.core.submit(request, now);
@@ -364,6 +474,9 @@
 
 void PlacementGates::onPlacementReport(LinkId, const peer::PlacementReport &message)
 {
+    if (!message.version.isEmpty()) {
+        this->onBegun({message.request, message.service, message.version, steadyNow()});
+    }
     this->apply(this->gate(message.service), message.request, message.event, message.output);
     if (message.event == peer::PlacementEvent::Ended || message.event == peer::PlacementEvent::EndedByFault) {
         this->remoteGenerations.erase(message.request);
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -13,6 +13,7 @@
 // Every host also tracks its own generations in a gate, so that it can decide alone at any time. It then sees only its
 // own part of the load, and engines refuse more often.
 
+#include "decide/streamorigins.h"
 #include "programs/gateway/fleetview.h"
 #include "wire/linkid.h"
 #include "wire/messages.h"
@@ -28,7 +29,8 @@
 public:
     using Send = std::function<void(const peer::Message &)>;
 
-    PlacementGates(asio::io_context &io, FleetView &fleet, std::uint64_t seed);
+    // `isFirstStart`: all hosts start together for the first time.
+    PlacementGates(asio::io_context &io, FleetView &fleet, bool isFirstStart, std::uint64_t seed);
 
     // Submits a request and waits for the decision. Also returns RejectGeneration if the caller disconnected meanwhile.
     GateAction requestPlacement(const ServiceId &service, const GenerationRequest &request,
@@ -37,6 +39,9 @@
     GateAction nextDecision(const RequestId &id, const asio::yield_context &yield);
     // Reports an event of the placement of a generation of this host.
     void report(const ServiceId &service, const RequestId &id, peer::PlacementEvent event, Tokens output = Tokens(0));
+    // Reports that an engine of this version has reserved a place for a generation of this host. The version is empty
+    // if the generation can't go on at another engine.
+    void reportReserved(const ServiceId &service, const RequestId &id, const SoftwareVersion &version);
     // Ends a wait at once, since the caller disconnected.
     void cancelWait(const RequestId &id);
     // Engines were added, removed or changed.
@@ -65,6 +70,11 @@
     void onPlacementRequested(LinkId link, const Send &reply, const peer::RequestPlacement &message);
     void onPlacementReport(LinkId link, const peer::PlacementReport &message);
     void onHeldPlacements(LinkId link, const peer::HeldPlacements &message);
+    void onStreamsBegun(const peer::StreamsBegun &message);
+    // The streams that this host knows of, for another host; empty while each service has a single version.
+    peer::StreamsBegun streamsBegun() const;
+    // Those that were reported since the last call.
+    peer::StreamsBegun takeNewStreams();
     void onFollowerLost(LinkId link);
 
 private:
@@ -108,10 +118,16 @@
     void decide(LocalGeneration &local, const GateAction &action);
     void submit(LocalGeneration &local);
     void apply(Gate &gate, const RequestId &id, peer::PlacementEvent event, Tokens output);
+    void send(const peer::PlacementReport &message);
+    // Sets the version of a stream that its caller takes up. Returns false if it is unknown.
+    bool findVersion(const ServiceId &service, GenerationRequest &request) const;
+    void onBegun(const BegunStream &stream);
 
     asio::io_context &io;
     FleetView &fleet;
     std::uint64_t seed;
+    StreamOrigins origins;
+    std::vector<BegunStream> newStreams; // of services with several versions, until they are taken
     std::map<ServiceId, Gate> gates; // of generating services of the current or an earlier configuration
     // Bounded by the number of callers' connections.
     std::unordered_map<RequestId, std::shared_ptr<LocalGeneration>> localGenerations;
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -103,6 +103,17 @@
     return found;
 }
 
+std::set<SoftwareVersion> EndpointRegistry::versions(const ServiceId &service) const
+{
+    std::set<SoftwareVersion> found;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.record.service == service && entry.record.part != EndpointPart::Plain) {
+            found.insert(entry.record.version);
+        }
+    }
+    return found;
+}
+
 const EndpointRecord *EndpointRegistry::find(const EndpointId &id) const
 {
     const auto found = this->entries.find(id);
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace fescuesill
@@ -82,6 +83,8 @@
     std::vector<const EndpointRecord *> usable(const ServiceId &service) const;
     // Null if the endpoint is unknown.
     const EndpointRecord *find(const EndpointId &id) const;
+    // The versions of the service's engines, also of those that are leaving.
+    std::set<SoftwareVersion> versions(const ServiceId &service) const;
     // Whether an endpoint has this address, also one that is leaving.
     bool hasAddress(const std::string &address) const;
     // Whether new work may still be sent to this incarnation of an endpoint.
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -186,6 +186,9 @@
     visit(m.dataCentre);
     visit(m.avoid);
     visit(m.promptName);
+    visit(m.version);
+    visit(m.isTakenUp);
+    visit(m.resumes);
 }
 
 template<typename Visitor>
@@ -201,6 +204,7 @@
 {
     visit(m.request);
     visit(m.retryAfter);
+    visit(m.isVersionMissing);
 }
 
 template<typename Visitor>
@@ -210,6 +214,7 @@
     visit(m.service);
     visit(m.event);
     visit(m.output);
+    visit(m.version);
 }
 
 template<typename Visitor>
@@ -230,6 +235,21 @@
     visit(m.places);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, StreamOrigin &m)
+{
+    visit(m.request);
+    visit(m.service);
+    visit(m.version);
+    visit(m.age);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, StreamsBegun &m)
+{
+    visit(m.streams);
+}
+
 template<typename Visitor>
 void fields(Visitor &visit, FollowStore &m)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -184,6 +184,9 @@
     DataCentreId dataCentre;
     EngineId avoid;
     std::string promptName; // name of the part that is the prompt's own, or empty
+    SoftwareVersion version; // the only one that may run it, or empty
+    bool isTakenUp = false; // a stream that its caller takes up; its version is not known to the sender if empty
+    RequestId resumes; // the request that brought the stream's first event, or empty
 };
 
 // Leader to a gateway: the engine at which to request a reservation.
@@ -193,10 +196,11 @@
     EngineId prefill; // the prefill engine; empty if there is none
 };
 
-// Leader to a gateway: no engine has room in time.
+// Leader to a gateway: no engine has room in time, or the stream can't go on at the version that began it.
 struct RejectPlacement {
     RequestId request;
     Duration retryAfter{0};
+    bool isVersionMissing = false;
 };
 
 enum class PlacementEvent {
@@ -216,6 +220,7 @@
     ServiceId service;
     PlacementEvent event = PlacementEvent::Ended;
     Tokens output; // number of output tokens, once the generation has ended
+    SoftwareVersion version; // of the engine that has reserved a place for a resumable stream; otherwise empty
 };
 
 // A running generation, reported to a new leader.
@@ -233,6 +238,20 @@
     std::vector<HeldPlacement> places;
 };
 
+// A stream and the version that began it.
+struct StreamOrigin {
+    RequestId request;
+    ServiceId service;
+    SoftwareVersion version;
+    Duration age{0};
+};
+
+// Gateway to the leader or its deputy after the link has opened, and from the leader to its deputy: the recent streams
+// of services with several versions that the sender knows of.
+struct StreamsBegun {
+    std::vector<StreamOrigin> streams;
+};
+
 // Gateway to the leader or its deputy: subscribes to the changes in the store after this version. If the version is
 // newer than the leader's own, the leader answers when it has caught up.
 struct FollowStore {
@@ -343,12 +362,13 @@
     std::vector<std::string> addresses; // IP:PORT
 };
 
-using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
-                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
-                             RequestPlacement, OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements,
-                             FollowStore, RegistryUpdate, ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded,
-                             FollowerAddress, DeputyNamed, ConfigDelayed, EndpointLimit, RequestPermit, PermitReply,
-                             DelegateReading, StoreRestored, LeaderNamed, RequestTunnelHosts, TunnelHostsNamed>;
+using Message =
+    std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
+                 Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
+                 OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements, FollowStore, RegistryUpdate,
+                 ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded, FollowerAddress, DeputyNamed, ConfigDelayed,
+                 EndpointLimit, RequestPermit, PermitReply, DelegateReading, StoreRestored, LeaderNamed,
+                 RequestTunnelHosts, TunnelHostsNamed, StreamsBegun>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
