A stream that its caller takes up stays at its service of a split route

What callers would see: a stream that goes on at another service than the one that began it, on a route that is split by weight.

Cause: the split chooses by the id of the request, and a stream that is taken up has a new one. It now chooses by the request that brought the first event. After a change of the weights that request may be mapped to another service; then its version is unknown there, and the stream is refused.

test_mixed_versions.SplitRouteTest failed before and passes.

--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -165,7 +165,9 @@
         sendRefusal(reply, head.id, {RefusalCode::UnknownService, RunState::NotRun, "no route", std::nullopt}, yield);
         return;
     }
-    const ForwardedCall forwarded{this->services,  head,   call, reply, *route, chooseService(*route, head.id),
+    // A stream that is taken up goes to the service of a split that began it.
+    const RequestId &first = head.lastEvent.empty() || head.resumes.isEmpty() ? head.id : head.resumes;
+    const ForwardedCall forwarded{this->services,  head,   call, reply, *route, chooseService(*route, first),
                                   config->version, arrival};
     if (route->kind == CallKind::Generation) {
         GenerationForward(forwarded).run(yield);
