--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -289,23 +289,25 @@
 
 TEST(TunnelServer, RefusesWhatIsNotARequestForATunnel)
 {
-    const char *requests[] = {
+    const std::string begin = "CONNECT 127.0.0.1:7 HTTP/1.1\r\n";
+    const std::string framing = "Tunnel-Framing: length\r\n";
+    const std::string lifetime = "Tunnel-Lifetime-Ms: 100\r\n";
+    const std::string requests[] = {
         "GET / HTTP/1.1\r\n\r\n",
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: length\r\n\r\n", // no lifetime
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Lifetime-Ms: 100\r\n\r\n", // no framing
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: none\r\nTunnel-Lifetime-Ms: 100\r\n\r\n",
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: -1\r\n\r\n",
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: 1x\r\n\r\n",
-        "CONNECT host.example:7 HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: 100\r\n\r\n",
-        "CONNECT 127.0.0.1:7 HTTP/1.1\r\nTunnel-Framing: length\r\nTunnel-Lifetime-Ms: 100\r\n\r\nbytes that came too "
-        "soon",
+        begin + framing + "\r\n",
+        begin + lifetime + "\r\n",
+        begin + "Tunnel-Framing: none\r\n" + lifetime + "\r\n",
+        begin + framing + "Tunnel-Lifetime-Ms: -1\r\n\r\n",
+        begin + framing + "Tunnel-Lifetime-Ms: 1x\r\n\r\n",
+        "CONNECT host.example:7 HTTP/1.1\r\n" + framing + lifetime + "\r\n",
+        begin + framing + lifetime + "\r\nbytes that came too soon",
     };
-    for (const char *request : requests) {
-        runCoroutine([request](asio::io_context &io, const asio::yield_context &yield) {
+    for (const std::string &request : requests) {
+        runCoroutine([&request](asio::io_context &io, const asio::yield_context &yield) {
             World world(io, Ending::Closes);
             tcp::socket host(io);
             host.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), world.server->port()), yield);
-            asio::async_write(host, asio::buffer(std::string(request)), yield);
+            asio::async_write(host, asio::buffer(request), yield);
             std::array<char, 64> reply{};
             const std::size_t count = host.async_read_some(asio::buffer(reply), yield);
             EXPECT_EQ(std::string(reply.data(), count).substr(0, 12), "HTTP/1.1 400") << request;
