--- a/testing/process/test_soak.py
+++ b/testing/process/test_soak.py
@@ -22,8 +22,9 @@
 class Ran:
     """An endpoint that ran these calls."""
 
-    def __init__(self, name, *ids):
+    def __init__(self, name, *ids, version="v1"):
         self.name = name
+        self.version = version
         self.seen = [{"id": each, "path": "/book/" + each, "body": b"body " + each.encode()} for each in ids]
 
 
@@ -31,8 +32,18 @@
     return Call("r1", kind, 200, {"x-request-id": "r1", "x-server-stamp": stamp}, body, whole)
 
 
+def taken_up(body, whole=True, stamp="a.1"):
+    call = answered("resumable", body, whole, stamp)
+    call.resumes = Call("r0", "resumable", 200, {"x-request-id": "r0", "x-server-stamp": "a.1"}, events(1, 2))
+    return call
+
+
+def events_of(name, *numbers):
+    return b"".join(b"id: %d\ndata: %s\n\n" % (number, name.encode()) for number in numbers)
+
+
 def events(*numbers):
-    return b"".join(b"id: %d\ndata: a\n\n" % number for number in numbers)
+    return events_of("a", *numbers)
 
 
 class CheckerTest(unittest.TestCase):
@@ -45,6 +56,12 @@
             ("an event twice", answered("resumable", events(1, 2, 2, 3, 4, 5, 6)), [Ran("a", "r1")]),
             ("an event left out", answered("resumable", events(1, 3), whole=False), [Ran("a", "r1")]),
             ("an end too early", answered("stream", events(1, 2)), [Ran("a", "r1")]),
+            ("an end too early of a stream that was taken up", taken_up(events(3, 4)), [Ran("a", "r0", "r1")]),
+            ("an event twice in a stream that was taken up", taken_up(events(2, 3, 4, 5, 6)), [Ran("a", "r0", "r1")]),
+            ("another version in one answer", answered("resumable", events(1, 2) + events_of("b", 3, 4, 5, 6)),
+             [Ran("a", "r1"), Ran("b", "r1", version="v2")]),
+            ("another version over two calls", taken_up(events_of("b", 3, 4, 5, 6), stamp="b.1"),
+             [Ran("a", "r0"), Ran("b", "r1", version="v2")]),
             ("nobody's call", answered("safe", b"answer of a"), [Ran("a", "r1", "smuggled")]),
             ("a stamp on our own refusal", Call("r1", "safe", 503, {"x-server-stamp": "a.1"}), [Ran("a")]),
         )
@@ -54,6 +71,7 @@
 
     def test_finds_nothing_where_promises_hold(self):
         for call in (answered("unsafe", b"answer of a"), answered("stream", events(1, 2, 3, 4, 5, 6)),
+                     taken_up(events(3, 4, 5, 6)), taken_up(events(3), whole=False),
                      answered("stream", events(1, 2), whole=False), Call("r1", "unsafe", 502), Call("r1", "unsafe")):
             self.assertEqual(checker.check([call], [Ran("a", "r1")]), [])
         self.assertEqual(checker.check([Call("r1", "unsafe", 503)], [Ran("a")]), [])
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -1,4 +1,5 @@
-"""Callers that use their connections until the process is gone, and what they were told.
+"""Callers that use their connections until the process is gone, take up streams that broke off at whatever host, and what
+they were told.
 
     callers = Callers(gateways, seed, count=6)
     callers.start() ... callers.stop()
@@ -8,6 +9,7 @@
 import dataclasses
 import http.client
 import random
+import re
 import threading
 import time
 
@@ -26,6 +28,17 @@
     is_whole: bool = False
     host: str = ""  # the gateway that was called
     at: float = 0  # when, in seconds of the monotonic clock
+    resumes: "Call" = None  # the call whose stream this one takes up, and that may do so itself
+
+    def first(self):
+        """The call that brought the stream's first event."""
+        return self.resumes.first() if self.resumes else self
+
+    def last_event(self):
+        """The number of the last whole event that the caller has."""
+        numbers = re.findall(rb"id: (\d+)\ndata: [^\n]+\n\n", self.body)
+        before = self.resumes.last_event() if self.resumes else 0
+        return int(numbers[-1]) if numbers else before
 
 
 class Callers:
@@ -48,26 +61,36 @@
     def run(self, number, chance):
         connection = None
         sent = 0
+        broken = None  # a stream to take up
         while not self.stopping.is_set():
             if connection is None:
                 gateway = chance.choice(self.gateways)
                 host, port = gateway.callers.split(":")
                 connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_MS / 1000 + 3)
             sent += 1
-            call = Call(f"{number:04x}{sent:012x}", chance.choice(list(PATHS)), host=gateway.name, at=time.monotonic())
+            kind = chance.choice(list(PATHS)) if broken is None else broken.kind
+            call = Call(f"{number:04x}{sent:012x}", kind, host=gateway.name, at=time.monotonic(), resumes=broken)
             self.calls.append(call)
             if not self.ask(connection, call):
                 connection.close()
                 connection = None
+            broken = call if self.may_take_up(call) else None
             self.stopping.wait(chance.uniform(0, 0.05))
         if connection is not None:
             connection.close()
 
+    @staticmethod
+    def may_take_up(call):
+        """Once: a stream of a resumable route that broke off after an event."""
+        return call.kind == "resumable" and not call.is_whole and call.resumes is None and call.last_event() > 0
+
     def ask(self, connection, call):
         """Whether the connection may be used again."""
         headers = {"Host": "shop.example", "X-Request-Id": call.id, "X-Deadline-Ms": str(PATIENCE_MS)}
         if call.kind in ("stream", "resumable"):
             headers.update(SIZE)
+        if call.resumes:
+            headers.update({"Resumes": call.first().id, "Last-Event-Id": str(call.resumes.last_event())})
         method = "GET" if call.kind == "safe" else "POST"
         try:
             connection.request(method, PATHS[call.kind] + call.id, None if method == "GET" else b"body " + call.id.encode(),
--- a/testing/soak/checker.py
+++ b/testing/soak/checker.py
@@ -22,9 +22,22 @@
     findings += [f"{each}: run, and no caller sent it" for each in runs if each not in known]
     for call in calls:
         findings += [f"{call.id} ({call.kind}): {what}" for what in judge(call, runs[call.id], by_name)]
+        findings += [f"{call.id} ({call.kind}): {what}" for what in judge_versions(call, by_name)]
     return findings
 
 
+def judge_versions(call, by_name):
+    """A stream holds events of one software version only, in one answer or over its caller's tries."""
+    bodies = [call.body]
+    while call.resumes:
+        call = call.resumes
+        bodies.insert(0, call.body)
+    writers = [name.decode() for body in bodies for name in re.findall(rb"id: \d+\ndata: ([^\n]+)\n\n", body)]
+    versions = [getattr(by_name.get(name), "version", None) for name in writers]
+    if len(set(versions)) > 1:
+        yield f"events of several versions: {versions}"
+
+
 def judge(call, runs, by_name):
     if call.kind in ("unsafe", "stream") and len(runs) > 1:
         yield f"run {len(runs)} times, allowed once"
@@ -51,7 +64,8 @@
             yield f"a body that looks whole and is not: {call.body!r}"
         return
     events = [int(number) for number in re.findall(rb"id: (\d+)\ndata: [^\n]+\n\n", call.body)]
-    if events != list(range(1, len(events) + 1)):
-        yield f"events {events}"
-    if call.is_whole and len(events) != EVENTS:
-        yield f"looks whole with {len(events)} of {EVENTS} events"
+    before = call.resumes.last_event() if call.resumes else 0
+    if events != list(range(before + 1, before + len(events) + 1)):
+        yield f"events {events} after {before}"
+    if call.is_whole and before + len(events) != EVENTS:
+        yield f"looks whole with {len(events)} of {EVENTS} events after {before}"
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -5,9 +5,10 @@
     soak.py --build build --rounds 50                    new seeds, each printed before its run
 
 Processes are stopped, frozen, killed and started again by signals; what goes to the store and to plain endpoints goes
-through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; endpoints break
-off, also within answers that end with their connection, fall silent, refuse, add bytes and state limits; entries lapse and come back, configurations change, the store loses
-answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py), or if not everybody is
+through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; engines of two
+software versions serve, and callers take up streams that broke off; endpoints break off, also within answers that end
+with their connection, fall silent, refuse, add bytes and state limits; entries lapse and come back, configurations
+change, the store loses answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py), or if not everybody is
 served again after the last fault.
 """
 
@@ -35,8 +36,10 @@
 
 GRACE_SECONDS = 3
 LONGEST_FAULT_SECONDS = 3.0
-PLAIN_FAULTS = ("cut", "mute", "error", "full", "extra", "other_id", "encoded", "unframed", "unframed_reset")
-DECODE_FAULTS = ("half", "half_reset", "empty", "full")
+PLAIN_FAULTS = ("cut", "mute", "error", "full", "extra", "other_id", "encoded", "unframed")
+DECODE_FAULTS = ("half", "full")
+VARIANTS = {"unframed": ("unframed", "unframed_reset"), "half": ("half", "half_reset", "empty")}
+WRITER_VERSIONS = ("v1", "v2", "v1")
 UNFRAMED_SHARE = 0.5  # of the decode engines: their streams end with their connection
 MOST_ROUTES_MORE = 3000  # a whole configuration of them is some 600 KB
 SLOW_BYTES_PER_SECOND = (150_000, 1_000_000)  # of a host's link to the store
@@ -58,7 +61,7 @@
             endpoint.address = self.proxies[-1].address
             self.platform.register(endpoint)
         self.readers = [self.platform.endpoint("llm", "prefill") for _ in range(2)]
-        self.writers = [self.platform.endpoint("llm", "decode") for _ in range(3)]
+        self.writers = [self.platform.endpoint("llm", "decode", version) for version in WRITER_VERSIONS]
         framing_chance = random.Random(f"{seed}-framing")  # of its own, so that seeds keep their other faults
         for writer in self.writers:
             writer.is_framed = framing_chance.random() >= UNFRAMED_SHARE
@@ -173,10 +176,15 @@
         if chance.random() < 0.4:
             self.proxy_fault(chance.choice(self.proxies), chance, lasts)
         else:
-            self.behave(chance.choice(self.plain), chance.choice(PLAIN_FAULTS), lasts)
+            self.behave(chance.choice(self.plain), self.variant_of(chance.choice(PLAIN_FAULTS), chance), lasts)
 
     def engine_fault(self, chance, lasts):
-        self.behave(chance.choice(self.writers), chance.choice(DECODE_FAULTS), lasts)
+        self.behave(chance.choice(self.writers), self.variant_of(chance.choice(DECODE_FAULTS), chance), lasts)
+
+    @staticmethod
+    def variant_of(behaviour, chance):
+        """Drawn last, so that seeds keep their other faults."""
+        return chance.choice(VARIANTS.get(behaviour, (behaviour,)))
 
     def behave(self, endpoint, behaviour, lasts):
         self.note(endpoint.name, behaviour, f"{lasts:.2f}")
