A stream of the only version waits in the queue like other requests

Streams that may run at one version only go before the queue, so that they do not hold it up. They are queued now, and set aside only once other versions serve as well.

GenerationGate.IsNotHeldUpByAStreamWhoseVersionLeaves guards against the queue that such a stream would block.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -104,10 +104,10 @@
     this->offered = this->offeredLoad(now) * window + static_cast<double>(this->costOf(request).count());
     this->offeredAt = now;
     this->addNeed(request, now);
-    if (request.version.isEmpty()) {
-        this->enqueue(request, now >= request.onTimeUntil);
-    } else {
+    if (this->isPinned(request)) {
         this->pinned.push_back(request);
+    } else {
+        this->enqueue(request, now >= request.onTimeUntil);
     }
 }
 
@@ -219,13 +219,25 @@
         }
         const GenerationRequest request = this->waitingRequests.at(head->request);
         if (!this->tryPlace(request, actions, now)) {
-            return;
+            if (!this->isPinned(request)) {
+                return;
+            }
+            this->pinned.push_back(request); // other versions have begun to serve since it was queued
         }
         this->queue.pop();
         this->waitingRequests.erase(request.id);
     }
 }
 
+bool GenerationGate::isPinned(const GenerationRequest &request) const
+{
+    const auto isOfItsVersion = [&request](const auto &entry) {
+        return entry.second.spec.version == request.version;
+    };
+    return !request.version.isEmpty()
+        && (!std::all_of(this->engines.begin(), this->engines.end(), isOfItsVersion) || !this->hasEngineFor(request));
+}
+
 bool GenerationGate::hasEngineFor(const GenerationRequest &request) const
 {
     return std::any_of(this->engines.begin(), this->engines.end(), [&request](const auto &entry) {
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -224,6 +224,8 @@
     void placeWaiting(std::vector<GateAction> &actions, Instant now);
     void placePinned(std::vector<GateAction> &actions, Instant now);
     bool tryPlace(const GenerationRequest &request, std::vector<GateAction> &actions, Instant now);
+    // Whether only some of the engines may run it, or none.
+    bool isPinned(const GenerationRequest &request) const;
     bool hasEngineFor(const GenerationRequest &request) const; // now or later, as far as is known
     bool removeWaiting(const RequestId &id);
     void demoteLate(std::vector<GateAction> &actions, Instant now);
@@ -244,8 +246,8 @@
     PrefillPool prefill;
     HandoverFaults handoverFaults;
     std::unordered_map<RequestId, GenerationRequest> waitingRequests;
-    // Waiting for an engine of their version, oldest first. They go before the queue, in which one of them would hold
-    // up the others while only engines of other versions have room.
+    // Waiting for an engine of their version while engines of others serve too, oldest first. They go before the queue,
+    // in which one of them would hold up the others while only engines of other versions have room.
     std::vector<GenerationRequest> pinned;
     std::unordered_map<RequestId, Placement> placements;
     OutputEstimate estimate;
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -356,7 +356,7 @@
 TEST(GenerationGate, RejectsAStreamWhoseCallerGivesUpAndForgetsOneThatHasLeft)
 {
     GenerationGate gate({}, 3);
-    gate.setEngines(enginesOfVersions({"v1"}), start);
+    gate.setEngines(enginesOfVersions({"v1", "v2"}), start);
     gate.submit(makePinned("a", "v1"), start);
     gate.poll(start);
     gate.onFault(RequestId("a"), start);
@@ -365,7 +365,6 @@
     EXPECT_TRUE(gate.poll(start).empty());
     gate.onEnded(RequestId("b"), false, Tokens(0), start);
     EXPECT_EQ(gate.waiting(), 1U);
-    gate.setEngines(enginesOfVersions({"v1"}), start);
     GenerationRequest useless = makePinned("c", "v1");
     useless.usefulUntil = start;
     gate.submit(useless, start);
@@ -375,6 +374,24 @@
     EXPECT_EQ(std::get<RejectGeneration>(actions[0]).reason, RejectReason::NoRoom);
 }
 
+// Guards against a queue that one stream holds up, since another version began to serve after it was queued.
+TEST(GenerationGate, IsNotHeldUpByAStreamWhoseVersionLeaves)
+{
+    GenerationGate gate({}, 3);
+    gate.setEngines(enginesOfVersions({"v1"}), start);
+    gate.submit(makePinned("a", "v1"), start);
+    gate.poll(start);
+    gate.onFull(RequestId("a"), start);
+    gate.submit(makePinned("a", "v1"), start);
+    gate.submit(makeRequest("b", start), start);
+    EXPECT_TRUE(gate.poll(start).empty());
+    gate.setEngines(enginesOfVersions({"v1", "v2"}), start);
+    const auto actions = gate.poll(start);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<TryReserve>(actions[0]).id, RequestId("b"));
+    EXPECT_EQ(gate.waiting(), 1U);
+}
+
 TEST(GenerationGate, MeasuresTheNeedOfBothPools)
 {
     GenerationGate gate({}, 3);
