No version is inferred from a list that can't be read

Found by reading: a host without a leader took the only version that it lists for that of any stream that it doesn't know. A host that can't read the store keeps its old list, so it could go on with a stream of a version that it has never seen; the rule holds for hosts out of touch as well.

Only a host that reads the registry, and follows no other, now infers a version, and an outage begins the time anew for which it must have seen all versions. StreamOrigins.TrustNoListFromBeforeAnOutage, and the oracle of StreamOrigins.NeverFindAnotherVersion now has outages; both need the new call, so they do not build on the code before.

--- a/decide/streamorigins.cpp
+++ b/decide/streamorigins.cpp
@@ -1,6 +1,6 @@
 // A wrong answer mixes versions in a stream, so whatever is not known counts as unknown: a stream that no host has
-// reported here, while several versions may have begun it, and any such stream in the time after the start of a process
-// that has not seen which versions served before.
+// reported here, while several versions may have begun it, and any such stream for some time after this host has
+// started or could not read the lists, since it has not seen which versions served before.
 
 #include "decide/streamorigins.h"
 
@@ -65,13 +65,23 @@
     return found != this->services.end() && this->possible(found->second, now).size() > 1;
 }
 
-std::optional<SoftwareVersion> StreamOrigins::find(const RequestId &request, const ServiceId &service,
-                                                   Instant now) const
+void StreamOrigins::onOutdated(Instant now)
 {
-    const auto stream = this->streams.find(request);
-    if (stream != this->streams.end()) {
-        return stream->second.service == service ? std::optional(stream->second.version) : std::nullopt;
+    this->options.isFirstStart = false;
+    for (auto &[service, versions] : this->services) {
+        versions.since = now;
     }
+}
+
+std::optional<SoftwareVersion> StreamOrigins::find(const RequestId &request, const ServiceId &service) const
+{
+    const auto stream = this->streams.find(request);
+    const bool isKnown = stream != this->streams.end() && stream->second.service == service;
+    return isKnown ? std::optional(stream->second.version) : std::nullopt;
+}
+
+std::optional<SoftwareVersion> StreamOrigins::onlyVersion(const ServiceId &service, Instant now) const
+{
     const auto versions = this->services.find(service);
     if (versions == this->services.end()) {
         return std::nullopt;
--- a/decide/streamorigins.h
+++ b/decide/streamorigins.h
@@ -6,7 +6,9 @@
 //     StreamOrigins origins(StreamOrigins::Options{});
 //     origins.onListed(service, versions, now);               // the versions that serve, whenever they change
 //     origins.onBegun({id, service, version, now}, now);      // an engine has reserved a place for the stream
-//     const auto version = origins.find(id, service, now);    // empty: unknown, so the stream must not go on
+//     auto version = origins.find(id, service);               // empty: nobody has reported the stream here
+//     version = version ? version : origins.onlyVersion(service, now); // empty: unknown, so it must not go on
+//     origins.onOutdated(now);                                // the lists of versions can't be read
 //     for (const BegunStream &stream : origins.begun(now)) { ... tell another host ... }
 
 #include "fescuesill/ids.h"
@@ -52,9 +54,13 @@
     void onListed(const ServiceId &service, const std::set<SoftwareVersion> &versions, Instant now);
     void onBegun(const BegunStream &stream, Instant now);
 
-    // The version that began the stream. Of a stream that was never reported, it is known only if no other version has
-    // served for longer than a stream lives.
-    std::optional<SoftwareVersion> find(const RequestId &request, const ServiceId &service, Instant now) const;
+    // From the last list until now, versions may have served that this host has not seen.
+    void onOutdated(Instant now);
+
+    // The reported version of a stream.
+    std::optional<SoftwareVersion> find(const RequestId &request, const ServiceId &service) const;
+    // The version of every stream that still lives, if no other has served for longer than a stream lives.
+    std::optional<SoftwareVersion> onlyVersion(const ServiceId &service, Instant now) const;
     // Whether several versions may have begun streams that still live.
     bool isMixed(const ServiceId &service, Instant now) const;
     // The remembered streams of services with several versions. Those of others need not be told to anybody.
@@ -62,7 +68,7 @@
 
 private:
     struct Versions {
-        Instant since; // of the first list
+        Instant since; // this host has seen all versions since then
         std::map<SoftwareVersion, std::optional<Instant>> lastListed; // empty while it is listed
     };
 
--- a/decide/testing/streamorigins_test.cpp
+++ b/decide/testing/streamorigins_test.cpp
@@ -24,29 +24,45 @@
     origins.onListed(llm, {v1, v2}, start);
     origins.onBegun(stream("a", v1, start), start);
     origins.onBegun(stream("b", v2, start), start);
-    EXPECT_EQ(origins.find(RequestId("a"), llm, start + 1s), v1);
-    EXPECT_EQ(origins.find(RequestId("b"), llm, start + 1s), v2);
-    EXPECT_EQ(origins.find(RequestId("c"), llm, start + 1s), std::nullopt);
-    EXPECT_EQ(origins.find(RequestId("a"), ServiceId("other"), start + 1s), std::nullopt);
+    EXPECT_EQ(origins.find(RequestId("a"), llm), v1);
+    EXPECT_EQ(origins.find(RequestId("b"), llm), v2);
+    EXPECT_EQ(origins.find(RequestId("c"), llm), std::nullopt);
+    EXPECT_EQ(origins.find(RequestId("a"), ServiceId("other")), std::nullopt);
     EXPECT_EQ(origins.begun(start + 1s).size(), 2U);
 }
 
 // Guards against a guess at a version that another one may have been, at its beginning or after it has gone.
 TEST(StreamOrigins, KnowOtherStreamsOnlyOfASingleVersion)
 {
-    const RequestId other("other");
     StreamOrigins origins({});
     origins.onListed(llm, {v1}, start);
-    EXPECT_EQ(origins.find(other, llm, start + 45s), std::nullopt); // of a version before this process began
-    EXPECT_EQ(origins.find(other, llm, start + 46s), v1);
+    EXPECT_EQ(origins.onlyVersion(llm, start + 45s), std::nullopt); // of a version before this process began
+    EXPECT_EQ(origins.onlyVersion(llm, start + 46s), v1);
     origins.onListed(llm, {v1, v2}, start + 50s);
-    EXPECT_EQ(origins.find(other, llm, start + 50s), std::nullopt);
+    EXPECT_EQ(origins.onlyVersion(llm, start + 50s), std::nullopt);
     EXPECT_TRUE(origins.isMixed(llm, start + 50s));
     origins.onListed(llm, {v2}, start + 60s);
-    EXPECT_EQ(origins.find(other, llm, start + 105s), std::nullopt);
-    EXPECT_EQ(origins.find(other, llm, start + 106s), v2);
+    EXPECT_EQ(origins.onlyVersion(llm, start + 105s), std::nullopt);
+    EXPECT_EQ(origins.onlyVersion(llm, start + 106s), v2);
     EXPECT_FALSE(origins.isMixed(llm, start + 106s));
-    EXPECT_EQ(origins.find(other, ServiceId("unlisted"), start + 106s), std::nullopt);
+    EXPECT_EQ(origins.onlyVersion(ServiceId("unlisted"), start + 106s), std::nullopt);
+}
+
+// Guards against a host that can't read the list, still has a single version on it, and takes that for every stream's.
+TEST(StreamOrigins, TrustNoListFromBeforeAnOutage)
+{
+    for (const bool isFirstStart : {false, true}) {
+        StreamOrigins::Options options;
+        options.isFirstStart = isFirstStart;
+        StreamOrigins origins(options);
+        origins.onListed(llm, {v1}, start);
+        EXPECT_EQ(origins.onlyVersion(llm, start + 60s), v1);
+        origins.onOutdated(start + 60s);
+        EXPECT_EQ(origins.onlyVersion(llm, start + 60s), std::nullopt);
+        origins.onListed(llm, {v1}, start + 61s);
+        EXPECT_EQ(origins.onlyVersion(llm, start + 62s), std::nullopt);
+        EXPECT_EQ(origins.onlyVersion(llm, start + 106s), v1);
+    }
 }
 
 TEST(StreamOrigins, KnowAllVersionsSinceTheFirstStartOfTheFleet)
@@ -55,9 +71,9 @@
     options.isFirstStart = true;
     StreamOrigins origins(options);
     origins.onListed(llm, {v1}, start);
-    EXPECT_EQ(origins.find(RequestId("a"), llm, start), v1);
+    EXPECT_EQ(origins.onlyVersion(llm, start), v1);
     origins.onListed(llm, {v1, v2}, start + 1s);
-    EXPECT_EQ(origins.find(RequestId("a"), llm, start + 1s), std::nullopt);
+    EXPECT_EQ(origins.onlyVersion(llm, start + 1s), std::nullopt);
 }
 
 TEST(StreamOrigins, ForgetTheOldest)
@@ -69,10 +85,10 @@
     for (const char *id : {"a", "b", "c", "d"}) {
         origins.onBegun(stream(id, v1, start), start);
     }
-    EXPECT_EQ(origins.find(RequestId("a"), llm, start), std::nullopt);
+    EXPECT_EQ(origins.find(RequestId("a"), llm), std::nullopt);
     EXPECT_EQ(origins.begun(start).size(), 3U);
     origins.onBegun(stream("e", v1, start + 31s), start + 31s);
-    EXPECT_EQ(origins.find(RequestId("d"), llm, start + 31s), std::nullopt);
+    EXPECT_EQ(origins.find(RequestId("d"), llm), std::nullopt);
     EXPECT_EQ(origins.begun(start + 31s).size(), 1U);
 }
 
@@ -86,11 +102,16 @@
     const auto steps = *rc::gen::inRange(1, 60);
     for (int step = 0; step < steps; ++step) {
         now += std::chrono::milliseconds(*rc::gen::inRange(0, 12000));
+        const bool isOutdated = *rc::gen::inRange(0, 5) == 0;
         if (*rc::gen::inRange(0, 4) == 0) {
             const std::vector<std::set<SoftwareVersion>> lists = {{v1}, {v2}, {v1, v2}, {}};
             listed = *rc::gen::elementOf(lists);
         }
-        origins.onListed(llm, listed, now);
+        if (isOutdated) { // versions that come and go unseen
+            origins.onOutdated(now);
+        } else {
+            origins.onListed(llm, listed, now);
+        }
         const SoftwareVersion version = listed.empty() ? v1 : *rc::gen::elementOf(listed);
         if (!listed.empty()) {
             const std::string id = std::to_string(step);
@@ -100,7 +121,8 @@
             }
         }
         for (const auto &[id, origin] : truth) {
-            const auto found = origins.find(RequestId(id), llm, now);
+            auto found = origins.find(RequestId(id), llm);
+            found = found ? found : origins.onlyVersion(llm, now);
             const bool lives = now - origin.second <= StreamOrigins::Options{}.keep;
             RC_ASSERT(!lives || !found || *found == origin.first);
         }
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -55,6 +55,11 @@
     // The current record of the endpoint; empty if it accepts no new work.
     std::optional<EndpointRecord> usable(const EndpointId &id) const;
 
+    // False while the registry can't be read, so that endpoints may have come and gone unnoticed.
+    bool isRegistryCurrent() const
+    {
+        return !this->registry.isOutdated();
+    }
     std::set<SoftwareVersion> versions(const ServiceId &service) const
     {
         return this->registry.versions(service);
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -76,8 +76,8 @@
     EngineId avoid; // the engine that failed during the last attempt
     EndpointId engine; // the decode engine of the current or last attempt
     SoftwareVersion version; // of that engine
-    SoftwareVersion
-        streamVersion; // the only one that may go on with a resumable stream; empty until a place is reserved
+    // The only version that may go on with a resumable stream; empty until a place is reserved.
+    SoftwareVersion streamVersion;
     std::int64_t eventsProduced = 0; // complete events received so far
     int sends = 0; // requests to decode engines of which at least one byte was sent
     bool mayHaveRun = false; // an attempt failed after it was sent
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -106,6 +106,11 @@
 void PlacementGates::onFleetChanged()
 {
     const auto &config = this->fleet.activeConfig();
+    const bool wasCurrent = this->isRegistryCurrent;
+    this->isRegistryCurrent = this->fleet.isRegistryCurrent();
+    if (!wasCurrent || !this->isRegistryCurrent) {
+        this->origins.onOutdated(steadyNow());
+    }
     if (config) {
         for (const auto &[id, service] : config->services) {
             if (service.engines) {
@@ -330,7 +335,11 @@
     if (!request.isTakenUp || !request.version.isEmpty()) {
         return true;
     }
-    const auto version = this->origins.find(request.resumes, service, steadyNow());
+    auto version = this->origins.find(request.resumes, service);
+    // A follower may know of fewer versions than its leader, which is asked next.
+    if (!version && !this->uplink && this->fleet.isRegistryCurrent()) {
+        version = this->origins.onlyVersion(service, steadyNow());
+    }
     request.version = version.value_or(SoftwareVersion());
     return version.has_value();
 }
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -83,6 +83,11 @@
     std::vector<const EndpointRecord *> usable(const ServiceId &service) const;
     // Null if the endpoint is unknown.
     const EndpointRecord *find(const EndpointId &id) const;
+    // The table is unavailable.
+    bool isOutdated() const
+    {
+        return this->isStoreLost;
+    }
     // The versions of the service's engines, also of those that are leaving.
     std::set<SoftwareVersion> versions(const ServiceId &service) const;
     // Whether an endpoint has this address, also one that is leaving.
