Refuse at once while no host of the fleet reaches an endpoint

Cause: with all hosts cut off, the leader names no host for tunnels, and a host took the empty list for a fleet without other hosts. It connected directly again: each attempt ran into its limit, each engine was reported as faulty, and a generation waited for their pauses until its caller would give up.

The list now says whether there are other hosts that are cut off too. A host that is alone in its fleet keeps trying directly.

--- a/decide/endpointpaths.cpp
+++ b/decide/endpointpaths.cpp
@@ -54,8 +54,9 @@
     return true;
 }
 
-void EndpointPaths::setTunnelHosts(const std::vector<std::string> &addresses)
+void EndpointPaths::setTunnelHosts(const std::vector<std::string> &addresses, bool areAllOthersCutOff)
 {
+    this->areOthersCutOff = areAllOthersCutOff;
     std::vector<TunnelHost> next;
     for (const std::string &address : addresses) {
         const auto known = std::find_if(this->tunnelHosts.begin(), this->tunnelHosts.end(),
@@ -68,7 +69,7 @@
 bool EndpointPaths::usesTunnel(const std::string &endpoint) const
 {
     if (this->tunnelHosts.empty()) {
-        return false;
+        return this->cutOff && this->areOthersCutOff;
     }
     const auto suspect = this->suspects.find(endpoint);
     return this->cutOff || (suspect != this->suspects.end() && suspect->second.isTunnelOnly);
--- a/decide/endpointpaths.h
+++ b/decide/endpointpaths.h
@@ -80,9 +80,11 @@
         return this->total;
     }
 
-    // Replaces the list of hosts that open tunnels. A host that stays in it keeps its pause.
-    void setTunnelHosts(const std::vector<std::string> &addresses);
-    // Whether connections to the endpoint go through other hosts. Without any, this host keeps trying directly.
+    // Replaces the list of hosts that open tunnels. A host that stays in it keeps its pause. The list may be empty
+    // because all other hosts are cut off, too.
+    void setTunnelHosts(const std::vector<std::string> &addresses, bool areOthersCutOff = false);
+    // Whether connections to the endpoint go through other hosts. Without any, this host keeps trying directly, unless
+    // all hosts are cut off: then only the checks do.
     bool usesTunnel(const std::string &endpoint) const;
     // Whether a call whose direct connection failed goes on through a tunnel. If this host needs tunnels already, one
     // more endpoint that fails is more likely cut off than down.
@@ -130,6 +132,7 @@
     std::size_t failures = 0;
     std::map<std::string, Suspect> suspects;
     std::vector<TunnelHost> tunnelHosts;
+    bool areOthersCutOff = false;
     Instant hostListDue;
     // While cut off: the endpoint last reached through a tunnel since the last check, else the last needed.
     std::string checkTarget;
--- a/decide/testing/endpointpaths_test.cpp
+++ b/decide/testing/endpointpaths_test.cpp
@@ -72,6 +72,22 @@
     EXPECT_FALSE(paths.usesTunnel("a"));
 }
 
+// Guards against calls that run into one timeout after the other while no host of the fleet reaches an endpoint.
+TEST(EndpointPaths, DoesNotTryDirectlyWhileAllHostsAreCutOff)
+{
+    EndpointPaths paths(EndpointPaths::Options{}, 1);
+    paths.setTunnelHosts({}, true);
+    EXPECT_FALSE(paths.usesTunnel("a")); // this host is not cut off
+    paths.onConnectFailed("a", start);
+    paths.onConnectFailed("b", start);
+    EXPECT_TRUE(paths.usesTunnel("a"));
+    EXPECT_FALSE(paths.nextTunnelHost(start));
+    paths.onNeeded("c", start);
+    EXPECT_EQ(paths.dueCheck(start + 1s), "c"); // finds the end of the cut
+    paths.onConnected("c", start + 1s);
+    EXPECT_FALSE(paths.usesTunnel("a"));
+}
+
 TEST(EndpointPaths, PausesAHostThatOpenedNoTunnel)
 {
     EndpointPaths paths(EndpointPaths::Options{}, 1);
--- a/decide/testing/tunnelhostchoice_test.cpp
+++ b/decide/testing/tunnelhostchoice_test.cpp
@@ -45,6 +45,24 @@
     EXPECT_EQ(asSet(hosts.choose(2, start + Choice::Options{}.cutOffFor)), (std::set<std::string>{"a"}));
 }
 
+// Guards against an empty list that is taken for a fleet without other hosts.
+TEST(TunnelHostChoice, TellsAFleetThatIsCutOffFromAHostThatIsAlone)
+{
+    Choice hosts({}, 1);
+    hosts.add(1, "a");
+    hosts.add(2, ""); // opens no tunnels
+    EXPECT_FALSE(hosts.areOthersCutOff(1, start));
+    EXPECT_FALSE(hosts.areOthersCutOff(2, start));
+    hosts.onCutOff(1, start);
+    EXPECT_FALSE(hosts.areOthersCutOff(1, start));
+    EXPECT_TRUE(hosts.areOthersCutOff(2, start));
+    hosts.add(3, "c");
+    EXPECT_FALSE(hosts.areOthersCutOff(2, start));
+    hosts.onCutOff(3, start);
+    EXPECT_TRUE(hosts.areOthersCutOff(2, start));
+    EXPECT_FALSE(hosts.areOthersCutOff(2, start + Choice::Options{}.cutOffFor));
+}
+
 TEST(TunnelHostChoice, NamesAFewHostsAndAllInTurn)
 {
     Choice hosts({}, 1);
--- a/decide/tunnelhostchoice.h
+++ b/decide/tunnelhostchoice.h
@@ -6,6 +6,7 @@
 //     hosts.add(link, "10.1.0.21:7675");                   // remove(link) when its link ends
 //     hosts.onCutOff(link, now);                           // that host reaches no endpoint
 //     const std::vector<std::string> addresses = hosts.choose(link, now);   // for that host
+//     const bool mustNotTry = hosts.areOthersCutOff(link, now);              // the list is empty for that reason
 //
 // A list is a random part of the fleet, so that the hosts of a data centre that was cut off spread over the others.
 // Hosts that were cut off themselves a moment ago are left out.
@@ -68,6 +69,21 @@
         usable.resize(std::min(usable.size(), this->options.listed));
         return usable;
     }
+    // Whether other hosts would open tunnels for the host of that link, but each of them was cut off a moment ago.
+    bool areOthersCutOff(const Link &asking, Instant now) const
+    {
+        bool hasOthers = false;
+        for (const auto &[link, host] : this->hosts) {
+            if (link == asking || host.address.empty()) {
+                continue;
+            }
+            if (now >= host.cutOffUntil) {
+                return false;
+            }
+            hasOthers = true;
+        }
+        return hasOthers;
+    }
 
 private:
     struct Host {
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -379,7 +379,8 @@
         return;
     }
     if (decidesForAll) {
-        this->paths.setTunnelHosts(this->tunnelHosts.choose(LinkId{}, now));
+        this->paths.setTunnelHosts(this->tunnelHosts.choose(LinkId{}, now),
+                                   this->tunnelHosts.areOthersCutOff(LinkId{}, now));
     } else {
         this->node->send(*this->uplink, peer::RequestTunnelHosts{this->paths.isCutOff()});
     }
@@ -396,8 +397,12 @@
 
 void LeaderLink::nameTunnelHosts(LinkId link, Instant now)
 {
-    this->tunnelHosts.add(LinkId{}, this->paths.isCutOff() ? std::string() : this->ownTunnels);
-    this->node->send(link, peer::TunnelHostsNamed{this->tunnelHosts.choose(link, now)});
+    this->tunnelHosts.add(LinkId{}, this->ownTunnels);
+    if (this->paths.isCutOff()) {
+        this->tunnelHosts.onCutOff(LinkId{}, now);
+    }
+    this->node->send(link, peer::TunnelHostsNamed{this->tunnelHosts.choose(link, now),
+                                                  this->tunnelHosts.areOthersCutOff(link, now)});
 }
 
 void LeaderLink::onOpened(LinkId link)
@@ -538,7 +543,7 @@
             [&](const peer::RequestTunnelHosts &request) { this->onTunnelHostsRequested(link, request.isCutOff); },
             [&](const peer::TunnelHostsNamed &named) {
                 if (isFromPlacer) {
-                    this->paths.setTunnelHosts(named.addresses);
+                    this->paths.setTunnelHosts(named.addresses, named.areOthersCutOff);
                 }
             },
             [&](const peer::DeputyNamed &named) {
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -358,6 +358,7 @@
 void fields(Visitor &visit, TunnelHostsNamed &m)
 {
     visit(m.addresses);
+    visit(m.areOthersCutOff);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -360,6 +360,7 @@
 // Leader to a gateway: hosts that open tunnels to endpoints.
 struct TunnelHostsNamed {
     std::vector<std::string> addresses; // IP:PORT
+    bool areOthersCutOff = false; // there are other hosts, but none of them reaches endpoints
 };
 
 using Message =
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -64,6 +64,7 @@
     EXPECT_EQ(follower.tunnels, "10.0.0.1:2");
     EXPECT_TRUE(passedOn(RequestTunnelHosts{true}).isCutOff);
     EXPECT_EQ(passedOn(TunnelHostsNamed{{"10.0.0.1:2", "10.0.0.2:2"}}).addresses.size(), 2U);
+    EXPECT_TRUE(passedOn(TunnelHostsNamed{{}, true}).areOthersCutOff);
     EXPECT_EQ(passedOn(DeputyNamed{"10.0.0.2:1", 9}).hosts, 9U);
     const DelegateReading request = passedOn(DelegateReading{true, 41});
     EXPECT_TRUE(request.isWanted);
