Workspaces, keys and quotas in the routing configuration

Changes between versions carry the workspaces that differ, and the digest of a version covers them. A configuration with a workspace that can't be decided (no name, a name or key twice, a negative quota) is rejected with its reason, like one with a bad route.

--- a/base/errors.cpp
+++ b/base/errors.cpp
@@ -16,6 +16,8 @@
         return "unknown_service";
     case RefusalCode::MethodNotAllowed:
         return "method_not_allowed";
+    case RefusalCode::UnknownKey:
+        return "unknown_key";
     case RefusalCode::BadIdempotencyKey:
         return "bad_idempotency_key";
     case RefusalCode::BadResumeToken:
@@ -65,6 +67,8 @@
     case RefusalCode::BadRequest:
     case RefusalCode::BadIdempotencyKey:
         return 400;
+    case RefusalCode::UnknownKey:
+        return 401;
     case RefusalCode::BadResumeToken:
         return 403;
     case RefusalCode::UnknownService:
--- a/decide/routetable.cpp
+++ b/decide/routetable.cpp
@@ -47,7 +47,7 @@
 auto fieldsOf(const Route &route)
 {
     return std::tie(route.name, route.host, route.prefix, route.kind, route.isResumable, route.timeout, route.target,
-                    route.longestPause, route.rank, route.attempts, route.services);
+                    route.longestPause, route.rank, route.attempts, route.isOpen, route.services);
 }
 
 } // namespace
--- a/decide/routetable.h
+++ b/decide/routetable.h
@@ -42,6 +42,7 @@
     Duration longestPause{0}; // maximum pause between two events of a generation that is on time
     int rank = 0; // lower goes first
     int attempts = 1; // maximum number of endpoints for one call
+    bool isOpen = false; // also to callers without a key, where others need one
     std::vector<WeightedService> services;
 };
 bool operator==(const Route &a, const Route &b);
--- a/decide/routingchange.cpp
+++ b/decide/routingchange.cpp
@@ -1,8 +1,10 @@
 // A route is identified by its key: there is one route per host and prefix. The change lists the keys that were removed
 // and every route that differs, so its size is proportional to the difference and not to the configuration.
 //
-// The digest is the sum of the hashes of the single routes, so it does not depend on their order. A route that is
-// missing, duplicated or different on one side changes the sum.
+// Workspaces are identified by their names in the same way.
+//
+// The digest includes the sums of the hashes of the single routes and workspaces, so it does not depend on their order.
+// A route that is missing, duplicated or different on one side changes the sum.
 
 #include "decide/routingchange.h"
 
@@ -28,6 +30,10 @@
     {
         XXH3_64bits_reset(this->state.get());
     }
+    void add(double number)
+    {
+        XXH3_64bits_update(this->state.get(), &number, sizeof number);
+    }
     void add(std::int64_t number)
     {
         XXH3_64bits_update(this->state.get(), &number, sizeof number);
@@ -60,6 +66,7 @@
     digest.add(route.longestPause.count());
     digest.add(std::int64_t{route.rank});
     digest.add(std::int64_t{route.attempts});
+    digest.add(std::int64_t{route.isOpen});
     for (const WeightedService &share : route.services) {
         digest.add(share.service.value());
         digest.add(std::int64_t{share.weight});
@@ -67,6 +74,58 @@
     return digest.value();
 }
 
+std::uint64_t digestOfWorkspace(Digest &digest, const Workspace &workspace)
+{
+    digest.restart();
+    digest.add(workspace.id.value());
+    for (const KeyDigest &key : workspace.keys) {
+        digest.add(key.value());
+    }
+    digest.add(std::int64_t{workspace.rank.has_value()});
+    digest.add(std::int64_t{workspace.rank.value_or(0)});
+    digest.add(static_cast<std::int64_t>(workspace.unit));
+    digest.add(workspace.plainTokens.value());
+    digest.add(std::int64_t{workspace.quota.has_value()});
+    if (const auto &quota = workspace.quota) {
+        digest.add(quota->perSecond);
+        digest.add(quota->burst);
+    }
+    return digest.value();
+}
+
+const std::vector<Workspace> &workspacesOf(const RoutingConfig &config)
+{
+    static const std::vector<Workspace> none;
+    return config.workspaces ? config.workspaces->all() : none;
+}
+
+const Workspace *findWorkspace(const RoutingConfig &config, const WorkspaceId &id)
+{
+    return config.workspaces ? config.workspaces->find(id) : nullptr;
+}
+
+tl::expected<WorkspaceTable, RoutingChangeError> changedWorkspaces(const RoutingConfig &earlier,
+                                                                   const RoutingChange &change)
+{
+    std::unordered_set<WorkspaceId> replaced(change.removedWorkspaces.begin(), change.removedWorkspaces.end());
+    for (const Workspace &workspace : change.setWorkspaces) {
+        replaced.insert(workspace.id);
+    }
+    std::vector<Workspace> workspaces;
+    for (const Workspace &workspace : workspacesOf(earlier)) {
+        if (replaced.count(workspace.id) == 0) {
+            workspaces.push_back(workspace);
+        }
+    }
+    workspaces.insert(workspaces.end(), change.setWorkspaces.begin(), change.setWorkspaces.end());
+    auto table = WorkspaceTable::create(std::move(workspaces));
+    if (!table) {
+        return tl::make_unexpected(
+            RoutingChangeError{"workspace " + table.error().workspace.value() + ": " + table.error().text});
+    }
+    return std::move(*table);
+}
+
 void addService(Digest &digest, const ForwardedService &service)
 {
     digest.add(service.id.value());
@@ -90,8 +149,14 @@
     for (const Route &route : config.routes.all()) {
         routes += digestOfRoute(digest, route);
     }
+    std::uint64_t workspaces = 0;
+    for (const Workspace &workspace : workspacesOf(config)) {
+        workspaces += digestOfWorkspace(digest, workspace);
+    }
     digest.restart();
     digest.add(static_cast<std::int64_t>(routes));
+    digest.add(std::int64_t{config.workspaces.has_value()});
+    digest.add(static_cast<std::int64_t>(workspaces));
     digest.add(config.version.value());
     for (const auto &[id, service] : config.services) {
         addService(digest, service);
@@ -103,6 +168,11 @@
     return digest.value();
 }
 
+std::size_t sizeOf(const RoutingChange &change)
+{
+    return change.set.size() + change.removed.size() + change.setWorkspaces.size() + change.removedWorkspaces.size();
+}
+
 RoutingChange changeBetween(const RoutingConfig &earlier, const RoutingConfig &later)
 {
     RoutingChange change;
@@ -123,6 +193,18 @@
             change.removed.push_back({route.host, route.prefix});
         }
     }
+    change.hasWorkspaces = later.workspaces.has_value();
+    for (const Workspace &workspace : workspacesOf(later)) {
+        const Workspace *before = findWorkspace(earlier, workspace.id);
+        if (before == nullptr || !(*before == workspace)) {
+            change.setWorkspaces.push_back(workspace);
+        }
+    }
+    for (const Workspace &workspace : workspacesOf(earlier)) {
+        if (findWorkspace(later, workspace.id) == nullptr) {
+            change.removedWorkspaces.push_back(workspace.id);
+        }
+    }
     return change;
 }
 
@@ -154,6 +236,13 @@
     for (const ForwardedService &service : change.services) {
         config.services.emplace(service.id, service);
     }
+    if (change.hasWorkspaces) {
+        auto workspaces = changedWorkspaces(earlier, change);
+        if (!workspaces) {
+            return tl::make_unexpected(workspaces.error());
+        }
+        config.workspaces = std::move(*workspaces);
+    }
     if (digestOf(config) != change.digest) {
         return tl::make_unexpected(
             RoutingChangeError{"the result differs from the configuration that the change leads to"});
--- a/decide/routingconfig.h
+++ b/decide/routingconfig.h
@@ -7,6 +7,7 @@
 //     const ForwardedService *service = inForce->service(chooseService(*route, id));
 
 #include "decide/routetable.h"
+#include "decide/workspacetable.h"
 
 #include <map>
 #include <optional>
@@ -42,6 +43,7 @@
     RouteTable routes;
     std::map<ServiceId, ForwardedService> services;
     CallerLimits limits;
+    std::optional<WorkspaceTable> workspaces; // empty: callers need no key
 
     // Returns null for an undeclared service.
     const ForwardedService *service(const ServiceId &id) const
--- a/decide/testing/routingchange_test.cpp
+++ b/decide/testing/routingchange_test.cpp
@@ -27,6 +27,24 @@
     return table ? *table : RouteTable();
 }
 
+WorkspaceTable anyWorkspaces()
+{
+    std::vector<Workspace> workspaces;
+    for (int number = 0; number < 6; ++number) {
+        const int variant = *rc::gen::inRange(0, 4);
+        if (variant == 0) {
+            continue;
+        }
+        Workspace workspace;
+        workspace.id = WorkspaceId(std::string("w").append(std::to_string(number)));
+        workspace.keys = {KeyDigest(std::string("k").append(std::to_string(number * 10 + variant)))};
+        workspace.rank = variant == 1 ? std::optional(2) : std::nullopt;
+        workspace.quota = variant == 2 ? std::optional(Quota{10, 5}) : std::nullopt;
+        workspaces.push_back(workspace);
+    }
+    return WorkspaceTable::create(std::move(workspaces)).value();
+}
+
 RoutingConfig anyConfig(std::int64_t version)
 {
     std::vector<Route> routes;
@@ -42,6 +60,9 @@
     const ServiceId service("s1");
     config.services[service] = {service, *rc::gen::arbitrary<bool>() ? std::optional(EngineTraits{}) : std::nullopt};
     config.limits.idle = std::chrono::seconds(*rc::gen::inRange(1, 3));
+    if (*rc::gen::inRange(0, 4) > 0) {
+        config.workspaces = anyWorkspaces();
+    }
     return config;
 }
 
@@ -59,6 +80,14 @@
         const Route *found = applied->routes.at(route.host, route.prefix);
         RC_ASSERT(found != nullptr && *found == route);
     }
+    RC_ASSERT(applied->workspaces.has_value() == later.workspaces.has_value());
+    if (later.workspaces) {
+        RC_ASSERT(applied->workspaces->all().size() == later.workspaces->all().size());
+        for (const Workspace &workspace : later.workspaces->all()) {
+            RC_ASSERT(*applied->workspaces->find(workspace.id) == workspace);
+            RC_ASSERT(applied->workspaces->holderOf(workspace.keys[0])->id == workspace.id);
+        }
+    }
 }
 
 // Guards against applying a change to a configuration other than the one from which it was computed.
@@ -118,6 +147,7 @@
         [](Route &route, ForwardedService &, CallerLimits &) { route.longestPause = 1s; },
         [](Route &route, ForwardedService &, CallerLimits &) { route.rank = 1; },
         [](Route &route, ForwardedService &, CallerLimits &) { route.attempts = 2; },
+        [](Route &route, ForwardedService &, CallerLimits &) { route.isOpen = true; },
         [](Route &route, ForwardedService &, CallerLimits &) { route.services[0].weight = 2; },
         [](Route &, ForwardedService &service, CallerLimits &) { service.engines.reset(); },
         [](Route &, ForwardedService &service, CallerLimits &) { service.engines->slots = 9; },
@@ -138,5 +168,39 @@
     EXPECT_EQ(digests.size(), alterations.size());
 }
 
+TEST(RoutingChange, DigestCoversEveryFieldOfAWorkspace)
+{
+    using Alter = void (*)(Workspace &);
+    const Alter alterations[] = {
+        [](Workspace &) {},
+        [](Workspace &one) { one.id = WorkspaceId("other"); },
+        [](Workspace &one) { one.keys.clear(); },
+        [](Workspace &one) { one.keys = {KeyDigest("k2")}; },
+        [](Workspace &one) { one.rank = 0; },
+        [](Workspace &one) { one.unit = QuotaUnit::Tokens; },
+        [](Workspace &one) { one.plainTokens = Tokens(1); },
+        [](Workspace &one) { one.quota = Quota{}; },
+        [](Workspace &one) {
+            one.quota = Quota{1, 0};
+        },
+        [](Workspace &one) {
+            one.quota = Quota{0, 1};
+        },
+    };
+    std::set<std::uint64_t> digests = {digestOf(RoutingConfig())};
+    RoutingConfig config;
+    config.workspaces = WorkspaceTable();
+    digests.insert(digestOf(config));
+    for (const Alter alter : alterations) {
+        Workspace workspace;
+        workspace.id = WorkspaceId("w");
+        workspace.keys = {KeyDigest("k")};
+        alter(workspace);
+        config.workspaces = WorkspaceTable::create({workspace}).value();
+        digests.insert(digestOf(config));
+    }
+    EXPECT_EQ(digests.size(), 2 + std::size(alterations));
+}
+
 } // namespace
 } // namespace fescuesill
--- a/include/fescuesill/errors.h
+++ b/include/fescuesill/errors.h
@@ -30,6 +30,7 @@
     Timeout, // the caller sent the request too slowly
     UnknownService,
     MethodNotAllowed,
+    UnknownKey, // the caller's key is missing, malformed or held by no workspace
     BadIdempotencyKey, // missing, malformed, or used before with another body
     BadResumeToken, // forged, expired, or another caller's
     StreamGone, // the stream of the token is no longer held
--- a/include/fescuesill/ids.h
+++ b/include/fescuesill/ids.h
@@ -71,6 +71,8 @@
 using ServiceId = Id<struct ServiceTag>;
 // The tenant to which a request is accounted.
 using WorkspaceId = Id<struct WorkspaceTag>;
+// A one-way digest of a caller's key (promise/keydigest.h). The key itself is never kept.
+using KeyDigest = Id<struct KeyDigestTag>;
 // A request of a caller. Unique over all entries.
 using RequestId = Id<struct RequestTag>;
 // A generation on a decode engine.
--- a/programs/gateway/configreplica.cpp
+++ b/programs/gateway/configreplica.cpp
@@ -16,7 +16,7 @@
 {
 
 // Larger changes are read from the store, whose links have more bandwidth than the leader's.
-constexpr std::size_t maxChangedRoutes = 500;
+constexpr std::size_t maxChangedItems = 500; // routes and workspaces
 
 std::uint64_t numberOf(RowVersion row)
 {
@@ -41,11 +41,11 @@
 {
     peer::ConfigUpdate update{numberOf(step.row), numberOf(step.beforeRow), {}};
     const RoutingConfig &before = step.before ? *step.before : emptyConfig();
-    if (step.config->routes.all().size() > before.routes.all().size() + maxChangedRoutes) {
+    if (step.config->routes.all().size() > before.routes.all().size() + maxChangedItems) {
         return update; // a comparison would only find that the change is too large
     }
     const RoutingChange change = changeBetween(before, *step.config);
-    if (change.set.size() + change.removed.size() <= maxChangedRoutes) {
+    if (sizeOf(change) <= maxChangedItems) {
         update.change = encodeRoutingChange(change);
     }
     return update;
--- a/programs/gateway/configreplica.h
+++ b/programs/gateway/configreplica.h
@@ -51,6 +51,11 @@
     {
         return this->held;
     }
+    // False if the newest row could not be decoded.
+    bool isNewestHeld() const
+    {
+        return this->held && this->heldRow == this->newestRow;
+    }
     // The newest row that was read or reached by a change, even if it could not be decoded.
     RowVersion row() const
     {
--- a/wire/routingchangecodec.cpp
+++ b/wire/routingchangecodec.cpp
@@ -65,7 +65,7 @@
     }
     return Json::array({route.name, route.host, route.prefix, static_cast<int>(route.kind), route.isResumable,
                         route.timeout.count(), route.target.count(), route.longestPause.count(), route.rank,
-                        route.attempts, std::move(services)});
+                        route.attempts, std::move(services), route.isOpen});
 }
 
 Route routeOf(const Json &json)
@@ -88,6 +88,7 @@
     for (const Json &share : json.at(10)) {
         route.services.push_back({ServiceId(share.at(0).get<std::string>()), share.at(1).get<int>()});
     }
+    route.isOpen = json.at(11).get<bool>();
     return route;
 }
 
@@ -135,6 +136,41 @@
     return limits;
 }
 
+Json toJson(const Workspace &workspace)
+{
+    Json keys = Json::array();
+    for (const KeyDigest &key : workspace.keys) {
+        keys.push_back(Json::binary(std::vector<std::uint8_t>(key.value().begin(), key.value().end())));
+    }
+    const auto &quota = workspace.quota;
+    return Json::array({workspace.id.value(), std::move(keys), workspace.rank ? Json(*workspace.rank) : Json(),
+                        static_cast<int>(workspace.unit), workspace.plainTokens.value(),
+                        quota ? Json::array({quota->perSecond, quota->burst}) : Json()});
+}
+
+Workspace workspaceOf(const Json &json)
+{
+    Workspace workspace;
+    workspace.id = WorkspaceId(json.at(0).get<std::string>());
+    for (const Json &key : json.at(1)) {
+        const auto &bytes = key.get_binary();
+        workspace.keys.emplace_back(std::string(bytes.begin(), bytes.end()));
+    }
+    if (const Json &rank = json.at(2); !rank.is_null()) {
+        workspace.rank = rank.get<int>();
+    }
+    const int unit = json.at(3).get<int>();
+    if (unit < 0 || unit > static_cast<int>(QuotaUnit::Tokens)) {
+        throw WireError("unknown unit of a quota");
+    }
+    workspace.unit = static_cast<QuotaUnit>(unit);
+    workspace.plainTokens = Tokens(json.at(4).get<std::int64_t>());
+    if (const Json &quota = json.at(5); !quota.is_null()) {
+        workspace.quota = Quota{quota.at(0).get<double>(), quota.at(1).get<double>()};
+    }
+    return workspace;
+}
+
 RoutingChange changeOf(const Json &json)
 {
     RoutingChange change;
@@ -150,6 +186,13 @@
     for (const Json &route : json.at(5)) {
         change.set.push_back(routeOf(route));
     }
+    change.hasWorkspaces = json.at(6).get<bool>();
+    for (const Json &id : json.at(7)) {
+        change.removedWorkspaces.emplace_back(id.get<std::string>());
+    }
+    for (const Json &workspace : json.at(8)) {
+        change.setWorkspaces.push_back(workspaceOf(workspace));
+    }
     return change;
 }
 
@@ -169,9 +212,18 @@
     for (const Route &route : change.set) {
         set.push_back(toJson(route));
     }
+    Json removedWorkspaces = Json::array();
+    for (const WorkspaceId &id : change.removedWorkspaces) {
+        removedWorkspaces.push_back(id.value());
+    }
+    Json setWorkspaces = Json::array();
+    for (const Workspace &workspace : change.setWorkspaces) {
+        setWorkspaces.push_back(toJson(workspace));
+    }
     std::string bytes;
     Json::to_cbor(Json::array({change.version.value(), change.digest, toJson(change.limits), std::move(services),
-                               std::move(removed), std::move(set)}),
+                               std::move(removed), std::move(set), change.hasWorkspaces, std::move(removedWorkspaces),
+                               std::move(setWorkspaces)}),
                   bytes);
     return deflated(bytes);
 }
--- a/wire/testing/routingchangecodec_test.cpp
+++ b/wire/testing/routingchangecodec_test.cpp
@@ -19,8 +19,18 @@
     engines.perEvent = Tokens(50);
     change.services = {{ServiceId("llm"), engines}, {ServiceId("booking"), std::nullopt}};
     change.removed = {{"a.example", "/gone/"}};
+    change.hasWorkspaces = true;
+    change.removedWorkspaces = {WorkspaceId("gone")};
+    Workspace limited{WorkspaceId("w1"),
+                      {KeyDigest(std::string("\0\xff key", 6)), KeyDigest("k2")},
+                      3,
+                      QuotaUnit::Tokens,
+                      Tokens(200),
+                      Quota{216251.5, 7.25}};
+    change.setWorkspaces = {limited, Workspace{WorkspaceId("w2"), {}, std::nullopt, QuotaUnit::Calls, Tokens(), {}}};
     for (int number = 0; number < routes; ++number) {
         Route route;
+        route.isOpen = number % 2 == 1;
         route.name = "r-" + std::to_string(number);
         route.host = "shop" + std::to_string(number % 7) + ".example";
         route.prefix = "/p" + std::to_string(number * 7919 % 10007) + "/";
@@ -54,6 +64,9 @@
     ASSERT_EQ(read->set.size(), 2U);
     EXPECT_TRUE(read->set[0] == sent.set[0]);
     EXPECT_TRUE(read->set[1] == sent.set[1]);
+    EXPECT_TRUE(read->hasWorkspaces);
+    EXPECT_EQ(read->removedWorkspaces, sent.removedWorkspaces);
+    EXPECT_TRUE(read->setWorkspaces == sent.setWorkspaces);
 }
 
 TEST(RoutingChangeCodec, ARouteTakesLessThan50Bytes)
