A flood of one workspace leaves the others on time

Load: one workspace sends three quarters of twice the capacity. The queue of generations knew no workspaces, and the choice of whom to demote or refuse took the workspace with the most work waiting; where each had one request waiting, the last name lost. It takes the workspace now whose work would be completed last, by the virtual times that the queue has.

AFloodOfOneWorkspaceLeavesTheOthersOnTime: nine in ten of the others are on time; with one queue for all, fewer than six in ten of all requests are. A pool without workspaces places as before.

--- a/decide/classqueue.cpp
+++ b/decide/classqueue.cpp
@@ -14,8 +14,9 @@
 // Requests of one workspace: ordered by arrival plus an offset that grows with the cost (see Options::shortFirst).
 // Under overload one long prompt would otherwise take the capacity of several short ones, which would be refused.
 //
-// takeLast() removes the last request of the workspace with the most work waiting, so a workspace that floods the queue
-// displaces its own requests.
+// takeLast() removes the last request of the workspace whose work would be completed last: its virtual time and what it
+// has waiting are the largest together. So a workspace that floods the queue displaces its own requests, also where
+// each workspace has a single one waiting.
 
 #include "decide/classqueue.h"
 
@@ -31,10 +32,10 @@
 
 void ClassQueue::setBacklog(Rank &rank, const WorkspaceId &workspace, Flow &flow, Duration backlog)
 {
-    rank.byBacklog.erase({flow.backlog, workspace});
+    rank.byFinish.erase({flow.finish(), workspace});
     rank.backlog += backlog - flow.backlog;
     flow.backlog = backlog;
-    rank.byBacklog.insert({flow.backlog, workspace});
+    rank.byFinish.insert({flow.finish(), workspace});
 }
 
 Duration ClassQueue::costOffset(Rank &rank, const QueueItem &item) const
@@ -76,7 +77,7 @@
     this->setBacklog(rank, item.workspace, flow, flow.backlog - item.cost);
     if (flow.waiting.empty()) {
         rank.byServed.erase({flow.served, item.workspace});
-        rank.byBacklog.erase({flow.backlog, item.workspace});
+        rank.byFinish.erase({flow.finish(), item.workspace});
         if (flow.served > rank.virtualTime && rank.ahead.size() < maxAhead) {
             rank.ahead[item.workspace] = flow.served;
         }
@@ -153,8 +154,10 @@
     Flow &flow = rank.flows.find(item.workspace)->second;
     rank.virtualTime = flow.served;
     rank.byServed.erase({flow.served, item.workspace});
+    rank.byFinish.erase({flow.finish(), item.workspace});
     flow.served += item.cost;
     rank.byServed.insert({flow.served, item.workspace});
+    rank.byFinish.insert({flow.finish(), item.workspace});
     bool moreUrgentWaiting = false;
     for (auto &[number, other] : this->ranks) {
         if (number == served) {
@@ -185,7 +188,7 @@
     if (found == this->ranks.end() || found->second.flows.empty()) {
         return nullptr;
     }
-    const Flow &flow = found->second.flows.find(found->second.byBacklog.rbegin()->second)->second;
+    const Flow &flow = found->second.flows.find(found->second.byFinish.rbegin()->second)->second;
     return &this->items.find(flow.waiting.rbegin()->second)->second.item;
 }
 
--- a/decide/classqueue.h
+++ b/decide/classqueue.h
@@ -60,7 +60,7 @@
     void pop(int rank);
     // Removes the requests whose latest start has passed.
     std::vector<QueueItem> takeExpired(Instant now);
-    // Removes the last request of a rank, from the workspace with the most work waiting.
+    // Removes the last request of a rank, from the workspace that would be served last.
     std::optional<QueueItem> takeLast(int rank);
     // The request that takeLast() would remove; null when none of the rank waits.
     const QueueItem *last(int rank) const;
@@ -92,11 +92,16 @@
         std::map<Position, RequestId> waiting;
         Duration served{0}; // virtual time: work placed; never behind that of the rank
         Duration backlog{0};
+
+        Duration finish() const
+        {
+            return this->served + this->backlog;
+        }
     };
     struct Rank {
         std::map<WorkspaceId, Flow> flows; // only those with work waiting
         std::set<std::pair<Duration, WorkspaceId>> byServed;
-        std::set<std::pair<Duration, WorkspaceId>> byBacklog;
+        std::set<std::pair<Duration, WorkspaceId>> byFinish; // virtual time after all that waits
         // Virtual times of workspaces that have nothing waiting and are ahead of the rank's virtual time, so that a
         // workspace that sends its requests one by one gets no more than one that sends them together. Cleared when the
         // rank becomes empty.
--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -82,7 +82,7 @@
 void GenerationGate::enqueue(const GenerationRequest &request, bool isLate)
 {
     this->waitingRequests[request.id] = request;
-    this->queue.push({request.id, WorkspaceId(), queueRank(request.rank, isLate), this->costOf(request),
+    this->queue.push({request.id, request.workspace, queueRank(request.rank, isLate), this->costOf(request),
                       request.arrival, isLate ? request.usefulUntil : request.onTimeUntil});
 }
 
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -18,6 +18,8 @@
 #include "decide/handoverfaults.h"
 #include "decide/memoryforecast.h"
 #include "decide/prefillpool.h"
+#include "decide/rejectreason.h"
+#include "decide/workspacetable.h"
 
 #include <optional>
 #include <random>
@@ -54,6 +56,9 @@
     // A stream that its caller takes up: its version is to be found by the request that brought its first event.
     bool isTakenUp = false;
     RequestId resumes = {}; // that request; empty if the caller did not name it
+    WorkspaceId workspace = {}; // that the call is accounted to; empty if it has none
+    QuotaUnits cost = {}; // that it takes of the workspace's quota
+    bool isCharged = false; // has taken it
 
     Tokens need() const
     {
@@ -69,11 +74,6 @@
     Duration waited{0}; // in this queue and earlier ones
 };
 
-enum class RejectReason {
-    NoRoom, // no engine has room in time
-    NoVersion, // the stream's version is unknown, or no engine of it serves
-};
-
 struct RejectGeneration {
     RequestId id;
     Duration retryAfter;
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -41,6 +41,7 @@
     int rejected = 0;
     Duration maxWaitOfRejected{0};
     Duration waitOfRejected{0}; // sum
+    std::map<WorkspaceId, int> onTimeOf;
     double meanWaitOfRejected() const // seconds
     {
         return std::chrono::duration<double>(this->waitOfRejected).count() / std::max(1, this->rejected);
@@ -58,6 +59,18 @@
         this->gate.setEngines(engines(count), start);
     }
 
+    // Sets the workspace of each generation by its number; by default they have none.
+    void setWorkspaces(WorkspaceId (*chosen)(int number))
+    {
+        this->workspaceOf = chosen;
+    }
+    // Runs take two to five seconds. Otherwise those that began together end together, and no engine has room for
+    // seconds in between.
+    void varyRuns()
+    {
+        this->isVaried = true;
+    }
+
     // Submits `perSecond` generations per second for `length` and continues until all have ended.
     Served run(double (*perSecond)(double second), Duration length)
     {
@@ -69,8 +82,11 @@
             due += at < length ? perSecond(std::chrono::duration<double>(at).count()) * 0.005 : 0;
             while (due >= 1) {
                 due -= 1;
-                this->gate.submit(makeRequest("r" + std::to_string(this->next++), now), now);
-                this->arrivals["r" + std::to_string(this->next - 1)] = now;
+                GenerationRequest request = makeRequest("r" + std::to_string(this->next), now);
+                request.workspace = this->workspaceOf(this->next++);
+                this->gate.submit(request, now);
+                this->arrivals[request.id.value()] = now;
+                this->workspaces[request.id.value()] = request.workspace;
             }
             this->act(now, served);
             served.peakMemory = std::max(served.peakMemory, this->fullest(now));
@@ -101,8 +117,9 @@
             if (const auto *place = std::get_if<TryReserve>(&action)) {
                 const Duration waited = now - this->arrivals.at(place->id.value());
                 (waited <= 700ms ? served.onTime : served.late) += 1;
+                served.onTimeOf[this->workspaces.at(place->id.value())] += waited <= 700ms ? 1 : 0;
                 this->gate.onReserved(place->id);
-                this->runs[place->id.value()] = {place->engine, now, now + 3500ms};
+                this->runs[place->id.value()] = {place->engine, now, now + this->lengthOfRun()};
             } else {
                 const RequestId &id = std::get<RejectGeneration>(action).id;
                 ++served.rejected;
@@ -113,6 +130,11 @@
             }
         }
     }
+    Duration lengthOfRun()
+    {
+        const std::int64_t offset = this->isVaried ? static_cast<std::int64_t>(this->random() % 3000) - 1500 : 0;
+        return 3500ms + std::chrono::milliseconds(offset);
+    }
     std::int64_t fullest(Instant now) const
     {
         std::map<EngineId, std::int64_t> held;
@@ -127,8 +149,14 @@
     }
 
     GenerationGate gate;
+    std::mt19937_64 random{7};
+    bool isVaried = false;
     int next = 0;
+    WorkspaceId (*workspaceOf)(int number) = [](int) {
+        return WorkspaceId();
+    };
     std::map<std::string, Instant> arrivals;
+    std::map<std::string, WorkspaceId> workspaces;
     std::map<std::string, Run> runs;
 };
 
@@ -150,6 +178,27 @@
     EXPECT_GE(served.onTime + served.late, 143); // three in four of the 190, without a retry by the caller
 }
 
+// One workspace sends three quarters of twice the capacity, and four others send a sixteenth each, which is within
+// their part. Guards against one workspace that costs the others their targets.
+TEST(GenerationGate, AFloodOfOneWorkspaceLeavesTheOthersOnTime)
+{
+    constexpr int sent = 600 / 16; // by each of the others
+    const auto play = [](WorkspaceId (*chosen)(int)) {
+        SimulatedPool pool(6);
+        pool.varyRuns();
+        pool.setWorkspaces(chosen);
+        return pool.run([](double) { return 30.0; }, 20s);
+    };
+    const Served served =
+        play([](int number) { return WorkspaceId(number % 16 < 12 ? "flood" : "w" + std::to_string(number % 16)); });
+    const Served blind = play([](int) { return WorkspaceId(); });
+    for (const char *name : {"w12", "w13", "w14", "w15"}) {
+        EXPECT_GE(served.onTimeOf.at(WorkspaceId(name)), sent * 9 / 10) << name;
+    }
+    EXPECT_LT(blind.onTime, 600 * 6 / 10); // a queue that knows no workspaces spreads its misses over all
+    EXPECT_GE(served.onTime, blind.onTime * 9 / 10);
+}
+
 // Permanent saturation: refused requests are refused soon, and the pool keeps serving requests on time.
 TEST(GenerationGate, RejectsSoonUnderSaturation)
 {
