--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -49,6 +49,7 @@
     std::visit(
         Overloaded{
             [&](const store_update::Config &read) { this->takeConfig(read.config); },
+            [&](const store_update::ConfigCurrent &current) { this->configCurrentAt = current.at; },
             [&](const store_update::Listed &listed) {
                 this->hasEndpointList = true;
                 this->reportMissing(this->registry.onListed(listed.records, now));
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -35,6 +35,13 @@
         return this->config;
     }
 
+    // The time since the configuration was last known to be the newest, for an instant of the clock that also advances
+    // while the host is suspended; empty if it never was.
+    std::optional<Duration> configAge(Instant bootTime) const
+    {
+        return this->configCurrentAt ? std::optional(bootTime - *this->configCurrentAt) : std::nullopt;
+    }
+
     // Sets the version of the store up to which all registry changes are known here, and records when it changed. It is
     // logged, to show which state each choice of an endpoint was based on.
     void setRegistryVersion(std::uint64_t version, Instant now);
@@ -105,6 +112,7 @@
     DataCentreId dataCentre;
     RetryBudget::Options retries;
     std::shared_ptr<const RoutingConfig> config;
+    std::optional<Instant> configCurrentAt;
     bool hasEndpointList = false;
     EndpointRegistry registry;
     std::uint64_t version = 0; // of the registry
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -42,6 +42,32 @@
     return this->deadline() - steadyNow();
 }
 
+ForwardedCaller ForwardedCall::caller() const
+{
+    return {this->workspace != nullptr ? this->workspace->id : WorkspaceId(), this->isKeyOurs};
+}
+
+int ForwardedCall::rank() const
+{
+    return this->workspace != nullptr ? this->workspace->rank.value_or(this->route.rank) : this->route.rank;
+}
+
+QuotaUnits ForwardedCall::cost() const
+{
+    return this->workspace != nullptr ? costOf(*this->workspace, this->head.tokens()) : QuotaUnits();
+}
+
+void ForwardedCall::refuseCredit(const CreditDecision &decision, const asio::yield_context &yield) const
+{
+    if (decision.reason == RejectReason::OverQuota) {
+        this->refuse({RefusalCode::QuotaExceeded, RunState::NotRun, "the quota is used up", decision.wait},
+                     NoRetry::None, yield);
+    } else {
+        this->refuse({RefusalCode::Overloaded, RunState::NotRun, "the quota can't be checked now", decision.wait},
+                     NoRetry::None, yield);
+    }
+}
+
 void ForwardedCall::refuse(const Refusal &refusal, NoRetry noRetry, const asio::yield_context &yield) const
 {
     this->services.metrics.onRefused(refusal);
@@ -49,6 +75,7 @@
               {{"request", this->head.id.value()},
                {"route", this->route.name},
                {"config", this->version.value()},
+               {"workspace", this->caller().workspace.value()},
                {"code", codeName(refusal.code)},
                {"run", runStateName(refusal.run)},
                {"reason", refusal.text},
@@ -67,6 +94,9 @@
         const double seconds = std::chrono::duration<double>(*refusal.retryAfter).count();
         headers.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
     }
+    if (refusal.code == RefusalCode::UnknownKey) {
+        headers.push_back(keyChallenge());
+    }
     reply.forward(httpStatus(refusal.code), refusalJson(refusal, id), headers, yield);
 }
 
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -10,6 +10,7 @@
 #include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
 #include "programs/gateway/placementgates.h"
+#include "programs/gateway/workspacecredits.h"
 
 namespace fescuesill
 {
@@ -23,6 +24,7 @@
     FleetView &fleet;
     PlacementGates &gates;
     EndpointPermits &permits;
+    WorkspaceCredits &credits;
     HttpClient &client;
     GatewayMetrics &metrics;
 };
@@ -47,11 +49,19 @@
     const Route &route;
     ServiceId service;
     ConfigVersion version; // of the configuration that chose the route
+    const Workspace *workspace; // of that configuration; null for a call without one
+    bool isKeyOurs; // the configuration has workspaces
     Instant arrival;
 
     // The caller's deadline or the route's timeout, whichever is earlier.
     Instant deadline() const;
     Duration timeLeft() const;
+    ForwardedCaller caller() const;
+    int rank() const;
+    // What the call takes of its workspace's quota.
+    QuotaUnits cost() const;
+    // Replies that the quota allows no call now.
+    void refuseCredit(const CreditDecision &decision, const asio::yield_context &yield) const;
     // Replies with an error of the gateway, and logs its reason and why no other endpoint was tried.
     void refuse(const Refusal &refusal, NoRetry noRetry, const asio::yield_context &yield) const;
 };
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -26,6 +26,8 @@
 // For time-based work: the grace period of vanished endpoints, the graceful stop.
 constexpr Duration tickInterval{100ms};
 constexpr Duration retryAfterWithoutConfig{1s}; // a newly started host reads its configuration within this
+// For a call with a key while the store can't be read, so that other hosts can't admit it either.
+constexpr Duration retryAfterInOutage{1s};
 constexpr Duration retryAfterWhenStopping{100ms}; // the next connection goes to another host
 constexpr Bytes requestLineAllowance{4 << 10}; // for the request line, added to the limit on headers
 
@@ -40,6 +42,16 @@
     return options;
 }
 
+QuotaLedger::Options ledgerOptions(const GatewaySettings &settings)
+{
+    QuotaLedger::Options options;
+    options.window = settings.quotaWindow;
+    options.overshoot = settings.quotaOvershoot;
+    options.slack = settings.quotaSlack;
+    options.isFirstStart = settings.isFirstStart;
+    return options;
+}
+
 class Gateway
 {
 public:
@@ -48,11 +60,13 @@
         , seed(std::random_device()())
         , fleet(given.dataCentre, {given.retryShare, given.retriesSaved, given.retriesSaved}, given.contactLimit,
                 this->seed)
-        , gates(this->io, this->fleet, given.isFirstStart, this->seed + 2)
+        , credits(this->io, ledgerOptions(given))
+        , gates(this->io, this->fleet, this->credits, given.isFirstStart, this->seed + 2)
         , permits(this->io, this->fleet.limits())
         , paths(EndpointPaths::Options{}, this->seed + 3)
         , client(this->io, clientOptions(given, this->paths))
-        , services{this->settings, this->io, this->fleet, this->gates, this->permits, this->client, this->metrics}
+        , services{this->settings, this->io,      this->fleet,  this->gates,
+                   this->permits,  this->credits, this->client, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
@@ -67,8 +81,11 @@
     void serve(HttpCall &call, HttpReply &reply, const asio::yield_context &yield);
     void forward(HttpCall &call, HttpReply &reply, const asio::yield_context &yield);
     void answerReady(const HttpCall &call, HttpReply &reply, const asio::yield_context &yield);
+    KeyTrust keyTrust() const;
+    bool admitsKeys() const;
+    void refuseKey(const ForwardedCall &call, const CallerIdentity &caller, const asio::yield_context &yield);
     void applyUpdates();
-    void applyLimits();
+    void applyConfig();
     void onChanging(const peer::EngineChanging &change);
     void onTick();
     void armTick();
@@ -80,6 +97,7 @@
     std::uint64_t seed;
     asio::io_context io{1};
     FleetView fleet;
+    WorkspaceCredits credits;
     PlacementGates gates;
     EndpointPermits permits;
     EndpointPaths paths;
@@ -116,7 +134,7 @@
         }
     }
     this->fleet.setRegistryVersion(this->store->knownVersion(), steadyNow());
-    this->applyLimits();
+    this->applyConfig();
     this->gates.onFleetChanged();
 }
 
@@ -129,13 +147,14 @@
     }
 }
 
-void Gateway::applyLimits()
+void Gateway::applyConfig()
 {
     const auto &config = this->fleet.activeConfig();
     if (!config || config->version == this->limitsVersion || !this->callers) {
         return;
     }
     this->limitsVersion = config->version;
+    this->credits.setWorkspaces(config->workspaces ? &*config->workspaces : nullptr);
     HttpServer::Options limits;
     limits.headerLimit = config->limits.header + requestLineAllowance;
     limits.bodyLimit = config->limits.body;
@@ -167,8 +186,18 @@
     }
     // A stream that is taken up goes to the service of a split that began it.
     const RequestId &first = head.lastEvent.empty() || head.resumes.isEmpty() ? head.id : head.resumes;
-    const ForwardedCall forwarded{this->services,  head,   call, reply, *route, chooseService(*route, first),
-                                  config->version, arrival};
+    ForwardedCall forwarded{this->services,  head,    call,
+                            reply,           *route,  chooseService(*route, first),
+                            config->version, nullptr, config->workspaces.has_value(),
+                            arrival};
+    const CallerIdentity caller = identify(*config, this->fleet.configAge(bootNow()), this->keyTrust(), *route,
+                                           config->workspaces ? readKey(call) : PresentedKey());
+    if (const auto *member = std::get_if<caller_identity::Member>(&caller)) {
+        forwarded.workspace = member->workspace;
+    } else if (!std::holds_alternative<caller_identity::Anonymous>(caller)) {
+        this->refuseKey(forwarded, caller, yield);
+        return;
+    }
     if (route->kind == CallKind::Generation) {
         GenerationForward(forwarded).run(yield);
     } else {
@@ -176,6 +205,32 @@
     }
 }
 
+KeyTrust Gateway::keyTrust() const
+{
+    return {this->settings.keyLimit, this->settings.isRevocationStrict};
+}
+
+// Whether keys are admitted, which needs a configuration that was the newest a moment ago.
+bool Gateway::admitsKeys() const
+{
+    const auto &config = this->fleet.activeConfig();
+    const bool isLimited = config && config->workspaces && this->settings.isRevocationStrict;
+    const auto age = this->fleet.configAge(bootNow());
+    return !isLimited || (age && *age <= this->settings.keyLimit);
+}
+
+void Gateway::refuseKey(const ForwardedCall &call, const CallerIdentity &caller, const asio::yield_context &yield)
+{
+    if (std::holds_alternative<caller_identity::UnknownKey>(caller)) {
+        call.refuse({RefusalCode::UnknownKey, RunState::NotRun, "no workspace holds this key", std::nullopt},
+                    NoRetry::None, yield);
+        return;
+    }
+    const Duration retryAfter = this->fleet.isRegistryCurrent() ? retryAfterWithoutPath : retryAfterInOutage;
+    call.refuse({RefusalCode::NoConfiguration, RunState::NotRun, "the keys in force are not known now", retryAfter},
+                NoRetry::None, yield);
+}
+
 void Gateway::serve(HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
 {
     if (!this->draining.isReady()) {
@@ -209,7 +264,7 @@
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
     }
-    const bool isReady = this->fleet.isInitialised() && this->draining.isReady();
+    const bool isReady = this->fleet.isInitialised() && this->draining.isReady() && this->admitsKeys();
     reply.send(isReady ? 200 : 503, isReady ? R"({"ready":true})" : R"({"ready":false})", yield);
 }
 
@@ -281,12 +336,13 @@
 bool Gateway::openLinks()
 {
     if (this->settings.peers.empty()) {
+        this->credits.setPart(true, 1, 1);
         return true;
     }
     LeaderLink::Options options;
     options.listen = this->settings.peers;
     options.tunnels = this->settings.tunnels;
-    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->paths);
+    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->credits, this->paths);
     if (!opened) {
         Log::error("cannot_listen", {{"reason", opened.error().what()}});
         return false;
@@ -322,6 +378,7 @@
     const LeaseRow self{this->settings.host, this->settings.peers, 0};
     StoreWatcher::Options storeOptions{this->settings.store, this->settings.contactLimit, self, this->settings.lease};
     storeOptions.isFirstStart = this->settings.isFirstStart;
+    storeOptions.keyLimit = this->settings.isRevocationStrict ? this->settings.keyLimit : Duration(0);
     this->store = std::make_unique<StoreWatcher>(storeOptions, this->updates);
     if (this->links) {
         this->links->setStore(*this->store);
--- a/programs/gateway/gatewaysettings.cpp
+++ b/programs/gateway/gatewaysettings.cpp
@@ -30,6 +30,13 @@
     const double allowed = reader->fraction("retries", "fleet_share", 0.2, {0, 100});
     settings.retryShare = allowed * 0.8;
     settings.retriesSaved = reader->fraction("retries", "saved", settings.retriesSaved, {0, 1000});
+    // A tenth is kept for clocks that do not run alike, and for the time between the check and the acceptance of a
+    // call.
+    settings.keyLimit = reader->decimal("keys", "revoke_ms", 1ms, 5s, {100ms, 1h}) * 9 / 10;
+    settings.isRevocationStrict = reader->flag("keys", "strict", settings.isRevocationStrict);
+    settings.quotaWindow = reader->decimal("quotas", "window_s", 1s, settings.quotaWindow, {100ms, 1h});
+    settings.quotaOvershoot = reader->fraction("quotas", "overshoot", settings.quotaOvershoot, {0, 10});
+    settings.quotaSlack = QuotaUnits(reader->number("quotas", "slack", 0, {0, std::int64_t{1} << 50}));
     settings.moveEngines = reader->flag("engines", "move", true);
     settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
     if (auto faults = reader->finish(); !faults.empty()) {
--- a/programs/gateway/gatewaysettings.h
+++ b/programs/gateway/gatewaysettings.h
@@ -5,6 +5,7 @@
 //     const auto settings = GatewaySettings::fromFile("gateway.ini");
 //     if (!settings) { ... print each settings.error().faults ..., exit code 2 ... }
 
+#include "decide/workspacetable.h"
 #include "declare/settings.h"
 #include "fescuesill/ids.h"
 #include "wire/log.h"
@@ -37,6 +38,14 @@
     // coordinate on it, so each host keeps to its own part.
     double retryShare = 0.16;
     double retriesSaved = 2;
+    // How long keys are admitted after the configuration was known to be the newest, and whether keys are refused after
+    // that.
+    Duration keyLimit{4500ms};
+    bool isRevocationStrict = false;
+    // By how much all hosts together may exceed a workspace's quota in any window of time.
+    Duration quotaWindow{8s};
+    double quotaOvershoot = 0; // as a share
+    QuotaUnits quotaSlack;
     // Whether the leader moves engines between prefill and decode.
     bool moveEngines = true;
     LogLevel logLevel = LogLevel::Info;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -16,6 +16,8 @@
 #include "wire/clock.h"
 #include "wire/log.h"
 
+#include <utility>
+
 namespace fescuesill
 {
 namespace
@@ -64,7 +66,7 @@
         this->call.head.generation.value_or(GenerationSize{defaultPromptSize, Tokens(0), {}, {}});
     GenerationRequest request;
     request.id = this->call.head.id;
-    request.rank = route.rank;
+    request.rank = this->call.rank();
     request.prompt = size.prompt;
     request.output = std::min(size.maxOutput, size.expectedOutput.value_or(size.maxOutput));
     request.maxOutput = size.maxOutput;
@@ -80,6 +82,9 @@
     request.version = this->streamVersion;
     request.isTakenUp = !this->call.head.lastEvent.empty();
     request.resumes = this->call.head.resumes;
+    request.workspace = this->call.caller().workspace;
+    request.cost = this->call.cost();
+    request.isCharged = this->isCharged;
     return request;
 }
 
@@ -142,6 +147,7 @@
     const auto &services = this->call.services;
     GateAction action = services.gates.requestPlacement(this->call.service, this->placementRequest(), yield);
     while (const auto *attempt = std::get_if<TryReserve>(&action)) {
+        this->isCharged = this->call.workspace != nullptr;
         this->checkCaller();
         const auto decode = services.fleet.usable(EndpointId(attempt->engine.value()));
         const bool isOtherVersion = decode && !this->streamVersion.isEmpty() && decode->version != this->streamVersion;
@@ -158,7 +164,9 @@
     this->checkCaller();
     const auto &rejected = std::get<RejectGeneration>(action);
     this->retryAfter = rejected.retryAfter;
-    if (rejected.reason == RejectReason::NoVersion) {
+    if (rejected.reason == RejectReason::OverQuota || rejected.reason == RejectReason::QuotaUnknown) {
+        this->noCredit = CreditDecision{rejected.retryAfter, rejected.reason};
+    } else if (rejected.reason == RejectReason::NoVersion) {
         this->lastFault = "no engine of the version that began the stream, or it is unknown";
     }
     return std::nullopt;
@@ -168,7 +176,7 @@
                                                                        const asio::yield_context &yield)
 {
     const auto &services = this->call.services;
-    const HttpRequest request = prefillRequest(this->call.http, engine.id, this->call.timeLeft());
+    const HttpRequest request = prefillRequest(this->call.http, this->call.caller(), engine.id, this->call.timeLeft());
     const Tokens prompt = this->promptKey().size;
     const EngineId id(engine.id.value());
     services.fleet.prefills().onSent(id, prompt);
@@ -318,7 +326,7 @@
         start.prefillAddress = prefilled->address;
         start.result = prefilled->result;
     }
-    const HttpRequest request = generationRequest(this->call.http, start, this->call.timeLeft());
+    const HttpRequest request = generationRequest(this->call.http, this->call.caller(), start, this->call.timeLeft());
     ++this->sends;
     this->hasNoPath = false;
     const Instant sent = steadyNow();
@@ -415,6 +423,7 @@
         }
         const bool isFault = ended == Outcome::Broken || (ended == Outcome::NotRun && !isResultLost);
         this->report(isFault ? peer::PlacementEvent::EndedByFault : peer::PlacementEvent::Ended);
+        this->hasRun = this->hasRun || ended == Outcome::Whole;
         if (ended == Outcome::Broken) {
             this->mayHaveRun = true;
             this->avoid = EngineId(place->engine.id.value());
@@ -450,6 +459,13 @@
     return this->call.services.fleet.budget(this->call.service).take() ? std::nullopt : std::optional(NoRetry::Budget);
 }
 
+void GenerationForward::refund()
+{
+    if (std::exchange(this->isCharged, false)) {
+        this->call.services.credits.refund(this->call.caller().workspace, this->call.cost());
+    }
+}
+
 void GenerationForward::logEnd(const char *outcome) const
 {
     this->call.services.metrics.onGenerationEnd(outcome, this->times);
@@ -505,6 +521,10 @@
                           this->noRetry, yield);
         return;
     }
+    if (this->noCredit) {
+        this->call.refuseCredit(*this->noCredit, yield);
+        return;
+    }
     const std::string reason = this->lastFault.empty() ? "no engine has room in time" : this->lastFault;
     const Duration retryLater = std::max<Duration>(this->retryAfter.value_or(minRetryAfter), minRetryAfter);
     this->call.refuse(
@@ -530,10 +550,16 @@
             reason = this->claimRetry(ended);
         }
         this->noRetry = *reason;
+        if (!this->hasRun && !this->mayHaveRun) {
+            this->refund();
+        }
         this->report(peer::PlacementEvent::Ended);
         this->finish(ended, yield);
     } catch (const CallerGone &) {
         this->call.reply.onCallerGone({});
+        if (this->sends == 0) {
+            this->refund();
+        }
         this->report(peer::PlacementEvent::Ended);
         this->logEnd("caller_gone");
         throw;
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -63,12 +63,15 @@
     void checkCaller() const;
     void onFault(const HttpError &error);
     void recordEvents();
+    // Gives back what was taken of the workspace's quota.
+    void refund();
     void logEnd(const char *outcome) const;
 
     const ForwardedCall &call;
     CallAbort abort;
     EventRelay events;
     std::optional<Duration> retryAfter;
+    std::optional<CreditDecision> noCredit; // why the workspace's quota allows no call now
     std::string lastFault;
     BodyFraming framing = BodyFraming::Length; // of the last response of a decode engine
     bool hasNoPath = false; // the last fault is that this host reaches no endpoint
@@ -81,6 +84,8 @@
     std::int64_t eventsProduced = 0; // complete events received so far
     int sends = 0; // requests to decode engines of which at least one byte was sent
     bool mayHaveRun = false; // an attempt failed after it was sent
+    bool isCharged = false; // to the workspace's quota
+    bool hasRun = false; // an engine has answered
     bool isStarted = false; // the head of the response was sent to the caller
     bool isSelfPrefilled = false; // the decode engine runs the prefill itself, since no prefill engine could
     // For the log and the metrics.
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/post.hpp>
 #include <random>
+#include <utility>
 
 namespace fescuesill
 {
@@ -24,6 +25,8 @@
 // The same while no generation is placed or waits: a second of a link of 20 Mbit/s. After the first start of a fleet of
 // 300 hosts this is enough for a configuration of dozens of routes.
 constexpr std::size_t maxIdleFanOutBytes = 2560 << 10;
+// How long hosts that are no longer linked may still be at work behind a cut. Longer than the window of a quota.
+constexpr Duration fleetSizeWindow{10s};
 // A message of a few bytes; until it succeeds, this host reads the store itself.
 constexpr Duration followRequestInterval{1s};
 
@@ -37,24 +40,27 @@
 } // namespace
 
 LeaderLink::LeaderLink(asio::io_context &io, const Options &options, PlacementGates &placementGates,
-                       EndpointPermits &endpointPermits, EndpointPaths &endpointPaths)
+                       EndpointPermits &endpointPermits, WorkspaceCredits &workspaceCredits,
+                       EndpointPaths &endpointPaths)
     : gates(placementGates)
     , permits(endpointPermits)
+    , credits(workspaceCredits)
     , paths(endpointPaths)
     , readers({}, std::random_device()())
     , tunnelHosts({}, std::random_device()())
     , ownAddress(options.listen)
     , ownTunnels(options.tunnels)
     , route(options.listen, PlacingRoute::Options{})
+    , fleetSize(fleetSizeWindow)
     , events(eventRingSize, [this, &io] { asio::post(io, [this] { this->drain(); }); })
 {
 }
 
 tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
                                                                         PlacementGates &gates, EndpointPermits &permits,
-                                                                        EndpointPaths &paths)
+                                                                        WorkspaceCredits &credits, EndpointPaths &paths)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, paths));
+    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, credits, paths));
     LeaderLink *self = link.get();
     permits.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     PeerNode::Handlers handlers;
@@ -143,6 +149,7 @@
     const bool decidesForAll = this->isLeading || this->isActing;
     this->permits.setShare(decidesForAll ? 1 : ownPart);
     this->gates.setShare(decidesForAll || this->path != PlacingPath::Alone ? 1 : ownPart);
+    this->applyQuotaPart(now);
     if (this->isActing != wasActing) {
         Log::info("standing_in", {{"for_leader", this->isActing}, {"address", this->leaderAddress}});
     }
@@ -154,6 +161,23 @@
     }
 }
 
+// A leader and the deputy that stands in for it may both account for quotas for a moment, each for the hosts that it is
+// linked to. So each gives a part only, except a leader that reaches at least half of the fleet: hosts that were
+// stopped are no reason to refuse the callers of the others.
+void LeaderLink::applyQuotaPart(Instant now)
+{
+    const bool decidesForAll = this->isLeading || this->isActing;
+    const std::size_t reached = this->placementClients.size() + 1;
+    if (decidesForAll) {
+        this->fleetSize.add(reached, now);
+    }
+    const std::size_t all = this->fleetSize.value(now);
+    const bool isMajority = this->isLeading && reached * 2 >= all;
+    const std::size_t served = decidesForAll ? reached : 1;
+    const double part = isMajority ? 1 : static_cast<double>(served) / static_cast<double>(std::max(all, served));
+    this->credits.setPart(decidesForAll, all == 0 ? 0 : part, all);
+}
+
 void LeaderLink::switchPath(PlacingPath next)
 {
     std::optional<LinkId> link;
@@ -176,6 +200,7 @@
     }
     if (!link) {
         this->permits.setUplink({});
+        this->credits.setUplink({});
     }
     if (next == PlacingPath::Waiting) {
         this->gates.suspend();
@@ -185,6 +210,7 @@
         };
         this->gates.setUplink(send);
         this->permits.setUplink(send);
+        this->credits.setUplink(send);
     } else {
         this->gates.setUplink({});
     }
@@ -297,6 +323,8 @@
         if (config->change.size() * this->followers.size() > limit) {
             config->change.clear();
         }
+    } else if (auto *current = std::get_if<peer::ConfigCurrent>(&message)) {
+        current->hosts = this->fleetSize.value(steadyNow());
     }
     if (!update.follower) {
         this->node->sendToAll({this->followers.begin(), this->followers.end()}, message);
@@ -370,6 +398,7 @@
     this->applyReaders(now);
     this->requestTunnelHosts(now);
     this->reportStreams();
+    this->credits.onTick(now);
 }
 
 void LeaderLink::requestTunnelHosts(Instant now)
@@ -401,17 +430,61 @@
     if (this->paths.isCutOff()) {
         this->tunnelHosts.onCutOff(LinkId{}, now);
     }
-    this->node->send(link, peer::TunnelHostsNamed{this->tunnelHosts.choose(link, now),
-                                                  this->tunnelHosts.areOthersCutOff(link, now)});
+    this->node->send(
+        link,
+        peer::TunnelHostsNamed{this->tunnelHosts.choose(link, now), this->tunnelHosts.areOthersCutOff(link, now)});
+}
+
+void LeaderLink::requestClock(LinkId link)
+{
+    const Instant now = bootNow();
+    PeerClock &clock = this->reporters[link].clock;
+    if (clock.isProbeDue(now)) {
+        clock.onProbeSent(now);
+        this->node->send(link, peer::RequestClock{static_cast<std::uint64_t>(now.time_since_epoch().count())});
+    }
+}
+
+void LeaderLink::onConfigCurrent(LinkId link, const peer::ConfigCurrent &current)
+{
+    const bool isFromRelay = this->uplink && link == *this->uplink;
+    if (!isFromRelay && !this->readers.isReader(link)) {
+        return;
+    }
+    if (isFromRelay && current.hosts > 0) {
+        this->fleetSize.add(current.hosts, steadyNow());
+    }
+    Reporter &reporter = this->reporters[link];
+    reporter.last = current;
+    this->requestClock(link);
+    const Instant peerTime{Duration(static_cast<std::int64_t>(current.at))};
+    if (const auto at = reporter.clock.notAfter(peerTime, bootNow())) {
+        this->store->onConfigCurrent(RowVersion(static_cast<std::int64_t>(current.rowVersion)), *at);
+    }
+}
+
+void LeaderLink::onClockReply(LinkId link, const peer::ClockReply &reply)
+{
+    const auto found = this->reporters.find(link);
+    if (found == this->reporters.end()) {
+        return;
+    }
+    found->second.clock.onReply(Instant(Duration(static_cast<std::int64_t>(reply.sent))),
+                                Instant(Duration(static_cast<std::int64_t>(reply.clock))), bootNow());
+    if (const auto last = std::exchange(found->second.last, std::nullopt)) {
+        this->onConfigCurrent(link, *last);
+    }
 }
 
 void LeaderLink::onOpened(LinkId link)
 {
     if (this->leader && link == *this->leader) {
+        this->requestClock(link);
         this->route.onLeaderReached();
         this->setLeaderReachable(true);
         this->node->send(link, peer::FollowerAddress{this->ownAddress, this->ownTunnels});
     } else if (this->isDeputyLink(link)) {
+        this->requestClock(link);
         this->route.onDeputyReached();
         this->node->send(link, peer::FollowerAddress{this->ownAddress, this->ownTunnels});
         Log::info("deputy_reached", {{"address", this->deputy->address}});
@@ -420,6 +493,7 @@
 
 void LeaderLink::onClosed(LinkId link)
 {
+    this->reporters.erase(link); // the host may start again with another clock
     if (this->leader && link == *this->leader) {
         this->onLeaderLost();
     } else if (this->isDeputyLink(link)) {
@@ -538,6 +612,15 @@
                 this->placementClients.insert(link);
                 this->gates.onHeldPlacements(link, held);
             },
+            [&](const peer::RequestCredit &request) { this->credits.onRequested(reply, request); },
+            [&](const peer::CreditReply &answer) { this->credits.onReply(answer); },
+            [&](const peer::QuotaReport &report) { this->credits.onReported(reply, report); },
+            [&](const peer::QuotaUsedUp &usedUp) { this->credits.onUsedUp(usedUp); },
+            [&](const peer::RequestClock &request) {
+                reply(peer::ClockReply{request.sent, static_cast<std::uint64_t>(bootNow().time_since_epoch().count())});
+            },
+            [&](const peer::ClockReply &answer) { this->onClockReply(link, answer); },
+            [&](const peer::ConfigCurrent &current) { this->onConfigCurrent(link, current); },
             [&](const peer::StreamsBegun &begun) { this->gates.onStreamsBegun(begun); },
             [&](const peer::FollowerAddress &follower) { this->onFollowerAddressReceived(link, follower); },
             [&](const peer::RequestTunnelHosts &request) { this->onTunnelHostsRequested(link, request.isCutOff); },
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -2,16 +2,19 @@
 
 // The links between gateways: to the leader if this host follows one, and from the followers if it leads.
 //
-//     auto link = LeaderLink::create(io, options, gates);
+//     auto link = LeaderLink::create(io, options, gates, permits, credits, paths);
 //     link.value()->setStore(store);
 //     link.value()->onLeader(update);          // the current leader, according to the lease
 
 #include "decide/endpointpaths.h"
+#include "decide/recentmaximum.h"
 #include "decide/tunnelhostchoice.h"
 #include "programs/gateway/endpointpermits.h"
 #include "programs/gateway/placementgates.h"
 #include "programs/gateway/storewatcher.h"
+#include "programs/gateway/workspacecredits.h"
 #include "promise/deputychoice.h"
+#include "promise/peerclock.h"
 #include "promise/placingroute.h"
 #include "promise/readerchoice.h"
 #include "wire/peernode.h"
@@ -35,7 +38,7 @@
 
     static tl::expected<std::unique_ptr<LeaderLink>, WireError> create(asio::io_context &io, const Options &options,
                                                                        PlacementGates &gates, EndpointPermits &permits,
-                                                                       EndpointPaths &paths);
+                                                                       WorkspaceCredits &credits, EndpointPaths &paths);
     // Sets the watcher of the store, which outlives the links.
     void setStore(StoreWatcher &watcher)
     {
@@ -75,7 +78,7 @@
     };
 
     LeaderLink(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
-               EndpointPaths &paths);
+               WorkspaceCredits &credits, EndpointPaths &paths);
     void push(Event event);
     void drain();
     void on(const Event &event);
@@ -98,6 +101,11 @@
     void onTunnelHostsRequested(LinkId link, bool isCutOff);
     void nameTunnelHosts(LinkId link, Instant now);
     void applyReaders(Instant now);
+    // Sets what this host may give of the workspaces' quotas.
+    void applyQuotaPart(Instant now);
+    void requestClock(LinkId link);
+    void onConfigCurrent(LinkId link, const peer::ConfigCurrent &current);
+    void onClockReply(LinkId link, const peer::ClockReply &reply);
     void onStoreLost(LinkId link);
     void announceLeader(const store_update::Leader &leader);
     void endPlacing();
@@ -105,6 +113,7 @@
 
     PlacementGates &gates;
     EndpointPermits &permits;
+    WorkspaceCredits &credits;
     EndpointPaths &paths;
     StoreWatcher *store = nullptr;
     std::set<LinkId> followers; // links of the hosts that this one forwards the store's changes to
@@ -126,6 +135,13 @@
     PlacingPath path = PlacingPath::Alone; // the path that the gates use now
     std::optional<LinkId> uplink;
     std::uint64_t hosts = 1; // in the fleet, as last stated by the leader or its deputy
+    RecentMaximum fleetSize;
+    // The clocks of hosts that report when the configuration was current, and the last report of each.
+    struct Reporter {
+        PeerClock clock{PeerClock::Options{}};
+        std::optional<peer::ConfigCurrent> last;
+    };
+    std::map<LinkId, Reporter> reporters;
     bool isActing = false;
     Ring<Event> events;
     std::unique_ptr<PeerNode> node;
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -16,6 +16,8 @@
 #include "wire/clock.h"
 #include "wire/log.h"
 
+#include <utility>
+
 namespace fescuesill
 {
 namespace
@@ -75,9 +77,11 @@
 
 } // namespace
 
-PlacementGates::PlacementGates(asio::io_context &context, FleetView &view, bool isFirstStart, std::uint64_t number)
+PlacementGates::PlacementGates(asio::io_context &context, FleetView &view, WorkspaceCredits &workspaceCredits,
+                               bool isFirstStart, std::uint64_t number)
     : io(context)
     , fleet(view)
+    , credits(workspaceCredits)
     , seed(number)
     , origins(originOptions(isFirstStart))
 {
@@ -179,6 +183,10 @@
     if (const auto *place = std::get_if<TryReserve>(&action)) {
         local.engine = place->engine;
         local.since = steadyNow();
+        local.request.isCharged = true;
+        local.isChargedHere = false;
+    } else {
+        this->refundUnoffered(local);
     }
     local.timer.cancel();
 }
@@ -196,14 +204,44 @@
     }
     const Send reply = remote->second.reply;
     if (const auto *place = std::get_if<TryReserve>(&action)) {
+        remote->second.charged = WorkspaceId();
         reply(peer::OfferPlacement{id, place->engine, place->prefill});
         return;
     }
     const auto &rejected = std::get<RejectGeneration>(action);
-    reply(peer::RejectPlacement{id, rejected.retryAfter, rejected.reason == RejectReason::NoVersion});
+    reply(peer::RejectPlacement{id, rejected.retryAfter, rejected.reason});
+    this->refundUnoffered(remote->second);
     this->remoteGenerations.erase(remote);
 }
 
+std::optional<RejectGeneration> PlacementGates::charge(GenerationRequest &request)
+{
+    if (request.isCharged || request.workspace.isEmpty()) {
+        return std::nullopt;
+    }
+    const CreditDecision decision = this->credits.takeHere(request.workspace, request.cost);
+    if (decision.wait > 0ms) {
+        return RejectGeneration{request.id, decision.wait, Duration(0), decision.reason};
+    }
+    request.isCharged = true;
+    return std::nullopt;
+}
+
+void PlacementGates::refundUnoffered(LocalGeneration &local)
+{
+    if (std::exchange(local.isChargedHere, false)) {
+        this->credits.refund(local.request.workspace, local.request.cost);
+    }
+}
+
+void PlacementGates::refundUnoffered(RemoteGeneration &remote)
+{
+    if (!remote.charged.isEmpty()) {
+        this->credits.refund(remote.charged, remote.cost);
+        remote.charged = WorkspaceId();
+    }
+}
+
 void PlacementGates::submit(LocalGeneration &local)
 {
     const GenerationRequest &request = local.request;
@@ -220,6 +258,12 @@
             this->decide(local, RejectGeneration{request.id, Duration(0), Duration(0), RejectReason::NoVersion});
             return;
         }
+        const bool wasCharged = local.request.isCharged;
+        if (const auto rejected = this->charge(local.request)) {
+            this->decide(local, *rejected);
+            return;
+        }
+        local.isChargedHere = local.request.isCharged && !wasCharged;
         gate.core.submit(request, now);
         this->poll(gate);
         return;
@@ -227,7 +271,8 @@
     this->uplink(peer::RequestPlacement{
         request.id, local.service, static_cast<std::uint64_t>(std::max(0, request.rank)), request.prompt,
         request.output, request.maxOutput, now - request.arrival, request.onTimeUntil - now, request.usefulUntil - now,
-        request.dataCentre, request.avoid, request.promptName, request.version, request.isTakenUp, request.resumes});
+        request.dataCentre, request.avoid, request.promptName, request.version, request.isTakenUp, request.resumes,
+        request.workspace, request.cost, request.isCharged});
 }
 
 GateAction PlacementGates::requestPlacement(const ServiceId &service, const GenerationRequest &request,
@@ -294,6 +339,7 @@
     const bool isRetry = event == peer::PlacementEvent::Full || event == peer::PlacementEvent::Fault;
     const bool isEnd = event == peer::PlacementEvent::Ended || event == peer::PlacementEvent::EndedByFault;
     if (isEnd) {
+        this->refundUnoffered(*local);
         this->localGenerations.erase(found);
     }
     this->send(peer::PlacementReport{id, service, event, output, {}});
@@ -441,8 +487,8 @@
 {
     const auto found = this->localGenerations.find(message.request);
     if (found != this->localGenerations.end() && found->second->isAtLeader) {
-        const RejectReason reason = message.isVersionMissing ? RejectReason::NoVersion : RejectReason::NoRoom;
-        this->decide(*found->second, RejectGeneration{message.request, message.retryAfter, Duration(0), reason});
+        this->decide(*found->second,
+                     RejectGeneration{message.request, message.retryAfter, Duration(0), message.reason});
     }
 }
 
@@ -470,12 +516,21 @@
     request.version = message.version;
     request.isTakenUp = message.isTakenUp;
     request.resumes = message.resumes;
+    request.workspace = message.workspace;
+    request.cost = message.cost;
+    request.isCharged = message.isCharged;
     if (!this->findVersion(message.service, request)) {
         Log::info("stream_version_unknown", {{"request", request.id.value()}, {"resumes", request.resumes.value()}});
-        reply(peer::RejectPlacement{request.id, Duration(0), true});
+        reply(peer::RejectPlacement{request.id, Duration(0), RejectReason::NoVersion});
+        return;
+    }
+    if (const auto rejected = this->charge(request)) {
+        reply(peer::RejectPlacement{request.id, rejected->retryAfter, rejected->reason});
         return;
     }
-    this->remoteGenerations[request.id] = RemoteGeneration{link, message.service, reply};
+    const bool isChargedHere = request.isCharged && !message.isCharged;
+    this->remoteGenerations[request.id] =
+        RemoteGeneration{link, message.service, reply, isChargedHere ? request.workspace : WorkspaceId(), request.cost};
     Gate &gate = this->gate(message.service);
     gate.core.submit(request, now);
     this->poll(gate);
@@ -487,8 +542,12 @@
         this->onBegun({message.request, message.service, message.version, steadyNow()});
     }
     this->apply(this->gate(message.service), message.request, message.event, message.output);
-    if (message.event == peer::PlacementEvent::Ended || message.event == peer::PlacementEvent::EndedByFault) {
-        this->remoteGenerations.erase(message.request);
+    const bool isEnd =
+        message.event == peer::PlacementEvent::Ended || message.event == peer::PlacementEvent::EndedByFault;
+    const auto remote = this->remoteGenerations.find(message.request);
+    if (isEnd && remote != this->remoteGenerations.end()) {
+        this->refundUnoffered(remote->second); // its caller has gone while it waited
+        this->remoteGenerations.erase(remote);
     }
 }
 
@@ -501,7 +560,7 @@
         request.prompt = place.prompt;
         request.output = place.output;
         request.maxOutput = place.maxOutput;
-        this->remoteGenerations[request.id] = RemoteGeneration{link, place.service, {}};
+        this->remoteGenerations[request.id] = RemoteGeneration{link, place.service, {}, {}, {}};
         this->gate(place.service).core.adopt(request, place.engine, now - place.age);
     }
 }
@@ -514,6 +573,7 @@
         const auto current = remote++;
         if (current->second.link == link) {
             this->gate(current->second.service).core.onEnded(current->first, false, Tokens(0), steadyNow());
+            this->refundUnoffered(current->second); // the host asks again elsewhere if it lives
             this->remoteGenerations.erase(current);
         }
     }
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -2,7 +2,7 @@
 
 // Queues generations until an engine has room: those of this host, and on the leader those of all hosts.
 //
-//     PlacementGates gates(io, fleet, seed);
+//     PlacementGates gates(io, fleet, credits, isFirstStart, seed);
 //     const GateAction action = gates.requestPlacement(service, request, yield); // an engine to try, or a rejection
 //     gates.report(service, id, peer::PlacementEvent::Full);             // the generation is queued again
 //     const GateAction next = gates.nextDecision(id, yield);
@@ -15,6 +15,7 @@
 
 #include "decide/streamorigins.h"
 #include "programs/gateway/fleetview.h"
+#include "programs/gateway/workspacecredits.h"
 #include "wire/linkid.h"
 #include "wire/messages.h"
 
@@ -30,9 +31,11 @@
     using Send = std::function<void(const peer::Message &)>;
 
     // `isFirstStart`: all hosts start together for the first time.
-    PlacementGates(asio::io_context &io, FleetView &fleet, bool isFirstStart, std::uint64_t seed);
+    PlacementGates(asio::io_context &io, FleetView &fleet, WorkspaceCredits &credits, bool isFirstStart,
+                   std::uint64_t seed);
 
-    // Submits a request and waits for the decision. Also returns RejectGeneration if the caller disconnected meanwhile.
+    // Submits a request and waits for the decision. With the first engine that is offered, the request has been charged
+    // to its workspace. Also returns RejectGeneration if the caller disconnected meanwhile.
     GateAction requestPlacement(const ServiceId &service, const GenerationRequest &request,
                                 const asio::yield_context &yield);
     // Waits for the next decision after an engine was full or failed.
@@ -92,12 +95,16 @@
         EngineId engine; // where it is placed; empty while it waits
         Instant since;
         bool isAtLeader = false; // the request waits for a decision of the leader
+        bool isChargedHere = false; // to its workspace, until an engine is offered: from then on the caller refunds it
     };
     // One generation of another host, placed by this one.
     struct RemoteGeneration {
         LinkId link{};
         ServiceId service;
         Send reply;
+        // Charged to this workspace here, until the other host has been offered an engine and refunds it if need be.
+        WorkspaceId charged = {};
+        QuotaUnits cost = {};
     };
     struct Gate {
         Gate(asio::io_context &io, std::uint64_t seed)
@@ -117,6 +124,10 @@
     void deliver(const GateAction &action);
     void decide(LocalGeneration &local, const GateAction &action);
     void submit(LocalGeneration &local);
+    // Charges the request here unless it was charged before. Returns why it can't be.
+    std::optional<RejectGeneration> charge(GenerationRequest &request);
+    void refundUnoffered(LocalGeneration &local);
+    void refundUnoffered(RemoteGeneration &remote);
     void apply(Gate &gate, const RequestId &id, peer::PlacementEvent event, Tokens output);
     void send(const peer::PlacementReport &message);
     // Sets the version of a stream that its caller takes up. Returns false if it is unknown.
@@ -125,6 +136,7 @@
 
     asio::io_context &io;
     FleetView &fleet;
+    WorkspaceCredits &credits;
     std::uint64_t seed;
     StreamOrigins origins;
     bool isRegistryCurrent = true; // when the fleet last changed
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -69,7 +69,8 @@
 {
     EndpointPicker &picker = this->call.services.fleet.picker();
     const Instant begin = steadyNow();
-    const HttpRequest request = forwardedRequest(this->call.http, endpoint.id, this->call.timeLeft());
+    const HttpRequest request =
+        forwardedRequest(this->call.http, this->call.caller(), endpoint.id, this->call.timeLeft());
     picker.onSent(endpoint.id);
     const auto ended = [&](EndpointOutcome outcome) {
         picker.onEnded(endpoint.id, this->abort.isAborted() ? EndpointOutcome::Abandoned : outcome, steadyNow() - begin,
@@ -199,6 +200,9 @@
 void PlainForward::finish(SendResult last, const asio::yield_context &yield)
 {
     this->call.reply.onCallerGone({});
+    if (!this->mayHaveRun && !this->answered) {
+        this->call.services.credits.refund(this->call.caller().workspace, this->call.cost());
+    }
     if (this->abort.isAborted()) {
         this->call.services.metrics.onPlainEnd("caller_gone", steadyNow() - this->call.arrival);
         this->logCallerGone();
@@ -215,6 +219,16 @@
 void PlainForward::run(const asio::yield_context &yield)
 {
     this->call.reply.onCallerGone([this] { this->abort.abort(); });
+    if (this->call.workspace != nullptr) {
+        const CreditDecision credit =
+            this->call.services.credits.take(this->call.workspace->id, this->call.cost(), yield);
+        if (credit.wait > 0ms) {
+            this->call.reply.onCallerGone({});
+            this->call.services.metrics.onPlainEnd("refused", steadyNow() - this->call.arrival);
+            this->call.refuseCredit(credit, yield);
+            return;
+        }
+    }
     this->call.services.fleet.budget(this->call.service).onSuccess();
     SendResult last = SendResult::NeverSent;
     while (const auto endpoint = this->choose(yield)) {
--- a/programs/gateway/storeupdate.h
+++ b/programs/gateway/storeupdate.h
@@ -21,6 +21,10 @@
 struct Config {
     std::shared_ptr<const RoutingConfig> config;
 };
+// The configuration was the newest at that instant, of the clock that also advances while the host is suspended.
+struct ConfigCurrent {
+    Instant at;
+};
 struct Listed {
     std::vector<EndpointRecord> records;
 };
@@ -60,6 +64,6 @@
 using StoreUpdate =
     std::variant<store_update::Config, store_update::Listed, store_update::Changed, store_update::Removed,
                  store_update::Lost, store_update::Restored, store_update::Leader, store_update::PeerUpdate,
-                 store_update::LeaderUpdate, store_update::OwnReads>;
+                 store_update::LeaderUpdate, store_update::OwnReads, store_update::ConfigCurrent>;
 
 } // namespace fescuesill
--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -43,6 +43,10 @@
 constexpr Duration relayedPause{10s}; // cancelled when the leader stops forwarding
 // How long a host that has started waits for the first update of the leader.
 constexpr Duration firstUpdateWait{1500ms};
+// In terms of the limit for keys: from when on a host without news of the configuration reads it, and in which time all
+// hosts do.
+constexpr double configCheckAfter = 0.55;
+constexpr double configCheckSpread = 0.3;
 constexpr Duration pauseWhenFull{5ms}; // the forwarding thread drains its ring in much less
 
 } // namespace
@@ -61,6 +65,8 @@
     , lease(this->io, {this->options.address, this->options.self, this->options.lease, this->options.isFirstStart},
             [this](const store_update::Leader &leader) { this->onLeader(leader); })
 {
+    this->configCheckPart =
+        configCheckAfter + configCheckSpread * std::uniform_real_distribution<double>(0, 1)(this->random);
     this->lease.start();
     for (const Table table : {Table::Config, Table::Registry}) {
         if (!this->options.self.address.empty()) {
@@ -114,6 +120,7 @@
             continue;
         }
         followed.readStart = steadyNow();
+        followed.bootReadStart = bootNow();
         try {
             this->followOnce(table, store, yield);
             continue;
@@ -153,11 +160,30 @@
 bool StoreWatcher::waitWhileRelayed(Table table, const asio::yield_context &yield)
 {
     const bool wasOutage = this->isOutage && table == Table::Registry;
-    const Duration time = wasOutage ? this->varied(this->options.outageDoubt) : relayedPause;
+    Duration time = wasOutage ? this->varied(this->options.outageDoubt) : relayedPause;
+    const auto checkDue = table == Table::Config ? this->configCheckDue() : std::nullopt;
+    if (checkDue) {
+        time = std::clamp<Duration>(*checkDue - bootNow(), 0ms, time);
+    }
     const bool isOver = this->waitFor(this->stateOf(table), time, yield);
+    if (isOver && checkDue && this->config.isRelayed && this->configCheckDue() <= bootNow()) {
+        this->configChecked = bootNow();
+        Log::info("config_checked", {{"age_ms", (bootNow() - this->configCurrentAt).count() / 1000}});
+        return false;
+    }
     return !(isOver && wasOutage && this->isOutage && this->registry.isRelayed);
 }
 
+std::optional<Instant> StoreWatcher::configCheckDue() const
+{
+    const auto &held = this->replica.config();
+    if (this->options.keyLimit == 0ms || !held || !held->workspaces) {
+        return std::nullopt;
+    }
+    const auto wait = std::chrono::duration_cast<Duration>(this->options.keyLimit * this->configCheckPart);
+    return std::max(this->configCurrentAt + wait, this->configChecked + this->options.keyLimit);
+}
+
 // Hosts without a leader try at different times, since all of them lose and find the store at the same moment.
 Duration StoreWatcher::pauseAfterFailure(Table table)
 {
@@ -292,7 +318,7 @@
 Duration StoreWatcher::waitForChange(const FollowedTable &table) const
 {
     // If the store may be unavailable, a read must fail soon, so that the next one finds it recovered.
-    if (table.isLost || table.isUnconfirmed) {
+    if (table.isLost || table.isUnconfirmed || (table.isRelayed && !this->isReader)) {
         return Duration(0);
     }
     // A host that others rely on must detect a silent connection sooner.
@@ -331,6 +357,7 @@
         if (std::exchange(this->isConfigDelayed, false)) {
             this->sendToFollowers(this->configSummary()); // they wait for updates again
         }
+        this->setConfigCurrent(this->config.bootReadStart);
         this->updateNewFollowers();
         return;
     }
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -38,6 +38,9 @@
         // All hosts of the fleet start together, for the first time. Callers come later, so a host takes the
         // configuration from the leader and reads it itself only if none comes.
         bool isFirstStart = false;
+        // How long keys are admitted after the configuration was known to be the newest; zero for ever. Before the end
+        // of it, a host that others read for reads the configuration itself.
+        Duration keyLimit{0};
     };
 
     StoreWatcher(Options options, Ring<StoreUpdate> &updates);
@@ -63,6 +66,8 @@
     // Messages from the host that this one follows. While they arrive, this host does not read the store itself.
     void onUpdate(const peer::RegistryUpdate &update);
     void onUpdate(const peer::ConfigUpdate &update);
+    // That row was the newest at that instant, of this host's clock that also advances while it is suspended.
+    void onConfigCurrent(RowVersion row, Instant at);
     void onConfigDelayed();
     void onStoreLost();
     void onStoreRestored(const peer::StoreRestored &restored);
@@ -114,6 +119,7 @@
         bool isUnconfirmed = false; // no read has succeeded since the leader stopped forwarding
         int failures = 0; // consecutive failed reads
         Instant readStart; // of the last read; a long poll includes the wait for a change
+        Instant bootReadStart; // the same, of the clock that also advances while the host is suspended
         Instant lastFailure; // the start of the last read that failed
         Instant holdUntil; // a host that may soon forward the changes makes reads before then needless
         bool isRelayed = false; // the leader forwards its changes
@@ -152,6 +158,9 @@
     void takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before);
     void takeRow(Table table, const StoreRow &row);
     void takeConfig(const StoreRow &row);
+    void setConfigCurrent(Instant at);
+    // When this host next reads the configuration itself although another host reads it for this one.
+    std::optional<Instant> configCheckDue() const;
     void takeList(const std::vector<StoreRow> &rows);
     void takeUpdate(const peer::RegistryUpdate &update);
     bool takeConfigUpdate(const peer::ConfigUpdate &update);
@@ -178,6 +187,10 @@
     FollowedTable registry;
     RegistryRelay relay;
     ConfigReplica replica;
+    Instant configCurrentAt; // when it was last known to be the newest
+    Instant configCurrentSent; // to other hosts
+    Instant configChecked; // the last check of this host's own
+    double configCheckPart = 0; // when this host checks, as a share of the time in which hosts do
     std::optional<RowVersion> configAtLeader; // the newest row that the leader announced
     LeaseWatcher lease;
     bool isActing = false;
--- a/programs/gateway/storewatcherupdates.cpp
+++ b/programs/gateway/storewatcherupdates.cpp
@@ -22,6 +22,7 @@
 constexpr Duration readerAgeLimit{1500ms}; // of the last update of a host that reads for this one
 // A leader that has missed more changes of the configuration reads the row when it can.
 constexpr std::size_t maxRecentConfigs = 4;
+constexpr Duration configCurrentInterval{900ms}; // between two messages that the configuration is current
 // How long a host that has lost the leader waits for the first update of the deputy.
 constexpr Duration deputyUpdateWait{500ms};
 // A read that has waited for longer, without a wait of its own, was sent while the store was unavailable.
@@ -271,6 +272,36 @@
     });
 }
 
+// Nothing is known of a configuration that can't be decoded. The forwarding thread has this one before it learns that
+// it is current, and so have the other hosts.
+void StoreWatcher::setConfigCurrent(Instant at)
+{
+    if (at <= this->configCurrentAt || !this->replica.isNewestHeld() || !this->replica.config()->workspaces) {
+        return;
+    }
+    this->configCurrentAt = at;
+    this->push(store_update::ConfigCurrent{at});
+    if ((!this->isFollowed() && !this->isReader) || steadyNow() - this->configCurrentSent < configCurrentInterval) {
+        return;
+    }
+    this->configCurrentSent = steadyNow();
+    const peer::ConfigCurrent message{static_cast<std::uint64_t>(this->replica.row().value()),
+                                      static_cast<std::uint64_t>(at.time_since_epoch().count()), 0};
+    this->sendToFollowers(message);
+    if (this->isReader) {
+        this->push(store_update::LeaderUpdate{message});
+    }
+}
+
+void StoreWatcher::onConfigCurrent(RowVersion row, Instant at)
+{
+    asio::post(this->io, [this, row, at] {
+        if (this->replica.row() >= row) {
+            this->setConfigCurrent(at);
+        }
+    });
+}
+
 void StoreWatcher::onConfigDelayed()
 {
     asio::post(this->io, [this] {
--- a/wire/messagefields.h
+++ b/wire/messagefields.h
@@ -150,6 +150,10 @@
     {
         fault = this->enumerator(DecodeFault::Unreachable);
     }
+    void operator()(RejectReason &reason)
+    {
+        reason = this->enumerator(RejectReason::OverQuota);
+    }
     void operator()(PlacementEvent &event)
     {
         event = this->enumerator(PlacementEvent::EndedByFault);
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -189,6 +189,9 @@
     visit(m.version);
     visit(m.isTakenUp);
     visit(m.resumes);
+    visit(m.workspace);
+    visit(m.cost);
+    visit(m.isCharged);
 }
 
 template<typename Visitor>
@@ -204,7 +207,7 @@
 {
     visit(m.request);
     visit(m.retryAfter);
-    visit(m.isVersionMissing);
+    visit(m.reason);
 }
 
 template<typename Visitor>
@@ -361,6 +364,62 @@
     visit(m.areOthersCutOff);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, RequestCredit &m)
+{
+    visit(m.number);
+    visit(m.workspace);
+    visit(m.cost);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, CreditReply &m)
+{
+    visit(m.number);
+    visit(m.wait);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, QuotaUse &m)
+{
+    visit(m.workspace);
+    visit(m.units);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, QuotaReport &m)
+{
+    visit(m.uses);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, QuotaUsedUp &m)
+{
+    visit(m.workspace);
+    visit(m.wait);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, RequestClock &m)
+{
+    visit(m.sent);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, ClockReply &m)
+{
+    visit(m.sent);
+    visit(m.clock);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, ConfigCurrent &m)
+{
+    visit(m.rowVersion);
+    visit(m.at);
+    visit(m.hosts);
+}
+
 template<typename Visitor>
 void fields(Visitor &visit, DeputyNamed &m)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -6,10 +6,13 @@
 //     const auto message = peer::decodeMessage(bytes);             // WireError if the bytes are not a message
 //     std::visit(Overloaded{[](const peer::Placed &placed) { ... }, [](const auto &) { ... }}, *message);
 //
-// Times are sent as durations, never as clock readings, because the clocks of two hosts may differ. The order of the
+// Times are sent as durations, because the clocks of two hosts may differ. Only messages for promise/peerclock.h have
+// readings of a clock. The order of the
 // structs in the variant, of their fields and of the enumerators is the wire format.
 
 #include "decide/cellmessages.h"
+#include "decide/rejectreason.h"
+#include "decide/workspacetable.h"
 #include "fescuesill/errors.h"
 #include "fescuesill/ids.h"
 #include "fescuesill/overloaded.h"
@@ -187,6 +190,9 @@
     SoftwareVersion version; // the only one that may run it, or empty
     bool isTakenUp = false; // a stream that its caller takes up; its version is not known to the sender if empty
     RequestId resumes; // the request that brought the stream's first event, or empty
+    WorkspaceId workspace; // that the call is accounted to, or empty
+    QuotaUnits cost; // that it takes of the workspace's quota
+    bool isCharged = false; // an earlier request for it was, at this leader or another one
 };
 
 // Leader to a gateway: the engine at which to request a reservation.
@@ -196,11 +202,11 @@
     EngineId prefill; // the prefill engine; empty if there is none
 };
 
-// Leader to a gateway: no engine has room in time, or the stream can't go on at the version that began it.
+// Leader to a gateway: why the generation gets no engine.
 struct RejectPlacement {
     RequestId request;
     Duration retryAfter{0};
-    bool isVersionMissing = false;
+    RejectReason reason = RejectReason::NoRoom;
 };
 
 enum class PlacementEvent {
@@ -363,13 +369,61 @@
     bool areOthersCutOff = false; // there are other hosts, but none of them reaches endpoints
 };
 
+// Gateway to the leader: asks whether a call may run within the quota of its workspace.
+struct RequestCredit {
+    std::uint64_t number = 0; // repeated in the reply
+    WorkspaceId workspace;
+    QuotaUnits cost;
+};
+
+// Leader to a gateway: the call was charged if `wait` is zero; otherwise the credit will probably cover it after that.
+struct CreditReply {
+    std::uint64_t number = 0;
+    Duration wait{0};
+};
+
+struct QuotaUse {
+    WorkspaceId workspace;
+    QuotaUnits units; // negative if more did not run than was admitted
+};
+
+// Gateway to the leader: what it has admitted without asking, less what did not run after it was charged.
+struct QuotaReport {
+    std::vector<QuotaUse> uses;
+};
+
+// Leader to a gateway that has reported some use: the quota of the workspace is used up for this time.
+struct QuotaUsedUp {
+    WorkspaceId workspace;
+    Duration wait{0};
+};
+
+// Between two gateways: requests the time of the peer's clock. The clocks also advance while a host is suspended.
+struct RequestClock {
+    std::uint64_t sent = 0; // microseconds of the sender's clock, repeated in the reply
+};
+
+struct ClockReply {
+    std::uint64_t sent = 0;
+    std::uint64_t clock = 0; // microseconds of the replying host's clock
+};
+
+// Leader to a gateway, or from a gateway that reads for the leader: at that instant of the sender's clock, this row of
+// the configuration was the newest. Sent only while the configuration has workspaces.
+struct ConfigCurrent {
+    std::uint64_t rowVersion = 0;
+    std::uint64_t at = 0; // microseconds
+    std::uint64_t hosts = 0; // of the fleet, as the leader counts them; 0 from other hosts
+};
+
 using Message =
     std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
                  Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
                  OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements, FollowStore, RegistryUpdate,
                  ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded, FollowerAddress, DeputyNamed, ConfigDelayed,
                  EndpointLimit, RequestPermit, PermitReply, DelegateReading, StoreRestored, LeaderNamed,
-                 RequestTunnelHosts, TunnelHostsNamed, StreamsBegun>;
+                 RequestTunnelHosts, TunnelHostsNamed, StreamsBegun, RequestCredit, CreditReply, QuotaReport,
+                 QuotaUsedUp, RequestClock, ClockReply, ConfigCurrent>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -17,9 +17,10 @@
 
 TEST(PlacingMessages, AreEncodedAndDecodedUnchanged)
 {
-    const RequestPlacement ask = passedOn(
-        RequestPlacement{RequestId("r"), ServiceId("s"), 2, Tokens(5200), Tokens(3500), Tokens(6500), 40ms, -10ms, 3s,
-                         DataCentreId("a"), EngineId("d1"), "a41f", SoftwareVersion("v1"), true, RequestId("r0")});
+    const RequestPlacement ask =
+        passedOn(RequestPlacement{RequestId("r"), ServiceId("s"), 2, Tokens(5200), Tokens(3500), Tokens(6500), 40ms,
+                                  -10ms, 3s, DataCentreId("a"), EngineId("d1"), "a41f", SoftwareVersion("v1"), true,
+                                  RequestId("r0"), WorkspaceId("w"), QuotaUnits(8700), true});
     EXPECT_EQ(ask.maxOutput, Tokens(6500));
     EXPECT_EQ(ask.onTime, -10ms);
     EXPECT_EQ(ask.avoid, EngineId("d1"));
@@ -27,6 +28,9 @@
     EXPECT_EQ(ask.version, SoftwareVersion("v1"));
     EXPECT_TRUE(ask.isTakenUp);
     EXPECT_EQ(ask.resumes, RequestId("r0"));
+    EXPECT_EQ(ask.workspace, WorkspaceId("w"));
+    EXPECT_EQ(ask.cost, QuotaUnits(8700));
+    EXPECT_TRUE(ask.isCharged);
     const PlacementReport report = passedOn(PlacementReport{
         RequestId("r"), ServiceId("s"), PlacementEvent::EndedByFault, Tokens(7), SoftwareVersion("v1")});
     EXPECT_EQ(report.event, PlacementEvent::EndedByFault);
@@ -40,7 +44,8 @@
     ASSERT_EQ(held.places.size(), 1U);
     EXPECT_EQ(held.places[0].age, 4s);
     EXPECT_EQ(passedOn(RejectPlacement{RequestId("r"), 700ms}).retryAfter, 700ms);
-    EXPECT_TRUE(passedOn(RejectPlacement{RequestId("r"), 700ms, true}).isVersionMissing);
+    EXPECT_EQ(passedOn(RejectPlacement{RequestId("r"), 700ms, RejectReason::OverQuota}).reason,
+              RejectReason::OverQuota);
     const OfferPlacement place = passedOn(OfferPlacement{RequestId("r"), EngineId("d"), EngineId("p")});
     EXPECT_EQ(place.engine, EngineId("d"));
     EXPECT_EQ(place.prefill, EngineId("p"));
@@ -65,6 +70,14 @@
     EXPECT_TRUE(passedOn(RequestTunnelHosts{true}).isCutOff);
     EXPECT_EQ(passedOn(TunnelHostsNamed{{"10.0.0.1:2", "10.0.0.2:2"}}).addresses.size(), 2U);
     EXPECT_TRUE(passedOn(TunnelHostsNamed{{}, true}).areOthersCutOff);
+    EXPECT_EQ(passedOn(RequestCredit{7, WorkspaceId("w"), QuotaUnits(200)}).cost, QuotaUnits(200));
+    EXPECT_EQ(passedOn(CreditReply{7, 250ms}).wait, 250ms);
+    const QuotaReport quotas = passedOn(QuotaReport{{{WorkspaceId("w"), QuotaUnits(-300)}}});
+    EXPECT_EQ(quotas.uses.at(0).units, QuotaUnits(-300));
+    EXPECT_EQ(passedOn(QuotaUsedUp{WorkspaceId("w"), 2s}).workspace, WorkspaceId("w"));
+    EXPECT_EQ(passedOn(RequestClock{41}).sent, 41U);
+    EXPECT_EQ(passedOn(ClockReply{41, 42}).clock, 42U);
+    EXPECT_EQ(passedOn(ConfigCurrent{9, 43, 82}).hosts, 82U);
     EXPECT_EQ(passedOn(DeputyNamed{"10.0.0.2:1", 9}).hosts, 9U);
     const DelegateReading request = passedOn(DelegateReading{true, 41});
     EXPECT_TRUE(request.isWanted);
