--- a/testing/process/gatewayprocess.py
+++ b/testing/process/gatewayprocess.py
@@ -15,7 +15,7 @@
 
 
 class Gateway(Process):
-    def __init__(self, folder, name, store, grace=None, first_start=False, paths=None):
+    def __init__(self, folder, name, store, grace=None, first_start=False, paths=None, more=""):
         self.name = name
         self.paths = paths  # a paths.Paths, or None where all connections go straight to the endpoints
         self.callers, self.ready, self.peers, self.tunnels = (free_address() for _ in range(4))
@@ -25,7 +25,7 @@
                             f"first_start = {'yes' if first_start else 'no'}\n[listen]\ncallers = {self.callers}\n"
                             f"ready = {self.ready}\npeers = {self.peers}\ntunnels = {self.tunnels}\n"
                             f"[store]\naddress = {store}\n"
-                            f"lease_ms = 1500\n[stop]\n{stop}")
+                            f"lease_ms = 1500\n[stop]\n{stop}{more}")
         program = "gateway-with-test-paths" if paths else "fescuesill-gateway"
         self.environment = paths.environment if paths else None
         super().__init__(binary(program), "--config", settings, environment=self.environment)
--- a/testing/process/test_soak.py
+++ b/testing/process/test_soak.py
@@ -8,6 +8,7 @@
 
 import checker  # noqa: E402  pylint: disable=wrong-import-position
 import soak  # noqa: E402  pylint: disable=wrong-import-position
+import workspaces  # noqa: E402  pylint: disable=wrong-import-position
 from callers import Call  # noqa: E402  pylint: disable=wrong-import-position
 
 SEEDS = (1, 2)
@@ -77,6 +78,39 @@
         self.assertEqual(checker.check([Call("r1", "unsafe", 503)], [Ran("a")]), [])
 
 
+class WorkspacesTest(unittest.TestCase):
+    def check(self, call, *tenants, key_reached=None, count=1):
+        judge = workspaces.Workspaces()
+        judge.replace_key().revoked_at = 100.0
+        ran = Ran("a")
+        calls = []
+        for number in range(count):
+            calls.append(Call(f"r{number}", "safe", call.status, key=call.key, at=call.at))
+            for tenant in tenants:
+                ran.seen.append({"id": f"r{number}", "at": number / 1000,
+                                 "headers": {"X-Tenant": tenant, "Authorization": key_reached}})
+        return judge.check(calls, [ran])
+
+    def test_finds_each_broken_promise(self):
+        steady, rotated, limited = ("key-of-%s-0" % name for name in ("steady", "rotated", "limited"))
+        self.assertEqual(self.check(Call("", "safe", 200, key=steady), "steady"), [])
+        self.assertEqual(self.check(Call("", "safe", 200, key=rotated, at=102.9), "rotated"), [])
+        self.assertEqual(self.check(Call("", "safe", 401, key=rotated, at=103.1)), [])
+        self.assertEqual(self.check(Call("", "safe", 200, key=limited), "limited", count=46), [])
+        cases = (
+            ("another workspace", Call("", "safe", 200, key=steady), "limited", {}),
+            ("no workspace", Call("", "safe", 200, key=steady), None, {}),
+            ("the key at an endpoint", Call("", "safe", 200, key=steady), "steady", {"key_reached": "Bearer x"}),
+            ("a key that nobody held", Call("", "safe", 200, key=workspaces.NEVER_HELD), "steady", {}),
+            ("a revoked key", Call("", "safe", 200, key=rotated, at=103.1), "rotated", {}),
+            ("more than the quota", Call("", "safe", 200, key=limited), "limited", {"count": 47}),
+        )
+        for name, call, tenant, more in cases:
+            with self.subTest(name):
+                self.assertTrue(self.check(call, tenant, **more))
+        self.assertTrue(self.check(Call("", "safe", 401, key=steady)))
+
+
 class SoakTest(unittest.TestCase):
     # Faults of all kinds overlap for some seconds while callers go on. Whatever they are told must be true, whatever they
     # get whole, and everybody is served once the faults are over.
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -40,6 +40,10 @@
             "timeout_ms": 4000, "target_latency_ms": 500, "priority": 1, "max_attempts": 1, "gap_target_ms": 300, **other}
 
 
+def workspace(name, *keys, **other):
+    return {"name": name, "api_keys": list(keys), **other}
+
+
 class Store:
     """Tables of rows with one version counter, a feed that waits, and conditional writes."""
 
@@ -352,7 +356,8 @@
     def remove(self, endpoint):
         self.store.put("servers", endpoint.name, None)
 
-    def configure(self, routes):
+    def configure(self, routes, workspaces=None):
+        """`workspaces`: of workspace(); without them callers need no key."""
         self.version += 3
         engine = {"slots": 6, "kv_capacity_tokens": 60000, "kv_hold_s": 0.5, "hold_ms": 2000.0, "stride": 50}
         services = [{"name": name, "health_path": "/health", "max_connections": 96, **({"engine": engine} if engines else {})}
@@ -360,5 +365,7 @@
         config = {"version": self.version, "routes": routes, "services": services,
                   "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
                              "idle_timeout_ms": 15000}}
+        if workspaces is not None:
+            config["tenants"] = workspaces
         self.store.put("op", "config", json.dumps(config).encode())
         return self.version
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -29,6 +29,7 @@
     is_whole: bool = False
     host: str = ""  # the gateway that was called
     at: float = 0  # when, in seconds of the monotonic clock
+    key: str = ""
     resumes: "Call" = None  # the call whose stream this one takes up, and that may do so itself
 
     def first(self):
@@ -43,12 +44,14 @@
 
 
 class Callers:
-    def __init__(self, gateways, seed, count):
+    def __init__(self, gateways, seed, count, key_for=None):
+        """`key_for(chance)`: the key of a call; without it calls carry none."""
         self.gateways = gateways
+        self.key_for = key_for or (lambda chance: "")
         self.calls = []
         self.stopping = threading.Event()
-        self.threads = [threading.Thread(target=self.run, args=(number, random.Random(f"{seed}-{number}")), daemon=True)
-                        for number in range(count)]
+        self.threads = [threading.Thread(target=self.run, daemon=True, args=(
+            number, random.Random(f"{seed}-{number}"), random.Random(f"{seed}-{number}-keys"))) for number in range(count)]
 
     def start(self):
         for thread in self.threads:
@@ -59,7 +62,7 @@
         for thread in self.threads:
             thread.join()
 
-    def run(self, number, chance):
+    def run(self, number, chance, key_chance):
         connection = None
         sent = 0
         broken = None  # a stream to take up
@@ -70,7 +73,8 @@
                 connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_MS / 1000 + 3)
             sent += 1
             kind = chance.choice(list(PATHS)) if broken is None else broken.kind
-            call = Call(f"{number:04x}{sent:012x}", kind, host=gateway.name, at=time.monotonic(), resumes=broken)
+            call = Call(f"{number:04x}{sent:012x}", kind, host=gateway.name, at=time.monotonic(), resumes=broken,
+                        key=broken.key if broken else self.key_for(key_chance))
             self.calls.append(call)
             if not self.ask(connection, call):
                 connection.close()
@@ -90,6 +94,8 @@
         headers = {"Host": "shop.example", "X-Request-Id": call.id, "X-Deadline-Ms": str(PATIENCE_MS)}
         if call.kind in ("stream", "resumable"):
             headers.update(SIZE)
+        if call.key:
+            headers["Authorization"] = "Bearer " + call.key
         if call.resumes:
             headers.update({"Resumes": call.first().id, "Last-Event-Id": str(call.resumes.last_event())})
         method = "GET" if call.kind == "safe" else "POST"
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -8,8 +8,8 @@
 through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; engines of two
 software versions serve, and callers take up streams that broke off; endpoints break off, also within answers that end
 with their connection, fall silent, refuse, add bytes and state limits; entries lapse and come back, configurations
-change, the store loses answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py),
-or if not everybody is served again after the last fault.
+change, keys are revoked while their callers go on, the store loses answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py,
+workspaces.py), or if not everybody is served again after the last fault.
 """
 
 import argparse
@@ -33,6 +33,7 @@
 from proxy import MODES, Proxy  # noqa: E402
 from standin import wait_until  # noqa: E402
 from userplatform import UserPlatform, route  # noqa: E402
+from workspaces import SETTINGS, Workspaces  # noqa: E402
 
 GRACE_SECONDS = 3
 LONGEST_FAULT_SECONDS = 3.0
@@ -66,14 +67,17 @@
         for writer in self.writers:
             writer.is_framed = framing_chance.random() >= UNFRAMED_SHARE
         self.routes = ROUTES
-        self.platform.configure(self.routes)
+        self.workspaces = Workspaces()
+        self.configuring = threading.Lock()
+        self.configure()
         self.stores = [Proxy(self.platform.address) for _ in range(hosts)]
         self.path_chance = random.Random(f"{seed}-paths")  # of its own, so that seeds keep their other faults
+        self.key_chance = random.Random(f"{seed}-keys")
         self.paths = [Paths(folder, f"g{number}", self.platform.endpoints) for number in range(hosts)]
-        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, paths=paths)
+        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, paths=paths, more=SETTINGS)
                          for number, (store, paths) in enumerate(zip(self.stores, self.paths))]
         self.busy = [threading.Lock() for _ in self.gateways]  # a process has one fault of its own at a time
-        self.callers = Callers(self.gateways, seed, count=3 * hosts)
+        self.callers = Callers(self.gateways, seed, count=3 * hosts, key_for=self.workspaces.key_for)
         self.own_calls = []
         self.log = []
 
@@ -82,8 +86,10 @@
             wait_until(gateway.is_ready, "a gateway to be ready")
         self.callers.start()
         end = time.monotonic() + seconds
-        faults = [threading.Thread(target=self.path_faults, args=(end,), daemon=True)]
-        faults[0].start()
+        faults = [threading.Thread(target=fault, args=(end,), daemon=True)
+                  for fault in (self.path_faults, self.key_faults)]
+        for fault in faults:
+            fault.start()
         while time.monotonic() < end:
             kind = self.chance.choice((self.signal_fault, self.signal_fault, self.store_fault, self.endpoint_fault,
                                        self.engine_fault, self.entry_fault, self.platform_fault, self.limit_fault))
@@ -97,7 +103,8 @@
         self.check_leaving()
         self.callers.stop()
         time.sleep(LATE_RUNS_SECONDS)
-        return check(self.callers.calls, self.platform.endpoints, self.own_calls)
+        findings = check(self.callers.calls, self.platform.endpoints, self.own_calls)
+        return findings + self.workspaces.check(self.callers.calls, self.platform.endpoints)
 
     def note(self, *words):
         self.log.append(f"{time.monotonic():.3f} " + " ".join(map(str, words)))
@@ -164,6 +171,20 @@
             for paths in cut:
                 paths.heal()
 
+    def configure(self):
+        with self.configuring:
+            self.platform.configure(self.routes, self.workspaces.rows())
+
+    def key_faults(self, end):
+        """Keys are revoked, whatever else goes on."""
+        chance = self.key_chance
+        while time.monotonic() < end:
+            time.sleep(chance.uniform(0, 3))
+            revoked = self.workspaces.replace_key()
+            self.note("revoke", revoked.text)
+            self.configure()
+            self.workspaces.on_acknowledged(revoked)
+
     def slow_links(self, proxies, chance, lasts):
         self.note("slow links", len(proxies), f"{lasts:.2f}")
         for proxy in proxies:
@@ -225,10 +246,10 @@
         elif kind == "grow":
             more = chance.randint(1, MOST_ROUTES_MORE)
             self.routes = ROUTES + [route(f"/more-{number}/", "safe", "booking") for number in range(more)]
-            self.platform.configure(self.routes)
+            self.configure()
         else:
             for _ in range(chance.randint(2, 8)):
-                self.platform.configure(self.routes)
+                self.configure()
                 time.sleep(lasts / 8)
 
     def check_recovery(self):
@@ -236,7 +257,7 @@
         for proxy in self.proxies + self.stores:
             proxy.mode = "pass"
         self.routes = self.routes + [route("/newest/", "safe", "booking", max_attempts=2)]
-        self.platform.configure(self.routes)
+        self.configure()
         size = {"X_Token_Count": "100,400", "X_Length_Hint": "300", "X_Model": "m"}
         for gateway in self.gateways:
             wait_until(gateway.is_ready, f"{gateway.name} to be ready again")
@@ -263,7 +284,8 @@
 
     def is_served(self, gateway, path, headers):
         self.own_calls.append(f"after-{len(self.own_calls)}")
-        return send(gateway.callers, "GET", path + "x", X_Request_Id=self.own_calls[-1], **headers)[0] == 200
+        return send(gateway.callers, "GET", path + "x", X_Request_Id=self.own_calls[-1],
+                    Authorization="Bearer " + self.workspaces.steady_key, **headers)[0] == 200
 
     def end(self):
         for gateway in self.gateways:
