A stream is taken up only by the workspace that began it; metrics by workspace

The host that began a stream, the leader and its deputy know on whose behalf it runs; another workspace that names it hears 503, not run. Calls received and refused by the quota are counted by workspace (the first 400 names), and the age of the configuration is a gauge where it has workspaces.

Tests: whose stream it is; a configuration that can't be decoded is not current; a host believes another one only about rows that it has; it reads the configuration before it would refuse keys, once in the time of the limit.

--- a/decide/streamorigins.cpp
+++ b/decide/streamorigins.cpp
@@ -80,6 +80,12 @@
     return isKnown ? std::optional(stream->second.version) : std::nullopt;
 }
 
+bool StreamOrigins::isOfAnother(const RequestId &request, const WorkspaceId &workspace) const
+{
+    const auto stream = this->streams.find(request);
+    return stream != this->streams.end() && stream->second.workspace != workspace;
+}
+
 std::optional<SoftwareVersion> StreamOrigins::onlyVersion(const ServiceId &service, Instant now) const
 {
     const auto versions = this->services.find(service);
--- a/decide/streamorigins.h
+++ b/decide/streamorigins.h
@@ -29,6 +29,7 @@
     ServiceId service;
     SoftwareVersion version;
     Instant since;
+    WorkspaceId workspace = {}; // on whose behalf it runs; empty if it has none
 };
 
 class StreamOrigins
@@ -59,6 +60,8 @@
 
     // The reported version of a stream.
     std::optional<SoftwareVersion> find(const RequestId &request, const ServiceId &service) const;
+    // Whether the stream was reported as begun on behalf of another workspace, which alone may take it up.
+    bool isOfAnother(const RequestId &request, const WorkspaceId &workspace) const;
     // The version of every stream that still lives, if no other has served for longer than a stream lives.
     std::optional<SoftwareVersion> onlyVersion(const ServiceId &service, Instant now) const;
     // Whether several versions may have begun streams that still live.
--- a/decide/testing/streamorigins_test.cpp
+++ b/decide/testing/streamorigins_test.cpp
@@ -129,5 +129,17 @@
     }
 }
 
+// Guards against a caller that takes up the stream of another workspace.
+TEST(StreamOrigins, KnowsWhoseStreamItIs)
+{
+    StreamOrigins origins(StreamOrigins::Options{});
+    const Instant now{1h};
+    origins.onBegun({RequestId("r"), ServiceId("llm"), SoftwareVersion("v1"), now, WorkspaceId("w")}, now);
+    EXPECT_FALSE(origins.isOfAnother(RequestId("r"), WorkspaceId("w")));
+    EXPECT_TRUE(origins.isOfAnother(RequestId("r"), WorkspaceId("v")));
+    EXPECT_TRUE(origins.isOfAnother(RequestId("r"), WorkspaceId()));
+    EXPECT_FALSE(origins.isOfAnother(RequestId("unknown"), WorkspaceId("v")));
+}
+
 } // namespace
 } // namespace fescuesill
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -59,7 +59,9 @@
 
 void ForwardedCall::refuseCredit(const CreditDecision &decision, const asio::yield_context &yield) const
 {
-    if (decision.reason == RejectReason::OverQuota) {
+    const bool isOverQuota = decision.reason == RejectReason::OverQuota;
+    this->services.metrics.onWorkspaceCall(this->caller().workspace, isOverQuota ? "over_quota" : "unaccounted");
+    if (isOverQuota) {
         this->refuse({RefusalCode::QuotaExceeded, RunState::NotRun, "the quota is used up", decision.wait},
                      NoRetry::None, yield);
     } else {
--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -7,6 +7,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+#include <set>
 
 namespace fescuesill
 {
@@ -20,6 +21,8 @@
 
 // The buckets cover the targets in use: 0.1 s for a plain call, 1 s to the first event, 0.3 s between two events.
 const Buckets answerBuckets{0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.2, 0.4, 0.6, 1, 2, 5};
+constexpr std::size_t maxWorkspaces = 400; // with counters of their own
+
 const Buckets eventBuckets{0.05, 0.1, 0.2, 0.3, 0.4, 0.55, 0.75, 1, 1.5, 2, 4, 8};
 
 double seconds(Duration duration)
@@ -51,6 +54,12 @@
                                        .Help("Sends beyond the first of a plain call")
                                        .Register(this->registry)
                                        .Add({});
+    prometheus::Family<prometheus::Counter> &workspaceCalls =
+        BuildCounter()
+            .Name("fescuesill_gateway_workspace_calls_total")
+            .Help("Calls of a workspace, and refusals by its quota")
+            .Register(this->registry);
+    std::set<WorkspaceId> workspaces;
     prometheus::Family<prometheus::Histogram> &times = BuildHistogram()
                                                            .Name("fescuesill_gateway_seconds")
                                                            .Help("Times of calls by what ended")
@@ -100,6 +109,16 @@
     this->families->retries.Increment();
 }
 
+void GatewayMetrics::onWorkspaceCall(const WorkspaceId &workspace, const char *event)
+{
+    auto &known = this->families->workspaces;
+    if (known.size() < maxWorkspaces) {
+        known.insert(workspace);
+    }
+    const std::string name = known.count(workspace) > 0 ? workspace.value() : "(others)";
+    this->families->workspaceCalls.Add({{"workspace", name}, {"event", event}}).Increment();
+}
+
 void GatewayMetrics::set(const GatewayGauges &now)
 {
     const auto put = [this](const char *name, double value) {
@@ -109,6 +128,9 @@
     put("waiting_for_place", static_cast<double>(now.waitingForPlace));
     put("placed", static_cast<double>(now.placed));
     put("config_version", static_cast<double>(now.config.value()));
+    if (now.configAge) {
+        put("config_age_seconds", seconds(*now.configAge));
+    }
     put("registry_age_seconds", seconds(now.registryAge));
     put("leading", now.isLeading ? 1 : 0);
     put("following", now.isFollowing ? 1 : 0);
--- a/programs/gateway/gatewaymetrics.h
+++ b/programs/gateway/gatewaymetrics.h
@@ -31,6 +31,7 @@
     std::size_t waitingForPlace = 0;
     std::size_t placed = 0; // generations placed by this host's gates; on the leader, those of all hosts
     ConfigVersion config; // the active version; 0 before the first
+    std::optional<Duration> configAge; // since it was known to be the newest; only with workspaces
     Duration registryAge{0}; // since the store or the leader last confirmed the registry
     bool isLeading = false;
     bool isFollowing = false;
@@ -50,6 +51,9 @@
     void onGenerationEnd(const char *outcome, const GenerationTimes &times);
     void onRefused(const Refusal &refusal);
     void onRetry();
+    // Each call of a workspace, and those that its quota did not allow. The workspaces beyond the first few hundred are
+    // counted together.
+    void onWorkspaceCall(const WorkspaceId &workspace, const char *event);
     void set(const GatewayGauges &gauges);
     std::string text() const;
 
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -194,6 +194,7 @@
                                            config->workspaces ? readKey(call) : PresentedKey());
     if (const auto *member = std::get_if<caller_identity::Member>(&caller)) {
         forwarded.workspace = member->workspace;
+        this->metrics.onWorkspaceCall(member->workspace->id, "received");
     } else if (!std::holds_alternative<caller_identity::Anonymous>(caller)) {
         this->refuseKey(forwarded, caller, yield);
         return;
@@ -258,9 +259,10 @@
     if (call.target == "/metrics") {
         const auto &config = this->fleet.activeConfig();
         this->metrics.set({this->inProgress, this->gates.waiting(), this->gates.placed(),
-                           config ? config->version : ConfigVersion(), this->store->registryAge(),
-                           this->links && this->links->leads(), this->gates.isFollowing(), this->paths.isCutOff(),
-                           this->paths.counts()});
+                           config ? config->version : ConfigVersion(),
+                           config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt,
+                           this->store->registryAge(), this->links && this->links->leads(), this->gates.isFollowing(),
+                           this->paths.isCutOff(), this->paths.counts()});
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
     }
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -63,7 +63,8 @@
     peer::StreamsBegun message;
     message.streams.reserve(streams.size());
     for (const BegunStream &stream : streams) {
-        message.streams.push_back({stream.request, stream.service, stream.version, now - stream.since});
+        message.streams.push_back(
+            {stream.request, stream.service, stream.version, now - stream.since, stream.workspace});
     }
     return message;
 }
@@ -204,7 +205,7 @@
     }
     const Send reply = remote->second.reply;
     if (const auto *place = std::get_if<TryReserve>(&action)) {
-        remote->second.charged = WorkspaceId();
+        remote->second.isChargedHere = false;
         reply(peer::OfferPlacement{id, place->engine, place->prefill});
         return;
     }
@@ -236,9 +237,8 @@
 
 void PlacementGates::refundUnoffered(RemoteGeneration &remote)
 {
-    if (!remote.charged.isEmpty()) {
-        this->credits.refund(remote.charged, remote.cost);
-        remote.charged = WorkspaceId();
+    if (std::exchange(remote.isChargedHere, false)) {
+        this->credits.refund(remote.workspace, remote.cost);
     }
 }
 
@@ -365,7 +365,7 @@
     }
     const LocalGeneration &local = *found->second;
     if (!version.isEmpty()) {
-        this->onBegun({id, service, version, steadyNow()});
+        this->onBegun({id, service, version, steadyNow(), local.request.workspace});
     }
     this->send(peer::PlacementReport{id, service, peer::PlacementEvent::Reserved, Tokens(0), version});
     Gate &gate = this->gate(service);
@@ -378,6 +378,9 @@
 
 bool PlacementGates::findVersion(const ServiceId &service, GenerationRequest &request) const
 {
+    if (request.isTakenUp && this->origins.isOfAnother(request.resumes, request.workspace)) {
+        return false;
+    }
     if (!request.isTakenUp || !request.version.isEmpty()) {
         return true;
     }
@@ -415,7 +418,8 @@
 {
     const Instant now = steadyNow();
     for (const peer::StreamOrigin &stream : message.streams) {
-        this->origins.onBegun({stream.request, stream.service, stream.version, now - stream.age}, now);
+        this->origins.onBegun({stream.request, stream.service, stream.version, now - stream.age, stream.workspace},
+                              now);
     }
 }
 
@@ -530,7 +534,7 @@
     }
     const bool isChargedHere = request.isCharged && !message.isCharged;
     this->remoteGenerations[request.id] =
-        RemoteGeneration{link, message.service, reply, isChargedHere ? request.workspace : WorkspaceId(), request.cost};
+        RemoteGeneration{link, message.service, reply, request.workspace, request.cost, isChargedHere};
     Gate &gate = this->gate(message.service);
     gate.core.submit(request, now);
     this->poll(gate);
@@ -539,7 +543,10 @@
 void PlacementGates::onPlacementReport(LinkId, const peer::PlacementReport &message)
 {
     if (!message.version.isEmpty()) {
-        this->onBegun({message.request, message.service, message.version, steadyNow()});
+        const auto remote = this->remoteGenerations.find(message.request);
+        const WorkspaceId workspace =
+            remote == this->remoteGenerations.end() ? WorkspaceId() : remote->second.workspace;
+        this->onBegun({message.request, message.service, message.version, steadyNow(), workspace});
     }
     this->apply(this->gate(message.service), message.request, message.event, message.output);
     const bool isEnd =
@@ -560,7 +567,7 @@
         request.prompt = place.prompt;
         request.output = place.output;
         request.maxOutput = place.maxOutput;
-        this->remoteGenerations[request.id] = RemoteGeneration{link, place.service, {}, {}, {}};
+        this->remoteGenerations[request.id] = RemoteGeneration{link, place.service, {}, {}, {}, false};
         this->gate(place.service).core.adopt(request, place.engine, now - place.age);
     }
 }
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -102,9 +102,9 @@
         LinkId link{};
         ServiceId service;
         Send reply;
-        // Charged to this workspace here, until the other host has been offered an engine and refunds it if need be.
-        WorkspaceId charged = {};
+        WorkspaceId workspace = {};
         QuotaUnits cost = {};
+        bool isChargedHere = false; // until an engine is offered: from then on the other host refunds it
     };
     struct Gate {
         Gate(asio::io_context &io, std::uint64_t seed)
--- a/programs/gateway/testing/storewatcher_test.cpp
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -104,6 +104,21 @@
         return this->waits;
     }
 
+    // The row of the configuration, in base64.
+    void setConfig(const std::string &value)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->configValue = value;
+        this->configAt = ++this->version;
+    }
+
+    // How often the feed of the configuration was read.
+    int configReads()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return this->readConfigs;
+    }
+
     // How often the table of the configuration was listed.
     int configLists()
     {
@@ -145,6 +160,10 @@
             const std::lock_guard<std::mutex> lock(this->mutex);
             this->waits.emplace_back(std::chrono::milliseconds(numberIn(call.target, "wait_ms")));
         }
+        if (call.target.rfind("/rows-feed?table=op", 0) == 0) {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            ++this->readConfigs;
+        }
         if (this->state() == Feed::Down) {
             reply.send(503, "{}", yield);
             return;
@@ -166,6 +185,9 @@
         if (target.find("table=leases") != std::string::npos && this->leaseAt > 0) {
             rows.push_back({{"key", "placing"}, {"value", this->leaseValue}, {"ver", this->leaseAt}});
         }
+        if (target.find("table=op") != std::string::npos && this->configAt > 0) {
+            rows.push_back({{"key", "config"}, {"value", this->configValue}, {"ver", this->configAt}});
+        }
         if (target.find("table=servers") != std::string::npos) {
             for (const auto &[key, at] : this->listed) {
                 rows.push_back({{"key", key}, {"value", "e30="}, {"ver", at}});
@@ -207,6 +229,9 @@
             return;
         }
         Json rows = Json::array();
+        if (!isRegistry && this->configAt > after) {
+            rows.push_back({{"key", "config"}, {"value", this->configValue}, {"ver", this->configAt}});
+        }
         if (isRegistry && this->removedAt > after) {
             rows.push_back({{"key", this->removedKey}, {"ver", this->removedAt}, {"deleted", true}});
         }
@@ -218,7 +243,8 @@
     bool hasNews(bool isRegistry, std::int64_t after)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
-        return after < this->historyFrom || (isRegistry && this->removedAt > after);
+        const std::int64_t newest = isRegistry ? this->removedAt : this->configAt;
+        return after < this->historyFrom || newest > after;
     }
 
     std::mutex mutex;
@@ -230,6 +256,9 @@
     std::map<std::string, std::int64_t> listed; // rows of the registry, with their versions
     std::vector<Duration> waits;
     int listedConfigs = 0;
+    int readConfigs = 0;
+    std::int64_t configAt = 0;
+    std::string configValue;
     std::int64_t leaseAt = 0;
     std::string leaseValue;
     ServedThread served; // last, so that it ends before the members that it uses
@@ -599,6 +628,107 @@
     EXPECT_TRUE(waitUntil([&store] { return !store.registryWaits().empty(); })); // no leader has sent updates
 }
 
+// {"version":1,"routes":[],"services":[],"tenants":[]}
+const char *const configWithWorkspaces = "eyJ2ZXJzaW9uIjoxLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W10sInRlbmFudHMiOltdfQ==";
+const char *const unreadableConfig = "bm8="; // no
+
+const peer::ConfigCurrent *configCurrentIn(const StoreUpdate &update)
+{
+    const auto *sent = std::get_if<store_update::PeerUpdate>(&update);
+    return sent == nullptr ? nullptr : std::get_if<peer::ConfigCurrent>(&sent->message);
+}
+
+// Guards against a reading that counts as newer than it is: the row may have changed right after the store replied.
+TEST(StoreWatcher, ReportsWhenAReadOfTheConfigurationBegan)
+{
+    FakeStore store;
+    store.setConfig(configWithWorkspaces);
+    Updates updates;
+    const Instant before = bootNow();
+    const RunningWatcher watcher = watch(store, leading, updates);
+    Instant first;
+    ASSERT_TRUE(updates.waitFor([&first](const StoreUpdate &update) {
+        const auto *current = std::get_if<store_update::ConfigCurrent>(&update);
+        first = current == nullptr ? Instant() : current->at;
+        return current != nullptr;
+    }));
+    EXPECT_GE(first, before);
+    // The next read waits for a change, and its beginning is reported at its end.
+    ASSERT_TRUE(updates.waitFor([first](const StoreUpdate &update) {
+        const auto *current = std::get_if<store_update::ConfigCurrent>(&update);
+        return current != nullptr && current->at > first && bootNow() - current->at >= contactLimit / 2;
+    }));
+    std::uint64_t sent = 0;
+    ASSERT_TRUE(updates.waitFor([&sent](const StoreUpdate &update) {
+        const auto *current = configCurrentIn(update);
+        sent = current == nullptr ? 0 : current->at;
+        return current != nullptr;
+    }));
+    EXPECT_LE(Instant(Duration(static_cast<std::int64_t>(sent))), bootNow());
+}
+
+// Guards against keys that go on although the newest configuration, which may revoke them, can't be decoded.
+TEST(StoreWatcher, AnUnreadableConfigurationIsNotCurrent)
+{
+    FakeStore store;
+    store.setConfig(configWithWorkspaces);
+    Updates updates;
+    const RunningWatcher watcher = watch(store, neverLeading, updates);
+    ASSERT_TRUE(updates.waitFor<store_update::ConfigCurrent>());
+    store.setConfig(unreadableConfig);
+    ASSERT_TRUE(waitUntil([&store] { return store.configReads() > 1; }));
+    std::this_thread::sleep_for(contactLimit);
+    while (updates.ring.tryPop()) { }
+    EXPECT_FALSE(updates.waitFor<store_update::ConfigCurrent>(2 * contactLimit));
+}
+
+// Guards against a row that another host has and this one has not, and that counts as known here.
+TEST(StoreWatcher, BelievesAnotherHostOnlyAboutRowsThatItHas)
+{
+    FakeStore store;
+    store.setConfig(configWithWorkspaces); // row 11
+    store.setLease(leading);
+    Updates updates;
+    const RunningWatcher watcher = watch(store, following, updates);
+    watcher->setLeaderReachable(true);
+    ASSERT_TRUE(updates.waitFor<store_update::ConfigCurrent>());
+    watcher->onUpdate(peer::ConfigUpdate{11, 0, {}});
+    store.set(FakeStore::Feed::Down);
+    const Instant next = bootNow() + 1h;
+    watcher->onConfigCurrent(RowVersion(12), next);
+    watcher->onConfigCurrent(RowVersion(11), next + 1s);
+    ASSERT_TRUE(updates.waitFor([next](const StoreUpdate &update) {
+        const auto *current = std::get_if<store_update::ConfigCurrent>(&update);
+        EXPECT_TRUE(current == nullptr || current->at != next);
+        return current != nullptr && current->at == next + 1s;
+    }));
+}
+
+// Guards against a follower that refuses its callers although it could read the store, because its leader can't.
+TEST(StoreWatcher, ReadsTheConfigurationBeforeItWouldRefuseKeys)
+{
+    FakeStore store;
+    store.setConfig(configWithWorkspaces);
+    store.setLease(leading);
+    Updates updates;
+    StoreWatcher::Options options{store.address(), contactLimit, following, lease};
+    options.keyLimit = 1s;
+    const RunningWatcher watcher(new StoreWatcher(options, updates.ring));
+    watcher->setLeaderReachable(true);
+    ASSERT_TRUE(updates.waitFor<store_update::ConfigCurrent>());
+    watcher->onStoreLost(); // the leader's last word
+    ASSERT_TRUE(updates.waitFor<store_update::Lost>());
+    const int reads = store.configReads();
+    const Instant begin = bootNow();
+    ASSERT_TRUE(updates.waitFor([begin](const StoreUpdate &update) {
+        const auto *current = std::get_if<store_update::ConfigCurrent>(&update);
+        return current != nullptr && current->at > begin;
+    }));
+    EXPECT_LT(bootNow() - begin, options.keyLimit);
+    std::this_thread::sleep_for(2500ms);
+    EXPECT_LE(store.configReads() - reads, 4); // once in the time of the limit
+}
+
 // Guards against a host of a first start that goes on waiting for a configuration which the leader cannot send.
 TEST(StoreWatcher, ReadsAConfigurationThatTheLeaderOnlyNames)
 {
--- a/testing/process/test_workspaces.py
+++ b/testing/process/test_workspaces.py
@@ -77,6 +77,8 @@
         runs = [(run["headers"].get("X-Tenant"), run["headers"].get("Authorization")) for run in self.seen()]
         self.assertEqual(sorted(runs), [("one", None)] * len(CALLS) + [("two", None)] * len(CALLS))
         self.assertNotIn("k-one", gateway.log())
+        metrics = send(gateway.ready, "GET", "/metrics")[2].decode()
+        self.assertIn(f'workspace_calls_total{{event="received",workspace="one"}} {len(CALLS)}', metrics)
 
     def test_an_open_route_needs_no_key_and_takes_no_wrong_one(self):
         gateway = self.start()
@@ -86,6 +88,16 @@
         runs = sorted(self.seen(), key=lambda run: run["at"])
         self.assertEqual([run["headers"].get("X-Tenant") for run in runs], [None, "two"])
 
+    # Guards against a caller that goes on with the stream of another workspace.
+    def test_a_stream_is_taken_up_only_by_its_workspace(self):
+        gateways, _ = self.start_fleet(2)
+        begun = {"X_Request_Id": "stream-of-one", **SIZE}
+        self.assertEqual(send(gateways[1].callers, "POST", "/resume/x", b"x", **key("k-one"), **begun)[0], 200)
+        again = {"Resumes": "stream-of-one", "Last_Event_Id": 2, **SIZE}
+        for gateway in gateways:
+            self.assertEqual(send(gateway.callers, "POST", "/resume/x", b"x", **key("k-two"), **again)[0], 503)
+            self.assertEqual(send(gateway.callers, "POST", "/resume/x", b"x", **key("k-one"), **again)[0], 200)
+
     def test_keys_are_added_and_revoked_everywhere(self):
         gateways, _ = self.start_fleet(3)
         self.platform.configure(ROUTES, [workspace("one", "k-new"), workspace("two", "k-two")])
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -245,6 +245,7 @@
     visit(m.service);
     visit(m.version);
     visit(m.age);
+    visit(m.workspace);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -250,6 +250,7 @@
     ServiceId service;
     SoftwareVersion version;
     Duration age{0};
+    WorkspaceId workspace; // on whose behalf it runs, or empty
 };
 
 // Gateway to the leader or its deputy after the link has opened, and from the leader to its deputy: the recent streams
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -35,9 +35,10 @@
         RequestId("r"), ServiceId("s"), PlacementEvent::EndedByFault, Tokens(7), SoftwareVersion("v1")});
     EXPECT_EQ(report.event, PlacementEvent::EndedByFault);
     EXPECT_EQ(report.version, SoftwareVersion("v1"));
-    const StreamsBegun begun = passedOn(StreamsBegun{{{RequestId("r"), ServiceId("s"), SoftwareVersion("v1"), 4s}}});
+    const StreamsBegun begun = passedOn(StreamsBegun{{{RequestId("r"), ServiceId("s"), SoftwareVersion("v1"), 4s, WorkspaceId("w")}}});
     ASSERT_EQ(begun.streams.size(), 1U);
     EXPECT_EQ(begun.streams[0].version, SoftwareVersion("v1"));
+    EXPECT_EQ(begun.streams[0].workspace, WorkspaceId("w"));
     EXPECT_EQ(begun.streams[0].age, 4s);
     const HeldPlacements held = passedOn(
         HeldPlacements{{{RequestId("r"), ServiceId("s"), EngineId("d"), Tokens(1), Tokens(2), Tokens(3), 4s}}});
