--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -35,7 +35,8 @@
         RequestId("r"), ServiceId("s"), PlacementEvent::EndedByFault, Tokens(7), SoftwareVersion("v1")});
     EXPECT_EQ(report.event, PlacementEvent::EndedByFault);
     EXPECT_EQ(report.version, SoftwareVersion("v1"));
-    const StreamsBegun begun = passedOn(StreamsBegun{{{RequestId("r"), ServiceId("s"), SoftwareVersion("v1"), 4s, WorkspaceId("w")}}});
+    const StreamsBegun begun =
+        passedOn(StreamsBegun{{{RequestId("r"), ServiceId("s"), SoftwareVersion("v1"), 4s, WorkspaceId("w")}}});
     ASSERT_EQ(begun.streams.size(), 1U);
     EXPECT_EQ(begun.streams[0].version, SoftwareVersion("v1"));
     EXPECT_EQ(begun.streams[0].workspace, WorkspaceId("w"));
