Logs tell an endpoint that ended from an answer that broke off

What was missing: whether the endpoint of a broken-off answer had ended, and what two attempts of a caller have in common. Change: answer_broken_off states what a new connection to the endpoint shows, and a digest of the request.

--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -6,6 +6,7 @@
 //     call.refuse({RefusalCode::Overloaded, RunState::NotRun, "all endpoints are full", 100ms}, yield);
 
 #include "platform/calldialect.h"
+#include "programs/gateway/crashguard.h"
 #include "programs/gateway/endpointpermits.h"
 #include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
@@ -26,6 +27,7 @@
     EndpointPermits &permits;
     WorkspaceCredits &credits;
     HttpClient &client;
+    CrashGuard &crashes;
     GatewayMetrics &metrics;
 };
 
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -65,8 +65,9 @@
         , permits(this->io, this->fleet.limits())
         , paths(EndpointPaths::Options{}, this->seed + 3)
         , client(this->io, clientOptions(given, this->paths))
-        , services{this->settings, this->io,      this->fleet,  this->gates,
-                   this->permits,  this->credits, this->client, this->metrics}
+        , crashes(this->io, this->client)
+        , services{this->settings, this->io,     this->fleet,   this->gates,  this->permits,
+                   this->credits,  this->client, this->crashes, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
@@ -102,6 +103,7 @@
     EndpointPermits permits;
     EndpointPaths paths;
     HttpClient client;
+    CrashGuard crashes;
     GatewayMetrics metrics;
     GatewayServices services;
     StageOrders orders;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -308,10 +308,12 @@
 {
     if (this->events.isInsideEvent()) {
         this->lastFault = this->engine.value() + " ended its answer inside an event";
+        this->isCutShort = true;
         return false;
     }
     if (this->framing == BodyFraming::Connection && !hasEvents) {
         this->lastFault = this->engine.value() + " closed the connection without an event";
+        this->isCutShort = true;
         return false;
     }
     return true;
@@ -329,6 +331,7 @@
     const HttpRequest request = generationRequest(this->call.http, this->call.caller(), start, this->call.timeLeft());
     ++this->sends;
     this->hasNoPath = false;
+    this->isCutShort = false;
     const Instant sent = steadyNow();
     try {
         LineStream stream = services.client.open(place.engine.address, request,
@@ -359,6 +362,7 @@
         this->onFault(error);
         this->sends -= error.isKnownNotSent() ? 1 : 0;
         this->checkCaller();
+        this->isCutShort = error.fault() == HttpFault::Closed && !error.isKnownNotSent();
         if (this->hasNoPath) {
             return Outcome::NoPlacement;
         }
@@ -428,6 +432,9 @@
             this->mayHaveRun = true;
             this->avoid = EngineId(place->engine.id.value());
         }
+        if (this->isCutShort) {
+            this->call.services.crashes.onBrokenOff(place->engine, this->call.http);
+        }
         return ended;
     } catch (const CallerGone &) {
         if (this->sends == 0) {
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -74,6 +74,7 @@
     std::optional<CreditDecision> noCredit; // why the workspace's quota allows no call now
     std::string lastFault;
     BodyFraming framing = BodyFraming::Length; // of the last response of a decode engine
+    bool isCutShort = false; // the engine ended the last answer before it was whole
     bool hasNoPath = false; // the last fault is that this host reaches no endpoint
     NoRetry noRetry = NoRetry::None; // why the last fault was not retried
     EngineId avoid; // the engine that failed during the last attempt
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -87,7 +87,13 @@
             return SendResult::NoPath;
         }
         ended(EndpointOutcome::Failed);
-        return error.isKnownNotSent() ? SendResult::NeverSent : SendResult::Lost;
+        if (error.isKnownNotSent()) {
+            return SendResult::NeverSent;
+        }
+        if (error.fault() == HttpFault::Closed && !this->abort.isAborted()) {
+            this->call.services.crashes.onBrokenOff(endpoint, this->call.http);
+        }
+        return SendResult::Lost;
     }
     AnswerHead head = readAnswerHead(response, this->call.head.id);
     if (head.isForThisCall) {
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -86,6 +86,19 @@
     return "length";
 }
 
+const char *nameOf(Liveness liveness)
+{
+    switch (liveness) {
+    case Liveness::Running:
+        return "running";
+    case Liveness::Ended:
+        return "ended";
+    case Liveness::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 std::string_view HttpResponse::header(std::string_view name) const
 {
     for (const HttpHeader &header : this->headers) {
@@ -327,6 +340,31 @@
     }
 }
 
+Liveness HttpClient::probe(const std::string &address, const asio::yield_context &yield)
+{
+    const EndpointPaths *paths = this->pool->options.paths;
+    const SteadyTime deadline = std::chrono::steady_clock::now() + checkLimit;
+    const bool isDirect = paths == nullptr || !paths->usesTunnel(address);
+    bool isRefused = false;
+    try {
+        if (isDirect) {
+            const auto connection = this->pool->make(address, nullptr);
+            const auto error = connection->connect(address, std::min(deadline, this->pool->connectDeadline()), yield);
+            if (!error) {
+                return Liveness::Running;
+            }
+            isRefused = error == asio::error::connection_refused || error == asio::error::connection_reset;
+        }
+        if (paths != nullptr) {
+            this->pool->connectThroughTunnel(address, nullptr, deadline, yield);
+            return Liveness::Running;
+        }
+    } catch (const HttpError &error) {
+        isRefused = isRefused || (!isDirect && error.fault() == HttpFault::Connect);
+    }
+    return isRefused ? Liveness::Ended : Liveness::Unknown;
+}
+
 std::size_t HttpClient::openConnections() const
 {
     return this->pool->open;
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -148,6 +148,14 @@
 class EndpointPaths;
 class HttpClient;
 
+// What a new connection shows of the process at an address.
+enum class Liveness {
+    Running, // it accepts connections
+    Ended, // its port refuses them
+    Unknown, // the address can't be reached
+};
+const char *nameOf(Liveness liveness);
+
 // The body of one reply, read line by line or in parts. Destroying the stream closes its connection.
 class LineStream
 {
@@ -208,6 +216,10 @@
     // Makes a check that EndpointPaths has due: connects to the endpoint and sends nothing.
     void check(const std::string &address, const asio::yield_context &yield);
 
+    // Connects to the address and sends nothing. A refusal here counts only if no other host is connected either. Does
+    // not report to EndpointPaths: the process may have ended.
+    Liveness probe(const std::string &address, const asio::yield_context &yield);
+
     std::size_t openConnections() const;
 
 private:
