--- /dev/null
+++ b/testing/process/test_crashing_requests.py
@@ -0,0 +1,128 @@
+"""Requests that crash the endpoints that answer them, beside sound ones, and crashes that no request causes."""
+
+import http.client
+import pathlib
+import signal
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
+
+from gatewayprocess import SIZE, send  # noqa: E402  pylint: disable=wrong-import-position
+from paths import Paths  # noqa: E402  pylint: disable=wrong-import-position
+from platformtest import PlatformTest  # noqa: E402  pylint: disable=wrong-import-position
+from standin import wait_until  # noqa: E402  pylint: disable=wrong-import-position
+from userplatform import route  # noqa: E402  pylint: disable=wrong-import-position
+
+ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=3),
+          route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=4, resumable=True)]
+DEADLY = b"deadly"
+MOST_CRASHES = 3  # under one request
+PAUSE_SECONDS = 0.3  # between two tries, so that what one of them showed has reached every host
+
+
+class CrashingRequestsTest(PlatformTest):
+    def setUp(self):
+        super().setUp()
+        self.plain = [self.platform.endpoint("booking") for _ in range(6)]
+        self.platform.endpoint("llm", "prefill")
+        self.writers = [self.platform.endpoint("llm", "decode") for _ in range(6)]
+        for endpoint in self.plain + self.writers:
+            endpoint.crashes_on = lambda request, body: body == DEADLY or request.path.endswith("deadly")
+        self.platform.configure(ROUTES)
+
+    def crashes(self):
+        return sum(endpoint.crashes for endpoint in self.platform.endpoints)
+
+    @staticmethod
+    def ask(gateway, path, body=b"sound", parts="aa:200,bb:800"):
+        """The status of the whole answer, or 0 where it breaks off."""
+        method = "GET" if path.startswith("/look/") else "POST"
+        try:
+            return send(gateway.callers, method, path, None if method == "GET" else body, X_Prompt_Prefix=parts, **SIZE)[0]
+        except (http.client.HTTPException, ConnectionError):
+            return 0
+
+    def repeat(self, gateways, path, body, times=10):
+        """The statuses of as many tries, at one host after the other."""
+        statuses = []
+        for number in range(times):
+            statuses.append(self.ask(gateways[number % len(gateways)], path, body))
+            time.sleep(PAUSE_SECONDS)
+        return statuses
+
+    def check_stops(self, gateways, path, body=DEADLY):
+        before = self.crashes()
+        statuses = self.repeat(gateways, path, body)
+        self.assertLessEqual(self.crashes() - before, MOST_CRASHES, statuses)
+        self.assertEqual(statuses[-5:], [503] * 5, statuses)
+        for gateway in gateways:
+            wait_until(lambda: self.ask(gateway, path.replace("deadly", "sound")) == 200, "a sound request")
+
+    # Each guards against a request under which three endpoints have ended, and that hosts go on sending to others.
+    def test_a_generation_that_crashes_engines_stops_at_every_host(self):
+        self.check_stops(self.start_linked(3), "/write/1")
+
+    def test_a_resumable_generation_that_crashes_engines_stops_at_every_host(self):
+        self.check_stops(self.start_linked(3), "/resume/1")
+
+    def test_a_repeatable_call_that_crashes_endpoints_stops_at_every_host(self):
+        self.check_stops(self.start_linked(3), "/look/deadly")
+
+    def test_a_call_that_runs_once_and_crashes_endpoints_stops_at_every_host(self):
+        self.check_stops(self.start_linked(3), "/book/1")
+
+    def test_unframed_streams_that_crash_engines_stop(self):
+        for writer in self.writers:
+            writer.is_framed = False
+        self.check_stops(self.start_linked(2), "/write/1")
+
+    # Guards against a host that has lost its paths to endpoints and goes on through tunnels of others.
+    def test_crashing_requests_stop_at_a_host_that_uses_tunnels(self):
+        paths = Paths(self.folder, "cut", self.platform.endpoints)
+        self.addCleanup(paths.end)
+        others = self.start_linked(2)
+        cut = self.start("cut", paths=paths)
+        wait_until(lambda: "event=leader_reached" in cut.log(), "the links")
+        paths.cut("refuse")
+        wait_until(lambda: self.ask(cut, "/look/sound") == 200, "calls through another host")
+        self.check_stops([cut, *others], "/write/1")
+
+    # Guards against a new leader that has heard of none of the crashes before it led.
+    def test_crashes_before_a_leader_is_lost_count(self):
+        leader, *others = self.start_linked(3)
+        for gateway in others:
+            self.ask(gateway, "/write/1", DEADLY)
+            time.sleep(PAUSE_SECONDS)
+        leader.send(signal.SIGKILL)
+        wait_until(lambda: any(gateway.leads() or "event=standing_in for_leader=yes" in gateway.log() for gateway in others),
+                   "another leader")
+        statuses = self.repeat(others, "/write/1", DEADLY, 8)
+        self.assertLessEqual(self.crashes(), MOST_CRASHES, statuses)
+
+    # Guards against callers who are refused since endpoints crash for reasons of their own.
+    def test_requests_that_did_not_cause_crashes_are_served(self):
+        gateways = self.start_linked(3)
+        served = []
+
+        def go_on(gateway):
+            for _ in range(40):
+                served.append(self.ask(gateway, "/write/1"))
+
+        callers = [threading.Thread(target=go_on, args=(gateway,)) for gateway in gateways for _ in range(2)]
+        for caller in callers:
+            caller.start()
+        for writer in self.writers[:5]:
+            time.sleep(PAUSE_SECONDS)
+            writer.crash()
+        for caller in callers:
+            caller.join()
+        wait_until(lambda: all(not writer.crashing.locked() for writer in self.writers), "all engines to be back")
+        self.assertEqual([self.ask(gateway, "/write/1") for gateway in gateways], [200] * 3)
+        self.assertGreater(served.count(200), len(served) * 0.9, served)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -11,6 +11,9 @@
 there; half_first: it breaks off so only streams that it begins; stall: it stops before its third event; empty: it closes
 the connection before an event; and lost: it runs and answers nothing. With `is_framed` off, its streams have neither a
 length nor chunks and end with their connection.
+
+An endpoint crashes under the requests for which `crashes_on(request, body)` is true, once it begins to answer, and at each
+crash(): its connections end, its port refuses new ones, and after `down_seconds` it is back as a new incarnation.
 """
 
 import base64
@@ -142,6 +145,27 @@
 class QuietServer(http.server.ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 256
+    allow_reuse_address = True
+
+    def __init__(self, *arguments):
+        self.connections = set()
+        super().__init__(*arguments)
+
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self):
+        """Ends as a process does: the port refuses connections at once, and open ones end in order."""
+        self.socket.close()
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        self.shutdown()
 
     def handle_error(self, request, client_address):
         if not isinstance(sys.exc_info()[1], ConnectionError):  # callers may go at any time
@@ -150,9 +174,12 @@
 
 class Server:
     def __init__(self):
-        self.http = QuietServer(("127.0.0.1", 0), Handler)
-        self.http.owner = self
+        self.listen(0)
         self.address = f"127.0.0.1:{self.http.server_address[1]}"
+
+    def listen(self, port):
+        self.http = QuietServer(("127.0.0.1", port), Handler)
+        self.http.owner = self
         threading.Thread(target=self.http.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True).start()
 
     def end(self):
@@ -210,8 +237,26 @@
         self.seen, self.asked, self.released = [], [], []
         self.reservations = 0
         self.on_half = lambda: None  # called when it broke off
+        self.crashes_on = lambda request, body: False
+        self.crashes = 0
+        self.down_seconds = 1.0
+        self.crashing = threading.Lock()
+        self.on_back = lambda: None  # called when it listens again after a crash
         super().__init__()
 
+    def crash(self):
+        """At once; it comes back by itself."""
+        if self.crashing.acquire(blocking=False):
+            self.crashes += 1
+            self.http.crash()
+            threading.Thread(target=self.come_back, daemon=True).start()
+
+    def come_back(self):
+        time.sleep(self.down_seconds)
+        self.listen(int(self.address.rsplit(":", 1)[1]))
+        self.crashing.release()
+        self.on_back()
+
     def handle(self, request, body):
         self.asked.append((request.command, request.path))
         expected = request.headers.get("X-Expect-Instance")
@@ -244,7 +289,10 @@
             return
         headers = self.note(request, body)
         text = b"answer of " + self.name.encode()
-        if self.behave == "mute":
+        if self.crashes_on(request, body):
+            self.crash()
+            request.close_connection = True
+        elif self.behave == "mute":
             time.sleep(30)
         elif self.behave == "cut":
             request.reply(200, text[:5], headers, length=len(text))
@@ -281,6 +329,10 @@
         for name, value in headers.items():
             request.send_header(name, value)
         request.end_headers()
+        if self.crashes_on(request, body):
+            self.crash()
+            request.close_connection = True
+            return
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
             behave = self.behave
@@ -341,6 +393,7 @@
     def endpoint(self, service, stage=None, version="v1"):
         made = Endpoint(f"i-{len(self.endpoints)}", stage, version)
         made.service = service
+        made.on_back = lambda: self.register(made, born=1 + made.crashes)
         self.endpoints.append(made)
         self.services.add((service, stage is not None))
         self.register(made)
