A request that ends three endpoints is sent to no further one, at any host

Callers saw: one request ended engine after engine (BUDGET). Cause: a crash was booked on the endpoint alone. Each attempt of a caller is a request of its own to whichever host it meets, and no host knew what had run when an endpoint ended elsewhere. Change: hosts report the requests that ran at endpoints that ended (a new connection shows it, also through another host); the leader or its deputy counts a further crash only if the request was sent after the one before, and blocks the request at all hosts after three. A whole answer clears it. What is blocked is refused at once as not run, also where it waits for a place or goes on. Why it works: links carry placements and blocks in order, so whoever is offered a place after a crash knows what it has shown.

--- a/base/errors.cpp
+++ b/base/errors.cpp
@@ -40,6 +40,8 @@
         return "outcome_unknown";
     case RefusalCode::InProgress:
         return "in_progress";
+    case RefusalCode::Blocked:
+        return "blocked";
     case RefusalCode::StatedNotRun:
         return "stated_not_run";
     case RefusalCode::Internal:
@@ -89,6 +91,7 @@
     case RefusalCode::EndpointFailed:
         return 502;
     case RefusalCode::Overloaded:
+    case RefusalCode::Blocked:
     case RefusalCode::Draining:
     case RefusalCode::NoConfiguration:
     case RefusalCode::StoreUnavailable:
--- /dev/null
+++ b/decide/requestblocks.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// The requests that a host refuses since they crash endpoints, and the traits whose answers it reports.
+//
+//     RequestBlocks blocks(RequestBlocks::Options{});
+//     blocks.block(traits, 10min, now);                 // requests that have all of these
+//     if (const auto left = blocks.blockedFor(traitsOfCall, now)) { ... refuse; retry after *left ... }
+//     blocks.watch({suspect}, now);
+//     const RequestTraits cleared = blocks.watchedOf(traitsOfCall, begun);   // once the call was answered in full
+
+#include "decide/requesttrait.h"
+#include "fescuesill/units.h"
+
+#include <map>
+#include <optional>
+
+namespace fescuesill
+{
+
+class RequestBlocks
+{
+public:
+    struct Options {
+        std::size_t maxBlocks = 256; // beyond this, the one that ends first is dropped
+        std::size_t maxWatched = 1024; // further ones are not watched
+        Duration watchedFor{60s};
+    };
+
+    explicit RequestBlocks(const Options &given)
+        : options(given)
+    {
+    }
+
+    // `traits`: sorted. Returns whether it is new.
+    bool block(const RequestTraits &traits, Duration duration, Instant now);
+    // Requests with these traits were answered: what is blocked for other traits as well stays blocked for those.
+    // Returns the sets of traits that are blocked no more.
+    std::vector<RequestTraits> onServed(const RequestTraits &served);
+    // Answers count for a trait if their requests begin after it was first watched.
+    void watch(const RequestTraits &traits, Instant now);
+    void expire(Instant now);
+
+    // Nothing is blocked or watched, as on any day without crashes, so that no request need be examined.
+    bool isEmpty() const
+    {
+        return this->blocks.empty() && this->watched.empty();
+    }
+    // How long requests with these traits are blocked; empty if they are not.
+    std::optional<Duration> blockedFor(const RequestTraits &traits, Instant now) const;
+    // Those of the traits that were watched when the request began.
+    RequestTraits watchedOf(const RequestTraits &traits, Instant begun) const;
+    const std::map<RequestTraits, Instant> &all() const
+    {
+        return this->blocks;
+    }
+
+private:
+    struct Watch {
+        Instant since;
+        Instant until;
+    };
+
+    Options options;
+    std::map<RequestTraits, Instant> blocks; // until
+    std::map<RequestTrait, Watch> watched;
+};
+
+} // namespace fescuesill
--- /dev/null
+++ b/decide/testing/requestblocks_test.cpp
@@ -0,0 +1,75 @@
+#include "decide/requestblocks.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuesill
+{
+namespace
+{
+
+constexpr Instant start{1h};
+const RequestTrait a(1);
+const RequestTrait b(2);
+const RequestTrait c(3);
+
+TEST(RequestBlocks, BlocksRequestsWithAllTraitsOfASet)
+{
+    RequestBlocks blocks({});
+    EXPECT_TRUE(blocks.isEmpty());
+    EXPECT_TRUE(blocks.block({a, b}, 10s, start));
+    EXPECT_FALSE(blocks.block({a, b}, 5s, start));
+    EXPECT_EQ(blocks.blockedFor({c, b, a}, start + 1s), Duration(9s));
+    EXPECT_FALSE(blocks.blockedFor({a, c}, start));
+    EXPECT_FALSE(blocks.blockedFor({}, start));
+    EXPECT_FALSE(blocks.blockedFor({a, b}, start + 10s));
+    blocks.expire(start + 10s);
+    EXPECT_TRUE(blocks.isEmpty());
+}
+
+// Guards against sound requests that stay blocked after one of them was answered.
+TEST(RequestBlocks, AnAnswerUnblocksItsTraits)
+{
+    RequestBlocks blocks({});
+    blocks.block({a, b}, 10s, start);
+    blocks.block({c}, 10s, start);
+    EXPECT_EQ(blocks.onServed({a}), (std::vector<RequestTraits>{{a, b}}));
+    EXPECT_TRUE(blocks.blockedFor({b}, start));
+    EXPECT_TRUE(blocks.blockedFor({c}, start));
+    EXPECT_EQ(blocks.onServed({b}), (std::vector<RequestTraits>{{b}}));
+    EXPECT_FALSE(blocks.blockedFor({a, b}, start));
+    EXPECT_TRUE(blocks.blockedFor({c}, start));
+}
+
+// Guards against an answer that began before the crashes and clears the request that caused them.
+TEST(RequestBlocks, OnlyAnswersThatBeganUnderWatchCount)
+{
+    RequestBlocks blocks({});
+    blocks.watch({a}, start);
+    EXPECT_TRUE(blocks.watchedOf({a, b}, start).empty());
+    EXPECT_EQ(blocks.watchedOf({a, b}, start + 1ms), RequestTraits{a});
+    blocks.watch({a}, start + 5s); // watched on, from the first time
+    EXPECT_EQ(blocks.watchedOf({a}, start + 1ms), RequestTraits{a});
+    blocks.expire(start + RequestBlocks::Options{}.watchedFor);
+    EXPECT_FALSE(blocks.isEmpty());
+    blocks.expire(start + 5s + RequestBlocks::Options{}.watchedFor);
+    EXPECT_TRUE(blocks.isEmpty());
+}
+
+TEST(RequestBlocks, KeepsABoundedNumber)
+{
+    RequestBlocks::Options options;
+    options.maxBlocks = 3;
+    options.maxWatched = 2;
+    RequestBlocks blocks(options);
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        blocks.block({RequestTrait(number)}, 1s * number, start);
+        blocks.watch({RequestTrait(number)}, start);
+    }
+    EXPECT_EQ(blocks.all().size(), 3U);
+    EXPECT_TRUE(blocks.blockedFor({RequestTrait(10)}, start));
+    EXPECT_FALSE(blocks.blockedFor({RequestTrait(7)}, start));
+    EXPECT_TRUE(blocks.watchedOf({RequestTrait(3)}, start + 1s).empty());
+}
+
+} // namespace
+} // namespace fescuesill
--- a/include/fescuesill/errors.h
+++ b/include/fescuesill/errors.h
@@ -42,6 +42,7 @@
     EndpointFailed, // the endpoint failed and the call was not repeated
     OutcomeUnknown, // the call may have run; retry with the same key
     InProgress, // a call with the same key is running
+    Blocked, // requests like this one crash endpoints; none is sent for a while
     StatedNotRun, // an operator stated that the call was not run; its key stays closed
     Internal,
 };
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -1,12 +1,20 @@
 // An answer that breaks off has many causes. Only an endpoint that has ended counts, which shows at once: its port
-// refuses connections, from other hosts as well.
+// refuses connections, from other hosts as well. What an endpoint runs is known to the hosts that sent it, so each host
+// reports its own requests, and one host counts the crashes of all: a request comes to any host, and most hosts see one
+// crash or none.
+//
+// What is blocked is sent on the links that carry placements, before them, so a host that is offered a place after a
+// crash knows what that crash has shown. A host that loses the leader keeps what is blocked, and reports its crashes to
+// the next one.
 
 #include "programs/gateway/crashguard.h"
 
 #include "platform/calldialect.h"
+#include "wire/clock.h"
 #include "wire/coroutine.h"
 #include "wire/log.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace fescuesill
@@ -14,6 +22,33 @@
 namespace
 {
 
+// Much longer than an endpoint takes to start again, and short enough that a request that is blocked by mistake is
+// served again without an operator.
+constexpr Duration blockDuration{10min};
+constexpr std::size_t maxOwnCrashes = 256;
+constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
+constexpr Duration watchInterval{10s};
+
+std::vector<std::uint64_t> numbersOf(const RequestTraits &traits)
+{
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(traits.size());
+    for (const RequestTrait &trait : traits) {
+        numbers.push_back(trait.value());
+    }
+    return numbers;
+}
+
+RequestTraits traitsOf(const std::vector<std::uint64_t> &numbers)
+{
+    RequestTraits traits;
+    traits.reserve(numbers.size());
+    for (const std::uint64_t number : numbers) {
+        traits.emplace_back(number);
+    }
+    return traits;
+}
+
 std::string textOf(const RequestTraits &traits)
 {
     std::string text;
@@ -23,29 +58,209 @@
     return text;
 }
 
+RequestTraits onlyIn(const RequestTraits &traits, const RequestTraits &others)
+{
+    RequestTraits found;
+    std::copy_if(traits.begin(), traits.end(), std::back_inserter(found), [&others](const RequestTrait &trait) {
+        return std::find(others.begin(), others.end(), trait) == others.end();
+    });
+    return found;
+}
+
 } // namespace
 
 CrashGuard::CrashGuard(asio::io_context &context, HttpClient &httpClient)
     : io(context)
     , client(httpClient)
+    , tracker(CrashTracker::Options{})
+    , inForce(RequestBlocks::Options{})
+{
+}
+
+std::optional<Duration> CrashGuard::blockedFor(const HttpCall &call) const
 {
+    return this->inForce.isEmpty() ? std::nullopt : this->inForce.blockedFor(readTraits(call), steadyNow());
 }
 
-void CrashGuard::onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call)
+void CrashGuard::onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call, Instant begun,
+                             const asio::yield_context &yield)
 {
-    startCoroutine(this->io, [this, endpoint, traits = readTraits(call)](const asio::yield_context &yield) {
-        this->confirm(endpoint, traits, yield);
+    this->confirm(endpoint, {endpoint.id, readTraits(call), {begun, steadyNow()}}, yield);
+}
+
+void CrashGuard::onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call, Instant begun)
+{
+    const Crash suspected{endpoint.id, readTraits(call), {begun, steadyNow()}};
+    startCoroutine(this->io, [this, endpoint, suspected](const asio::yield_context &yield) {
+        this->confirm(endpoint, suspected, yield);
     });
 }
 
-void CrashGuard::confirm(const EndpointRecord &endpoint, const RequestTraits &traits, const asio::yield_context &yield)
+void CrashGuard::confirm(const EndpointRecord &endpoint, const Crash &suspected, const asio::yield_context &yield)
 {
     const Liveness found = this->client.probe(endpoint.address, yield);
     Log::info("answer_broken_off",
               {{"endpoint", endpoint.id.value()},
                {"incarnation", endpoint.incarnation},
                {"liveness", nameOf(found)},
-               {"traits", textOf(traits)}});
+               {"ran_ms", (suspected.run.ended - suspected.run.begun).count() / 1000},
+               {"traits", textOf(suspected.traits)}});
+    if (found != Liveness::Ended) {
+        return;
+    }
+    this->ownCrashes.push_back(suspected);
+    if (this->ownCrashes.size() > maxOwnCrashes) {
+        this->ownCrashes.pop_front();
+    }
+    this->report(suspected);
+}
+
+void CrashGuard::report(const Crash &crash)
+{
+    if (!this->uplink) {
+        this->count(crash);
+        return;
+    }
+    const Instant now = steadyNow();
+    this->uplink(
+        peer::EndpointCrashed{crash.endpoint, numbersOf(crash.traits), now - crash.run.begun, now - crash.run.ended});
+}
+
+void CrashGuard::onServed(const HttpCall &call, Instant begun)
+{
+    if (this->inForce.isEmpty()) {
+        return;
+    }
+    const RequestTraits served = this->inForce.watchedOf(readTraits(call), begun);
+    if (served.empty()) {
+        return;
+    }
+    const peer::TraitsServed message{numbersOf(served)};
+    if (this->uplink) {
+        this->uplink(message);
+    } else {
+        this->onMessage(message);
+    }
+}
+
+void CrashGuard::count(const Crash &crash)
+{
+    this->tracker.onCrash(crash.run, crash.traits);
+    this->watch(this->tracker.watchedOf(crash.traits));
+    for (const RequestTraits &traits : this->tracker.blocked()) {
+        if (this->inForce.all().count(traits) == 0) {
+            this->notifyFollowers(peer::RequestsBlocked{numbersOf(traits), blockDuration});
+            this->block(traits, blockDuration);
+        }
+    }
+}
+
+// Once in a while for each trait: several hosts report one crash, and hosts keep a watch for as long as crashes count.
+void CrashGuard::watch(const RequestTraits &traits)
+{
+    const Instant now = steadyNow();
+    RequestTraits due;
+    for (const RequestTrait &trait : traits) {
+        const auto [sent, isNew] = this->watchesSent.try_emplace(trait, now);
+        if (isNew || now - sent->second > watchInterval) {
+            sent->second = now;
+            due.push_back(trait);
+        }
+    }
+    if (!due.empty()) {
+        this->inForce.watch(due, now);
+        this->notifyFollowers(peer::TraitsWatched{numbersOf(due)});
+    }
+}
+
+void CrashGuard::block(const RequestTraits &traits, Duration duration)
+{
+    if (this->inForce.block(traits, duration, steadyNow())) {
+        Log::warning("requests_blocked", {{"traits", textOf(traits)}, {"for_ms", duration.count() / 1000}});
+        this->onBlocked();
+    }
+}
+
+void CrashGuard::notifyFollowers(const peer::Message &message) const
+{
+    if (this->followers) {
+        this->followers(message);
+    }
+}
+
+void CrashGuard::setBlockedHandler(std::function<void()> handler)
+{
+    this->onBlocked = std::move(handler);
+}
+
+void CrashGuard::setUplink(Send send)
+{
+    this->uplink = std::move(send);
+    for (const Crash &crash : this->ownCrashes) {
+        this->report(crash);
+    }
+}
+
+void CrashGuard::setFollowers(Send send)
+{
+    this->followers = std::move(send);
+}
+
+void CrashGuard::sendBlocks(const Send &reply) const
+{
+    const Instant now = steadyNow();
+    for (const auto &[traits, until] : this->inForce.all()) {
+        if (now < until) {
+            reply(peer::RequestsBlocked{numbersOf(traits), until - now});
+        }
+    }
+}
+
+void CrashGuard::onTick(Instant now)
+{
+    while (!this->ownCrashes.empty() && now - this->ownCrashes.front().run.ended > crashesCountFor) {
+        this->ownCrashes.pop_front();
+    }
+    this->tracker.expire(now);
+    this->inForce.expire(now);
+    for (auto sent = this->watchesSent.begin(); sent != this->watchesSent.end();) {
+        sent = now - sent->second > crashesCountFor ? this->watchesSent.erase(sent) : std::next(sent);
+    }
+}
+
+void CrashGuard::onMessage(const peer::EndpointCrashed &message)
+{
+    const Instant now = steadyNow();
+    this->count({message.endpoint, traitsOf(message.traits), {now - message.sinceBegin, now - message.sinceEnd}});
+}
+
+// From a follower, and from the leader to its followers: each forgets what it knew of these traits.
+void CrashGuard::onMessage(const peer::TraitsServed &message)
+{
+    const RequestTraits served = traitsOf(message.traits);
+    this->tracker.onServed(served);
+    for (const RequestTrait &trait : served) {
+        this->watchesSent.erase(trait);
+    }
+    for (const RequestTraits &traits : this->inForce.onServed(served)) {
+        Log::warning("requests_unblocked", {{"traits", textOf(traits)}});
+    }
+    for (Crash &crash : this->ownCrashes) {
+        crash.traits = onlyIn(crash.traits, served);
+    }
+    if (!this->uplink) {
+        this->notifyFollowers(message);
+    }
+}
+
+void CrashGuard::onMessage(const peer::RequestsBlocked &message)
+{
+    this->block(traitsOf(message.traits), message.duration);
+}
+
+void CrashGuard::onMessage(const peer::TraitsWatched &message)
+{
+    this->inForce.watch(traitsOf(message.traits), steadyNow());
 }
 
 } // namespace fescuesill
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -1,14 +1,24 @@
 #pragma once
 
-// Tells endpoints that ended from answers that broke off for other reasons. Used only by the forwarding thread.
+// Keeps requests that crash endpoints from being sent to further ones. Used only by the forwarding thread.
 //
 //     CrashGuard guard(io, client);
-//     guard.onBrokenOff(endpoint, call);
+//     guard.setUplink(send);                                    // to the host that decides for all, or empty
+//     if (const auto left = guard.blockedFor(call)) { ... refuse; retry after *left ... }
+//     guard.onBrokenOff(endpoint, call, begun, yield);          // its answer broke off: whether the endpoint has ended
+//     guard.onServed(call, begun);                              // a whole answer
+//
+// Hosts report the requests that ran at endpoints that ended, and the leader or its deputy finds out which to block.
 
-#include "decide/requesttrait.h"
+#include "decide/crashtracker.h"
+#include "decide/requestblocks.h"
 #include "promise/endpointregistry.h"
 #include "wire/httpclient.h"
 #include "wire/httpserver.h"
+#include "wire/messages.h"
+
+#include <deque>
+#include <functional>
 
 namespace fescuesill
 {
@@ -16,16 +26,64 @@
 class CrashGuard
 {
 public:
+    using Send = std::function<void(const peer::Message &)>;
+
     CrashGuard(asio::io_context &io, HttpClient &client);
 
-    // The answer of the endpoint broke off: finds out in the background whether the endpoint has ended, and logs it.
-    void onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call);
+    // How long requests like this one are refused; empty if it may be sent.
+    std::optional<Duration> blockedFor(const HttpCall &call) const;
+    // The answer of the endpoint to a request that was sent to it at `begun` broke off. Waits until it is known whether
+    // the endpoint has ended, and reports it.
+    void onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call, Instant begun,
+                     const asio::yield_context &yield);
+    // The same in the background.
+    void onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call, Instant begun);
+    // The request that was sent at `begun` has been answered in full.
+    void onServed(const HttpCall &call, Instant begun);
+
+    // Sets what is called after a request was blocked, so that requests that wait are examined again.
+    void setBlockedHandler(std::function<void()> handler);
+    // Sets how to send to the leader or its deputy; empty if this host decides alone or for all.
+    void setUplink(Send send);
+    // Sets how to send to all hosts that follow this one.
+    void setFollowers(Send send);
+    // Sends what is blocked to a host that has begun to follow this one.
+    void sendBlocks(const Send &reply) const;
+    void onTick(Instant now);
+    std::size_t blocks() const
+    {
+        return this->inForce.all().size();
+    }
+
+    void onMessage(const peer::EndpointCrashed &message);
+    void onMessage(const peer::TraitsServed &message);
+    void onMessage(const peer::RequestsBlocked &message);
+    void onMessage(const peer::TraitsWatched &message);
 
 private:
-    void confirm(const EndpointRecord &endpoint, const RequestTraits &traits, const asio::yield_context &yield);
+    struct Crash {
+        EndpointId endpoint;
+        RequestTraits traits;
+        CrashedRun run;
+    };
+
+    void confirm(const EndpointRecord &endpoint, const Crash &suspected, const asio::yield_context &yield);
+    void report(const Crash &crash);
+    // Counts a crash, and notifies all hosts of what it has shown.
+    void count(const Crash &crash);
+    void watch(const RequestTraits &traits);
+    void block(const RequestTraits &traits, Duration duration);
+    void notifyFollowers(const peer::Message &message) const;
 
     asio::io_context &io;
     HttpClient &client;
+    CrashTracker tracker;
+    RequestBlocks inForce;
+    std::map<RequestTrait, Instant> watchesSent; // to the followers, and when; bounded like the watched traits
+    std::deque<Crash> ownCrashes; // the last ones that this host has reported, for the next leader
+    Send uplink;
+    Send followers;
+    std::function<void()> onBlocked;
 };
 
 } // namespace fescuesill
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -26,6 +26,8 @@
         return "budget";
     case NoRetry::NoPath:
         return "no_path";
+    case NoRetry::Blocked:
+        return "blocked";
     }
     return "none";
 }
@@ -70,6 +72,12 @@
     }
 }
 
+void ForwardedCall::refuseBlocked(Duration blockedFor, const asio::yield_context &yield) const
+{
+    this->refuse({RefusalCode::Blocked, RunState::NotRun, "requests like this one crash endpoints", blockedFor},
+                 NoRetry::None, yield);
+}
+
 void ForwardedCall::refuse(const Refusal &refusal, NoRetry noRetry, const asio::yield_context &yield) const
 {
     this->services.metrics.onRefused(refusal);
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -40,6 +40,7 @@
     Attempts, // the route's limit on attempts is reached
     Budget, // this host's retry budget for the service is exhausted
     NoPath, // no endpoint can be reached from this host
+    Blocked, // requests like this one crash endpoints
 };
 const char *nameOf(NoRetry reason);
 
@@ -64,6 +65,12 @@
     QuotaUnits cost() const;
     // Replies that the quota allows no call now.
     void refuseCredit(const CreditDecision &decision, const asio::yield_context &yield) const;
+    // How long requests like this one are blocked; empty if it may be sent.
+    std::optional<Duration> blockedFor() const
+    {
+        return this->services.crashes.blockedFor(this->http);
+    }
+    void refuseBlocked(Duration blockedFor, const asio::yield_context &yield) const;
     // Replies with an error of the gateway, and logs its reason and why no other endpoint was tried.
     void refuse(const Refusal &refusal, NoRetry noRetry, const asio::yield_context &yield) const;
 };
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -74,6 +74,7 @@
         , signals(this->io, SIGTERM, SIGINT)
         , updates(updateRingSize, [this] { asio::post(this->io, [this] { this->applyUpdates(); }); })
     {
+        this->crashes.setBlockedHandler([this] { this->gates.wakeWaiting(); });
     }
 
     int run();
@@ -201,7 +202,9 @@
         this->refuseKey(forwarded, caller, yield);
         return;
     }
-    if (route->kind == CallKind::Generation) {
+    if (const auto blocked = forwarded.blockedFor()) {
+        forwarded.refuseBlocked(*blocked, yield);
+    } else if (route->kind == CallKind::Generation) {
         GenerationForward(forwarded).run(yield);
     } else {
         PlainForward(forwarded).run(yield);
@@ -286,6 +289,7 @@
 {
     const Instant now = steadyNow();
     this->fleet.expire(now);
+    this->crashes.onTick(now);
     if (this->links) {
         this->links->onTick(now);
     }
@@ -346,7 +350,8 @@
     LeaderLink::Options options;
     options.listen = this->settings.peers;
     options.tunnels = this->settings.tunnels;
-    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->credits, this->paths);
+    auto opened =
+        LeaderLink::create(this->io, options, this->gates, this->permits, this->credits, this->crashes, this->paths);
     if (!opened) {
         Log::error("cannot_listen", {{"reason", opened.error().what()}});
         return false;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -145,10 +145,18 @@
 std::optional<GenerationForward::Place> GenerationForward::reserve(const asio::yield_context &yield)
 {
     const auto &services = this->call.services;
-    GateAction action = services.gates.requestPlacement(this->call.service, this->placementRequest(), yield);
-    while (const auto *attempt = std::get_if<TryReserve>(&action)) {
-        this->isCharged = this->call.workspace != nullptr;
+    auto action = services.gates.requestPlacement(this->call.service, this->placementRequest(), yield);
+    while (!action || std::holds_alternative<TryReserve>(*action)) {
+        this->isCharged = this->isCharged || (action && this->call.workspace != nullptr);
         this->checkCaller();
+        if (this->isBlocked()) {
+            return std::nullopt;
+        }
+        if (!action) {
+            action = services.gates.nextDecision(this->call.head.id, yield);
+            continue;
+        }
+        const auto *attempt = std::get_if<TryReserve>(&*action);
         const auto decode = services.fleet.usable(EndpointId(attempt->engine.value()));
         const bool isOtherVersion = decode && !this->streamVersion.isEmpty() && decode->version != this->streamVersion;
         if (!decode || isOtherVersion) {
@@ -162,7 +170,7 @@
         action = services.gates.nextDecision(this->call.head.id, yield);
     }
     this->checkCaller();
-    const auto &rejected = std::get<RejectGeneration>(action);
+    const auto &rejected = std::get<RejectGeneration>(*action);
     this->retryAfter = rejected.retryAfter;
     if (rejected.reason == RejectReason::OverQuota || rejected.reason == RejectReason::QuotaUnknown) {
         this->noCredit = CreditDecision{rejected.retryAfter, rejected.reason};
@@ -172,6 +180,12 @@
     return std::nullopt;
 }
 
+bool GenerationForward::isBlocked()
+{
+    this->blockedFor = this->call.blockedFor();
+    return this->blockedFor.has_value();
+}
+
 std::optional<GenerationForward::Prefill> GenerationForward::prefillAt(const EndpointRecord &engine,
                                                                        const asio::yield_context &yield)
 {
@@ -225,7 +239,7 @@
         const bool isLimited = this->call.services.permits.take(id, yield) > 0ms;
         this->checkCaller();
         const auto found = fleet.usable(id);
-        if (!found) {
+        if (!found || this->isBlocked()) {
             return std::nullopt;
         }
         if (isLimited) {
@@ -299,6 +313,7 @@
     if (!this->hasEnded(this->eventsProduced > eventsBefore)) {
         return Outcome::Broken;
     }
+    this->call.services.crashes.onServed(this->call.http, this->sentAt);
     this->call.reply.write(this->events.rest(), yield);
     this->call.reply.finish(yield);
     return Outcome::Whole;
@@ -332,7 +347,7 @@
     ++this->sends;
     this->hasNoPath = false;
     this->isCutShort = false;
-    const Instant sent = steadyNow();
+    this->sentAt = steadyNow();
     try {
         LineStream stream = services.client.open(place.engine.address, request,
                                                  {this->call.timeLeft(), Reuse::Never, &this->abort}, yield);
@@ -340,7 +355,7 @@
         this->framing = response.framing;
         const AnswerHead head = readAnswerHead(response, this->call.head.id);
         if (head.isForThisCall) {
-            services.permits.onAnswer(place.engine.id, head.limit, sent);
+            services.permits.onAnswer(place.engine.id, head.limit, this->sentAt);
         }
         if (head.reportsNotRun) {
             this->lastFault = "the engine did not take it";
@@ -417,6 +432,10 @@
         }
         this->isSelfPrefilled = !prefilled;
         this->times.prefilled = steadyNow() - this->call.arrival;
+        if (this->isBlocked()) {
+            this->release(*place, prefilled);
+            return Outcome::NoPlacement;
+        }
         const Outcome ended = this->generate(*place, prefilled, yield);
         if (ended == Outcome::NotRun || ended == Outcome::NoPlacement) {
             this->release(*place, prefilled);
@@ -433,7 +452,7 @@
             this->avoid = EngineId(place->engine.id.value());
         }
         if (this->isCutShort) {
-            this->call.services.crashes.onBrokenOff(place->engine, this->call.http);
+            this->reportCutShort(place->engine, yield);
         }
         return ended;
     } catch (const CallerGone &) {
@@ -444,6 +463,18 @@
     }
 }
 
+// A stream that may go on waits for the result, so that it does not go on at one more engine if it is to be blocked.
+void GenerationForward::reportCutShort(const EndpointRecord &at, const asio::yield_context &yield)
+{
+    CrashGuard &crashes = this->call.services.crashes;
+    if (this->call.route.isResumable) {
+        crashes.onBrokenOff(at, this->call.http, this->sentAt, yield);
+        this->checkCaller();
+    } else {
+        crashes.onBrokenOff(at, this->call.http, this->sentAt);
+    }
+}
+
 std::optional<NoRetry> GenerationForward::claimRetry(Outcome ended)
 {
     if (ended == Outcome::NoPlacement && this->hasNoPath) {
@@ -528,6 +559,10 @@
                           this->noRetry, yield);
         return;
     }
+    if (this->blockedFor) {
+        this->call.refuseBlocked(*this->blockedFor, yield);
+        return;
+    }
     if (this->noCredit) {
         this->call.refuseCredit(*this->noCredit, yield);
         return;
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -26,7 +26,7 @@
     // The result of one attempt, from the placement to the end of the events.
     enum class Outcome {
         Whole, // answered, possibly with an error of the engine
-        NoPlacement, // no engine had room in time, or none can be reached from this host
+        NoPlacement, // no engine had room in time, none can be reached from this host, or the request was blocked
         NotRun, // the engine reported that it did not run it, or nothing was sent
         Broken, // failed, and may have run
     };
@@ -42,6 +42,9 @@
 
     Outcome tryOnce(const asio::yield_context &yield);
     std::optional<Place> reserve(const asio::yield_context &yield);
+    // Whether the request has been blocked meanwhile. Then it must not be sent.
+    bool isBlocked();
+    void reportCutShort(const EndpointRecord &engine, const asio::yield_context &yield);
     std::optional<Place> reserveAt(const EndpointRecord &engine, const asio::yield_context &yield);
     std::optional<Prefill> prefill(const Place &place, const asio::yield_context &yield);
     std::optional<Prefill> prefillAt(const EndpointRecord &engine, const asio::yield_context &yield);
@@ -72,6 +75,7 @@
     EventRelay events;
     std::optional<Duration> retryAfter;
     std::optional<CreditDecision> noCredit; // why the workspace's quota allows no call now
+    std::optional<Duration> blockedFor; // the request, since such requests crash engines
     std::string lastFault;
     BodyFraming framing = BodyFraming::Length; // of the last response of a decode engine
     bool isCutShort = false; // the engine ended the last answer before it was whole
@@ -83,6 +87,7 @@
     // The only version that may go on with a resumable stream; empty until a place is reserved.
     SoftwareVersion streamVersion;
     std::int64_t eventsProduced = 0; // complete events received so far
+    Instant sentAt; // of the last request to a decode engine
     int sends = 0; // requests to decode engines of which at least one byte was sent
     bool mayHaveRun = false; // an attempt failed after it was sent
     bool isCharged = false; // to the workspace's quota
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -40,11 +40,12 @@
 } // namespace
 
 LeaderLink::LeaderLink(asio::io_context &io, const Options &options, PlacementGates &placementGates,
-                       EndpointPermits &endpointPermits, WorkspaceCredits &workspaceCredits,
+                       EndpointPermits &endpointPermits, WorkspaceCredits &workspaceCredits, CrashGuard &crashGuard,
                        EndpointPaths &endpointPaths)
     : gates(placementGates)
     , permits(endpointPermits)
     , credits(workspaceCredits)
+    , crashes(crashGuard)
     , paths(endpointPaths)
     , readers({}, std::random_device()())
     , tunnelHosts({}, std::random_device()())
@@ -58,11 +59,13 @@
 
 tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
                                                                         PlacementGates &gates, EndpointPermits &permits,
-                                                                        WorkspaceCredits &credits, EndpointPaths &paths)
+                                                                        WorkspaceCredits &credits, CrashGuard &crashes,
+                                                                        EndpointPaths &paths)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, credits, paths));
+    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, credits, crashes, paths));
     LeaderLink *self = link.get();
     permits.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
+    crashes.setFollowers([self](const peer::Message &message) { self->notifyClients(message); });
     PeerNode::Handlers handlers;
     handlers.opened = [self](LinkId id) {
         self->push({Change::Opened, id, {}});
@@ -201,6 +204,7 @@
     if (!link) {
         this->permits.setUplink({});
         this->credits.setUplink({});
+        this->crashes.setUplink({});
     }
     if (next == PlacingPath::Waiting) {
         this->gates.suspend();
@@ -211,6 +215,7 @@
         this->gates.setUplink(send);
         this->permits.setUplink(send);
         this->credits.setUplink(send);
+        this->crashes.setUplink(send);
     } else {
         this->gates.setUplink({});
     }
@@ -266,7 +271,7 @@
 // Ends the placements for other hosts, since two gates would fill the same engines.
 void LeaderLink::endPlacing()
 {
-    this->node->sendToAll({this->placementClients.begin(), this->placementClients.end()}, peer::LeadershipEnded{});
+    this->notifyClients(peer::LeadershipEnded{});
     for (const LinkId follower : this->placementClients) {
         this->gates.onFollowerLost(follower);
     }
@@ -288,9 +293,13 @@
 // the next deputy, and then the one after it.
 void LeaderLink::announceLeader(const store_update::Leader &leader)
 {
-    const peer::LeaderNamed named{leader.holder->host, leader.holder->address,
-                                  static_cast<std::uint64_t>(leader.term.value())};
-    this->node->sendToAll({this->placementClients.begin(), this->placementClients.end()}, named);
+    this->notifyClients(peer::LeaderNamed{leader.holder->host, leader.holder->address,
+                                          static_cast<std::uint64_t>(leader.term.value())});
+}
+
+void LeaderLink::notifyClients(const peer::Message &message)
+{
+    this->node->sendToAll({this->placementClients.begin(), this->placementClients.end()}, message);
 }
 
 void LeaderLink::applyReaders(Instant now)
@@ -611,7 +620,12 @@
             [&](const peer::HeldPlacements &held) {
                 this->placementClients.insert(link);
                 this->gates.onHeldPlacements(link, held);
+                this->crashes.sendBlocks(reply);
             },
+            [&](const peer::EndpointCrashed &crash) { this->crashes.onMessage(crash); },
+            [&](const peer::TraitsWatched &watched) { this->crashes.onMessage(watched); },
+            [&](const peer::TraitsServed &served) { this->crashes.onMessage(served); },
+            [&](const peer::RequestsBlocked &blocked) { this->crashes.onMessage(blocked); },
             [&](const peer::RequestCredit &request) { this->credits.onRequested(reply, request); },
             [&](const peer::CreditReply &answer) { this->credits.onReply(answer); },
             [&](const peer::QuotaReport &report) { this->credits.onReported(reply, report); },
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -2,13 +2,14 @@
 
 // The links between gateways: to the leader if this host follows one, and from the followers if it leads.
 //
-//     auto link = LeaderLink::create(io, options, gates, permits, credits, paths);
+//     auto link = LeaderLink::create(io, options, gates, permits, credits, crashes, paths);
 //     link.value()->setStore(store);
 //     link.value()->onLeader(update);          // the current leader, according to the lease
 
 #include "decide/endpointpaths.h"
 #include "decide/recentmaximum.h"
 #include "decide/tunnelhostchoice.h"
+#include "programs/gateway/crashguard.h"
 #include "programs/gateway/endpointpermits.h"
 #include "programs/gateway/placementgates.h"
 #include "programs/gateway/storewatcher.h"
@@ -38,7 +39,8 @@
 
     static tl::expected<std::unique_ptr<LeaderLink>, WireError> create(asio::io_context &io, const Options &options,
                                                                        PlacementGates &gates, EndpointPermits &permits,
-                                                                       WorkspaceCredits &credits, EndpointPaths &paths);
+                                                                       WorkspaceCredits &credits, CrashGuard &crashes,
+                                                                       EndpointPaths &paths);
     // Sets the watcher of the store, which outlives the links.
     void setStore(StoreWatcher &watcher)
     {
@@ -78,7 +80,7 @@
     };
 
     LeaderLink(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
-               WorkspaceCredits &credits, EndpointPaths &paths);
+               WorkspaceCredits &credits, CrashGuard &crashes, EndpointPaths &paths);
     void push(Event event);
     void drain();
     void on(const Event &event);
@@ -108,12 +110,14 @@
     void onClockReply(LinkId link, const peer::ClockReply &reply);
     void onStoreLost(LinkId link);
     void announceLeader(const store_update::Leader &leader);
+    void notifyClients(const peer::Message &message);
     void endPlacing();
     void endLeading();
 
     PlacementGates &gates;
     EndpointPermits &permits;
     WorkspaceCredits &credits;
+    CrashGuard &crashes;
     EndpointPaths &paths;
     StoreWatcher *store = nullptr;
     std::set<LinkId> followers; // links of the hosts that this one forwards the store's changes to
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -275,8 +275,8 @@
         request.workspace, request.cost, request.isCharged});
 }
 
-GateAction PlacementGates::requestPlacement(const ServiceId &service, const GenerationRequest &request,
-                                            const asio::yield_context &yield)
+std::optional<GateAction> PlacementGates::requestPlacement(const ServiceId &service, const GenerationRequest &request,
+                                                           const asio::yield_context &yield)
 {
     const auto local = std::make_shared<LocalGeneration>(this->io);
     local->service = service;
@@ -286,7 +286,7 @@
     return this->nextDecision(request.id, yield);
 }
 
-GateAction PlacementGates::nextDecision(const RequestId &id, const asio::yield_context &yield)
+std::optional<GateAction> PlacementGates::nextDecision(const RequestId &id, const asio::yield_context &yield)
 {
     const auto local = this->localGenerations.at(id);
     if (!local->decision) {
@@ -294,9 +294,7 @@
         local->timer.expires_at(std::chrono::steady_clock::time_point::max());
         local->timer.async_wait(yield[ignored]);
     }
-    GateAction decision = local->decision.value_or(RejectGeneration{id, Duration(0), Duration(0)});
-    local->decision.reset();
-    return decision;
+    return std::exchange(local->decision, std::nullopt);
 }
 
 void PlacementGates::apply(Gate &gate, const RequestId &id, peer::PlacementEvent event, Tokens output)
@@ -431,6 +429,13 @@
     }
 }
 
+void PlacementGates::wakeWaiting()
+{
+    for (const auto &[id, local] : this->localGenerations) {
+        local->timer.cancel();
+    }
+}
+
 void PlacementGates::setUplink(Send send)
 {
     const bool wasElsewhere = this->uplink || this->isSuspended;
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -35,11 +35,11 @@
                    std::uint64_t seed);
 
     // Submits a request and waits for the decision. With the first engine that is offered, the request has been charged
-    // to its workspace. Also returns RejectGeneration if the caller disconnected meanwhile.
-    GateAction requestPlacement(const ServiceId &service, const GenerationRequest &request,
-                                const asio::yield_context &yield);
+    // to its workspace. Empty if the wait was ended before, and may go on with nextDecision().
+    std::optional<GateAction> requestPlacement(const ServiceId &service, const GenerationRequest &request,
+                                               const asio::yield_context &yield);
     // Waits for the next decision after an engine was full or failed.
-    GateAction nextDecision(const RequestId &id, const asio::yield_context &yield);
+    std::optional<GateAction> nextDecision(const RequestId &id, const asio::yield_context &yield);
     // Reports an event of the placement of a generation of this host.
     void report(const ServiceId &service, const RequestId &id, peer::PlacementEvent event, Tokens output = Tokens(0));
     // Reports that an engine of this version has reserved a place for a generation of this host. The version is empty
@@ -47,6 +47,8 @@
     void reportReserved(const ServiceId &service, const RequestId &id, const SoftwareVersion &version);
     // Ends a wait at once, since the caller disconnected.
     void cancelWait(const RequestId &id);
+    // Ends the waits of all generations of this host.
+    void wakeWaiting();
     // Engines were added, removed or changed.
     void onFleetChanged();
     // Sums over all services.
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -91,7 +91,7 @@
             return SendResult::NeverSent;
         }
         if (error.fault() == HttpFault::Closed && !this->abort.isAborted()) {
-            this->call.services.crashes.onBrokenOff(endpoint, this->call.http);
+            this->reportCutShort(endpoint, begin, yield);
         }
         return SendResult::Lost;
     }
@@ -109,6 +109,7 @@
         ended(EndpointOutcome::Failed);
         return SendResult::Lost;
     }
+    this->call.services.crashes.onServed(this->call.http, begin);
     const bool isError = head.status >= firstServerError;
     if (isError) {
         this->lastFault = fmt::format("{} answered {}", endpoint.id.value(), head.status);
@@ -118,6 +119,17 @@
     return SendResult::Answered;
 }
 
+// A call that may be retried waits for the result, so that it is not sent to one more endpoint if it is to be blocked.
+void PlainForward::reportCutShort(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield)
+{
+    CrashGuard &crashes = this->call.services.crashes;
+    if (this->call.route.kind == CallKind::Repeatable) {
+        crashes.onBrokenOff(endpoint, this->call.http, begun, yield);
+    } else {
+        crashes.onBrokenOff(endpoint, this->call.http, begun);
+    }
+}
+
 std::optional<NoRetry> PlainForward::claimRetry(SendResult sent)
 {
     if (this->abort.isAborted()) {
@@ -176,6 +188,10 @@
                           this->noRetry, yield);
         return;
     }
+    if (const auto blocked = this->call.blockedFor()) {
+        this->call.refuseBlocked(*blocked, yield);
+        return;
+    }
     Duration retryAfter = last == SendResult::ReportedNotRun ? retryAfterWhenFull : retryAfterWhenNone;
     std::string reason = this->lastFault.empty() ? "no endpoint takes calls" : this->lastFault;
     if (this->limitedFor && this->lastFault.empty()) {
@@ -238,6 +254,10 @@
     this->call.services.fleet.budget(this->call.service).onSuccess();
     SendResult last = SendResult::NeverSent;
     while (const auto endpoint = this->choose(yield)) {
+        if (this->call.blockedFor()) { // since it waited for a permit
+            this->noRetry = NoRetry::Blocked;
+            break;
+        }
         this->tried.push_back(endpoint->id);
         if (this->sends > 0) {
             this->call.services.metrics.onRetry();
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -32,6 +32,7 @@
     // Also takes a permit for the call if the endpoint states a limit.
     std::optional<EndpointRecord> choose(const asio::yield_context &yield);
     SendResult send(const EndpointRecord &endpoint, const asio::yield_context &yield);
+    void reportCutShort(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield);
     // Takes a retry from the budget and returns nothing, or returns why there is no retry.
     std::optional<NoRetry> claimRetry(SendResult sent);
     Duration tryLimit() const;
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -161,11 +161,13 @@
 
     def crash(self):
         """Ends as a process does: the port refuses connections at once, and open ones end in order."""
-        self.socket.close()
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
         for connection in list(self.connections):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
         self.shutdown()
+        self.server_close()
 
     def handle_error(self, request, client_address):
         if not isinstance(sys.exc_info()[1], ConnectionError):  # callers may go at any time
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -421,6 +421,34 @@
     visit(m.hosts);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, EndpointCrashed &m)
+{
+    visit(m.endpoint);
+    visit(m.traits);
+    visit(m.sinceBegin);
+    visit(m.sinceEnd);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, TraitsWatched &m)
+{
+    visit(m.traits);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, TraitsServed &m)
+{
+    visit(m.traits);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, RequestsBlocked &m)
+{
+    visit(m.traits);
+    visit(m.duration);
+}
+
 template<typename Visitor>
 void fields(Visitor &visit, DeputyNamed &m)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -417,14 +417,39 @@
     std::uint64_t hosts = 0; // of the fleet, as the leader counts them; 0 from other hosts
 };
 
-using Message =
-    std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
-                 Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
-                 OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements, FollowStore, RegistryUpdate,
-                 ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded, FollowerAddress, DeputyNamed, ConfigDelayed,
-                 EndpointLimit, RequestPermit, PermitReply, DelegateReading, StoreRestored, LeaderNamed,
-                 RequestTunnelHosts, TunnelHostsNamed, StreamsBegun, RequestCredit, CreditReply, QuotaReport,
-                 QuotaUsedUp, RequestClock, ClockReply, ConfigCurrent>;
+// Gateway to the leader: an endpoint ended while it ran a request of the gateway's callers.
+struct EndpointCrashed {
+    EndpointId endpoint;
+    std::vector<std::uint64_t> traits; // of the request (decide/requesttrait.h)
+    Duration sinceBegin{0}; // since the request was sent to the endpoint
+    Duration sinceEnd{0}; // since the endpoint ended
+};
+
+// Leader to a gateway: reports are wanted of requests with one of these traits that are answered in full.
+struct TraitsWatched {
+    std::vector<std::uint64_t> traits;
+};
+
+// Gateway to the leader: a request with these traits, of those that are watched, was answered in full. From the leader
+// to the others: the traits are no cause of crashes.
+struct TraitsServed {
+    std::vector<std::uint64_t> traits;
+};
+
+// Leader to a gateway: requests that have all of these traits crash endpoints, and must not be sent to any.
+struct RequestsBlocked {
+    std::vector<std::uint64_t> traits;
+    Duration duration{0};
+};
+
+using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
+                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
+                             RequestPlacement, OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements,
+                             FollowStore, RegistryUpdate, ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded,
+                             FollowerAddress, DeputyNamed, ConfigDelayed, EndpointLimit, RequestPermit, PermitReply,
+                             DelegateReading, StoreRestored, LeaderNamed, RequestTunnelHosts, TunnelHostsNamed,
+                             StreamsBegun, RequestCredit, CreditReply, QuotaReport, QuotaUsedUp, RequestClock,
+                             ClockReply, ConfigCurrent, EndpointCrashed, TraitsWatched, TraitsServed, RequestsBlocked>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -130,6 +130,21 @@
 
 // An endpoint writes the header and the body of its response in two packets. A client that rejects the header on its
 // own as over the body limit would report a booking that was made as having an unknown outcome.
+// Guards against an endpoint that is taken for ended since one answer of it broke off, or since it can't be reached.
+TEST(HttpClient, ProbesWhetherAProcessHasEnded)
+{
+    auto served = std::make_unique<ServedThread>(
+        HttpServer::Options{}, [](HttpCall &, HttpReply &reply, const auto &yield) { reply.send(200, "ok", yield); });
+    runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+        HttpClient client(io, {});
+        const std::string address = served->address();
+        EXPECT_EQ(client.probe(address, yield), Liveness::Running);
+        served.reset();
+        EXPECT_EQ(client.probe(address, yield), Liveness::Ended);
+        EXPECT_EQ(client.openConnections(), 0U);
+    });
+}
+
 TEST(HttpClient, ReadsABodyThatArrivesAfterItsHeader)
 {
     runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
