Own hosts: a request that ends three engines or endpoints is sent to no further one

The owner of a cell counts the engines that ended under a request for all entries that use the cell, and refuses it after three; each entry counts the endpoints that ended under its own calls. A blocked call that runs once is not sent, so the ledger releases its key as it does where no endpoint can be reached.

--- a/programs/entry/entrystate.h
+++ b/programs/entry/entrystate.h
@@ -6,6 +6,7 @@
 //     if (auto refusal = state.refusalForNew(steadyNow())) { ... }
 //     const EntryState::Work work(state);                 // counts one request until it is destroyed
 
+#include "programs/entry/localcrashes.h"
 #include "promise/draining.h"
 #include "promise/resumetoken.h"
 
@@ -101,6 +102,11 @@
         return std::nullopt;
     }
 
+    LocalCrashes &crashes()
+    {
+        return this->localCrashes;
+    }
+
     int inProgress() const
     {
         return this->requests;
@@ -125,6 +131,7 @@
     std::size_t limit;
     std::atomic<int> requests{0};
     std::atomic<int> duties{0};
+    LocalCrashes localCrashes;
 };
 
 } // namespace fescuesill
--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -163,18 +163,31 @@
 
 AttemptEvent LedgerDuty::send(const attempt_action::Send &send, const LedgerJob &job, const asio::yield_context &yield)
 {
+    LocalCrashes &crashes = this->state.crashes();
     for (const std::string &address : job.endpoints) {
+        // The call was not sent, so the ledger releases its key like that of any call that found no endpoint.
+        if (!crashes.isEmpty() && crashes.blockedFor(contentOf(job.request), steadyNow())) {
+            return attempt_event::NeverSent{};
+        }
+        const Instant begun = steadyNow();
         if (sharedNow() >= send.sendBy) {
             return attempt_event::NeverSent{};
         }
         try {
             const HttpResponse response =
                 this->endpoints.call(address, job.request, {job.call.endpointDeadline, Reuse::Never}, yield);
+            if (!crashes.isEmpty()) {
+                crashes.onServed(contentOf(job.request));
+            }
             return attempt_event::Answered{
                 {response.status, std::string(response.header("Content-Type")), response.body}};
         } catch (const HttpError &error) {
             Log::warning("call_failed",
                          {{"attempt", job.call.attempt.value()}, {"endpoint", address}, {"fault", error.what()}});
+            if (error.fault() == HttpFault::Closed && !error.isKnownNotSent()
+                && this->endpoints.probe(address, yield) == Liveness::Ended) {
+                crashes.onCrash({begun, steadyNow()}, contentOf(job.request));
+            }
             if (!error.isKnownNotSent()) {
                 return attempt_event::AnswerLost{};
             }
--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -13,6 +13,8 @@
 #include "wire/clock.h"
 #include "wire/log.h"
 
+#include <fmt/format.h>
+
 namespace fescuesill
 {
 namespace
@@ -31,19 +33,18 @@
 }
 
 PlacingJob jobOf(const Service &service, const WorkspaceId &workspace, const ModelRequest &request, const RequestId &id,
-                 Instant arrival, Duration target)
+                 const RequestTrait &content, Instant arrival, Duration target)
 {
-    PlacingJob job;
-    job.request = id;
-    job.model = std::get<ModelService>(service.kind).model;
-    job.service = service.id;
-    job.workspace = workspace;
-    job.prompt = request.promptTokens;
-    job.maxOutput = request.maxTokens;
-    job.prefix = prefixHashes(request.prompt);
-    job.arrival = arrival;
-    job.firstToken = target;
-    return job;
+    return {id,
+            std::get<ModelService>(service.kind).model,
+            service.id,
+            workspace,
+            request.promptTokens,
+            request.maxTokens,
+            prefixHashes(request.prompt),
+            content,
+            arrival,
+            target};
 }
 
 } // namespace
@@ -59,7 +60,9 @@
     , id(requestId)
     , reply(answer)
     , arrival(steadyNow())
-    , placing(shared, jobOf(of, caller, request, requestId, arrival, serviceClass.firstToken), view)
+    , content(RequestTrait::wholeRequest(
+          fmt::format("{}\n{}\n{}", request.model, request.maxTokens.value(), request.prompt)))
+    , placing(shared, jobOf(of, caller, request, requestId, content, arrival, serviceClass.firstToken), view)
     , writer(request.kind, request.model, requestId, wallSeconds())
     , sink{answer, this->writer, request.isStream, request.maxTokens, Offset(0)}
 {
@@ -104,6 +107,9 @@
 
 void ModelCall::serve(const asio::yield_context &yield)
 {
+    if (this->refusesBlocked(yield)) {
+        return;
+    }
     this->placing.submit();
     Next next = Next::AskOwner;
     while (next != Next::Ended) {
@@ -263,9 +269,10 @@
     this->stream = streamIdOf(this->id, this->generations, this->request.kind);
     this->placing.decoding(this->stream, this->decodeEngine, Tokens(0));
     std::optional<DecodeFault> fault;
+    this->decodeBegun = steadyNow();
     auto opened = this->openDecode(yield, fault);
     if (fault) {
-        return this->failDecode(*fault);
+        return this->failDecode(*fault, std::nullopt);
     }
     if (this->sink.delivered.count() > Offset(0)) {
         this->sink.delivered.restart();
@@ -280,12 +287,23 @@
     return this->afterPump(end, yield);
 }
 
-ModelCall::Next ModelCall::failDecode(DecodeFault fault)
+bool ModelCall::refusesBlocked(const asio::yield_context &yield)
+{
+    LocalCrashes &crashes = this->services.state.crashes();
+    const auto left = crashes.isEmpty() ? std::nullopt : crashes.blockedFor(this->content, steadyNow());
+    if (left) {
+        const RunState run = this->generations > 0 ? RunState::MayHaveRun : RunState::NotRun;
+        this->refuse({RefusalCode::Blocked, run, "requests like this one crash engines", *left}, yield);
+    }
+    return left.has_value();
+}
+
+ModelCall::Next ModelCall::failDecode(DecodeFault fault, std::optional<Duration> ran)
 {
     if (this->generations >= mostGenerations) {
         this->kvExpiry = Instant();
     }
-    this->placing.decodeFailed(fault, fault != DecodeFault::KvGone && this->isKvHeld());
+    this->placing.decodeFailed(fault, fault != DecodeFault::KvGone && this->isKvHeld(), ran);
     return Next::AskOwner;
 }
 
@@ -316,6 +334,13 @@
     // It may only be frozen: when it wakes it must not go on writing for nobody.
     this->services.canceller->cancel({this->decodeAddress, this->stream, [] {
                                       }});
+    const CrashedRun run{this->decodeBegun, steadyNow()};
+    this->services.state.crashes().onCrash(run, this->content);
+    if (this->refusesBlocked(yield)) {
+        this->placing.decodeFailed(DecodeFault::Unreachable, false, run.ended - run.begun);
+        this->placing.finished(peer::RequestOutcome::Failed, Tokens(this->sink.delivered.count().value()));
+        return Next::Ended;
+    }
     if (this->generations >= mostGenerations || !this->services.retries.take()) {
         this->placing.finished(peer::RequestOutcome::Failed, Tokens(this->sink.delivered.count().value()));
         this->refuse({RefusalCode::EndpointFailed, RunState::MayHaveRun, "the engine was lost", Duration(1s)}, yield);
@@ -324,7 +349,7 @@
     if (!this->isKvHeld()) {
         this->isRead = true; // reading it once more is the waste of this loss
     }
-    return this->failDecode(DecodeFault::Unreachable);
+    return this->failDecode(DecodeFault::Unreachable, run.ended - run.begun);
 }
 
 } // namespace fescuesill
--- a/programs/entry/modelcall.h
+++ b/programs/entry/modelcall.h
@@ -40,7 +40,9 @@
     void awaitMemory(const peer::Placed &placed, const asio::yield_context &yield);
     Next decode(const asio::yield_context &yield);
     std::optional<DecodeStream> openDecode(const asio::yield_context &yield, std::optional<DecodeFault> &fault);
-    Next failDecode(DecodeFault fault);
+    Next failDecode(DecodeFault fault, std::optional<Duration> ran);
+    // Whether this entry has blocked the request, which was refused then.
+    bool refusesBlocked(const asio::yield_context &yield);
     Next afterPump(PumpEnd end, const asio::yield_context &yield);
     void finishWhole(const asio::yield_context &yield);
     void finishMoved(const asio::yield_context &yield);
@@ -61,6 +63,7 @@
     RequestId id;
     HttpReply &reply;
     Instant arrival;
+    RequestTrait content; // the whole request
     Placing placing;
     AnswerWriter writer;
     PumpSink sink;
@@ -71,6 +74,7 @@
     StreamId stream;
     KvId kv;
     Instant kvExpiry;
+    Instant decodeBegun;
     int generations = 0;
     PromptRead *reading = nullptr;
     StreamPump *pump = nullptr;
--- a/programs/entry/modelcallends.cpp
+++ b/programs/entry/modelcallends.cpp
@@ -13,6 +13,9 @@
 void ModelCall::finishWhole(const asio::yield_context &yield)
 {
     this->services.retries.onSuccess();
+    if (!this->services.state.crashes().isEmpty()) {
+        this->services.state.crashes().onServed(this->content);
+    }
     this->placing.finished(peer::RequestOutcome::Completed, this->sink.end.output);
     this->count("completed");
     if (this->sink.isStream) {
--- a/programs/entry/placing.cpp
+++ b/programs/entry/placing.cpp
@@ -171,6 +171,7 @@
     submit.maxOutput = this->job.maxOutput;
     submit.prefix = this->job.prefix;
     submit.waited = now - this->job.arrival;
+    submit.content = this->job.content.value();
     this->send(submit);
 }
 
@@ -298,9 +299,10 @@
     }
 }
 
-void Placing::decodeFailed(DecodeFault fault, bool kvHeld)
+void Placing::decodeFailed(DecodeFault fault, bool kvHeld, std::optional<Duration> ran)
 {
-    this->send(peer::DecodeFailed{this->job.request, fault, kvHeld});
+    this->send(peer::DecodeFailed{this->job.request, fault, kvHeld, ran ? this->job.content.value() : 0,
+                                  ran.value_or(Duration(0))});
     if (this->owner) {
         return;
     }
--- a/programs/entry/placing.h
+++ b/programs/entry/placing.h
@@ -7,6 +7,7 @@
 //     while (const auto answer = placing.wait(limit, yield)) { ... Placed, StartDecode or Refused ... }
 //     placing.decodeFailed(DecodeFault::NoMemory, true);     // then wait() again
 
+#include "decide/requesttrait.h"
 #include "programs/entry/shardservices.h"
 
 #include <boost/asio/spawn.hpp>
@@ -22,6 +23,7 @@
     Tokens prompt;
     Tokens maxOutput;
     std::vector<std::uint64_t> prefix;
+    RequestTrait content; // the whole request
     Instant arrival;
     Duration firstToken{0}; // the target
 };
@@ -50,7 +52,8 @@
     void prefillDone(const PrefillAnswer &answer);
     void prefillFailed(PrefillFault fault);
     void decoding(const StreamId &stream, const EngineId &engine, Tokens output);
-    void decodeFailed(DecodeFault fault, bool kvHeld);
+    // `ran`: how long the engine had run the request when it ended; empty if it did not end under it.
+    void decodeFailed(DecodeFault fault, bool kvHeld, std::optional<Duration> ran);
     void finished(peer::RequestOutcome outcome, Tokens output);
 
     const CellId &cell() const;
--- a/programs/entry/plaincall.cpp
+++ b/programs/entry/plaincall.cpp
@@ -82,6 +82,11 @@
     return request;
 }
 
+RequestTrait PlainCall::content() const
+{
+    return contentOf({this->call.method, this->call.target, this->call.body});
+}
+
 // A leaving endpoint gets nothing new; the start rotates so that the load spreads.
 std::vector<std::string> PlainCall::addresses() const
 {
@@ -101,12 +106,17 @@
 
 TryOutcome PlainCall::tryOne(const std::string &address, HttpResponse &response, const asio::yield_context &yield)
 {
+    const Instant begun = steadyNow();
     try {
         const CallOptions options{this->plain.deadline, Reuse::Allowed};
         response = this->services.endpoints.call(address, this->forwarded(), options, yield);
         return response.status == statusUnavailable ? TryOutcome::Unavailable : TryOutcome::Answered;
     } catch (const HttpError &error) {
         Log::info("call_failed", {{"request", this->call.id.value()}, {"endpoint", address}, {"fault", error.what()}});
+        const bool isCutShort = error.fault() == HttpFault::Closed && !error.isKnownNotSent();
+        if (isCutShort && this->services.endpoints.probe(address, yield) == Liveness::Ended) {
+            this->services.state.crashes().onCrash({begun, steadyNow()}, this->content());
+        }
         return error.isKnownNotSent() ? TryOutcome::NeverSent : TryOutcome::Lost;
     }
 }
@@ -116,11 +126,19 @@
     const std::vector<std::string> endpoints = this->addresses();
     PlainRetry retry(endpoints.size(), static_cast<std::size_t>(this->view.declaration->retries.attempts));
     HttpResponse response;
+    LocalCrashes &crashes = this->services.state.crashes();
     std::optional<std::size_t> next = retry.first();
     while (next) {
+        if (const auto left = crashes.isEmpty() ? std::nullopt : crashes.blockedFor(this->content(), steadyNow())) {
+            this->refuse({RefusalCode::Blocked, retry.run(), "requests like this one crash endpoints", *left}, yield);
+            return;
+        }
         next = retry.on(this->tryOne(endpoints[*next], response, yield), this->services.retries);
     }
     if (retry.isAnswered()) {
+        if (!crashes.isEmpty()) {
+            crashes.onServed(this->content());
+        }
         this->answer({response.status, std::string(response.header("Content-Type")), response.body}, yield);
         return;
     }
--- a/programs/entry/plaincall.h
+++ b/programs/entry/plaincall.h
@@ -27,6 +27,7 @@
     HttpRequest forwarded() const;
     std::vector<std::string> addresses() const;
     TryOutcome tryOne(const std::string &address, HttpResponse &response, const asio::yield_context &yield);
+    RequestTrait content() const;
     void answer(const EndpointAnswer &answer, const asio::yield_context &yield);
     void refuse(const Refusal &refusal, const asio::yield_context &yield);
 
--- a/programs/scheduler/celldirector.cpp
+++ b/programs/scheduler/celldirector.cpp
@@ -36,6 +36,8 @@
 CellDirector::CellDirector(Options options, HostId self)
     : options(options)
     , self(std::move(self))
+    , crashes(options.crashes)
+    , blocks(options.blocks)
 {
 }
 
@@ -47,6 +49,8 @@
 std::vector<DirectorOutput> CellDirector::poll(Instant now)
 {
     this->dropAway(now);
+    this->crashes.expire(now);
+    this->blocks.expire(now);
     for (auto &[id, cell] : this->cells) {
         for (const Action &action : cell.scheduler.poll(now)) {
             std::visit([this, &cellId = id, now](const auto &alternative) { this->act(cellId, alternative, now); },
--- a/programs/scheduler/celldirector.h
+++ b/programs/scheduler/celldirector.h
@@ -11,6 +11,8 @@
 // A request is known here from Submit (or Holding) until Finished, Refused, or the grace after its link closed.
 
 #include "decide/cellscheduler.h"
+#include "decide/crashtracker.h"
+#include "decide/requestblocks.h"
 #include "decide/summarypacer.h"
 #include "declare/declaration.h"
 #include "programs/scheduler/directormessages.h"
@@ -31,6 +33,8 @@
         CellScheduler::Options cell;
         OrphanFinder::Options orphans;
         SummaryPacer::Options summaries;
+        CrashTracker::Options crashes;
+        RequestBlocks::Options blocks;
     };
 
     CellDirector(Options options, HostId self);
@@ -58,6 +62,7 @@
         EngineId decodeEngine;
         bool isPlaced = false;
         bool hasOutput = false;
+        RequestTraits traits; // empty if its entry has not stated them
     };
 
     void handle(const FromEntry &event, Instant now);
@@ -92,6 +97,9 @@
     void dropUnclaimed(const HostId &entry, const std::set<RequestId> &claimed, Instant now);
     void dropAway(Instant now);
     void refuseMoved(LinkId link, const RequestId &request);
+    // Counts the end of an engine under the request. Returns whether the request is blocked from now on.
+    bool isBlockedAfter(const peer::DecodeFailed &failed, Instant now);
+    void refuseBlocked(LinkId link, const RequestId &request, RunState run, Duration duration);
     void loseCell(const CellId &cell);
     void setEngines(const CellId &cell, Instant now);
     void watchEngines();
@@ -109,6 +117,8 @@
     std::unordered_map<RequestId, Tracked> requests; // bounded by the cells' own limits on waiting and running
     std::map<LinkId, HostId> entries;
     std::set<HostId> liveHosts;
+    CrashTracker crashes; // of engines of the cells
+    RequestBlocks blocks;
     std::vector<DirectorOutput> outputs; // since the last poll
 };
 
--- a/programs/scheduler/celldirectorentries.cpp
+++ b/programs/scheduler/celldirectorentries.cpp
@@ -14,6 +14,8 @@
 
 // A cell that has just moved has its next owner within one spread of the membership; sooner would find no owner.
 constexpr Duration movedRetry = 100ms;
+// How long a request that crashes engines is refused. A request that is blocked by mistake is served after it.
+constexpr Duration blockDuration{10min};
 
 RequestClass requestClassOf(const ServiceClass &serviceClass)
 {
@@ -87,8 +89,15 @@
     }
     if (this->findTracked(submit.request) != nullptr) {
         cell->scheduler.onCancelled(submit.request, now); // asked again after a reconnect
+        this->requests.erase(submit.request);
+    }
+    const RequestTraits traits{RequestTrait(submit.content)};
+    if (const auto left = this->blocks.blockedFor(traits, now)) {
+        this->refuseBlocked(link, submit.request, RunState::NotRun, *left);
+        return;
     }
     Tracked tracked;
+    tracked.traits = traits;
     tracked.cell = submit.cell;
     tracked.entry = entry->second;
     tracked.link = link;
@@ -124,14 +133,41 @@
     cell->scheduler.onProgress(progress.request, progress.output, now);
 }
 
-void CellDirector::receive(LinkId /*link*/, const peer::DecodeFailed &failed, Instant now)
+void CellDirector::receive(LinkId link, const peer::DecodeFailed &failed, Instant now)
 {
-    if (OwnedCell *cell = this->cellOf(failed.request)) {
-        this->findTracked(failed.request)->hasOutput = false;
-        cell->scheduler.onDecodeFailed(failed.request, failed.fault, failed.kvHeld, now);
+    const bool isBlocked = this->isBlockedAfter(failed, now);
+    OwnedCell *cell = this->cellOf(failed.request);
+    if (cell == nullptr) {
+        return;
+    }
+    this->findTracked(failed.request)->hasOutput = false;
+    cell->scheduler.onDecodeFailed(failed.request, failed.fault, failed.kvHeld, now);
+    if (isBlocked) {
+        cell->scheduler.onCancelled(failed.request, now);
+        this->requests.erase(failed.request);
+        this->refuseBlocked(link, failed.request, RunState::MayHaveRun, blockDuration);
     }
 }
 
+bool CellDirector::isBlockedAfter(const peer::DecodeFailed &failed, Instant now)
+{
+    if (failed.content == 0) {
+        return false;
+    }
+    const RequestTraits traits{RequestTrait(failed.content)};
+    this->crashes.onCrash({now - failed.ran, now}, traits);
+    for (const RequestTraits &blocked : this->crashes.blocked()) {
+        this->blocks.block(blocked, blockDuration, now);
+    }
+    return this->blocks.blockedFor(traits, now).has_value();
+}
+
+void CellDirector::refuseBlocked(LinkId link, const RequestId &request, RunState run, Duration duration)
+{
+    Refusal refusal{RefusalCode::Blocked, run, "requests like this one crash engines", duration};
+    this->outputs.emplace_back(ToEntry{link, peer::Refused{request, std::move(refusal)}});
+}
+
 void CellDirector::receive(LinkId /*link*/, const peer::Finished &finished, Instant now)
 {
     OwnedCell *cell = this->cellOf(finished.request);
@@ -139,6 +175,9 @@
         return;
     }
     if (finished.outcome == peer::RequestOutcome::Completed) {
+        const RequestTraits &served = this->findTracked(finished.request)->traits;
+        this->crashes.onServed(served);
+        this->blocks.onServed(served);
         cell->scheduler.onFinished(finished.request, now);
     } else {
         cell->scheduler.onCancelled(finished.request, now);
--- a/programs/scheduler/testing/celldirector_test.cpp
+++ b/programs/scheduler/testing/celldirector_test.cpp
@@ -49,11 +49,28 @@
         this->director.on(FromEntry{link, std::move(message)}, this->now);
     }
 
-    void submit(const std::string &request, Tokens prompt = Tokens(1000))
+    void submit(const std::string &request, Tokens prompt = Tokens(1000), std::uint64_t content = 0)
     {
         this->say(entryLink,
-                  peer::Submit{
-                      RequestId(request), cell, ServiceId("diagnose"), WorkspaceId("w"), prompt, Tokens(10), {}, 0ms});
+                  peer::Submit{RequestId(request),
+                               cell,
+                               ServiceId("diagnose"),
+                               WorkspaceId("w"),
+                               prompt,
+                               Tokens(10),
+                               {},
+                               0ms,
+                               content});
+    }
+
+    // The engine ends while it writes the answer to a request with this content.
+    void crashUnder(const std::string &request, std::uint64_t content)
+    {
+        this->submit(request, Tokens(1000), content);
+        this->outputs();
+        this->say(entryLink, peer::PrefillDone{RequestId(request), Tokens(1000), Tokens(0), 800ms});
+        this->pass(100ms);
+        this->say(entryLink, peer::DecodeFailed{RequestId(request), DecodeFault::Unreachable, false, content, 50ms});
     }
 
     peer::Held held(const std::string &request) const
@@ -125,13 +142,37 @@
                            Tokens(10),
                            Tokens(10),
                            {},
-                           0ms});
+                           0ms,
+                           0});
     const auto refused = this->told<peer::Refused>();
     ASSERT_TRUE(refused);
     EXPECT_EQ(refused->refusal.code, RefusalCode::Draining);
     EXPECT_EQ(refused->refusal.run, RunState::NotRun);
 }
 
+// Guards against a request under which engines have ended, and that is placed for each entry that asks.
+TEST_F(CellDirectorTest, RefusesARequestUnderWhichThreeEnginesEnded)
+{
+    constexpr std::uint64_t deadly = 7;
+    for (int crash = 1; crash <= 3; ++crash) {
+        const std::string request = "r" + std::to_string(crash);
+        this->crashUnder(request, deadly);
+        const auto refused = this->told<peer::Refused>();
+        ASSERT_EQ(refused.has_value(), crash == 3);
+        if (refused) {
+            EXPECT_EQ(refused->refusal.run, RunState::MayHaveRun);
+        }
+        this->say(entryLink, peer::Finished{RequestId(request), peer::RequestOutcome::Failed, Tokens(0)});
+    }
+    this->submit("r4", Tokens(1000), deadly);
+    const auto refused = this->told<peer::Refused>();
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->refusal.code, RefusalCode::Blocked);
+    EXPECT_EQ(refused->refusal.run, RunState::NotRun);
+    this->submit("r5", Tokens(1000), 8);
+    EXPECT_FALSE(this->told<peer::Refused>());
+}
+
 // A host joins and takes the cell over while requests wait in it. They must not wait here for ever: each is told at
 // once that the cell has moved, so that its entry asks the next owner.
 TEST_F(CellDirectorTest, WhatWaitsInALostCellIsToldThatItMoved)
--- a/testing/fakeengine/decoder.cpp
+++ b/testing/fakeengine/decoder.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -216,6 +217,9 @@
 
 void Decoder::start(const StreamPointer &stream)
 {
+    if (stream->maxTokens == this->options.diesAtTokens) {
+        std::_Exit(1);
+    }
     this->writing.push_back(stream);
     stream->output = 1; // the import brings what the first token is made of
     if (stream->output >= stream->maxTokens) {
--- a/testing/fakeengine/engineoptions.h
+++ b/testing/fakeengine/engineoptions.h
@@ -36,6 +36,7 @@
     Microseconds loadLag = 500ms; // age of a load report at most
     Microseconds resumeGrace = 30s; // for which a finished stream's text is kept
 
+    std::int64_t diesAtTokens = 0; // ends as it begins an answer of at most that many tokens; 0: never
     bool checksFencing = true;
     Microseconds applicationTime = 20ms; // one call in application mode
     std::uint32_t seed = 1;
--- a/testing/fakeengine/main.cpp
+++ b/testing/fakeengine/main.cpp
@@ -43,6 +43,8 @@
     options.add_options()("cache-event-gap", "Share of cache events never published", number("0.02"));
     options.add_options()("load-lag-ms", "Greatest age of a load report", number("500"));
     options.add_options()("resume-grace-ms", "How long a finished stream's text is kept", number("30000"));
+    options.add_options()("dies-at-tokens", "End as an answer of at most that many tokens begins; 0: never",
+                          number("0"));
     options.add_options()("app-ms", "One call in application mode", number("20"));
     options.add_options()("seed", "Seed of random faults", cxxopts::value<std::uint32_t>()->default_value("1"));
     options.add_options()("help", "Print this text");
@@ -67,6 +69,7 @@
     options.cacheEventGap = given["cache-event-gap"].as<double>();
     options.loadLag = milliseconds(given, "load-lag-ms");
     options.resumeGrace = milliseconds(given, "resume-grace-ms");
+    options.diesAtTokens = static_cast<std::int64_t>(given["dies-at-tokens"].as<double>());
     options.applicationTime = milliseconds(given, "app-ms");
     options.seed = given["seed"].as<std::uint32_t>();
     return options;
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -30,6 +30,7 @@
     visit(m.maxOutput);
     visit(m.prefix);
     visit(m.waited);
+    visit(m.content);
 }
 
 template<typename Visitor>
@@ -88,6 +89,8 @@
     visit(m.request);
     visit(m.fault);
     visit(m.kvHeld);
+    visit(m.content);
+    visit(m.ran);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -46,6 +46,7 @@
     Tokens maxOutput;
     std::vector<std::uint64_t> prefix; // hashes of the prompt's leading blocks
     Duration waited{0}; // since the caller's request arrived
+    std::uint64_t content = 0; // RequestTrait::value() of the whole request
 };
 
 // Owner to the entry: the engines for prefill and decode. If `decodeReady` is false, the entry waits for StartDecode,
@@ -95,6 +96,8 @@
     RequestId request;
     DecodeFault fault = DecodeFault::Unreachable;
     bool kvHeld = false;
+    std::uint64_t content = 0; // RequestTrait::value() of the whole request, if the engine ended under it; otherwise 0
+    Duration ran{0}; // how long it had run then
 };
 
 enum class RequestOutcome {
--- a/wire/testing/messages_test.cpp
+++ b/wire/testing/messages_test.cpp
@@ -14,7 +14,8 @@
 {
     return {
         Hello{HostId("h"), DataCentreId("d"), true},
-        Submit{RequestId("r"), someCell, ServiceId("s"), WorkspaceId("w"), Tokens(9000), Tokens(200), {1, ~0ULL}, 5ms},
+        Submit{
+            RequestId("r"), someCell, ServiceId("s"), WorkspaceId("w"), Tokens(9000), Tokens(200), {1, ~0ULL}, 5ms, 9},
         Placed{RequestId("r"), EngineId("p"), "127.0.0.1:1", EngineId("e"), "127.0.0.1:2", false, 1s},
         StartDecode{RequestId("r"), EngineId("e"), "127.0.0.1:2"},
         Refused{RequestId("r"), {RefusalCode::Overloaded, RunState::NotRun, "full", 800ms}},
@@ -22,7 +23,7 @@
         PrefillDone{RequestId("r"), Tokens(9000), Tokens(4096), 800ms},
         PrefillFailed{RequestId("r"), PrefillFault::QueueFull},
         OutputProgress{RequestId("r"), Tokens(7)},
-        DecodeFailed{RequestId("r"), DecodeFault::KvGone, true},
+        DecodeFailed{RequestId("r"), DecodeFault::KvGone, true, 9, 3ms},
         Finished{RequestId("r"), RequestOutcome::Cancelled, Tokens(3)},
         Holding{{Held{RequestId("r"), someCell, ServiceId("s"), WorkspaceId("w"), StreamId("t"), EngineId("e"),
                       Tokens(1), Tokens(2), Tokens(3)}}},
