--- a/testing/process/test_crashing_requests.py
+++ b/testing/process/test_crashing_requests.py
@@ -20,6 +20,8 @@
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=4, resumable=True)]
 DEADLY = b"deadly"
 MOST_CRASHES = 3  # under one request
+DEADLY_PART = "dead"
+MOST_PART_CRASHES = 5  # under requests that share a part of their prompts
 PAUSE_SECONDS = 0.3  # between two tries, so that what one of them showed has reached every host
 
 
@@ -30,9 +32,14 @@
         self.platform.endpoint("llm", "prefill")
         self.writers = [self.platform.endpoint("llm", "decode") for _ in range(6)]
         for endpoint in self.plain + self.writers:
-            endpoint.crashes_on = lambda request, body: body == DEADLY or request.path.endswith("deadly")
+            endpoint.crashes_on = self.is_deadly
         self.platform.configure(ROUTES)
 
+    @staticmethod
+    def is_deadly(request, body):
+        parts = [part.split(":")[0] for part in request.headers.get("X-Prompt-Prefix", "").split(",")]
+        return body == DEADLY or request.path.endswith("deadly") or DEADLY_PART in parts[:-1]
+
     def crashes(self):
         return sum(endpoint.crashes for endpoint in self.platform.endpoints)
 
@@ -102,6 +109,44 @@
         statuses = self.repeat(others, "/write/1", DEADLY, 8)
         self.assertLessEqual(self.crashes(), MOST_CRASHES, statuses)
 
+    def ask_part(self, gateway, path, number, part=DEADLY_PART):
+        """No two of these requests are alike but for their first part and the given one."""
+        return self.ask(gateway, path, b"prompt %d" % number, f"f1:200,{part}:300,{number:x}:500")
+
+    def check_part_stops(self, gateways, path="/write/1"):
+        statuses = []
+        for number in range(14):
+            statuses.append(self.ask_part(gateways[number % len(gateways)], path, 0x1000 + number))
+            self.assertEqual(self.ask_part(gateways[0], path, 0x2000 + number, "cafe"), 200, statuses)
+            time.sleep(PAUSE_SECONDS)
+        self.assertLessEqual(self.crashes(), MOST_PART_CRASHES, statuses)
+        self.assertEqual(statuses[-5:], [503] * 5, statuses)
+        for gateway in gateways:
+            self.assertEqual(self.ask_part(gateway, path, 0x3000, "cafe"), 200)
+
+    # Each guards against requests that crash engines by a part of their prompts, and of which no two are alike.
+    def test_requests_with_a_part_that_crashes_engines_stop_at_every_host(self):
+        self.check_part_stops(self.start_linked(3))
+
+    def test_resumable_requests_with_a_part_that_crashes_engines_stop(self):
+        self.check_part_stops(self.start_linked(2), "/resume/1")
+
+    def test_unframed_streams_with_a_part_that_crashes_engines_stop(self):
+        for writer in self.writers:
+            writer.is_framed = False
+        self.check_part_stops(self.start_linked(2))
+
+    # Guards against a part that all requests share, and that is blocked with the one that crashes engines.
+    def test_sound_requests_with_the_same_first_part_are_served(self):
+        gateways = self.start_linked(3)
+        statuses = []
+        for number in range(8):
+            self.ask_part(gateways[number % 3], "/write/1", 0x1000 + number)
+            time.sleep(PAUSE_SECONDS)
+        for number in range(20):
+            statuses.append(self.ask_part(gateways[number % 3], "/write/1", 0x2000 + number, "cafe"))
+        self.assertEqual(statuses, [200] * 20)
+
     # Guards against callers who are refused since endpoints crash for reasons of their own.
     def test_requests_that_did_not_cause_crashes_are_served(self):
         gateways = self.start_linked(3)
