Requests with a part that crashes engines are sent to no further one, while others that share the rest are served

Cause: crashes were counted by request, and no two of these requests are alike. What they had in common was in nobody's account. Change: a request is known by its parts as well. What is blocked is the set of traits that the requests of four crashes have in common, largest sets first, so that callers who share a part of it are served; their answers narrow it. Generations that were written for over a second are not suspected for their parts. Why it works: a part that crashes engines is in every crash and in no answer; every other part of its requests is soon in an answer.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -1,84 +1,121 @@
-// A crash suspects every request that ran at the endpoint. The one that caused it is among the suspects of each further
-// crash, while the others are not, or are answered elsewhere: one answer clears all traits of its request.
+// A crash suspects every request that ran at the endpoint, and each of their traits. The trait that caused it is among
+// the suspects of each further crash, while the others are not, or are answered elsewhere: one answer clears all traits
+// of its request.
 //
 // Endpoints that end together, as with a lost rack, have another cause, however many requests ran there. So a further
-// crash counts only if its request was sent after the crash before it: only then can the request have been the cause of
-// both.
+// crash counts only if its request was sent after the crash before it: only then can the trait have caused both.
+//
+// Requests that share a trait mostly share others as well, such as the first part of the prompt, which all requests of
+// their caller have. So requests are blocked only if they have all the traits that the suspected ones have in common,
+// and the largest such sets are taken first: what is left of the other traits' crashes is what those sets don't
+// explain. Callers who share some of the traits are served on, and their answers clear these. Requests with fewer
+// traits that crash endpoints have crashes of their own.
 
 #include "decide/crashtracker.h"
 
 #include <algorithm>
+#include <map>
 
 namespace fescuesill
 {
-namespace
+
+void CrashTracker::onCrash(const CrashedRun &run, const RequestTraits &traits)
 {
+    if (this->runs.size() >= this->options.maxRuns) {
+        this->forgetFirst();
+    }
+    const RunNumber number = this->firstRun + this->runs.size();
+    Run &added = this->runs.emplace_back(Run{run, traits});
+    std::sort(added.traits.begin(), added.traits.end());
+    added.traits.erase(std::unique(added.traits.begin(), added.traits.end()), added.traits.end());
+    for (const RequestTrait &trait : added.traits) {
+        RunNumbers &numbers = this->suspects[trait.value()];
+        numbers.push_back(number);
+        if (numbers.size() > this->options.maxRunsOfTrait) {
+            numbers.erase(numbers.begin());
+        }
+        if (static_cast<int>(numbers.size()) >= this->crashesToBlock(trait)) {
+            this->frequent.insert(trait);
+        }
+    }
+}
 
-bool endsEarlier(const CrashedRun &a, const CrashedRun &b)
+void CrashTracker::dropSuspect(const RequestTrait &trait)
 {
-    return a.ended < b.ended;
+    this->suspects.erase(trait.value());
+    this->frequent.erase(trait);
 }
 
-// The most runs of which each began after the one before had ended.
-int longestSeries(const std::vector<CrashedRun> &runs)
+void CrashTracker::forgetFirst()
 {
-    int count = 0;
-    Instant lastEnd = Instant::min();
-    for (const CrashedRun &run : runs) {
-        if (run.begun > lastEnd) {
-            ++count;
-            lastEnd = run.ended;
+    for (const RequestTrait &trait : this->runs.front().traits) {
+        RunNumbers &numbers = this->suspects.at(trait.value());
+        if (numbers.front() == this->firstRun) {
+            numbers.erase(numbers.begin());
+        }
+        if (numbers.empty()) {
+            this->dropSuspect(trait);
         }
     }
-    return count;
+    this->runs.pop_front();
+    ++this->firstRun;
 }
 
-} // namespace
+void CrashTracker::expire(Instant now)
+{
+    while (!this->runs.empty() && now - this->runs.front().run.ended > this->options.memory) {
+        this->forgetFirst();
+    }
+}
 
-void CrashTracker::onCrash(const CrashedRun &run, const RequestTraits &traits)
+void CrashTracker::onServed(const RequestTraits &traits)
 {
     for (const RequestTrait &trait : traits) {
-        if (this->suspects.size() >= this->options.maxTraits && this->suspects.count(trait.value()) == 0) {
-            this->makeRoom();
+        if (this->suspects.count(trait.value()) == 0) {
+            continue;
         }
-        Suspect &suspect = this->suspects[trait.value()];
-        suspect.runs.insert(std::upper_bound(suspect.runs.begin(), suspect.runs.end(), run, endsEarlier), run);
-        if (suspect.runs.size() > this->options.maxRuns) {
-            suspect.runs.erase(suspect.runs.begin());
+        this->dropSuspect(trait);
+        for (Run &run : this->runs) {
+            run.traits.erase(std::remove(run.traits.begin(), run.traits.end(), trait), run.traits.end());
         }
-        suspect.crashes = std::max(suspect.crashes, longestSeries(suspect.runs));
     }
 }
 
-// Forgets the half without a recent crash, so that this happens rarely.
-void CrashTracker::makeRoom()
+int CrashTracker::longestSeries(const RunNumbers &numbers) const
 {
-    std::vector<Instant> ends;
-    ends.reserve(this->suspects.size());
-    for (const auto &[trait, suspect] : this->suspects) {
-        ends.push_back(suspect.runs.back().ended);
+    std::vector<const CrashedRun *> ordered;
+    ordered.reserve(numbers.size());
+    for (const RunNumber number : numbers) {
+        ordered.push_back(&this->runOf(number).run);
     }
-    const auto middle = ends.begin() + static_cast<std::ptrdiff_t>(ends.size() / 2);
-    std::nth_element(ends.begin(), middle, ends.end());
-    for (auto suspect = this->suspects.begin(); suspect != this->suspects.end();) {
-        const bool isOld = suspect->second.runs.back().ended <= *middle;
-        suspect = isOld ? this->suspects.erase(suspect) : std::next(suspect);
+    std::sort(ordered.begin(), ordered.end(),
+              [](const CrashedRun *a, const CrashedRun *b) { return a->ended < b->ended; });
+    int count = 0;
+    Instant lastEnd = Instant::min();
+    for (const CrashedRun *run : ordered) {
+        if (run->begun > lastEnd) {
+            ++count;
+            lastEnd = run->ended;
+        }
     }
+    return count;
 }
 
-void CrashTracker::onServed(const RequestTraits &traits)
+int CrashTracker::crashesToBlock(const RequestTrait &trait) const
 {
-    for (const RequestTrait &trait : traits) {
-        this->suspects.erase(trait.value());
-    }
+    return trait.isWholeRequest() ? this->options.requestCrashes : this->options.partCrashes;
 }
 
-void CrashTracker::expire(Instant now)
+RequestTraits CrashTracker::inCommon(const RunNumbers &numbers) const
 {
-    for (auto suspect = this->suspects.begin(); suspect != this->suspects.end();) {
-        const bool isOver = now - suspect->second.runs.back().ended > this->options.memory;
-        suspect = isOver ? this->suspects.erase(suspect) : std::next(suspect);
+    RequestTraits common = this->runOf(numbers.front()).traits;
+    for (const RunNumber number : numbers) {
+        const RequestTraits &others = this->runOf(number).traits;
+        RequestTraits both;
+        std::set_intersection(common.begin(), common.end(), others.begin(), others.end(), std::back_inserter(both));
+        common = std::move(both);
     }
+    return common;
 }
 
 RequestTraits CrashTracker::watchedOf(const RequestTraits &traits) const
@@ -86,22 +123,61 @@
     RequestTraits found;
     for (const RequestTrait &trait : traits) {
         const auto suspect = this->suspects.find(trait.value());
-        if (suspect != this->suspects.end() && suspect->second.crashes >= this->options.watchedCrashes) {
+        if (suspect != this->suspects.end() && this->longestSeries(suspect->second) >= this->options.watchedCrashes) {
             found.push_back(trait);
         }
     }
     return found;
 }
 
+std::set<EndpointStart> CrashTracker::crashesOf(const RequestTraits &traits) const
+{
+    std::set<EndpointStart> found;
+    for (const Run &run : this->runs) {
+        if (std::includes(run.traits.begin(), run.traits.end(), traits.begin(), traits.end())) {
+            found.insert(run.run.endpoint);
+        }
+    }
+    return found;
+}
+
 std::vector<RequestTraits> CrashTracker::blocked() const
 {
+    struct Candidate {
+        RequestTrait trait;
+        const RunNumbers *runs;
+        std::size_t common; // number of traits
+    };
+    std::vector<Candidate> candidates;
+    for (const RequestTrait &trait : this->frequent) {
+        const RunNumbers &numbers = this->suspects.at(trait.value());
+        if (this->longestSeries(numbers) >= this->crashesToBlock(trait)) {
+            candidates.push_back({trait, &numbers, this->inCommon(numbers).size()});
+        }
+    }
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const Candidate &a, const Candidate &b) { return a.common > b.common; });
     std::vector<RequestTraits> found;
-    for (const auto &[trait, suspect] : this->suspects) {
-        if (suspect.crashes >= this->options.requestCrashes) {
-            found.push_back({RequestTrait(trait)});
+    std::map<EndpointStart, std::size_t> explainedBy; // the size of the largest set that explains the crash
+    for (const Candidate &candidate : candidates) {
+        RunNumbers left;
+        for (const RunNumber number : *candidate.runs) {
+            const auto explained = explainedBy.find(this->runOf(number).run.endpoint);
+            if (explained == explainedBy.end() || explained->second <= candidate.common) {
+                left.push_back(number);
+            }
+        }
+        if (this->longestSeries(left) < this->crashesToBlock(candidate.trait)) {
+            continue;
+        }
+        const RequestTraits common = this->inCommon(left);
+        for (const EndpointStart &crash : this->crashesOf(common)) {
+            explainedBy.try_emplace(crash, common.size());
+        }
+        if (std::find(found.begin(), found.end(), common) == found.end()) {
+            found.push_back(common);
         }
     }
-    std::sort(found.begin(), found.end());
     return found;
 }
 
--- a/decide/crashtracker.h
+++ b/decide/crashtracker.h
@@ -1,25 +1,42 @@
 #pragma once
 
-// Finds the requests that crash endpoints, from the crashes that all hosts report.
+// Finds what the requests that crash endpoints have in common, from the crashes that all hosts report.
 //
 //     CrashTracker tracker(CrashTracker::Options{});
-//     tracker.onCrash({begun, ended}, traits);   // the endpoint ended under a request with these traits
+//     tracker.onCrash({{endpoint, incarnation}, begun, ended}, traits);   // under a request with these traits
 //     tracker.onServed(traits);                  // a request with these was answered in full
 //     tracker.watchedOf(traits);                 // those whose answers must be reported
 //     tracker.blocked();                         // requests that have all traits of one set are to be blocked
 //
-// Guards against a request that is sent to one endpoint after another, each of which ends under it.
+// Guards against requests that are sent to one endpoint after another, each of which ends under them.
 
 #include "decide/requesttrait.h"
+#include "fescuesill/ids.h"
 #include "fescuesill/units.h"
 
+#include <cstdint>
+#include <deque>
+#include <set>
+#include <tuple>
 #include <unordered_map>
 
 namespace fescuesill
 {
 
+// One start of an endpoint, which can crash once.
+struct EndpointStart {
+    EndpointId endpoint;
+    std::int64_t incarnation = 0;
+
+    friend bool operator<(const EndpointStart &a, const EndpointStart &b)
+    {
+        return std::tie(a.endpoint, a.incarnation) < std::tie(b.endpoint, b.incarnation);
+    }
+};
+
 // The run of a request at an endpoint that ended under it.
 struct CrashedRun {
+    EndpointStart endpoint;
     Instant begun;
     Instant ended;
 };
@@ -30,12 +47,16 @@
     struct Options {
         // Crashes under one request from which on it is blocked.
         int requestCrashes = 3;
+        // Crashes under requests with one part in their prompts from which on they are blocked. More callers are
+        // concerned than with one request.
+        int partCrashes = 4;
         // Crashes from which on answers to requests with the trait are reported.
         int watchedCrashes = 2;
-        // How long crashes count after the last one.
-        Duration memory{60s};
-        std::size_t maxRuns = 16; // of one trait; the last ones are kept
-        std::size_t maxTraits = 8192; // beyond this, those without a recent crash are forgotten
+        // How long crashes count, and requests stay blocked: much longer than an endpoint takes to start again, and
+        // short enough that requests that are blocked by mistake are served again without an operator.
+        Duration memory{10min};
+        std::size_t maxRuns = 8192; // the last ones are kept
+        std::size_t maxRunsOfTrait = 16; // the last ones decide
     };
 
     explicit CrashTracker(const Options &given)
@@ -54,19 +75,36 @@
     std::vector<RequestTraits> blocked() const;
     std::size_t size() const
     {
-        return this->suspects.size();
+        return this->runs.size();
     }
 
 private:
-    struct Suspect {
-        std::vector<CrashedRun> runs; // in the order of their ends
-        int crashes = 0;
+    struct Run {
+        CrashedRun run;
+        RequestTraits traits; // in order, without those that were served since
     };
+    using RunNumber = std::uint64_t;
+    using RunNumbers = std::vector<RunNumber>;
 
-    void makeRoom();
+    const Run &runOf(RunNumber number) const
+    {
+        return this->runs[number - this->firstRun];
+    }
+    void forgetFirst();
+    void dropSuspect(const RequestTrait &trait);
+    // The most of the runs of which each began after the one before had ended.
+    int longestSeries(const RunNumbers &numbers) const;
+    int crashesToBlock(const RequestTrait &trait) const;
+    // The traits that the requests of all these runs have.
+    RequestTraits inCommon(const RunNumbers &numbers) const;
+    // The endpoints that ended under requests with all of these traits.
+    std::set<EndpointStart> crashesOf(const RequestTraits &traits) const;
 
     Options options;
-    std::unordered_map<std::uint64_t, Suspect> suspects; // by the value of the trait
+    std::deque<Run> runs; // in the order of the reports
+    RunNumber firstRun = 0;
+    std::unordered_map<std::uint64_t, RunNumbers> suspects; // by the value of the trait
+    std::set<RequestTrait> frequent; // the suspects with enough runs to be blocked
 };
 
 } // namespace fescuesill
--- a/decide/requestblocks.cpp
+++ b/decide/requestblocks.cpp
@@ -17,6 +17,11 @@
     return isNew;
 }
 
+bool RequestBlocks::unblock(const RequestTraits &traits)
+{
+    return this->blocks.erase(traits) > 0;
+}
+
 std::vector<RequestTraits> RequestBlocks::onServed(const RequestTraits &served)
 {
     std::vector<RequestTraits> ended;
--- a/decide/requestblocks.h
+++ b/decide/requestblocks.h
@@ -23,7 +23,7 @@
     struct Options {
         std::size_t maxBlocks = 256; // beyond this, the one that ends first is dropped
         std::size_t maxWatched = 1024; // further ones are not watched
-        Duration watchedFor{60s};
+        Duration watchedFor{10min};
     };
 
     explicit RequestBlocks(const Options &given)
@@ -33,6 +33,8 @@
 
     // `traits`: sorted. Returns whether it is new.
     bool block(const RequestTraits &traits, Duration duration, Instant now);
+    // Returns whether it was blocked.
+    bool unblock(const RequestTraits &traits);
     // Requests with these traits were answered: what is blocked for other traits as well stays blocked for those.
     // Returns the sets of traits that are blocked no more.
     std::vector<RequestTraits> onServed(const RequestTraits &served);
--- a/decide/requesttrait.h
+++ b/decide/requesttrait.h
@@ -3,6 +3,7 @@
 // A property by which requests can be recognised that differ in their ids, hosts and callers.
 //
 //     const RequestTrait whole = RequestTrait::wholeRequest(text);   // requests with the same content
+//     const RequestTrait part = RequestTrait::promptPart("5c1e07a2");   // requests with this part in their prompts
 //     whole.isWholeRequest();
 
 #include <cstdint>
@@ -16,6 +17,7 @@
 {
 public:
     static RequestTrait wholeRequest(std::string_view content);
+    static RequestTrait promptPart(std::string_view name);
     // From value(), as sent by another host.
     explicit RequestTrait(std::uint64_t number)
         : number(number)
@@ -26,6 +28,10 @@
     {
         return this->number;
     }
+    bool isWholeRequest() const
+    {
+        return (this->number & wholeRequestBit) != 0;
+    }
 
     friend bool operator==(const RequestTrait &a, const RequestTrait &b)
     {
@@ -37,7 +43,9 @@
     }
 
 private:
-    std::uint64_t number;
+    static constexpr std::uint64_t wholeRequestBit = 1;
+
+    std::uint64_t number; // a hash, but for its lowest bit
 };
 
 using RequestTraits = std::vector<RequestTrait>;
--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -1,7 +1,10 @@
 #include "decide/crashtracker.h"
 
+#include "decide/requestblocks.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <utility>
 
 namespace fescuesill
 {
@@ -9,7 +12,7 @@
 {
 
 constexpr Instant start{1h};
-const RequestTrait deadly(1);
+const RequestTrait deadly = RequestTrait::wholeRequest("deadly");
 
 // The run of a request at an endpoint that ended under it, in milliseconds since the start.
 struct RunTimes {
@@ -17,9 +20,11 @@
     int ended;
 };
 
+// Endpoints that end at the same time under a request are different ones.
 CrashedRun at(const RunTimes &times)
 {
-    return {start + std::chrono::milliseconds(times.begun), start + std::chrono::milliseconds(times.ended)};
+    const EndpointStart endpoint{EndpointId("e"), times.begun * 100000 + times.ended};
+    return {endpoint, start + std::chrono::milliseconds(times.begun), start + std::chrono::milliseconds(times.ended)};
 }
 
 bool isBlocked(const CrashTracker &tracker, const RequestTrait &trait)
@@ -81,15 +86,15 @@
 }
 
 // Guards against memory that grows with the requests that ran at endpoints that ended.
-TEST(CrashTracker, KeepsABoundedNumberOfTraits)
+TEST(CrashTracker, KeepsABoundedNumberOfRuns)
 {
     CrashTracker::Options options;
-    options.maxTraits = 100;
+    options.maxRuns = 150;
     CrashTracker tracker(options);
     for (int crash = 0; crash < 3; ++crash) {
         for (std::uint64_t other = 0; other < 60; ++other) {
             tracker.onCrash(at({crash * 1000, crash * 1000 + 500}), {RequestTrait(1000 * (crash + 1) + other)});
-            EXPECT_LE(tracker.size(), options.maxTraits);
+            EXPECT_LE(tracker.size(), options.maxRuns);
         }
         tracker.onCrash(at({crash * 1000 + 600, crash * 1000 + 700}), {deadly});
     }
@@ -128,5 +133,176 @@
     RC_ASSERT(!tracker.watchedOf({deadly}).empty() == (longest >= CrashTracker::Options{}.watchedCrashes));
 }
 
+RequestTraits parts(const std::string &names)
+{
+    RequestTraits traits{RequestTrait::wholeRequest(names)};
+    for (const char name : names) {
+        traits.push_back(RequestTrait::promptPart(std::string(1, name)));
+    }
+    return traits;
+}
+
+// The endpoint ends under requests with these parts. One that has just been sent is the first of them.
+void crash(CrashTracker &tracker, int number, const std::vector<std::string> &requests)
+{
+    for (const std::string &request : requests) {
+        const Instant ended = start + 1s * number;
+        tracker.onCrash({{EndpointId("e"), number}, ended - 100ms, ended}, parts(request));
+    }
+}
+
+bool isBlocked(const CrashTracker &tracker, const std::string &request)
+{
+    RequestBlocks blocks({});
+    for (const RequestTraits &traits : tracker.blocked()) {
+        blocks.block(traits, 1h, start);
+    }
+    return blocks.blockedFor(parts(request), start).has_value();
+}
+
+// Guards against a part that crashes engines and is not told from the others of its requests.
+TEST(CrashTracker, BlocksThePartThatAllCrashesHaveInCommon)
+{
+    const struct {
+        const char *name;
+        std::vector<std::vector<std::string>> crashes; // each with the requests that ran there
+        std::string served; // parts that were cleared after the crashes
+        std::string blocked;
+        std::vector<std::string> sound;
+    } cases[] = {
+        {"too few", {{"fx1"}, {"fx2"}, {"fx3"}}, "", "", {"fx4", "fx3"}},
+        {"beside the first part", {{"fx1"}, {"fx2"}, {"fx3"}, {"fx4"}}, "", "fx5", {"f6", "fy7", "gx8", "x9"}},
+        {"the first part was served", {{"fx1"}, {"fx2"}, {"fx3"}, {"fx4"}}, "f", "gx8", {"f6", "fy7"}},
+        {"in any place", {{"xf1"}, {"gx2"}, {"hkx3"}, {"x4"}}, "", "fgx5", {"f6", "gh7"}},
+        {"with others that ran there",
+         {{"fx1", "f2", "g3"}, {"fx4", "f5"}, {"fx6", "g7"}, {"fx8", "f9"}},
+         "",
+         "fxA",
+         {"fA", "gA"}},
+        {"the first part in one more crash", {{"f1"}, {"fx2"}, {"fx3"}, {"fx4"}, {"fx5"}}, "", "fx6", {"f7", "g8"}},
+        {"two parts, each with its requests",
+         {{"fx1"}, {"gy2"}, {"fx3"}, {"gy4"}, {"fx5"}, {"gy6"}, {"fx7"}, {"gy8"}},
+         "",
+         "gy9",
+         {"f9", "g9", "fy9"}},
+        {"the same request", {{"fx1"}, {"fx1"}, {"fx1"}}, "", "fx1", {"fx2", "f1", "x1"}},
+        {"the part of a session", {{"fx1"}, {"gx1"}, {"hx1"}, {"kx1"}}, "", "zx1", {"fx2", "g1"}},
+    };
+    for (const auto &each : cases) {
+        CrashTracker tracker({});
+        int number = 0;
+        for (const auto &requests : each.crashes) {
+            crash(tracker, ++number, requests);
+        }
+        if (!each.served.empty()) {
+            tracker.onServed(parts(each.served));
+        }
+        if (!each.blocked.empty()) {
+            EXPECT_TRUE(isBlocked(tracker, each.blocked)) << each.name;
+        }
+        for (const std::string &sound : each.sound) {
+            EXPECT_FALSE(isBlocked(tracker, sound)) << each.name << " " << sound;
+        }
+    }
+}
+
+// Guards against callers who are refused since engines end for reasons of their own, all at once or one after the
+// other.
+TEST(CrashTracker, BlocksNothingWhereOtherRequestsWithThePartsAreAnswered)
+{
+    CrashTracker tracker({});
+    for (int number = 1; number <= 30; ++number) {
+        crash(tracker, number, {"fm1", "fm2", "gm3", "gn4"});
+        EXPECT_TRUE(number % 3 != 0 || tracker.blocked().empty()) << number;
+        tracker.onServed(parts("fm5"));
+        tracker.onServed(parts("gn6"));
+        EXPECT_TRUE(tracker.blocked().empty() || number >= 3) << number; // only a request repeated thrice may be
+        tracker.onServed(parts("fm1"));
+        tracker.onServed(parts("fm2"));
+        tracker.onServed(parts("gm3"));
+        tracker.onServed(parts("gn4"));
+        EXPECT_TRUE(tracker.blocked().empty()) << number;
+    }
+    CrashTracker rack({});
+    for (int number = 1; number <= 30; ++number) {
+        rack.onCrash({{EndpointId("e"), number}, start, start + 1s + 1ms * number}, parts("fm"));
+    }
+    EXPECT_TRUE(rack.blocked().empty());
+}
+
+// Requests with a part that crashes engines, sound ones that share their other parts, and engines that end by
+// themselves, in any order. The oracle allows a refusal where one of the request's traits has crashed enough engines
+// since it was last answered: that can't be told from a trait that crashes them.
+RC_GTEST_PROP(CrashTracker, StopsThePartAndServesTheOthers, ())
+{
+    struct Event {
+        RequestTraits traits;
+        bool isAnswer = false;
+    };
+    std::vector<Event> history;
+    const auto mayBeRefused = [&history](const RequestTraits &request) {
+        return std::any_of(request.begin(), request.end(), [&history](const RequestTrait &trait) {
+            int crashes = 0;
+            for (const Event &event : history) {
+                const bool isOfTrait = std::find(event.traits.begin(), event.traits.end(), trait) != event.traits.end();
+                crashes = isOfTrait && event.isAnswer ? 0 : crashes + (isOfTrait ? 1 : 0);
+            }
+            return crashes >= 4;
+        });
+    };
+    CrashTracker tracker({});
+    RequestBlocks blocks({});
+    std::vector<RequestTraits> before; // that the tracker blocked
+    std::vector<std::string> running; // sound requests
+    int deadlyCrashes = 0;
+    int number = 0;
+    const int steps = *rc::gen::inRange(20, 80);
+    for (int step = 0; step < steps; ++step) {
+        const std::string unique(1, static_cast<char>('0' + step));
+        const std::string first(1, *rc::gen::elementOf(std::string("fg")));
+        const int kind = *rc::gen::inRange(0, 10);
+        const bool isDeadly = kind < 3;
+        const bool isOther = kind == 3; // an engine ends by itself
+        const std::string request =
+            isDeadly ? "fx" + unique : first + *rc::gen::element<std::string>("m", "n", "") + unique;
+        if (blocks.blockedFor(parts(request), start)) {
+            RC_ASSERT(isDeadly || mayBeRefused(parts(request)));
+            continue;
+        }
+        if (!isDeadly && !isOther) {
+            running.push_back(request);
+            if (running.size() > 3) { // the first of them is answered
+                const RequestTraits served = parts(running.front());
+                running.erase(running.begin());
+                tracker.onServed(served);
+                blocks.onServed(served);
+                history.push_back({served, true});
+            }
+            continue;
+        }
+        std::vector<std::string> lost{request};
+        if (!running.empty() && *rc::gen::arbitrary<bool>()) {
+            lost.push_back(running.back());
+            running.pop_back();
+        }
+        crash(tracker, ++number, lost);
+        for (const std::string &each : lost) {
+            history.push_back({parts(each), false});
+        }
+        deadlyCrashes += isDeadly ? 1 : 0;
+        const auto blocked = tracker.blocked();
+        for (const RequestTraits &traits : std::exchange(before, blocked)) {
+            if (std::find(blocked.begin(), blocked.end(), traits) == blocked.end()) {
+                blocks.unblock(traits);
+            }
+        }
+        for (const RequestTraits &traits : blocked) {
+            blocks.block(traits, 1h, start);
+        }
+    }
+    constexpr int mostCrashes = 5 + 3; // five, and not more than three requests after them
+    RC_ASSERT(deadlyCrashes <= mostCrashes);
+}
+
 } // namespace
 } // namespace fescuesill
--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -186,7 +186,7 @@
                          {{"attempt", job.call.attempt.value()}, {"endpoint", address}, {"fault", error.what()}});
             if (error.fault() == HttpFault::Closed && !error.isKnownNotSent()
                 && this->endpoints.probe(address, yield) == Liveness::Ended) {
-                crashes.onCrash({begun, steadyNow()}, contentOf(job.request));
+                crashes.onCrash(endOf(address, begun), contentOf(job.request));
             }
             if (!error.isKnownNotSent()) {
                 return attempt_event::AnswerLost{};
--- a/programs/entry/localcrashes.cpp
+++ b/programs/entry/localcrashes.cpp
@@ -1,5 +1,6 @@
 #include "programs/entry/localcrashes.h"
 
+#include "wire/clock.h"
 #include "wire/log.h"
 
 namespace fescuesill
@@ -7,8 +8,7 @@
 namespace
 {
 
-// How long a request that crashes endpoints is refused. A request that is blocked by mistake is served after it.
-constexpr Duration blockDuration{10min};
+constexpr Duration blockDuration = CrashTracker::Options{}.memory;
 
 } // namespace
 
@@ -17,6 +17,12 @@
     return RequestTrait::wholeRequest(request.method + '\n' + request.target + '\n' + request.body);
 }
 
+CrashedRun endOf(const std::string &endpoint, Instant begun)
+{
+    const Instant now = steadyNow();
+    return {{EndpointId(endpoint), now.time_since_epoch().count()}, begun, now};
+}
+
 std::optional<Duration> LocalCrashes::blockedFor(RequestTrait request, Instant now)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/programs/entry/localcrashes.h
+++ b/programs/entry/localcrashes.h
@@ -4,7 +4,7 @@
 //
 //     LocalCrashes crashes;
 //     if (const auto left = crashes.blockedFor(trait, now)) { ... refuse; retry after *left ... }
-//     crashes.onCrash({begun, now}, trait);      // the engine or endpoint ended under the request
+//     crashes.onCrash(endOf(endpoint, begun), trait);   // the engine or endpoint ended under the request
 //     crashes.onServed(trait);                   // it was answered in full
 
 #include "decide/crashtracker.h"
@@ -19,6 +19,8 @@
 
 // By which a request is recognised when its caller sends it again, with another id or key.
 RequestTrait contentOf(const HttpRequest &request);
+// The run of a request, begun at that instant, at an engine or endpoint that has just ended.
+CrashedRun endOf(const std::string &endpoint, Instant begun);
 
 class LocalCrashes
 {
--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -334,7 +334,7 @@
     // It may only be frozen: when it wakes it must not go on writing for nobody.
     this->services.canceller->cancel({this->decodeAddress, this->stream, [] {
                                       }});
-    const CrashedRun run{this->decodeBegun, steadyNow()};
+    const CrashedRun run = endOf(this->decodeEngine.value(), this->decodeBegun);
     this->services.state.crashes().onCrash(run, this->content);
     if (this->refusesBlocked(yield)) {
         this->placing.decodeFailed(DecodeFault::Unreachable, false, run.ended - run.begun);
--- a/programs/entry/plaincall.cpp
+++ b/programs/entry/plaincall.cpp
@@ -115,7 +115,7 @@
         Log::info("call_failed", {{"request", this->call.id.value()}, {"endpoint", address}, {"fault", error.what()}});
         const bool isCutShort = error.fault() == HttpFault::Closed && !error.isKnownNotSent();
         if (isCutShort && this->services.endpoints.probe(address, yield) == Liveness::Ended) {
-            this->services.state.crashes().onCrash({begun, steadyNow()}, this->content());
+            this->services.state.crashes().onCrash(endOf(address, begun), this->content());
         }
         return error.isKnownNotSent() ? TryOutcome::NeverSent : TryOutcome::Lost;
     }
--- a/programs/entry/testing/localcrashes_test.cpp
+++ b/programs/entry/testing/localcrashes_test.cpp
@@ -18,8 +18,10 @@
     EXPECT_TRUE(crashes.isEmpty());
     for (int crash = 0; crash < 3; ++crash) {
         EXPECT_FALSE(crashes.blockedFor(deadly, start + 1s * crash));
-        crashes.onCrash({start + 1s * crash, start + 1s * crash + 50ms}, deadly);
-        crashes.onCrash({start + 1s * crash, start + 1s * crash + 50ms}, sound);
+        const Instant begun = start + 1s * crash;
+        const CrashedRun run{{EndpointId("e"), crash}, begun, begun + 50ms};
+        crashes.onCrash(run, deadly);
+        crashes.onCrash(run, sound);
         crashes.onServed(sound);
     }
     EXPECT_TRUE(crashes.blockedFor(deadly, start + 3s));
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -22,11 +22,12 @@
 namespace
 {
 
-// Much longer than an endpoint takes to start again, and short enough that a request that is blocked by mistake is
-// served again without an operator.
-constexpr Duration blockDuration{10min};
+// A part of a prompt crashes an engine as that begins to write on it. Generations that were written for longer are not
+// suspected for their parts, or each crash would suspect most of what is sent.
+constexpr Duration beginning{1s};
 constexpr std::size_t maxOwnCrashes = 256;
 constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
+constexpr Duration blockDuration = crashesCountFor;
 constexpr Duration watchInterval{10s};
 
 std::vector<std::uint64_t> numbersOf(const RequestTraits &traits)
@@ -58,6 +59,11 @@
     return text;
 }
 
+bool isIn(const std::vector<RequestTraits> &sets, const RequestTraits &traits)
+{
+    return std::find(sets.begin(), sets.end(), traits) != sets.end();
+}
+
 RequestTraits onlyIn(const RequestTraits &traits, const RequestTraits &others)
 {
     RequestTraits found;
@@ -82,26 +88,39 @@
     return this->inForce.isEmpty() ? std::nullopt : this->inForce.blockedFor(readTraits(call), steadyNow());
 }
 
-void CrashGuard::onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call, Instant begun,
-                             const asio::yield_context &yield)
+CrashGuard::Crash CrashGuard::suspectedBy(const BrokenAnswer &answer)
 {
-    this->confirm(endpoint, {endpoint.id, readTraits(call), {begun, steadyNow()}}, yield);
+    const Instant now = steadyNow();
+    const EndpointStart endpoint{answer.endpoint.id, answer.endpoint.incarnation};
+    Crash crash{readTraits(answer.call), {endpoint, answer.sent, now}};
+    if (answer.firstEvent && now - *answer.firstEvent > beginning) {
+        auto &traits = crash.traits;
+        const auto isPart = [](const RequestTrait &trait) {
+            return !trait.isWholeRequest();
+        };
+        traits.erase(std::remove_if(traits.begin(), traits.end(), isPart), traits.end());
+    }
+    return crash;
 }
 
-void CrashGuard::onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call, Instant begun)
+void CrashGuard::onBrokenOff(const BrokenAnswer &answer, const asio::yield_context &yield)
 {
-    const Crash suspected{endpoint.id, readTraits(call), {begun, steadyNow()}};
-    startCoroutine(this->io, [this, endpoint, suspected](const asio::yield_context &yield) {
-        this->confirm(endpoint, suspected, yield);
-    });
+    this->confirm(answer.endpoint.address, suspectedBy(answer), yield);
 }
 
-void CrashGuard::confirm(const EndpointRecord &endpoint, const Crash &suspected, const asio::yield_context &yield)
+void CrashGuard::onBrokenOff(const BrokenAnswer &answer)
 {
-    const Liveness found = this->client.probe(endpoint.address, yield);
+    startCoroutine(this->io,
+                   [this, address = answer.endpoint.address, suspected = suspectedBy(answer)](
+                       const asio::yield_context &yield) { this->confirm(address, suspected, yield); });
+}
+
+void CrashGuard::confirm(const std::string &address, const Crash &suspected, const asio::yield_context &yield)
+{
+    const Liveness found = this->client.probe(address, yield);
     Log::info("answer_broken_off",
-              {{"endpoint", endpoint.id.value()},
-               {"incarnation", endpoint.incarnation},
+              {{"endpoint", suspected.run.endpoint.endpoint.value()},
+               {"incarnation", suspected.run.endpoint.incarnation},
                {"liveness", nameOf(found)},
                {"ran_ms", (suspected.run.ended - suspected.run.begun).count() / 1000},
                {"traits", textOf(suspected.traits)}});
@@ -122,8 +141,9 @@
         return;
     }
     const Instant now = steadyNow();
-    this->uplink(
-        peer::EndpointCrashed{crash.endpoint, numbersOf(crash.traits), now - crash.run.begun, now - crash.run.ended});
+    const CrashedRun &run = crash.run;
+    this->uplink(peer::EndpointCrashed{run.endpoint.endpoint, static_cast<std::uint64_t>(run.endpoint.incarnation),
+                                       numbersOf(crash.traits), now - run.begun, now - run.ended});
 }
 
 void CrashGuard::onServed(const HttpCall &call, Instant begun)
@@ -147,12 +167,25 @@
 {
     this->tracker.onCrash(crash.run, crash.traits);
     this->watch(this->tracker.watchedOf(crash.traits));
-    for (const RequestTraits &traits : this->tracker.blocked()) {
-        if (this->inForce.all().count(traits) == 0) {
+    this->applyTracker();
+}
+
+void CrashGuard::applyTracker()
+{
+    const std::vector<RequestTraits> blocked = this->tracker.blocked();
+    for (const RequestTraits &traits : blocked) {
+        if (!isIn(this->ownBlocks, traits)) {
             this->notifyFollowers(peer::RequestsBlocked{numbersOf(traits), blockDuration});
             this->block(traits, blockDuration);
         }
     }
+    for (const RequestTraits &traits : this->ownBlocks) {
+        if (!isIn(blocked, traits)) { // further crashes or answers have shown that it is something else
+            this->notifyFollowers(peer::RequestsBlocked{numbersOf(traits), Duration(0)});
+            this->unblock(traits);
+        }
+    }
+    this->ownBlocks = blocked;
 }
 
 // Once in a while for each trait: several hosts report one crash, and hosts keep a watch for as long as crashes count.
@@ -181,6 +214,13 @@
     }
 }
 
+void CrashGuard::unblock(const RequestTraits &traits)
+{
+    if (this->inForce.unblock(traits)) {
+        Log::warning("requests_unblocked", {{"traits", textOf(traits)}});
+    }
+}
+
 void CrashGuard::notifyFollowers(const peer::Message &message) const
 {
     if (this->followers) {
@@ -231,7 +271,8 @@
 void CrashGuard::onMessage(const peer::EndpointCrashed &message)
 {
     const Instant now = steadyNow();
-    this->count({message.endpoint, traitsOf(message.traits), {now - message.sinceBegin, now - message.sinceEnd}});
+    const EndpointStart endpoint{message.endpoint, static_cast<std::int64_t>(message.incarnation)};
+    this->count({traitsOf(message.traits), {endpoint, now - message.sinceBegin, now - message.sinceEnd}});
 }
 
 // From a follower, and from the leader to its followers: each forgets what it knew of these traits.
@@ -250,12 +291,17 @@
     }
     if (!this->uplink) {
         this->notifyFollowers(message);
+        this->applyTracker();
     }
 }
 
 void CrashGuard::onMessage(const peer::RequestsBlocked &message)
 {
-    this->block(traitsOf(message.traits), message.duration);
+    if (message.duration > Duration(0)) {
+        this->block(traitsOf(message.traits), message.duration);
+    } else {
+        this->unblock(traitsOf(message.traits));
+    }
 }
 
 void CrashGuard::onMessage(const peer::TraitsWatched &message)
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -5,7 +5,7 @@
 //     CrashGuard guard(io, client);
 //     guard.setUplink(send);                                    // to the host that decides for all, or empty
 //     if (const auto left = guard.blockedFor(call)) { ... refuse; retry after *left ... }
-//     guard.onBrokenOff(endpoint, call, begun, yield);          // its answer broke off: whether the endpoint has ended
+//     guard.onBrokenOff({endpoint, call, sent, firstEvent}, yield);   // whether the endpoint has ended
 //     guard.onServed(call, begun);                              // a whole answer
 //
 // Hosts report the requests that ran at endpoints that ended, and the leader or its deputy finds out which to block.
@@ -23,6 +23,14 @@
 namespace fescuesill
 {
 
+// An answer that ended before it was whole.
+struct BrokenAnswer {
+    const EndpointRecord &endpoint;
+    const HttpCall &call;
+    Instant sent; // to the endpoint
+    std::optional<Instant> firstEvent; // of this endpoint's part of a generation
+};
+
 class CrashGuard
 {
 public:
@@ -32,12 +40,10 @@
 
     // How long requests like this one are refused; empty if it may be sent.
     std::optional<Duration> blockedFor(const HttpCall &call) const;
-    // The answer of the endpoint to a request that was sent to it at `begun` broke off. Waits until it is known whether
-    // the endpoint has ended, and reports it.
-    void onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call, Instant begun,
-                     const asio::yield_context &yield);
+    // Waits until it is known whether the endpoint of the answer has ended, and reports it.
+    void onBrokenOff(const BrokenAnswer &answer, const asio::yield_context &yield);
     // The same in the background.
-    void onBrokenOff(const EndpointRecord &endpoint, const HttpCall &call, Instant begun);
+    void onBrokenOff(const BrokenAnswer &answer);
     // The request that was sent at `begun` has been answered in full.
     void onServed(const HttpCall &call, Instant begun);
 
@@ -62,23 +68,28 @@
 
 private:
     struct Crash {
-        EndpointId endpoint;
         RequestTraits traits;
         CrashedRun run;
     };
 
-    void confirm(const EndpointRecord &endpoint, const Crash &suspected, const asio::yield_context &yield);
+    static Crash suspectedBy(const BrokenAnswer &answer);
+    // Reports the crash if there is no endpoint any more at the address.
+    void confirm(const std::string &address, const Crash &suspected, const asio::yield_context &yield);
     void report(const Crash &crash);
     // Counts a crash, and notifies all hosts of what it has shown.
     void count(const Crash &crash);
     void watch(const RequestTraits &traits);
+    // Notifies all hosts of what the tracker blocks from now on, and of what no longer.
+    void applyTracker();
     void block(const RequestTraits &traits, Duration duration);
+    void unblock(const RequestTraits &traits);
     void notifyFollowers(const peer::Message &message) const;
 
     asio::io_context &io;
     HttpClient &client;
     CrashTracker tracker;
     RequestBlocks inForce;
+    std::vector<RequestTraits> ownBlocks; // of the tracker, as last notified
     std::map<RequestTrait, Instant> watchesSent; // to the followers, and when; bounded like the watched traits
     std::deque<Crash> ownCrashes; // the last ones that this host has reported, for the next leader
     Send uplink;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -284,6 +284,7 @@
 void GenerationForward::recordEvents()
 {
     const Instant now = steadyNow();
+    this->firstEventAt = this->firstEventAt.value_or(now);
     this->eventsProduced += this->events.wholeEvents();
     if (!this->times.firstEvent) {
         this->times.firstEvent = now - this->call.arrival;
@@ -347,6 +348,7 @@
     ++this->sends;
     this->hasNoPath = false;
     this->isCutShort = false;
+    this->firstEventAt.reset();
     this->sentAt = steadyNow();
     try {
         LineStream stream = services.client.open(place.engine.address, request,
@@ -467,11 +469,12 @@
 void GenerationForward::reportCutShort(const EndpointRecord &at, const asio::yield_context &yield)
 {
     CrashGuard &crashes = this->call.services.crashes;
+    const BrokenAnswer answer{at, this->call.http, this->sentAt, this->firstEventAt};
     if (this->call.route.isResumable) {
-        crashes.onBrokenOff(at, this->call.http, this->sentAt, yield);
+        crashes.onBrokenOff(answer, yield);
         this->checkCaller();
     } else {
-        crashes.onBrokenOff(at, this->call.http, this->sentAt);
+        crashes.onBrokenOff(answer);
     }
 }
 
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -88,6 +88,7 @@
     SoftwareVersion streamVersion;
     std::int64_t eventsProduced = 0; // complete events received so far
     Instant sentAt; // of the last request to a decode engine
+    std::optional<Instant> firstEventAt; // of the answer to it
     int sends = 0; // requests to decode engines of which at least one byte was sent
     bool mayHaveRun = false; // an attempt failed after it was sent
     bool isCharged = false; // to the workspace's quota
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -124,9 +124,9 @@
 {
     CrashGuard &crashes = this->call.services.crashes;
     if (this->call.route.kind == CallKind::Repeatable) {
-        crashes.onBrokenOff(endpoint, this->call.http, begun, yield);
+        crashes.onBrokenOff({endpoint, this->call.http, begun, std::nullopt}, yield);
     } else {
-        crashes.onBrokenOff(endpoint, this->call.http, begun);
+        crashes.onBrokenOff({endpoint, this->call.http, begun, std::nullopt});
     }
 }
 
--- a/programs/scheduler/celldirectorentries.cpp
+++ b/programs/scheduler/celldirectorentries.cpp
@@ -14,8 +14,7 @@
 
 // A cell that has just moved has its next owner within one spread of the membership; sooner would find no owner.
 constexpr Duration movedRetry = 100ms;
-// How long a request that crashes engines is refused. A request that is blocked by mistake is served after it.
-constexpr Duration blockDuration{10min};
+constexpr Duration blockDuration = CrashTracker::Options{}.memory;
 
 RequestClass requestClassOf(const ServiceClass &serviceClass)
 {
@@ -155,7 +154,9 @@
         return false;
     }
     const RequestTraits traits{RequestTrait(failed.content)};
-    this->crashes.onCrash({now - failed.ran, now}, traits);
+    const Tracked *tracked = this->findTracked(failed.request);
+    const EndpointId engine(tracked == nullptr ? std::string() : tracked->decodeEngine.value());
+    this->crashes.onCrash({{engine, now.time_since_epoch().count()}, now - failed.ran, now}, traits);
     for (const RequestTraits &blocked : this->crashes.blocked()) {
         this->blocks.block(blocked, blockDuration, now);
     }
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -428,6 +428,7 @@
 void fields(Visitor &visit, EndpointCrashed &m)
 {
     visit(m.endpoint);
+    visit(m.incarnation);
     visit(m.traits);
     visit(m.sinceBegin);
     visit(m.sinceEnd);
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -423,6 +423,7 @@
 // Gateway to the leader: an endpoint ended while it ran a request of the gateway's callers.
 struct EndpointCrashed {
     EndpointId endpoint;
+    std::uint64_t incarnation = 0;
     std::vector<std::uint64_t> traits; // of the request (decide/requesttrait.h)
     Duration sinceBegin{0}; // since the request was sent to the endpoint
     Duration sinceEnd{0}; // since the endpoint ended
@@ -439,7 +440,8 @@
     std::vector<std::uint64_t> traits;
 };
 
-// Leader to a gateway: requests that have all of these traits crash endpoints, and must not be sent to any.
+// Leader to a gateway: requests that have all of these traits crash endpoints, and must not be sent to any. If the
+// duration is zero, they may be sent again.
 struct RequestsBlocked {
     std::vector<std::uint64_t> traits;
     Duration duration{0};
--- a/wire/testing/messages_test.cpp
+++ b/wire/testing/messages_test.cpp
@@ -32,7 +32,7 @@
         LiveHosts{{LiveHost{HostId("h"), DataCentreId("d"), "127.0.0.1:3", true}}},
         AllCells{{CellUpdate{someCell, HostId("h"), "127.0.0.1:3", 12ms, 75us, 0.25, Pieces(5), false, 7}}},
         Follow{false},
-        EndpointCrashed{EndpointId("e"), {1, ~0ULL}, 80ms, 20ms},
+        EndpointCrashed{EndpointId("e"), 7, {1, ~0ULL}, 80ms, 20ms},
         TraitsWatched{{1}},
         TraitsServed{{1, 2}},
         RequestsBlocked{{1, 2}, 10min},
