Soak: endpoints crash, by themselves and under requests

Endpoints crash and come back while all other faults go on, some under requests that callers repeat or that share a part of their prompts. After the faults not more than three requests may reach endpoints beyond the bound, and sound ones with the same first part are served. Ports of crashed endpoints refuse connections, also those of the proxies before them.

--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -18,6 +18,7 @@
 
 import base64
 import contextlib
+import errno
 import http.server
 import json
 import os
@@ -159,25 +160,33 @@
         self.connections.discard(request)
         super().shutdown_request(request)
 
-    def crash(self):
-        """Ends as a process does: the port refuses connections at once, and open ones end in order."""
+    def crash(self, resets):
+        """Ends as a process does: the port refuses connections at once, and open ones end in order or are reset."""
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RDWR)
         for connection in list(self.connections):
             with contextlib.suppress(OSError):
-                connection.shutdown(socket.SHUT_RDWR)
+                if resets:
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    connection.shutdown(socket.SHUT_RD)
+                    os.close(connection.detach())
+                else:
+                    connection.shutdown(socket.SHUT_RDWR)
         self.shutdown()
         self.server_close()
 
     def handle_error(self, request, client_address):
-        if not isinstance(sys.exc_info()[1], ConnectionError):  # callers may go at any time
+        error = sys.exc_info()[1]
+        is_closed = isinstance(error, OSError) and error.errno == errno.EBADF  # by crash()
+        if not isinstance(error, ConnectionError) and not is_closed:  # callers may go at any time
             super().handle_error(request, client_address)
 
 
 class Server:
     def __init__(self):
         self.listen(0)
-        self.address = f"127.0.0.1:{self.http.server_address[1]}"
+        self.port = self.http.server_address[1]
+        self.address = f"127.0.0.1:{self.port}"
 
     def listen(self, port):
         self.http = QuietServer(("127.0.0.1", port), Handler)
@@ -243,21 +252,25 @@
         self.crashes = 0
         self.down_seconds = 1.0
         self.crashing = threading.Lock()
-        self.on_back = lambda: None  # called when it listens again after a crash
+        self.on_crash, self.on_back = [], []  # called when its port refuses connections, and when it listens again
         super().__init__()
 
     def crash(self):
         """At once; it comes back by itself."""
         if self.crashing.acquire(blocking=False):
             self.crashes += 1
-            self.http.crash()
+            for called in self.on_crash:
+                called()
+            # Nothing tells an unframed stream that ends in order between two events from a whole one.
+            self.http.crash(resets=not self.is_framed)
             threading.Thread(target=self.come_back, daemon=True).start()
 
     def come_back(self):
         time.sleep(self.down_seconds)
-        self.listen(int(self.address.rsplit(":", 1)[1]))
+        self.listen(self.port)
         self.crashing.release()
-        self.on_back()
+        for called in self.on_back:
+            called()
 
     def handle(self, request, body):
         self.asked.append((request.command, request.path))
@@ -395,7 +408,7 @@
     def endpoint(self, service, stage=None, version="v1"):
         made = Endpoint(f"i-{len(self.endpoints)}", stage, version)
         made.service = service
-        made.on_back = lambda: self.register(made, born=1 + made.crashes)
+        made.on_back.append(lambda: self.register(made, born=1 + made.crashes))
         self.endpoints.append(made)
         self.services.add((service, stage is not None))
         self.register(made)
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -94,6 +94,7 @@
         headers = {"Host": "shop.example", "X-Request-Id": call.id, "X-Deadline-Ms": str(PATIENCE_MS)}
         if call.kind in ("stream", "resumable"):
             headers.update(SIZE)
+            headers["X-Prompt-Prefix"] = f"f1:200,{call.id}:100"  # all share the first part
         if call.key:
             headers["Authorization"] = "Bearer " + call.key
         if call.resumes:
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -4,6 +4,7 @@
     proxy.mode = "silent"          # passed on from now: nothing, and no reset
     proxy.bytes_per_second = 100_000  # of each connection, either way
     proxy.reset()                  # all open connections at once
+    proxy.go_down(), proxy.come_up()  # new connections are refused
 
 Modes: pass; delay (each piece waits 200 ms); one_way (nothing comes back); silent (nothing goes either way); refuse (new
 connections are reset).
@@ -28,14 +29,27 @@
         self.bytes_per_second = None
         self.pairs = []
         self.lost = set()  # connections that end with a reset
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
+        self.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.address = "127.0.0.1:%d" % self.port
 
-    def accept(self):
+    def listen(self, port):
+        self.listener = socket.create_server(("127.0.0.1", port), backlog=256)
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def go_down(self):
+        """Its port refuses connections, as that of a target that has ended does."""
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def come_up(self):
+        self.listen(self.port)
+
+    def accept(self, listener):
         with contextlib.suppress(OSError):
             while True:
-                caller, _ = self.listener.accept()
+                caller, _ = listener.accept()
                 if self.mode == "refuse":
                     reset(caller)
                     continue
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -6,13 +6,16 @@
 
 Processes are stopped, frozen, killed and started again by signals; what goes to the store and to plain endpoints goes
 through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; engines of two
-software versions serve, and callers take up streams that broke off; endpoints break off, also within answers that end
-with their connection, fall silent, refuse, add bytes and state limits; entries lapse and come back, configurations
+software versions serve, and callers take up streams that broke off; endpoints crash, also under requests that crash each
+that answers them, break off, also within answers that end with their connection, fall silent, refuse, add bytes and state
+limits; entries lapse and come back, configurations
 change, keys are revoked while their callers go on, the store loses answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py,
 workspaces.py), or if not everybody is served again after the last fault.
 """
 
 import argparse
+import contextlib
+import http.client
 import pathlib
 import random
 import signal
@@ -28,7 +31,7 @@
 # pylint: disable=wrong-import-position
 from callers import Callers  # noqa: E402
 from checker import check  # noqa: E402
-from gatewayprocess import Gateway, send  # noqa: E402
+from gatewayprocess import SIZE, Gateway, send  # noqa: E402
 from paths import KINDS, Paths  # noqa: E402
 from proxy import MODES, Proxy  # noqa: E402
 from standin import wait_until  # noqa: E402
@@ -46,6 +49,10 @@
 SLOW_BYTES_PER_SECOND = (150_000, 1_000_000)  # of a host's link to the store
 MOST_LIMIT = 20.0  # calls a second
 CONTACT_SECONDS = 3.0  # from the end of an outage of the store until all hosts must know what changed
+DOWN_SECONDS = (0.1, 0.8)  # of an endpoint that crashed
+DEADLY = "dead"  # what is called so, in a prompt or a path, crashes each endpoint that begins to answer it
+MOST_CRASHES = {"/write/": 5 + 3, "/look/": 3 + 3}  # by a part of a prompt, and by a request; each with three more
+DEADLY_TRIES = 14
 LATE_RUNS_SECONDS = 1.0  # a call that was refused must not run later either
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
@@ -77,6 +84,12 @@
         self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, paths=paths, more=SETTINGS)
                          for number, (store, paths) in enumerate(zip(self.stores, self.paths))]
         self.busy = [threading.Lock() for _ in self.gateways]  # a process has one fault of its own at a time
+        for number, endpoint in enumerate(self.platform.endpoints):
+            endpoint.crashes_on = self.is_deadly
+            for proxy in self.proxies_of(number, endpoint):
+                endpoint.on_crash.append(proxy.go_down)
+                endpoint.on_back.insert(0, proxy.come_up)
+        self.crash_chance = random.Random(f"{seed}-crashes")
         self.callers = Callers(self.gateways, seed, count=3 * hosts, key_for=self.workspaces.key_for)
         self.own_calls = []
         self.log = []
@@ -87,7 +100,7 @@
         self.callers.start()
         end = time.monotonic() + seconds
         faults = [threading.Thread(target=fault, args=(end,), daemon=True)
-                  for fault in (self.path_faults, self.key_faults)]
+                  for fault in (self.path_faults, self.key_faults, self.crash_faults)]
         for fault in faults:
             fault.start()
         while time.monotonic() < end:
@@ -100,12 +113,23 @@
         for fault in faults:
             fault.join()
         self.check_recovery()
+        self.check_crashing("/write/")
+        self.check_crashing("/look/")
         self.check_leaving()
         self.callers.stop()
         time.sleep(LATE_RUNS_SECONDS)
         findings = check(self.callers.calls, self.platform.endpoints, self.own_calls)
         return findings + self.workspaces.check(self.callers.calls, self.platform.endpoints)
 
+    def proxies_of(self, number, endpoint):
+        own = [proxy for proxy in self.proxies[number:number + 1] if endpoint in self.plain]
+        return own + [paths.proxies[endpoint.address] for paths in self.paths]
+
+    @staticmethod
+    def is_deadly(request, _):
+        parts = [part.split(":")[0] for part in request.headers.get("X-Prompt-Prefix", "").split(",")]
+        return any(part.startswith(DEADLY) for part in parts[:-1]) or DEADLY in request.path
+
     def note(self, *words):
         self.log.append(f"{time.monotonic():.3f} " + " ".join(map(str, words)))
 
@@ -171,6 +195,42 @@
             for paths in cut:
                 paths.heal()
 
+    def crash_faults(self, end):
+        """Endpoints crash by themselves, and under requests that callers repeat or that share a part."""
+        chance = self.crash_chance
+        while time.monotonic() < end:
+            time.sleep(chance.uniform(0, 1))
+            endpoint = chance.choice(self.plain + self.writers)
+            endpoint.down_seconds = chance.uniform(*DOWN_SECONDS)
+            kind = chance.choice(("crash", "/write/", "/look/"))
+            self.note("crash of", endpoint.name, "by", kind, f"{endpoint.down_seconds:.2f}")
+            if kind == "crash":
+                endpoint.crash()
+            else:
+                self.send_deadly(chance.choice(self.gateways), kind, "during")
+
+    def send_deadly(self, gateway, path, name):
+        """A request that crashes who answers it: by its first part, no two alike, or by all of it, each the same."""
+        self.own_calls.append(f"deadly-{len(self.own_calls)}")
+        headers = {**SIZE, "X-Prompt-Prefix": f"{DEADLY}-{name}:100,{self.own_calls[-1]}:100"} if path == "/write/" else {}
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            send(gateway.callers, "GET", path + (name if path == "/write/" else f"{DEADLY}-{name}"),
+                 X_Request_Id=self.own_calls[-1], Authorization="Bearer " + self.workspaces.steady_key, **headers)
+
+    # Guards against requests that crash endpoints and are sent to one after the other, or that stop others with them.
+    def check_crashing(self, path):
+        wait_until(lambda: not any(each.crashing.locked() for each in self.platform.endpoints), "all endpoints to be back")
+        before = sum(each.crashes for each in self.platform.endpoints)
+        for number in range(DEADLY_TRIES):
+            self.send_deadly(self.gateways[number % len(self.gateways)], path, "after")
+            time.sleep(0.1)
+        ended = sum(each.crashes for each in self.platform.endpoints) - before
+        if ended > MOST_CRASHES[path]:
+            raise AssertionError(f"{ended} endpoints ended under {DEADLY_TRIES} requests to {path}")
+        for gateway in self.gateways:
+            wait_until(lambda: self.is_served(gateway, path, {"X_Prompt_Prefix": "f1:200,s:100", **SIZE}),
+                       f"{gateway.name} to serve sound requests to {path}")
+
     def configure(self):
         with self.configuring:
             self.platform.configure(self.routes, self.workspaces.rows())
@@ -258,10 +318,9 @@
             proxy.mode = "pass"
         self.routes = self.routes + [route("/newest/", "safe", "booking", max_attempts=2)]
         self.configure()
-        size = {"X_Token_Count": "100,400", "X_Length_Hint": "300", "X_Model": "m"}
         for gateway in self.gateways:
             wait_until(gateway.is_ready, f"{gateway.name} to be ready again")
-            for path, headers in (("/look/", {}), ("/write/", size), ("/newest/", {})):
+            for path, headers in (("/look/", {}), ("/write/", SIZE), ("/newest/", {})):
                 wait_until(lambda: self.is_served(gateway, path, headers), f"{gateway.name} to serve {path}")
 
     # Guards against hosts that keep an endpoint which left while they could not read the store.
