The first trial of a blocked request comes after 20 s

Each change of the leader may add a trial, since the next one does not know of those before it. With 10 s a fleet that loses its leader twice could make four in a minute and a half; with 20 s it makes three in two minutes.

--- a/decide/requestblocks.h
+++ b/decide/requestblocks.h
@@ -28,7 +28,7 @@
         Duration watchedFor{10min};
         // After this, one request that is blocked may be sent to see whether it still crashes endpoints. Each further
         // trial waits longer by the factor.
-        Duration firstTrial{10s};
+        Duration firstTrial{20s};
         int trialFactor = 6;
     };
 
