--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -283,8 +283,11 @@
         const int kind = *rc::gen::inRange(0, 10);
         const bool isDeadly = kind < 3;
         const bool isOther = kind == 3; // an engine ends by itself
-        const std::string request =
-            isDeadly ? "fx" + unique : first + *rc::gen::element<std::string>("m", "n", "") + unique;
+        std::string request = isDeadly ? "fx" : first;
+        if (!isDeadly) {
+            request += *rc::gen::element<std::string>("m", "n", "");
+        }
+        request += unique;
         if (blocks.blockedFor(parts(request), start)) {
             RC_ASSERT(isDeadly || mayBeRefused(parts(request)));
             continue;
