--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -167,6 +167,7 @@
     for (const std::string &address : job.endpoints) {
         // The call was not sent, so the ledger releases its key like that of any call that found no endpoint.
         if (!crashes.isEmpty() && crashes.blockedFor(contentOf(job.request), steadyNow())) {
+            Log::info("call_blocked", {{"attempt", job.call.attempt.value()}});
             return attempt_event::NeverSent{};
         }
         const Instant begun = steadyNow();
--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -107,7 +107,8 @@
 
 void ModelCall::serve(const asio::yield_context &yield)
 {
-    if (this->refusesBlocked(yield)) {
+    if (const auto left = this->blockedFor()) {
+        this->refuseBlocked(*left, yield);
         return;
     }
     this->placing.submit();
@@ -287,15 +288,16 @@
     return this->afterPump(end, yield);
 }
 
-bool ModelCall::refusesBlocked(const asio::yield_context &yield)
+std::optional<Duration> ModelCall::blockedFor()
 {
     LocalCrashes &crashes = this->services.state.crashes();
-    const auto left = crashes.isEmpty() ? std::nullopt : crashes.blockedFor(this->content, steadyNow());
-    if (left) {
-        const RunState run = this->generations > 0 ? RunState::MayHaveRun : RunState::NotRun;
-        this->refuse({RefusalCode::Blocked, run, "requests like this one crash engines", *left}, yield);
-    }
-    return left.has_value();
+    return crashes.isEmpty() ? std::nullopt : crashes.blockedFor(this->content, steadyNow());
+}
+
+void ModelCall::refuseBlocked(Duration blockedFor, const asio::yield_context &yield)
+{
+    const RunState run = this->generations > 0 ? RunState::MayHaveRun : RunState::NotRun;
+    this->refuse({RefusalCode::Blocked, run, "requests like this one crash engines", blockedFor}, yield);
 }
 
 ModelCall::Next ModelCall::failDecode(DecodeFault fault, std::optional<Duration> ran)
@@ -336,9 +338,10 @@
                                       }});
     const CrashedRun run = endOf(this->decodeEngine.value(), this->decodeBegun);
     this->services.state.crashes().onCrash(run, this->content);
-    if (this->refusesBlocked(yield)) {
+    if (const auto left = this->blockedFor()) {
         this->placing.decodeFailed(DecodeFault::Unreachable, false, run.ended - run.begun);
         this->placing.finished(peer::RequestOutcome::Failed, Tokens(this->sink.delivered.count().value()));
+        this->refuseBlocked(*left, yield);
         return Next::Ended;
     }
     if (this->generations >= mostGenerations || !this->services.retries.take()) {
--- a/programs/entry/modelcall.h
+++ b/programs/entry/modelcall.h
@@ -41,8 +41,9 @@
     Next decode(const asio::yield_context &yield);
     std::optional<DecodeStream> openDecode(const asio::yield_context &yield, std::optional<DecodeFault> &fault);
     Next failDecode(DecodeFault fault, std::optional<Duration> ran);
-    // Whether this entry has blocked the request, which was refused then.
-    bool refusesBlocked(const asio::yield_context &yield);
+    // How long this entry refuses the request since it crashes engines; empty if it may be sent.
+    std::optional<Duration> blockedFor();
+    void refuseBlocked(Duration blockedFor, const asio::yield_context &yield);
     Next afterPump(PumpEnd end, const asio::yield_context &yield);
     void finishWhole(const asio::yield_context &yield);
     void finishMoved(const asio::yield_context &yield);
