Waiting whether an endpoint has ended keeps to the call's deadline

A stream that may go on, and a repeatable call, wait for it before they are sent to a further endpoint. That could take a second, also where less was left of the call: found by reading. The wait is bounded by the time left now; without any the result is not waited for.

--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -23,6 +23,8 @@
 namespace
 {
 
+constexpr Duration probeLimit{1s}; // whether an endpoint has ended
+
 // A few seconds of the most bookings that the store takes; more would wait longer than their callers.
 constexpr std::size_t mostJobs = 1024;
 // Attempts under way, those that only settle their row after the answer included: an outage of ten minutes at several
@@ -186,7 +188,7 @@
             Log::warning("call_failed",
                          {{"attempt", job.call.attempt.value()}, {"endpoint", address}, {"fault", error.what()}});
             if (error.fault() == HttpFault::Closed && !error.isKnownNotSent()
-                && this->endpoints.probe(address, yield) == Liveness::Ended) {
+                && this->endpoints.probe(address, probeLimit, yield) == Liveness::Ended) {
                 crashes.onCrash(endOf(address, begun), contentOf(job.request));
             }
             if (!error.isKnownNotSent()) {
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -25,6 +25,7 @@
 // A part of a prompt crashes an engine as that begins to write on it. Generations that were written for longer are not
 // suspected for their parts, or each crash would suspect most of what is sent.
 constexpr Duration beginning{1s};
+constexpr Duration probeLimit{1s}; // where nobody waits for the result
 constexpr std::size_t maxOwnCrashes = 256;
 constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
 constexpr Duration blockDuration = crashesCountFor;
@@ -112,21 +113,22 @@
     return crash;
 }
 
-void CrashGuard::onBrokenOff(const BrokenAnswer &answer, const asio::yield_context &yield)
+void CrashGuard::onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield)
 {
-    this->confirm(answer.endpoint.address, suspectedBy(answer), yield);
+    this->confirm(answer.endpoint.address, suspectedBy(answer), limit, yield);
 }
 
 void CrashGuard::onBrokenOff(const BrokenAnswer &answer)
 {
     startCoroutine(this->io,
                    [this, address = answer.endpoint.address, suspected = suspectedBy(answer)](
-                       const asio::yield_context &yield) { this->confirm(address, suspected, yield); });
+                       const asio::yield_context &yield) { this->confirm(address, suspected, probeLimit, yield); });
 }
 
-void CrashGuard::confirm(const std::string &address, const Crash &suspected, const asio::yield_context &yield)
+void CrashGuard::confirm(const std::string &address, const Crash &suspected, Duration limit,
+                         const asio::yield_context &yield)
 {
-    const Liveness found = this->client.probe(address, yield);
+    const Liveness found = this->client.probe(address, limit, yield);
     Log::info("answer_broken_off",
               {{"endpoint", suspected.run.endpoint.endpoint.value()},
                {"incarnation", suspected.run.endpoint.incarnation},
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -5,7 +5,7 @@
 //     CrashGuard guard(io, client);
 //     guard.setUplink(send);                                    // to the host that decides for all, or empty
 //     if (const auto left = guard.blockedFor(call); left && !guard.takeTrial(call)) { ... refuse ... }
-//     guard.onBrokenOff({endpoint, call, sent, firstEvent}, yield);   // whether the endpoint has ended
+//     guard.onBrokenOff({endpoint, call, sent, firstEvent}, limit, yield);   // whether the endpoint has ended
 //     guard.onServed(call, begun);                              // a whole answer
 //
 // Hosts report the requests that ran at endpoints that ended, and the leader or its deputy finds out which to block.
@@ -42,10 +42,10 @@
     std::optional<Duration> blockedFor(const HttpCall &call) const;
     // Whether this one may be sent although it is blocked, as a trial. Only the host that counts the crashes makes any.
     bool takeTrial(const HttpCall &call);
-    // Waits until it is known whether the endpoint of the answer has ended, and reports it.
-    void onBrokenOff(const BrokenAnswer &answer, const asio::yield_context &yield);
-    // The same in the background.
+    // Finds out in the background whether the endpoint of the answer has ended, and reports it.
     void onBrokenOff(const BrokenAnswer &answer);
+    // The same, and waits for it, but not longer than the limit.
+    void onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
     // The request that was sent at `begun` has been answered in full.
     void onServed(const HttpCall &call, Instant begun);
 
@@ -76,7 +76,7 @@
 
     static Crash suspectedBy(const BrokenAnswer &answer);
     // Reports the crash if there is no endpoint any more at the address.
-    void confirm(const std::string &address, const Crash &suspected, const asio::yield_context &yield);
+    void confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
     void report(const Crash &crash);
     // Counts a crash, and notifies all hosts of what it has shown.
     void count(const Crash &crash);
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -470,8 +470,8 @@
 {
     CrashGuard &crashes = this->call.services.crashes;
     const BrokenAnswer answer{at, this->call.http, this->sentAt, this->firstEventAt};
-    if (this->call.route.isResumable) {
-        crashes.onBrokenOff(answer, yield);
+    if (this->call.route.isResumable && this->call.timeLeft() > 0ms) {
+        crashes.onBrokenOff(answer, this->call.timeLeft(), yield);
         this->checkCaller();
     } else {
         crashes.onBrokenOff(answer);
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -123,10 +123,12 @@
 void PlainForward::reportCutShort(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield)
 {
     CrashGuard &crashes = this->call.services.crashes;
-    if (this->call.route.kind == CallKind::Repeatable) {
-        crashes.onBrokenOff({endpoint, this->call.http, begun, std::nullopt}, yield);
+    const BrokenAnswer answer{endpoint, this->call.http, begun, std::nullopt};
+    const Duration left = this->call.timeLeft();
+    if (this->call.route.kind == CallKind::Repeatable && left > 0ms) {
+        crashes.onBrokenOff(answer, left, yield);
     } else {
-        crashes.onBrokenOff({endpoint, this->call.http, begun, std::nullopt});
+        crashes.onBrokenOff(answer);
     }
 }
 
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -340,10 +340,10 @@
     }
 }
 
-Liveness HttpClient::probe(const std::string &address, const asio::yield_context &yield)
+Liveness HttpClient::probe(const std::string &address, Duration limit, const asio::yield_context &yield)
 {
     const EndpointPaths *paths = this->pool->options.paths;
-    const SteadyTime deadline = std::chrono::steady_clock::now() + checkLimit;
+    const SteadyTime deadline = std::chrono::steady_clock::now() + std::min(limit, checkLimit);
     const bool isDirect = paths == nullptr || !paths->usesTunnel(address);
     bool isRefused = false;
     try {
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -216,9 +216,9 @@
     // Makes a check that EndpointPaths has due: connects to the endpoint and sends nothing.
     void check(const std::string &address, const asio::yield_context &yield);
 
-    // Connects to the address and sends nothing. A refusal here counts only if no other host is connected either. Does
-    // not report to EndpointPaths: the process may have ended.
-    Liveness probe(const std::string &address, const asio::yield_context &yield);
+    // Connects to the address and sends nothing, for at most a second or the limit. A refusal here counts only if no
+    // other host is connected either. Does not report to EndpointPaths: the process may have ended.
+    Liveness probe(const std::string &address, Duration limit, const asio::yield_context &yield);
 
     std::size_t openConnections() const;
 
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -138,9 +138,9 @@
     runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
         HttpClient client(io, {});
         const std::string address = served->address();
-        EXPECT_EQ(client.probe(address, yield), Liveness::Running);
+        EXPECT_EQ(client.probe(address, 1s, yield), Liveness::Running);
         served.reset();
-        EXPECT_EQ(client.probe(address, yield), Liveness::Ended);
+        EXPECT_EQ(client.probe(address, 1s, yield), Liveness::Ended);
         EXPECT_EQ(client.openConnections(), 0U);
     });
 }
