--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -261,8 +261,8 @@
             self.crashes += 1
             for called in self.on_crash:
                 called()
-            # Nothing tells an unframed stream that ends in order between two events from a whole one.
-            self.http.crash(resets=not self.is_framed)
+            # Nothing tells a plain unframed answer that ends in order from a whole one, nor a stream between two events.
+            self.http.crash(resets=self.stage is None or not self.is_framed)
             threading.Thread(target=self.come_back, daemon=True).start()
 
     def come_back(self):
