--- a/testing/process/paths.py
+++ b/testing/process/paths.py
@@ -7,13 +7,14 @@
     paths.cut("refuse")        # new connections are refused, open ones live on
     paths.cut("hang", endpoints)  # only to these
     paths.heal()
+    paths.limit(40_000)        # bytes a second, each way, of all connections together
 """
 
 import contextlib
 import pathlib
 import socket
 
-from proxy import Proxy
+from proxy import Link, Proxy
 
 KINDS = ("hang", "reset", "refuse")
 # Connections that fill the backlog of a listener, so that the kernel drops what comes after them.
@@ -56,6 +57,11 @@
             elif kind == "reset":
                 proxy.reset()
 
+    def limit(self, bytes_per_second):
+        links = (Link(bytes_per_second), Link(bytes_per_second))
+        for proxy in self.proxies.values():
+            proxy.links = links
+
     def heal(self):
         for proxy in self.proxies.values():
             if proxy.mode != "pass":
--- a/testing/process/test_crashing_requests.py
+++ b/testing/process/test_crashing_requests.py
@@ -1,6 +1,5 @@
 """Requests that crash the endpoints that answer them, beside sound ones, and crashes that no request causes."""
 
-import http.client
 import pathlib
 import signal
 import sys
@@ -10,48 +9,15 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
 
-from gatewayprocess import SIZE, send  # noqa: E402  pylint: disable=wrong-import-position
-from paths import Paths  # noqa: E402  pylint: disable=wrong-import-position
-from platformtest import PlatformTest  # noqa: E402  pylint: disable=wrong-import-position
-from standin import wait_until  # noqa: E402  pylint: disable=wrong-import-position
-from userplatform import route  # noqa: E402  pylint: disable=wrong-import-position
-
-ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=3),
-          route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=4, resumable=True)]
-DEADLY = b"deadly"
-MOST_CRASHES = 3  # under one request
-DEADLY_PART = "dead"
+# pylint: disable=wrong-import-position
+from crashtest import DEADLY, DEADLY_PART, MOST_CRASHES, PAUSE_SECONDS, CrashTest  # noqa: E402
+from paths import Paths  # noqa: E402
+from standin import wait_until  # noqa: E402
+
 MOST_PART_CRASHES = 5  # under requests that share a part of their prompts
-PAUSE_SECONDS = 0.3  # between two tries, so that what one of them showed has reached every host
-
-
-class CrashingRequestsTest(PlatformTest):
-    def setUp(self):
-        super().setUp()
-        self.plain = [self.platform.endpoint("booking") for _ in range(6)]
-        self.platform.endpoint("llm", "prefill")
-        self.writers = [self.platform.endpoint("llm", "decode") for _ in range(6)]
-        for endpoint in self.plain + self.writers:
-            endpoint.crashes_on = self.is_deadly
-        self.platform.configure(ROUTES)
-
-    @staticmethod
-    def is_deadly(request, body):
-        parts = [part.split(":")[0] for part in request.headers.get("X-Prompt-Prefix", "").split(",")]
-        return body == DEADLY or request.path.endswith("deadly") or DEADLY_PART in parts[:-1]
-
-    def crashes(self):
-        return sum(endpoint.crashes for endpoint in self.platform.endpoints)
-
-    @staticmethod
-    def ask(gateway, path, body=b"sound", parts="aa:200,bb:800"):
-        """The status of the whole answer, or 0 where it breaks off."""
-        method = "GET" if path.startswith("/look/") else "POST"
-        try:
-            return send(gateway.callers, method, path, None if method == "GET" else body, X_Prompt_Prefix=parts, **SIZE)[0]
-        except (http.client.HTTPException, ConnectionError):
-            return 0
 
+
+class CrashingRequestsTest(CrashTest):
     def repeat(self, gateways, path, body, times=10):
         """The statuses of as many tries, at one host after the other."""
         statuses = []
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -13,7 +13,9 @@
 length nor chunks and end with their connection.
 
 An endpoint crashes under the requests for which `crashes_on(request, body)` is true, once it begins to answer, and at each
-crash(): its connections end, its port refuses new ones, and after `down_seconds` it is back as a new incarnation.
+crash(): its connections end, its port refuses new ones, and after `down_seconds` it is back as a new incarnation. A prefill
+engine crashes under them as it reads their prompts. With `crash_delay` it crashes that much later; with `crash_events`, a
+decode engine after so many events; with `ends_in_order`, connections end in order whatever was sent on them.
 """
 
 import base64
@@ -251,6 +253,9 @@
         self.crashes_on = lambda request, body: False
         self.crashes = 0
         self.down_seconds = 1.0
+        self.crash_delay = 0.0
+        self.crash_events = 0
+        self.ends_in_order = False
         self.crashing = threading.Lock()
         self.on_crash, self.on_back = [], []  # called when its port refuses connections, and when it listens again
         super().__init__()
@@ -262,9 +267,14 @@
             for called in self.on_crash:
                 called()
             # Nothing tells a plain unframed answer that ends in order from a whole one, nor a stream between two events.
-            self.http.crash(resets=self.stage is None or not self.is_framed)
+            self.http.crash(resets=not self.ends_in_order and (self.stage is None or not self.is_framed))
             threading.Thread(target=self.come_back, daemon=True).start()
 
+    def crash_under(self, request):
+        time.sleep(self.crash_delay)
+        self.crash()
+        request.close_connection = True
+
     def come_back(self):
         time.sleep(self.down_seconds)
         self.listen(self.port)
@@ -285,7 +295,10 @@
             self.released.append(request.path)
             request.reply(200, {})
         elif request.headers.get("X-Stage") == "prefill":
-            request.reply(200, {"handle": "k1", "tokens": 10, "version": 1})
+            if self.crashes_on(request, body):
+                self.crash_under(request)
+            else:
+                request.reply(200, {"handle": "k1", "tokens": 10, "version": 1})
         elif self.stage == "decode":
             self.generate(request, body)
         else:
@@ -305,8 +318,9 @@
         headers = self.note(request, body)
         text = b"answer of " + self.name.encode()
         if self.crashes_on(request, body):
-            self.crash()
-            request.close_connection = True
+            if self.ends_in_order:
+                request.reply(200, text[:5], headers, length="none")
+            self.crash_under(request)
         elif self.behave == "mute":
             time.sleep(30)
         elif self.behave == "cut":
@@ -344,11 +358,11 @@
         for name, value in headers.items():
             request.send_header(name, value)
         request.end_headers()
-        if self.crashes_on(request, body):
-            self.crash()
-            request.close_connection = True
-            return
+        is_deadly = self.crashes_on(request, body)
         for number in range(first, EVENTS + 1):
+            if is_deadly and number - first >= self.crash_events:
+                self.crash_under(request)
+                return
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
             behave = self.behave
             if behave == "empty" and number == first:
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -3,6 +3,7 @@
     proxy = Proxy("127.0.0.1:24001")
     proxy.mode = "silent"          # passed on from now: nothing, and no reset
     proxy.bytes_per_second = 100_000  # of each connection, either way
+    proxy.links = (Link(40_000), Link(40_000))  # what all connections share, to the target and back
     proxy.reset()                  # all open connections at once
     proxy.go_down(), proxy.come_up()  # new connections are refused
 
@@ -21,12 +22,29 @@
 MODES = ("delay", "one_way", "silent", "refuse")
 
 
+class Link:
+    """One direction of a network link: what is sent waits until all before it has passed."""
+
+    def __init__(self, bytes_per_second):
+        self.bytes_per_second = bytes_per_second
+        self.free_at = 0.0
+        self.lock = threading.Lock()
+
+    def carry(self, count):
+        with self.lock:
+            now = time.monotonic()
+            self.free_at = max(now, self.free_at) + count / self.bytes_per_second
+            wait = self.free_at - now
+        time.sleep(wait)
+
+
 class Proxy:
     def __init__(self, target):
         host, port = target.split(":")
         self.target = (host, int(port))
         self.mode = "pass"
         self.bytes_per_second = None
+        self.links = None
         self.pairs = []
         self.lost = set()  # connections that end with a reset
         self.listen(0)
@@ -82,6 +100,8 @@
                     continue
                 if self.mode == "delay":
                     time.sleep(DELAY_SECONDS)
+                if self.links:
+                    self.links[is_back].carry(len(data))
                 sink.sendall(data)
                 if self.bytes_per_second:
                     time.sleep(len(data) / self.bytes_per_second)
