Each crash under copies of one request counts

Overlapping crashes are not counted for parts of prompts, since a rack that fails ends many requests with one part together.

The table of the tracker's test expected that three overlapping crashes under one request do not count. That was the fault; the table now has both kinds of traits, the parts as strict as before. The rack of the last test ran copies of one request by mistake; its requests differ now.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -2,8 +2,10 @@
 // the suspects of each further crash, while the others are not, or are answered elsewhere: one answer clears all traits
 // of its request.
 //
-// Endpoints that end together, as with a lost rack, have another cause, however many requests ran there. So a further
-// crash counts only if its request was sent after the crash before it: only then can the trait have caused both.
+// Endpoints that end together, as with a lost rack, have another cause, however many requests with a part ran there. So
+// for a part, a further crash counts only if its request was sent after the crash before it: only then can the part have
+// caused both. Copies of one whole request rarely run at several endpoints at once, unless their callers repeat it
+// without waiting; then they end these together, so each crash counts for a whole request.
 //
 // Requests that share a trait mostly share others as well, such as the first part of the prompt, which all requests of
 // their caller have. So requests are blocked only if they have all the traits that the suspected ones have in common.
@@ -121,6 +123,18 @@
     return count;
 }
 
+int CrashTracker::countOf(const RequestTrait &trait, const RunNumbers &numbers) const
+{
+    if (!trait.isWholeRequest()) {
+        return this->longestSeries(numbers);
+    }
+    std::set<EndpointStart> endpoints;
+    for (const RunNumber number : numbers) {
+        endpoints.insert(this->runOf(number).run.endpoint);
+    }
+    return static_cast<int>(endpoints.size());
+}
+
 int CrashTracker::crashesToBlock(const RequestTrait &trait) const
 {
     return trait.isWholeRequest() ? this->options.requestCrashes : this->options.partCrashes;
@@ -143,7 +157,7 @@
     RequestTraits found;
     for (const RequestTrait &trait : traits) {
         const auto suspect = this->suspects.find(trait.value());
-        if (suspect != this->suspects.end() && this->longestSeries(suspect->second) >= this->options.watchedCrashes) {
+        if (suspect != this->suspects.end() && this->countOf(trait, suspect->second) >= this->options.watchedCrashes) {
             found.push_back(trait);
         }
     }
@@ -180,7 +194,7 @@
     std::vector<Candidate> candidates;
     for (const RequestTrait &trait : this->frequent) {
         const RunNumbers &numbers = this->suspects.at(trait.value());
-        if (this->longestSeries(numbers) >= this->crashesToBlock(trait)) {
+        if (this->countOf(trait, numbers) >= this->crashesToBlock(trait)) {
             candidates.push_back({trait, &numbers, this->inCommon(numbers).size(), this->lastSent(numbers)});
         }
     }
@@ -199,7 +213,7 @@
                 left.push_back(number);
             }
         }
-        if (this->longestSeries(left) < this->crashesToBlock(candidate.trait)) {
+        if (this->countOf(candidate.trait, left) < this->crashesToBlock(candidate.trait)) {
             continue;
         }
         const RequestTraits common = this->inCommon(left);
--- a/decide/crashtracker.h
+++ b/decide/crashtracker.h
@@ -103,6 +103,8 @@
     bool isKnown(const CrashedRun &run, const RequestTraits &traits) const;
     void forgetFirst();
     void dropSuspect(const RequestTrait &trait);
+    // How many of the runs count as crashes that the trait may have caused.
+    int countOf(const RequestTrait &trait, const RunNumbers &numbers) const;
     // The most of the runs of which each began after the one before had ended.
     int longestSeries(const RunNumbers &numbers) const;
     int crashesToBlock(const RequestTrait &trait) const;
--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr Instant start{1h};
 const RequestTrait deadly = RequestTrait::wholeRequest("deadly");
+const RequestTrait deadlyPart = RequestTrait::promptPart("deadly");
 
 // The run of a request at an endpoint that ended under it, in milliseconds since the start.
 struct RunTimes {
@@ -33,30 +34,39 @@
     return std::find(blocked.begin(), blocked.end(), RequestTraits{trait}) != blocked.end();
 }
 
-TEST(CrashTracker, CountsRunsThatBeganAfterTheCrashBefore)
+// The crashes of a part must follow one another; those of a whole request may overlap.
+TEST(CrashTracker, CountsCrashes)
 {
+    struct Found {
+        bool isWatched;
+        bool isBlocked;
+    };
     const struct {
         const char *name;
         std::vector<RunTimes> runs;
-        bool isWatched;
-        bool isBlocked;
+        Found part;
+        Found request;
     } cases[] = {
-        {"one crash", {{0, 100}}, false, false},
-        {"two, one after the other", {{0, 100}, {200, 300}}, true, false},
-        {"three, one after the other", {{0, 100}, {200, 300}, {301, 302}}, true, true},
-        {"three that end together", {{0, 100}, {50, 100}, {99, 100}}, false, false},
-        {"three that overlap", {{0, 300}, {100, 400}, {200, 500}}, false, false},
-        {"three, two of which overlap", {{0, 100}, {50, 150}, {200, 300}}, true, false},
-        {"reports in any order", {{400, 500}, {0, 100}, {200, 300}}, true, true},
-        {"one crash, reported again", {{0, 100}, {0, 100}, {0, 100}}, false, false},
+        {"one crash", {{0, 100}}, {false, false}, {false, false}},
+        {"two, one after the other", {{0, 100}, {200, 300}}, {true, false}, {true, false}},
+        {"three, one after the other", {{0, 100}, {200, 300}, {301, 302}}, {true, false}, {true, true}},
+        {"four, one after the other", {{0, 100}, {200, 300}, {301, 302}, {400, 500}}, {true, true}, {true, true}},
+        {"two that end together", {{0, 100}, {50, 100}}, {false, false}, {true, false}},
+        {"four that end together", {{0, 100}, {50, 100}, {99, 100}, {98, 100}}, {false, false}, {true, true}},
+        {"four that overlap", {{0, 300}, {100, 400}, {200, 500}, {250, 600}}, {false, false}, {true, true}},
+        {"four, two of which overlap", {{0, 100}, {50, 150}, {200, 300}, {400, 500}}, {true, false}, {true, true}},
+        {"reports in any order", {{400, 500}, {0, 100}, {600, 700}, {200, 300}}, {true, true}, {true, true}},
+        {"one crash, reported again", {{0, 100}, {0, 100}, {0, 100}, {0, 100}}, {false, false}, {false, false}},
     };
     for (const auto &each : cases) {
-        CrashTracker tracker({});
-        for (const RunTimes &run : each.runs) {
-            tracker.onCrash(at(run), {deadly});
+        for (const auto &[trait, found] : {std::make_pair(deadlyPart, each.part), std::make_pair(deadly, each.request)}) {
+            CrashTracker tracker({});
+            for (const RunTimes &run : each.runs) {
+                tracker.onCrash(at(run), {trait});
+            }
+            EXPECT_EQ(!tracker.watchedOf({trait}).empty(), found.isWatched) << each.name;
+            EXPECT_EQ(isBlocked(tracker, trait), found.isBlocked) << each.name;
         }
-        EXPECT_EQ(!tracker.watchedOf({deadly}).empty(), each.isWatched) << each.name;
-        EXPECT_EQ(isBlocked(tracker, deadly), each.isBlocked) << each.name;
     }
 }
 
@@ -141,10 +151,10 @@
     }
     CrashTracker tracker({});
     for (const RunTimes &run : runs) {
-        tracker.onCrash(at(run), {deadly});
+        tracker.onCrash(at(run), {deadlyPart});
     }
-    RC_ASSERT(isBlocked(tracker, deadly) == (longest >= CrashTracker::Options{}.requestCrashes));
-    RC_ASSERT(!tracker.watchedOf({deadly}).empty() == (longest >= CrashTracker::Options{}.watchedCrashes));
+    RC_ASSERT(isBlocked(tracker, deadlyPart) == (longest >= CrashTracker::Options{}.partCrashes));
+    RC_ASSERT(!tracker.watchedOf({deadlyPart}).empty() == (longest >= CrashTracker::Options{}.watchedCrashes));
 }
 
 RequestTraits parts(const std::string &names)
@@ -245,7 +255,8 @@
     }
     CrashTracker rack({});
     for (int number = 1; number <= 30; ++number) {
-        rack.onCrash({{EndpointId("e"), number}, start, start + 1s + 1ms * number}, parts("fm"));
+        const std::string unique(1, static_cast<char>('A' + number));
+        rack.onCrash({{EndpointId("e"), number}, start, start + 1s + 1ms * number}, parts("fm" + unique));
     }
     EXPECT_TRUE(rack.blocked().empty());
 }
