An error answer does not clear a request that crashes endpoints

Any answer to a plain call cleared what the call was suspected for, also a 500. An endpoint may fail a call before it comes to what would crash it, so a request that ended every other endpoint went on without an end (test_an_error_in_between_does_not_clear_a_request: 5 ended, bound 3). Answers below 500 clear, as before.

--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -109,8 +109,10 @@
         ended(EndpointOutcome::Failed);
         return SendResult::Lost;
     }
-    this->call.services.crashes.onServed(this->call.http, begin);
     const bool isError = head.status >= firstServerError;
+    if (!isError) { // an endpoint may fail a call before it comes to what would crash it
+        this->call.services.crashes.onServed(this->call.http, begin);
+    }
     if (isError) {
         this->lastFault = fmt::format("{} answered {}", endpoint.id.value(), head.status);
     }
