An answer that ends with its connection is whole only if its endpoint has not ended with it

A new connection tells: the port of an endpoint that has ended refuses it. It is made once, after such an answer, and not where the endpoint is known to be leaving, since that ends in order.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -135,14 +135,30 @@
                {"liveness", nameOf(found)},
                {"ran_ms", (suspected.run.ended - suspected.run.begun).count() / 1000},
                {"traits", textOf(suspected.traits)}});
-    if (found != Liveness::Ended) {
-        return;
+    if (found == Liveness::Ended) {
+        this->onConfirmed(suspected);
+    }
+}
+
+bool CrashGuard::hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield)
+{
+    if (this->client.probe(answer.endpoint.address, limit, yield) != Liveness::Ended) {
+        return false;
     }
-    this->ownCrashes.push_back(suspected);
+    const Crash crash = suspectedBy(answer);
+    Log::info("endpoint_ended_with_answer",
+              {{"endpoint", answer.endpoint.id.value()}, {"traits", textOf(crash.traits)}});
+    this->onConfirmed(crash);
+    return true;
+}
+
+void CrashGuard::onConfirmed(const Crash &crash)
+{
+    this->ownCrashes.push_back(crash);
     if (this->ownCrashes.size() > maxOwnCrashes) {
         this->ownCrashes.pop_front();
     }
-    this->report(suspected);
+    this->report(crash);
 }
 
 void CrashGuard::report(const Crash &crash)
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -46,6 +46,9 @@
     void onBrokenOff(const BrokenAnswer &answer);
     // The same, and waits for it, but not longer than the limit.
     void onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
+    // Whether the endpoint has ended with an answer that ends with its connection, so that the answer may be incomplete.
+    // Reports it if so.
+    bool hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
     // The request that was sent at `begun` has been answered in full.
     void onServed(const HttpCall &call, Instant begun);
 
@@ -77,6 +80,7 @@
     static Crash suspectedBy(const BrokenAnswer &answer);
     // Reports the crash if there is no endpoint any more at the address.
     void confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
+    void onConfirmed(const Crash &crash);
     void report(const Crash &crash);
     // Counts a crash, and notifies all hosts of what it has shown.
     void count(const Crash &crash);
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -8,7 +8,7 @@
 //
 // The end of a body is not yet the end of its stream: an engine that crashes closes its connections in order, and a
 // body without a length or chunks ends with its connection. So a stream is complete only if it also ends after an
-// event.
+// event and, if it ends with its connection, its engine has not ended with it.
 
 #include "programs/gateway/generationforward.h"
 
@@ -294,7 +294,8 @@
     this->lastEventAt = now;
 }
 
-GenerationForward::Outcome GenerationForward::relay(LineStream &stream, const asio::yield_context &yield)
+GenerationForward::Outcome GenerationForward::relay(LineStream &stream, const EndpointRecord &at,
+                                                    const asio::yield_context &yield)
 {
     const std::int64_t eventsBefore = this->eventsProduced;
     std::string bytes;
@@ -311,7 +312,7 @@
             return Outcome::Broken;
         }
     }
-    if (!this->hasEnded(this->eventsProduced > eventsBefore)) {
+    if (!this->hasEnded(at, this->eventsProduced > eventsBefore, yield)) {
         return Outcome::Broken;
     }
     this->call.services.crashes.onServed(this->call.http, this->sentAt);
@@ -320,7 +321,7 @@
     return Outcome::Whole;
 }
 
-bool GenerationForward::hasEnded(bool hasEvents)
+bool GenerationForward::hasEnded(const EndpointRecord &at, bool hasEvents, const asio::yield_context &yield)
 {
     if (this->events.isInsideEvent()) {
         this->lastFault = this->engine.value() + " ended its answer inside an event";
@@ -332,6 +333,13 @@
         this->isCutShort = true;
         return false;
     }
+    const auto &services = this->call.services;
+    const BrokenAnswer answer{at, this->call.http, this->sentAt, this->firstEventAt};
+    if (this->framing == BodyFraming::Connection && services.fleet.usable(at.id)
+        && services.crashes.hasEndedWith(answer, this->call.timeLeft(), yield)) {
+        this->lastFault = this->engine.value() + " ended with its answer";
+        return false;
+    }
     return true;
 }
 
@@ -374,7 +382,7 @@
             this->isStarted = true;
             this->call.reply.startForward(head.status, head.headers, yield);
         }
-        return this->relay(stream, yield);
+        return this->relay(stream, place.engine, yield);
     } catch (const HttpError &error) {
         this->onFault(error);
         this->sends -= error.isKnownNotSent() ? 1 : 0;
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -49,9 +49,9 @@
     std::optional<Prefill> prefill(const Place &place, const asio::yield_context &yield);
     std::optional<Prefill> prefillAt(const EndpointRecord &engine, const asio::yield_context &yield);
     Outcome generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
-    Outcome relay(LineStream &events, const asio::yield_context &yield);
+    Outcome relay(LineStream &events, const EndpointRecord &engine, const asio::yield_context &yield);
     // Whether a body that has ended by its framing is a whole stream. Otherwise sets the last fault.
-    bool hasEnded(bool hasEvents);
+    bool hasEnded(const EndpointRecord &engine, bool hasEvents, const asio::yield_context &yield);
     Outcome forwardError(LineStream &answer, const AnswerHead &head, const asio::yield_context &yield);
     void reportLostResult(const Place &place);
     void release(const Place &place, const std::optional<Prefill> &prefill);
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -109,6 +109,11 @@
         ended(EndpointOutcome::Failed);
         return SendResult::Lost;
     }
+    if (response.framing == BodyFraming::Connection && this->hasEndedWith(endpoint, begin, yield)) {
+        this->lastFault = endpoint.id.value() + " ended with its answer";
+        ended(EndpointOutcome::Failed);
+        return SendResult::Lost;
+    }
     const bool isError = head.status >= firstServerError;
     if (!isError) { // an endpoint may fail a call before it comes to what would crash it
         this->call.services.crashes.onServed(this->call.http, begin);
@@ -134,6 +139,13 @@
     }
 }
 
+bool PlainForward::hasEndedWith(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield)
+{
+    const auto &services = this->call.services;
+    return services.fleet.usable(endpoint.id)
+        && services.crashes.hasEndedWith({endpoint, this->call.http, begun, std::nullopt}, this->call.timeLeft(), yield);
+}
+
 std::optional<NoRetry> PlainForward::claimRetry(SendResult sent)
 {
     if (this->abort.isAborted()) {
