Engines that end while they read a prompt count, and their word is waited for

Now a prefill that breaks off is looked into like any answer, and an answer does not clear a request under which a reader ended in the same call. What is not an answer counts like an answer that breaks off. The leader replies to a report once it has notified all hosts, and a call that may be sent again waits for that, 100 ms at most: before, a second prefill or endpoint was asked in the same moment. A trial of a blocked request is sent once, also on a route that allows more.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -26,6 +26,7 @@
 // suspected for their parts, or each crash would suspect most of what is sent.
 constexpr Duration beginning{1s};
 constexpr Duration probeLimit{1s}; // where nobody waits for the result
+constexpr Duration replyLimit{100ms}; // a leader that takes longer has no processor time
 constexpr std::size_t maxOwnCrashes = 256;
 constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
 constexpr Duration blockDuration = crashesCountFor;
@@ -76,6 +77,12 @@
 
 } // namespace
 
+bool mayHaveEnded(const HttpError &error)
+{
+    const HttpFault fault = error.fault();
+    return !error.isKnownNotSent() && (fault == HttpFault::Closed || fault == HttpFault::Malformed);
+}
+
 CrashGuard::CrashGuard(asio::io_context &context, HttpClient &httpClient)
     : io(context)
     , client(httpClient)
@@ -113,9 +120,9 @@
     return crash;
 }
 
-void CrashGuard::onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield)
+bool CrashGuard::onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield)
 {
-    this->confirm(answer.endpoint.address, suspectedBy(answer), limit, yield);
+    return this->confirm(answer.endpoint.address, suspectedBy(answer), limit, yield);
 }
 
 void CrashGuard::onBrokenOff(const BrokenAnswer &answer)
@@ -125,7 +132,7 @@
                        const asio::yield_context &yield) { this->confirm(address, suspected, probeLimit, yield); });
 }
 
-void CrashGuard::confirm(const std::string &address, const Crash &suspected, Duration limit,
+bool CrashGuard::confirm(const std::string &address, const Crash &suspected, Duration limit,
                          const asio::yield_context &yield)
 {
     const Liveness found = this->client.probe(address, limit, yield);
@@ -135,9 +142,12 @@
                {"liveness", nameOf(found)},
                {"ran_ms", (suspected.run.ended - suspected.run.begun).count() / 1000},
                {"traits", textOf(suspected.traits)}});
-    if (found == Liveness::Ended) {
-        this->onConfirmed(suspected);
+    if (found != Liveness::Ended) {
+        return false;
     }
+    this->onConfirmed(suspected);
+    this->reportAndWait(suspected, limit, yield);
+    return true;
 }
 
 bool CrashGuard::hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield)
@@ -149,6 +159,7 @@
     Log::info("endpoint_ended_with_answer",
               {{"endpoint", answer.endpoint.id.value()}, {"traits", textOf(crash.traits)}});
     this->onConfirmed(crash);
+    this->reportAndWait(crash, limit, yield);
     return true;
 }
 
@@ -158,10 +169,25 @@
     if (this->ownCrashes.size() > maxOwnCrashes) {
         this->ownCrashes.pop_front();
     }
-    this->report(crash);
 }
 
-void CrashGuard::report(const Crash &crash)
+// The host that counts notifies this one of what it blocks before it replies.
+void CrashGuard::reportAndWait(const Crash &crash, Duration limit, const asio::yield_context &yield)
+{
+    if (!this->uplink) {
+        this->report(crash);
+        return;
+    }
+    const std::uint64_t number = ++this->lastNumber;
+    const auto timer = std::make_shared<asio::steady_timer>(this->io, std::min(limit, replyLimit));
+    this->unanswered[number] = timer;
+    this->report(crash, number);
+    boost::system::error_code ignored;
+    timer->async_wait(yield[ignored]);
+    this->unanswered.erase(number);
+}
+
+void CrashGuard::report(const Crash &crash, std::uint64_t number)
 {
     if (!this->uplink) {
         this->count(crash);
@@ -170,7 +196,7 @@
     const Instant now = steadyNow();
     const CrashedRun &run = crash.run;
     this->uplink(peer::EndpointCrashed{run.endpoint.endpoint, static_cast<std::uint64_t>(run.endpoint.incarnation),
-                                       numbersOf(crash.traits), now - run.begun, now - run.ended});
+                                       numbersOf(crash.traits), now - run.begun, now - run.ended, number});
 }
 
 void CrashGuard::onServed(const HttpCall &call, Instant begun)
@@ -299,11 +325,22 @@
     }
 }
 
-void CrashGuard::onMessage(const peer::EndpointCrashed &message)
+void CrashGuard::onReported(const Send &reply, const peer::EndpointCrashed &message)
 {
     const Instant now = steadyNow();
     const EndpointStart endpoint{message.endpoint, static_cast<std::int64_t>(message.incarnation)};
     this->count({traitsOf(message.traits), {endpoint, now - message.sinceBegin, now - message.sinceEnd}});
+    if (message.number != 0) {
+        reply(peer::CrashCounted{message.number});
+    }
+}
+
+void CrashGuard::onMessage(const peer::CrashCounted &message)
+{
+    const auto found = this->unanswered.find(message.number);
+    if (found != this->unanswered.end()) {
+        found->second->cancel();
+    }
 }
 
 // From a follower, and from the leader to its followers: each forgets what it knew of these traits.
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -17,6 +17,7 @@
 #include "wire/httpserver.h"
 #include "wire/messages.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 
@@ -31,6 +32,9 @@
     std::optional<Instant> firstEvent; // of this endpoint's part of a generation
 };
 
+// Whether the endpoint of a call that failed so may have ended under it.
+bool mayHaveEnded(const HttpError &error);
+
 class CrashGuard
 {
 public:
@@ -44,8 +48,8 @@
     bool takeTrial(const HttpCall &call);
     // Finds out in the background whether the endpoint of the answer has ended, and reports it.
     void onBrokenOff(const BrokenAnswer &answer);
-    // The same, and waits for it, but not longer than the limit.
-    void onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
+    // The same, and waits for the result and until it has been counted, but not longer than the limit.
+    bool onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
     // Whether the endpoint has ended with an answer that ends with its connection, so that the answer may be incomplete.
     // Reports it if so.
     bool hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
@@ -66,7 +70,9 @@
         return this->inForce.size();
     }
 
-    void onMessage(const peer::EndpointCrashed &message);
+    // A message from a host that follows this one.
+    void onReported(const Send &reply, const peer::EndpointCrashed &message);
+    void onMessage(const peer::CrashCounted &message);
     void onMessage(const peer::TraitsServed &message);
     void onMessage(const peer::RequestsBlocked &message);
     void onMessage(const peer::TraitsWatched &message);
@@ -79,9 +85,12 @@
 
     static Crash suspectedBy(const BrokenAnswer &answer);
     // Reports the crash if there is no endpoint any more at the address.
-    void confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
+    bool confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
     void onConfirmed(const Crash &crash);
-    void report(const Crash &crash);
+    // `number`: of the report, if a reply is wanted.
+    void report(const Crash &crash, std::uint64_t number = 0);
+    // Reports the crash and waits for the reply.
+    void reportAndWait(const Crash &crash, Duration limit, const asio::yield_context &yield);
     // Counts a crash, and notifies all hosts of what it has shown.
     void count(const Crash &crash);
     void watch(const RequestTraits &traits);
@@ -98,6 +107,8 @@
     std::vector<RequestTraits> ownBlocks; // of the tracker, as last notified
     std::map<RequestTrait, Instant> watchesSent; // to the followers, and when; bounded like the watched traits
     std::deque<Crash> ownCrashes; // the last ones that this host has reported, for the next leader
+    std::uint64_t lastNumber = 0;
+    std::map<std::uint64_t, std::shared_ptr<asio::steady_timer>> unanswered; // reports; one for each waiting call
     Send uplink;
     Send followers;
     std::function<void()> onBlocked;
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -66,10 +66,10 @@
     QuotaUnits cost() const;
     // Replies that the quota allows no call now.
     void refuseCredit(const CreditDecision &decision, const asio::yield_context &yield) const;
-    // How long requests like this one are blocked; empty if it may be sent.
-    std::optional<Duration> blockedFor() const
+    // How long requests like this one are blocked; empty if it may be sent. A trial is sent once.
+    std::optional<Duration> blockedFor(bool wasTried = false) const
     {
-        return this->isTrial ? std::nullopt : this->services.crashes.blockedFor(this->http);
+        return this->isTrial && !wasTried ? std::nullopt : this->services.crashes.blockedFor(this->http);
     }
     void refuseBlocked(Duration blockedFor, const asio::yield_context &yield) const;
     // Replies with an error of the gateway, and logs its reason and why no other endpoint was tried.
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -182,7 +182,7 @@
 
 bool GenerationForward::isBlocked()
 {
-    this->blockedFor = this->call.blockedFor();
+    this->blockedFor = this->call.blockedFor(this->sends > 0 || this->hasReaderEnded);
     return this->blockedFor.has_value();
 }
 
@@ -205,6 +205,10 @@
         this->lastFault = result ? "" : "prefill refused by " + engine.id.value();
     } catch (const HttpError &error) {
         this->onFault(error);
+        const BrokenAnswer answer{engine, this->call.http, sent, std::nullopt};
+        if (mayHaveEnded(error) && !this->abort.isAborted()) {
+            this->hasReaderEnded |= services.crashes.onBrokenOff(answer, this->call.timeLeft(), yield);
+        }
     }
     const bool isAtFault = !result && !this->abort.isAborted() && !this->hasNoPath;
     services.fleet.prefills().onEnded(id, prompt, isAtFault, steadyNow());
@@ -315,7 +319,9 @@
     if (!this->hasEnded(at, this->eventsProduced > eventsBefore, yield)) {
         return Outcome::Broken;
     }
-    this->call.services.crashes.onServed(this->call.http, this->sentAt);
+    if (!this->hasReaderEnded) { // otherwise the decode engine has read the prompt, in another way
+        this->call.services.crashes.onServed(this->call.http, this->sentAt);
+    }
     this->call.reply.write(this->events.rest(), yield);
     this->call.reply.finish(yield);
     return Outcome::Whole;
@@ -387,7 +393,7 @@
         this->onFault(error);
         this->sends -= error.isKnownNotSent() ? 1 : 0;
         this->checkCaller();
-        this->isCutShort = error.fault() == HttpFault::Closed && !error.isKnownNotSent();
+        this->isCutShort = mayHaveEnded(error);
         if (this->hasNoPath) {
             return Outcome::NoPlacement;
         }
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -79,6 +79,7 @@
     std::string lastFault;
     BodyFraming framing = BodyFraming::Length; // of the last response of a decode engine
     bool isCutShort = false; // the engine ended the last answer before it was whole
+    bool hasReaderEnded = false; // an engine ended while it read the prompt
     bool hasNoPath = false; // the last fault is that this host reaches no endpoint
     NoRetry noRetry = NoRetry::None; // why the last fault was not retried
     EngineId avoid; // the engine that failed during the last attempt
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -622,7 +622,8 @@
                 this->gates.onHeldPlacements(link, held);
                 this->crashes.sendBlocks(reply);
             },
-            [&](const peer::EndpointCrashed &crash) { this->crashes.onMessage(crash); },
+            [&](const peer::EndpointCrashed &crash) { this->crashes.onReported(reply, crash); },
+            [&](const peer::CrashCounted &counted) { this->crashes.onMessage(counted); },
             [&](const peer::TraitsWatched &watched) { this->crashes.onMessage(watched); },
             [&](const peer::TraitsServed &served) { this->crashes.onMessage(served); },
             [&](const peer::RequestsBlocked &blocked) { this->crashes.onMessage(blocked); },
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -90,7 +90,7 @@
         if (error.isKnownNotSent()) {
             return SendResult::NeverSent;
         }
-        if (error.fault() == HttpFault::Closed && !this->abort.isAborted()) {
+        if (mayHaveEnded(error) && !this->abort.isAborted()) {
             this->reportCutShort(endpoint, begin, yield);
         }
         return SendResult::Lost;
@@ -270,7 +270,7 @@
     this->call.services.fleet.budget(this->call.service).onSuccess();
     SendResult last = SendResult::NeverSent;
     while (const auto endpoint = this->choose(yield)) {
-        if (this->call.blockedFor()) { // since it waited for a permit
+        if (this->call.blockedFor(this->sends > 0)) { // since it arrived, or was last sent
             this->noRetry = NoRetry::Blocked;
             break;
         }
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -432,6 +432,13 @@
     visit(m.traits);
     visit(m.sinceBegin);
     visit(m.sinceEnd);
+    visit(m.number);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, CrashCounted &m)
+{
+    visit(m.number);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -427,6 +427,12 @@
     std::vector<std::uint64_t> traits; // of the request (decide/requesttrait.h)
     Duration sinceBegin{0}; // since the request was sent to the endpoint
     Duration sinceEnd{0}; // since the endpoint ended
+    std::uint64_t number = 0; // of the report; unless it is 0, the leader replies once it has notified all gateways
+};
+
+// Leader to a gateway: the crash was counted, and what that blocks was sent before this.
+struct CrashCounted {
+    std::uint64_t number = 0;
 };
 
 // Leader to a gateway: reports are wanted of requests with one of these traits that are answered in full.
@@ -454,7 +460,8 @@
                              FollowerAddress, DeputyNamed, ConfigDelayed, EndpointLimit, RequestPermit, PermitReply,
                              DelegateReading, StoreRestored, LeaderNamed, RequestTunnelHosts, TunnelHostsNamed,
                              StreamsBegun, RequestCredit, CreditReply, QuotaReport, QuotaUsedUp, RequestClock,
-                             ClockReply, ConfigCurrent, EndpointCrashed, TraitsWatched, TraitsServed, RequestsBlocked>;
+                             ClockReply, ConfigCurrent, EndpointCrashed, TraitsWatched, TraitsServed, RequestsBlocked,
+                             CrashCounted>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
