Crashes under requests whose callers have left count

A call whose caller leaves ends with its connection, and nobody looked at its endpoint again.

One connection to the endpoint, half a second later and for all such calls to it together, shows whether it has ended. It costs at most two connections a second for each endpoint, and none where callers stay.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -27,6 +27,9 @@
 constexpr Duration beginning{1s};
 constexpr Duration probeLimit{1s}; // where nobody waits for the result
 constexpr Duration replyLimit{100ms}; // a leader that takes longer has no processor time
+// When the endpoint of a call whose caller has left is looked at. Later, an endpoint that has ended may be back.
+constexpr Duration abandonedCheckDelay{500ms};
+constexpr std::size_t maxAbandoned = 64; // calls to one endpoint
 constexpr std::size_t maxOwnCrashes = 256;
 constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
 constexpr Duration blockDuration = crashesCountFor;
@@ -163,6 +166,41 @@
     return true;
 }
 
+void CrashGuard::onAbandoned(const BrokenAnswer &answer)
+{
+    const Crash suspected = suspectedBy(answer);
+    const EndpointStart endpoint = suspected.run.endpoint;
+    std::vector<Crash> &suspects = this->abandoned[endpoint];
+    if (suspects.size() < maxAbandoned) {
+        suspects.push_back(suspected);
+    }
+    if (suspects.size() == 1) {
+        startCoroutine(this->io,
+                       [this, endpoint, address = answer.endpoint.address](const asio::yield_context &yield) {
+                           this->checkAbandoned(endpoint, address, yield);
+                       });
+    }
+}
+
+void CrashGuard::checkAbandoned(const EndpointStart &endpoint, const std::string &address,
+                                const asio::yield_context &yield)
+{
+    asio::steady_timer timer(this->io, abandonedCheckDelay);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+    const std::vector<Crash> suspects = std::move(this->abandoned[endpoint]);
+    this->abandoned.erase(endpoint);
+    if (this->client.probe(address, probeLimit, yield) != Liveness::Ended) {
+        return;
+    }
+    Log::info("endpoint_ended_after_callers_left",
+              {{"endpoint", endpoint.endpoint.value()}, {"calls", static_cast<std::uint64_t>(suspects.size())}});
+    for (const Crash &crash : suspects) {
+        this->onConfirmed(crash);
+        this->report(crash);
+    }
+}
+
 void CrashGuard::onConfirmed(const Crash &crash)
 {
     this->ownCrashes.push_back(crash);
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -53,6 +53,8 @@
     // Whether the endpoint has ended with an answer that ends with its connection, so that the answer may be incomplete.
     // Reports it if so.
     bool hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
+    // The caller has left before the answer. Finds out a moment later whether the endpoint has ended, and reports it.
+    void onAbandoned(const BrokenAnswer &answer);
     // The request that was sent at `begun` has been answered in full.
     void onServed(const HttpCall &call, Instant begun);
 
@@ -87,6 +89,7 @@
     // Reports the crash if there is no endpoint any more at the address.
     bool confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
     void onConfirmed(const Crash &crash);
+    void checkAbandoned(const EndpointStart &endpoint, const std::string &address, const asio::yield_context &yield);
     // `number`: of the report, if a reply is wanted.
     void report(const Crash &crash, std::uint64_t number = 0);
     // Reports the crash and waits for the reply.
@@ -107,6 +110,7 @@
     std::vector<RequestTraits> ownBlocks; // of the tracker, as last notified
     std::map<RequestTrait, Instant> watchesSent; // to the followers, and when; bounded like the watched traits
     std::deque<Crash> ownCrashes; // the last ones that this host has reported, for the next leader
+    std::map<EndpointStart, std::vector<Crash>> abandoned; // suspects of endpoints that are yet to be checked
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, std::shared_ptr<asio::steady_timer>> unanswered; // reports; one for each waiting call
     Send uplink;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -206,7 +206,9 @@
     } catch (const HttpError &error) {
         this->onFault(error);
         const BrokenAnswer answer{engine, this->call.http, sent, std::nullopt};
-        if (mayHaveEnded(error) && !this->abort.isAborted()) {
+        if (this->abort.isAborted()) {
+            services.crashes.onAbandoned(answer);
+        } else if (mayHaveEnded(error)) {
             this->hasReaderEnded |= services.crashes.onBrokenOff(answer, this->call.timeLeft(), yield);
         }
     }
@@ -392,6 +394,9 @@
     } catch (const HttpError &error) {
         this->onFault(error);
         this->sends -= error.isKnownNotSent() ? 1 : 0;
+        if (this->abort.isAborted() && !error.isKnownNotSent()) {
+            services.crashes.onAbandoned({place.engine, this->call.http, this->sentAt, this->firstEventAt});
+        }
         this->checkCaller();
         this->isCutShort = mayHaveEnded(error);
         if (this->hasNoPath) {
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -90,7 +90,9 @@
         if (error.isKnownNotSent()) {
             return SendResult::NeverSent;
         }
-        if (mayHaveEnded(error) && !this->abort.isAborted()) {
+        if (this->abort.isAborted()) {
+            this->call.services.crashes.onAbandoned({endpoint, this->call.http, begin, std::nullopt});
+        } else if (mayHaveEnded(error)) {
             this->reportCutShort(endpoint, begin, yield);
         }
         return SendResult::Lost;
--- a/testing/process/test_crashes_hard_to_see.py
+++ b/testing/process/test_crashes_hard_to_see.py
@@ -11,6 +11,7 @@
 from standin import wait_until
 
 COPIES = 3  # of one request, sent at once
+LEFT_PAUSE_SECONDS = 1.0  # after a caller has left, before the next: its engine is looked at after half a second
 
 
 class CrashesHardToSeeTest(CrashTest):
@@ -102,7 +103,7 @@
             with contextlib.closing(socket.create_connection((address, int(port)))) as caller:
                 caller.sendall(text.encode() + DEADLY)
                 time.sleep(0.05)
-            time.sleep(PAUSE_SECONDS)
+            time.sleep(LEFT_PAUSE_SECONDS)
         self.assertLessEqual(self.crashes(), MOST_CRASHES)
 
 
