A host that is full leaves new connections to the others, and does not take its own delays for lost paths

Two causes, one after the other: nothing bounded what a host reads, so a host with a link of 10 Mbit/s queued what 290 requests a second take; and its own connections to endpoints, late in the same queue, counted as lost paths, so it refused what it could have served ("no endpoint can be reached from here", 8,278 of 10,175).

A host now measures its link and how late its timers run. While either is full it limits the rate of new connections: the port is closed in between, because what callers send takes the link even if nobody reads it, and kept connections are closed after an answer. Connections that are late meanwhile say nothing about paths, and get four times as long.

--- a/decide/endpointpaths.cpp
+++ b/decide/endpointpaths.cpp
@@ -37,9 +37,20 @@
     return true;
 }
 
+void EndpointPaths::setHostFull(bool isFull, Instant now)
+{
+    this->hostFull = isFull;
+    if (isFull && this->cutOff) {
+        this->change(false, now);
+    }
+}
+
 bool EndpointPaths::onConnectFailed(const std::string &endpoint, Instant now)
 {
     ++this->total.failed;
+    if (this->hostFull) {
+        return false;
+    }
     Suspect &suspect = this->suspects.try_emplace(endpoint, Suspect{now, now}).first->second;
     suspect.needed = now;
     if (this->failures++ == 0) {
--- a/decide/endpointpaths.h
+++ b/decide/endpointpaths.h
@@ -65,6 +65,14 @@
     // A direct connection to the endpoint could not be opened. Returns whether this begins isCutOff().
     bool onConnectFailed(const std::string &endpoint, Instant now);
 
+    // While set, connections that can't be opened say nothing about paths: this host, which is full or was a moment
+    // ago, delays them itself. Ends isCutOff(), which may have begun with the first of these delays.
+    void setHostFull(bool isFull, Instant now);
+    bool isHostFull() const
+    {
+        return this->hostFull;
+    }
+
     // Whether this host reaches no endpoint: connections to different ones failed, and none was opened in between.
     bool isCutOff() const
     {
@@ -125,6 +133,7 @@
     Options options;
     std::mt19937_64 random;
     bool cutOff = false;
+    bool hostFull = false;
     Instant changed;
     Counts total;
     // Since the last direct connection that was opened.
--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -138,6 +138,8 @@
     put("endpoint_connections_opened", static_cast<double>(now.connections.opened));
     put("endpoint_connections_tunnelled", static_cast<double>(now.connections.tunnelled));
     put("endpoint_connections_failed", static_cast<double>(now.connections.failed));
+    put("link_share", now.linkShare);
+    put("connections_unread", static_cast<double>(now.connectionsUnread));
     put("requests_blocked", static_cast<double>(now.requestsBlocked));
     put("log_lines_left_out", static_cast<double>(Log::droppedLines()));
 }
--- a/programs/gateway/gatewaymetrics.h
+++ b/programs/gateway/gatewaymetrics.h
@@ -37,6 +37,8 @@
     bool isFollowing = false;
     bool isCutOff = false; // no endpoint can be reached from this host
     EndpointPaths::Counts connections; // to endpoints
+    double linkShare = 0; // of this host's link in use
+    std::uint64_t connectionsUnread = 0; // closed unread, since this host is full
     std::size_t requestsBlocked = 0; // sets of traits whose requests are refused since they crash endpoints
 };
 
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -3,6 +3,7 @@
 
 #include "programs/gateway/gatewayprogram.h"
 
+#include "decide/connectionadmission.h"
 #include "programs/gateway/generationforward.h"
 #include "programs/gateway/leaderlink.h"
 #include "programs/gateway/plainforward.h"
@@ -31,7 +32,7 @@
 constexpr Duration retryAfterWhenStopping{100ms}; // the next connection goes to another host
 constexpr Bytes requestLineAllowance{4 << 10}; // for the request line, added to the limit on headers
 
-HttpClient::Options clientOptions(const GatewaySettings &settings, EndpointPaths &paths)
+HttpClient::Options clientOptions(const GatewaySettings &settings, EndpointPaths &paths, Traffic &traffic)
 {
     HttpClient::Options options;
     options.connections =
@@ -39,6 +40,14 @@
     options.connectLimit = settings.connectLimit;
     options.idlePerAddress = 0;
     options.paths = &paths;
+    options.traffic = &traffic;
+    return options;
+}
+
+ConnectionAdmission::Options admissionOptions(const GatewaySettings &settings)
+{
+    ConnectionAdmission::Options options;
+    options.linkBytesPerSecond = settings.linkBytesPerSecond;
     return options;
 }
 
@@ -64,7 +73,8 @@
         , gates(this->io, this->fleet, this->credits, given.isFirstStart, this->seed + 2)
         , permits(this->io, this->fleet.limits())
         , paths(EndpointPaths::Options{}, this->seed + 3)
-        , client(this->io, clientOptions(given, this->paths))
+        , admission(admissionOptions(given))
+        , client(this->io, clientOptions(given, this->paths, this->traffic))
         , crashes(this->io, this->client)
         , services{this->settings, this->io,     this->fleet,   this->gates,  this->permits,
                    this->credits,  this->client, this->crashes, this->metrics}
@@ -94,6 +104,8 @@
     bool openLinks();
     bool openTunnels();
     void checkEndpoints(Instant now);
+    bool admitsConnection();
+    void measureUse(Instant now);
 
     const GatewaySettings &settings;
     std::uint64_t seed;
@@ -103,6 +115,8 @@
     PlacementGates gates;
     EndpointPermits permits;
     EndpointPaths paths;
+    Traffic traffic; // with callers and endpoints
+    ConnectionAdmission admission;
     HttpClient client;
     CrashGuard crashes;
     GatewayMetrics metrics;
@@ -241,8 +255,8 @@
 
 void Gateway::serve(HttpCall &call, HttpReply &reply, const asio::yield_context &yield)
 {
-    if (!this->draining.isReady()) {
-        reply.closeAfterReply(); // the caller's next connection goes to a host that keeps running
+    if (!this->draining.isReady() || this->admission.rate()) {
+        reply.closeAfterReply(); // the caller's next connection goes to a host that keeps running, or has room
     }
     // A generation takes seconds. One admitted late in the grace period would be cut off when the period ends.
     if (!this->draining.admits(steadyNow())) {
@@ -269,7 +283,8 @@
                            config ? config->version : ConfigVersion(),
                            config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt,
                            this->store->registryAge(), this->links && this->links->leads(), this->gates.isFollowing(),
-                           this->paths.isCutOff(), this->paths.counts(), this->crashes.blocks()});
+                           this->paths.isCutOff(), this->paths.counts(), this->admission.linkShare(),
+                           this->admission.leftUnread(), this->crashes.blocks()});
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
     }
@@ -290,6 +305,7 @@
 void Gateway::onTick()
 {
     const Instant now = steadyNow();
+    this->measureUse(now);
     this->fleet.expire(now);
     this->crashes.onTick(now);
     if (this->links) {
@@ -311,6 +327,28 @@
     this->armTick();
 }
 
+bool Gateway::admitsConnection()
+{
+    return this->callers->openConnections() < this->settings.connections && this->admission.admits(steadyNow());
+}
+
+void Gateway::measureUse(Instant now)
+{
+    const auto lateness =
+        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - this->timer.expiry());
+    const auto change = this->admission.onTick({this->traffic.received, this->traffic.sent, lateness}, now);
+    this->paths.setHostFull(this->admission.isFull() || this->admission.rate(), now);
+    if (this->admission.mayAdmit(now)) {
+        this->callers->listen();
+    }
+    if (change) {
+        Log::info(*change ? "host_full" : "host_has_room",
+                  {{"link_share", this->admission.linkShare()},
+                   {"late_ms", lateness.count() / 1000},
+                   {"unread", this->admission.leftUnread()}});
+    }
+}
+
 void Gateway::checkEndpoints(Instant now)
 {
     if (const auto endpoint = this->paths.dueCheck(now)) {
@@ -328,6 +366,7 @@
     TunnelServer::Options options;
     options.address = this->settings.tunnels;
     options.connectLimit = this->settings.connectLimit;
+    options.traffic = &this->traffic;
     options.isEndpoint = [this](const std::string &address) {
         return this->fleet.isEndpoint(address);
     };
@@ -368,6 +407,10 @@
     options.address = this->settings.callers;
     options.connections = this->settings.connections;
     options.requestIdOf = readRequestId;
+    options.admits = [this] {
+        return this->admitsConnection();
+    };
+    options.traffic = &this->traffic;
     auto opened = HttpServer::create(this->io, options, [this](HttpCall &call, HttpReply &reply, const auto &yield) {
         this->serve(call, reply, yield);
     });
--- a/programs/gateway/gatewaysettings.cpp
+++ b/programs/gateway/gatewaysettings.cpp
@@ -2,6 +2,12 @@
 
 namespace fescuesill
 {
+namespace
+{
+
+constexpr double bytesPerMegabit = 1e6 / 8;
+
+} // namespace
 
 tl::expected<GatewaySettings, DeclareError> GatewaySettings::fromFile(const std::string &path)
 {
@@ -13,6 +19,7 @@
     settings.host = HostId(reader->text("process", "host"));
     settings.dataCentre = DataCentreId(reader->text("process", "data_centre"));
     settings.isFirstStart = reader->flag("process", "first_start", settings.isFirstStart);
+    settings.linkBytesPerSecond = reader->fraction("process", "link_mbps", 0, {0, 1e6}) * bytesPerMegabit;
     settings.callers = reader->address("listen", "callers");
     settings.ready = reader->address("listen", "ready");
     settings.peers = reader->text("listen", "peers", "");
--- a/programs/gateway/gatewaysettings.h
+++ b/programs/gateway/gatewaysettings.h
@@ -20,6 +20,8 @@
     DataCentreId dataCentre;
     // Whether all hosts of the fleet start together, for the first time. They then call the store one after the other.
     bool isFirstStart = false;
+    // Of this host's network link, each way; 0 if unknown.
+    double linkBytesPerSecond = 0;
     std::string callers; // IP:PORT of the port for callers
     std::string ready; // IP:PORT of the balancer's readiness check
     std::string peers; // IP:PORT for links of other gateways; if empty, this host neither leads nor follows
--- a/testing/process/test_many_connections.py
+++ b/testing/process/test_many_connections.py
@@ -39,8 +39,8 @@
     def load(self, phase, seconds, choose, others=(), counted_after=0.0):
         """The statuses of first attempts that a host has read, each on a connection of its own.
 
-        Callers come at a steady rate. One whose connection is closed before anything came back tries one of the others,
-        which then counts.
+        Callers come at a steady rate. One whose connection is refused, or closed before anything came back, tries one of the
+        others, which then counts.
         """
         statuses = []
 
@@ -51,9 +51,9 @@
         def call(host, path, other, is_counted):
             try:
                 status = attempt(host, path)
-            except ConnectionRefusedError:
-                return
-            except (ConnectionResetError, BrokenPipeError, http.client.RemoteDisconnected):
+            except (ConnectionError, http.client.RemoteDisconnected) as failed:
+                if other is None and isinstance(failed, ConnectionRefusedError):
+                    return
                 try:
                     status = attempt(other, path) if other else 0
                 except (OSError, http.client.HTTPException):
@@ -98,7 +98,7 @@
         paths = Paths(self.folder, "slow", self.platform.endpoints)
         self.addCleanup(paths.end)
         others = self.start_linked(2)
-        slow = self.start("slow", paths=paths)
+        slow = self.start("slow", paths=paths, process=f"link_mbps = {LINK_BYTES_PER_SECOND * 8 / 1e6}\n")
         wait_until(lambda: "event=leader_reached" in slow.log(), "the links")
         paths.limit(LINK_BYTES_PER_SECOND)
         before = self.load("spread", SPREAD_SECONDS, lambda chance: chance.choice([slow, *others]), others)
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -18,6 +18,7 @@
 //     while (lines.read(batch, 5s, yield)) { ... all whole lines that had arrived ... }
 
 #include "fescuesill/units.h"
+#include "wire/traffic.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -200,6 +201,7 @@
         // Decides whether connections are opened directly or through another host (tunnelserver.h). If null, directly.
         // Must outlive the client.
         EndpointPaths *paths = nullptr;
+        Traffic *traffic = nullptr; // counts the bytes of all connections, if set
     };
 
     HttpClient(asio::io_context &io, Options options);
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -123,6 +123,7 @@
     boost::system::error_code error;
     this->stream.expires_at(deadline);
     const std::size_t sent = asio::async_write(this->stream, asio::buffer(request), yield[error]);
+    countSent(this->pool->options.traffic, sent);
     if (error) {
         throw HttpError(faultOf(error), sent == 0, fmt::format("send {}: {}", this->address, error.message()));
     }
@@ -134,6 +135,7 @@
     this->stream.expires_at(deadline);
     const auto space = this->buffer.prepare(readSize);
     const std::size_t count = this->stream.async_read_some(space, yield[error]);
+    countReceived(this->pool->options.traffic, count);
     if (this->isTunnelled) {
         this->unframe({static_cast<const char *>(space.data()), count});
     } else {
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -2,6 +2,7 @@
 
 // One connection to a server, and the pool that it belongs to. Internal to HttpClient.
 
+#include "decide/endpointpaths.h"
 #include "wire/httpclient.h"
 #include "wire/tunnelframes.h"
 
@@ -28,6 +29,9 @@
     SteadyTime since;
 };
 
+// A host that is full delays its own connections; a longer wait for them is shorter than another attempt.
+constexpr int fullHostFactor = 4;
+
 struct HttpClient::Pool : std::enable_shared_from_this<HttpClient::Pool> {
     Pool(asio::io_context &context, const Options &limits)
         : io(context)
@@ -43,7 +47,8 @@
     // Until when a connection that is begun now must be open.
     SteadyTime connectDeadline() const
     {
-        return std::chrono::steady_clock::now() + this->options.connectLimit;
+        const bool isHostFull = this->options.paths != nullptr && this->options.paths->isHostFull();
+        return std::chrono::steady_clock::now() + this->options.connectLimit * (isHostFull ? fullHostFactor : 1);
     }
     boost::system::error_code connectDirectly(HttpConnection &connection, SteadyTime deadline,
                                               const asio::yield_context &yield);
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -5,6 +5,7 @@
 #include "wire/httpserver.h"
 
 #include "wire/address.h"
+#include "wire/log.h"
 #include "wire/refusaljson.h"
 #include "wire/serverconnection.h"
 
@@ -182,6 +183,19 @@
     return this->connection.started;
 }
 
+void HttpServer::State::listen()
+{
+    this->acceptor.open(this->endpoint.protocol());
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    if (this->options.reusePort) {
+        this->acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+    }
+    this->acceptor.bind(this->endpoint);
+    this->acceptor.listen(listenBacklog);
+    this->endpoint = this->acceptor.local_endpoint(); // with the port that the kernel chose, if it was to
+    this->accept();
+}
+
 void HttpServer::State::accept()
 {
     this->acceptor.async_accept(
@@ -191,7 +205,9 @@
             }
             if (!error) {
                 self->startConnection(std::move(socket));
-                self->accept();
+                if (self->acceptor.is_open()) {
+                    self->accept();
+                }
                 return;
             }
             // Usually out of descriptors: retrying without a delay would be a busy loop.
@@ -207,6 +223,11 @@
 void HttpServer::State::startConnection(tcp::socket socket)
 {
     boost::system::error_code ignored;
+    if (this->options.admits && !this->options.admits()) {
+        socket.close(ignored);
+        this->acceptor.close(ignored);
+        return;
+    }
     socket.non_blocking(true, ignored);
     socket.set_option(tcp::no_delay(true), ignored);
     const auto connection = std::make_shared<ServerConnection>(this->shared_from_this(), std::move(socket));
@@ -235,18 +256,11 @@
     }
     const auto state = std::make_shared<State>(io, std::move(options), std::move(handler));
     try {
-        const tcp::endpoint endpoint(asio::ip::make_address(address->ip), address->port);
-        state->acceptor.open(endpoint.protocol());
-        state->acceptor.set_option(tcp::acceptor::reuse_address(true));
-        if (state->options.reusePort) {
-            state->acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
-        }
-        state->acceptor.bind(endpoint);
-        state->acceptor.listen(listenBacklog);
+        state->endpoint = tcp::endpoint(asio::ip::make_address(address->ip), address->port);
+        state->listen();
     } catch (const boost::system::system_error &error) {
         return tl::make_unexpected(WireError(fmt::format("listen on {}: {}", state->options.address, error.what())));
     }
-    state->accept();
     return std::unique_ptr<HttpServer>(new HttpServer(state));
 }
 
@@ -262,7 +276,7 @@
 
 std::uint16_t HttpServer::port() const
 {
-    return this->state->acceptor.local_endpoint().port();
+    return this->state->endpoint.port();
 }
 
 std::size_t HttpServer::openConnections() const
@@ -288,9 +302,24 @@
     }
 }
 
+void HttpServer::listen()
+{
+    if (this->state->isClosed || this->state->acceptor.is_open()) {
+        return;
+    }
+    try {
+        this->state->listen();
+    } catch (const boost::system::system_error &error) {
+        boost::system::error_code ignored;
+        this->state->acceptor.close(ignored); // the next call tries again
+        Log::warning("cannot_listen", {{"address", this->state->options.address}, {"reason", error.what()}});
+    }
+}
+
 void HttpServer::close()
 {
     boost::system::error_code ignored;
+    this->state->isClosed = true;
     this->state->acceptor.close(ignored);
     this->state->acceptRetryTimer.cancel();
     for (ServerConnection *connection : this->state->connections) {
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -22,6 +22,7 @@
 #include "fescuesill/ids.h"
 #include "wire/coroutine.h"
 #include "wire/httpclient.h"
+#include "wire/traffic.h"
 #include "wire/wireerror.h"
 
 #include <functional>
@@ -108,6 +109,11 @@
         // could not be read.
         std::function<RequestId(const HttpCall &)> requestIdOf = {};
         std::function<void(const Refusal &)> onRefused = {}; // called for every refusal, to count them
+        // Whether a connection that was just accepted is read; always if empty. One that is not is closed unread, and
+        // the server stops listening until listen(), so that callers are refused and go to another host: what they
+        // would send takes the link of this one, read or not.
+        std::function<bool()> admits = {};
+        Traffic *traffic = nullptr; // counts the bytes of all connections, if set
     };
 
     static tl::expected<std::unique_ptr<HttpServer>, WireError> create(asio::io_context &io, Options options,
@@ -123,6 +129,8 @@
     void closeIdle();
     // Applies the header and body limits and the idle limit of these options to everything read from now on.
     void setLimits(const Options &limits);
+    // Listens again after a connection was not admitted. Does nothing while it listens.
+    void listen();
     // Stops listening and closes every connection. Their coroutines end while the io_context keeps running.
     void close();
 
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -80,6 +80,7 @@
     const std::size_t count = this->stream.async_read_some(this->buffer.prepare(firstReadSize), yield[error]);
     this->isIdle = false;
     this->buffer.commit(count);
+    countReceived(this->server->options.traffic, count);
     return !error;
 }
 
@@ -90,7 +91,7 @@
     parser.header_limit(static_cast<std::uint32_t>(options.headerLimit.value()));
     parser.body_limit(static_cast<std::uint64_t>(options.bodyLimit.value()));
     this->startReadTimer(options.headerLimitTime);
-    http::async_read_header(this->stream, this->buffer, parser, yield[error]);
+    std::size_t count = http::async_read_header(this->stream, this->buffer, parser, yield[error]);
     if (!error && hasUnknownCoding(parser)) {
         error = http::error::bad_transfer_encoding;
     }
@@ -99,8 +100,9 @@
     }
     if (!error && !parser.is_done()) {
         this->startReadTimer(options.bodyLimitTime);
-        http::async_read(this->stream, this->buffer, parser, yield[error]);
+        count += http::async_read(this->stream, this->buffer, parser, yield[error]);
     }
+    countReceived(this->server->options.traffic, count);
     this->readTimer.cancel();
     if (error && this->isTimedOut) {
         error = beast::error::timeout;
@@ -217,6 +219,7 @@
 
 void ServerConnection::send(std::string_view data, const asio::yield_context &yield)
 {
+    countSent(this->server->options.traffic, data.size());
     boost::system::error_code error;
     auto &socket = this->stream.socket();
     const std::size_t sent = socket.write_some(asio::buffer(data.data(), data.size()), error);
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -31,6 +31,8 @@
     {
     }
 
+    // Throws boost::system::system_error.
+    void listen();
     void accept();
     void startConnection(tcp::socket socket);
 
@@ -38,6 +40,8 @@
     Options options;
     Handler handler;
     tcp::acceptor acceptor;
+    tcp::endpoint endpoint;
+    bool isClosed = false;
     asio::steady_timer acceptRetryTimer;
     std::unordered_set<ServerConnection *> connections;
 };
--- a/wire/testing/httpserver_test.cpp
+++ b/wire/testing/httpserver_test.cpp
@@ -190,6 +190,40 @@
     EXPECT_EQ(endOf(served, "GET /throw HTTP/1.0\r\n\r\n"), asio::error::connection_reset);
 }
 
+// Guards against a host that takes on connections that it can't serve, or none any more.
+TEST(HttpServer, RefusesConnectionsUntilItListensAgain)
+{
+    asio::io_context io;
+    int admitted = 0;
+    bool admits = false;
+    HttpServer::Options options = smallLimits();
+    options.address = "127.0.0.1:0";
+    options.admits = [&] {
+        admitted += admits ? 1 : 0;
+        return admits;
+    };
+    const auto server = HttpServer::create(io, options, echo);
+    ASSERT_TRUE(server);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), (*server)->port());
+    const auto connects = [&] {
+        asio::ip::tcp::socket caller(io);
+        boost::system::error_code error;
+        caller.connect(endpoint, error);
+        io.restart();
+        io.poll();
+        return !error;
+    };
+    EXPECT_TRUE(connects()); // accepted, and closed unread
+    EXPECT_FALSE(connects());
+    admits = true;
+    (*server)->listen();
+    EXPECT_TRUE(connects());
+    EXPECT_EQ(admitted, 1);
+    (*server)->close();
+    (*server)->listen();
+    EXPECT_FALSE(connects());
+}
+
 TEST(HttpServer, RefusesConnectionsOverItsLimit)
 {
     HttpServer::Options options = smallLimits();
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -17,13 +17,29 @@
 
 TEST(PlacingMessages, AreEncodedAndDecodedUnchanged)
 {
-    const RequestPlacement ask =
-        passedOn(RequestPlacement{RequestId("r"), ServiceId("s"), 2, Tokens(5200), Tokens(3500), Tokens(6500), 40ms,
-                                  -10ms, 3s, DataCentreId("a"), EngineId("d1"), "a41f", SoftwareVersion("v1"), true,
-                                  RequestId("r0"), WorkspaceId("w"), QuotaUnits(8700), true});
+    const RequestPlacement ask = passedOn(RequestPlacement{RequestId("r"),
+                                                           ServiceId("s"),
+                                                           2,
+                                                           Tokens(5200),
+                                                           Tokens(3500),
+                                                           Tokens(6500),
+                                                           40ms,
+                                                           -10ms,
+                                                           3s,
+                                                           DataCentreId("a"),
+                                                           EngineId("d1"),
+                                                           {"d2", "d3"},
+                                                           "a41f",
+                                                           SoftwareVersion("v1"),
+                                                           true,
+                                                           RequestId("r0"),
+                                                           WorkspaceId("w"),
+                                                           QuotaUnits(8700),
+                                                           true});
     EXPECT_EQ(ask.maxOutput, Tokens(6500));
     EXPECT_EQ(ask.onTime, -10ms);
     EXPECT_EQ(ask.avoid, EngineId("d1"));
+    EXPECT_EQ(ask.excluded, (std::vector<std::string>{"d2", "d3"}));
     EXPECT_EQ(ask.promptName, "a41f");
     EXPECT_EQ(ask.version, SoftwareVersion("v1"));
     EXPECT_TRUE(ask.isTakenUp);
@@ -31,9 +47,9 @@
     EXPECT_EQ(ask.workspace, WorkspaceId("w"));
     EXPECT_EQ(ask.cost, QuotaUnits(8700));
     EXPECT_TRUE(ask.isCharged);
-    const PlacementReport report = passedOn(PlacementReport{
-        RequestId("r"), ServiceId("s"), PlacementEvent::EndedByFault, Tokens(7), SoftwareVersion("v1")});
-    EXPECT_EQ(report.event, PlacementEvent::EndedByFault);
+    const PlacementReport report = passedOn(
+        PlacementReport{RequestId("r"), ServiceId("s"), PlacementEvent::Declined, Tokens(7), SoftwareVersion("v1")});
+    EXPECT_EQ(report.event, PlacementEvent::Declined);
     EXPECT_EQ(report.version, SoftwareVersion("v1"));
     const StreamsBegun begun =
         passedOn(StreamsBegun{{{RequestId("r"), ServiceId("s"), SoftwareVersion("v1"), 4s, WorkspaceId("w")}}});
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -208,6 +208,8 @@
             this->end("host lost", true);
             return;
         }
+        countReceived(this->server->options.traffic, count);
+        countSent(this->server->options.traffic, count);
         asio::async_write(this->endpoint.socket(), asio::buffer(buffer.data(), count), yield[error]);
         if (error) {
             this->end("endpoint lost", true);
@@ -228,6 +230,8 @@
             this->end("endpoint lost", true);
             return;
         }
+        countReceived(this->server->options.traffic, count);
+        countSent(this->server->options.traffic, count);
         const std::string head = isEnd ? tunnelEnd() : tunnelFrameHead(count);
         const std::array<asio::const_buffer, 2> frame = {asio::buffer(head), asio::buffer(buffer.data(), count)};
         asio::async_write(this->host.socket(), frame, yield[error]);
--- a/wire/tunnelserver.h
+++ b/wire/tunnelserver.h
@@ -17,6 +17,7 @@
 
 #include "decide/endpointpaths.h"
 #include "wire/coroutine.h"
+#include "wire/traffic.h"
 #include "wire/wireerror.h"
 
 #include <functional>
@@ -40,6 +41,7 @@
         std::function<bool(const std::string &)> isEndpoint = {};
         // Whether tunnels are opened now; always if empty.
         std::function<bool()> accepts = {};
+        Traffic *traffic = nullptr; // counts the bytes that are relayed, if set; those to be sent on as well
     };
 
     // `paths` learns which endpoints this host reaches.
