--- a/decide/requesttrait.h
+++ b/decide/requesttrait.h
@@ -24,6 +24,12 @@
     {
     }
 
+    // The same property, of requests whose prompts prefill engines read. An answer shows that it is harmless only if
+    // one of them has read the prompt.
+    RequestTrait whenRead() const
+    {
+        return RequestTrait(this->number ^ readBits);
+    }
     std::uint64_t value() const
     {
         return this->number;
@@ -44,6 +50,7 @@
 
 private:
     static constexpr std::uint64_t wholeRequestBit = 1;
+    static constexpr std::uint64_t readBits = 0x5e4d'0000'0000'0000; // any, without the lowest
 
     std::uint64_t number; // a hash, but for its lowest bit
 };
--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -83,6 +83,22 @@
     }
 }
 
+// Guards against a request that ends the engines that read its prompt, and is cleared by engines that read it in
+// another way.
+TEST(CrashTracker, AnAnswerWithoutAReaderClearsNoCrashOfReaders)
+{
+    CrashTracker tracker({});
+    EXPECT_TRUE(deadly.whenRead().isWholeRequest());
+    EXPECT_FALSE(deadlyPart.whenRead().isWholeRequest());
+    for (int crash = 0; crash < 3; ++crash) {
+        tracker.onCrash(at({crash * 100, crash * 100 + 50}), {deadly, deadly.whenRead()});
+        tracker.onServed({deadly});
+    }
+    EXPECT_TRUE(isBlocked(tracker, deadly.whenRead()));
+    tracker.onServed({deadly, deadly.whenRead()});
+    EXPECT_TRUE(tracker.blocked().empty());
+}
+
 TEST(CrashTracker, ForgetsCrashesAWhileAfterTheLast)
 {
     const CrashTracker::Options options;
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -69,6 +69,15 @@
     return std::find(sets.begin(), sets.end(), traits) != sets.end();
 }
 
+RequestTraits withRead(RequestTraits traits)
+{
+    const std::size_t count = traits.size();
+    for (std::size_t index = 0; index < count; ++index) {
+        traits.push_back(traits[index].whenRead());
+    }
+    return traits;
+}
+
 RequestTraits onlyIn(const RequestTraits &traits, const RequestTraits &others)
 {
     RequestTraits found;
@@ -96,12 +105,12 @@
 
 std::optional<Duration> CrashGuard::blockedFor(const HttpCall &call) const
 {
-    return this->inForce.isEmpty() ? std::nullopt : this->inForce.blockedFor(readTraits(call), steadyNow());
+    return this->inForce.isEmpty() ? std::nullopt : this->inForce.blockedFor(withRead(readTraits(call)), steadyNow());
 }
 
 bool CrashGuard::takeTrial(const HttpCall &call)
 {
-    if (this->uplink || !this->inForce.takeTrial(readTraits(call), steadyNow())) {
+    if (this->uplink || !this->inForce.takeTrial(withRead(readTraits(call)), steadyNow())) {
         return false;
     }
     Log::info("blocked_request_tried", {{"traits", textOf(readTraits(call))}});
@@ -120,6 +129,9 @@
         };
         traits.erase(std::remove_if(traits.begin(), traits.end(), isPart), traits.end());
     }
+    if (answer.isReading) {
+        crash.traits = withRead(std::move(crash.traits));
+    }
     return crash;
 }
 
@@ -237,12 +249,13 @@
                                        numbersOf(crash.traits), now - run.begun, now - run.ended, number});
 }
 
-void CrashGuard::onServed(const HttpCall &call, Instant begun)
+void CrashGuard::onServed(const HttpCall &call, Instant begun, bool wasRead)
 {
     if (this->inForce.isEmpty()) {
         return;
     }
-    const RequestTraits served = this->inForce.watchedOf(readTraits(call), begun);
+    const RequestTraits traits = readTraits(call);
+    const RequestTraits served = this->inForce.watchedOf(wasRead ? withRead(traits) : traits, begun);
     if (served.empty()) {
         return;
     }
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -30,6 +30,7 @@
     const HttpCall &call;
     Instant sent; // to the endpoint
     std::optional<Instant> firstEvent; // of this endpoint's part of a generation
+    bool isReading = false; // the endpoint was to read the prompt only
 };
 
 // Whether the endpoint of a call that failed so may have ended under it.
@@ -55,8 +56,8 @@
     bool hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
     // The caller has left before the answer. Finds out a moment later whether the endpoint has ended, and reports it.
     void onAbandoned(const BrokenAnswer &answer);
-    // The request that was sent at `begun` has been answered in full.
-    void onServed(const HttpCall &call, Instant begun);
+    // The request that was sent at `begun` has been answered in full. `wasRead`: by a prefill engine, before.
+    void onServed(const HttpCall &call, Instant begun, bool wasRead = false);
 
     // Sets what is called after a request was blocked, so that requests that wait are examined again.
     void setBlockedHandler(std::function<void()> handler);
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -205,7 +205,7 @@
         this->lastFault = result ? "" : "prefill refused by " + engine.id.value();
     } catch (const HttpError &error) {
         this->onFault(error);
-        const BrokenAnswer answer{engine, this->call.http, sent, std::nullopt};
+        const BrokenAnswer answer{engine, this->call.http, sent, std::nullopt, true};
         if (this->abort.isAborted()) {
             services.crashes.onAbandoned(answer);
         } else if (mayHaveEnded(error)) {
@@ -321,9 +321,7 @@
     if (!this->hasEnded(at, this->eventsProduced > eventsBefore, yield)) {
         return Outcome::Broken;
     }
-    if (!this->hasReaderEnded) { // otherwise the decode engine has read the prompt, in another way
-        this->call.services.crashes.onServed(this->call.http, this->sentAt);
-    }
+    this->call.services.crashes.onServed(this->call.http, this->sentAt, !this->isSelfPrefilled);
     this->call.reply.write(this->events.rest(), yield);
     this->call.reply.finish(yield);
     return Outcome::Whole;
