--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -16,6 +16,9 @@
 crash(): its connections end, its port refuses new ones, and after `down_seconds` it is back as a new incarnation. A prefill
 engine crashes under them as it reads their prompts. With `crash_delay` it crashes that much later; with `crash_events`, a
 decode engine after so many events; with `ends_in_order`, connections end in order whatever was sent on them.
+
+It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
+With `states_leaving`, all its answers say that it leaves. `arrivals` has the time and kind of each request.
 """
 
 import base64
@@ -115,6 +118,7 @@
 
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    more_headers = {}  # of the answers to this connection
 
     def log_message(self, *_):
         pass
@@ -130,7 +134,7 @@
     def reply(self, status, body, headers=None, length=None):
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         self.send_response_only(status)
-        for name, value in (headers or {}).items():
+        for name, value in {**(headers or {}), **self.more_headers}.items():
             self.send_header(name, value)
         if length != "none":
             self.send_header("Content-Length", str(len(data) if length is None else length))
@@ -248,6 +252,9 @@
         self.limit = None  # the requests a second that its answers name
         self.is_framed = True
         self.seen, self.asked, self.released = [], [], []
+        self.arrivals = []
+        self.rests, self.rest_seconds = frozenset(), 2.0
+        self.states_leaving = False
         self.reservations = 0
         self.on_half = lambda: None  # called when it broke off
         self.crashes_on = lambda request, body: False
@@ -282,11 +289,26 @@
         for called in self.on_back:
             called()
 
+    def kind_of(self, request):
+        if request.path == "/hold-take":
+            return "hold"
+        if request.path.startswith(("/hold-drop/", "/kv-handle/")):
+            return "release"
+        if request.headers.get("X-Stage") == "prefill":
+            return "prefill"
+        return "generate" if self.stage == "decode" else "plain"
+
     def handle(self, request, body):
         self.asked.append((request.command, request.path))
+        self.arrivals.append((time.monotonic(), self.kind_of(request)))
+        if self.states_leaving:
+            request.more_headers = {"Server-Leaving": "1"}
         expected = request.headers.get("X-Expect-Instance")
         if expected not in (None, self.name):
             request.reply(421, {}, {"X-Instance-Id": self.name})
+        elif self.kind_of(request) in self.rests:
+            request.reply(503, {}, {"X-Not-Executed": "1", "Retry-After": str(self.rest_seconds),
+                                    "X-Request-Id": request.headers.get("X-Request-Id", "")})
         elif request.path == "/hold-take":
             self.reservations += 1
             full = self.behave == "full"
@@ -355,7 +377,7 @@
             return
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         request.send_response_only(200)
-        for name, value in headers.items():
+        for name, value in {**headers, **request.more_headers}.items():
             request.send_header(name, value)
         request.end_headers()
         is_deadly = self.crashes_on(request, body)
