Endpoints that ask a host for rest get nothing from it, and others serve

An endpoint that turns a host away with 503 may add Retry-After. The host now sends it nothing until then: plain calls, reservations, prefills, generations, streams that go on, reports and releases. A host that relays for another one reads the head of the answer too, since the endpoint counts what comes from it.

Only that host rests: the leader is told which engines to leave out for it, and offers them to others. Where every endpoint rests, callers are refused at once.

--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -104,7 +104,7 @@
     this->offered = this->offeredLoad(now) * window + static_cast<double>(this->costOf(request).count());
     this->offeredAt = now;
     this->addNeed(request, now);
-    if (this->isPinned(request)) {
+    if (this->isPinned(request) || (!request.excluded.empty() && !this->hasEngineFor(request))) {
         this->pinned.push_back(request);
     } else {
         this->enqueue(request, now >= request.onTimeUntil);
@@ -133,13 +133,19 @@
     return Duration(static_cast<std::int64_t>(engine.perTokenUs.value_or(this->perTokenUs)));
 }
 
+bool GenerationGate::mayRun(const DecodeEngine &engine, const GenerationRequest &request)
+{
+    const auto &excluded = request.excluded;
+    return (request.version.isEmpty() || engine.version == request.version) && engine.engine != request.avoid
+        && std::find(excluded.begin(), excluded.end(), engine.engine) == excluded.end();
+}
+
 std::optional<double> GenerationGate::peakShare(const Engine &engine, const GenerationRequest &request,
                                                 Instant now) const
 {
     const bool isFull = (engine.fullUntil && now < *engine.fullUntil)
-        || static_cast<int>(engine.runs.size()) >= engine.spec.slots || engine.spec.engine == request.avoid;
-    const bool isOtherVersion = !request.version.isEmpty() && engine.spec.version != request.version;
-    if (isFull || isOtherVersion) {
+        || static_cast<int>(engine.runs.size()) >= engine.spec.slots;
+    if (isFull || !mayRun(engine.spec, request)) {
         return std::nullopt;
     }
     std::vector<GrowingRun> runs;
@@ -219,10 +225,10 @@
         }
         const GenerationRequest request = this->waitingRequests.at(head->request);
         if (!this->tryPlace(request, actions, now)) {
-            if (!this->isPinned(request)) {
+            if (!this->isPinned(request) && request.excluded.empty()) {
                 return;
             }
-            this->pinned.push_back(request); // other versions have begun to serve since it was queued
+            this->pinned.push_back(request); // other engines than those that may run it may have room
         }
         this->queue.pop();
         this->waitingRequests.erase(request.id);
@@ -241,8 +247,7 @@
 bool GenerationGate::hasEngineFor(const GenerationRequest &request) const
 {
     return std::any_of(this->engines.begin(), this->engines.end(), [&request](const auto &entry) {
-        const DecodeEngine &spec = entry.second.spec;
-        return spec.version == request.version && spec.engine != request.avoid;
+        return mayRun(entry.second.spec, request);
     });
 }
 
@@ -251,8 +256,8 @@
     std::vector<GenerationRequest> left;
     for (const GenerationRequest &request : this->pinned) {
         if (!this->hasEngineFor(request)) {
-            actions.push_back(
-                RejectGeneration{request.id, Duration(0), now - request.arrival, RejectReason::NoVersion});
+            const RejectReason reason = request.version.isEmpty() ? RejectReason::NoRoom : RejectReason::NoVersion;
+            actions.push_back(RejectGeneration{request.id, Duration(0), now - request.arrival, reason});
         } else if (now >= request.usefulUntil || left.size() >= this->options.maxWaiting) {
             actions.push_back(RejectGeneration{request.id, Duration(0), now - request.arrival});
         } else if (!this->prefill.mayStart(now) || !this->tryPlace(request, actions, now)) {
@@ -487,6 +492,12 @@
     }
 }
 
+void GenerationGate::onDeclined(const RequestId &id, Instant now)
+{
+    this->prefill.onDropped(id, now);
+    this->take(id);
+}
+
 void GenerationGate::onFault(const RequestId &id, Instant now)
 {
     this->prefill.onDropped(id, now);
--- a/decide/generationgate.h
+++ b/decide/generationgate.h
@@ -50,6 +50,7 @@
     Instant usefulUntil; // the caller has given up after this
     DataCentreId dataCentre; // of the gateway that receives the answer
     EngineId avoid = {}; // the engine that just failed the request; empty if none
+    std::vector<EngineId> excluded = {}; // engines that have turned its host away for now
     std::string promptName = {}; // name of the prompt's own part; empty if none
     // The only version that may run it, since that one began its stream; empty if any may.
     SoftwareVersion version = {};
@@ -170,6 +171,8 @@
     // prefill result.
     void onResultLost(const RequestId &id, Instant now);
     void onFull(const RequestId &id, Instant now);
+    // Its host does not use the engine, which may serve others.
+    void onDeclined(const RequestId &id, Instant now);
     void onFault(const RequestId &id, Instant now);
     // The generation ended, completely or through a fault of the engine. `generated`: its output; 0 if there was none.
     void onEnded(const RequestId &id, bool isEngineFault, Tokens generated, Instant now);
@@ -227,6 +230,8 @@
     // Whether only some of the engines may run it, or none.
     bool isPinned(const GenerationRequest &request) const;
     bool hasEngineFor(const GenerationRequest &request) const; // now or later, as far as is known
+    // Whether the engine may run the request at all.
+    static bool mayRun(const DecodeEngine &engine, const GenerationRequest &request);
     bool removeWaiting(const RequestId &id);
     void demoteLate(std::vector<GateAction> &actions, Instant now);
     void demoteExpectedLate(Instant now);
--- a/decide/testing/generationgate_test.cpp
+++ b/decide/testing/generationgate_test.cpp
@@ -351,6 +351,53 @@
     return made;
 }
 
+// Guards against an engine that has turned one host away and is offered to it again, or kept from the others.
+TEST(GenerationGate, LeavesAnEngineThatTurnedOneHostAwayToTheOthers)
+{
+    GenerationGate gate({}, 3);
+    gate.setEngines(engines(2), start);
+    const auto placeOf = [&gate](const GenerationRequest &request) {
+        gate.submit(request, start);
+        const auto actions = gate.poll(start);
+        return actions.empty() ? EngineId() : std::get<TryReserve>(actions[0]).engine;
+    };
+    GenerationRequest one = makeRequest("a", start);
+    one.excluded = {EngineId("d0")};
+    EXPECT_EQ(placeOf(one), EngineId("d1"));
+    gate.onDeclined(RequestId("a"), start); // it has turned the host away meanwhile, too
+    EXPECT_EQ(gate.placed(), 0U);
+    one.excluded = {EngineId("d0"), EngineId("d1")};
+    gate.submit(one, start);
+    const auto rejected = gate.poll(start);
+    ASSERT_EQ(rejected.size(), 1U);
+    EXPECT_EQ(std::get<RejectGeneration>(rejected[0]).reason, RejectReason::NoRoom);
+    std::set<EngineId> used;
+    for (int number = 0; number < 4; ++number) {
+        used.insert(placeOf(makeRequest("b" + std::to_string(number), start)));
+    }
+    EXPECT_EQ(used.size(), 2U);
+}
+
+// Guards against a queue that waits behind a request whose engines have no room.
+TEST(GenerationGate, IsNotHeldUpByARequestThatFewEnginesMayRun)
+{
+    GenerationGate gate({}, 3);
+    gate.setEngines(engines(2), start);
+    gate.submit(makeRequest("a", start), start);
+    const EngineId full = std::get<TryReserve>(gate.poll(start).at(0)).engine;
+    gate.onFull(RequestId("a"), start);
+    GenerationRequest limited = makeRequest("b", start);
+    limited.excluded = {EngineId(full.value() == "d0" ? "d1" : "d0")};
+    gate.submit(limited, start);
+    gate.submit(makeRequest("c", start), start);
+    const auto actions = gate.poll(start);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<TryReserve>(actions[0]).id, RequestId("c"));
+    const auto later = gate.poll(start + 200ms);
+    ASSERT_EQ(later.size(), 1U);
+    EXPECT_EQ(std::get<TryReserve>(later[0]).engine, full);
+}
+
 // Guards against a stream that goes on at an engine of another version, also if only others have room.
 TEST(GenerationGate, PlacesAStreamAtItsVersionOnly)
 {
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -3,6 +3,8 @@
 #include "fescuesill/overloaded.h"
 #include "wire/log.h"
 
+#include <algorithm>
+
 namespace fescuesill
 {
 namespace
@@ -28,6 +30,7 @@
     , registry(registryOptions(contactLimit))
     , plainPicker(EndpointPicker::Options{}, seed)
     , endpointLimits(EndpointLimits::Options{})
+    , endpointRests(EndpointRests::Options{})
     , prefillChoice(seed + 1)
 {
 }
@@ -87,7 +90,9 @@
 {
     std::vector<EndpointCandidate> candidates;
     for (const EndpointRecord *record : this->registry.usable(service)) {
-        candidates.push_back({record->id, record->slots, record->dataCentre == this->dataCentre});
+        if (!this->endpointRests.isResting(record->id)) {
+            candidates.push_back({record->id, record->slots, record->dataCentre == this->dataCentre});
+        }
     }
     return candidates;
 }
@@ -96,7 +101,8 @@
 {
     std::vector<PrefillCandidate> candidates;
     for (const EndpointRecord *record : this->registry.usable(service)) {
-        if (record->part == EndpointPart::Prefill && !this->isChanging(*record)) {
+        if (record->part == EndpointPart::Prefill && !this->isChanging(*record)
+            && !this->endpointRests.isResting(record->id)) {
             candidates.push_back({EngineId(record->id.value()), record->dataCentre == decode});
         }
     }
@@ -133,6 +139,7 @@
         if (!endpoint.isKept) {
             this->plainPicker.forget(endpoint.id);
             this->endpointLimits.forget(endpoint.id);
+            this->endpointRests.forget(endpoint.id);
             this->prefillChoice.forget(EngineId(endpoint.id.value()));
         }
     }
@@ -154,6 +161,7 @@
 void FleetView::expire(Instant now)
 {
     this->reportMissing(this->registry.expire(now));
+    this->endpointRests.expire(now);
     for (auto change = this->changes.begin(); change != this->changes.end();) {
         const EndpointRecord *record = this->registry.find(change->first);
         const bool isOver = now >= change->second.until || record == nullptr || record->part != change->second.from;
@@ -172,10 +180,47 @@
     return found;
 }
 
+std::vector<EndpointRecord> FleetView::endpointsAt(const std::string &address) const
+{
+    std::vector<EndpointRecord> found;
+    for (const EndpointRecord *record : this->registry.at(address)) {
+        found.push_back(*record);
+    }
+    return found;
+}
+
+bool FleetView::mayRelayTo(const std::string &address) const
+{
+    const auto found = this->registry.at(address);
+    return std::any_of(found.begin(), found.end(),
+                       [this](const EndpointRecord *record) { return !this->endpointRests.isResting(record->id); });
+}
+
+bool FleetView::isStaying(const EndpointId &id) const
+{
+    const EndpointRecord *record = this->registry.find(id);
+    return record != nullptr && !record->isLeaving;
+}
+
+bool FleetView::doAllRest(const ServiceId &service, EndpointPart part) const
+{
+    bool hasAny = false;
+    for (const EndpointRecord *record : this->registry.usable(service)) {
+        if (record->part == part) {
+            hasAny = true;
+            if (!this->endpointRests.isResting(record->id)) {
+                return false;
+            }
+        }
+    }
+    return hasAny;
+}
+
 std::optional<EndpointRecord> FleetView::usable(const EndpointId &id) const
 {
     const EndpointRecord *record = this->registry.find(id);
-    return record != nullptr && !record->isLeaving ? std::optional(*record) : std::nullopt;
+    const bool isUsable = record != nullptr && !record->isLeaving && !this->endpointRests.isResting(id);
+    return isUsable ? std::optional(*record) : std::nullopt;
 }
 
 RetryBudget &FleetView::budget(const ServiceId &service)
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -10,6 +10,7 @@
 
 #include "decide/endpointlimits.h"
 #include "decide/endpointpicker.h"
+#include "decide/endpointrests.h"
 #include "decide/generationgate.h"
 #include "decide/prefillchoice.h"
 #include "decide/retrybudget.h"
@@ -59,8 +60,12 @@
     std::vector<PrefillEngine> prefillPlaces(const ServiceId &service) const;
     std::vector<DecodeEngine> decodePlaces(const ServiceId &service, const EngineTraits &traits) const;
     std::vector<EndpointRecord> enginesOf(const ServiceId &service, EndpointPart part) const;
-    // The current record of the endpoint; empty if it accepts no new work.
+    // The current record of the endpoint; empty if it accepts no new work, or none from this host.
     std::optional<EndpointRecord> usable(const EndpointId &id) const;
+    // Whether the endpoint is known, and not known to be leaving.
+    bool isStaying(const EndpointId &id) const;
+    // Whether the service has endpoints of that part, and all of them rest.
+    bool doAllRest(const ServiceId &service, EndpointPart part) const;
 
     // False while the registry can't be read, so that endpoints may have come and gone unnoticed.
     bool isRegistryCurrent() const
@@ -71,11 +76,9 @@
     {
         return this->registry.versions(service);
     }
-    // Whether an endpoint of any service has this address.
-    bool isEndpoint(const std::string &address) const
-    {
-        return this->registry.hasAddress(address);
-    }
+    std::vector<EndpointRecord> endpointsAt(const std::string &address) const;
+    // Whether this host may send requests of others to that address.
+    bool mayRelayTo(const std::string &address) const;
 
     // Marks an engine that is changing its stage and accepts no work, until its row shows the other stage or until
     // `until`.
@@ -89,6 +92,11 @@
     {
         return this->endpointLimits;
     }
+    // The endpoints that have asked this host for rest.
+    EndpointRests &rests()
+    {
+        return this->endpointRests;
+    }
     PrefillChoice &prefills()
     {
         return this->prefillChoice;
@@ -121,6 +129,7 @@
     std::map<EndpointId, Change> changes;
     EndpointPicker plainPicker;
     EndpointLimits endpointLimits;
+    EndpointRests endpointRests;
     PrefillChoice prefillChoice;
     std::map<ServiceId, RetryBudget> budgets; // for services of the current or an earlier configuration
 };
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -7,6 +7,7 @@
 
 #include "platform/calldialect.h"
 #include "programs/gateway/crashguard.h"
+#include "programs/gateway/endpointnotices.h"
 #include "programs/gateway/endpointpermits.h"
 #include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
@@ -18,6 +19,8 @@
 
 // For a call that this host can't send to any endpoint; the caller's next connection goes to another host.
 constexpr Duration retryAfterWithoutPath{100ms};
+// For a call that waits for endpoints that have turned this host away; they may serve other hosts.
+constexpr Duration retryAfterInRest{100ms};
 
 struct GatewayServices {
     const GatewaySettings &settings;
@@ -25,6 +28,7 @@
     FleetView &fleet;
     PlacementGates &gates;
     EndpointPermits &permits;
+    EndpointNotices &notices;
     WorkspaceCredits &credits;
     HttpClient &client;
     CrashGuard &crashes;
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -72,12 +72,13 @@
         , credits(this->io, ledgerOptions(given))
         , gates(this->io, this->fleet, this->credits, given.isFirstStart, this->seed + 2)
         , permits(this->io, this->fleet.limits())
+        , notices(this->fleet)
         , paths(EndpointPaths::Options{}, this->seed + 3)
         , admission(admissionOptions(given))
         , client(this->io, clientOptions(given, this->paths, this->traffic))
         , crashes(this->io, this->client)
-        , services{this->settings, this->io,     this->fleet,   this->gates,  this->permits,
-                   this->credits,  this->client, this->crashes, this->metrics}
+        , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits,
+                   this->notices,  this->credits, this->client, this->crashes, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
@@ -114,6 +115,7 @@
     WorkspaceCredits credits;
     PlacementGates gates;
     EndpointPermits permits;
+    EndpointNotices notices;
     EndpointPaths paths;
     Traffic traffic; // with callers and endpoints
     ConnectionAdmission admission;
@@ -368,7 +370,10 @@
     options.connectLimit = this->settings.connectLimit;
     options.traffic = &this->traffic;
     options.isEndpoint = [this](const std::string &address) {
-        return this->fleet.isEndpoint(address);
+        return this->fleet.mayRelayTo(address);
+    };
+    options.onReply = [this](const std::string &address, const HttpResponse &head) {
+        this->notices.onTunnelled(address, head);
     };
     options.accepts = [this] {
         return this->draining.isReady() && !this->paths.isCutOff();
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -78,6 +78,9 @@
     request.usefulUntil = std::min(this->call.deadline(), request.arrival + patience) - prefillTime;
     request.dataCentre = this->call.services.settings.dataCentre;
     request.avoid = this->avoid;
+    for (const EndpointId &resting : this->call.services.fleet.rests().all()) {
+        request.excluded.emplace_back(resting.value());
+    }
     request.promptName = size.uniquePart;
     request.version = this->streamVersion;
     request.isTakenUp = !this->call.head.lastEvent.empty();
@@ -107,6 +110,15 @@
     }
 }
 
+// An engine that has turned only this host away is left to the others.
+void GenerationForward::reportUnused(const EndpointId &decode)
+{
+    const auto &services = this->call.services;
+    const bool isResting = services.fleet.rests().isResting(decode);
+    services.gates.setExcluded(this->call.head.id, this->placementRequest().excluded);
+    this->report(isResting ? peer::PlacementEvent::Declined : peer::PlacementEvent::Full);
+}
+
 std::optional<GenerationForward::Place> GenerationForward::reserveAt(const EndpointRecord &decode,
                                                                      const asio::yield_context &yield)
 {
@@ -116,13 +128,14 @@
     const Duration limitedFor = services.permits.take(decode.id, yield);
     this->checkCaller();
     if (limitedFor > 0ms || !services.fleet.usable(decode.id)) {
-        this->lastFault = decode.id.value() + " is at its limit or leaving";
-        this->report(peer::PlacementEvent::Full);
+        this->lastFault = decode.id.value() + " is at its limit, rests or is leaving";
+        this->reportUnused(decode.id);
         return std::nullopt;
     }
     try {
         const HttpResponse response = services.client.call(
             decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
+        services.notices.onAnswer(decode, response);
         if (const auto reservation = readReservation(response)) {
             if (this->call.route.isResumable || !this->call.head.lastEvent.empty()) {
                 this->streamVersion = decode.version;
@@ -131,6 +144,7 @@
             return Place{decode, *reservation, {}};
         }
         this->lastFault = "no room at " + decode.id.value();
+        services.gates.setExcluded(this->call.head.id, this->placementRequest().excluded);
         this->report(peer::PlacementEvent::Full);
     } catch (const HttpError &error) {
         this->checkCaller(); // if the caller cancelled the call, the engine is not at fault
@@ -145,6 +159,11 @@
 std::optional<GenerationForward::Place> GenerationForward::reserve(const asio::yield_context &yield)
 {
     const auto &services = this->call.services;
+    if (services.fleet.doAllRest(this->call.service, EndpointPart::Decode)) {
+        this->lastFault = "all engines have turned this host away";
+        this->retryAfter = retryAfterInRest;
+        return std::nullopt;
+    }
     auto action = services.gates.requestPlacement(this->call.service, this->placementRequest(), yield);
     while (!action || std::holds_alternative<TryReserve>(*action)) {
         this->isCharged = this->isCharged || (action && this->call.workspace != nullptr);
@@ -160,7 +179,7 @@
         const auto decode = services.fleet.usable(EndpointId(attempt->engine.value()));
         const bool isOtherVersion = decode && !this->streamVersion.isEmpty() && decode->version != this->streamVersion;
         if (!decode || isOtherVersion) {
-            this->report(peer::PlacementEvent::Full);
+            this->reportUnused(EndpointId(attempt->engine.value()));
         } else if (auto place = this->reserveAt(*decode, yield)) {
             place->prefill = attempt->prefill;
             return place;
@@ -200,6 +219,7 @@
         const HttpResponse response =
             services.client.call(engine.address, request,
                                  {std::min(this->call.timeLeft(), prefillLimit), Reuse::Never, &this->abort}, yield);
+        services.notices.onAnswer(engine, response);
         services.permits.onAnswer(engine.id, readLimit(response), sent);
         result = readPrefillResult(response);
         this->lastFault = result ? "" : "prefill refused by " + engine.id.value();
@@ -214,7 +234,7 @@
     }
     const bool isAtFault = !result && !this->abort.isAborted() && !this->hasNoPath;
     services.fleet.prefills().onEnded(id, prompt, isAtFault, steadyNow());
-    return result ? std::optional(Prefill{engine.address, *result}) : std::nullopt;
+    return result ? std::optional(Prefill{engine.id, engine.address, *result}) : std::nullopt;
 }
 
 std::optional<GenerationForward::Prefill> GenerationForward::prefill(const Place &place,
@@ -341,7 +361,7 @@
     }
     const auto &services = this->call.services;
     const BrokenAnswer answer{at, this->call.http, this->sentAt, this->firstEventAt};
-    if (this->framing == BodyFraming::Connection && services.fleet.usable(at.id)
+    if (this->framing == BodyFraming::Connection && services.fleet.isStaying(at.id)
         && services.crashes.hasEndedWith(answer, this->call.timeLeft(), yield)) {
         this->lastFault = this->engine.value() + " ended with its answer";
         return false;
@@ -369,6 +389,7 @@
                                                  {this->call.timeLeft(), Reuse::Never, &this->abort}, yield);
         const HttpResponse response = stream.head();
         this->framing = response.framing;
+        services.notices.onAnswer(place.engine, response);
         const AnswerHead head = readAnswerHead(response, this->call.head.id);
         if (head.isForThisCall) {
             services.permits.onAnswer(place.engine.id, head.limit, this->sentAt);
@@ -408,7 +429,11 @@
 void GenerationForward::release(const Place &place, const std::optional<Prefill> &prefilled)
 {
     HttpClient &client = this->call.services.client;
-    const auto sendRelease = [&](const std::string &address, const HttpRequest &request) {
+    const EndpointRests &rests = this->call.services.fleet.rests();
+    const auto sendRelease = [&](const EndpointId &engine, const std::string &address, const HttpRequest &request) {
+        if (rests.isResting(engine)) {
+            return; // it wants no request from this host, and what it keeps expires
+        }
         startCoroutine(this->call.services.io, [&client, address, request](const asio::yield_context &yield) {
             try {
                 client.call(address, request, {releaseLimit, Reuse::Never}, yield);
@@ -417,9 +442,9 @@
             }
         });
     };
-    sendRelease(place.engine.address, releaseRequest(place.reservation));
+    sendRelease(place.engine.id, place.engine.address, releaseRequest(place.reservation));
     if (prefilled) {
-        sendRelease(prefilled->address, dropResultRequest(prefilled->result));
+        sendRelease(prefilled->engine, prefilled->address, dropResultRequest(prefilled->result));
     }
 }
 
@@ -455,6 +480,12 @@
             this->release(*place, prefilled);
             return Outcome::NoPlacement;
         }
+        if (this->call.services.fleet.rests().isResting(place->engine.id)) {
+            this->lastFault = place->engine.id.value() + " rests";
+            this->release(*place, prefilled);
+            this->report(peer::PlacementEvent::Ended);
+            return Outcome::NotRun;
+        }
         const Outcome ended = this->generate(*place, prefilled, yield);
         if (ended == Outcome::NotRun || ended == Outcome::NoPlacement) {
             this->release(*place, prefilled);
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -36,6 +36,7 @@
         EngineId prefill; // chosen by the gate; empty if it chose none
     };
     struct Prefill {
+        EndpointId engine;
         std::string address;
         KvId result;
     };
@@ -61,6 +62,7 @@
     GenerationRequest placementRequest() const;
     PromptKey promptKey() const;
     void report(peer::PlacementEvent event);
+    void reportUnused(const EndpointId &engine);
     Tokens outputTokens() const;
     const EngineTraits &traits() const;
     void checkCaller() const;
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -69,6 +69,16 @@
     return message;
 }
 
+std::vector<std::string> textsOf(const std::vector<EngineId> &engines)
+{
+    std::vector<std::string> texts;
+    texts.reserve(engines.size());
+    for (const EngineId &engine : engines) {
+        texts.push_back(engine.value());
+    }
+    return texts;
+}
+
 StreamOrigins::Options originOptions(bool isFirstStart)
 {
     StreamOrigins::Options options;
@@ -271,7 +281,7 @@
     this->uplink(peer::RequestPlacement{
         request.id, local.service, static_cast<std::uint64_t>(std::max(0, request.rank)), request.prompt,
         request.output, request.maxOutput, now - request.arrival, request.onTimeUntil - now, request.usefulUntil - now,
-        request.dataCentre, request.avoid, request.promptName, request.version, request.isTakenUp, request.resumes,
+        request.dataCentre, request.avoid, textsOf(request.excluded), request.promptName, request.version, request.isTakenUp, request.resumes,
         request.workspace, request.cost, request.isCharged});
 }
 
@@ -316,6 +326,9 @@
     case peer::PlacementEvent::Full:
         gate.core.onFull(id, now);
         break;
+    case peer::PlacementEvent::Declined:
+        gate.core.onDeclined(id, now);
+        break;
     case peer::PlacementEvent::Fault:
         gate.core.onFault(id, now);
         break;
@@ -327,6 +340,14 @@
     this->poll(gate);
 }
 
+void PlacementGates::setExcluded(const RequestId &id, const std::vector<EngineId> &engines)
+{
+    const auto found = this->localGenerations.find(id);
+    if (found != this->localGenerations.end()) {
+        found->second->request.excluded = engines;
+    }
+}
+
 void PlacementGates::report(const ServiceId &service, const RequestId &id, peer::PlacementEvent event, Tokens output)
 {
     const auto found = this->localGenerations.find(id);
@@ -334,7 +355,8 @@
         return;
     }
     const auto local = found->second;
-    const bool isRetry = event == peer::PlacementEvent::Full || event == peer::PlacementEvent::Fault;
+    const bool isRetry = event == peer::PlacementEvent::Full || event == peer::PlacementEvent::Fault
+        || event == peer::PlacementEvent::Declined;
     const bool isEnd = event == peer::PlacementEvent::Ended || event == peer::PlacementEvent::EndedByFault;
     if (isEnd) {
         this->refundUnoffered(*local);
@@ -521,6 +543,9 @@
     request.usefulUntil = now + message.useful;
     request.dataCentre = message.dataCentre;
     request.avoid = message.avoid;
+    for (const std::string &engine : message.excluded) {
+        request.excluded.emplace_back(engine);
+    }
     request.promptName = message.promptName;
     request.version = message.version;
     request.isTakenUp = message.isTakenUp;
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -61,6 +61,8 @@
     // Empty for a service without a gate, for which nothing was placed yet.
     std::optional<StageLoad> stageLoad(const ServiceId &service) const;
 
+    // Sets the engines that have turned this host away, for the next request for the generation's place.
+    void setExcluded(const RequestId &id, const std::vector<EngineId> &engines);
     // Sets how to send to the leader or its deputy; empty if neither can be reached.
     void setUplink(Send send);
     // Stops placing: generations wait for the next call of setUplink().
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -97,6 +97,7 @@
         }
         return SendResult::Lost;
     }
+    this->call.services.notices.onAnswer(endpoint, response);
     AnswerHead head = readAnswerHead(response, this->call.head.id);
     if (head.isForThisCall) {
         this->call.services.permits.onAnswer(endpoint.id, head.limit, begin);
@@ -144,7 +145,7 @@
 bool PlainForward::hasEndedWith(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield)
 {
     const auto &services = this->call.services;
-    return services.fleet.usable(endpoint.id)
+    return services.fleet.isStaying(endpoint.id)
         && services.crashes.hasEndedWith({endpoint, this->call.http, begun, std::nullopt}, this->call.timeLeft(), yield);
 }
 
@@ -219,6 +220,10 @@
     if (last == SendResult::NoPath) {
         retryAfter = retryAfterWithoutPath;
     }
+    if (this->lastFault.empty() && this->call.services.fleet.doAllRest(this->call.service, EndpointPart::Plain)) {
+        retryAfter = retryAfterInRest;
+        reason = "all endpoints have turned this host away";
+    }
     this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, reason, retryAfter}, this->noRetry, yield);
 }
 
--- a/programs/gateway/stageorders.cpp
+++ b/programs/gateway/stageorders.cpp
@@ -121,7 +121,10 @@
     std::map<DataCentreId, int> counts;
     auto records = this->services.fleet.enginesOf(id, from);
     records.erase(std::remove_if(records.begin(), records.end(),
-                                 [&](const EndpointRecord &engine) { return isPending(service, engine, now); }),
+                                 [&](const EndpointRecord &engine) {
+                                     return isPending(service, engine, now)
+                                         || !this->services.fleet.usable(engine.id);
+                                 }),
                   records.end());
     for (const EndpointRecord &record : records) {
         ++counts[record.dataCentre];
@@ -155,7 +158,9 @@
     // Through another host, engines would get orders from two hosts.
     CallOptions ownCall{orderLimit, Reuse::Never};
     ownCall.via = Via::OwnHost;
-    const auto report = readReport(client.call(engine.address, reportRequest(engine.id), ownCall, yield));
+    const HttpResponse stated = client.call(engine.address, reportRequest(engine.id), ownCall, yield);
+    this->services.notices.onAnswer(engine, stated);
+    const auto report = readReport(stated);
     if (!report || report->isChanging || report->part == part) {
         Log::info("stage_order_needless", {{"engine", engine.id.value()}});
         return;
@@ -174,6 +179,7 @@
     const HttpRequest request =
         stageOrderRequest({engine.id, part, this->services.settings.host, *fencing, report->acceptedOrders});
     const HttpResponse response = client.call(engine.address, request, ownCall, yield);
+    this->services.notices.onAnswer(engine, response);
     Log::info("stage_ordered",
               {{"engine", engine.id.value()},
                {"fencing", fencing->value()},
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -120,10 +120,15 @@
     return found == this->entries.end() ? nullptr : &found->second.record;
 }
 
-bool EndpointRegistry::hasAddress(const std::string &address) const
+std::vector<const EndpointRecord *> EndpointRegistry::at(const std::string &address) const
 {
-    return std::any_of(this->entries.begin(), this->entries.end(),
-                       [&address](const auto &entry) { return entry.second.record.address == address; });
+    std::vector<const EndpointRecord *> found;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.record.address == address) {
+            found.push_back(&entry.record);
+        }
+    }
+    return found;
 }
 
 bool EndpointRegistry::mayUse(const EndpointRecord &start) const
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -90,8 +90,8 @@
     }
     // The versions of the service's engines, also of those that are leaving.
     std::set<SoftwareVersion> versions(const ServiceId &service) const;
-    // Whether an endpoint has this address, also one that is leaving.
-    bool hasAddress(const std::string &address) const;
+    // The endpoints with this address, also those that are leaving.
+    std::vector<const EndpointRecord *> at(const std::string &address) const;
     // Whether new work may still be sent to this incarnation of an endpoint.
     bool mayUse(const EndpointRecord &start) const;
     std::size_t size() const
--- a/wire/messagefields.h
+++ b/wire/messagefields.h
@@ -156,7 +156,7 @@
     }
     void operator()(PlacementEvent &event)
     {
-        event = this->enumerator(PlacementEvent::EndedByFault);
+        event = this->enumerator(PlacementEvent::Declined);
     }
     void operator()(CellId &cell)
     {
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -188,6 +188,7 @@
     visit(m.useful);
     visit(m.dataCentre);
     visit(m.avoid);
+    visit(m.excluded);
     visit(m.promptName);
     visit(m.version);
     visit(m.isTakenUp);
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -189,6 +189,7 @@
     Duration useful{0};
     DataCentreId dataCentre;
     EngineId avoid;
+    std::vector<std::string> excluded; // engines that have turned the sender away for now
     std::string promptName; // name of the part that is the prompt's own, or empty
     SoftwareVersion version; // the only one that may run it, or empty
     bool isTakenUp = false; // a stream that its caller takes up; its version is not known to the sender if empty
@@ -221,6 +222,7 @@
     Fault, // the engine did not answer; another RequestPlacement follows
     Ended,
     EndedByFault,
+    Declined, // the sender does not use the engine, which may serve others; another RequestPlacement follows
 };
 
 // Gateway to the leader: a change in the state of a placement.
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -38,6 +38,7 @@
 
 constexpr std::size_t readSize = 8192; // bytes in one read; on the coroutine's stack
 constexpr std::uint32_t headerLimit = 4096; // bytes; the request has three short lines
+constexpr std::uint32_t replyHeaderLimit = 16 << 10; // bytes; as for the host that sends the call
 constexpr int listenBacklog = 256;
 constexpr Duration acceptRetryDelay{50ms}; // gives time for descriptors to be closed
 
@@ -103,12 +104,15 @@
     void relayFromHost(const asio::yield_context &yield);
     void relayFromEndpoint(const asio::yield_context &yield);
     void end(const char *reason, bool resets);
+    void readHead(std::string_view received);
 
     std::shared_ptr<State> server;
     beast::tcp_stream host;
     beast::tcp_stream endpoint;
     asio::steady_timer lifetimeTimer;
     std::string address; // of the endpoint
+    std::string head; // of the reply, until it is complete
+    bool isHeadRead = false;
     Instant begin;
     std::size_t sent = 0; // bytes to the endpoint
     std::size_t received = 0; // bytes from it
@@ -243,6 +247,34 @@
             return; // the other host closes its connection then
         }
         this->received += count;
+        this->readHead({buffer.data(), count});
+    }
+}
+
+// A tunnel carries one call. A head that is no HTTP is left to the host that sent the call.
+void TunnelServer::Connection::readHead(std::string_view received)
+{
+    if (this->isHeadRead || !this->server->options.onReply) {
+        return;
+    }
+    this->head += received;
+    http::response_parser<http::empty_body> parser;
+    parser.skip(true);
+    parser.header_limit(replyHeaderLimit);
+    boost::system::error_code error;
+    parser.put(asio::buffer(this->head), error);
+    if (parser.is_header_done()) {
+        HttpResponse reply;
+        reply.status = static_cast<int>(parser.get().result_int());
+        for (const auto &field : parser.get()) {
+            reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
+        this->server->options.onReply(this->address, reply);
+    }
+    this->isHeadRead = parser.is_header_done() || (error && error != http::error::need_more)
+        || this->head.size() > replyHeaderLimit;
+    if (this->isHeadRead) {
+        this->head = {};
     }
 }
 
--- a/wire/tunnelserver.h
+++ b/wire/tunnelserver.h
@@ -17,6 +17,7 @@
 
 #include "decide/endpointpaths.h"
 #include "wire/coroutine.h"
+#include "wire/httpclient.h"
 #include "wire/traffic.h"
 #include "wire/wireerror.h"
 
@@ -41,6 +42,8 @@
         std::function<bool(const std::string &)> isEndpoint = {};
         // Whether tunnels are opened now; always if empty.
         std::function<bool()> accepts = {};
+        // Called with the head of the reply that comes through each tunnel.
+        std::function<void(const std::string &, const HttpResponse &)> onReply = {};
         Traffic *traffic = nullptr; // counts the bytes that are relayed, if set; those to be sent on as well
     };
 
