Endpoints that say in an answer that they leave get no more requests

Server-Leaving in any answer now counts like a row that says so, for that start of the endpoint only, and whatever the row says later. The host that is told tells the leader, and the leader all others.

--- a/decide/connectionadmission.cpp
+++ b/decide/connectionadmission.cpp
@@ -63,8 +63,8 @@
 void ConnectionAdmission::measure(const HostUse &use, double seconds)
 {
     const double weight = 1 - std::exp(-seconds / secondsOf(this->options.smoothing));
-    const auto bytes = static_cast<double>(
-        std::max(use.received - this->lastUse.received, use.sent - this->lastUse.sent));
+    const auto bytes =
+        static_cast<double>(std::max(use.received - this->lastUse.received, use.sent - this->lastUse.sent));
     const double link = this->options.linkBytesPerSecond;
     this->share += weight * ((link > 0 ? bytes / seconds / link : 0) - this->share);
     this->offeredRate += weight * (this->offered / seconds - this->offeredRate);
--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -3,8 +3,8 @@
 // of its request.
 //
 // Endpoints that end together, as with a lost rack, have another cause, however many requests with a part ran there. So
-// for a part, a further crash counts only if its request was sent after the crash before it: only then can the part have
-// caused both. Copies of one whole request rarely run at several endpoints at once, unless their callers repeat it
+// for a part, a further crash counts only if its request was sent after the crash before it: only then can the part
+// have caused both. Copies of one whole request rarely run at several endpoints at once, unless their callers repeat it
 // without waiting; then they end these together, so each crash counts for a whole request.
 //
 // Requests that share a trait mostly share others as well, such as the first part of the prompt, which all requests of
--- a/decide/generationgate.cpp
+++ b/decide/generationgate.cpp
@@ -143,8 +143,8 @@
 std::optional<double> GenerationGate::peakShare(const Engine &engine, const GenerationRequest &request,
                                                 Instant now) const
 {
-    const bool isFull = (engine.fullUntil && now < *engine.fullUntil)
-        || static_cast<int>(engine.runs.size()) >= engine.spec.slots;
+    const bool isFull =
+        (engine.fullUntil && now < *engine.fullUntil) || static_cast<int>(engine.runs.size()) >= engine.spec.slots;
     if (isFull || !mayRun(engine.spec, request)) {
         return std::nullopt;
     }
@@ -246,9 +246,8 @@
 
 bool GenerationGate::hasEngineFor(const GenerationRequest &request) const
 {
-    return std::any_of(this->engines.begin(), this->engines.end(), [&request](const auto &entry) {
-        return mayRun(entry.second.spec, request);
-    });
+    return std::any_of(this->engines.begin(), this->engines.end(),
+                       [&request](const auto &entry) { return mayRun(entry.second.spec, request); });
 }
 
 void GenerationGate::placePinned(std::vector<GateAction> &actions, Instant now)
--- a/decide/testing/connectionadmission_test.cpp
+++ b/decide/testing/connectionadmission_test.cpp
@@ -153,8 +153,8 @@
     const auto phases = *rc::gen::inRange(1, 6);
     for (int phase = 0; phase < phases; ++phase) {
         const Host::Load load{static_cast<double>(*rc::gen::inRange(20, 2000)),
-                              static_cast<double>(*rc::gen::inRange(0, 100000)),
-                              *rc::gen::inRange(0, 100) / 1000.0, *rc::gen::inRange(1, 50)};
+                              static_cast<double>(*rc::gen::inRange(0, 100000)), *rc::gen::inRange(0, 100) / 1000.0,
+                              *rc::gen::inRange(1, 50)};
         host.run(load, 1s);
         RC_ASSERT(host.run(load, 2s) * load.connections >= ConnectionAdmission::Options{}.leastRate / 2);
     }
--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -59,7 +59,8 @@
         {"one crash, reported again", {{0, 100}, {0, 100}, {0, 100}, {0, 100}}, {false, false}, {false, false}},
     };
     for (const auto &each : cases) {
-        for (const auto &[trait, found] : {std::make_pair(deadlyPart, each.part), std::make_pair(deadly, each.request)}) {
+        for (const auto &[trait, found] :
+             {std::make_pair(deadlyPart, each.part), std::make_pair(deadly, each.request)}) {
             CrashTracker tracker({});
             for (const RunTimes &run : each.runs) {
                 tracker.onCrash(at(run), {trait});
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -187,10 +187,9 @@
         suspects.push_back(suspected);
     }
     if (suspects.size() == 1) {
-        startCoroutine(this->io,
-                       [this, endpoint, address = answer.endpoint.address](const asio::yield_context &yield) {
-                           this->checkAbandoned(endpoint, address, yield);
-                       });
+        startCoroutine(this->io, [this, endpoint, address = answer.endpoint.address](const asio::yield_context &yield) {
+            this->checkAbandoned(endpoint, address, yield);
+        });
     }
 }
 
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -51,8 +51,8 @@
     void onBrokenOff(const BrokenAnswer &answer);
     // The same, and waits for the result and until it has been counted, but not longer than the limit.
     bool onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
-    // Whether the endpoint has ended with an answer that ends with its connection, so that the answer may be incomplete.
-    // Reports it if so.
+    // Whether the endpoint has ended with an answer that ends with its connection, so that the answer may be
+    // incomplete. Reports it if so.
     bool hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
     // The caller has left before the answer. Finds out a moment later whether the endpoint has ended, and reports it.
     void onAbandoned(const BrokenAnswer &answer);
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -192,8 +192,12 @@
 bool FleetView::mayRelayTo(const std::string &address) const
 {
     const auto found = this->registry.at(address);
-    return std::any_of(found.begin(), found.end(),
-                       [this](const EndpointRecord *record) { return !this->endpointRests.isResting(record->id); });
+    const auto &leaving = this->registry.leaving();
+    return std::any_of(found.begin(), found.end(), [&](const EndpointRecord *record) {
+        const auto left = leaving.find(record->id);
+        const bool hasSaidSo = left != leaving.end() && left->second == record->incarnation;
+        return !hasSaidSo && !this->endpointRests.isResting(record->id);
+    });
 }
 
 bool FleetView::isStaying(const EndpointId &id) const
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -105,6 +105,17 @@
     RetryBudget &budget(const ServiceId &service);
     void expire(Instant now);
 
+    // This start of the endpoint has said that it is leaving. Returns whether that is new.
+    bool onLeavingStated(const EndpointId &id, std::int64_t incarnation)
+    {
+        return this->registry.onLeavingStated(id, incarnation);
+    }
+    // The starts of endpoints that have said so.
+    const std::map<EndpointId, std::int64_t> &leaving() const
+    {
+        return this->registry.leaving();
+    }
+
 private:
     struct Change {
         EndpointPart from = EndpointPart::Plain;
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -72,7 +72,7 @@
         , credits(this->io, ledgerOptions(given))
         , gates(this->io, this->fleet, this->credits, given.isFirstStart, this->seed + 2)
         , permits(this->io, this->fleet.limits())
-        , notices(this->fleet)
+        , notices(this->fleet, this->gates)
         , paths(EndpointPaths::Options{}, this->seed + 3)
         , admission(admissionOptions(given))
         , client(this->io, clientOptions(given, this->paths, this->traffic))
@@ -281,12 +281,11 @@
 {
     if (call.target == "/metrics") {
         const auto &config = this->fleet.activeConfig();
-        this->metrics.set({this->inProgress, this->gates.waiting(), this->gates.placed(),
-                           config ? config->version : ConfigVersion(),
-                           config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt,
-                           this->store->registryAge(), this->links && this->links->leads(), this->gates.isFollowing(),
-                           this->paths.isCutOff(), this->paths.counts(), this->admission.linkShare(),
-                           this->admission.leftUnread(), this->crashes.blocks()});
+        this->metrics.set(
+            {this->inProgress, this->gates.waiting(), this->gates.placed(), config ? config->version : ConfigVersion(),
+             config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt, this->store->registryAge(),
+             this->links && this->links->leads(), this->gates.isFollowing(), this->paths.isCutOff(),
+             this->paths.counts(), this->admission.linkShare(), this->admission.leftUnread(), this->crashes.blocks()});
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
     }
@@ -336,8 +335,7 @@
 
 void Gateway::measureUse(Instant now)
 {
-    const auto lateness =
-        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - this->timer.expiry());
+    const auto lateness = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - this->timer.expiry());
     const auto change = this->admission.onTick({this->traffic.received, this->traffic.sent, lateness}, now);
     this->paths.setHostFull(this->admission.isFull() || this->admission.rate(), now);
     if (this->admission.mayAdmit(now)) {
@@ -396,8 +394,8 @@
     LeaderLink::Options options;
     options.listen = this->settings.peers;
     options.tunnels = this->settings.tunnels;
-    auto opened =
-        LeaderLink::create(this->io, options, this->gates, this->permits, this->credits, this->crashes, this->paths);
+    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->notices, this->credits,
+                                     this->crashes, this->paths);
     if (!opened) {
         Log::error("cannot_listen", {{"reason", opened.error().what()}});
         return false;
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -40,10 +40,11 @@
 } // namespace
 
 LeaderLink::LeaderLink(asio::io_context &io, const Options &options, PlacementGates &placementGates,
-                       EndpointPermits &endpointPermits, WorkspaceCredits &workspaceCredits, CrashGuard &crashGuard,
-                       EndpointPaths &endpointPaths)
+                       EndpointPermits &endpointPermits, EndpointNotices &endpointNotices,
+                       WorkspaceCredits &workspaceCredits, CrashGuard &crashGuard, EndpointPaths &endpointPaths)
     : gates(placementGates)
     , permits(endpointPermits)
+    , notices(endpointNotices)
     , credits(workspaceCredits)
     , crashes(crashGuard)
     , paths(endpointPaths)
@@ -57,13 +58,13 @@
 {
 }
 
-tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
-                                                                        PlacementGates &gates, EndpointPermits &permits,
-                                                                        WorkspaceCredits &credits, CrashGuard &crashes,
-                                                                        EndpointPaths &paths)
+tl::expected<std::unique_ptr<LeaderLink>, WireError>
+LeaderLink::create(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
+                   EndpointNotices &notices, WorkspaceCredits &credits, CrashGuard &crashes, EndpointPaths &paths)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, credits, crashes, paths));
+    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, notices, credits, crashes, paths));
     LeaderLink *self = link.get();
+    notices.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     permits.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     crashes.setFollowers([self](const peer::Message &message) { self->notifyClients(message); });
     PeerNode::Handlers handlers;
@@ -203,6 +204,7 @@
     }
     if (!link) {
         this->permits.setUplink({});
+        this->notices.setUplink({});
         this->credits.setUplink({});
         this->crashes.setUplink({});
     }
@@ -214,6 +216,7 @@
         };
         this->gates.setUplink(send);
         this->permits.setUplink(send);
+        this->notices.setUplink(send);
         this->credits.setUplink(send);
         this->crashes.setUplink(send);
     } else {
@@ -546,7 +549,11 @@
         this->tunnelHosts.add(link, follower.tunnels);
         this->nameTunnelHosts(link, steadyNow());
         this->node->send(link, this->deputyAnnouncement());
-        this->permits.sendLimits([this, link](const peer::Message &message) { this->node->send(link, message); });
+        const auto send = [this, link](const peer::Message &message) {
+            this->node->send(link, message);
+        };
+        this->permits.sendLimits(send);
+        this->notices.sendLeaving(send);
     }
     this->announceDeputy();
 }
@@ -605,6 +612,7 @@
             },
             [&](const peer::EngineChanging &change) { this->gates.onChanging(change); },
             [&](const peer::EndpointLimit &limit) { this->permits.onLimit(limit); },
+            [&](const peer::EndpointLeaving &leaving) { this->notices.onMessage(leaving); },
             [&](const peer::RequestPermit &request) { this->permits.onRequested(reply, request); },
             [&](const peer::PermitReply &answer) { this->permits.onReply(answer); },
             [&](const peer::StoreLost &) { this->onStoreLost(link); },
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -281,8 +281,8 @@
     this->uplink(peer::RequestPlacement{
         request.id, local.service, static_cast<std::uint64_t>(std::max(0, request.rank)), request.prompt,
         request.output, request.maxOutput, now - request.arrival, request.onTimeUntil - now, request.usefulUntil - now,
-        request.dataCentre, request.avoid, textsOf(request.excluded), request.promptName, request.version, request.isTakenUp, request.resumes,
-        request.workspace, request.cost, request.isCharged});
+        request.dataCentre, request.avoid, textsOf(request.excluded), request.promptName, request.version,
+        request.isTakenUp, request.resumes, request.workspace, request.cost, request.isCharged});
 }
 
 std::optional<GateAction> PlacementGates::requestPlacement(const ServiceId &service, const GenerationRequest &request,
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -146,7 +146,8 @@
 {
     const auto &services = this->call.services;
     return services.fleet.isStaying(endpoint.id)
-        && services.crashes.hasEndedWith({endpoint, this->call.http, begun, std::nullopt}, this->call.timeLeft(), yield);
+        && services.crashes.hasEndedWith({endpoint, this->call.http, begun, std::nullopt}, this->call.timeLeft(),
+                                         yield);
 }
 
 std::optional<NoRetry> PlainForward::claimRetry(SendResult sent)
--- a/programs/gateway/stageorders.cpp
+++ b/programs/gateway/stageorders.cpp
@@ -122,8 +122,7 @@
     auto records = this->services.fleet.enginesOf(id, from);
     records.erase(std::remove_if(records.begin(), records.end(),
                                  [&](const EndpointRecord &engine) {
-                                     return isPending(service, engine, now)
-                                         || !this->services.fleet.usable(engine.id);
+                                     return isPending(service, engine, now) || !this->services.fleet.usable(engine.id);
                                  }),
                   records.end());
     for (const EndpointRecord &record : records) {
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -50,7 +50,37 @@
 
 void EndpointRegistry::onChanged(const EndpointRecord &record, Instant)
 {
-    this->entries[record.id] = Entry{record, std::nullopt};
+    Entry &entry = this->entries[record.id];
+    entry = Entry{record, std::nullopt};
+    const auto left = this->leavingStarts.find(record.id);
+    if (left == this->leavingStarts.end()) {
+        return;
+    }
+    if (left->second == record.incarnation) {
+        entry.record.isLeaving = true; // the row may be older than what the endpoint has said
+    } else {
+        this->leavingStarts.erase(left);
+    }
+}
+
+bool EndpointRegistry::onLeavingStated(const EndpointId &id, std::int64_t incarnation)
+{
+    const auto known = this->leavingStarts.find(id);
+    if (known != this->leavingStarts.end() && known->second >= incarnation) {
+        return false;
+    }
+    const auto entry = this->entries.find(id);
+    if (entry != this->entries.end() && entry->second.record.incarnation > incarnation) {
+        return false; // it has started again since
+    }
+    if (known == this->leavingStarts.end() && this->leavingStarts.size() >= this->options.maxLeaving) {
+        this->leavingStarts.erase(this->leavingStarts.begin());
+    }
+    this->leavingStarts[id] = incarnation;
+    if (entry != this->entries.end() && entry->second.record.incarnation == incarnation) {
+        entry->second.record.isLeaving = true;
+    }
+    return true;
 }
 
 std::vector<MissingEndpoint> EndpointRegistry::onRemoved(const EndpointId &id, Instant now)
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -59,6 +59,8 @@
         // How long after the table's recovery a row that disappeared during the outage is kept: rows of live endpoints
         // expire during an outage, and the endpoints write them again within two seconds.
         Duration returnGrace{2s};
+        // Starts of endpoints that have said that they are leaving; the newest is remembered instead of any other.
+        std::size_t maxLeaving = 4096;
         // The longest that such an endpoint may be used after the table was last known to be unavailable. The recovery
         // may be noticed late, and an endpoint that left during the outage never returns.
         Duration useLimit{2750ms};
@@ -73,6 +75,8 @@
     std::vector<MissingEndpoint> onListed(const std::vector<EndpointRecord> &records, Instant now);
     std::vector<MissingEndpoint> onRemoved(const EndpointId &id, Instant now);
     void onChanged(const EndpointRecord &record, Instant now);
+    // This start of the endpoint has said that it is leaving, whatever the table says. Returns whether that is new.
+    bool onLeavingStated(const EndpointId &id, std::int64_t incarnation);
     void onStoreLost(Instant now);
     // `lastFailure`: the start of the last read that failed. The table recovered between then and now.
     void onStoreRecovered(Instant lastFailure, Instant now);
@@ -94,6 +98,11 @@
     std::vector<const EndpointRecord *> at(const std::string &address) const;
     // Whether new work may still be sent to this incarnation of an endpoint.
     bool mayUse(const EndpointRecord &start) const;
+    // The starts that have said that they are leaving.
+    const std::map<EndpointId, std::int64_t> &leaving() const
+    {
+        return this->leavingStarts;
+    }
     std::size_t size() const
     {
         return this->entries.size();
@@ -104,12 +113,15 @@
         EndpointRecord record;
         std::optional<Instant> missingUntil; // missing from the table; removed at this time
     };
+    using Starts = std::map<EndpointId, std::int64_t>;
 
     bool isWithinGrace(Instant now) const;
     MissingEndpoint onMissing(std::map<EndpointId, Entry>::iterator entry, Instant now);
 
     Options options;
     std::map<EndpointId, Entry> entries;
+    // Starts that have said that they are leaving, also those that are missing: their rows may return unchanged.
+    Starts leavingStarts;
     bool isStoreLost = false;
     std::optional<Instant> graceEnd; // of the last recovery
 };
--- a/promise/testing/endpointregistry_test.cpp
+++ b/promise/testing/endpointregistry_test.cpp
@@ -34,6 +34,47 @@
     EXPECT_TRUE(registry.usable(service).empty());
 }
 
+// Guards against an endpoint that is used again since a row from before its word arrives after it, or returns after an
+// outage.
+TEST(EndpointRegistry, AnEndpointThatSaidItLeavesIsUsedAgainOnlyOnceItStartedAgain)
+{
+    EndpointRegistry registry({});
+    registry.onListed({record("a"), record("b")}, start);
+    EXPECT_TRUE(registry.onLeavingStated(EndpointId("a"), 1));
+    EXPECT_FALSE(registry.onLeavingStated(EndpointId("a"), 1));
+    EXPECT_EQ(registry.usable(service).size(), 1U);
+    registry.onChanged(record("a"), start);
+    EXPECT_FALSE(registry.mayUse(record("a")));
+    registry.onRemoved(EndpointId("a"), start);
+    registry.onChanged(record("a"), start);
+    EXPECT_EQ(registry.usable(service).size(), 1U);
+    registry.onChanged(record("a", 2), start);
+    EXPECT_EQ(registry.usable(service).size(), 2U);
+    EXPECT_FALSE(registry.onLeavingStated(EndpointId("a"), 1)); // late, of the start before
+    EXPECT_EQ(registry.usable(service).size(), 2U);
+}
+
+TEST(EndpointRegistry, KnowsThatAnEndpointLeavesBeforeItsRow)
+{
+    EndpointRegistry registry({});
+    EXPECT_TRUE(registry.onLeavingStated(EndpointId("a"), 1));
+    registry.onListed({record("a")}, start);
+    EXPECT_TRUE(registry.usable(service).empty());
+}
+
+// Guards against memory that grows with the endpoints that have left.
+TEST(EndpointRegistry, RemembersABoundedNumberOfEndpointsThatSaidTheyLeave)
+{
+    EndpointRegistry::Options options;
+    options.maxLeaving = 3;
+    EndpointRegistry registry(options);
+    for (int number = 0; number < 10; ++number) {
+        registry.onLeavingStated(EndpointId("e" + std::to_string(number)), 1);
+    }
+    EXPECT_EQ(registry.leaving().size(), 3U);
+    EXPECT_EQ(registry.leaving().count(EndpointId("e9")), 1U);
+}
+
 // The table is unavailable for some seconds. Rows expire meanwhile, and live endpoints write them again within two
 // seconds. A host that applied the first list after the outage would refuse every caller although every endpoint works.
 TEST(EndpointRegistry, KeepsEndpointsWhoseRowsExpiredInAnOutage)
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -442,6 +442,13 @@
     visit(m.number);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, EndpointLeaving &m)
+{
+    visit(m.endpoint);
+    visit(m.incarnation);
+}
+
 template<typename Visitor>
 void fields(Visitor &visit, TraitsWatched &m)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -455,15 +455,21 @@
     Duration duration{0};
 };
 
-using Message = std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress,
-                             DecodeFailed, Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow,
-                             RequestPlacement, OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements,
-                             FollowStore, RegistryUpdate, ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded,
-                             FollowerAddress, DeputyNamed, ConfigDelayed, EndpointLimit, RequestPermit, PermitReply,
-                             DelegateReading, StoreRestored, LeaderNamed, RequestTunnelHosts, TunnelHostsNamed,
-                             StreamsBegun, RequestCredit, CreditReply, QuotaReport, QuotaUsedUp, RequestClock,
-                             ClockReply, ConfigCurrent, EndpointCrashed, TraitsWatched, TraitsServed, RequestsBlocked,
-                             CrashCounted>;
+// Between a gateway and the leader, either way: this start of the endpoint has said in an answer that it is leaving.
+struct EndpointLeaving {
+    EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+};
+
+using Message =
+    std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
+                 Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
+                 OfferPlacement, RejectPlacement, PlacementReport, HeldPlacements, FollowStore, RegistryUpdate,
+                 ConfigUpdate, EngineChanging, StoreLost, LeadershipEnded, FollowerAddress, DeputyNamed, ConfigDelayed,
+                 EndpointLimit, RequestPermit, PermitReply, DelegateReading, StoreRestored, LeaderNamed,
+                 RequestTunnelHosts, TunnelHostsNamed, StreamsBegun, RequestCredit, CreditReply, QuotaReport,
+                 QuotaUsedUp, RequestClock, ClockReply, ConfigCurrent, EndpointCrashed, TraitsWatched, TraitsServed,
+                 RequestsBlocked, CrashCounted, EndpointLeaving>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_test.cpp
+++ b/wire/testing/messages_test.cpp
@@ -34,6 +34,7 @@
         Follow{false},
         EndpointCrashed{EndpointId("e"), 7, {1, ~0ULL}, 80ms, 20ms, 5},
         CrashCounted{5},
+        EndpointLeaving{EndpointId("e"), 7},
         TraitsWatched{{1}},
         TraitsServed{{1, 2}},
         RequestsBlocked{{1, 2}, 10min},
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -271,8 +271,8 @@
         }
         this->server->options.onReply(this->address, reply);
     }
-    this->isHeadRead = parser.is_header_done() || (error && error != http::error::need_more)
-        || this->head.size() > replyHeaderLimit;
+    this->isHeadRead =
+        parser.is_header_done() || (error && error != http::error::need_more) || this->head.size() > replyHeaderLimit;
     if (this->isHeadRead) {
         this->head = {};
     }
