Replies without an end take a bounded part of a host

Bytes that are no answer may come without an end. A head was bounded; the line before a chunk, a trailer, an event and the sum of all replies were not: the check for an event that is too long came after the one for a whole event, so it was never made.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -92,7 +92,8 @@
 bool mayHaveEnded(const HttpError &error)
 {
     const HttpFault fault = error.fault();
-    return !error.isKnownNotSent() && (fault == HttpFault::Closed || fault == HttpFault::Malformed);
+    return !error.isKnownNotSent()
+        && (fault == HttpFault::Closed || fault == HttpFault::Malformed || fault == HttpFault::TooLarge);
 }
 
 CrashGuard::CrashGuard(asio::io_context &context, HttpClient &httpClient)
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -328,11 +328,10 @@
     while (stream.readSome(bytes, this->call.timeLeft(), yield)) {
         const std::string whole = this->events.take(bytes);
         bytes.clear();
-        if (whole.empty()) {
-            continue;
+        if (!whole.empty()) {
+            this->recordEvents();
+            this->call.reply.write(whole, yield);
         }
-        this->recordEvents();
-        this->call.reply.write(whole, yield);
         if (this->events.isTooLong()) {
             this->lastFault = "an event without an end";
             return Outcome::Broken;
--- a/promise/eventrelay.h
+++ b/promise/eventrelay.h
@@ -23,7 +23,7 @@
 {
 public:
     // The maximum size of an incomplete event. A larger one is a fault of the engine.
-    static constexpr Bytes maxPending{1 << 20};
+    static constexpr Bytes maxPending{128 << 10};
 
     std::string take(std::string_view bytes);
     // Discards the incomplete event of an engine that stopped; the next engine starts with a whole event.
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -18,7 +18,8 @@
 decode engine after so many events; with `ends_in_order`, connections end in order whatever was sent on them.
 
 It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
-With `states_leaving`, all its answers say that it leaves. `arrivals` has the time and kind of each request.
+With `states_leaving`, all its answers say that it leaves. `arrivals` has the time and kind of each request. The kinds of
+requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS.
 """
 
 import base64
@@ -36,7 +37,19 @@
 import urllib.parse
 
 EVENTS = 6
+# How an answer without an end begins, and what it goes on with.
+ENDLESS = {
+    "no answer": (b"", b"bytes of nobody "),
+    "head": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x" * 1024),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-Another: " + b"x" * 500 + b"\r\n"),
+    "body": (b"HTTP/1.1 200 OK\r\n%s\r\n", b"x" * 16384),
+    "error body": (b"HTTP/1.1 500 No\r\n%s\r\n", b"x" * 16384),
+    "chunk line": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5;", b"x" * 16384),
+    "trailer": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Another: " + b"x" * 500 + b"\r\n"),
+    "event": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\ndata: ", b"x" * 16384),
+}
 STALL_SECONDS = 3
+ENDLESS_SECONDS = 20  # longer than any call waits
 
 
 def events_in(body):
@@ -255,6 +268,7 @@
         self.arrivals = []
         self.rests, self.rest_seconds = frozenset(), 2.0
         self.states_leaving = False
+        self.endless = {}  # the way, by the kind of request
         self.reservations = 0
         self.on_half = lambda: None  # called when it broke off
         self.crashes_on = lambda request, body: False
@@ -306,6 +320,8 @@
         expected = request.headers.get("X-Expect-Instance")
         if expected not in (None, self.name):
             request.reply(421, {}, {"X-Instance-Id": self.name})
+        elif self.kind_of(request) in self.endless:
+            self.send_without_end(request, *ENDLESS[self.endless[self.kind_of(request)]])
         elif self.kind_of(request) in self.rests:
             request.reply(503, {}, {"X-Not-Executed": "1", "Retry-After": str(self.rest_seconds),
                                     "X-Request-Id": request.headers.get("X-Request-Id", "")})
@@ -326,6 +342,15 @@
         else:
             self.answer(request, body)
 
+    @staticmethod
+    def send_without_end(request, begin, more):
+        request.close_connection = True
+        headers = b"X-Request-Id: %s\r\n" % request.headers.get("X-Request-Id", "").encode()
+        request.wfile.write(begin.replace(b"%s", headers))
+        end = time.monotonic() + ENDLESS_SECONDS
+        while time.monotonic() < end:
+            request.wfile.write(more)
+
     def note(self, request, body):
         self.seen.append({"id": request.headers.get("X-Request-Id"), "path": request.path, "body": body,
                           "method": request.command, "headers": dict(request.headers), "at": time.time()})
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -302,10 +302,9 @@
     const auto bodyDeadline = [&] {
         return options.body ? std::min(bodyEnd, std::chrono::steady_clock::now() + options.body->idle) : deadline;
     };
+    ReplyBound bound(*this->pool);
     while (connection->readSome(response.body, bodyDeadline(), yield)) {
-        if (response.body.size() > static_cast<std::size_t>(this->pool->options.bodyLimit.value())) {
-            throw HttpError(HttpFault::TooLarge, false, fmt::format("{}: reply too large", address));
-        }
+        bound.check(address, response.body.size());
     }
     connection->setAbort(nullptr);
     this->pool->release(std::move(connection));
@@ -387,13 +386,11 @@
 std::string LineStream::readAll(Duration deadline, const asio::yield_context &yield)
 {
     const SteadyTime end = std::chrono::steady_clock::now() + deadline;
-    const auto limit = static_cast<std::size_t>(this->connection->pool->options.bodyLimit.value());
+    ReplyBound bound(*this->connection->pool);
     std::string body = std::move(this->connection->partial);
     this->connection->partial.clear();
     while (this->connection->readSome(body, end, yield)) {
-        if (body.size() > limit) {
-            throw HttpError(HttpFault::TooLarge, false, "reply too large");
-        }
+        bound.check(this->connection->address, body.size());
     }
     return body;
 }
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -148,6 +148,7 @@
 
 class EndpointPaths;
 class HttpClient;
+class ReplyBound;
 
 // What a new connection shows of the process at an address.
 enum class Liveness {
@@ -197,6 +198,9 @@
         Duration idleLimit{4s}; // shorter than the keep-alive of common servers: reuse rarely finds a closed connection
         Duration connectLimit{1s}; // links between data centres take milliseconds; a lost SYN is resent after 1 s
         Bytes bodyLimit{16 << 20}; // of a whole reply; a larger one is an endpoint fault
+        // Of all replies together that are being read as a whole. Beyond it, the call whose reply grows fails: an
+        // endpoint that sends bytes without end must not take the memory of all others.
+        Bytes bufferedLimit{64 << 20};
         Bytes lineLimit{1 << 20}; // of one line of a stream
         // Decides whether connections are opened directly or through another host (tunnelserver.h). If null, directly.
         // Must outlive the client.
@@ -226,6 +230,7 @@
 
 private:
     friend class HttpConnection;
+    friend class ReplyBound;
     struct Pool;
 
     std::shared_ptr<Pool> pool;
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t readSize = 4096; // bytes in one read; holds a burst of some 80 decode lines
 constexpr std::size_t scratchSize = 16384;
 constexpr int statusOk = 200;
+constexpr std::size_t maxUnparsed = 64 << 10; // bytes without an end of a line or a part of a body among them
 constexpr std::uint32_t headerLimit = 16 << 10; // bytes; headers of this server and common ones take under 1 KB
 
 // The other host ends a tunnel this long after the deadline of its call, which has closed it by then.
@@ -131,6 +132,9 @@
 
 void HttpConnection::fill(SteadyTime deadline, const asio::yield_context &yield)
 {
+    if (this->buffer.size() > maxUnparsed) {
+        throw HttpError(HttpFault::TooLarge, false, fmt::format("{}: bytes without an end", this->address));
+    }
     boost::system::error_code error;
     this->stream.expires_at(deadline);
     const auto space = this->buffer.prepare(readSize);
@@ -224,6 +228,17 @@
     return true;
 }
 
+void ReplyBound::check(const std::string &address, std::size_t size)
+{
+    this->pool.buffered += size - this->counted;
+    this->counted = size;
+    const HttpClient::Options &options = this->pool.options;
+    if (size > static_cast<std::size_t>(options.bodyLimit.value())
+        || this->pool.buffered > static_cast<std::size_t>(options.bufferedLimit.value())) {
+        throw HttpError(HttpFault::TooLarge, false, fmt::format("{}: reply too large", address));
+    }
+}
+
 HttpResponse HttpConnection::response() const
 {
     HttpResponse response;
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -61,10 +61,34 @@
     asio::io_context &io;
     Options options;
     std::size_t open = 0;
+    std::size_t buffered = 0; // bytes of replies that are being read as a whole
     // One queue for each address that was ever called. Addresses come from the declaration, so there are few.
     std::unordered_map<std::string, std::deque<IdleConnection>> idle;
 };
 
+// Bounds a reply that is being read as a whole, and counts it towards those of all calls.
+class ReplyBound
+{
+public:
+    explicit ReplyBound(HttpClient::Pool &owner)
+        : pool(owner)
+    {
+    }
+    ~ReplyBound()
+    {
+        this->pool.buffered -= this->counted;
+    }
+    ReplyBound(const ReplyBound &) = delete;
+    ReplyBound &operator=(const ReplyBound &) = delete;
+
+    // Throws HttpError if the reply, or all of them together, are too large.
+    void check(const std::string &address, std::size_t size);
+
+private:
+    HttpClient::Pool &pool;
+    std::size_t counted = 0;
+};
+
 // One connection and the reply that is being read from it.
 class HttpConnection
 {
@@ -124,6 +148,7 @@
     }
 
 private:
+    // Throws TooLarge if more has arrived than one element of a reply takes, such as the line before a chunk.
     void fill(SteadyTime deadline, const asio::yield_context &yield);
     void unframe(std::string_view received);
     void parse(std::string &out);
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -212,6 +212,49 @@
     }
 }
 
+// Guards against a server that takes the memory of its caller by sending bytes without an end.
+TEST(HttpClient, EndsRepliesWithoutAnEnd)
+{
+    struct Case {
+        const char *begin;
+        std::string more;
+        HttpFault fault;
+    };
+    const std::string piece(16384, 'x');
+    const Case cases[] = {
+        {"", "bytes of nobody ", HttpFault::Malformed},
+        {"HTTP/1.1 200 OK\r\nX-Long: ", piece, HttpFault::Malformed},
+        {"HTTP/1.1 200 OK\r\n", "X-Another: value\r\n", HttpFault::Malformed},
+        {"HTTP/1.1 200 OK\r\n\r\n", piece, HttpFault::TooLarge},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", piece, HttpFault::TooLarge},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ", piece, HttpFault::TooLarge},
+    };
+    for (const Case &one : cases) {
+        runCoroutine([&one](asio::io_context &io, const asio::yield_context &yield) {
+            asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+            asio::spawn(io, [&](const asio::yield_context &inner) {
+                asio::ip::tcp::socket socket(io);
+                acceptor.async_accept(socket, inner);
+                boost::system::error_code error;
+                asio::async_write(socket, asio::buffer(std::string(one.begin)), inner[error]);
+                while (!error) {
+                    asio::async_write(socket, asio::buffer(one.more), inner[error]);
+                }
+            });
+            HttpClient::Options options;
+            options.bodyLimit = Bytes(1 << 20);
+            HttpClient client(io, options);
+            const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+            try {
+                client.call(address, {}, {10s, Reuse::Never}, yield);
+                ADD_FAILURE() << one.begin;
+            } catch (const HttpError &error) {
+                EXPECT_EQ(error.fault(), one.fault) << one.begin << error.what();
+            }
+        });
+    }
+}
+
 TEST(HttpClient, ReadsLinesHoweverTheyAreSplit)
 {
     const ServedThread served({}, [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
