--- a/decide/connectionadmission.cpp
+++ b/decide/connectionadmission.cpp
@@ -70,7 +70,9 @@
     this->offeredRate += weight * (this->offered / seconds - this->offeredRate);
     this->offered = 0;
     this->lateSeen = use.lateness >= this->options.fullLateness ? this->lateSeen + 1 : 0;
-    this->full = this->share >= this->options.fullLink || this->lateSeen >= this->options.lateTimers;
+    const bool isFailing =
+        this->limit && use.failures > this->lastUse.failures && this->share >= this->options.failingLink;
+    this->full = this->share >= this->options.fullLink || this->lateSeen >= this->options.lateTimers || isFailing;
 }
 
 void ConnectionAdmission::cut(Instant now)
@@ -80,7 +82,8 @@
     }
     this->lastCut = now;
     // The last cut shows; streams that were admitted before it still run.
-    const bool isFalling = this->limit && this->lateSeen == 0 && this->share < fallingShare * this->shareAtCut;
+    const bool isFalling = this->limit && this->share >= this->options.fullLink && this->lateSeen == 0
+        && this->share < fallingShare * this->shareAtCut;
     this->shareAtCut = this->share;
     if (isFalling) {
         return;
--- a/decide/connectionadmission.h
+++ b/decide/connectionadmission.h
@@ -21,6 +21,7 @@
     std::uint64_t received = 0; // bytes
     std::uint64_t sent = 0; // bytes
     Duration lateness{0}; // of the last timer
+    std::uint64_t failures = 0; // connections of this host that could not be opened in time
 };
 
 class ConnectionAdmission
@@ -34,6 +35,9 @@
         // Lateness of timers from which on the processor is full, if it lasts for several of them.
         Duration fullLateness{40ms};
         int lateTimers = 2;
+        // Share of the link from which on a host that is limited is still full if its own connections fail: packets
+        // that are sent again fill the link, and are not counted. A host that carries less has lost its paths.
+        double failingLink = 0.1;
         // Time constant of the use of the link.
         Duration smoothing{300ms};
         // Factor by which the rate is cut, and the time between two cuts, in which the last one shows.
--- a/decide/testing/connectionadmission_test.cpp
+++ b/decide/testing/connectionadmission_test.cpp
@@ -127,6 +127,36 @@
     EXPECT_FALSE(admission.rate());
 }
 
+// Guards against a host that takes on more while its link is full of packets that are sent again, and against one that
+// takes a loss of its paths for that.
+TEST(ConnectionAdmission, TakesOnNoMoreWhileItsOwnConnectionsFail)
+{
+    const struct {
+        const char *name;
+        std::uint64_t bytes; // in each tick, after it was full
+        std::uint64_t failures;
+        bool isLimited; // ten seconds later
+    } cases[] = {
+        {"connections fail", 20'000, 2, true},
+        {"none fail", 20'000, 0, false},
+        {"connections fail and nothing is carried", 1'000, 2, false},
+    };
+    for (const auto &each : cases) {
+        ConnectionAdmission admission(withLink());
+        HostUse use;
+        for (int step = 0; step < 120; ++step) {
+            use.sent += step < 20 ? 100'000 : each.bytes;
+            use.failures += step < 20 ? 0 : each.failures;
+            const Instant now = start + step * tick;
+            admission.onTick(use, now);
+            for (int caller = 0; caller < 3; ++caller) {
+                admission.admits(now);
+            }
+        }
+        EXPECT_EQ(admission.rate().has_value(), each.isLimited) << each.name;
+    }
+}
+
 // Guards against a limit that is given up while it holds back most of what would come: a port that is closed hides it.
 TEST(ConnectionAdmission, KeepsALimitThatRefusesCallers)
 {
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -340,7 +340,8 @@
 void Gateway::measureUse(Instant now)
 {
     const auto lateness = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - this->timer.expiry());
-    const auto change = this->admission.onTick({this->traffic.received, this->traffic.sent, lateness}, now);
+    const std::uint64_t failures = this->paths.counts().failed;
+    const auto change = this->admission.onTick({this->traffic.received, this->traffic.sent, lateness, failures}, now);
     this->paths.setHostFull(this->admission.isFull() || this->admission.rate(), now);
     if (this->admission.mayAdmit(now)) {
         this->callers->listen();
