Connections that wait at a port that is closed are closed, too

A host that stops listening leaves connections that the kernel has accepted and nobody has read. They are closed one by one, so that their callers go to another host at once.

--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -196,6 +196,18 @@
     this->accept();
 }
 
+// Connections that the kernel has accepted already are closed one by one, since their callers would wait.
+void HttpServer::State::stopListening()
+{
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    for (int waiting = 0; waiting < listenBacklog && !error; ++waiting) {
+        tcp::socket socket(this->io);
+        this->acceptor.accept(socket, error);
+    }
+    this->acceptor.close(error);
+}
+
 void HttpServer::State::accept()
 {
     this->acceptor.async_accept(
@@ -225,7 +237,7 @@
     boost::system::error_code ignored;
     if (this->options.admits && !this->options.admits()) {
         socket.close(ignored);
-        this->acceptor.close(ignored);
+        this->stopListening();
         return;
     }
     socket.non_blocking(true, ignored);
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -33,6 +33,7 @@
 
     // Throws boost::system::system_error.
     void listen();
+    void stopListening();
     void accept();
     void startConnection(tcp::socket socket);
 
