--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -8,7 +8,7 @@
 through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; engines of two
 software versions serve, and callers take up streams that broke off; endpoints crash, also under requests that crash each
 that answers them, break off, also within answers that end with their connection, fall silent, refuse, add bytes and state
-limits; entries lapse and come back, configurations
+limits, ask hosts for rest, say that they leave, send without an end; entries lapse and come back, configurations
 change, keys are revoked while their callers go on, the store loses answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py,
 workspaces.py), or if not everybody is served again after the last fault.
 """
@@ -35,7 +35,7 @@
 from paths import KINDS, Paths  # noqa: E402
 from proxy import MODES, Proxy  # noqa: E402
 from standin import wait_until  # noqa: E402
-from userplatform import UserPlatform, route  # noqa: E402
+from userplatform import ENDLESS, UserPlatform, route  # noqa: E402
 from workspaces import SETTINGS, Workspaces  # noqa: E402
 
 GRACE_SECONDS = 3
@@ -50,6 +50,9 @@
 MOST_LIMIT = 20.0  # calls a second
 CONTACT_SECONDS = 3.0  # from the end of an outage of the store until all hosts must know what changed
 DOWN_SECONDS = (0.1, 0.8)  # of an endpoint that crashed
+REST_SECONDS = (0.2, 2.0)
+NEEDS = {"booking": ("plain",), "llm": ("hold", "prefill", "generate")}  # kinds of requests that endpoints turn away
+ENDLESS_NEEDS = {"booking": ("plain",), "llm": ("hold", "prefill")}  # and that they answer without an end
 DEADLY = "dead"  # what is called so, in a prompt or a path, crashes each endpoint that begins to answer it
 MOST_CRASHES = {"/write/": 5 + 3, "/look/": 3 + 3}  # by a part of a prompt, and by a request; each with three more
 DEADLY_TRIES = 14
@@ -90,6 +93,7 @@
                 endpoint.on_crash.append(proxy.go_down)
                 endpoint.on_back.insert(0, proxy.come_up)
         self.crash_chance = random.Random(f"{seed}-crashes")
+        self.need_chance = random.Random(f"{seed}-needs")
         self.callers = Callers(self.gateways, seed, count=3 * hosts, key_for=self.workspaces.key_for)
         self.own_calls = []
         self.log = []
@@ -100,7 +104,7 @@
         self.callers.start()
         end = time.monotonic() + seconds
         faults = [threading.Thread(target=fault, args=(end,), daemon=True)
-                  for fault in (self.path_faults, self.key_faults, self.crash_faults)]
+                  for fault in (self.path_faults, self.key_faults, self.crash_faults, self.need_faults)]
         for fault in faults:
             fault.start()
         while time.monotonic() < end:
@@ -209,6 +213,27 @@
             else:
                 self.send_deadly(chance.choice(self.gateways), kind, "during")
 
+    def need_faults(self, end):
+        """Endpoints ask for rest, say that they leave, or send without an end."""
+        chance = self.need_chance
+        while time.monotonic() < end:
+            time.sleep(chance.uniform(0, 1))
+            endpoint = chance.choice(self.plain + self.writers + self.readers)
+            need, lasts = chance.choice(("rest", "leave", "endless")), chance.uniform(0.1, 1)
+            self.note(endpoint.name, need, f"{lasts:.2f}")
+            if need == "rest":
+                endpoint.rest_seconds = chance.uniform(*REST_SECONDS)
+                endpoint.rests = frozenset(NEEDS[endpoint.service])
+            elif need == "endless":
+                endpoint.endless = {kind: chance.choice(tuple(ENDLESS)) for kind in ENDLESS_NEEDS[endpoint.service]}
+            else:
+                endpoint.states_leaving = True
+            time.sleep(lasts)
+            endpoint.rests, endpoint.endless = frozenset(), {}
+            if endpoint.states_leaving:
+                endpoint.states_leaving = False
+                endpoint.crash()  # it comes back as a new start
+
     def send_deadly(self, gateway, path, name):
         """A request that crashes who answers it: by its first part, no two alike, or by all of it, each the same."""
         self.own_calls.append(f"deadly-{len(self.own_calls)}")
