Callers that have left cost no tunnels

A host that uses tunnels looked at endpoints through them after callers had left, and a tunnel that fails keeps others from that host for two seconds. It now looks only where it connects directly. Found while test_lost_paths was traced; it is not the cause of its failures.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -96,9 +96,10 @@
         && (fault == HttpFault::Closed || fault == HttpFault::Malformed || fault == HttpFault::TooLarge);
 }
 
-CrashGuard::CrashGuard(asio::io_context &context, HttpClient &httpClient)
+CrashGuard::CrashGuard(asio::io_context &context, HttpClient &httpClient, const EndpointPaths &endpointPaths)
     : io(context)
     , client(httpClient)
+    , paths(endpointPaths)
     , tracker(CrashTracker::Options{})
     , inForce(RequestBlocks::Options{})
 {
@@ -202,7 +203,9 @@
     timer.async_wait(yield[ignored]);
     const std::vector<Crash> suspects = std::move(this->abandoned[endpoint]);
     this->abandoned.erase(endpoint);
-    if (this->client.probe(address, probeLimit, yield) != Liveness::Ended) {
+    // While this host uses tunnels, they are needed for calls.
+    if (this->paths.isCutOff() || this->paths.usesTunnel(address)
+        || this->client.probe(address, probeLimit, yield) != Liveness::Ended) {
         return;
     }
     Log::info("endpoint_ended_after_callers_left",
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -2,7 +2,7 @@
 
 // Keeps requests that crash endpoints from being sent to further ones. Used only by the forwarding thread.
 //
-//     CrashGuard guard(io, client);
+//     CrashGuard guard(io, client, paths);
 //     guard.setUplink(send);                                    // to the host that decides for all, or empty
 //     if (const auto left = guard.blockedFor(call); left && !guard.takeTrial(call)) { ... refuse ... }
 //     guard.onBrokenOff({endpoint, call, sent, firstEvent}, limit, yield);   // whether the endpoint has ended
@@ -11,6 +11,7 @@
 // Hosts report the requests that ran at endpoints that ended, and the leader or its deputy finds out which to block.
 
 #include "decide/crashtracker.h"
+#include "decide/endpointpaths.h"
 #include "decide/requestblocks.h"
 #include "promise/endpointregistry.h"
 #include "wire/httpclient.h"
@@ -41,7 +42,7 @@
 public:
     using Send = std::function<void(const peer::Message &)>;
 
-    CrashGuard(asio::io_context &io, HttpClient &client);
+    CrashGuard(asio::io_context &io, HttpClient &client, const EndpointPaths &paths);
 
     // How long requests like this one are refused; empty if it may be sent.
     std::optional<Duration> blockedFor(const HttpCall &call) const;
@@ -106,6 +107,7 @@
 
     asio::io_context &io;
     HttpClient &client;
+    const EndpointPaths &paths;
     CrashTracker tracker;
     RequestBlocks inForce;
     std::vector<RequestTraits> ownBlocks; // of the tracker, as last notified
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -80,7 +80,7 @@
         , paths(EndpointPaths::Options{}, this->seed + 3)
         , admission(admissionOptions(given))
         , client(this->io, clientOptions(given, this->paths, this->traffic))
-        , crashes(this->io, this->client)
+        , crashes(this->io, this->client, this->paths)
         , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits,
                    this->notices,  this->credits, this->client, this->crashes, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
