--- a/testing/process/platformtest.py
+++ b/testing/process/platformtest.py
@@ -8,14 +8,21 @@
         def test_something(self):
             gateway = self.start("g1")
             leader, other = self.start_linked(2)
+        other, cut = self.start_cut(is_served)
 """
 
+import pathlib
+import sys
 import tempfile
 import unittest
 
-from gatewayprocess import Gateway
-from standin import wait_until
-from userplatform import UserPlatform
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
+
+# pylint: disable=wrong-import-position
+from gatewayprocess import Gateway  # noqa: E402
+from paths import Paths  # noqa: E402
+from standin import wait_until  # noqa: E402
+from userplatform import UserPlatform  # noqa: E402
 
 
 class PlatformTest(unittest.TestCase):
@@ -41,3 +48,15 @@
         for other in gateways[1:]:
             wait_until(lambda: "event=leader_reached" in other.log(), "the links")
         return gateways
+
+    def start_cut(self, is_served):
+        """A leader, and a host that reaches endpoints through it only, once `is_served` is true of that host."""
+        paths = Paths(self.folder, "cut", self.platform.endpoints)
+        self.addCleanup(paths.end)
+        other = self.start("other")
+        wait_until(other.leads, "a leader")
+        cut = self.start("cut", paths=paths)
+        wait_until(lambda: "event=leader_reached" in cut.log(), "the links")
+        paths.cut("refuse")
+        wait_until(lambda: is_served(cut), "calls through another host")
+        return other, cut
--- a/testing/process/test_bytes_without_end.py
+++ b/testing/process/test_bytes_without_end.py
@@ -5,18 +5,13 @@
 import http.client
 import pathlib
 import re
-import sys
 import time
 import unittest
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
-
-# pylint: disable=wrong-import-position
-from gatewayprocess import SIZE, send  # noqa: E402
-from paths import Paths  # noqa: E402
-from platformtest import PlatformTest  # noqa: E402
-from standin import wait_until  # noqa: E402
-from userplatform import ENDLESS, route  # noqa: E402
+from gatewayprocess import SIZE, send
+from platformtest import PlatformTest
+from standin import wait_until
+from userplatform import ENDLESS, route
 
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
@@ -84,14 +79,7 @@
         self.check(self.start(), "/resume/1", self.writers, ["generate"])
 
     def test_through_another_host(self):
-        paths = Paths(self.folder, "cut", self.platform.endpoints)
-        self.addCleanup(paths.end)
-        other = self.start("other")
-        wait_until(other.leads, "a leader")
-        cut = self.start("cut", paths=paths)
-        wait_until(lambda: "event=leader_reached" in cut.log(), "the links")
-        paths.cut("refuse")
-        wait_until(lambda: self.ask(cut, "/look/1")[0] == 200, "calls through another host")
+        other, cut = self.start_cut(lambda gateway: self.ask(gateway, "/look/1")[0] == 200)
         before = peak_memory_kb(other)
         self.check(cut, "/book/1", self.plain, ["plain"])
         self.check(cut, "/write/1", self.writers, ["generate"])
--- a/testing/process/test_rest.py
+++ b/testing/process/test_rest.py
@@ -2,20 +2,14 @@
 
 import contextlib
 import http.client
-import pathlib
-import sys
 import threading
 import time
 import unittest
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
-
-# pylint: disable=wrong-import-position
-from gatewayprocess import SIZE, send  # noqa: E402
-from paths import Paths  # noqa: E402
-from platformtest import PlatformTest  # noqa: E402
-from standin import wait_until  # noqa: E402
-from userplatform import route  # noqa: E402
+from gatewayprocess import SIZE, send
+from platformtest import PlatformTest
+from standin import wait_until
+from userplatform import route
 
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
           route("/write/", "stream", "llm", max_attempts=2), route("/resume/", "stream", "llm", max_attempts=4, resumable=True)]
@@ -109,14 +103,7 @@
 
     # Guards against a host whose tunnels go on to an endpoint that has asked it for rest.
     def test_an_endpoint_rests_from_the_host_that_tunnels(self):
-        paths = Paths(self.folder, "cut", self.platform.endpoints)
-        self.addCleanup(paths.end)
-        other = self.start("other")
-        wait_until(other.leads, "a leader")
-        cut = self.start("cut", paths=paths)
-        wait_until(lambda: "event=leader_reached" in cut.log(), "the links")
-        paths.cut("refuse")
-        wait_until(lambda: self.ask(cut, "/look/1")[0] == 200, "calls through another host")
+        other, cut = self.start_cut(lambda gateway: self.ask(gateway, "/look/1")[0] == 200)
         self.platform.remove(self.plain[2])
         self.plain[1].behave = "error"
         endpoint = self.plain[0]
@@ -191,14 +178,7 @@
         self.check_leaves(follower, "/write/1", self.used(follower, "/write/1", self.writers), [leader])
 
     def test_the_host_that_tunnels_keeps_to_it_as_well(self):
-        paths = Paths(self.folder, "cut", self.platform.endpoints)
-        self.addCleanup(paths.end)
-        other = self.start("other")
-        wait_until(other.leads, "a leader")
-        cut = self.start("cut", paths=paths)
-        wait_until(lambda: "event=leader_reached" in cut.log(), "the links")
-        paths.cut("refuse")
-        wait_until(lambda: self.ask(cut, "/look/1")[0] == 200, "calls through another host")
+        other, cut = self.start_cut(lambda gateway: self.ask(gateway, "/look/1")[0] == 200)
         self.check_leaves(cut, "/look/1", self.plain[0], [other])
 
     # Guards against an endpoint that started again and is still taken for the one that left.
