Tests: lost paths are judged by what the other hosts serve

Four tests of test_lost_paths failed beside busy processes and were listed as known red. Traced with all hosts whole, on the same machine under the same load: 17 of 71 and 12 of 60 generations served without any cut, as many as with one. The 48 callers come back within 50 ms of a refusal, and the stand-in engines, which share one process with them, then read a prompt in 60 to 130 ms (12 assumed): the pool is full, and every host's generations are refused alike. The users' rule asks for a share of what the other hosts serve; the check by kind asked for a share of all.

The check by kind now follows the rule for generations; for plain calls, which have no pool to fill, it is as it was. What that leaves out, a cut that harms the generations of all hosts, is asked of four new tests, with twelve callers, whom the engines serve on a busy machine too: two thirds of each kind, whatever the others serve.

--- a/testing/process/test_lost_paths.py
+++ b/testing/process/test_lost_paths.py
@@ -17,7 +17,8 @@
 from userplatform import route  # noqa: E402  pylint: disable=wrong-import-position
 
 HOSTS = 4
-CALLERS = 48
+CALLERS = 48  # more than the stand-ins serve on a busy machine: they come back as soon as they are refused
+FEW_CALLERS = 12
 CONTACT_SECONDS = 3  # from the start of a cut until its hosts must serve again
 CUT_SECONDS = CONTACT_SECONDS + 4
 FEWEST_CALLS = 30  # to judge by
@@ -25,6 +26,7 @@
 # What the users' rule allows: as many failures in all, and a share of what the other hosts serve.
 ALLOWED_FAILURES, ALLOWED_FAILURES_EACH = 10, 1 / 50
 ALLOWED_SHARE = 2 / 3
+GENERATIONS = ("stream", "resumable")
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
 
@@ -56,13 +58,13 @@
     def all_logs(self):
         return "".join(gateway.log() for gateway in self.gateways)
 
-    def play(self, cut, kind, endpoints=None):
+    def play(self, cut, kind, count=CALLERS):
         """Cuts these hosts while callers go on. The first tries after contact, at the cut hosts and at the others."""
-        callers = Callers(self.gateways, kind, CALLERS)
+        callers = Callers(self.gateways, kind, count)
         callers.start()
         time.sleep(1)
         for gateway in cut:
-            gateway.paths.cut(kind, endpoints)
+            gateway.paths.cut(kind)
         since = time.monotonic() + CONTACT_SECONDS
         time.sleep(CUT_SECONDS)
         until = time.monotonic()
@@ -84,10 +86,23 @@
             self.assertTrue(shares[0] >= ALLOWED_SHARE * shares[1]
                             or failed <= ALLOWED_FAILURES + ALLOWED_FAILURES_EACH * (len(here) + len(there)))
         for kind in sorted({call.kind for call in here}):
-            calls = [call for call in here if call.kind == kind]
-            whole = sum(call.status == 200 and call.is_whole for call in calls)
-            with self.subTest(kind=kind, served=whole, of=len(calls)):
-                self.assertGreaterEqual(whole, ALLOWED_SHARE * len(calls))
+            share, there_share = (self.share_of(kind, calls) for calls in (here, there))
+            # Engines that have no room for more generations refuse those of all hosts alike.
+            bound = ALLOWED_SHARE * (there_share if kind in GENERATIONS else 1)
+            with self.subTest(kind=kind, share=share, at_others=there_share):
+                self.assertGreaterEqual(share, bound)
+
+    def check_few_served(self, here):
+        """Of so few callers, whatever the other hosts serve."""
+        self.assertGreater(len(here), FEWEST_CALLS, "too few calls to judge by")
+        for kind in sorted({call.kind for call in here}):
+            with self.subTest(kind=kind):
+                self.assertGreaterEqual(self.share_of(kind, here), ALLOWED_SHARE)
+
+    @staticmethod
+    def share_of(kind, calls):
+        outcomes = [call.status == 200 and call.is_whole for call in calls if call.kind == kind]
+        return sum(outcomes) / max(1, len(outcomes))
 
     # Guards against hosts that refuse their callers because they reach no endpoint, although other hosts reach them all.
     def test_serves_while_connections_hang(self):
@@ -99,10 +114,22 @@
     def test_serves_while_only_new_connections_are_refused(self):
         self.check_served(*self.play(self.leader_first()[1:3], "refuse"))
 
+    def test_few_callers_are_served_while_connections_hang(self):
+        self.check_few_served(self.play(self.leader_first()[1:3], "hang", FEW_CALLERS)[0])
+
+    def test_few_callers_are_served_while_connections_are_reset(self):
+        self.check_few_served(self.play(self.leader_first()[1:3], "reset", FEW_CALLERS)[0])
+
+    def test_few_callers_are_served_while_only_new_connections_are_refused(self):
+        self.check_few_served(self.play(self.leader_first()[1:3], "refuse", FEW_CALLERS)[0])
+
     # The host that places generations for all is among those that reach no endpoint, and only one host reaches any.
     def test_serves_while_most_hosts_and_the_leader_are_cut(self):
         self.check_served(*self.play(self.leader_first()[:3], "hang"))
 
+    def test_few_callers_are_served_while_most_hosts_and_the_leader_are_cut(self):
+        self.check_few_served(self.play(self.leader_first()[:3], "hang", FEW_CALLERS)[0])
+
     # Guards against hosts that reach none of the endpoints of one service, and notice it anew at each call because they
     # reach other endpoints: callers with little time get no answer.
     def test_serves_while_plain_endpoints_are_out_of_reach(self):
