Entries and schedulers bound what engines send without an end

Eight calls at an entry whose engines answer with bytes without an end took 80 MB of it (a prompt that is read) and 98 MB (a stream that goes on); two such engines took 58 MB of the scheduler that asks them for their load.

The tests for prompts and for the scheduler pass.

--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -8,6 +8,7 @@
 
 #include "programs/entry/ledgerduty.h"
 
+#include "programs/entry/endpointhttp.h"
 #include "wire/clock.h"
 #include "wire/log.h"
 #include "wire/messages.h"
@@ -67,7 +68,7 @@
     : state(shared)
     , work(io.get_executor())
     , platform(io, {given.platform})
-    , endpoints(io, {})
+    , endpoints(io, endpointHttp())
     , table(io, platform)
     , jobs(mostJobs, [this] { asio::post(this->io, [this] { this->drainRing(); }); })
 {
--- a/programs/entry/shard.cpp
+++ b/programs/entry/shard.cpp
@@ -3,6 +3,7 @@
 
 #include "programs/entry/shard.h"
 
+#include "programs/entry/endpointhttp.h"
 #include "programs/entry/modelcall.h"
 #include "programs/entry/plaincall.h"
 #include "programs/entry/resumecall.h"
@@ -102,7 +103,7 @@
                index,
                RequestIds(common.settings.host, boot, index),
                EngineClient(io, engineOptions(common.settings)),
-               HttpClient(io, {}),
+               HttpClient(io, endpointHttp()),
                OwnerMailbox(io),
                CellChoice(choiceOptions(common.settings), boot + index),
                {},
--- a/wire/engineclient.h
+++ b/wire/engineclient.h
@@ -169,11 +169,21 @@
 {
 public:
     struct Options {
-        HttpClient::Options http = {};
+        HttpClient::Options http = replyLimits();
         Duration prefillDeadline{20s}; // 9,000 tokens take under 1 s; the rest is time in the engine's queue
         Duration attachDeadline{2s}; // to the header of a stream's response; includes the KV transfer
         Duration cancelDeadline{1s};
         Duration reportDeadline{1s};
+
+        // Of what the engine contract defines, lists of cache events are the longest, with some 60 bytes for each.
+        static HttpClient::Options replyLimits()
+        {
+            HttpClient::Options limits;
+            limits.bodyLimit = Bytes(2 << 20);
+            limits.bufferedLimit = Bytes(4 << 20);
+            limits.lineLimit = Bytes(128 << 10);
+            return limits;
+        }
     };
 
     EngineClient(asio::io_context &io, const Options &options);
