An engine that still runs has not crashed under a request

Callers at an entry were refused with "requests like this one crash engines" for ten minutes after engines had answered with bytes without an end: each stream that an entry gave up counted as a crash of its engine, whether the engine had ended or not. For plain endpoints, and at gateways, a new connection shows that first.

The entry now looks too. An engine that is back before the entry has looked is taken for running, as a plain endpoint is.

--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -26,6 +26,7 @@
 constexpr int mostGenerations = 4;
 // A result's stated life minus its way here.
 constexpr Duration keepMargin{50ms};
+constexpr Duration probeLimit{1s}; // whether an engine has ended
 
 std::int64_t wallSeconds()
 {
@@ -336,10 +337,15 @@
     // It may only be frozen: when it wakes it must not go on writing for nobody.
     this->services.canceller->cancel({this->decodeAddress, this->stream, [] {
                                       }});
-    const CrashedRun run = endOf(this->decodeEngine.value(), this->decodeBegun);
-    this->services.state.crashes().onCrash(run, this->content);
+    // An engine that still runs has sent what is no stream, or lost its connections.
+    std::optional<Duration> ran;
+    if (this->services.engines.probe(this->decodeAddress, probeLimit, yield) != Liveness::Running) {
+        const CrashedRun run = endOf(this->decodeEngine.value(), this->decodeBegun);
+        this->services.state.crashes().onCrash(run, this->content);
+        ran = run.ended - run.begun;
+    }
     if (const auto left = this->blockedFor()) {
-        this->placing.decodeFailed(DecodeFault::Unreachable, false, run.ended - run.begun);
+        this->placing.decodeFailed(DecodeFault::Unreachable, false, ran);
         this->placing.finished(peer::RequestOutcome::Failed, Tokens(this->sink.delivered.count().value()));
         this->refuseBlocked(*left, yield);
         return Next::Ended;
@@ -352,7 +358,7 @@
     if (!this->isKvHeld()) {
         this->isRead = true; // reading it once more is the waste of this loss
     }
-    return this->failDecode(DecodeFault::Unreachable, run.ended - run.begun);
+    return this->failDecode(DecodeFault::Unreachable, ran);
 }
 
 } // namespace fescuesill
--- a/wire/engineclient.h
+++ b/wire/engineclient.h
@@ -203,6 +203,11 @@
     std::vector<RunningStream> list(const std::string &address, const asio::yield_context &yield);
     EngineLoad load(const std::string &address, const asio::yield_context &yield);
     EngineCacheEvents cacheEvents(const std::string &address, std::int64_t after, const asio::yield_context &yield);
+    // Whether the engine's process accepts connections; nothing is sent.
+    Liveness probe(const std::string &address, Duration limit, const asio::yield_context &yield)
+    {
+        return this->client.probe(address, limit, yield);
+    }
     void order(const std::string &address, FencingNumber fencing, OrderKind kind, const std::string &value,
                const asio::yield_context &yield);
 
