Engines that end while they read a prompt count at entries too

A model call sent again and again to an entry of our own hosts ended five engines that read its prompt (bound 3): entries and the owner of its cell counted only engines that ended while they wrote.

The entry now looks at an engine whose read broke off, as it does for a stream, and PrefillFailed carries the content and the time that it had run, as DecodeFailed does; the owner counts both in one place. What could not be sent counts for nothing.

--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -167,9 +167,19 @@
     this->decodeEngine = placed.decodeEngine;
     this->decodeAddress = placed.decodeAddress;
     this->placing.decoding(StreamId(), placed.decodeEngine, Tokens(0));
+    const Instant begun = steadyNow();
     const PromptRead::End end = this->read(placed.prefillAddress, yield);
-    if (const auto *fault = std::get_if<PrefillFault>(&end)) {
-        this->placing.prefillFailed(*fault);
+    if (const auto *failed = std::get_if<PromptRead::Failed>(&end)) {
+        const auto ran = failed->mayHaveRun
+            ? this->ranUntilEnd(placed.prefillEngine, placed.prefillAddress, begun, yield)
+            : std::nullopt;
+        this->hasReaderEnded |= ran.has_value();
+        this->placing.prefillFailed(failed->fault, ran);
+        if (const auto left = ran ? this->blockedFor() : std::nullopt) {
+            this->placing.finished(peer::RequestOutcome::Failed, Tokens(0));
+            this->refuseBlocked(*left, yield);
+            return Next::Ended;
+        }
     }
     const auto *answer = std::get_if<PrefillAnswer>(&end);
     if (answer == nullptr) {
@@ -289,6 +299,18 @@
     return this->afterPump(end, yield);
 }
 
+// An engine that still runs has answered with what is none, or has lost its connections.
+std::optional<Duration> ModelCall::ranUntilEnd(const EngineId &engine, const std::string &address, Instant begun,
+                                               const asio::yield_context &yield)
+{
+    if (this->services.engines.probe(address, probeLimit, yield) == Liveness::Running) {
+        return std::nullopt;
+    }
+    const CrashedRun run = endOf(engine.value(), begun);
+    this->services.state.crashes().onCrash(run, this->content);
+    return run.ended - run.begun;
+}
+
 std::optional<Duration> ModelCall::blockedFor()
 {
     LocalCrashes &crashes = this->services.state.crashes();
@@ -297,7 +319,7 @@
 
 void ModelCall::refuseBlocked(Duration blockedFor, const asio::yield_context &yield)
 {
-    const RunState run = this->generations > 0 ? RunState::MayHaveRun : RunState::NotRun;
+    const RunState run = this->generations > 0 || this->hasReaderEnded ? RunState::MayHaveRun : RunState::NotRun;
     this->refuse({RefusalCode::Blocked, run, "requests like this one crash engines", blockedFor}, yield);
 }
 
@@ -337,13 +359,7 @@
     // It may only be frozen: when it wakes it must not go on writing for nobody.
     this->services.canceller->cancel({this->decodeAddress, this->stream, [] {
                                       }});
-    // An engine that still runs has sent what is no stream, or lost its connections.
-    std::optional<Duration> ran;
-    if (this->services.engines.probe(this->decodeAddress, probeLimit, yield) != Liveness::Running) {
-        const CrashedRun run = endOf(this->decodeEngine.value(), this->decodeBegun);
-        this->services.state.crashes().onCrash(run, this->content);
-        ran = run.ended - run.begun;
-    }
+    const auto ran = this->ranUntilEnd(this->decodeEngine, this->decodeAddress, this->decodeBegun, yield);
     if (const auto left = this->blockedFor()) {
         this->placing.decodeFailed(DecodeFault::Unreachable, false, ran);
         this->placing.finished(peer::RequestOutcome::Failed, Tokens(this->sink.delivered.count().value()));
--- a/programs/entry/modelcall.h
+++ b/programs/entry/modelcall.h
@@ -41,6 +41,9 @@
     Next decode(const asio::yield_context &yield);
     std::optional<DecodeStream> openDecode(const asio::yield_context &yield, std::optional<DecodeFault> &fault);
     Next failDecode(DecodeFault fault, std::optional<Duration> ran);
+    // How long the engine had run the request when it ended, of which this takes note; empty if it still runs.
+    std::optional<Duration> ranUntilEnd(const EngineId &engine, const std::string &address, Instant begun,
+                                        const asio::yield_context &yield);
     // How long this entry refuses the request since it crashes engines; empty if it may be sent.
     std::optional<Duration> blockedFor();
     void refuseBlocked(Duration blockedFor, const asio::yield_context &yield);
@@ -81,6 +84,7 @@
     StreamPump *pump = nullptr;
     bool isGone = false;
     bool wasPlaced = false;
+    bool hasReaderEnded = false; // under this request
     bool isRead = false; // the prompt was read and its result not used yet
 };
 
--- a/programs/entry/placing.cpp
+++ b/programs/entry/placing.cpp
@@ -273,9 +273,10 @@
     this->send(peer::PrefillDone{this->job.request, answer.computed, answer.reused, answer.keep});
 }
 
-void Placing::prefillFailed(PrefillFault fault)
+void Placing::prefillFailed(PrefillFault fault, std::optional<Duration> ran)
 {
-    this->send(peer::PrefillFailed{this->job.request, fault});
+    this->send(
+        peer::PrefillFailed{this->job.request, fault, ran ? this->job.content.value() : 0, ran.value_or(Duration(0))});
     if (!this->owner) {
         this->placeHere();
     }
--- a/programs/entry/placing.h
+++ b/programs/entry/placing.h
@@ -50,9 +50,9 @@
     void interrupt();
 
     void prefillDone(const PrefillAnswer &answer);
-    void prefillFailed(PrefillFault fault);
-    void decoding(const StreamId &stream, const EngineId &engine, Tokens output);
     // `ran`: how long the engine had run the request when it ended; empty if it did not end under it.
+    void prefillFailed(PrefillFault fault, std::optional<Duration> ran);
+    void decoding(const StreamId &stream, const EngineId &engine, Tokens output);
     void decodeFailed(DecodeFault fault, bool kvHeld, std::optional<Duration> ran);
     void finished(peer::RequestOutcome outcome, Tokens output);
 
--- a/programs/entry/promptread.cpp
+++ b/programs/entry/promptread.cpp
@@ -38,8 +38,11 @@
             return GivenUp{};
         }
         Log::info("prefill_failed", {{"request", this->id.value()}, {"fault", error.what()}});
-        const bool isFull = std::holds_alternative<QueueFull>(error.fault());
-        return isFull ? PrefillFault::QueueFull : PrefillFault::Unreachable;
+        if (std::holds_alternative<QueueFull>(error.fault())) {
+            return Failed{PrefillFault::QueueFull, false};
+        }
+        const auto *unreachable = std::get_if<Unreachable>(&error.fault());
+        return Failed{PrefillFault::Unreachable, unreachable != nullptr && !unreachable->isKnownNotSent};
     }
 }
 
--- a/programs/entry/promptread.h
+++ b/programs/entry/promptread.h
@@ -19,7 +19,11 @@
 public:
     struct GivenUp {
     };
-    using End = std::variant<PrefillAnswer, PrefillFault, GivenUp>;
+    struct Failed {
+        PrefillFault fault = PrefillFault::Unreachable;
+        bool mayHaveRun = false;
+    };
+    using End = std::variant<PrefillAnswer, Failed, GivenUp>;
 
     PromptRead(ShardServices &services, const RequestId &id, const ModelRequest &request, int rank);
 
--- a/programs/scheduler/celldirectorentries.cpp
+++ b/programs/scheduler/celldirectorentries.cpp
@@ -111,10 +111,18 @@
     }
 }
 
-void CellDirector::receive(LinkId /*link*/, const peer::PrefillFailed &failed, Instant now)
+void CellDirector::receive(LinkId link, const peer::PrefillFailed &failed, Instant now)
 {
-    if (OwnedCell *cell = this->cellOf(failed.request)) {
-        cell->scheduler.onPrefillFailed(failed.request, failed.fault, now);
+    const Tracked *tracked = this->findTracked(failed.request);
+    const EngineId engine = tracked == nullptr ? EngineId() : tracked->prefillEngine;
+    const bool isBlocked = this->isBlockedAfter(engine, failed.content, failed.ran, now);
+    OwnedCell *cell = this->cellOf(failed.request);
+    if (cell == nullptr) {
+        return;
+    }
+    cell->scheduler.onPrefillFailed(failed.request, failed.fault, now);
+    if (isBlocked) {
+        this->stopBlocked(link, *cell, failed.request, now);
     }
 }
 
@@ -134,7 +142,9 @@
 
 void CellDirector::receive(LinkId link, const peer::DecodeFailed &failed, Instant now)
 {
-    const bool isBlocked = this->isBlockedAfter(failed, now);
+    const Tracked *tracked = this->findTracked(failed.request);
+    const EngineId engine = tracked == nullptr ? EngineId() : tracked->decodeEngine;
+    const bool isBlocked = this->isBlockedAfter(engine, failed.content, failed.ran, now);
     OwnedCell *cell = this->cellOf(failed.request);
     if (cell == nullptr) {
         return;
@@ -142,21 +152,24 @@
     this->findTracked(failed.request)->hasOutput = false;
     cell->scheduler.onDecodeFailed(failed.request, failed.fault, failed.kvHeld, now);
     if (isBlocked) {
-        cell->scheduler.onCancelled(failed.request, now);
-        this->requests.erase(failed.request);
-        this->refuseBlocked(link, failed.request, RunState::MayHaveRun, blockDuration);
+        this->stopBlocked(link, *cell, failed.request, now);
     }
 }
 
-bool CellDirector::isBlockedAfter(const peer::DecodeFailed &failed, Instant now)
+void CellDirector::stopBlocked(LinkId link, OwnedCell &cell, const RequestId &request, Instant now)
 {
-    if (failed.content == 0) {
+    cell.scheduler.onCancelled(request, now);
+    this->requests.erase(request);
+    this->refuseBlocked(link, request, RunState::MayHaveRun, blockDuration);
+}
+
+bool CellDirector::isBlockedAfter(const EngineId &engine, std::uint64_t content, Duration ran, Instant now)
+{
+    if (content == 0) {
         return false;
     }
-    const RequestTraits traits{RequestTrait(failed.content)};
-    const Tracked *tracked = this->findTracked(failed.request);
-    const EndpointId engine(tracked == nullptr ? std::string() : tracked->decodeEngine.value());
-    this->crashes.onCrash({{engine, now.time_since_epoch().count()}, now - failed.ran, now}, traits);
+    const RequestTraits traits{RequestTrait(content)};
+    this->crashes.onCrash({{EndpointId(engine.value()), now.time_since_epoch().count()}, now - ran, now}, traits);
     for (const RequestTraits &blocked : this->crashes.blocked()) {
         this->blocks.block(blocked, blockDuration, now);
     }
--- a/programs/scheduler/testing/celldirector_test.cpp
+++ b/programs/scheduler/testing/celldirector_test.cpp
@@ -173,6 +173,25 @@
     EXPECT_FALSE(this->told<peer::Refused>());
 }
 
+// Guards against a prompt under which engines have ended as they read it, and that is placed for each entry that asks.
+TEST_F(CellDirectorTest, RefusesARequestUnderWhichThreeEnginesEndedAsTheyReadItsPrompt)
+{
+    constexpr std::uint64_t deadly = 7;
+    for (int crash = 1; crash <= 3; ++crash) {
+        const RequestId request("r" + std::to_string(crash));
+        this->submit(request.value(), Tokens(1000), deadly);
+        this->outputs();
+        this->pass(100ms);
+        this->say(entryLink, peer::PrefillFailed{request, PrefillFault::Unreachable, deadly, 50ms});
+        ASSERT_EQ(this->told<peer::Refused>().has_value(), crash == 3);
+        this->say(entryLink, peer::Finished{request, peer::RequestOutcome::Failed, Tokens(0)});
+    }
+    this->submit("r4", Tokens(1000), deadly);
+    const auto refused = this->told<peer::Refused>();
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->refusal.code, RefusalCode::Blocked);
+}
+
 // A host joins and takes the cell over while requests wait in it. They must not wait here for ever: each is told at
 // once that the cell has moved, so that its entry asks the next owner.
 TEST_F(CellDirectorTest, WhatWaitsInALostCellIsToldThatItMoved)
--- a/testing/process/test_crashing_requests_own_hosts.py
+++ b/testing/process/test_crashing_requests_own_hosts.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from enginefront import EngineFront
 from smallfleet import SmallFleet
 from standin import call, wait_until
 from userplatform import UserPlatform
@@ -33,6 +34,29 @@
             for entry in entries:
                 wait_until(lambda: ask(entry, 20) == 200, "a sound call")
 
+    # Guards against a prompt under which three engines have ended as they read it, and that entries go on sending to others.
+    def test_a_model_call_that_crashes_the_engines_that_read_its_prompt_stops(self):
+        fleet = SmallFleet()
+        fronts = []
+        for name in ("p1", "p2"):
+            front = EngineFront(fleet.engines[name].address)
+            self.addCleanup(front.end)
+            front.crashes_on = lambda path, body: path == "/v1/prefill" and b"deadly" in body
+            fleet.engines[name].address = front.address
+            fronts.append(front)
+        with fleet:
+            def ask(prompt):
+                body = {"model": "verdict", "prompt": prompt, "max_tokens": 20}
+                return call("POST", fleet.entry, "/v1/completions", body, {"X-Workspace": "w"}, timeout=30)[0]
+
+            wait_until(lambda: ask("word " * 400) == 200, "a sound call")
+            statuses = []
+            for _ in range(6):
+                statuses.append(ask("deadly " * 400))
+                time.sleep(PAUSE_SECONDS)
+            self.assertLessEqual(sum(front.crashes for front in fronts), MOST_CRASHES, statuses)
+            wait_until(lambda: ask("word " * 400) == 200, "a sound call")
+
     # Guards against a plain call under which three endpoints have ended, and that its entry goes on sending to others.
     def test_a_repeatable_call_that_crashes_endpoints_stops_at_its_entry(self):
         self.check_plain("GET", "/cards/deadly", entries=1)
--- a/testing/process/test_engines_without_end_own_hosts.py
+++ b/testing/process/test_engines_without_end_own_hosts.py
@@ -6,50 +6,16 @@
 import time
 import unittest
 
+from enginefront import EngineFront
 from smallfleet import SmallFleet
 from standin import call, wait_until
 from test_bytes_without_end import peak_memory_kb
-from userplatform import ENDLESS, Endpoint, Server
+from userplatform import ENDLESS
 
 CALLERS = 8
 LONGEST_CALL_SECONDS = 12
 MOST_MEMORY_KB = 40_000  # more than before, of an entry or a scheduler
 POLLS_SECONDS = 1  # in which a scheduler asks each engine several times
-CUT_BYTES = 400  # of a stream that goes on with another request
-
-
-class EngineFront(Server):
-    """Stands before an engine. Requests to the paths in `endless` are answered without an end in the way it names; streams
-    are cut while `cuts_streams`."""
-
-    def __init__(self, engine):
-        self.engine = engine
-        self.endless = {}
-        self.cuts_streams = False
-        super().__init__()
-
-    def handle(self, request, body):
-        way = next((way for path, way in self.endless.items() if request.path.startswith(path)), None)
-        if way:
-            Endpoint.send_without_end(request, *ENDLESS[way])
-        else:
-            self.forward(request, body)
-
-    def forward(self, request, body):
-        connection = http.client.HTTPConnection(self.engine, timeout=20)
-        with contextlib.closing(connection):
-            connection.request(request.command, request.path, body, {"Content-Type": "application/json"})
-            answer = connection.getresponse()
-            request.send_response_only(answer.status)
-            request.send_header("Connection", "close")
-            request.end_headers()
-            request.close_connection = True
-            sent = 0
-            while data := answer.read1():
-                request.wfile.write(data)
-                sent += len(data)
-                if self.cuts_streams and request.path.startswith("/v1/decode") and sent > CUT_BYTES:
-                    return
 
 
 class EnginesWithoutEndTest(unittest.TestCase):
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -74,6 +74,8 @@
 {
     visit(m.request);
     visit(m.fault);
+    visit(m.content);
+    visit(m.ran);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -83,6 +83,8 @@
 struct PrefillFailed {
     RequestId request;
     PrefillFault fault = PrefillFault::Unreachable;
+    std::uint64_t content = 0; // as in DecodeFailed
+    Duration ran{0};
 };
 
 // The output so far. The first message reports that the first token has been sent.
--- a/wire/testing/messages_test.cpp
+++ b/wire/testing/messages_test.cpp
@@ -21,7 +21,7 @@
         Refused{RequestId("r"), {RefusalCode::Overloaded, RunState::NotRun, "full", 800ms}},
         Refused{RequestId("r"), {RefusalCode::Internal, RunState::MayHaveRun, "", std::nullopt}},
         PrefillDone{RequestId("r"), Tokens(9000), Tokens(4096), 800ms},
-        PrefillFailed{RequestId("r"), PrefillFault::QueueFull},
+        PrefillFailed{RequestId("r"), PrefillFault::QueueFull, 9, 3ms},
         OutputProgress{RequestId("r"), Tokens(7)},
         DecodeFailed{RequestId("r"), DecodeFault::KvGone, true, 9, 3ms},
         Finished{RequestId("r"), RequestOutcome::Cancelled, Tokens(3)},
