A trial of a blocked request that is not sent is made again

Traced in its logs: three engines ended within 0.4 s under requests with a deadly part, while requests with a part that all sound callers share ran there, so both parts were blocked. The trial that shows such a mistake after 20 s was given to a call of a workspace whose quota was used up: it was refused, nothing was sent, and the next trial was due two minutes later.

A trial of which no endpoint got a part is returned, and the next blocked request is one. The process test waits in vain for a second trial without this.

--- a/decide/requestblocks.cpp
+++ b/decide/requestblocks.cpp
@@ -106,6 +106,16 @@
     return true;
 }
 
+void RequestBlocks::returnTrial(const RequestTraits &traits, Instant now)
+{
+    for (auto &block : this->blocks) {
+        if (isMatch(block, traits, now) && now < block.second.trialDue) {
+            block.second.trialInterval /= this->options.trialFactor;
+            block.second.trialDue = now;
+        }
+    }
+}
+
 std::vector<std::pair<RequestTraits, Instant>> RequestBlocks::all() const
 {
     std::vector<std::pair<RequestTraits, Instant>> found;
--- a/decide/requestblocks.h
+++ b/decide/requestblocks.h
@@ -55,6 +55,8 @@
     }
     // Whether this request may be sent although it is blocked, as a trial. For one host of the fleet.
     bool takeTrial(const RequestTraits &traits, Instant now);
+    // The trial was not sent and has shown nothing, so another one may be made.
+    void returnTrial(const RequestTraits &traits, Instant now);
     // How long requests with these traits are blocked; empty if they are not.
     std::optional<Duration> blockedFor(const RequestTraits &traits, Instant now) const;
     // Those of the traits that were watched when the request began.
--- a/decide/testing/requestblocks_test.cpp
+++ b/decide/testing/requestblocks_test.cpp
@@ -40,6 +40,20 @@
     EXPECT_TRUE(blocks.blockedFor({c}, start));
 }
 
+// Guards against sound requests that stay blocked because the only trial was refused for another reason.
+TEST(RequestBlocks, AllowsAnotherTrialForOneThatWasNotSent)
+{
+    const RequestBlocks::Options options;
+    RequestBlocks blocks(options);
+    blocks.block({a}, 10min, start);
+    const Instant due = start + options.firstTrial;
+    ASSERT_TRUE(blocks.takeTrial({a}, due));
+    blocks.returnTrial({a}, due + 1ms);
+    EXPECT_TRUE(blocks.takeTrial({a}, due + 1ms));
+    EXPECT_FALSE(blocks.takeTrial({a}, due + options.firstTrial * (options.trialFactor - 1)));
+    EXPECT_TRUE(blocks.takeTrial({a}, due + 1ms + options.firstTrial * options.trialFactor));
+}
+
 // Guards against requests that were blocked by mistake, and that no answer can clear since none is sent.
 TEST(RequestBlocks, AllowsATrialNowAndThen)
 {
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -119,6 +119,11 @@
     return true;
 }
 
+void CrashGuard::returnTrial(const HttpCall &call)
+{
+    this->inForce.returnTrial(withRead(readTraits(call)), steadyNow());
+}
+
 CrashGuard::Crash CrashGuard::suspectedBy(const BrokenAnswer &answer)
 {
     const Instant now = steadyNow();
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -48,6 +48,8 @@
     std::optional<Duration> blockedFor(const HttpCall &call) const;
     // Whether this one may be sent although it is blocked, as a trial. Only the host that counts the crashes makes any.
     bool takeTrial(const HttpCall &call);
+    // The trial was not sent.
+    void returnTrial(const HttpCall &call);
     // Finds out in the background whether the endpoint of the answer has ended, and reports it.
     void onBrokenOff(const BrokenAnswer &answer);
     // The same, and waits for the result and until it has been counted, but not longer than the limit.
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -101,6 +101,8 @@
     KeyTrust keyTrust() const;
     bool admitsKeys() const;
     void refuseKey(const ForwardedCall &call, const CallerIdentity &caller, const asio::yield_context &yield);
+    template<typename Forward>
+    void run(Forward forward, const ForwardedCall &call, const asio::yield_context &yield);
     void applyUpdates();
     void applyConfig();
     void onChanging(const peer::EngineChanging &change);
@@ -227,12 +229,29 @@
     if (blocked && !forwarded.isTrial) {
         forwarded.refuseBlocked(*blocked, yield);
     } else if (route->kind == CallKind::Generation) {
-        GenerationForward(forwarded).run(yield);
+        this->run(GenerationForward(forwarded), forwarded, yield);
     } else {
-        PlainForward(forwarded).run(yield);
+        this->run(PlainForward(forwarded), forwarded, yield);
     }
 }
 
+template<typename Forward>
+void Gateway::run(Forward forward, const ForwardedCall &call, const asio::yield_context &yield)
+{
+    const auto returnUnsent = [&] {
+        if (call.isTrial && !forward.hasSent()) {
+            this->crashes.returnTrial(call.http);
+        }
+    };
+    try {
+        forward.run(yield);
+    } catch (const std::exception &) { // the caller has gone
+        returnUnsent();
+        throw;
+    }
+    returnUnsent();
+}
+
 KeyTrust Gateway::keyTrust() const
 {
     return {this->settings.keyLimit, this->settings.isRevocationStrict};
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -21,6 +21,11 @@
     }
 
     void run(const asio::yield_context &yield);
+    // Whether an engine may have got a part of the call.
+    bool hasSent() const
+    {
+        return this->sends > 0 || !this->prefillEngine.isEmpty();
+    }
 
 private:
     // The result of one attempt, from the placement to the end of the events.
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -18,6 +18,11 @@
     }
 
     void run(const asio::yield_context &yield);
+    // Whether an endpoint may have got the call.
+    bool hasSent() const
+    {
+        return this->sends > 0;
+    }
 
 private:
     // The result of one send.
--- a/testing/process/test_crashing_requests.py
+++ b/testing/process/test_crashing_requests.py
@@ -14,6 +14,8 @@
 from paths import Paths  # noqa: E402
 from standin import wait_until  # noqa: E402
 
+TRIAL_SECONDS = 20  # from the block until a request is sent all the same
+BACK_SECONDS = 5  # for the next trial, after one that was not sent
 MOST_PART_CRASHES = 5  # under requests that share a part of their prompts
 
 
@@ -63,6 +65,20 @@
         wait_until(lambda: self.ask(cut, "/look/sound") == 200, "calls through another host")
         self.check_stops([cut, *others], "/write/1")
 
+    # Guards against sound requests that stay blocked because the one that was to show it was refused for another reason.
+    def test_a_trial_that_is_refused_is_made_again(self):
+        gateway = self.start()
+        self.check_stops([gateway], "/write/1")
+        for writer in self.writers:
+            writer.crashes_on = lambda request, body: False
+            writer.rests, writer.rest_seconds = frozenset(["hold"]), 1.0
+        wait_until(lambda: self.ask(gateway, "/write/1") != 200, "engines that rest")
+        wait_until(lambda: self.ask(gateway, "/write/1", DEADLY) and "event=blocked_request_tried" in gateway.log(),
+                   "a trial", TRIAL_SECONDS + 5)
+        for writer in self.writers:
+            writer.rests = frozenset()
+        wait_until(lambda: self.ask(gateway, "/write/1", DEADLY) == 200, "another trial", BACK_SECONDS)
+
     # Guards against a new leader that has heard of none of the crashes before it led.
     def test_crashes_before_a_leader_is_lost_count(self):
         leader, *others = self.start_linked(3)
