The head of a reply is read in one place

A host that relays for another copied the status and the headers of a reply out of its parser with the lines that the client has for its own. Both call headOf() now. Behaviour is as it was.

--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -239,18 +239,24 @@
     }
 }
 
+HttpResponse headOf(const http::response_header<> &parsed)
+{
+    HttpResponse head;
+    head.status = static_cast<int>(parsed.result_int());
+    for (const auto &field : parsed) {
+        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return head;
+}
+
 HttpResponse HttpConnection::response() const
 {
-    HttpResponse response;
-    response.status = this->status();
+    HttpResponse response = headOf(this->parser->get());
     if (this->parser->chunked()) {
         response.framing = BodyFraming::Chunks;
     } else if (this->parser->need_eof()) {
         response.framing = BodyFraming::Connection;
     }
-    for (const auto &field : this->parser->get()) {
-        response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
     return response;
 }
 
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -66,6 +66,9 @@
     std::unordered_map<std::string, std::deque<IdleConnection>> idle;
 };
 
+// The status and the headers of a reply, without what its parser knows of its body.
+HttpResponse headOf(const http::response_header<> &parsed);
+
 // Bounds a reply that is being read as a whole, and counts it towards those of all calls.
 class ReplyBound
 {
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -11,6 +11,7 @@
 #include "wire/address.h"
 #include "wire/clock.h"
 #include "wire/connectionreport.h"
+#include "wire/httpconnection.h"
 #include "wire/log.h"
 #include "wire/tunnelframes.h"
 
@@ -264,12 +265,7 @@
     boost::system::error_code error;
     parser.put(asio::buffer(this->head), error);
     if (parser.is_header_done()) {
-        HttpResponse reply;
-        reply.status = static_cast<int>(parser.get().result_int());
-        for (const auto &field : parser.get()) {
-            reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-        }
-        this->server->options.onReply(this->address, reply);
+        this->server->options.onReply(this->address, headOf(parser.get()));
     }
     this->isHeadRead =
         parser.is_header_done() || (error && error != http::error::need_more) || this->head.size() > replyHeaderLimit;
