One place says how much of endpoints' replies is kept

Gateways and entries each named the same 4 and 8 MB: HttpClient::Options::forEndpoints() has them, and endpointhttp.h goes. Entries named the limit of a probe three times that the probe has anyway: it can be left out. Values are as they were.

--- a/programs/entry/ledgerduty.cpp
+++ b/programs/entry/ledgerduty.cpp
@@ -8,7 +8,6 @@
 
 #include "programs/entry/ledgerduty.h"
 
-#include "programs/entry/endpointhttp.h"
 #include "wire/clock.h"
 #include "wire/log.h"
 #include "wire/messages.h"
@@ -24,8 +23,6 @@
 namespace
 {
 
-constexpr Duration probeLimit{1s}; // whether an endpoint has ended
-
 // A few seconds of the most bookings that the store takes; more would wait longer than their callers.
 constexpr std::size_t mostJobs = 1024;
 // Attempts under way, those that only settle their row after the answer included: an outage of ten minutes at several
@@ -68,7 +65,7 @@
     : state(shared)
     , work(io.get_executor())
     , platform(io, {given.platform})
-    , endpoints(io, endpointHttp())
+    , endpoints(io, HttpClient::Options::forEndpoints())
     , table(io, platform)
     , jobs(mostJobs, [this] { asio::post(this->io, [this] { this->drainRing(); }); })
 {
@@ -193,7 +190,7 @@
             Log::warning("call_failed",
                          {{"attempt", job.call.attempt.value()}, {"endpoint", address}, {"fault", error.what()}});
             if (error.fault() == HttpFault::Closed && !error.isKnownNotSent()
-                && this->endpoints.probe(address, probeLimit, yield) == Liveness::Ended) {
+                && this->endpoints.probe(address, yield) == Liveness::Ended) {
                 crashes.onCrash(endOf(address, begun), contentOf(job.request));
             }
             if (!error.isKnownNotSent()) {
--- a/programs/entry/modelcall.cpp
+++ b/programs/entry/modelcall.cpp
@@ -26,7 +26,6 @@
 constexpr int mostGenerations = 4;
 // A result's stated life minus its way here.
 constexpr Duration keepMargin{50ms};
-constexpr Duration probeLimit{1s}; // whether an engine has ended
 
 std::int64_t wallSeconds()
 {
@@ -303,7 +302,7 @@
 std::optional<Duration> ModelCall::ranUntilEnd(const EngineId &engine, const std::string &address, Instant begun,
                                                const asio::yield_context &yield)
 {
-    if (this->services.engines.probe(address, probeLimit, yield) == Liveness::Running) {
+    if (this->services.engines.probe(address, yield) == Liveness::Running) {
         return std::nullopt;
     }
     const CrashedRun run = endOf(engine.value(), begun);
--- a/programs/entry/plaincall.cpp
+++ b/programs/entry/plaincall.cpp
@@ -20,7 +20,6 @@
 constexpr int statusUnavailable = 503;
 constexpr Duration storeRetry{3s};
 constexpr Duration endpointRetry{1s};
-constexpr Duration probeLimit{1s}; // whether an endpoint has ended
 // Ledger calls before and after the endpoint's own deadline: three tries of 2 s each, twice.
 constexpr Duration ledgerMargin{14s};
 
@@ -126,7 +125,7 @@
     } catch (const HttpError &error) {
         Log::info("call_failed", {{"request", this->call.id.value()}, {"endpoint", address}, {"fault", error.what()}});
         const bool isCutShort = error.fault() == HttpFault::Closed && !error.isKnownNotSent();
-        if (isCutShort && this->services.endpoints.probe(address, probeLimit, yield) == Liveness::Ended) {
+        if (isCutShort && this->services.endpoints.probe(address, yield) == Liveness::Ended) {
             this->services.state.crashes().onCrash(endOf(address, begun), this->content());
         }
         return error.isKnownNotSent() ? TryOutcome::NeverSent : TryOutcome::Lost;
--- a/programs/entry/shard.cpp
+++ b/programs/entry/shard.cpp
@@ -3,7 +3,6 @@
 
 #include "programs/entry/shard.h"
 
-#include "programs/entry/endpointhttp.h"
 #include "programs/entry/modelcall.h"
 #include "programs/entry/plaincall.h"
 #include "programs/entry/resumecall.h"
@@ -103,7 +102,7 @@
                index,
                RequestIds(common.settings.host, boot, index),
                EngineClient(io, engineOptions(common.settings)),
-               HttpClient(io, endpointHttp()),
+               HttpClient(io, HttpClient::Options::forEndpoints()),
                OwnerMailbox(io),
                CellChoice(choiceOptions(common.settings), boot + index),
                {},
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -30,19 +30,15 @@
 // For a call with a key while the store can't be read, so that other hosts can't admit it either.
 constexpr Duration retryAfterInOutage{1s};
 constexpr Duration retryAfterWhenStopping{100ms}; // the next connection goes to another host
-constexpr Bytes replyLimit{4 << 20}; // of a plain endpoint or an engine; ordinary ones take some kilobytes
-constexpr Bytes repliesLimit{8 << 20}; // of all of them together; the smallest hosts have 88 MB
 constexpr Bytes requestLineAllowance{4 << 10}; // for the request line, added to the limit on headers
 
 HttpClient::Options clientOptions(const GatewaySettings &settings, EndpointPaths &paths, Traffic &traffic)
 {
-    HttpClient::Options options;
+    HttpClient::Options options = HttpClient::Options::forEndpoints();
     options.connections =
         settings.connections * 2; // a call uses one connection to an endpoint at a time, and more for releases
     options.connectLimit = settings.connectLimit;
     options.idlePerAddress = 0;
-    options.bodyLimit = replyLimit;
-    options.bufferedLimit = repliesLimit;
     options.paths = &paths;
     options.traffic = &traffic;
     return options;
--- a/wire/engineclient.h
+++ b/wire/engineclient.h
@@ -204,9 +204,9 @@
     EngineLoad load(const std::string &address, const asio::yield_context &yield);
     EngineCacheEvents cacheEvents(const std::string &address, std::int64_t after, const asio::yield_context &yield);
     // Whether the engine's process accepts connections; nothing is sent.
-    Liveness probe(const std::string &address, Duration limit, const asio::yield_context &yield)
+    Liveness probe(const std::string &address, const asio::yield_context &yield)
     {
-        return this->client.probe(address, limit, yield);
+        return this->client.probe(address, yield);
     }
     void order(const std::string &address, FencingNumber fencing, OrderKind kind, const std::string &value,
                const asio::yield_context &yield);
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -364,6 +364,11 @@
     return isRefused ? Liveness::Ended : Liveness::Unknown;
 }
 
+Liveness HttpClient::probe(const std::string &address, const asio::yield_context &yield)
+{
+    return this->probe(address, checkLimit, yield);
+}
+
 std::size_t HttpClient::openConnections() const
 {
     return this->pool->open;
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -206,6 +206,15 @@
         // Must outlive the client.
         EndpointPaths *paths = nullptr;
         Traffic *traffic = nullptr; // counts the bytes of all connections, if set
+
+        // For endpoints, whose ordinary replies take some kilobytes. The smallest hosts have 88 MB.
+        static Options forEndpoints()
+        {
+            Options options;
+            options.bodyLimit = Bytes(4 << 20);
+            options.bufferedLimit = Bytes(8 << 20);
+            return options;
+        }
     };
 
     HttpClient(asio::io_context &io, Options options);
@@ -225,6 +234,7 @@
     // Connects to the address and sends nothing, for at most a second or the limit. A refusal here counts only if no
     // other host is connected either. Does not report to EndpointPaths: the process may have ended.
     Liveness probe(const std::string &address, Duration limit, const asio::yield_context &yield);
+    Liveness probe(const std::string &address, const asio::yield_context &yield);
 
     std::size_t openConnections() const;
 
