The engines that rest are listed without a whole request for a place

A host that an engine had turned away built a request for a place, with its estimates and clocks, only to take the list of resting engines out of it.

--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -78,9 +78,7 @@
     request.usefulUntil = std::min(this->call.deadline(), request.arrival + patience) - prefillTime;
     request.dataCentre = this->call.services.settings.dataCentre;
     request.avoid = this->avoid;
-    for (const EndpointId &resting : this->call.services.fleet.rests().all()) {
-        request.excluded.emplace_back(resting.value());
-    }
+    request.excluded = this->restingEngines();
     request.promptName = size.uniquePart;
     request.version = this->streamVersion;
     request.isTakenUp = !this->call.head.lastEvent.empty();
@@ -91,6 +89,15 @@
     return request;
 }
 
+std::vector<EngineId> GenerationForward::restingEngines() const
+{
+    std::vector<EngineId> engines;
+    for (const EndpointId &resting : this->call.services.fleet.rests().all()) {
+        engines.emplace_back(resting.value());
+    }
+    return engines;
+}
+
 PromptKey GenerationForward::promptKey() const
 {
     const auto &size = this->call.head.generation;
@@ -115,7 +122,7 @@
 {
     const auto &services = this->call.services;
     const bool isResting = services.fleet.rests().isResting(decode);
-    services.gates.setExcluded(this->call.head.id, this->placementRequest().excluded);
+    services.gates.setExcluded(this->call.head.id, this->restingEngines());
     this->report(isResting ? peer::PlacementEvent::Declined : peer::PlacementEvent::Full);
 }
 
@@ -144,7 +151,7 @@
             return Place{decode, *reservation, {}};
         }
         this->lastFault = "no room at " + decode.id.value();
-        services.gates.setExcluded(this->call.head.id, this->placementRequest().excluded);
+        services.gates.setExcluded(this->call.head.id, this->restingEngines());
         this->report(peer::PlacementEvent::Full);
     } catch (const HttpError &error) {
         this->checkCaller(); // if the caller cancelled the call, the engine is not at fault
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -65,6 +65,7 @@
     // Takes a retry from the budget and returns nothing, or returns why there is no retry.
     std::optional<NoRetry> claimRetry(Outcome ended);
     GenerationRequest placementRequest() const;
+    std::vector<EngineId> restingEngines() const;
     PromptKey promptKey() const;
     void report(peer::PlacementEvent event);
     void reportUnused(const EndpointId &engine);
