The owner of a cell counts ended readers and writers by the same lines

Both handlers looked up the engine before they knew whether it had ended at all. isBlockedAfter() takes the message and which of the engines it is about, and looks it up only then.

--- a/programs/scheduler/celldirector.h
+++ b/programs/scheduler/celldirector.h
@@ -99,9 +99,10 @@
     void refuseMoved(LinkId link, const RequestId &request);
     // Counts the end of an engine under the request. Returns whether the request is blocked from now on.
     void stopBlocked(LinkId link, OwnedCell &cell, const RequestId &request, Instant now);
-    // Takes note that the engine ended under a request of this content, after it had run it for so long. Returns
-    // whether the request is blocked then. A content of 0: the engine did not end.
-    bool isBlockedAfter(const EngineId &engine, std::uint64_t content, Duration ran, Instant now);
+    // Counts the crash of the engine that read or wrote for the request, if it ended. Returns whether the request is
+    // blocked then.
+    template<typename Failed>
+    bool isBlockedAfter(const Failed &failed, EngineId Tracked::*engine, Instant now);
     void refuseBlocked(LinkId link, const RequestId &request, RunState run, Duration duration);
     void loseCell(const CellId &cell);
     void setEngines(const CellId &cell, Instant now);
--- a/programs/scheduler/celldirectorentries.cpp
+++ b/programs/scheduler/celldirectorentries.cpp
@@ -113,9 +113,7 @@
 
 void CellDirector::receive(LinkId link, const peer::PrefillFailed &failed, Instant now)
 {
-    const Tracked *tracked = this->findTracked(failed.request);
-    const EngineId engine = tracked == nullptr ? EngineId() : tracked->prefillEngine;
-    const bool isBlocked = this->isBlockedAfter(engine, failed.content, failed.ran, now);
+    const bool isBlocked = this->isBlockedAfter(failed, &Tracked::prefillEngine, now);
     OwnedCell *cell = this->cellOf(failed.request);
     if (cell == nullptr) {
         return;
@@ -142,9 +140,7 @@
 
 void CellDirector::receive(LinkId link, const peer::DecodeFailed &failed, Instant now)
 {
-    const Tracked *tracked = this->findTracked(failed.request);
-    const EngineId engine = tracked == nullptr ? EngineId() : tracked->decodeEngine;
-    const bool isBlocked = this->isBlockedAfter(engine, failed.content, failed.ran, now);
+    const bool isBlocked = this->isBlockedAfter(failed, &Tracked::decodeEngine, now);
     OwnedCell *cell = this->cellOf(failed.request);
     if (cell == nullptr) {
         return;
@@ -163,13 +159,16 @@
     this->refuseBlocked(link, request, RunState::MayHaveRun, blockDuration);
 }
 
-bool CellDirector::isBlockedAfter(const EngineId &engine, std::uint64_t content, Duration ran, Instant now)
+template<typename Failed>
+bool CellDirector::isBlockedAfter(const Failed &failed, EngineId Tracked::*engine, Instant now)
 {
-    if (content == 0) {
+    if (failed.content == 0) {
         return false;
     }
-    const RequestTraits traits{RequestTrait(content)};
-    this->crashes.onCrash({{EndpointId(engine.value()), now.time_since_epoch().count()}, now - ran, now}, traits);
+    const RequestTraits traits{RequestTrait(failed.content)};
+    const Tracked *tracked = this->findTracked(failed.request);
+    const EndpointId ended(tracked == nullptr ? std::string() : (tracked->*engine).value());
+    this->crashes.onCrash({{ended, now.time_since_epoch().count()}, now - failed.ran, now}, traits);
     for (const RequestTraits &blocked : this->crashes.blocked()) {
         this->blocks.block(blocked, blockDuration, now);
     }
