--- a/testing/process/standin.py
+++ b/testing/process/standin.py
@@ -14,6 +14,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -80,6 +81,21 @@
     raise AssertionError(f"never came: {what}")
 
 
+def call_steadily(calls, per_second, seconds):
+    """Makes each of the calls at that rate, whatever they take; what they returned."""
+    answers = []
+    threads = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for call_once in calls:
+            threads.append(threading.Thread(target=lambda made=call_once: answers.append(made())))
+            threads[-1].start()
+        time.sleep(1 / per_second)
+    for thread in threads:
+        thread.join()
+    return answers
+
+
 class Process:
     """One running binary. What it prints, logs among it, goes to a file that is shown when a test fails."""
 
--- a/testing/process/test_endpoints_in_need_own_hosts.py
+++ b/testing/process/test_endpoints_in_need_own_hosts.py
@@ -1,12 +1,11 @@
 """Plain endpoints behind entries of our own hosts that ask for rest, say that they leave, or send without an end."""
 
 import itertools
-import threading
 import time
 import unittest
 
 from smallfleet import SmallFleet
-from standin import call, wait_until
+from standin import call, call_steadily, wait_until
 from userplatform import ENDLESS, UserPlatform
 
 REST_SECONDS = 2.0
@@ -37,14 +36,7 @@
         return call(method, self.fleet.entries[0].address, path, None, headers, timeout=30)
 
     def load(self, path, seconds):
-        callers = []
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            callers.append(threading.Thread(target=self.ask, args=(path,)))
-            callers[-1].start()
-            time.sleep(1 / CALLS_PER_SECOND)
-        for caller in callers:
-            caller.join()
+        call_steadily([lambda: self.ask(path)], CALLS_PER_SECOND, seconds)
 
     def check_rests(self, path):
         self.endpoint.rests, self.endpoint.rest_seconds = frozenset(["plain"]), REST_SECONDS
--- a/testing/process/test_limit.py
+++ b/testing/process/test_limit.py
@@ -1,13 +1,13 @@
 """Endpoints that name the requests a second that they take from all hosts together."""
 
 import collections
+import functools
 import tempfile
-import threading
 import time
 import unittest
 
 from gatewayprocess import Gateway, send
-from standin import wait_until
+from standin import call_steadily, wait_until
 from userplatform import UserPlatform, route
 
 HOSTS = 3
@@ -43,23 +43,13 @@
 
     def load(self, seconds, gateways=None):
         """Calls the hosts at a steady rate; status, headers and seconds that each call took."""
-        answers = []
-
-        def call(gateway):
+        def ask(gateway):
             begin = time.monotonic()
             status, headers, _ = send(gateway.callers, "GET", "/look/1")
-            answers.append((status, headers, time.monotonic() - begin))
+            return status, headers, time.monotonic() - begin
 
-        threads = []
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            for gateway in gateways or self.gateways:
-                threads.append(threading.Thread(target=call, args=(gateway,)))
-                threads[-1].start()
-            time.sleep(1 / CALLS_PER_SECOND)
-        for thread in threads:
-            thread.join()
-        return answers
+        calls = [functools.partial(ask, gateway) for gateway in gateways or self.gateways]
+        return call_steadily(calls, CALLS_PER_SECOND, seconds)
 
     # Guards against hosts that ignore the limit, or each send as much as it allows all of them.
     def test_hosts_together_keep_to_a_limit(self):
--- a/testing/process/test_rest.py
+++ b/testing/process/test_rest.py
@@ -2,13 +2,12 @@
 
 import contextlib
 import http.client
-import threading
 import time
 import unittest
 
 from gatewayprocess import SIZE, send
 from platformtest import PlatformTest
-from standin import wait_until
+from standin import call_steadily, wait_until
 from userplatform import route
 
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
@@ -44,16 +43,7 @@
         return max(endpoints, key=lambda each: each.arrivals[-1][0] if each.arrivals else 0)
 
     def load(self, gateway, path, seconds):
-        answers = []
-        callers = []
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            callers.append(threading.Thread(target=lambda: answers.append(self.ask(gateway, path))))
-            callers[-1].start()
-            time.sleep(1 / CALLS_PER_SECOND)
-        for caller in callers:
-            caller.join()
-        return answers
+        return call_steadily([lambda: self.ask(gateway, path)], CALLS_PER_SECOND, seconds)
 
 
 class RestTest(EndpointWordTest):
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <gtest/gtest.h>
 
 namespace fescuesill
@@ -15,6 +16,20 @@
 namespace
 {
 
+// Serves one connection to the address that is returned.
+using Serve = std::function<void(asio::ip::tcp::socket &, const asio::yield_context &)>;
+std::string serveOnce(asio::io_context &io, Serve serve)
+{
+    const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    const auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(io, any);
+    asio::spawn(io, [&io, acceptor, serve = std::move(serve)](const asio::yield_context &yield) {
+        asio::ip::tcp::socket socket(io);
+        acceptor->async_accept(socket, yield);
+        serve(socket, yield);
+    });
+    return "127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+}
+
 std::optional<HttpError> faultOf(const std::string &address, const HttpRequest &request, const CallOptions &options)
 {
     std::optional<HttpError> fault;
@@ -148,10 +163,7 @@
 TEST(HttpClient, ReadsABodyThatArrivesAfterItsHeader)
 {
     runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
-        asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-        asio::spawn(io, [&](const asio::yield_context &inner) {
-            asio::ip::tcp::socket socket(io);
-            acceptor.async_accept(socket, inner);
+        const std::string address = serveOnce(io, [&io](auto &socket, const asio::yield_context &inner) {
             asio::async_write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")),
                               inner);
             asio::steady_timer pause(io, std::chrono::milliseconds(50));
@@ -159,7 +171,6 @@
             asio::async_write(socket, asio::buffer(std::string_view("body")), inner);
         });
         HttpClient client(io, {});
-        const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
         EXPECT_EQ(client.call(address, {}, {}, yield).body, "body");
     });
 }
@@ -183,10 +194,7 @@
     };
     for (const Case &one : cases) {
         runCoroutine([&one](asio::io_context &io, const asio::yield_context &yield) {
-            asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-            asio::spawn(io, [&](const asio::yield_context &inner) {
-                asio::ip::tcp::socket socket(io);
-                acceptor.async_accept(socket, inner);
+            const std::string address = serveOnce(io, [&](auto &socket, const asio::yield_context &inner) {
                 std::array<char, 1024> request{};
                 socket.async_read_some(asio::buffer(request), inner);
                 asio::async_write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n") + one.head), inner);
@@ -200,7 +208,6 @@
             HttpClient client(io, {});
             std::optional<BodyFraming> framing;
             try {
-                const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
                 const HttpResponse response = client.call(address, {}, {}, yield);
                 framing = response.framing;
                 EXPECT_EQ(response.body, "body") << one.head;
@@ -231,10 +238,7 @@
     };
     for (const Case &one : cases) {
         runCoroutine([&one](asio::io_context &io, const asio::yield_context &yield) {
-            asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-            asio::spawn(io, [&](const asio::yield_context &inner) {
-                asio::ip::tcp::socket socket(io);
-                acceptor.async_accept(socket, inner);
+            const std::string address = serveOnce(io, [&](auto &socket, const asio::yield_context &inner) {
                 boost::system::error_code error;
                 asio::async_write(socket, asio::buffer(std::string(one.begin)), inner[error]);
                 while (!error) {
@@ -244,7 +248,6 @@
             HttpClient::Options options;
             options.bodyLimit = Bytes(1 << 20);
             HttpClient client(io, options);
-            const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
             try {
                 client.call(address, {}, {10s, Reuse::Never}, yield);
                 ADD_FAILURE() << one.begin;
