A call waits for the only endpoint of its service

A repeatable call gave up on an endpoint after two thirds of its target also where no other endpoint was left to ask, so a slow answer became a failure. The test failed before: 502 to each call.

--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -52,14 +52,22 @@
     return std::nullopt;
 }
 
+bool PlainForward::hasOtherEndpoint() const
+{
+    const auto candidates = this->call.services.fleet.plainCandidates(this->call.service);
+    return std::any_of(candidates.begin(), candidates.end(), [this](const EndpointCandidate &candidate) {
+        return std::find(this->tried.begin(), this->tried.end(), candidate.id) == this->tried.end();
+    });
+}
+
 // A repeatable call abandons a silent endpoint while a response from another one can still meet the target. The last
-// attempt gets all remaining time.
+// attempt gets all remaining time, and so does one that no other endpoint could repeat.
 Duration PlainForward::tryLimit() const
 {
     const Duration left = this->call.timeLeft();
     const bool isLast =
         this->sends + 1 >= this->call.route.attempts || this->call.services.fleet.budget(this->call.service).left() < 1;
-    if (this->call.route.kind != CallKind::Repeatable || isLast) {
+    if (this->call.route.kind != CallKind::Repeatable || isLast || !this->hasOtherEndpoint()) {
         return left;
     }
     return std::min(left, this->call.route.target * 2 / 3);
--- a/testing/process/test_gateway.py
+++ b/testing/process/test_gateway.py
@@ -128,6 +128,13 @@
                     self.assertEqual(send(gateway.callers, "GET", "/look/1")[0], 200)
                 self.one.behave = "ok"
 
+    # Guards against a host that gives up on the only endpoint of a service, and then has none to ask.
+    def test_a_lookup_waits_for_the_only_endpoint(self):
+        self.platform.remove(self.two)
+        gateway = self.start()
+        self.one.behave = "slow"
+        self.assertEqual([send(gateway.callers, "GET", "/look/1")[0] for _ in range(3)], [200, 200, 200])
+
     # An endpoint sends a second answer that nobody asked for. No caller may get it.
     def test_bytes_after_an_answer_reach_nobody(self):
         gateway = self.start()
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -48,6 +48,7 @@
     "trailer": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Another: " + b"x" * 500 + b"\r\n"),
     "event": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\ndata: ", b"x" * 16384),
 }
+SLOW_SECONDS = 0.6  # of an answer, longer than the target of a route
 STALL_SECONDS = 3
 ENDLESS_SECONDS = 20  # longer than any call waits
 
@@ -370,6 +371,9 @@
             self.crash_under(request)
         elif self.behave == "mute":
             time.sleep(30)
+        elif self.behave == "slow":
+            time.sleep(SLOW_SECONDS)
+            request.reply(200, text, headers)
         elif self.behave == "cut":
             request.reply(200, text[:5], headers, length=len(text))
             request.close_connection = True
