--- a/decide/losswatch.cpp
+++ b/decide/losswatch.cpp
@@ -27,7 +27,6 @@
     this->decayed.events += static_cast<double>(events);
     this->decayed.stalls += static_cast<double>(stalls);
     this->updated = std::max(this->updated, now);
-    this->lastEvents = this->updated;
     if (stalls > 0) {
         this->recordStall(host, this->updated);
     }
@@ -43,7 +42,7 @@
 
 bool LossWatch::isSeen(Instant now) const
 {
-    return this->isLossy && now - this->lastEvents <= this->options.window;
+    return this->isLossy && now - this->updated <= this->options.window;
 }
 
 LossWatch::Counts LossWatch::counts(Instant now) const
--- a/decide/losswatch.h
+++ b/decide/losswatch.h
@@ -53,9 +53,8 @@
 
     Options options;
     Counts decayed; // as of `updated`
-    Instant updated;
-    Instant lastEvents;
-    bool isLossy = false; // as of `lastEvents`
+    bool isLossy = false; // as of `updated`
+    Instant updated; // by the last report with events
     // The hosts whose last stalls are the latest, with these. At most minHosts: more are not asked about.
     std::vector<std::pair<HostId, Instant>> latestStalls;
 };
