Streams of replies can be waited for without reading

Cause: a coroutine that holds events for a short time must wait for more of them, but a read that reaches its limit closes the connection, and a read goes on until a byte of the body has arrived. Change: LineStream::waitReadable() waits for bytes and returns false at its limit; the connection stays open. LineStream::readOnce() reads from the connection once, so it never waits for the rest of a chunk's header.

--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -438,6 +438,22 @@
     return out.size() > before;
 }
 
+bool LineStream::readOnce(std::string &out, Duration limit, const asio::yield_context &yield)
+{
+    std::string &buffered = this->connection->partial;
+    if (!buffered.empty()) {
+        out += buffered;
+        buffered.clear();
+        return true;
+    }
+    return this->connection->readOnce(out, std::chrono::steady_clock::now() + limit, yield);
+}
+
+bool LineStream::waitReadable(Duration limit, const asio::yield_context &yield)
+{
+    return !this->connection->partial.empty() || this->connection->waitReadable(limit, yield);
+}
+
 HttpResponse LineStream::head() const
 {
     return this->connection->response();
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -177,6 +177,12 @@
     bool read(std::string &lines, Duration limit, const asio::yield_context &yield);
     // Waits for at least one byte of the body and appends all that have arrived. Returns false at the end of the body.
     bool readSome(std::string &out, Duration limit, const asio::yield_context &yield);
+    // Like readSome(), but reads from the connection at most once, and so may append nothing: what arrived may be part
+    // of the framing only.
+    bool readOnce(std::string &out, Duration limit, const asio::yield_context &yield);
+    // Waits until readOnce() would return at once, without reading. Returns false if the limit expires first. An abort
+    // or a fault ends the wait, and the next read reports it.
+    bool waitReadable(Duration limit, const asio::yield_context &yield);
     // The status and headers of the reply, without its body.
     HttpResponse head() const;
     // Closes the connection. A read that is pending in another coroutine ends with Closed.
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -228,6 +229,50 @@
     return true;
 }
 
+// Bytes that an earlier call left in the buffer can't be parsed without more.
+bool HttpConnection::readOnce(std::string &out, SteadyTime deadline, const asio::yield_context &yield)
+{
+    if (this->parser->is_done()) {
+        return false;
+    }
+    if (!this->atEnd) {
+        this->fill(deadline, yield);
+    }
+    this->parse(out);
+    return true;
+}
+
+// The timer's handler may run after the wait has ended and the connection is gone, so it first checks the shared state.
+bool HttpConnection::waitReadable(Duration limit, const asio::yield_context &yield)
+{
+    if (this->parser->is_done() || this->atEnd) {
+        return true;
+    }
+    struct Wait {
+        bool hasEnded = false;
+        bool isExpired = false;
+    };
+    struct EndOfWait {
+        std::shared_ptr<Wait> wait;
+        ~EndOfWait()
+        {
+            this->wait->hasEnded = true;
+        }
+    };
+    const EndOfWait end{std::make_shared<Wait>()};
+    asio::steady_timer timer(this->stream.get_executor(), limit);
+    timer.async_wait([this, wait = end.wait](const boost::system::error_code &cancelled) {
+        if (!cancelled && !wait->hasEnded) {
+            wait->isExpired = true;
+            boost::system::error_code ignored;
+            this->stream.socket().cancel(ignored);
+        }
+    });
+    boost::system::error_code error;
+    this->stream.socket().async_wait(tcp::socket::wait_read, yield[error]);
+    return !error || !end.wait->isExpired;
+}
+
 void ReplyBound::check(const std::string &address, std::size_t size)
 {
     this->pool.buffered += size - this->counted;
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -121,6 +121,10 @@
     void readHeader(SteadyTime deadline, const asio::yield_context &yield);
     // Reads more of the body and appends it. Returns false if the body is already complete.
     bool readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield);
+    // Reads from the socket at most once, so that it may append nothing. Returns false if the body is already complete.
+    bool readOnce(std::string &out, SteadyTime deadline, const asio::yield_context &yield);
+    // Waits for bytes on the socket without reading them. Returns false if the limit expires first.
+    bool waitReadable(Duration limit, const asio::yield_context &yield);
     HttpResponse response() const;
 
     // Sets the handle whose abort() closes this connection; null removes it.
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace fescuesill
 {
@@ -175,6 +176,129 @@
     });
 }
 
+struct WaitedStream {
+    asio::io_context &io;
+    HttpClient client;
+    CallAbort abort;
+    LineStream stream;
+
+    WaitedStream(asio::io_context &context, const std::string &address, const asio::yield_context &yield)
+        : io(context)
+        , client(context, {})
+        , stream(client.open(address, {}, {2s, Reuse::Never, &abort}, yield))
+    {
+    }
+
+    // Waits this long in steps of 20 ms, each of which ends without bytes.
+    bool isSilentFor(Duration time, const asio::yield_context &yield)
+    {
+        bool isSilent = true;
+        for (Duration waited{0}; waited < time && isSilent; waited += 20ms) {
+            isSilent = !this->stream.waitReadable(20ms, yield);
+        }
+        return isSilent;
+    }
+};
+
+// Sends the head of a response, and each of the parts 100 ms after the one before it. Then closes the connection.
+Serve sendParts(asio::io_context &io, std::vector<std::string> parts)
+{
+    return [&io, parts = std::move(parts)](auto &socket, const asio::yield_context &yield) {
+        const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        asio::async_write(socket, asio::buffer(head), yield);
+        for (const std::string &part : parts) {
+            asio::steady_timer pause(io, std::chrono::milliseconds(100));
+            pause.async_wait(yield);
+            asio::async_write(socket, asio::buffer(part), yield);
+        }
+    };
+}
+
+// Guards against a wait that takes bytes from the stream, that breaks it off when its limit expires, or that ends late.
+TEST(HttpClient, WaitsForBytesWithoutReadingThem)
+{
+    runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
+        WaitedStream waited(io, serveOnce(io, sendParts(io, {"2\r\nab\r\n", "2\r\ncd\r\n0\r\n\r\n"})), yield);
+        std::string body;
+        for (const char *expected : {"ab", "abcd"}) {
+            EXPECT_TRUE(waited.isSilentFor(60ms, yield));
+            EXPECT_TRUE(waited.stream.waitReadable(2s, yield));
+            EXPECT_TRUE(waited.stream.waitReadable(2s, yield));
+            EXPECT_TRUE(waited.stream.readOnce(body, 2s, yield));
+            EXPECT_EQ(body, expected);
+        }
+        EXPECT_TRUE(waited.stream.waitReadable(2s, yield));
+        EXPECT_FALSE(waited.stream.readOnce(body, 2s, yield));
+    });
+}
+
+// Guards against a read that blocks after a packet with a part of the framing only, while events are held.
+TEST(HttpClient, ReadsOnceAlsoWhenNoByteOfTheBodyHasArrived)
+{
+    runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
+        WaitedStream waited(io, serveOnce(io, sendParts(io, {"1", "0\r\n0123456789", "abcdef\r\n0\r\n\r\n"})), yield);
+        std::string body;
+        for (const char *expected : {"", "0123456789", "0123456789abcdef"}) {
+            EXPECT_TRUE(waited.isSilentFor(60ms, yield)) << expected;
+            EXPECT_TRUE(waited.stream.waitReadable(2s, yield));
+            const auto began = std::chrono::steady_clock::now();
+            EXPECT_TRUE(waited.stream.readOnce(body, 2s, yield));
+            EXPECT_LT(std::chrono::steady_clock::now() - began, 60ms);
+            EXPECT_EQ(body, expected);
+        }
+        EXPECT_FALSE(waited.stream.readOnce(body, 2s, yield));
+    });
+}
+
+// Guards against a wait that hides that the server closed the connection or that the call was aborted.
+TEST(HttpClient, EndsAWaitAtAFault)
+{
+    for (const bool isAborted : {false, true}) {
+        runCoroutine([isAborted](asio::io_context &io, const asio::yield_context &yield) {
+            const std::string silence = isAborted ? "" : "2\r\na";
+            WaitedStream waited(io, serveOnce(io, sendParts(io, {silence, "", isAborted ? "1" : ""})), yield);
+            asio::steady_timer later(io, std::chrono::milliseconds(50));
+            later.async_wait([&](const boost::system::error_code &) {
+                if (isAborted) {
+                    waited.abort.abort();
+                }
+            });
+            const auto began = std::chrono::steady_clock::now();
+            std::string body;
+            try {
+                while (waited.stream.waitReadable(5s, yield) && waited.stream.readOnce(body, 2s, yield)) { }
+                ADD_FAILURE() << "no fault";
+            } catch (const HttpError &error) {
+                EXPECT_EQ(error.fault(), HttpFault::Closed);
+            }
+            EXPECT_EQ(body, isAborted ? "" : "a");
+            EXPECT_LT(std::chrono::steady_clock::now() - began, 1s);
+        });
+    }
+}
+
+// Guards against a timer that uses the connection after its wait: both end in the same moment, and the stream is
+// destroyed at once. Run with the address sanitizer to see it.
+TEST(HttpClient, MayBeDestroyedAsAWaitExpires)
+{
+    runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
+        for (int round = 0; round < 20; ++round) {
+            auto waited = std::make_unique<WaitedStream>(io, serveOnce(io, sendParts(io, {"1\r\na\r\n"})), yield);
+            std::this_thread::sleep_for(std::chrono::milliseconds(round % 2));
+            asio::steady_timer first(io, std::chrono::milliseconds(0));
+            first.async_wait([&](const boost::system::error_code &) {
+                if (waited) {
+                    waited->abort.abort();
+                }
+            });
+            waited->stream.waitReadable(Duration(round * 10), yield);
+            waited.reset();
+            asio::steady_timer rest(io, std::chrono::milliseconds(2));
+            rest.async_wait(yield);
+        }
+    });
+}
+
 // Guards against the part of an unframed body before a reset that passes for the whole body.
 TEST(HttpClient, KnowsWhetherABodyIsComplete)
 {
