--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -51,6 +51,16 @@
     }
 }
 
+std::string chunkOf(std::string_view data)
+{
+    std::string chunk;
+    chunk.reserve(data.size() + 16);
+    fmt::format_to(std::back_inserter(chunk), "{:x}\r\n", data.size());
+    chunk += data;
+    chunk += "\r\n";
+    return chunk;
+}
+
 } // namespace
 
 std::string_view HttpCall::header(std::string_view name) const
@@ -115,21 +125,22 @@
         this->connection.send(data, yield);
         return;
     }
-    std::string chunk;
-    chunk.reserve(data.size() + 16);
-    fmt::format_to(std::back_inserter(chunk), "{:x}\r\n", data.size());
-    chunk += data;
-    chunk += "\r\n";
-    this->connection.send(chunk, yield);
+    this->connection.send(chunkOf(data), yield);
 }
 
 void HttpReply::finish(const asio::yield_context &yield)
+{
+    this->finish({}, yield);
+}
+
+void HttpReply::finish(std::string_view last, const asio::yield_context &yield)
 {
     if (this->connection.isChunked) {
-        this->connection.send("0\r\n\r\n", yield);
-    } else {
-        this->connection.endUnframedBody();
+        this->connection.send((last.empty() ? std::string() : chunkOf(last)) + "0\r\n\r\n", yield);
+        return;
     }
+    this->write(last, yield);
+    this->connection.endUnframedBody();
 }
 
 void HttpReply::forward(int status, std::string_view body, const std::vector<HttpHeader> &headers,
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -65,6 +65,8 @@
     void startStream(int status, const asio::yield_context &yield, const std::vector<HttpHeader> &headers = {});
     void write(std::string_view data, const asio::yield_context &yield);
     void finish(const asio::yield_context &yield);
+    // Writes the last part of the body together with its end.
+    void finish(std::string_view last, const asio::yield_context &yield);
 
     // Forwards a complete response of another server: its status and these headers. Adds only framing headers.
     void forward(int status, std::string_view body, const std::vector<HttpHeader> &headers,
