Messages with counts of events and the verdict on lost packets

Cause: the leader decides from the counts of all hosts whether packets are being lost, and all hosts need its verdict. Change: EventCounts and EventLoss, at the end of the variant.

--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -451,6 +451,19 @@
     visit(m.incarnation);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, EventCounts &m)
+{
+    visit(m.events);
+    visit(m.stalls);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, EventLoss &m)
+{
+    visit(m.isSeen);
+}
+
 template<typename Visitor>
 void fields(Visitor &visit, TraitsWatched &m)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -463,6 +463,17 @@
     std::uint64_t incarnation = 0;
 };
 
+// Gateway to the leader or its deputy, at most once a second: what it has relayed to callers since the last one.
+struct EventCounts {
+    std::uint64_t events = 0;
+    std::uint64_t stalls = 0; // pauses before events that arrived together (decide/losswatch.h)
+};
+
+// Leader to a gateway: whether packets are being lost, so that events are to be written in fewer packets.
+struct EventLoss {
+    bool isSeen = false;
+};
+
 using Message =
     std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
                  Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
@@ -471,7 +482,7 @@
                  EndpointLimit, RequestPermit, PermitReply, DelegateReading, StoreRestored, LeaderNamed,
                  RequestTunnelHosts, TunnelHostsNamed, StreamsBegun, RequestCredit, CreditReply, QuotaReport,
                  QuotaUsedUp, RequestClock, ClockReply, ConfigCurrent, EndpointCrashed, TraitsWatched, TraitsServed,
-                 RequestsBlocked, CrashCounted, EndpointLeaving>;
+                 RequestsBlocked, CrashCounted, EndpointLeaving, EventCounts, EventLoss>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_test.cpp
+++ b/wire/testing/messages_test.cpp
@@ -35,6 +35,8 @@
         EndpointCrashed{EndpointId("e"), 7, {1, ~0ULL}, 80ms, 20ms, 5},
         CrashCounted{5},
         EndpointLeaving{EndpointId("e"), 7},
+        EventCounts{70, 2},
+        EventLoss{true},
         TraitsWatched{{1}},
         TraitsServed{{1, 2}},
         RequestsBlocked{{1, 2}, 10min},
@@ -62,6 +64,17 @@
     }
 }
 
+// Guards against counts below zero that a leader takes for huge ones.
+TEST(Messages, NegativeCountsAreRejected)
+{
+    const std::string valid = encodeMessage(EventCounts{1, 0});
+    for (const std::size_t field : {valid.size() - 2, valid.size() - 1}) {
+        std::string bytes = valid;
+        bytes[field] = '\x20'; // -1
+        EXPECT_FALSE(decodeMessage(bytes)) << field;
+    }
+}
+
 RC_GTEST_PROP(Messages, ArbitraryBytesNeverCrash, (const std::string &bytes))
 {
     const auto message = decodeMessage(bytes);
