Setting [streams] latest_event_ms

Cause: how long events may be held depends on how soon they must reach callers. Change: whole milliseconds from 1 to 10,000; events are never held without it.

--- a/programs/gateway/gatewaysettings.cpp
+++ b/programs/gateway/gatewaysettings.cpp
@@ -44,6 +44,9 @@
     settings.quotaWindow = reader->decimal("quotas", "window_s", 1s, settings.quotaWindow, {100ms, 1h});
     settings.quotaOvershoot = reader->fraction("quotas", "overshoot", settings.quotaOvershoot, {0, 10});
     settings.quotaSlack = QuotaUnits(reader->number("quotas", "slack", 0, {0, std::int64_t{1} << 50}));
+    if (const auto latest = reader->number("streams", "latest_event_ms", 0, {1, 10000}); latest > 0) {
+        settings.latestEvent = latest * 1ms;
+    }
     settings.moveEngines = reader->flag("engines", "move", true);
     settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
     if (auto faults = reader->finish(); !faults.empty()) {
--- a/programs/gateway/gatewaysettings.h
+++ b/programs/gateway/gatewaysettings.h
@@ -10,6 +10,8 @@
 #include "fescuesill/ids.h"
 #include "wire/log.h"
 
+#include <optional>
+
 namespace fescuesill
 {
 
@@ -48,6 +50,9 @@
     Duration quotaWindow{8s};
     double quotaOvershoot = 0; // as a share
     QuotaUnits quotaSlack;
+    // How soon an event must reach its caller. While packets are being lost, events are held for up to half of this, to
+    // be written in fewer packets. If empty, they never are.
+    std::optional<Duration> latestEvent;
     // Whether the leader moves engines between prefill and decode.
     bool moveEngines = true;
     LogLevel logLevel = LogLevel::Info;
