Events are written in fewer packets while packets are being lost

Cause: an event that is lost on the way to its caller comes 200 ms late or more and makes its whole stream late; every event was a packet of its own. Change: each host counts events and stalls and reports them to the leader, whose verdict applies to all hosts (EventLosses). StreamRelay relays the events of an answer and holds them by EventBatch while loss is seen. What is held is written before a fault is handled, before the stream goes on at another engine and before a check of the end that may wait. Events that arrived in the same read as a fault are no longer dropped. A new leader keeps the verdict that it was given for 30 s. Hosts are told apart by the address that they state, since a host that is too slow opens new links and would count as several.

--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -9,6 +9,7 @@
 #include "programs/gateway/crashguard.h"
 #include "programs/gateway/endpointnotices.h"
 #include "programs/gateway/endpointpermits.h"
+#include "programs/gateway/eventlosses.h"
 #include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
 #include "programs/gateway/placementgates.h"
@@ -33,6 +34,7 @@
     HttpClient &client;
     CrashGuard &crashes;
     GatewayMetrics &metrics;
+    EventLosses &losses;
 };
 
 // Why a call that failed at one endpoint was not retried at another.
--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -54,6 +54,14 @@
                                        .Help("Sends beyond the first of a plain call")
                                        .Register(this->registry)
                                        .Add({});
+    prometheus::Family<prometheus::Counter> &relayed =
+        BuildCounter()
+            .Name("fescuesill_gateway_relayed_total")
+            .Help("Events of streams, the writes that carried them to callers, and stalls on the way from engines")
+            .Register(this->registry);
+    prometheus::Counter &events = this->relayed.Add({{"of", "events"}});
+    prometheus::Counter &writes = this->relayed.Add({{"of", "writes"}});
+    prometheus::Counter &stalls = this->relayed.Add({{"of", "stalls"}});
     prometheus::Family<prometheus::Counter> &workspaceCalls =
         BuildCounter()
             .Name("fescuesill_gateway_workspace_calls_total")
@@ -109,6 +117,13 @@
     this->families->retries.Increment();
 }
 
+void GatewayMetrics::onRelayed(const EventBatch::Counts &counts)
+{
+    this->families->events.Increment(static_cast<double>(counts.events));
+    this->families->writes.Increment(static_cast<double>(counts.writes));
+    this->families->stalls.Increment(static_cast<double>(counts.stalls));
+}
+
 void GatewayMetrics::onWorkspaceCall(const WorkspaceId &workspace, const char *event)
 {
     auto &known = this->families->workspaces;
@@ -140,6 +155,7 @@
     put("endpoint_connections_failed", static_cast<double>(now.connections.failed));
     put("link_share", now.linkShare);
     put("connections_unread", static_cast<double>(now.connectionsUnread));
+    put("event_loss", now.isLossSeen ? 1 : 0);
     put("requests_blocked", static_cast<double>(now.requestsBlocked));
     put("log_lines_left_out", static_cast<double>(Log::droppedLines()));
 }
--- a/programs/gateway/gatewaymetrics.h
+++ b/programs/gateway/gatewaymetrics.h
@@ -8,6 +8,7 @@
 //     metrics.text();                              // in the exposition format
 
 #include "decide/endpointpaths.h"
+#include "decide/eventbatch.h"
 #include "fescuesill/errors.h"
 #include "fescuesill/ids.h"
 
@@ -39,6 +40,7 @@
     EndpointPaths::Counts connections; // to endpoints
     double linkShare = 0; // of this host's link in use
     std::uint64_t connectionsUnread = 0; // closed unread, since this host is full
+    bool isLossSeen = false; // packets are being lost, and events are held to be written together
     std::size_t requestsBlocked = 0; // sets of traits whose requests are refused since they crash endpoints
 };
 
@@ -54,6 +56,8 @@
     void onGenerationEnd(const char *outcome, const GenerationTimes &times);
     void onRefused(const Refusal &refusal);
     void onRetry();
+    // Events relayed to callers, the writes that carried them, and the stalls on the way from their engines.
+    void onRelayed(const EventBatch::Counts &counts);
     // Each call of a workspace, and those that its quota did not allow. The workspaces beyond the first few hundred are
     // counted together.
     void onWorkspaceCall(const WorkspaceId &workspace, const char *event);
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -77,8 +77,9 @@
         , admission(admissionOptions(given))
         , client(this->io, clientOptions(given, this->paths, this->traffic))
         , crashes(this->io, this->client, this->paths)
-        , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits,
-                   this->notices,  this->credits, this->client, this->crashes, this->metrics}
+        , losses(given.host, given.latestEvent)
+        , services{this->settings, this->io,     this->fleet,   this->gates,   this->permits, this->notices,
+                   this->credits,  this->client, this->crashes, this->metrics, this->losses}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
@@ -123,6 +124,7 @@
     ConnectionAdmission admission;
     HttpClient client;
     CrashGuard crashes;
+    EventLosses losses;
     GatewayMetrics metrics;
     GatewayServices services;
     StageOrders orders;
@@ -300,11 +302,12 @@
 {
     if (call.target == "/metrics") {
         const auto &config = this->fleet.activeConfig();
-        this->metrics.set(
-            {this->inProgress, this->gates.waiting(), this->gates.placed(), config ? config->version : ConfigVersion(),
-             config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt, this->store->registryAge(),
-             this->links && this->links->leads(), this->gates.isFollowing(), this->paths.isCutOff(),
-             this->paths.counts(), this->admission.linkShare(), this->admission.leftUnread(), this->crashes.blocks()});
+        this->metrics.set({this->inProgress, this->gates.waiting(), this->gates.placed(),
+                           config ? config->version : ConfigVersion(),
+                           config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt,
+                           this->store->registryAge(), this->links && this->links->leads(), this->gates.isFollowing(),
+                           this->paths.isCutOff(), this->paths.counts(), this->admission.linkShare(),
+                           this->admission.leftUnread(), this->losses.isSeen(), this->crashes.blocks()});
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
     }
@@ -328,6 +331,7 @@
     this->measureUse(now);
     this->fleet.expire(now);
     this->crashes.onTick(now);
+    this->losses.onTick(now);
     if (this->links) {
         this->links->onTick(now);
     }
@@ -415,7 +419,7 @@
     options.listen = this->settings.peers;
     options.tunnels = this->settings.tunnels;
     auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->notices, this->credits,
-                                     this->crashes, this->paths);
+                                     this->crashes, this->losses, this->paths);
     if (!opened) {
         Log::error("cannot_listen", {{"reason", opened.error().what()}});
         return false;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -13,6 +13,7 @@
 #include "programs/gateway/generationforward.h"
 
 #include "decide/prefillplan.h"
+#include "programs/gateway/streamrelay.h"
 #include "wire/clock.h"
 #include "wire/log.h"
 
@@ -331,25 +332,20 @@
                                                     const asio::yield_context &yield)
 {
     const std::int64_t eventsBefore = this->eventsProduced;
-    std::string bytes;
-    while (stream.readSome(bytes, this->call.timeLeft(), yield)) {
-        const std::string whole = this->events.take(bytes);
-        bytes.clear();
-        if (!whole.empty()) {
-            this->recordEvents();
-            this->call.reply.write(whole, yield);
-        }
-        if (this->events.isTooLong()) {
-            this->lastFault = "an event without an end";
-            return Outcome::Broken;
-        }
+    StreamRelay relay(this->call, this->abort, this->events);
+    if (!relay.run(
+            stream, [this] { this->recordEvents(); }, yield)) {
+        this->lastFault = "an event without an end";
+        return Outcome::Broken;
+    }
+    if (this->events.isInsideEvent() || this->framing == BodyFraming::Connection) {
+        relay.flush(yield); // the checks of the end may take long
     }
     if (!this->hasEnded(at, this->eventsProduced > eventsBefore, yield)) {
         return Outcome::Broken;
     }
     this->call.services.crashes.onServed(this->call.http, this->sentAt, !this->isSelfPrefilled);
-    this->call.reply.write(this->events.rest(), yield);
-    this->call.reply.finish(yield);
+    relay.finish(yield);
     return Outcome::Whole;
 }
 
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -41,12 +41,14 @@
 
 LeaderLink::LeaderLink(asio::io_context &io, const Options &options, PlacementGates &placementGates,
                        EndpointPermits &endpointPermits, EndpointNotices &endpointNotices,
-                       WorkspaceCredits &workspaceCredits, CrashGuard &crashGuard, EndpointPaths &endpointPaths)
+                       WorkspaceCredits &workspaceCredits, CrashGuard &crashGuard, EventLosses &eventLosses,
+                       EndpointPaths &endpointPaths)
     : gates(placementGates)
     , permits(endpointPermits)
     , notices(endpointNotices)
     , credits(workspaceCredits)
     , crashes(crashGuard)
+    , losses(eventLosses)
     , paths(endpointPaths)
     , readers({}, std::random_device()())
     , tunnelHosts({}, std::random_device()())
@@ -58,15 +60,19 @@
 {
 }
 
-tl::expected<std::unique_ptr<LeaderLink>, WireError>
-LeaderLink::create(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
-                   EndpointNotices &notices, WorkspaceCredits &credits, CrashGuard &crashes, EndpointPaths &paths)
+tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
+                                                                        PlacementGates &gates, EndpointPermits &permits,
+                                                                        EndpointNotices &notices,
+                                                                        WorkspaceCredits &credits, CrashGuard &crashes,
+                                                                        EventLosses &losses, EndpointPaths &paths)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, notices, credits, crashes, paths));
+    std::unique_ptr<LeaderLink> link(
+        new LeaderLink(io, options, gates, permits, notices, credits, crashes, losses, paths));
     LeaderLink *self = link.get();
     notices.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     permits.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     crashes.setFollowers([self](const peer::Message &message) { self->notifyClients(message); });
+    losses.setFollowers([self](const peer::Message &message) { self->notifyClients(message); });
     PeerNode::Handlers handlers;
     handlers.opened = [self](LinkId id) {
         self->push({Change::Opened, id, {}});
@@ -152,6 +158,7 @@
     const double ownPart = 1.0 / static_cast<double>(this->hosts);
     const bool decidesForAll = this->isLeading || this->isActing;
     this->permits.setShare(decidesForAll ? 1 : ownPart);
+    this->losses.setDeciding(decidesForAll);
     this->gates.setShare(decidesForAll || this->path != PlacingPath::Alone ? 1 : ownPart);
     this->applyQuotaPart(now);
     if (this->isActing != wasActing) {
@@ -207,6 +214,7 @@
         this->notices.setUplink({});
         this->credits.setUplink({});
         this->crashes.setUplink({});
+        this->losses.setUplink({});
     }
     if (next == PlacingPath::Waiting) {
         this->gates.suspend();
@@ -219,6 +227,7 @@
         this->notices.setUplink(send);
         this->credits.setUplink(send);
         this->crashes.setUplink(send);
+        this->losses.setUplink(send);
     } else {
         this->gates.setUplink({});
     }
@@ -629,12 +638,15 @@
                 this->placementClients.insert(link);
                 this->gates.onHeldPlacements(link, held);
                 this->crashes.sendBlocks(reply);
+                this->losses.sendVerdict(reply);
             },
             [&](const peer::EndpointCrashed &crash) { this->crashes.onReported(reply, crash); },
             [&](const peer::CrashCounted &counted) { this->crashes.onMessage(counted); },
             [&](const peer::TraitsWatched &watched) { this->crashes.onMessage(watched); },
             [&](const peer::TraitsServed &served) { this->crashes.onMessage(served); },
             [&](const peer::RequestsBlocked &blocked) { this->crashes.onMessage(blocked); },
+            [&](const peer::EventCounts &counts) { this->losses.onCounts(this->deputies.address(link), counts); },
+            [&](const peer::EventLoss &loss) { this->losses.onVerdict(loss); },
             [&](const peer::RequestCredit &request) { this->credits.onRequested(reply, request); },
             [&](const peer::CreditReply &answer) { this->credits.onReply(answer); },
             [&](const peer::QuotaReport &report) { this->credits.onReported(reply, report); },
--- a/promise/deputychoice.h
+++ b/promise/deputychoice.h
@@ -49,6 +49,12 @@
     {
         return this->chosen;
     }
+    // Empty if the link is no follower's.
+    std::string address(const Link &link) const
+    {
+        const auto found = this->addresses.find(link);
+        return found == this->addresses.end() ? std::string() : found->second;
+    }
     const std::map<Link, std::string> &followers() const
     {
         return this->addresses;
--- a/testing/process/platformtest.py
+++ b/testing/process/platformtest.py
@@ -40,9 +40,9 @@
         wait_until(gateway.is_ready, "the gateway to be ready")
         return gateway
 
-    def start_linked(self, count):
+    def start_linked(self, count, **options):
         """The leader first; all others are linked to it."""
-        gateways = [self.start(f"g{number}") for number in range(1, count + 1)]
+        gateways = [self.start(f"g{number}", **options) for number in range(1, count + 1)]
         wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
         gateways.sort(key=lambda gateway: not gateway.leads())
         for other in gateways[1:]:
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -7,10 +7,10 @@
 
 It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, other_id, encoded, extra,
 unframed (no length, ends with its connection), unframed_reset (resets the connection in the middle), unframed_stall (stops
-in the middle). Of a decode engine also half: it breaks off within its third event; half_reset: it resets its connection
+in the middle). Of a decode engine also half: it breaks off within the event `breaks_at`; half_reset: it resets its connection
 there; half_first: it breaks off so only streams that it begins; stall: it stops before its third event; empty: it closes
 the connection before an event; and lost: it runs and answers nothing. With `is_framed` off, its streams have neither a
-length nor chunks and end with their connection.
+length nor chunks and end with their connection. It sends `burst` events at once, and pauses `pause_seconds` after them.
 
 An endpoint crashes under the requests for which `crashes_on(request, body)` is true, once it begins to answer, and at each
 crash(): its connections end, its port refuses new ones, and after `down_seconds` it is back as a new incarnation. A prefill
@@ -265,6 +265,8 @@
         self.behave = "ok"
         self.limit = None  # the requests a second that its answers name
         self.is_framed = True
+        self.events, self.breaks_at = EVENTS, 3
+        self.burst, self.pause_seconds = 1, 0.02
         self.seen, self.asked, self.released = [], [], []
         self.arrivals = []
         self.rests, self.rest_seconds = frozenset(), 2.0
@@ -410,7 +412,8 @@
             request.send_header(name, value)
         request.end_headers()
         is_deadly = self.crashes_on(request, body)
-        for number in range(first, EVENTS + 1):
+        pending = b""
+        for number in range(first, self.events + 1):
             if is_deadly and number - first >= self.crash_events:
                 self.crash_under(request)
                 return
@@ -422,11 +425,15 @@
             if behave == "stall" and number == 3:
                 self.on_half()
                 time.sleep(STALL_SECONDS)
-            breaks_off = number == 3 and (behave in ("half", "half_reset") or (behave == "half_first" and first == 1))
+            breaks_off = number == self.breaks_at and (behave in ("half", "half_reset") or (behave == "half_first" and first == 1))
             if breaks_off:
                 event = event[:7]
-            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event) if is_framed else event)
+            pending += b"%x\r\n%s\r\n" % (len(event), event) if is_framed else event
+            if not breaks_off and number < self.events and (number - first + 1) % self.burst != 0:
+                continue
+            request.wfile.write(pending)
             request.wfile.flush()
+            pending = b""
             if breaks_off:
                 if behave == "half_reset":
                     time.sleep(0.02)
@@ -434,7 +441,7 @@
                 request.close_connection = True
                 self.on_half()
                 return
-            time.sleep(0.02)
+            time.sleep(self.pause_seconds)
         if is_framed:
             request.wfile.write(b"0\r\n\r\n")
         request.close_connection = not is_framed
