--- a/decide/slotqueue.h
+++ b/decide/slotqueue.h
@@ -166,13 +166,14 @@
     void grow(Endpoint &endpoint, Instant now) const;
     std::vector<EndpointId> knownCandidates(const SlotRequest &request) const;
     double expectedWaitUs(const Position &position, const Wait &wait, Instant now) const;
+    double excessUs(const Position &position, Instant now) const;
+    Duration retryAfter(double excess) const;
     void grant(SlotTicket ticket, const EndpointId &id, Instant now);
     void grantWaiting(Instant now);
-    void deny(const Position &position, Duration retryAfter, Instant now);
+    void deny(Position position, Duration retryAfter, Instant now);
     void denyExpired(Instant now);
-    Wait removeWait(const Position &position);
+    Wait removeWait(const Position &position, Instant now);
     void release(SlotTicket ticket, Instant now);
-    void expireGrants(Instant now);
     void endLimits(Instant now);
 
     Options options;
