Messages for slots of plain endpoints shared by all hosts

Each host limits its calls to an overloaded endpoint by itself, so all hosts together send far more than it serves. The messages request, cancel and release slots at the leader, report overloads and announce limits. isValid() bounds the numbers in them, since a huge duration would overflow an instant.

--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -1,5 +1,7 @@
 #include "wire/messagefields.h"
 
+#include <algorithm>
+
 // A message is a CBOR array: its index in the variant, then its fields in the order of the struct. There are no field
 // names, because they would double the size of the messages that are sent for each request. Every field is read by a
 // typed accessor that throws on the wrong type, so malformed bytes from a peer yield one WireError and change no state.
@@ -451,6 +453,52 @@
     visit(m.incarnation);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, RequestSlot &m)
+{
+    visit(m.number);
+    visit(m.candidates);
+    visit(m.rank);
+    visit(m.onTime);
+    visit(m.useful);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, CancelSlot &m)
+{
+    visit(m.number);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, SlotReleased &m)
+{
+    visit(m.number);
+    visit(m.wasServed);
+    visit(m.took);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, EndpointOverloaded &m)
+{
+    visit(m.endpoint);
+    visit(m.count);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, SlotReply &m)
+{
+    visit(m.number);
+    visit(m.endpoint);
+    visit(m.retryAfter);
+}
+
+template<typename Visitor>
+void fields(Visitor &visit, EndpointLimited &m)
+{
+    visit(m.endpoint);
+    visit(m.isLimited);
+}
+
 template<typename Visitor>
 void fields(Visitor &visit, TraitsWatched &m)
 {
@@ -515,6 +563,16 @@
 namespace
 {
 
+constexpr std::size_t maxSlotCandidates = 256;
+constexpr std::uint64_t maxSlotRank = 1'000'000;
+constexpr std::uint64_t maxOverloads = 100'000; // in one message; a host has some thousand connections
+constexpr Duration longestCall{1h};
+
+bool isDurationOfCall(Duration duration)
+{
+    return duration >= Duration(0) && duration <= longestCall;
+}
+
 template<std::size_t index = 0>
 Message readAs(std::size_t wanted, const Json &array)
 {
@@ -534,6 +592,35 @@
 
 } // namespace
 
+bool isValid(const RequestSlot &message)
+{
+    const auto &candidates = message.candidates;
+    const bool hasCandidates = !candidates.empty() && candidates.size() <= maxSlotCandidates
+        && std::none_of(candidates.begin(), candidates.end(), [](const auto &id) { return id.empty(); });
+    return hasCandidates && message.rank <= maxSlotRank && isDurationOfCall(message.onTime)
+        && isDurationOfCall(message.useful);
+}
+
+bool isValid(const SlotReleased &message)
+{
+    return isDurationOfCall(message.took);
+}
+
+bool isValid(const EndpointOverloaded &message)
+{
+    return !message.endpoint.isEmpty() && message.count > 0 && message.count <= maxOverloads;
+}
+
+bool isValid(const SlotReply &message)
+{
+    return isDurationOfCall(message.retryAfter);
+}
+
+bool isValid(const EndpointLimited &message)
+{
+    return !message.endpoint.isEmpty();
+}
+
 std::string encodeMessage(const Message &message)
 {
     Writer writer(message.index());
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -463,6 +463,55 @@
     std::uint64_t incarnation = 0;
 };
 
+// Gateway to the leader: requests a slot of one of these endpoints for one call. An answer that begins within `onTime`
+// meets the target of the route, and after `useful` the caller has left.
+struct RequestSlot {
+    std::uint64_t number = 0; // of the sender, repeated in the messages about this request
+    std::vector<std::string> candidates; // best first
+    std::uint64_t rank = 0;
+    Duration onTime{0};
+    Duration useful{0};
+};
+
+// Gateway to the leader: the sender no longer waits for the slot.
+struct CancelSlot {
+    std::uint64_t number = 0;
+};
+
+// Gateway to the leader: the call that had the slot has ended.
+struct SlotReleased {
+    std::uint64_t number = 0;
+    bool wasServed = false;
+    Duration took{0};
+};
+
+// Gateway to the leader: the endpoint has turned away that many calls, or reset their connections.
+struct EndpointOverloaded {
+    EndpointId endpoint;
+    std::uint64_t count = 0;
+};
+
+// Leader to a gateway: the endpoint that the call may be sent to. If it is empty, the call gets no slot, and there may
+// be one after `retryAfter`.
+struct SlotReply {
+    std::uint64_t number = 0;
+    EndpointId endpoint;
+    Duration retryAfter{0};
+};
+
+// Leader to a gateway: calls to this endpoint need a slot from now on, or no longer.
+struct EndpointLimited {
+    EndpointId endpoint;
+    bool isLimited = false;
+};
+
+// Whether the numbers in the message can be meant. Messages that fail this are ignored or rejected.
+bool isValid(const RequestSlot &message);
+bool isValid(const SlotReleased &message);
+bool isValid(const EndpointOverloaded &message);
+bool isValid(const SlotReply &message);
+bool isValid(const EndpointLimited &message);
+
 using Message =
     std::variant<Hello, Submit, Placed, StartDecode, Refused, PrefillDone, PrefillFailed, OutputProgress, DecodeFailed,
                  Finished, Holding, ConfigInForce, FetchConfig, LiveHosts, AllCells, Follow, RequestPlacement,
@@ -471,7 +520,8 @@
                  EndpointLimit, RequestPermit, PermitReply, DelegateReading, StoreRestored, LeaderNamed,
                  RequestTunnelHosts, TunnelHostsNamed, StreamsBegun, RequestCredit, CreditReply, QuotaReport,
                  QuotaUsedUp, RequestClock, ClockReply, ConfigCurrent, EndpointCrashed, TraitsWatched, TraitsServed,
-                 RequestsBlocked, CrashCounted, EndpointLeaving>;
+                 RequestsBlocked, CrashCounted, EndpointLeaving, RequestSlot, CancelSlot, SlotReleased,
+                 EndpointOverloaded, SlotReply, EndpointLimited>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -1,6 +1,7 @@
 #include "wire/messages.h"
 
 #include <gtest/gtest.h>
+#include <limits>
 
 namespace fescuesill::peer
 {
@@ -107,6 +108,72 @@
     EXPECT_EQ(named.lease, 42U);
 }
 
+TEST(SlotMessages, AreEncodedAndDecodedUnchanged)
+{
+    const RequestSlot request = passedOn(RequestSlot{7, {"b1", "b2"}, 2, 120ms, 600ms});
+    EXPECT_EQ(request.number, 7U);
+    EXPECT_EQ(request.candidates, (std::vector<std::string>{"b1", "b2"}));
+    EXPECT_EQ(request.rank, 2U);
+    EXPECT_EQ(request.onTime, 120ms);
+    EXPECT_EQ(request.useful, 600ms);
+    EXPECT_EQ(passedOn(CancelSlot{7}).number, 7U);
+    const SlotReleased released = passedOn(SlotReleased{7, true, 15ms});
+    EXPECT_EQ(released.number, 7U);
+    EXPECT_TRUE(released.wasServed);
+    EXPECT_EQ(released.took, 15ms);
+    const EndpointOverloaded overloaded = passedOn(EndpointOverloaded{EndpointId("b1"), 3});
+    EXPECT_EQ(overloaded.endpoint, EndpointId("b1"));
+    EXPECT_EQ(overloaded.count, 3U);
+    const SlotReply reply = passedOn(SlotReply{7, EndpointId("b1"), 90ms});
+    EXPECT_EQ(reply.number, 7U);
+    EXPECT_EQ(reply.endpoint, EndpointId("b1"));
+    EXPECT_EQ(reply.retryAfter, 90ms);
+    const EndpointLimited limited = passedOn(EndpointLimited{EndpointId("b1"), true});
+    EXPECT_EQ(limited.endpoint, EndpointId("b1"));
+    EXPECT_TRUE(limited.isLimited);
+}
+
+// Guards against numbers that overflow an instant, or take the leader's memory or time.
+TEST(SlotMessages, WithNumbersThatCanNotBeMeantAreInvalid)
+{
+    const Duration huge(std::numeric_limits<std::int64_t>::max());
+    const RequestSlot good{7, {"b1"}, 2, 0ms, 600ms};
+    EXPECT_TRUE(isValid(good));
+    const std::vector<RequestSlot> bad = {
+        {7, {}, 2, 0ms, 600ms},
+        {7, {"b1", ""}, 2, 0ms, 600ms},
+        {7, std::vector<std::string>(257, "b1"), 2, 0ms, 600ms},
+        {7, {"b1"}, std::numeric_limits<std::uint64_t>::max(), 0ms, 600ms},
+        {7, {"b1"}, 2, -1ms, 600ms},
+        {7, {"b1"}, 2, 0ms, -1ms},
+        {7, {"b1"}, 2, huge, 600ms},
+        {7, {"b1"}, 2, 0ms, huge},
+    };
+    for (std::size_t index = 0; index < bad.size(); ++index) {
+        EXPECT_FALSE(isValid(passedOn(bad[index]))) << index;
+    }
+    EXPECT_TRUE(isValid(SlotReleased{7, true, 0ms}));
+    EXPECT_FALSE(isValid(SlotReleased{7, true, -1ms}));
+    EXPECT_FALSE(isValid(SlotReleased{7, true, huge}));
+    EXPECT_TRUE(isValid(EndpointOverloaded{EndpointId("b1"), 1}));
+    EXPECT_FALSE(isValid(EndpointOverloaded{EndpointId("b1"), 0}));
+    EXPECT_FALSE(isValid(EndpointOverloaded{EndpointId("b1"), std::numeric_limits<std::uint64_t>::max()}));
+    EXPECT_FALSE(isValid(EndpointOverloaded{EndpointId(), 1}));
+    EXPECT_TRUE(isValid(SlotReply{7, EndpointId(), 90ms}));
+    EXPECT_FALSE(isValid(SlotReply{7, EndpointId(), -1ms}));
+    EXPECT_FALSE(isValid(SlotReply{7, EndpointId(), huge}));
+    EXPECT_FALSE(isValid(EndpointLimited{}));
+}
+
+// Guards against a negative count that is read as a huge one.
+TEST(SlotMessages, ANegativeCountIsNotDecoded)
+{
+    const std::string good = encodeMessage(EndpointOverloaded{EndpointId("b1"), 3});
+    ASSERT_EQ(good.back(), '\x03');
+    const std::string negative = good.substr(0, good.size() - 1) + '\x22'; // -3 in CBOR
+    EXPECT_FALSE(decodeMessage(negative));
+}
+
 // A row from another writer may contain any bytes. They must arrive unchanged.
 TEST(PlacingMessages, CarryArbitraryBytesInARow)
 {
--- a/wire/testing/messages_test.cpp
+++ b/wire/testing/messages_test.cpp
@@ -38,6 +38,13 @@
         TraitsWatched{{1}},
         TraitsServed{{1, 2}},
         RequestsBlocked{{1, 2}, 10min},
+        RequestSlot{7, {"b1", "b2"}, 2, 120ms, 600ms},
+        CancelSlot{7},
+        SlotReleased{7, true, 15ms},
+        EndpointOverloaded{EndpointId("b1"), 3},
+        SlotReply{7, EndpointId("b1"), 0ms},
+        SlotReply{7, EndpointId(), 90ms},
+        EndpointLimited{EndpointId("b1"), true},
     };
 }
 
