Slots of overloaded plain endpoints are shared by all hosts

Each host sends to an overloaded endpoint as if it were alone, and the endpoint spends its slots on turning calls away. With [endpoints] shared_slots the leader counts the overloads of all hosts and grants the slots of limited endpoints from one queue; calls that can't get a slot in time are refused as not run. Calls to other endpoints take the same path as before.

--- a/decide/endpointpicker.cpp
+++ b/decide/endpointpicker.cpp
@@ -75,6 +75,23 @@
     return chosen->id;
 }
 
+std::vector<EndpointId> EndpointPicker::order(const std::vector<EndpointCandidate> &candidates, Instant now) const
+{
+    const double best = this->bestMeanUs(candidates);
+    std::vector<std::pair<double, EndpointId>> costs;
+    costs.reserve(candidates.size());
+    for (const EndpointCandidate &candidate : candidates) {
+        costs.emplace_back(this->costUs(candidate, best, now), candidate.id);
+    }
+    std::stable_sort(costs.begin(), costs.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<EndpointId> ordered;
+    ordered.reserve(costs.size());
+    for (auto &[cost, id] : costs) {
+        ordered.push_back(std::move(id));
+    }
+    return ordered;
+}
+
 void EndpointPicker::onSent(const EndpointId &endpoint)
 {
     ++this->loads[endpoint].inFlight;
--- a/decide/endpointpicker.h
+++ b/decide/endpointpicker.h
@@ -69,6 +69,8 @@
 
     // Empty if there is no candidate.
     std::optional<EndpointId> pick(const std::vector<EndpointCandidate> &candidates, Instant now);
+    // The candidates by their cost, lowest first.
+    std::vector<EndpointId> order(const std::vector<EndpointCandidate> &candidates, Instant now) const;
     void onSent(const EndpointId &endpoint);
     void onEnded(const EndpointId &endpoint, EndpointOutcome outcome, Duration took, Instant now);
     // Drops the state of an endpoint; it may return as a new instance.
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -206,6 +206,12 @@
     return record != nullptr && !record->isLeaving;
 }
 
+std::optional<int> FleetView::slotsOf(const EndpointId &id) const
+{
+    const EndpointRecord *record = this->registry.find(id);
+    return record != nullptr && !record->isLeaving ? std::optional(record->slots) : std::nullopt;
+}
+
 bool FleetView::doAllRest(const ServiceId &service, EndpointPart part) const
 {
     bool hasAny = false;
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -64,6 +64,8 @@
     std::optional<EndpointRecord> usable(const EndpointId &id) const;
     // Whether the endpoint is known, and not known to be leaving.
     bool isStaying(const EndpointId &id) const;
+    // The slots of such an endpoint; empty for any other.
+    std::optional<int> slotsOf(const EndpointId &id) const;
     // Whether the service has endpoints of that part, and all of them rest.
     bool doAllRest(const ServiceId &service, EndpointPart part) const;
 
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -9,6 +9,7 @@
 #include "programs/gateway/crashguard.h"
 #include "programs/gateway/endpointnotices.h"
 #include "programs/gateway/endpointpermits.h"
+#include "programs/gateway/endpointslots.h"
 #include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
 #include "programs/gateway/placementgates.h"
@@ -28,6 +29,7 @@
     FleetView &fleet;
     PlacementGates &gates;
     EndpointPermits &permits;
+    EndpointSlots &slots;
     EndpointNotices &notices;
     WorkspaceCredits &credits;
     HttpClient &client;
--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -141,6 +141,11 @@
     put("link_share", now.linkShare);
     put("connections_unread", static_cast<double>(now.connectionsUnread));
     put("requests_blocked", static_cast<double>(now.requestsBlocked));
+    put("slots_waiting", static_cast<double>(now.slots.waiting));
+    put("slots_in_flight", static_cast<double>(now.slots.inFlight));
+    put("slots_granted", static_cast<double>(now.slots.granted));
+    put("slots_denied", static_cast<double>(now.slots.denied));
+    put("endpoints_limited", static_cast<double>(now.slots.limited));
     put("log_lines_left_out", static_cast<double>(Log::droppedLines()));
 }
 
--- a/programs/gateway/gatewaymetrics.h
+++ b/programs/gateway/gatewaymetrics.h
@@ -10,6 +10,7 @@
 #include "decide/endpointpaths.h"
 #include "fescuesill/errors.h"
 #include "fescuesill/ids.h"
+#include "programs/gateway/endpointslots.h"
 
 #include <memory>
 #include <optional>
@@ -40,6 +41,7 @@
     double linkShare = 0; // of this host's link in use
     std::uint64_t connectionsUnread = 0; // closed unread, since this host is full
     std::size_t requestsBlocked = 0; // sets of traits whose requests are refused since they crash endpoints
+    SlotCounts slots; // of overloaded plain endpoints
 };
 
 class GatewayMetrics
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -72,12 +72,13 @@
         , credits(this->io, ledgerOptions(given))
         , gates(this->io, this->fleet, this->credits, given.isFirstStart, this->seed + 2)
         , permits(this->io, this->fleet.limits())
+        , slots(this->io, this->fleet, given.sharedSlots)
         , notices(this->fleet, this->gates)
         , paths(EndpointPaths::Options{}, this->seed + 3)
         , admission(admissionOptions(given))
         , client(this->io, clientOptions(given, this->paths, this->traffic))
         , crashes(this->io, this->client, this->paths)
-        , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits,
+        , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits, this->slots,
                    this->notices,  this->credits, this->client, this->crashes, this->metrics}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
@@ -117,6 +118,7 @@
     WorkspaceCredits credits;
     PlacementGates gates;
     EndpointPermits permits;
+    EndpointSlots slots;
     EndpointNotices notices;
     EndpointPaths paths;
     Traffic traffic; // with callers and endpoints
@@ -157,6 +159,7 @@
     this->fleet.setRegistryVersion(this->store->knownVersion(), steadyNow());
     this->applyConfig();
     this->gates.onFleetChanged();
+    this->slots.onFleetChanged();
 }
 
 void Gateway::onChanging(const peer::EngineChanging &change)
@@ -300,11 +303,12 @@
 {
     if (call.target == "/metrics") {
         const auto &config = this->fleet.activeConfig();
-        this->metrics.set(
-            {this->inProgress, this->gates.waiting(), this->gates.placed(), config ? config->version : ConfigVersion(),
-             config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt, this->store->registryAge(),
-             this->links && this->links->leads(), this->gates.isFollowing(), this->paths.isCutOff(),
-             this->paths.counts(), this->admission.linkShare(), this->admission.leftUnread(), this->crashes.blocks()});
+        this->metrics.set({this->inProgress, this->gates.waiting(), this->gates.placed(),
+                           config ? config->version : ConfigVersion(),
+                           config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt,
+                           this->store->registryAge(), this->links && this->links->leads(), this->gates.isFollowing(),
+                           this->paths.isCutOff(), this->paths.counts(), this->admission.linkShare(),
+                           this->admission.leftUnread(), this->crashes.blocks(), this->slots.counts()});
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
     }
@@ -328,6 +332,7 @@
     this->measureUse(now);
     this->fleet.expire(now);
     this->crashes.onTick(now);
+    this->slots.onTick(now);
     if (this->links) {
         this->links->onTick(now);
     }
@@ -409,13 +414,14 @@
 {
     if (this->settings.peers.empty()) {
         this->credits.setPart(true, 1, 1);
+        this->slots.setDeciding(true);
         return true;
     }
     LeaderLink::Options options;
     options.listen = this->settings.peers;
     options.tunnels = this->settings.tunnels;
-    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->notices, this->credits,
-                                     this->crashes, this->paths);
+    auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->slots, this->notices,
+                                     this->credits, this->crashes, this->paths);
     if (!opened) {
         Log::error("cannot_listen", {{"reason", opened.error().what()}});
         return false;
--- a/programs/gateway/gatewaysettings.cpp
+++ b/programs/gateway/gatewaysettings.cpp
@@ -31,6 +31,7 @@
     settings.announce = reader->duration("stop", "announce", settings.announce, {0s, 1min});
     settings.connectLimit = reader->duration("endpoints", "connect", settings.connectLimit, {1ms, 1min});
     settings.reservationLimit = reader->duration("endpoints", "reservation", settings.reservationLimit, {1ms, 1min});
+    settings.sharedSlots = reader->flag("endpoints", "shared_slots", settings.sharedSlots);
     settings.connections = static_cast<std::size_t>(reader->number("limits", "connections", 1500, {1, 30000}));
     // Every send after the first counts against the budget, also if the endpoint refuses it. A fifth is kept in reserve
     // for hosts that have just started or stopped, whose counts differ.
--- a/programs/gateway/gatewaysettings.h
+++ b/programs/gateway/gatewaysettings.h
@@ -35,6 +35,8 @@
     Duration announce{3s}; // until the balancer sees that this host stops: two checks, one per second
     Duration connectLimit{150ms}; // ten round trips between data centres; a lost SYN is sent again after 1 s
     Duration reservationLimit{300ms}; // for a reservation, which is one short call
+    // Whether the leader caps the calls in flight to an overloaded plain endpoint from all hosts together.
+    bool sharedSlots = false;
     std::size_t connections = 1500; // maximum, from callers
     // Retries as a share of calls, and how many may accumulate. The limit applies to the whole fleet, and hosts do not
     // coordinate on it, so each host keeps to its own part.
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -40,10 +40,11 @@
 } // namespace
 
 LeaderLink::LeaderLink(asio::io_context &io, const Options &options, PlacementGates &placementGates,
-                       EndpointPermits &endpointPermits, EndpointNotices &endpointNotices,
+                       EndpointPermits &endpointPermits, EndpointSlots &endpointSlots, EndpointNotices &endpointNotices,
                        WorkspaceCredits &workspaceCredits, CrashGuard &crashGuard, EndpointPaths &endpointPaths)
     : gates(placementGates)
     , permits(endpointPermits)
+    , slots(endpointSlots)
     , notices(endpointNotices)
     , credits(workspaceCredits)
     , crashes(crashGuard)
@@ -58,14 +59,18 @@
 {
 }
 
-tl::expected<std::unique_ptr<LeaderLink>, WireError>
-LeaderLink::create(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
-                   EndpointNotices &notices, WorkspaceCredits &credits, CrashGuard &crashes, EndpointPaths &paths)
+tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
+                                                                        PlacementGates &gates, EndpointPermits &permits,
+                                                                        EndpointSlots &slots, EndpointNotices &notices,
+                                                                        WorkspaceCredits &credits, CrashGuard &crashes,
+                                                                        EndpointPaths &paths)
 {
-    std::unique_ptr<LeaderLink> link(new LeaderLink(io, options, gates, permits, notices, credits, crashes, paths));
+    std::unique_ptr<LeaderLink> link(
+        new LeaderLink(io, options, gates, permits, slots, notices, credits, crashes, paths));
     LeaderLink *self = link.get();
     notices.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     permits.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
+    slots.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     crashes.setFollowers([self](const peer::Message &message) { self->notifyClients(message); });
     PeerNode::Handlers handlers;
     handlers.opened = [self](LinkId id) {
@@ -152,6 +157,7 @@
     const double ownPart = 1.0 / static_cast<double>(this->hosts);
     const bool decidesForAll = this->isLeading || this->isActing;
     this->permits.setShare(decidesForAll ? 1 : ownPart);
+    this->slots.setDeciding(decidesForAll);
     this->gates.setShare(decidesForAll || this->path != PlacingPath::Alone ? 1 : ownPart);
     this->applyQuotaPart(now);
     if (this->isActing != wasActing) {
@@ -204,6 +210,7 @@
     }
     if (!link) {
         this->permits.setUplink({});
+        this->slots.setUplink({});
         this->notices.setUplink({});
         this->credits.setUplink({});
         this->crashes.setUplink({});
@@ -216,6 +223,7 @@
         };
         this->gates.setUplink(send);
         this->permits.setUplink(send);
+        this->slots.setUplink(send);
         this->notices.setUplink(send);
         this->credits.setUplink(send);
         this->crashes.setUplink(send);
@@ -518,6 +526,7 @@
         this->tunnelHosts.remove(link);
         this->announceDeputy();
         this->gates.onFollowerLost(link);
+        this->slots.onLinkLost(link);
     }
 }
 
@@ -553,6 +562,7 @@
             this->node->send(link, message);
         };
         this->permits.sendLimits(send);
+        this->slots.sendLimits(send);
         this->notices.sendLeaving(send);
     }
     this->announceDeputy();
@@ -666,7 +676,9 @@
                 this->store->addFollower(link, follow.version);
             },
             [&](const auto &) {
-                Log::warning("link_message_unexpected");
+                if (!this->slots.onMessage(link, reply, message)) {
+                    Log::warning("link_message_unexpected");
+                }
             }},
         message);
 }
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -2,7 +2,7 @@
 
 // The links between gateways: to the leader if this host follows one, and from the followers if it leads.
 //
-//     auto link = LeaderLink::create(io, options, gates, permits, notices, credits, crashes, paths);
+//     auto link = LeaderLink::create(io, options, gates, permits, slots, notices, credits, crashes, paths);
 //     link.value()->setStore(store);
 //     link.value()->onLeader(update);          // the current leader, according to the lease
 
@@ -12,6 +12,7 @@
 #include "programs/gateway/crashguard.h"
 #include "programs/gateway/endpointnotices.h"
 #include "programs/gateway/endpointpermits.h"
+#include "programs/gateway/endpointslots.h"
 #include "programs/gateway/placementgates.h"
 #include "programs/gateway/storewatcher.h"
 #include "programs/gateway/workspacecredits.h"
@@ -38,9 +39,11 @@
         Duration heartbeat{300ms};
     };
 
-    static tl::expected<std::unique_ptr<LeaderLink>, WireError>
-    create(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
-           EndpointNotices &notices, WorkspaceCredits &credits, CrashGuard &crashes, EndpointPaths &paths);
+    static tl::expected<std::unique_ptr<LeaderLink>, WireError> create(asio::io_context &io, const Options &options,
+                                                                       PlacementGates &gates, EndpointPermits &permits,
+                                                                       EndpointSlots &slots, EndpointNotices &notices,
+                                                                       WorkspaceCredits &credits, CrashGuard &crashes,
+                                                                       EndpointPaths &paths);
     // Sets the watcher of the store, which outlives the links.
     void setStore(StoreWatcher &watcher)
     {
@@ -80,7 +83,8 @@
     };
 
     LeaderLink(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
-               EndpointNotices &notices, WorkspaceCredits &credits, CrashGuard &crashes, EndpointPaths &paths);
+               EndpointSlots &slots, EndpointNotices &notices, WorkspaceCredits &credits, CrashGuard &crashes,
+               EndpointPaths &paths);
     void push(Event event);
     void drain();
     void on(const Event &event);
@@ -116,6 +120,7 @@
 
     PlacementGates &gates;
     EndpointPermits &permits;
+    EndpointSlots &slots;
     EndpointNotices &notices;
     WorkspaceCredits &credits;
     CrashGuard &crashes;
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -26,6 +26,26 @@
 
 } // namespace
 
+bool PlainForward::takeSlot(EndpointId &chosen, const std::vector<EndpointCandidate> &candidates,
+                            const asio::yield_context &yield)
+{
+    this->slot = {};
+    if (!this->call.services.slots.isLimited(chosen)) {
+        return true;
+    }
+    auto ordered = this->call.services.fleet.picker().order(candidates, steadyNow());
+    std::stable_partition(ordered.begin(), ordered.end(), [&](const EndpointId &id) { return id == chosen; });
+    const Instant onTimeUntil = this->call.arrival + this->call.route.target;
+    this->slot = this->call.services.slots.take(
+        {0, std::move(ordered), this->call.rank(), onTimeUntil, this->call.deadline()}, this->abort, yield);
+    if (!this->slot.endpoint()) {
+        this->slotDeniedFor = this->slot.retryAfter();
+        return false;
+    }
+    chosen = *this->slot.endpoint();
+    return true;
+}
+
 std::optional<EndpointRecord> PlainForward::choose(const asio::yield_context &yield)
 {
     FleetView &fleet = this->call.services.fleet;
@@ -34,7 +54,10 @@
         return std::find(this->tried.begin(), this->tried.end(), candidate.id) != this->tried.end();
     };
     candidates.erase(std::remove_if(candidates.begin(), candidates.end(), wasTried), candidates.end());
-    while (const auto chosen = fleet.picker().pick(candidates, steadyNow())) {
+    while (auto chosen = fleet.picker().pick(candidates, steadyNow())) {
+        if (!this->takeSlot(*chosen, candidates, yield)) {
+            return std::nullopt;
+        }
         const Duration wait = this->call.services.permits.take(*chosen, yield);
         if (this->abort.isAborted()) {
             return std::nullopt;
@@ -49,6 +72,7 @@
                            [&chosen](const EndpointCandidate &candidate) { return candidate.id == *chosen; }),
             candidates.end());
     }
+    this->slot = {};
     return std::nullopt;
 }
 
@@ -81,6 +105,8 @@
         forwardedRequest(this->call.http, this->call.caller(), endpoint.id, this->call.timeLeft());
     picker.onSent(endpoint.id);
     const auto ended = [&](EndpointOutcome outcome) {
+        this->slot.end(outcome == EndpointOutcome::Answered || outcome == EndpointOutcome::ErrorResponse,
+                       steadyNow() - begin);
         picker.onEnded(endpoint.id, this->abort.isAborted() ? EndpointOutcome::Abandoned : outcome, steadyNow() - begin,
                        steadyNow());
     };
@@ -95,6 +121,9 @@
             return SendResult::NoPath;
         }
         ended(EndpointOutcome::Failed);
+        if (error.isResetBeforeReply() && !this->abort.isAborted()) {
+            this->call.services.slots.onOverload(endpoint.id);
+        }
         if (error.isKnownNotSent()) {
             return SendResult::NeverSent;
         }
@@ -113,6 +142,7 @@
     if (head.reportsNotRun) {
         this->lastFault = "the endpoint did not take it";
         ended(EndpointOutcome::Full);
+        this->call.services.slots.onOverload(endpoint.id);
         return SendResult::ReportedNotRun;
     }
     if (!head.isForThisCall || head.isEncoded) {
@@ -220,6 +250,12 @@
         this->call.refuseBlocked(*blocked, yield);
         return;
     }
+    if (this->slotDeniedFor) {
+        this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, "no slot of an overloaded endpoint in time",
+                           *this->slotDeniedFor},
+                          this->noRetry, yield);
+        return;
+    }
     Duration retryAfter = last == SendResult::ReportedNotRun ? retryAfterWhenFull : retryAfterWhenNone;
     std::string reason = this->lastFault.empty() ? "no endpoint takes calls" : this->lastFault;
     if (this->limitedFor && this->lastFault.empty()) {
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -36,6 +36,10 @@
 
     // Also takes a permit for the call if the endpoint states a limit.
     std::optional<EndpointRecord> choose(const asio::yield_context &yield);
+    // Replaces the choice by the endpoint that has a slot for the call if the choice is limited. Returns false if none
+    // has.
+    bool takeSlot(EndpointId &chosen, const std::vector<EndpointCandidate> &candidates,
+                  const asio::yield_context &yield);
     SendResult send(const EndpointRecord &endpoint, const asio::yield_context &yield);
     void reportCutShort(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield);
     // Whether the endpoint has ended with an answer that ends with its connection. One that is leaving ends in order.
@@ -54,6 +58,8 @@
     CallAbort abort;
     std::vector<EndpointId> tried;
     std::optional<Duration> limitedFor; // until one of the endpoints that were passed over may take a call
+    SlotClaim slot; // of the endpoint that the call is sent to
+    std::optional<Duration> slotDeniedFor;
     int sends = 0; // of which at least one byte was sent
     bool mayHaveRun = false;
     // The response of the last endpoint that answered; an error response is kept while another endpoint is tried.
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -18,6 +18,7 @@
 decode engine after so many events; with `ends_in_order`, connections end in order whatever was sent on them.
 
 It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
+With `places`, a plain endpoint serves that many calls at once, each for `serve_seconds`, and turns further ones away.
 With `states_leaving`, all its answers say that it leaves. `arrivals` has the time and kind of each request. The kinds of
 requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS.
 """
@@ -269,6 +270,7 @@
         self.arrivals = []
         self.rests, self.rest_seconds = frozenset(), 2.0
         self.states_leaving = False
+        self.places, self.serve_seconds, self.turned_away = None, 0.0, []  # a semaphore of the calls served at once
         self.endless = {}  # the way, by the kind of request
         self.reservations = 0
         self.on_half = lambda: None  # called when it broke off
@@ -363,6 +365,13 @@
         if self.behave == "full":
             request.reply(503, {}, {"X-Not-Executed": "1"})
             return
+        if self.places is not None:
+            if not self.places.acquire(blocking=False):
+                self.turned_away.append(time.monotonic())
+                request.reply(503, {}, {"X-Not-Executed": "1"})
+                return
+            time.sleep(self.serve_seconds)
+            self.places.release()
         headers = self.note(request, body)
         text = b"answer of " + self.name.encode()
         if self.crashes_on(request, body):
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -109,13 +109,19 @@
     return {};
 }
 
-HttpError::HttpError(HttpFault fault, bool knownNotSent, const std::string &text)
+HttpError::HttpError(HttpFault fault, bool knownNotSent, const std::string &text, bool wasReset)
     : std::runtime_error(text)
     , cause(fault)
     , notSent(knownNotSent)
+    , reset(wasReset)
 {
 }
 
+bool HttpError::isResetBeforeReply() const
+{
+    return this->reset;
+}
+
 HttpFault HttpError::fault() const
 {
     return this->cause;
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -91,11 +91,14 @@
 
     void abort();
     bool isAborted() const;
+    // Sets what abort() also calls, for a wait before the call; empty for nothing.
+    void setHandler(std::function<void()> called);
 
 private:
     friend class HttpConnection;
 
     HttpConnection *connection = nullptr; // that the call currently uses
+    std::function<void()> handler;
     bool aborted = false;
 };
 
@@ -135,15 +138,18 @@
 class HttpError : public std::runtime_error
 {
 public:
-    HttpError(HttpFault fault, bool knownNotSent, const std::string &text);
+    HttpError(HttpFault fault, bool knownNotSent, const std::string &text, bool wasReset = false);
 
     HttpFault fault() const;
     // True only if no byte of the request was written to the socket.
     bool isKnownNotSent() const;
+    // The connection was opened, and reset before any byte of the reply.
+    bool isResetBeforeReply() const;
 
 private:
     HttpFault cause;
     bool notSent;
+    bool reset;
 };
 
 class EndpointPaths;
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -39,6 +39,12 @@
     return error == beast::error::timeout ? HttpFault::Timeout : HttpFault::Closed;
 }
 
+// An error of the local side, such as a connection that this process closed, is none of these.
+bool isReset(const boost::system::error_code &error)
+{
+    return error == asio::error::connection_reset || error == asio::error::broken_pipe;
+}
+
 } // namespace
 
 void CallAbort::abort()
@@ -47,6 +53,14 @@
     if (this->connection != nullptr) {
         this->connection->close();
     }
+    if (this->handler) {
+        this->handler();
+    }
+}
+
+void CallAbort::setHandler(std::function<void()> called)
+{
+    this->handler = std::move(called);
 }
 
 bool CallAbort::isAborted() const
@@ -126,7 +140,8 @@
     const std::size_t sent = asio::async_write(this->stream, asio::buffer(request), yield[error]);
     countSent(this->pool->options.traffic, sent);
     if (error) {
-        throw HttpError(faultOf(error), sent == 0, fmt::format("send {}: {}", this->address, error.message()));
+        throw HttpError(faultOf(error), sent == 0, fmt::format("send {}: {}", this->address, error.message()),
+                        isReset(error));
     }
 }
 
@@ -155,7 +170,8 @@
     }
     if (error) {
         throw HttpError(faultOf(error), false,
-                        fmt::format("read {}: {} after {} bytes", this->address, error.message(), this->received));
+                        fmt::format("read {}: {} after {} bytes", this->address, error.message(), this->received),
+                        isReset(error) && this->received == 0);
     }
 }
 
