Shared slots: test of an endpoint that resets connections

An overloaded endpoint may reset connections instead of answering; only resets before the first byte of an answer count. The picker's order, by which requests for slots name their candidates, has a test of its own.

--- a/decide/testing/endpointpicker_test.cpp
+++ b/decide/testing/endpointpicker_test.cpp
@@ -23,6 +23,22 @@
     std::map<std::string, int> sent;
 };
 
+// Guards against a call that waits for a slot of an endpoint that it would not have chosen next.
+TEST(EndpointPicker, OrdersCandidatesByTheirCost)
+{
+    EndpointPicker picker({}, 7);
+    const std::map<std::string, Duration> times = {{"a", 40ms}, {"b", 10ms}, {"c", 80ms}};
+    std::vector<EndpointCandidate> candidates;
+    for (const auto &[name, takes] : times) {
+        candidates.push_back({EndpointId(name), 6, true});
+        picker.onSent(EndpointId(name));
+        picker.onEnded(EndpointId(name), EndpointOutcome::Answered, takes, start);
+    }
+    EXPECT_EQ(picker.order(candidates, start),
+              (std::vector<EndpointId>{EndpointId("b"), EndpointId("a"), EndpointId("c")}));
+    EXPECT_EQ(picker.order({}, start), std::vector<EndpointId>());
+}
+
 // Sends calls sequentially, ten milliseconds apart, as one of several hosts does.
 Outcome simulate(EndpointPicker &picker, const std::map<std::string, Behaviour> &endpoints, int calls, Instant &now)
 {
--- a/testing/process/test_endpoint_slots.py
+++ b/testing/process/test_endpoint_slots.py
@@ -92,6 +92,16 @@
         self.load(others, SETTLE_SECONDS)
         self.assertTrue(any(self.is_limited_by(other) for other in others))
 
+    # Guards against an endpoint that shows its overload only by connections that it resets.
+    def test_an_endpoint_that_resets_connections_is_limited(self):
+        gateways = self.start_hosts()
+        self.endpoint.behave, self.endpoint.places = "cut", None
+        self.load(gateways, 0.5)
+        self.assertFalse(self.is_limited_by(gateways[0]))  # its answers had begun
+        self.endpoint.behave = "reset"
+        self.load(gateways, 1)
+        self.assertTrue(self.is_limited_by(gateways[0]))
+
     # Guards against a host that limits endpoints although its settings don't ask for it.
     def test_without_the_setting_nothing_is_limited(self):
         gateways = self.start_hosts(is_on=False)
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -5,7 +5,8 @@
         platform.configure(routes=[route("/book/", "unsafe", "booking")])
         booking.behave = "cut"                      # the next answers break off in the middle
 
-It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, other_id, encoded, extra,
+It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, reset (before any byte),
+other_id, encoded, extra,
 unframed (no length, ends with its connection), unframed_reset (resets the connection in the middle), unframed_stall (stops
 in the middle). Of a decode engine also half: it breaks off within its third event; half_reset: it resets its connection
 there; half_first: it breaks off so only streams that it begins; stall: it stops before its third event; empty: it closes
@@ -373,6 +374,9 @@
             time.sleep(self.serve_seconds)
             self.places.release()
         headers = self.note(request, body)
+        if self.behave == "reset":
+            reset(request)
+            return
         text = b"answer of " + self.name.encode()
         if self.crashes_on(request, body):
             if self.ends_in_order:
