Merge the shared slots of plain endpoints

Beside the merge: a verdict on lost packets is taken from the leader or its deputy only, and latest_event_ms may be written with decimals, as the other times of the platform's settings.

--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -9,6 +9,7 @@
 #include "programs/gateway/crashguard.h"
 #include "programs/gateway/endpointnotices.h"
 #include "programs/gateway/endpointpermits.h"
+#include "programs/gateway/endpointslots.h"
 #include "programs/gateway/eventlosses.h"
 #include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
@@ -29,6 +30,7 @@
     FleetView &fleet;
     PlacementGates &gates;
     EndpointPermits &permits;
+    EndpointSlots &slots;
     EndpointNotices &notices;
     WorkspaceCredits &credits;
     HttpClient &client;
--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -157,6 +157,11 @@
     put("connections_unread", static_cast<double>(now.connectionsUnread));
     put("event_loss", now.isLossSeen ? 1 : 0);
     put("requests_blocked", static_cast<double>(now.requestsBlocked));
+    put("slots_waiting", static_cast<double>(now.slots.waiting));
+    put("slots_in_flight", static_cast<double>(now.slots.inFlight));
+    put("slots_granted", static_cast<double>(now.slots.granted));
+    put("slots_denied", static_cast<double>(now.slots.denied));
+    put("endpoints_limited", static_cast<double>(now.slots.limited));
     put("log_lines_left_out", static_cast<double>(Log::droppedLines()));
 }
 
--- a/programs/gateway/gatewaymetrics.h
+++ b/programs/gateway/gatewaymetrics.h
@@ -11,6 +11,7 @@
 #include "decide/eventbatch.h"
 #include "fescuesill/errors.h"
 #include "fescuesill/ids.h"
+#include "programs/gateway/endpointslots.h"
 
 #include <memory>
 #include <optional>
@@ -42,6 +43,7 @@
     std::uint64_t connectionsUnread = 0; // closed unread, since this host is full
     bool isLossSeen = false; // packets are being lost, and events are held to be written together
     std::size_t requestsBlocked = 0; // sets of traits whose requests are refused since they crash endpoints
+    SlotCounts slots; // of overloaded plain endpoints
 };
 
 class GatewayMetrics
--- a/programs/gateway/gatewaysettings.cpp
+++ b/programs/gateway/gatewaysettings.cpp
@@ -31,6 +31,7 @@
     settings.announce = reader->duration("stop", "announce", settings.announce, {0s, 1min});
     settings.connectLimit = reader->duration("endpoints", "connect", settings.connectLimit, {1ms, 1min});
     settings.reservationLimit = reader->duration("endpoints", "reservation", settings.reservationLimit, {1ms, 1min});
+    settings.sharedSlots = reader->flag("endpoints", "shared_slots", settings.sharedSlots);
     settings.connections = static_cast<std::size_t>(reader->number("limits", "connections", 1500, {1, 30000}));
     // Every send after the first counts against the budget, also if the endpoint refuses it. A fifth is kept in reserve
     // for hosts that have just started or stopped, whose counts differ.
@@ -44,8 +45,8 @@
     settings.quotaWindow = reader->decimal("quotas", "window_s", 1s, settings.quotaWindow, {100ms, 1h});
     settings.quotaOvershoot = reader->fraction("quotas", "overshoot", settings.quotaOvershoot, {0, 10});
     settings.quotaSlack = QuotaUnits(reader->number("quotas", "slack", 0, {0, std::int64_t{1} << 50}));
-    if (const auto latest = reader->number("streams", "latest_event_ms", 0, {1, 10000}); latest > 0) {
-        settings.latestEvent = latest * 1ms;
+    if (const auto latest = reader->decimal("streams", "latest_event_ms", 1ms, Duration(0), {1ms, 10s}); latest > 0ms) {
+        settings.latestEvent = latest;
     }
     settings.moveEngines = reader->flag("engines", "move", true);
     settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -40,11 +40,12 @@
 } // namespace
 
 LeaderLink::LeaderLink(asio::io_context &io, const Options &options, PlacementGates &placementGates,
-                       EndpointPermits &endpointPermits, EndpointNotices &endpointNotices,
+                       EndpointPermits &endpointPermits, EndpointSlots &endpointSlots, EndpointNotices &endpointNotices,
                        WorkspaceCredits &workspaceCredits, CrashGuard &crashGuard, EventLosses &eventLosses,
                        EndpointPaths &endpointPaths)
     : gates(placementGates)
     , permits(endpointPermits)
+    , slots(endpointSlots)
     , notices(endpointNotices)
     , credits(workspaceCredits)
     , crashes(crashGuard)
@@ -62,15 +63,16 @@
 
 tl::expected<std::unique_ptr<LeaderLink>, WireError> LeaderLink::create(asio::io_context &io, const Options &options,
                                                                         PlacementGates &gates, EndpointPermits &permits,
-                                                                        EndpointNotices &notices,
+                                                                        EndpointSlots &slots, EndpointNotices &notices,
                                                                         WorkspaceCredits &credits, CrashGuard &crashes,
                                                                         EventLosses &losses, EndpointPaths &paths)
 {
     std::unique_ptr<LeaderLink> link(
-        new LeaderLink(io, options, gates, permits, notices, credits, crashes, losses, paths));
+        new LeaderLink(io, options, gates, permits, slots, notices, credits, crashes, losses, paths));
     LeaderLink *self = link.get();
     notices.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     permits.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
+    slots.setFollowers([self](const peer::Message &message) { self->onUpdate({message, std::nullopt}); });
     crashes.setFollowers([self](const peer::Message &message) { self->notifyClients(message); });
     losses.setFollowers([self](const peer::Message &message) { self->notifyClients(message); });
     PeerNode::Handlers handlers;
@@ -159,6 +161,7 @@
     const bool decidesForAll = this->isLeading || this->isActing;
     this->permits.setShare(decidesForAll ? 1 : ownPart);
     this->losses.setDeciding(decidesForAll);
+    this->slots.setDeciding(decidesForAll);
     this->gates.setShare(decidesForAll || this->path != PlacingPath::Alone ? 1 : ownPart);
     this->applyQuotaPart(now);
     if (this->isActing != wasActing) {
@@ -211,6 +214,7 @@
     }
     if (!link) {
         this->permits.setUplink({});
+        this->slots.setUplink({});
         this->notices.setUplink({});
         this->credits.setUplink({});
         this->crashes.setUplink({});
@@ -224,6 +228,7 @@
         };
         this->gates.setUplink(send);
         this->permits.setUplink(send);
+        this->slots.setUplink(send);
         this->notices.setUplink(send);
         this->credits.setUplink(send);
         this->crashes.setUplink(send);
@@ -527,6 +532,7 @@
         this->tunnelHosts.remove(link);
         this->announceDeputy();
         this->gates.onFollowerLost(link);
+        this->slots.onLinkLost(link);
     }
 }
 
@@ -562,6 +568,7 @@
             this->node->send(link, message);
         };
         this->permits.sendLimits(send);
+        this->slots.sendLimits(send);
         this->notices.sendLeaving(send);
     }
     this->announceDeputy();
@@ -646,7 +653,11 @@
             [&](const peer::TraitsServed &served) { this->crashes.onMessage(served); },
             [&](const peer::RequestsBlocked &blocked) { this->crashes.onMessage(blocked); },
             [&](const peer::EventCounts &counts) { this->losses.onCounts(this->deputies.address(link), counts); },
-            [&](const peer::EventLoss &loss) { this->losses.onVerdict(loss); },
+            [&](const peer::EventLoss &loss) {
+                if (isFromPlacer) {
+                    this->losses.onVerdict(loss);
+                }
+            },
             [&](const peer::RequestCredit &request) { this->credits.onRequested(reply, request); },
             [&](const peer::CreditReply &answer) { this->credits.onReply(answer); },
             [&](const peer::QuotaReport &report) { this->credits.onReported(reply, report); },
@@ -678,7 +689,9 @@
                 this->store->addFollower(link, follow.version);
             },
             [&](const auto &) {
-                Log::warning("link_message_unexpected");
+                if (!this->slots.onMessage(link, reply, message)) {
+                    Log::warning("link_message_unexpected");
+                }
             }},
         message);
 }
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -2,7 +2,7 @@
 
 // The links between gateways: to the leader if this host follows one, and from the followers if it leads.
 //
-//     auto link = LeaderLink::create(io, options, gates, permits, notices, credits, crashes, losses, paths);
+//     auto link = LeaderLink::create(io, options, gates, permits, slots, notices, credits, crashes, losses, paths);
 //     link.value()->setStore(store);
 //     link.value()->onLeader(update);          // the current leader, according to the lease
 
@@ -12,6 +12,7 @@
 #include "programs/gateway/crashguard.h"
 #include "programs/gateway/endpointnotices.h"
 #include "programs/gateway/endpointpermits.h"
+#include "programs/gateway/endpointslots.h"
 #include "programs/gateway/eventlosses.h"
 #include "programs/gateway/placementgates.h"
 #include "programs/gateway/storewatcher.h"
@@ -41,7 +42,7 @@
 
     static tl::expected<std::unique_ptr<LeaderLink>, WireError> create(asio::io_context &io, const Options &options,
                                                                        PlacementGates &gates, EndpointPermits &permits,
-                                                                       EndpointNotices &notices,
+                                                                       EndpointSlots &slots, EndpointNotices &notices,
                                                                        WorkspaceCredits &credits, CrashGuard &crashes,
                                                                        EventLosses &losses, EndpointPaths &paths);
     // Sets the watcher of the store, which outlives the links.
@@ -83,8 +84,8 @@
     };
 
     LeaderLink(asio::io_context &io, const Options &options, PlacementGates &gates, EndpointPermits &permits,
-               EndpointNotices &notices, WorkspaceCredits &credits, CrashGuard &crashes, EventLosses &losses,
-               EndpointPaths &paths);
+               EndpointSlots &slots, EndpointNotices &notices, WorkspaceCredits &credits, CrashGuard &crashes,
+               EventLosses &losses, EndpointPaths &paths);
     void push(Event event);
     void drain();
     void on(const Event &event);
@@ -120,6 +121,7 @@
 
     PlacementGates &gates;
     EndpointPermits &permits;
+    EndpointSlots &slots;
     EndpointNotices &notices;
     WorkspaceCredits &credits;
     CrashGuard &crashes;
