--- a/decide/slotqueue.cpp
+++ b/decide/slotqueue.cpp
@@ -12,12 +12,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace fescuesill
 {
 
 // Calls by which the assumed completion rate weighs against measured ones.
 constexpr double assumedCalls = 5;
+// Bounds invalid times, so that the arithmetic with them can't overflow.
+constexpr Duration longestWait{1h};
 
 SlotQueue::SlotQueue(const Options &given)
     : options(given)
@@ -185,7 +188,11 @@
         }
     }
     const Position position{request.rank, request.usefulUntil, this->nextSequence++};
-    const Wait wait{request.ticket, candidates, std::min(request.onTimeUntil, request.usefulUntil)};
+    const Instant onTimeUntil =
+        std::clamp(std::min(request.onTimeUntil, request.usefulUntil), now - 1us, now + longestWait);
+    // Half of the time at most, so that an endpoint that became slow still gets calls that show its recovery.
+    const Duration callTime = std::min<Duration>(this->expectedTime(candidates), (onTimeUntil - now) / 2);
+    const Wait wait{request.ticket, candidates, onTimeUntil - callTime};
     for (const EndpointId &candidate : candidates) {
         this->endpoints.at(candidate).waiting.insert(position);
     }
@@ -224,6 +231,17 @@
     return static_cast<double>(count + 1) / std::max(rate, 1e-9);
 }
 
+// The least time of a call at one of the candidates; zero until it is measured.
+Duration SlotQueue::expectedTime(const std::vector<EndpointId> &candidates) const
+{
+    double least = std::numeric_limits<double>::max();
+    for (const EndpointId &candidate : candidates) {
+        const Endpoint &endpoint = this->endpoints.at(candidate);
+        least = std::min(least, endpoint.meanUs.value_or(0) + this->options.timeDeviations * endpoint.deviationUs);
+    }
+    return Duration(static_cast<Duration::rep>(least));
+}
+
 // How much longer a request is expected to wait than it may.
 double SlotQueue::excessUs(const Position &position, Instant now) const
 {
@@ -329,7 +347,9 @@
     if (wasServed) {
         endpoint.served += this->hasRoom(endpoint) ? 0 : 1;
         const auto us = static_cast<double>(std::clamp<Duration>(took, Duration(0), this->options.grantLife).count());
-        endpoint.meanUs = endpoint.meanUs ? *endpoint.meanUs + this->options.timeWeight * (us - *endpoint.meanUs) : us;
+        const double difference = us - endpoint.meanUs.value_or(us);
+        endpoint.meanUs = endpoint.meanUs.value_or(us) + this->options.timeWeight * difference;
+        endpoint.deviationUs += this->options.timeWeight * (std::abs(difference) - endpoint.deviationUs);
     }
     this->release(ticket, now);
 }
--- a/decide/slotqueue.h
+++ b/decide/slotqueue.h
@@ -75,8 +75,11 @@
         Duration assumedTime{15ms};
         // Time constant of the measured completion rate, counted while the limit is reached.
         Duration rateWindow{1s};
-        // Weight of one call in the mean time that calls take.
+        // Weight of one call in the mean time that calls take and in its mean deviation.
         double timeWeight = 0.05;
+        // A call is expected to take the mean time and this many mean deviations. Under overload each call waits nearly
+        // as long as it may, so with the mean alone half of the answers are late.
+        double timeDeviations = 2;
         // Slots of one endpoint; larger values are rejected.
         int maxSlots = 100'000;
         std::size_t maxEndpoints = 4096;
@@ -154,6 +157,7 @@
         double busyUs = 0;
         Instant measured;
         std::optional<double> meanUs; // time of a served call, with its wait at the endpoint
+        double deviationUs = 0;
     };
     struct Grant {
         EndpointId endpoint;
@@ -166,6 +170,7 @@
     void grow(Endpoint &endpoint, Instant now) const;
     std::vector<EndpointId> knownCandidates(const SlotRequest &request) const;
     double expectedWaitUs(const Position &position, const Wait &wait, Instant now) const;
+    Duration expectedTime(const std::vector<EndpointId> &candidates) const;
     double excessUs(const Position &position, Instant now) const;
     Duration retryAfter(double excess) const;
     void grant(SlotTicket ticket, const EndpointId &id, Instant now);
