--- a/decide/slotqueue.h
+++ b/decide/slotqueue.h
@@ -79,7 +79,7 @@
         double timeWeight = 0.05;
         // A call is expected to take the mean time and this many mean deviations. Under overload each call waits nearly
         // as long as it may, so with the mean alone half of the answers are late.
-        double timeDeviations = 2;
+        double timeDeviations = 3;
         // Slots of one endpoint; larger values are rejected.
         int maxSlots = 100'000;
         std::size_t maxEndpoints = 4096;
