--- a/testing/process/test_lost_paths.py
+++ b/testing/process/test_lost_paths.py
@@ -21,6 +21,7 @@
 FEW_CALLERS = 12
 CONTACT_SECONDS = 3  # from the start of a cut until its hosts must serve again
 CUT_SECONDS = CONTACT_SECONDS + 4
+FEW_CALLERS_SECONDS = CONTACT_SECONDS + 8  # of a cut, so that few callers make enough calls on a busy machine
 FEWEST_CALLS = 30  # to judge by
 SHORT_DEADLINE_MS = 300  # of a caller that comes back with a third of its time left
 # What the users' rule allows: as many failures in all, and a share of what the other hosts serve.
@@ -58,7 +59,7 @@
     def all_logs(self):
         return "".join(gateway.log() for gateway in self.gateways)
 
-    def play(self, cut, kind, count=CALLERS):
+    def play(self, cut, kind, count=CALLERS, seconds=CUT_SECONDS):
         """Cuts these hosts while callers go on. The first tries after contact, at the cut hosts and at the others."""
         callers = Callers(self.gateways, kind, count)
         callers.start()
@@ -66,7 +67,7 @@
         for gateway in cut:
             gateway.paths.cut(kind)
         since = time.monotonic() + CONTACT_SECONDS
-        time.sleep(CUT_SECONDS)
+        time.sleep(seconds)
         until = time.monotonic()
         for gateway in cut:
             gateway.paths.heal()
@@ -115,20 +116,20 @@
         self.check_served(*self.play(self.leader_first()[1:3], "refuse"))
 
     def test_few_callers_are_served_while_connections_hang(self):
-        self.check_few_served(self.play(self.leader_first()[1:3], "hang", FEW_CALLERS)[0])
+        self.check_few_served(self.play(self.leader_first()[1:3], "hang", FEW_CALLERS, FEW_CALLERS_SECONDS)[0])
 
     def test_few_callers_are_served_while_connections_are_reset(self):
-        self.check_few_served(self.play(self.leader_first()[1:3], "reset", FEW_CALLERS)[0])
+        self.check_few_served(self.play(self.leader_first()[1:3], "reset", FEW_CALLERS, FEW_CALLERS_SECONDS)[0])
 
     def test_few_callers_are_served_while_only_new_connections_are_refused(self):
-        self.check_few_served(self.play(self.leader_first()[1:3], "refuse", FEW_CALLERS)[0])
+        self.check_few_served(self.play(self.leader_first()[1:3], "refuse", FEW_CALLERS, FEW_CALLERS_SECONDS)[0])
 
     # The host that places generations for all is among those that reach no endpoint, and only one host reaches any.
     def test_serves_while_most_hosts_and_the_leader_are_cut(self):
         self.check_served(*self.play(self.leader_first()[:3], "hang"))
 
     def test_few_callers_are_served_while_most_hosts_and_the_leader_are_cut(self):
-        self.check_few_served(self.play(self.leader_first()[:3], "hang", FEW_CALLERS)[0])
+        self.check_few_served(self.play(self.leader_first()[:3], "hang", FEW_CALLERS, FEW_CALLERS_SECONDS)[0])
 
     # Guards against hosts that reach none of the endpoints of one service, and notice it anew at each call because they
     # reach other endpoints: callers with little time get no answer.
