--- a/decide/eventbatch.cpp
+++ b/decide/eventbatch.cpp
@@ -26,14 +26,27 @@
     this->bytes += newBytes;
     this->events += newEvents;
     this->counts.events += static_cast<std::int64_t>(newEvents);
-    const bool isAfterGap = this->lastRead && now - *this->lastRead - this->writing >= this->options.stallGap;
-    if (isAfterGap && newEvents >= this->options.stallEvents) {
-        ++this->counts.stalls;
-    }
+    this->countStall(newEvents, now);
     this->lastRead = now;
     this->writing = Duration(0);
 }
 
+void EventBatch::countStall(std::size_t newEvents, Instant now)
+{
+    if (this->lastRead && now - *this->lastRead - this->writing >= this->options.stallGap) {
+        this->gapEnd = now;
+        this->eventsAfterGap = 0;
+    }
+    if (!this->gapEnd || now - *this->gapEnd > this->options.stallSpan) {
+        return;
+    }
+    this->eventsAfterGap += newEvents;
+    if (this->eventsAfterGap >= this->options.stallEvents) {
+        ++this->counts.stalls;
+        this->gapEnd.reset();
+    }
+}
+
 void EventBatch::onWritten(Instant began, Instant ended)
 {
     if (this->bytes > 0 || this->events > 0) {
--- a/decide/eventbatch.h
+++ b/decide/eventbatch.h
@@ -33,10 +33,12 @@
         Duration holdLimit{100ms};
         // Three events of 400 bytes fill one segment of 1,460 bytes.
         std::size_t fullSize = 1200;
-        // A lost packet is resent after 200 ms or more, and the events queued behind it arrive with it. A slow engine
-        // delivers one event after a pause.
+        // A lost packet is resent after 200 ms or more, and the events queued behind it arrive with it, in one read or
+        // in several that follow each other. A slow engine delivers one event after a pause, and the next one only
+        // after its usual interval.
         Duration stallGap{190ms};
         std::size_t stallEvents = 2;
+        Duration stallSpan{20ms};
     };
     struct Counts {
         std::int64_t events = 0;
@@ -65,6 +67,7 @@
 
 private:
     bool mayHold() const;
+    void countStall(std::size_t newEvents, Instant now);
 
     Options options;
     bool isHolding = false;
@@ -74,6 +77,8 @@
     Instant heldSince;
     std::optional<Instant> lastRead;
     Duration writing{0}; // since lastRead
+    std::optional<Instant> gapEnd; // of a gap that is not known to be a stall yet
+    std::size_t eventsAfterGap = 0;
     Counts counts;
 };
 
