--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -38,6 +38,7 @@
 from userplatform import ENDLESS, UserPlatform, route  # noqa: E402
 from workspaces import SETTINGS, Workspaces  # noqa: E402
 
+LOAD_SETTINGS = "[streams]\nlatest_event_ms = 200\n[endpoints]\nshared_slots = yes\n"
 GRACE_SECONDS = 3
 LONGEST_FAULT_SECONDS = 3.0
 PLAIN_FAULTS = ("cut", "mute", "error", "full", "extra", "other_id", "encoded", "unframed")
@@ -84,7 +85,7 @@
         self.path_chance = random.Random(f"{seed}-paths")  # of its own, so that seeds keep their other faults
         self.key_chance = random.Random(f"{seed}-keys")
         self.paths = [Paths(folder, f"g{number}", self.platform.endpoints) for number in range(hosts)]
-        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, paths=paths, more=SETTINGS)
+        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, paths=paths, more=SETTINGS + LOAD_SETTINGS)
                          for number, (store, paths) in enumerate(zip(self.stores, self.paths))]
         self.busy = [threading.Lock() for _ in self.gateways]  # a process has one fault of its own at a time
         for number, endpoint in enumerate(self.platform.endpoints):
