The client reads a body in one way

HttpConnection::readOnce() stood beside readSome(), which differed only in a second read of the socket after a split line of a chunk. All callers of readSome() read in a loop, so the one that reads the socket once serves them all, and LineStream::readSome() is a loop over readOnce().

--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -428,15 +428,9 @@
 
 bool LineStream::readSome(std::string &out, Duration limit, const asio::yield_context &yield)
 {
-    std::string &buffered = this->connection->partial; // arrived together with the header
-    if (!buffered.empty()) {
-        out += buffered;
-        buffered.clear();
-        return true;
-    }
     const std::size_t before = out.size();
     const SteadyTime deadline = std::chrono::steady_clock::now() + limit;
-    while (this->connection->readSome(out, deadline, yield)) {
+    while (this->readOnce(out, deadline, yield)) {
         if (out.size() > before) {
             return true;
         }
@@ -446,13 +440,18 @@
 
 bool LineStream::readOnce(std::string &out, Duration limit, const asio::yield_context &yield)
 {
-    std::string &buffered = this->connection->partial;
+    return this->readOnce(out, std::chrono::steady_clock::now() + limit, yield);
+}
+
+bool LineStream::readOnce(std::string &out, SteadyTime deadline, const asio::yield_context &yield)
+{
+    std::string &buffered = this->connection->partial; // arrived together with the header
     if (!buffered.empty()) {
         out += buffered;
         buffered.clear();
         return true;
     }
-    return this->connection->readOnce(out, std::chrono::steady_clock::now() + limit, yield);
+    return this->connection->readSome(out, deadline, yield);
 }
 
 bool LineStream::waitReadable(Duration limit, const asio::yield_context &yield)
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -197,6 +197,7 @@
 private:
     friend class HttpClient;
     explicit LineStream(std::unique_ptr<HttpConnection> connection);
+    bool readOnce(std::string &out, std::chrono::steady_clock::time_point deadline, const asio::yield_context &yield);
 
     std::unique_ptr<HttpConnection> connection;
 };
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -227,26 +227,8 @@
     }
 }
 
-bool HttpConnection::readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield)
-{
-    if (this->parser->is_done()) {
-        return false;
-    }
-    if (this->buffer.size() == 0 && !this->atEnd) {
-        this->fill(deadline, yield);
-    }
-    const std::size_t before = this->buffer.size();
-    this->parse(out);
-    // A chunk header that was split across reads can't be parsed until more bytes arrive.
-    if (before > 0 && this->buffer.size() == before && !this->parser->is_done()) {
-        this->fill(deadline, yield);
-        this->parse(out);
-    }
-    return true;
-}
-
 // Bytes that an earlier call left in the buffer can't be parsed without more.
-bool HttpConnection::readOnce(std::string &out, SteadyTime deadline, const asio::yield_context &yield)
+bool HttpConnection::readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield)
 {
     if (this->parser->is_done()) {
         return false;
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -119,10 +119,9 @@
                                   const asio::yield_context &yield);
     void send(const std::string &request, bool isHead, SteadyTime deadline, const asio::yield_context &yield);
     void readHeader(SteadyTime deadline, const asio::yield_context &yield);
-    // Reads more of the body and appends it. Returns false if the body is already complete.
+    // Reads from the socket once, and appends what has arrived of the body: nothing, if that was a part of the framing
+    // only. Returns false if the body is already complete.
     bool readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield);
-    // Reads from the socket at most once, so that it may append nothing. Returns false if the body is already complete.
-    bool readOnce(std::string &out, SteadyTime deadline, const asio::yield_context &yield);
     // Waits for bytes on the socket without reading them. Returns false if the limit expires first.
     bool waitReadable(Duration limit, const asio::yield_context &yield);
     HttpResponse response() const;
