--- a/programs/gateway/streamrelay.cpp
+++ b/programs/gateway/streamrelay.cpp
@@ -26,8 +26,9 @@
         while (!this->events.isTooLong() && this->read(stream, yield)) {
             this->take(onEvents);
             if (this->batch.isDue(steadyNow())) {
-                this->flush(yield);
+                this->write(yield);
             }
+            this->recordCounts();
         }
     } catch (const HttpError &error) {
         fault = error; // handled below: a coroutine must not be suspended inside of a handler
@@ -35,8 +36,9 @@
     if (fault) {
         this->take(onEvents);
         if (!this->abort.isAborted()) {
-            this->flush(yield);
+            this->write(yield);
         }
+        this->recordCounts();
         throw HttpError(*fault);
     }
     if (this->events.isTooLong()) {
@@ -51,7 +53,7 @@
     if (const auto until = this->batch.holdUntil()) {
         const Duration limit = std::min(*until - steadyNow(), this->call.timeLeft());
         if (!stream.waitReadable(std::max(limit, Duration(0)), yield)) {
-            this->flush(yield);
+            this->write(yield);
         }
     }
     return stream.readOnce(this->bytes, this->call.timeLeft(), yield);
@@ -67,10 +69,15 @@
         this->held += whole;
         onEvents();
     }
-    this->recordCounts();
 }
 
 void StreamRelay::flush(const asio::yield_context &yield)
+{
+    this->write(yield);
+    this->recordCounts();
+}
+
+void StreamRelay::write(const asio::yield_context &yield)
 {
     if (this->held.empty()) {
         return;
@@ -79,7 +86,6 @@
     this->call.reply.write(this->held, yield);
     this->held.clear();
     this->batch.onWritten(began, steadyNow());
-    this->recordCounts();
 }
 
 void StreamRelay::finish(const asio::yield_context &yield)
--- a/programs/gateway/streamrelay.h
+++ b/programs/gateway/streamrelay.h
@@ -33,6 +33,7 @@
 private:
     bool read(LineStream &stream, const asio::yield_context &yield);
     void take(const OnEvents &onEvents);
+    void write(const asio::yield_context &yield);
     void recordCounts();
 
     const ForwardedCall &call;
