SlotQueue: the completion rate is a value of its own; its load runs on the bench's virtual time

The rate at an instant was computed in a copy of a whole endpoint, whose containers are allocated, for each candidate of each waiting call. The test's load had written EventQueue again.

--- a/decide/slotqueue.cpp
+++ b/decide/slotqueue.cpp
@@ -17,11 +17,16 @@
 namespace fescuesill
 {
 
+namespace
+{
+
 // Calls by which the assumed completion rate weighs against measured ones.
 constexpr double assumedCalls = 5;
 // Bounds invalid times, so that the arithmetic with them can't overflow.
 constexpr Duration longestWait{1h};
 
+} // namespace
+
 SlotQueue::SlotQueue(const Options &given)
     : options(given)
 {
@@ -40,8 +45,8 @@
         }
         Endpoint &added = this->endpoints[id];
         added.slots = slots;
-        added.served = assumedCalls;
-        added.busyUs = assumedCalls * static_cast<double>(this->options.assumedTime.count()) / slots;
+        added.rate.served = assumedCalls;
+        added.rate.busyUs = assumedCalls * static_cast<double>(this->options.assumedTime.count()) / slots;
         return true;
     }
     Endpoint &endpoint = found->second;
@@ -86,28 +91,28 @@
     return endpoint.limit == 0 || endpoint.inFlight < endpoint.limit;
 }
 
-// Counts the time since the last change of the endpoint's load. Called before each change.
-void SlotQueue::measure(Endpoint &endpoint, Instant now) const
+void SlotQueue::CompletionRate::advance(bool isBusy, Duration window, Instant now)
 {
-    const auto elapsed = static_cast<double>((now - endpoint.measured).count());
-    endpoint.measured = now;
-    if (!this->hasRoom(endpoint) && elapsed > 0) {
-        const double decay = std::exp(-elapsed / static_cast<double>(this->options.rateWindow.count()));
-        endpoint.served *= decay;
-        endpoint.busyUs = endpoint.busyUs * decay + elapsed;
+    const auto elapsed = static_cast<double>((now - this->measured).count());
+    this->measured = now;
+    if (isBusy && elapsed > 0) {
+        const double decay = std::exp(-elapsed / static_cast<double>(window.count()));
+        this->served *= decay;
+        this->busyUs = this->busyUs * decay + elapsed;
     }
 }
 
+// Called before each change of the endpoint's load.
+void SlotQueue::measure(Endpoint &endpoint, Instant now) const
+{
+    endpoint.rate.advance(!this->hasRoom(endpoint), this->options.rateWindow, now);
+}
+
 double SlotQueue::ratePerUs(const Endpoint &endpoint, Instant now) const
 {
-    Endpoint measured;
-    measured.limit = endpoint.limit;
-    measured.inFlight = endpoint.inFlight;
-    measured.served = endpoint.served;
-    measured.busyUs = endpoint.busyUs;
-    measured.measured = endpoint.measured;
-    this->measure(measured, now);
-    return measured.served / std::max(1.0, measured.busyUs);
+    CompletionRate rate = endpoint.rate;
+    rate.advance(!this->hasRoom(endpoint), this->options.rateWindow, now);
+    return rate.served / std::max(1.0, rate.busyUs);
 }
 
 void SlotQueue::grow(Endpoint &endpoint, Instant now) const
@@ -151,7 +156,7 @@
         endpoint.lowered = now;
         endpoint.grown = now;
         endpoint.needed = now;
-        endpoint.measured = now;
+        endpoint.rate.measured = now;
         endpoint.overloads.clear();
         this->limitedOnes.insert(id);
         this->actions.emplace_back(SlotLimitChanged{id, true});
@@ -345,7 +350,7 @@
     }
     Endpoint &endpoint = this->endpoints.at(found->second.endpoint);
     if (wasServed) {
-        endpoint.served += this->hasRoom(endpoint) ? 0 : 1;
+        endpoint.rate.served += this->hasRoom(endpoint) ? 0 : 1;
         const auto us = static_cast<double>(std::clamp<Duration>(took, Duration(0), this->options.grantLife).count());
         const double difference = us - endpoint.meanUs.value_or(us);
         endpoint.meanUs = endpoint.meanUs.value_or(us) + this->options.timeWeight * difference;
--- a/decide/slotqueue.h
+++ b/decide/slotqueue.h
@@ -143,6 +143,15 @@
         std::vector<EndpointId> candidates;
         Instant latest; // denied after this
     };
+    // Calls served and time, while the limit was reached. Both decay at the same rate.
+    struct CompletionRate {
+        double served = 0;
+        double busyUs = 0;
+        Instant measured;
+
+        // Counts the time since the last call. `isBusy`: the limit was reached meanwhile.
+        void advance(bool isBusy, Duration window, Instant now);
+    };
     struct Endpoint {
         int slots = 1;
         int limit = 0; // 0: not limited
@@ -152,10 +161,7 @@
         Instant grown;
         Instant needed; // something last waited, was denied or was turned away
         std::set<Position> waiting;
-        // Calls served and time, while the limit was reached. Both decay at the same rate.
-        double served = 0;
-        double busyUs = 0;
-        Instant measured;
+        CompletionRate rate;
         std::optional<double> meanUs; // time of a served call, with its wait at the endpoint
         double deviationUs = 0;
     };
--- a/decide/testing/plainload.cpp
+++ b/decide/testing/plainload.cpp
@@ -12,6 +12,7 @@
 constexpr Instant leaves{5s};
 constexpr Instant returns{11s};
 constexpr Instant end{14s};
+constexpr Instant allAnswered{1min};
 constexpr double callsPerSecond = 480;
 constexpr Duration target{120ms};
 constexpr Duration patience{600ms};
@@ -44,59 +45,51 @@
     }
 }
 
-void PlainLoad::after(Duration delay, std::function<void()> run)
-{
-    this->events.push({this->now + delay, this->sequence++, std::move(run)});
-}
-
 void PlainLoad::run()
 {
+    this->events.runUntil(begin);
     this->arrive();
     this->setRates();
     for (std::size_t index = 0; index < endpointCount; ++index) {
         this->slowPhase(index);
     }
     for (std::size_t index = 1; index < endpointCount; ++index) {
-        this->after(leaves - begin, [this, index] {
+        this->events.after(leaves - begin, [this, index] {
             this->endpoints[index].isPresent = false;
             this->slots.forget(this->endpoints[index].id);
             this->pollSlots();
         });
-        this->after(returns - begin, [this, index] {
+        this->events.after(returns - begin, [this, index] {
             this->endpoints[index].isPresent = true;
             this->slots.setSlots(this->endpoints[index].id, slotsOfEndpoint);
         });
     }
-    while (!this->events.empty()) {
-        const Event event = this->events.top();
-        this->events.pop();
-        this->now = event.at;
-        event.run();
-    }
+    this->events.runUntil(allAnswered);
 }
 
 void PlainLoad::arrive()
 {
-    if (this->now >= end) {
+    if (this->events.now() >= end) {
         return;
     }
     Call call;
     call.host = std::discrete_distribution<std::size_t>(this->weights.begin(), this->weights.end())(this->random);
-    call.arrived = this->now;
+    call.arrived = this->events.now();
     this->all.push_back(call);
     ++this->offered;
     this->choose(this->all.size() - 1);
     const double gap = std::exponential_distribution<double>(callsPerSecond)(this->random);
-    this->after(Duration(static_cast<Duration::rep>(gap * 1e6)), [this] { this->arrive(); });
+    this->events.after(Duration(static_cast<Duration::rep>(gap * 1e6)), [this] { this->arrive(); });
 }
 
 void PlainLoad::slowPhase(std::size_t index)
 {
-    if (this->now < end) {
-        this->after(Duration(std::uniform_int_distribution<int>(500'000, 4'000'000)(this->random)), [this, index] {
-            this->endpoints[index].slowUntil = this->now + 300ms;
-            this->slowPhase(index);
-        });
+    if (this->events.now() < end) {
+        this->events.after(Duration(std::uniform_int_distribution<int>(500'000, 4'000'000)(this->random)),
+                           [this, index] {
+                               this->endpoints[index].slowUntil = this->events.now() + 300ms;
+                               this->slowPhase(index);
+                           });
     }
 }
 
@@ -115,8 +108,8 @@
         host.rate = capacity * (host.demand + 0.2) / demand;
         host.demand = 0;
     }
-    if (this->way == Way::LeaderRates && this->now < end) {
-        this->after(250ms, [this] { this->setRates(); });
+    if (this->way == Way::LeaderRates && this->events.now() < end) {
+        this->events.after(250ms, [this] { this->setRates(); });
     }
 }
 
@@ -140,7 +133,7 @@
 {
     Call &call = this->all[number];
     Host &host = this->hosts[call.host];
-    const auto best = host.picker.pick(this->candidates(call), this->now);
+    const auto best = host.picker.pick(this->candidates(call), this->events.now());
     if (!best) {
         this->refuse(number, unknownRetry);
     } else if (this->way == Way::EachHostAlone) {
@@ -163,9 +156,9 @@
     if (this->way == Way::FixedShares) {
         return host.inFlight[endpoint] < 1;
     }
-    const double elapsed = std::chrono::duration<double>(this->now - host.refilled).count();
+    const double elapsed = std::chrono::duration<double>(this->events.now() - host.refilled).count();
     host.permits = std::min(std::max(1.0, host.rate * 0.05), host.permits + host.rate * elapsed);
-    host.refilled = this->now;
+    host.refilled = this->events.now();
     if (host.permits < 1) {
         return false;
     }
@@ -181,7 +174,7 @@
     while (!host.waiting.empty()) {
         const std::size_t number = host.waiting.front();
         const Call &call = this->all[number];
-        if (this->now >= call.arrived + longestWait) {
+        if (this->events.now() >= call.arrived + longestWait) {
             host.waiting.pop_front();
             this->refuse(number, unknownRetry);
             continue;
@@ -193,9 +186,9 @@
             };
             free.erase(std::remove_if(free.begin(), free.end(), isFull), free.end());
         }
-        const auto best = host.picker.pick(free, this->now);
+        const auto best = host.picker.pick(free, this->events.now());
         if (!best || !this->takePermit(host, this->indexOf(*best))) {
-            this->after(2ms, [this, index] { this->serveWaiting(index); });
+            this->events.after(2ms, [this, index] { this->serveWaiting(index); });
             return;
         }
         host.waiting.pop_front();
@@ -215,16 +208,16 @@
     request.onTimeUntil = call.arrived + target - toLeader; // when the reply arrives
     request.usefulUntil = call.arrived + patience;
     this->callOfTicket[request.ticket] = number;
-    this->after(toLeader, [this, request] {
-        this->slots.request(request, this->now);
+    this->events.after(toLeader, [this, request] {
+        this->slots.request(request, this->events.now());
         this->pollSlots();
     });
 }
 
 void PlainLoad::pollSlots()
 {
-    for (const SlotAction &action : this->slots.poll(this->now)) {
-        this->after(toLeader, [this, action] {
+    for (const SlotAction &action : this->slots.poll(this->events.now())) {
+        this->events.after(toLeader, [this, action] {
             if (const auto *granted = std::get_if<SlotGranted>(&action)) {
                 const std::size_t number = this->callOfTicket.at(granted->ticket);
                 this->all[number].ticket = granted->ticket;
@@ -240,10 +233,10 @@
             }
         });
     }
-    const auto next = this->slots.nextWake(this->now);
-    if (next && (!this->wake || *this->wake <= this->now || *next < *this->wake)) {
+    const auto next = this->slots.nextWake(this->events.now());
+    if (next && (!this->wake || *this->wake <= this->events.now() || *next < *this->wake)) {
         this->wake = next;
-        this->after(*next - this->now, [this] { this->pollSlots(); });
+        this->events.after(*next - this->events.now(), [this] { this->pollSlots(); });
     }
 }
 
@@ -253,10 +246,10 @@
     Host &host = this->hosts[call.host];
     call.endpoint = endpoint;
     call.isTried[endpoint] = true;
-    call.sent = this->now;
+    call.sent = this->events.now();
     ++host.inFlight[endpoint];
     host.picker.onSent(this->endpoints[endpoint].id);
-    this->after(toEndpoint, [this, number] { this->reach(number); });
+    this->events.after(toEndpoint, [this, number] { this->reach(number); });
 }
 
 void PlainLoad::reach(std::size_t number)
@@ -265,7 +258,7 @@
     endpoint.debt += arrivalCost;
     if (endpoint.busy == slotsOfEndpoint && endpoint.queue.size() >= queueOfEndpoint) {
         ++this->rejected;
-        this->after(toEndpoint, [this, number] { this->answer(number, false); });
+        this->events.after(toEndpoint, [this, number] { this->answer(number, false); });
         return;
     }
     endpoint.queue.push_back(number);
@@ -279,13 +272,13 @@
         const std::size_t number = endpoint.queue.front();
         endpoint.queue.pop_front();
         ++endpoint.busy;
-        const double slow = this->now < endpoint.slowUntil ? 3 : 1;
+        const double slow = this->events.now() < endpoint.slowUntil ? 3 : 1;
         const double us = slow * std::lognormal_distribution<double>(std::log(15'000), 0.5)(this->random);
         const Duration takes = Duration(static_cast<Duration::rep>(us)) + std::exchange(endpoint.debt, Duration(0));
-        this->after(takes, [this, index, number] {
+        this->events.after(takes, [this, index, number] {
             --this->endpoints[index].busy;
             this->startNext(index);
-            this->after(toEndpoint, [this, number] { this->answer(number, true); });
+            this->events.after(toEndpoint, [this, number] { this->answer(number, true); });
         });
     }
 }
@@ -295,22 +288,22 @@
     Call &call = this->all[number];
     Host &host = this->hosts[call.host];
     const EndpointId id = this->endpoints[call.endpoint].id;
-    const Duration took = this->now - call.sent;
+    const Duration took = this->events.now() - call.sent;
     --host.inFlight[call.endpoint];
-    host.picker.onEnded(id, wasServed ? EndpointOutcome::Answered : EndpointOutcome::Full, took, this->now);
+    host.picker.onEnded(id, wasServed ? EndpointOutcome::Answered : EndpointOutcome::Full, took, this->events.now());
     if (this->way == Way::SlotQueue) {
-        this->after(toLeader, [this, id, wasServed, took, ticket = std::exchange(call.ticket, 0)] {
+        this->events.after(toLeader, [this, id, wasServed, took, ticket = std::exchange(call.ticket, 0)] {
             if (!wasServed) {
-                this->slots.onOverload(id, this->now);
+                this->slots.onOverload(id, this->events.now());
             }
             if (ticket != 0) {
-                this->slots.onEnded(ticket, wasServed, took, this->now);
+                this->slots.onEnded(ticket, wasServed, took, this->events.now());
             }
             this->pollSlots();
         });
     }
     if (wasServed) {
-        this->answeredInTime += this->now <= call.arrived + target ? 1 : 0;
+        this->answeredInTime += this->events.now() <= call.arrived + target ? 1 : 0;
         this->serveWaiting(call.host);
     } else {
         this->choose(number);
@@ -324,8 +317,8 @@
     if (std::exchange(call.hasReturned, true)) {
         return;
     }
-    const Duration left = call.arrived + patience - this->now;
-    this->after(std::min<Duration>(retryAfter, left / 3), [this, number] {
+    const Duration left = call.arrived + patience - this->events.now();
+    this->events.after(std::min<Duration>(retryAfter, left / 3), [this, number] {
         this->all[number].isTried = {};
         this->choose(number);
     });
--- a/decide/testing/plainload.h
+++ b/decide/testing/plainload.h
@@ -8,11 +8,10 @@
 
 #include "decide/endpointpicker.h"
 #include "decide/slotqueue.h"
+#include "testing/bench/eventqueue.h"
 
 #include <array>
 #include <deque>
-#include <functional>
-#include <queue>
 #include <random>
 
 namespace fescuesill
@@ -74,18 +73,7 @@
         Instant refilled{};
         int demand = 0;
     };
-    struct Event {
-        Instant at;
-        std::uint64_t sequence;
-        std::function<void()> run;
 
-        friend bool operator<(const Event &a, const Event &b)
-        {
-            return a.at != b.at ? a.at > b.at : a.sequence > b.sequence;
-        }
-    };
-
-    void after(Duration delay, std::function<void()> run);
     void arrive();
     void slowPhase(std::size_t endpoint);
     void setRates();
@@ -104,9 +92,7 @@
 
     Way way;
     std::mt19937_64 random;
-    Instant now{1s};
-    std::uint64_t sequence = 0;
-    std::priority_queue<Event> events;
+    bench::EventQueue events;
     std::array<Endpoint, endpointCount> endpoints;
     std::vector<Host> hosts;
     std::vector<Call> all;
