--- a/programs/gateway/endpointslots.cpp
+++ b/programs/gateway/endpointslots.cpp
@@ -29,7 +29,6 @@
 // Overloads of one message that count. A few limit an endpoint, and the limit is lowered once in a while only.
 constexpr std::uint64_t maxOverloadsCounted = 8;
 constexpr std::size_t maxTickets = 20'000;
-constexpr std::size_t maxCandidates = 256;
 constexpr Duration ticketLife{4s}; // after the grant, longer than the queue keeps it
 constexpr Duration minTimerDelay{1ms};
 
@@ -84,7 +83,7 @@
     const std::uint64_t number = ++this->lastNumber;
     const auto call = std::make_shared<Waiting>(this->io, given);
     call->request.ticket = number;
-    call->request.candidates.resize(std::min(given.candidates.size(), maxCandidates));
+    call->request.candidates.resize(std::min(given.candidates.size(), peer::maxSlotCandidates));
     this->waiting[number] = call;
     this->submit(call->request);
     if (!call->reply) {
@@ -156,6 +155,15 @@
     }
 }
 
+void EndpointSlots::submitWaiting()
+{
+    for (const auto &[number, call] : this->waiting) {
+        if (!call->reply) {
+            this->submit(call->request);
+        }
+    }
+}
+
 void EndpointSlots::cancel(std::uint64_t number)
 {
     if (this->queue) {
@@ -208,13 +216,8 @@
 void EndpointSlots::setUplink(Send send)
 {
     this->uplink = std::move(send);
-    if (!this->uplink || this->queue) {
-        return;
-    }
-    for (const auto &[number, call] : this->waiting) {
-        if (!call->reply) {
-            this->submit(call->request);
-        }
+    if (this->uplink && !this->queue) {
+        this->submitWaiting();
     }
 }
 
@@ -243,11 +246,7 @@
     for (const EndpointId &endpoint : std::exchange(this->limited, {})) {
         this->countOverloads(endpoint, options.overloads);
     }
-    for (const auto &[number, call] : this->waiting) {
-        if (!call->reply) {
-            this->submit(call->request);
-        }
-    }
+    this->submitWaiting();
 }
 
 bool EndpointSlots::onMessage(LinkId link, const Send &reply, const peer::Message &message)
@@ -370,12 +369,7 @@
 {
     const SlotTicket ticket = ++this->lastTicket;
     if (this->tickets.size() >= maxTickets) {
-        const peer::SlotReply denied{number, {}, retryAfterInvalid};
-        if (reply) {
-            reply(denied);
-        } else {
-            this->onReply(denied);
-        }
+        this->answer(reply, {number, {}, retryAfterInvalid});
         return;
     }
     if (!this->ticketsByNumber.emplace(std::pair(link, number), ticket).second) {
@@ -391,24 +385,39 @@
     this->poll();
 }
 
-void EndpointSlots::cancelTicket(LinkId link, std::uint64_t number)
+std::optional<SlotTicket> EndpointSlots::takeTicket(LinkId link, std::uint64_t number)
 {
     const auto found = this->ticketsByNumber.find({link, number});
-    if (this->queue && found != this->ticketsByNumber.end()) {
-        this->queue->cancel(found->second, steadyNow());
-        this->tickets.erase(found->second);
-        this->ticketsByNumber.erase(found);
+    if (found == this->ticketsByNumber.end()) {
+        return std::nullopt;
+    }
+    const SlotTicket ticket = found->second;
+    this->tickets.erase(ticket);
+    this->ticketsByNumber.erase(found);
+    return ticket;
+}
+
+void EndpointSlots::answer(const Send &reply, const peer::SlotReply &decision)
+{
+    if (reply) {
+        reply(decision);
+    } else {
+        this->onReply(decision);
+    }
+}
+
+void EndpointSlots::cancelTicket(LinkId link, std::uint64_t number)
+{
+    if (const auto ticket = this->takeTicket(link, number)) {
+        this->queue->cancel(*ticket, steadyNow());
         this->poll();
     }
 }
 
 void EndpointSlots::endTicket(LinkId link, std::uint64_t number, bool wasServed, Duration took)
 {
-    const auto found = this->ticketsByNumber.find({link, number});
-    if (this->queue && found != this->ticketsByNumber.end()) {
-        this->queue->onEnded(found->second, wasServed, took, steadyNow());
-        this->tickets.erase(found->second);
-        this->ticketsByNumber.erase(found);
+    if (const auto ticket = this->takeTicket(link, number)) {
+        this->queue->onEnded(*ticket, wasServed, took, steadyNow());
         this->poll();
     }
 }
@@ -515,12 +524,7 @@
     }
     Ticket &ticket = found->second;
     ticket.granted = steadyNow();
-    const peer::SlotReply reply{ticket.number, granted.endpoint, Duration(0)};
-    if (ticket.reply) {
-        ticket.reply(reply);
-    } else {
-        this->onReply(reply);
-    }
+    this->answer(ticket.reply, {ticket.number, granted.endpoint, Duration(0)});
 }
 
 void EndpointSlots::apply(const SlotDenied &denied)
@@ -532,12 +536,7 @@
     const Ticket ticket = std::move(found->second);
     this->tickets.erase(found);
     this->ticketsByNumber.erase({ticket.link, ticket.number});
-    const peer::SlotReply reply{ticket.number, {}, denied.retryAfter};
-    if (ticket.reply) {
-        ticket.reply(reply);
-    } else {
-        this->onReply(reply);
-    }
+    this->answer(ticket.reply, {ticket.number, {}, denied.retryAfter});
 }
 
 void EndpointSlots::apply(const SlotLimitChanged &changed)
--- a/programs/gateway/endpointslots.h
+++ b/programs/gateway/endpointslots.h
@@ -140,6 +140,7 @@
     };
 
     void submit(const SlotRequest &request);
+    void submitWaiting();
     void cancel(std::uint64_t number);
     SlotClaim hold(std::uint64_t number, const EndpointId &endpoint, bool isGrantedHere);
     SlotClaim deny(Duration retryAfter);
@@ -155,6 +156,10 @@
 
     // The rest is for a host that decides.
     void decide(LinkId link, const Send &reply, std::uint64_t number, SlotRequest request);
+    // Removes the ticket of that request and returns it; empty if there is none.
+    std::optional<SlotTicket> takeTicket(LinkId link, std::uint64_t number);
+    // Sends the decision to the host that requested it; without `reply`, to a call of this host.
+    void answer(const Send &reply, const peer::SlotReply &decision);
     void cancelTicket(LinkId link, std::uint64_t number);
     void endTicket(LinkId link, std::uint64_t number, bool wasServed, Duration took);
     bool updateSlots(const EndpointId &endpoint);
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -576,7 +576,6 @@
 namespace
 {
 
-constexpr std::size_t maxSlotCandidates = 256;
 constexpr std::uint64_t maxSlotRank = 1'000'000;
 constexpr std::uint64_t maxOverloads = 100'000; // in one message; a host has some thousand connections
 constexpr Duration longestCall{1h};
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -466,7 +466,7 @@
 // Gateway to the leader or its deputy, at most once a second: what it has relayed to callers since the last one.
 struct EventCounts {
     std::uint64_t events = 0;
-    std::uint64_t stalls = 0; // pauses before events that arrived together (decide/losswatch.h)
+    std::uint64_t stalls = 0; // pauses before events that arrived together (decide/eventbatch.h)
 };
 
 // Leader to a gateway: whether packets are being lost, so that events are to be written in fewer packets.
@@ -474,6 +474,9 @@
     bool isSeen = false;
 };
 
+// Of one request.
+constexpr std::size_t maxSlotCandidates = 256;
+
 // Gateway to the leader: requests a slot of one of these endpoints for one call. An answer that begins within `onTime`
 // meets the target of the route, and after `useful` the caller has left.
 struct RequestSlot {
