One list of the parts that follow the leader; endpoints that a call has not tried are found in one place

LeaderLink set and cleared six uplinks in two lists. PlainForward looked for untried endpoints twice. The tests of shared slots link their hosts as the others do.

--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -213,12 +213,7 @@
         this->store->setDeputyExpected(leavesLease);
     }
     if (!link) {
-        this->permits.setUplink({});
-        this->slots.setUplink({});
-        this->notices.setUplink({});
-        this->credits.setUplink({});
-        this->crashes.setUplink({});
-        this->losses.setUplink({});
+        this->setUplinks({});
     }
     if (next == PlacingPath::Waiting) {
         this->gates.suspend();
@@ -227,17 +222,22 @@
             this->node->send(to, message);
         };
         this->gates.setUplink(send);
-        this->permits.setUplink(send);
-        this->slots.setUplink(send);
-        this->notices.setUplink(send);
-        this->credits.setUplink(send);
-        this->crashes.setUplink(send);
-        this->losses.setUplink(send);
+        this->setUplinks(send);
     } else {
         this->gates.setUplink({});
     }
 }
 
+void LeaderLink::setUplinks(const PlacementGates::Send &send)
+{
+    this->permits.setUplink(send);
+    this->slots.setUplink(send);
+    this->notices.setUplink(send);
+    this->credits.setUplink(send);
+    this->crashes.setUplink(send);
+    this->losses.setUplink(send);
+}
+
 void LeaderLink::onStopping()
 {
     this->route.onStopping();
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -98,6 +98,8 @@
     // Updates the links and the gates to match the route.
     void applyRoute(Instant now);
     void switchPath(PlacingPath next);
+    // Of all parts that ask the leader or its deputy, but the gates.
+    void setUplinks(const PlacementGates::Send &send);
     void announceDeputy();
     // Reports to the deputy what it would need to know in the place of this host.
     void reportStreams();
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -49,11 +49,7 @@
 std::optional<EndpointRecord> PlainForward::choose(const asio::yield_context &yield)
 {
     FleetView &fleet = this->call.services.fleet;
-    auto candidates = fleet.plainCandidates(this->call.service);
-    const auto wasTried = [this](const EndpointCandidate &candidate) {
-        return std::find(this->tried.begin(), this->tried.end(), candidate.id) != this->tried.end();
-    };
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), wasTried), candidates.end());
+    auto candidates = this->untried();
     while (auto chosen = fleet.picker().pick(candidates, steadyNow())) {
         if (!this->takeSlot(*chosen, candidates, yield)) {
             return std::nullopt;
@@ -76,12 +72,14 @@
     return std::nullopt;
 }
 
-bool PlainForward::hasOtherEndpoint() const
+std::vector<EndpointCandidate> PlainForward::untried() const
 {
-    const auto candidates = this->call.services.fleet.plainCandidates(this->call.service);
-    return std::any_of(candidates.begin(), candidates.end(), [this](const EndpointCandidate &candidate) {
-        return std::find(this->tried.begin(), this->tried.end(), candidate.id) == this->tried.end();
-    });
+    auto candidates = this->call.services.fleet.plainCandidates(this->call.service);
+    const auto wasTried = [this](const EndpointCandidate &candidate) {
+        return std::find(this->tried.begin(), this->tried.end(), candidate.id) != this->tried.end();
+    };
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), wasTried), candidates.end());
+    return candidates;
 }
 
 // A repeatable call abandons a silent endpoint while a response from another one can still meet the target. The last
@@ -91,7 +89,7 @@
     const Duration left = this->call.timeLeft();
     const bool isLast =
         this->sends + 1 >= this->call.route.attempts || this->call.services.fleet.budget(this->call.service).left() < 1;
-    if (this->call.route.kind != CallKind::Repeatable || isLast || !this->hasOtherEndpoint()) {
+    if (this->call.route.kind != CallKind::Repeatable || isLast || this->untried().empty()) {
         return left;
     }
     return std::min(left, this->call.route.target * 2 / 3);
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -46,8 +46,8 @@
     bool hasEndedWith(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield);
     // Takes a retry from the budget and returns nothing, or returns why there is no retry.
     std::optional<NoRetry> claimRetry(SendResult sent);
-    // Whether the call may go to an endpoint that it was not sent to.
-    bool hasOtherEndpoint() const;
+    // The endpoints that the call was not sent to.
+    std::vector<EndpointCandidate> untried() const;
     Duration tryLimit() const;
     void finish(SendResult last, const asio::yield_context &yield);
     void answer(const asio::yield_context &yield);
--- a/testing/process/test_endpoint_slots.py
+++ b/testing/process/test_endpoint_slots.py
@@ -8,7 +8,7 @@
 
 from gatewayprocess import send
 from platformtest import PlatformTest
-from standin import call_steadily, wait_until
+from standin import call_steadily
 from userplatform import route
 
 HOSTS = 3
@@ -30,13 +30,7 @@
         self.platform.configure([route("/look/", "safe", "booking", target_latency_ms=TARGET_SECONDS * 1000)])
 
     def start_hosts(self, is_on=True):
-        gateways = [self.start(f"g{number}", more="[endpoints]\nshared_slots = yes\n" if is_on else "")
-                    for number in range(HOSTS)]
-        wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
-        gateways.sort(key=lambda gateway: not gateway.leads())
-        for other in gateways[1:]:
-            wait_until(lambda: "event=leader_reached" in other.log(), "the links")
-        return gateways
+        return self.start_linked(HOSTS, more="[endpoints]\nshared_slots = yes\n" if is_on else "")
 
     @staticmethod
     def load(gateways, seconds):
