--- /dev/null
+++ b/testing/process/test_crashes_remembered.py
@@ -0,0 +1,85 @@
+"""Requests that have crashed endpoints, where the hosts that counted the crashes are lost, or much time has passed."""
+
+import time
+import unittest
+
+from crashtest import DEADLY, MOST_CRASHES, PAUSE_SECONDS, CrashTest
+from standin import wait_until
+
+REPEAT_SECONDS = 24  # longer than hosts wait before they send a blocked request as a trial
+SAVED_SECONDS = 0.5  # until the leader has saved what it knows
+PATHS = ("/write/1", "/look/deadly", "/book/1")
+
+
+class CrashesRememberedTest(CrashTest):
+    def crashes_of(self, path):
+        return sum(endpoint.crashes for endpoint in (self.writers if path.startswith("/write") else self.plain))
+
+    def ask_until(self, gateways, path, crashes):
+        """Sends the request until that many endpoints have ended under it in all."""
+        for number in range(crashes):
+            if self.crashes_of(path) < crashes:
+                self.ask(gateways[number % len(gateways)], path, DEADLY)
+                time.sleep(PAUSE_SECONDS)
+        self.assertGreaterEqual(self.crashes_of(path), crashes)
+
+    def lose_all(self, gateways):
+        """All hosts lose power at once, and start again."""
+        time.sleep(SAVED_SECONDS)
+        for gateway in gateways:
+            gateway.kill()
+        for gateway in gateways:
+            gateway.start_again()
+        wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
+        wait_until(lambda: sum("event=leader_reached" in gateway.log() for gateway in gateways) == len(gateways) - 1,
+                   "the links")
+        for gateway in gateways:
+            wait_until(lambda: self.ask(gateway, "/write/1") == 200, "a sound request")
+
+    def check_remembered(self, path, before):
+        gateways = self.start_linked(3)
+        self.ask_until(gateways, path, before)
+        for _ in range(2):
+            self.lose_all(gateways)
+            for number in range(6):
+                self.ask(gateways[number % 3], path, DEADLY)
+                time.sleep(PAUSE_SECONDS)
+        self.assertLessEqual(self.crashes_of(path), MOST_CRASHES)
+
+    # Guards against a request under which three endpoints have ended, and that is sent again on purpose.
+    def test_a_request_that_crashed_three_endpoints_is_not_tried_again(self):
+        gateways = self.start_linked(2)
+        for path in PATHS:
+            self.ask_until(gateways, path, MOST_CRASHES if path == "/write/1" else 1)
+        end = time.monotonic() + REPEAT_SECONDS
+        while time.monotonic() < end:
+            for gateway in gateways:
+                for path in PATHS:
+                    self.ask(gateway, path, DEADLY)
+            time.sleep(PAUSE_SECONDS)
+        self.assertLessEqual(self.crashes_of("/write/1"), MOST_CRASHES)
+        self.assertLessEqual(self.crashes_of("/book/1"), 2 * MOST_CRASHES)  # two requests
+
+    # Each guards against hosts that forget, with all of them, what they have blocked or counted.
+    def test_a_blocked_generation_stays_blocked_after_all_hosts_were_lost(self):
+        self.check_remembered("/write/1", MOST_CRASHES)
+
+    def test_a_blocked_plain_call_stays_blocked_after_all_hosts_were_lost(self):
+        self.check_remembered("/book/1", MOST_CRASHES)
+
+    def test_crashes_count_after_all_hosts_were_lost(self):
+        self.check_remembered("/write/1", MOST_CRASHES - 1)
+
+    # Guards against an engine that is back at its address before a host has seen that it ended.
+    def test_crashes_of_engines_that_are_back_at_once_count(self):
+        for writer in self.writers:
+            writer.down_seconds = 0.0
+        gateways = self.start_linked(3)
+        for number in range(8):
+            self.ask(gateways[number % 3], "/write/1", DEADLY)
+            time.sleep(1.0)
+        self.assertLessEqual(self.crashes_of("/write/1"), MOST_CRASHES)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testing/process/test_mixed_versions.py
+++ b/testing/process/test_mixed_versions.py
@@ -12,6 +12,7 @@
 
 STREAMS = 16
 NOTICE_SECONDS = 0.5  # for hosts to tell each other what began
+SAVED_SECONDS = 1.5  # until the leader has saved what began
 GOES_ON_SHARE = 1 / 2  # of the share of new streams that begin: what the users' rule asks for
 ROUTES = [route("/go-on/", "stream", "llm", max_attempts=2, resumable=True),
           route("/once/", "stream", "llm", max_attempts=1, resumable=True)]
@@ -106,6 +107,55 @@
         wait_until(lambda: send(other.callers, "POST", "/go-on/1", b"p", **SIZE)[0] == 200, "a new stream to begin")
         self.check_taken_up([self.take_up(other, stream, came) for stream, came in begun])
 
+    def lose_all(self, gateways):
+        """All hosts lose power at once, and start again."""
+        time.sleep(SAVED_SECONDS)
+        for gateway in gateways:
+            gateway.kill()
+        for gateway in gateways:
+            gateway.start_again()
+        for gateway in gateways:
+            wait_until(gateway.is_ready, "a host that is ready")
+        wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
+        wait_until(lambda: send(gateways[0].callers, "POST", "/go-on/1", b"p", **SIZE)[0] == 200, "a new stream to begin")
+
+    # Each guards against streams that no host remembers once all hosts were lost, and that are refused or joined of two versions.
+    def test_streams_go_on_after_all_hosts_were_killed(self):
+        gateways = self.start_linked(3)
+        self.all_behave("half_first")
+        begun = [self.begin(gateways[number % 3]) for number in range(STREAMS)]
+        self.lose_all(gateways)
+        self.all_behave("ok")
+        self.check_taken_up([self.take_up(gateways[number % 3], *stream) for number, stream in enumerate(begun)])
+
+    def test_streams_that_began_before_versions_were_mixed_go_on_after_all_hosts_were_killed(self):
+        gateways = self.start_linked(3)
+        for writer in self.writers:
+            if writer.version == "v2":
+                self.platform.remove(writer)
+                for gateway in gateways:
+                    wait_until(lambda name=writer.name, log=gateway.log: f"event=endpoint_removed endpoint={name}" in log(), "the removal")
+        self.all_behave("half_first")
+        begun = [self.begin(gateways[number % 3]) for number in range(STREAMS)]
+        for writer in self.writers:
+            self.platform.register(writer)
+        self.lose_all(gateways)
+        self.all_behave("ok")
+        self.check_taken_up([self.take_up(gateways[number % 3], *stream) for number, stream in enumerate(begun)])
+
+    def test_streams_whose_version_left_before_all_hosts_were_killed_are_refused(self):
+        gateways = self.start_linked(3)
+        self.all_behave("half_first")
+        begun = [self.begin(gateways[number % 3]) for number in range(STREAMS)]
+        for writer in self.writers:
+            if writer.version == "v1":
+                self.platform.remove(writer)
+        self.lose_all(gateways)
+        self.all_behave("ok")
+        results = [self.take_up(gateways[number % 3], *stream) for number, stream in enumerate(begun)]
+        self.assertEqual([versions for _, versions in results if len(set(versions)) > 1], [])
+        self.assertTrue(all(status == 503 for status, versions in results if versions[0] == "v1"), results)
+
     # Guards against a wait for the deadline, or another version, where no engine of the version serves any more.
     def test_a_stream_whose_version_is_gone_is_refused_at_once(self):
         gateway = self.start("g1")
