The log has each crash that is counted, and how many endpoints ended under its request

The lines so far did not tell a host that begins to count anew, since all it knew was lost with others, from one that never counts: crash_counted states the count under the request and how many runs the host knows.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -152,6 +152,18 @@
     return common;
 }
 
+int CrashTracker::crashesUnder(const RequestTraits &traits) const
+{
+    int most = 0;
+    for (const RequestTrait &trait : traits) {
+        const auto suspect = this->suspects.find(trait.value());
+        if (trait.isWholeRequest() && suspect != this->suspects.end()) {
+            most = std::max(most, this->countOf(trait, suspect->second));
+        }
+    }
+    return most;
+}
+
 RequestTraits CrashTracker::watchedOf(const RequestTraits &traits) const
 {
     RequestTraits found;
--- a/decide/crashtracker.h
+++ b/decide/crashtracker.h
@@ -75,6 +75,8 @@
     void onServed(const RequestTraits &traits);
     void expire(Instant now);
 
+    // The most crashes under one of these whole requests.
+    int crashesUnder(const RequestTraits &traits) const;
     // Those of the traits whose requests saw several crashes.
     RequestTraits watchedOf(const RequestTraits &traits) const;
     // Sets of traits, each in order.
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -278,6 +278,11 @@
 void CrashGuard::count(const Crash &crash)
 {
     this->tracker.onCrash(crash.run, crash.traits);
+    Log::info("crash_counted",
+              {{"endpoint", crash.run.endpoint.endpoint.value()},
+               {"incarnation", crash.run.endpoint.incarnation},
+               {"under_request", this->tracker.crashesUnder(crash.traits)},
+               {"runs", static_cast<std::uint64_t>(this->tracker.size())}});
     this->watch(this->tracker.watchedOf(crash.traits));
     this->applyTracker();
 }
