A request known to crash endpoints is not sent to one more on purpose

Callers saw: a request under which three engines had ended was sent to a fourth. Cause: 20 s after a block the leader sends one blocked request as a trial, so that a block made by mistake ends; a whole request that was sent again after each crash, and crashed again, needs no trial. Each new leader also began its trials anew.

Such a request is not tried (CrashTracker::isProven). Copies that crash endpoints at the same time prove less and are still tried, like parts of prompts, of which sound callers share some. The trials made are told to all hosts with the block, so that the next leader goes on from them. Entries and schedulers made no trials.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -195,6 +195,15 @@
     return found;
 }
 
+bool CrashTracker::isProven(const RequestTraits &traits) const
+{
+    return std::any_of(traits.begin(), traits.end(), [this](const RequestTrait &trait) {
+        const auto suspect = this->suspects.find(trait.value());
+        return trait.isWholeRequest() && suspect != this->suspects.end()
+            && this->longestSeries(suspect->second) >= this->options.requestCrashes;
+    });
+}
+
 std::vector<RequestTraits> CrashTracker::blocked() const
 {
     struct Candidate {
--- a/decide/crashtracker.h
+++ b/decide/crashtracker.h
@@ -81,6 +81,9 @@
     RequestTraits watchedOf(const RequestTraits &traits) const;
     // Sets of traits, each in order.
     std::vector<RequestTraits> blocked() const;
+    // Whether a whole request with these traits has crashed enough endpoints one after another, so that no chance
+    // explains them: none of them can be an endpoint that ended together with others.
+    bool isProven(const RequestTraits &traits) const;
     std::size_t size() const
     {
         return this->runs.size();
--- a/decide/requestblocks.cpp
+++ b/decide/requestblocks.cpp
@@ -5,18 +5,34 @@
 namespace fescuesill
 {
 
-bool RequestBlocks::block(const RequestTraits &traits, Duration duration, Instant now)
+bool RequestBlocks::block(const RequestTraits &traits, Duration duration, Trials trials, Instant now)
 {
     const Block added{now + duration, now + this->options.firstTrial, this->options.firstTrial};
     const auto [found, isNew] = this->blocks.try_emplace(traits, added);
     found->second.until = std::max(found->second.until, added.until);
+    if (trials == Trials::None) {
+        found->second.trialInterval = Duration(0);
+    }
+    this->limitBlocks();
+    return isNew;
+}
+
+bool RequestBlocks::adopt(const RequestBlock &block, Instant now)
+{
+    const Block added{now + block.left, now + block.untilTrial, block.trialInterval};
+    const bool isNew = this->blocks.insert_or_assign(block.traits, added).second;
+    this->limitBlocks();
+    return isNew;
+}
+
+void RequestBlocks::limitBlocks()
+{
     if (this->blocks.size() > this->options.maxBlocks) {
         const auto endsFirst =
             std::min_element(this->blocks.begin(), this->blocks.end(),
                              [](const auto &a, const auto &b) { return a.second.until < b.second.until; });
         this->blocks.erase(endsFirst);
     }
-    return isNew;
 }
 
 bool RequestBlocks::unblock(const RequestTraits &traits)
@@ -92,7 +108,8 @@
 bool RequestBlocks::takeTrial(const RequestTraits &traits, Instant now)
 {
     const auto isEarly = [&](const Blocks::value_type &block) {
-        return isMatch(block, traits, now) && now < block.second.trialDue;
+        return isMatch(block, traits, now)
+            && (block.second.trialInterval == Duration(0) || now < block.second.trialDue);
     };
     if (std::any_of(this->blocks.begin(), this->blocks.end(), isEarly)) {
         return false;
@@ -109,19 +126,37 @@
 void RequestBlocks::returnTrial(const RequestTraits &traits, Instant now)
 {
     for (auto &block : this->blocks) {
-        if (isMatch(block, traits, now) && now < block.second.trialDue) {
+        const bool isTried = block.second.trialInterval > Duration(0);
+        if (isTried && isMatch(block, traits, now) && now < block.second.trialDue) {
             block.second.trialInterval /= this->options.trialFactor;
             block.second.trialDue = now;
         }
     }
 }
 
-std::vector<std::pair<RequestTraits, Instant>> RequestBlocks::all() const
+RequestBlock RequestBlocks::stateOf(const Blocks::value_type &block, Instant now)
 {
-    std::vector<std::pair<RequestTraits, Instant>> found;
-    found.reserve(this->blocks.size());
-    for (const auto &[traits, block] : this->blocks) {
-        found.emplace_back(traits, block.until);
+    return {block.first, block.second.until - now, block.second.trialDue - now, block.second.trialInterval};
+}
+
+std::vector<RequestBlock> RequestBlocks::all(Instant now) const
+{
+    std::vector<RequestBlock> found;
+    for (const auto &block : this->blocks) {
+        if (now < block.second.until) {
+            found.push_back(stateOf(block, now));
+        }
+    }
+    return found;
+}
+
+std::vector<RequestBlock> RequestBlocks::matching(const RequestTraits &traits, Instant now) const
+{
+    std::vector<RequestBlock> found;
+    for (const auto &block : this->blocks) {
+        if (isMatch(block, traits, now)) {
+            found.push_back(stateOf(block, now));
+        }
     }
     return found;
 }
--- a/decide/requestblocks.h
+++ b/decide/requestblocks.h
@@ -3,7 +3,7 @@
 // The requests that a host refuses since they crash endpoints, and the traits whose answers it reports.
 //
 //     RequestBlocks blocks(RequestBlocks::Options{});
-//     blocks.block(traits, 10min, now);                 // requests that have all of these
+//     blocks.block(traits, 10min, Trials::Made, now);   // requests that have all of these
 //     if (const auto left = blocks.blockedFor(traitsOfCall, now)) { ... refuse; retry after *left ... }
 //     blocks.watch({suspect}, now);
 //     const RequestTraits cleared = blocks.watchedOf(traitsOfCall, begun);   // once the call was answered in full
@@ -13,12 +13,25 @@
 
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace fescuesill
 {
 
+// Whether requests that are blocked are sent once in a while, to see whether they still crash endpoints.
+enum class Trials {
+    Made,
+    None,
+};
+
+// What is blocked, as one host tells another.
+struct RequestBlock {
+    RequestTraits traits; // sorted
+    Duration left{0};
+    Duration untilTrial{0}; // negative if it is due
+    Duration trialInterval{0}; // zero if no trials are made
+};
+
 class RequestBlocks
 {
 public:
@@ -37,8 +50,10 @@
     {
     }
 
-    // `traits`: sorted. Returns whether it is new.
-    bool block(const RequestTraits &traits, Duration duration, Instant now);
+    // `traits`: sorted. Returns whether it is new; if not, its next trial stays due when it was.
+    bool block(const RequestTraits &traits, Duration duration, Trials trials, Instant now);
+    // The same, with the trials that another host makes.
+    bool adopt(const RequestBlock &block, Instant now);
     // Returns whether it was blocked.
     bool unblock(const RequestTraits &traits);
     // Requests with these traits were answered: what is blocked for other traits as well stays blocked for those.
@@ -61,8 +76,9 @@
     std::optional<Duration> blockedFor(const RequestTraits &traits, Instant now) const;
     // Those of the traits that were watched when the request began.
     RequestTraits watchedOf(const RequestTraits &traits, Instant begun) const;
-    // With the time at which each ends.
-    std::vector<std::pair<RequestTraits, Instant>> all() const;
+    std::vector<RequestBlock> all(Instant now) const;
+    // Those that block requests with these traits.
+    std::vector<RequestBlock> matching(const RequestTraits &traits, Instant now) const;
     std::size_t size() const
     {
         return this->blocks.size();
@@ -77,10 +93,13 @@
     struct Block {
         Instant until;
         Instant trialDue;
-        Duration trialInterval;
+        Duration trialInterval; // zero if no trials are made
     };
     using Blocks = std::map<RequestTraits, Block>;
 
+    // Drops the block that ends first if there are too many.
+    void limitBlocks();
+    static RequestBlock stateOf(const Blocks::value_type &block, Instant now);
     static bool isMatch(const Blocks::value_type &block, const RequestTraits &traits, Instant now);
 
     Options options;
--- a/programs/entry/localcrashes.cpp
+++ b/programs/entry/localcrashes.cpp
@@ -38,7 +38,7 @@
     this->tracker.onCrash(run, {request});
     this->empty = false;
     for (const RequestTraits &traits : this->tracker.blocked()) {
-        if (this->blocks.block(traits, blockDuration, run.ended)) {
+        if (this->blocks.block(traits, blockDuration, Trials::None, run.ended)) {
             Log::warning("requests_blocked", {{"traits", traits.front().value()}});
         }
     }
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -64,9 +64,9 @@
     return text;
 }
 
-bool isIn(const std::vector<RequestTraits> &sets, const RequestTraits &traits)
+peer::RequestsBlocked messageOf(const RequestBlock &block)
 {
-    return std::find(sets.begin(), sets.end(), traits) != sets.end();
+    return {numbersOf(block.traits), block.left, block.untilTrial, block.trialInterval};
 }
 
 RequestTraits withRead(RequestTraits traits)
@@ -112,9 +112,14 @@
 
 bool CrashGuard::takeTrial(const HttpCall &call)
 {
-    if (this->uplink || !this->inForce.takeTrial(withRead(readTraits(call)), steadyNow())) {
+    const Instant now = steadyNow();
+    const RequestTraits traits = withRead(readTraits(call));
+    if (this->uplink || !this->inForce.takeTrial(traits, now)) {
         return false;
     }
+    for (const RequestBlock &block : this->inForce.matching(traits, now)) {
+        this->notifyFollowers(messageOf(block)); // the next leader makes no further trial before it is due
+    }
     Log::info("blocked_request_tried", {{"traits", textOf(readTraits(call))}});
     return true;
 }
@@ -289,20 +294,22 @@
 
 void CrashGuard::applyTracker()
 {
-    const std::vector<RequestTraits> blocked = this->tracker.blocked();
-    for (const RequestTraits &traits : blocked) {
-        if (!isIn(this->ownBlocks, traits)) {
-            this->notifyFollowers(peer::RequestsBlocked{numbersOf(traits), blockDuration});
-            this->block(traits, blockDuration);
+    std::map<RequestTraits, Trials> found;
+    for (const RequestTraits &traits : this->tracker.blocked()) {
+        const Trials trials = this->tracker.isProven(traits) ? Trials::None : Trials::Made;
+        const auto known = this->ownBlocks.find(traits);
+        if (known == this->ownBlocks.end() || known->second != trials) {
+            this->block(traits, trials);
         }
+        found.emplace(traits, trials);
     }
-    for (const RequestTraits &traits : this->ownBlocks) {
-        if (!isIn(blocked, traits)) { // further crashes or answers have shown that it is something else
+    for (const auto &[traits, trials] : this->ownBlocks) {
+        if (found.count(traits) == 0) { // further crashes or answers have shown that it is something else
             this->notifyFollowers(peer::RequestsBlocked{numbersOf(traits), Duration(0)});
             this->unblock(traits);
         }
     }
-    this->ownBlocks = blocked;
+    this->ownBlocks = std::move(found);
 }
 
 // Once in a while for each trait: several hosts report one crash, and hosts keep a watch for as long as crashes count.
@@ -323,10 +330,22 @@
     }
 }
 
-void CrashGuard::block(const RequestTraits &traits, Duration duration)
+void CrashGuard::block(const RequestTraits &traits, Trials trials)
+{
+    const Instant now = steadyNow();
+    const bool isNew = this->inForce.block(traits, blockDuration, trials, now);
+    for (const RequestBlock &block : this->inForce.all(now)) {
+        if (block.traits == traits) {
+            this->notifyFollowers(messageOf(block));
+        }
+    }
+    this->reportBlocked(traits, isNew);
+}
+
+void CrashGuard::reportBlocked(const RequestTraits &traits, bool isNew)
 {
-    if (this->inForce.block(traits, duration, steadyNow())) {
-        Log::warning("requests_blocked", {{"traits", textOf(traits)}, {"for_ms", duration.count() / 1000}});
+    if (isNew) {
+        Log::warning("requests_blocked", {{"traits", textOf(traits)}, {"for_ms", blockDuration.count() / 1000}});
         this->onBlocked();
     }
 }
@@ -369,11 +388,8 @@
 
 void CrashGuard::sendBlocks(const Send &reply) const
 {
-    const Instant now = steadyNow();
-    for (const auto &[traits, until] : this->inForce.all()) {
-        if (now < until) {
-            reply(peer::RequestsBlocked{numbersOf(traits), until - now});
-        }
+    for (const RequestBlock &block : this->inForce.all(steadyNow())) {
+        reply(messageOf(block));
     }
 }
 
@@ -429,11 +445,13 @@
 
 void CrashGuard::onMessage(const peer::RequestsBlocked &message)
 {
-    if (message.duration > Duration(0)) {
-        this->block(traitsOf(message.traits), message.duration);
-    } else {
-        this->unblock(traitsOf(message.traits));
+    const RequestTraits traits = traitsOf(message.traits);
+    if (message.duration == Duration(0)) {
+        this->unblock(traits);
+        return;
     }
+    const RequestBlock block{traits, message.duration, message.untilTrial, message.trialInterval};
+    this->reportBlocked(traits, this->inForce.adopt(block, steadyNow()));
 }
 
 void CrashGuard::onMessage(const peer::TraitsWatched &message)
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -103,7 +103,9 @@
     void watch(const RequestTraits &traits);
     // Notifies all hosts of what the tracker blocks from now on, and of what no longer.
     void applyTracker();
-    void block(const RequestTraits &traits, Duration duration);
+    // Blocks them at this host and at all that follow it.
+    void block(const RequestTraits &traits, Trials trials);
+    void reportBlocked(const RequestTraits &traits, bool isNew);
     void unblock(const RequestTraits &traits);
     void notifyFollowers(const peer::Message &message) const;
 
@@ -112,7 +114,7 @@
     const EndpointPaths &paths;
     CrashTracker tracker;
     RequestBlocks inForce;
-    std::vector<RequestTraits> ownBlocks; // of the tracker, as last notified
+    std::map<RequestTraits, Trials> ownBlocks; // of the tracker, as last notified
     std::map<RequestTrait, Instant> watchesSent; // to the followers, and when; bounded like the watched traits
     std::deque<Crash> ownCrashes; // the last ones that this host has reported, for the next leader
     std::map<EndpointStart, std::vector<Crash>> abandoned; // suspects of endpoints that are yet to be checked
--- a/programs/scheduler/celldirectorentries.cpp
+++ b/programs/scheduler/celldirectorentries.cpp
@@ -170,7 +170,7 @@
     const EndpointId ended(tracked == nullptr ? std::string() : (tracked->*engine).value());
     this->crashes.onCrash({{ended, now.time_since_epoch().count()}, now - failed.ran, now}, traits);
     for (const RequestTraits &blocked : this->crashes.blocked()) {
-        this->blocks.block(blocked, blockDuration, now);
+        this->blocks.block(blocked, blockDuration, Trials::None, now);
     }
     return this->blocks.blockedFor(traits, now).has_value();
 }
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -529,6 +529,8 @@
 {
     visit(m.traits);
     visit(m.duration);
+    visit(m.untilTrial);
+    visit(m.trialInterval);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -451,10 +451,12 @@
 };
 
 // Leader to a gateway: requests that have all of these traits crash endpoints, and must not be sent to any. If the
-// duration is zero, they may be sent again.
+// duration is zero, they may be sent again. The trials are for the next leader (decide/requestblocks.h).
 struct RequestsBlocked {
     std::vector<std::uint64_t> traits;
     Duration duration{0};
+    Duration untilTrial{0};
+    Duration trialInterval{0};
 };
 
 // Between a gateway and the leader, either way: this start of the endpoint has said in an answer that it is leaving.
