Engines that are back before a host has looked count as crashed

Callers saw: requests went on to engine after engine that were back at their addresses at once. Cause: a host looks once, by a connection, and an engine that listens again is taken for the one that broke off the answer.

An answer that breaks off while its endpoint seems to run, or can't be reached, is kept for ten seconds. If the registry then lists only later starts at that address, the endpoint has ended: the crash is reported. This holds for plain calls, generations, reads of prompts, calls whose callers have left, and hosts that use tunnels, since all pass confirm() or checkAbandoned().

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -31,6 +31,10 @@
 constexpr Duration abandonedCheckDelay{500ms};
 constexpr std::size_t maxAbandoned = 64; // calls to one endpoint
 constexpr std::size_t maxOwnCrashes = 256;
+// How long after a broken answer the registry may show that the endpoint has started again. It lists an endpoint that
+// ended for three of its heartbeats.
+constexpr Duration registryDelay{10s};
+constexpr std::size_t maxDoubtful = 256;
 constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
 constexpr Duration blockDuration = crashesCountFor;
 constexpr Duration watchInterval{10s};
@@ -170,6 +174,7 @@
                {"ran_ms", (suspected.run.ended - suspected.run.begun).count() / 1000},
                {"traits", textOf(suspected.traits)}});
     if (found != Liveness::Ended) {
+        this->onDoubtful(address, suspected);
         return false;
     }
     this->onConfirmed(suspected);
@@ -216,6 +221,9 @@
     // While this host uses tunnels, they are needed for calls.
     if (this->paths.isCutOff() || this->paths.usesTunnel(address)
         || this->client.probe(address, probeLimit, yield) != Liveness::Ended) {
+        for (const Crash &crash : suspects) {
+            this->onDoubtful(address, crash);
+        }
         return;
     }
     Log::info("endpoint_ended_after_callers_left",
@@ -234,6 +242,45 @@
     }
 }
 
+void CrashGuard::onDoubtful(const std::string &address, const Crash &crash)
+{
+    this->doubtful.push_back({address, crash});
+    if (this->doubtful.size() > maxDoubtful) {
+        this->doubtful.pop_front();
+    }
+}
+
+// Of one start of an endpoint, the registry lists at most one later one under its id, or another endpoint at its
+// address.
+bool CrashGuard::isReplaced(const Doubtful &suspect) const
+{
+    const EndpointStart &ran = suspect.crash.run.endpoint;
+    const auto records = this->registered(suspect.address);
+    const auto isLater = [&ran](const EndpointRecord &record) {
+        return record.id != ran.endpoint || record.incarnation > ran.incarnation;
+    };
+    return !records.empty() && std::all_of(records.begin(), records.end(), isLater);
+}
+
+void CrashGuard::checkDoubtful(Instant now)
+{
+    std::deque<Doubtful> left;
+    for (const Doubtful &suspect : std::exchange(this->doubtful, {})) {
+        if (this->isReplaced(suspect)) {
+            const CrashedRun &run = suspect.crash.run;
+            Log::info("endpoint_started_again",
+                      {{"endpoint", run.endpoint.endpoint.value()},
+                       {"incarnation", run.endpoint.incarnation},
+                       {"traits", textOf(suspect.crash.traits)}});
+            this->onConfirmed(suspect.crash);
+            this->report(suspect.crash);
+        } else if (now - suspect.crash.run.ended < registryDelay) {
+            left.push_back(suspect);
+        }
+    }
+    this->doubtful = std::move(left);
+}
+
 // The host that counts notifies this one of what it blocks before it replies.
 void CrashGuard::reportAndWait(const Crash &crash, Duration limit, const asio::yield_context &yield)
 {
@@ -364,6 +411,11 @@
     }
 }
 
+void CrashGuard::setRegistry(std::function<std::vector<EndpointRecord>(const std::string &)> lookup)
+{
+    this->registered = std::move(lookup);
+}
+
 void CrashGuard::setBlockedHandler(std::function<void()> handler)
 {
     this->onBlocked = std::move(handler);
@@ -398,6 +450,7 @@
     while (!this->ownCrashes.empty() && now - this->ownCrashes.front().run.ended > crashesCountFor) {
         this->ownCrashes.pop_front();
     }
+    this->checkDoubtful(now);
     this->tracker.expire(now);
     this->inForce.expire(now);
     for (auto sent = this->watchesSent.begin(); sent != this->watchesSent.end();) {
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -7,6 +7,7 @@
 //     if (const auto left = guard.blockedFor(call); left && !guard.takeTrial(call)) { ... refuse ... }
 //     guard.onBrokenOff({endpoint, call, sent, firstEvent}, limit, yield);   // whether the endpoint has ended
 //     guard.onServed(call, begun);                              // a whole answer
+//     guard.onTick(now);                                        // endpoints that were back before they were looked at
 //
 // Hosts report the requests that ran at endpoints that ended, and the leader or its deputy finds out which to block.
 
@@ -62,6 +63,8 @@
     // The request that was sent at `begun` has been answered in full. `wasRead`: by a prefill engine, before.
     void onServed(const HttpCall &call, Instant begun, bool wasRead = false);
 
+    // Sets how to find the endpoints that are registered at an address.
+    void setRegistry(std::function<std::vector<EndpointRecord>(const std::string &)> lookup);
     // Sets what is called after a request was blocked, so that requests that wait are examined again.
     void setBlockedHandler(std::function<void()> handler);
     // Sets how to send to the leader or its deputy; empty if this host decides alone or for all.
@@ -90,9 +93,19 @@
     };
 
     static Crash suspectedBy(const BrokenAnswer &answer);
+    struct Doubtful {
+        std::string address;
+        Crash crash;
+    };
+
     // Reports the crash if there is no endpoint any more at the address.
     bool confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
     void onConfirmed(const Crash &crash);
+    // The endpoint seems to run, or can't be reached. It may have started again since.
+    void onDoubtful(const std::string &address, const Crash &crash);
+    // Reports those of the doubtful crashes whose endpoints the registry shows to have started again.
+    void checkDoubtful(Instant now);
+    bool isReplaced(const Doubtful &doubtful) const;
     void checkAbandoned(const EndpointStart &endpoint, const std::string &address, const asio::yield_context &yield);
     // `number`: of the report, if a reply is wanted.
     void report(const Crash &crash, std::uint64_t number = 0);
@@ -118,11 +131,13 @@
     std::map<RequestTrait, Instant> watchesSent; // to the followers, and when; bounded like the watched traits
     std::deque<Crash> ownCrashes; // the last ones that this host has reported, for the next leader
     std::map<EndpointStart, std::vector<Crash>> abandoned; // suspects of endpoints that are yet to be checked
+    std::deque<Doubtful> doubtful;
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, std::shared_ptr<asio::steady_timer>> unanswered; // reports; one for each waiting call
     Send uplink;
     Send followers;
     std::function<void()> onBlocked;
+    std::function<std::vector<EndpointRecord>(const std::string &)> registered;
 };
 
 } // namespace fescuesill
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -88,6 +88,7 @@
         , updates(updateRingSize, [this] { asio::post(this->io, [this] { this->applyUpdates(); }); })
     {
         this->crashes.setBlockedHandler([this] { this->gates.wakeWaiting(); });
+        this->crashes.setRegistry([this](const std::string &address) { return this->fleet.endpointsAt(address); });
     }
 
     int run();
