Crashes that hosts have counted outlive all of them

Callers saw: a request that three engines had ended under was sent to three more after all hosts were killed, and again after each such loss. Cause: counts and blocks were in the memory of processes only, and a new leader heard from each living host no more than what that host had seen itself.

The leader tells its deputy all crashes that may still block requests, and saves them in a row of the store when they change (SavedState). Who begins to decide for all reads the row first; so does a host that starts again, which decides alone until it is linked. Nothing is called where no endpoint crashes, but for one read by each host that starts again and each new leader.

Weighed: a follower's blocks sent up to a new leader. A host that had missed the end of a block would block sound callers everywhere.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -195,6 +195,33 @@
     return found;
 }
 
+std::vector<SuspectedRun> CrashTracker::known(std::size_t maxTraits) const
+{
+    std::vector<SuspectedRun> watched;
+    std::vector<SuspectedRun> others;
+    for (auto run = this->runs.rbegin(); run != this->runs.rend(); ++run) {
+        RequestTraits traits = this->watchedOf(run->traits);
+        const bool isWatched = !traits.empty();
+        for (const RequestTrait &trait : run->traits) {
+            if (trait.isWholeRequest() && std::find(traits.begin(), traits.end(), trait) == traits.end()) {
+                traits.push_back(trait);
+            }
+        }
+        if (!traits.empty()) {
+            (isWatched ? watched : others).push_back({run->run, std::move(traits)});
+        }
+    }
+    watched.insert(watched.end(), others.begin(), others.end());
+    std::size_t count = 0;
+    const auto end = std::find_if(watched.begin(), watched.end(), [&](const SuspectedRun &run) {
+        count += run.traits.size();
+        return count > maxTraits;
+    });
+    watched.erase(end, watched.end());
+    std::reverse(watched.begin(), watched.end()); // in the order of the reports, but for the two groups
+    return watched;
+}
+
 bool CrashTracker::isProven(const RequestTraits &traits) const
 {
     return std::any_of(traits.begin(), traits.end(), [this](const RequestTrait &trait) {
--- a/decide/crashtracker.h
+++ b/decide/crashtracker.h
@@ -46,6 +46,12 @@
     Instant ended;
 };
 
+// A run, and those of its traits that count.
+struct SuspectedRun {
+    CrashedRun run;
+    RequestTraits traits;
+};
+
 class CrashTracker
 {
 public:
@@ -84,6 +90,9 @@
     // Whether a whole request with these traits has crashed enough endpoints one after another, so that no chance
     // explains them: none of them can be an endpoint that ended together with others.
     bool isProven(const RequestTraits &traits) const;
+    // The runs that may still block requests, for another host: whole requests, and parts that several crashes have in
+    // common. Of too many, those of watched traits, and of these the last ones. Not more than that many traits in all.
+    std::vector<SuspectedRun> known(std::size_t maxTraits) const;
     std::size_t size() const
     {
         return this->runs.size();
--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -76,6 +76,32 @@
     }
 }
 
+// Guards against a host that counts anew, after the one that has counted so far was lost.
+TEST(CrashTracker, AnotherHostGoesOnFromWhatIsKnown)
+{
+    CrashTracker before({});
+    for (int crash = 0; crash < 3; ++crash) {
+        const auto other = RequestTrait::wholeRequest("other " + std::to_string(crash));
+        before.onCrash(at({crash * 200, crash * 200 + 100}), {deadly, deadlyPart});
+        before.onCrash(at({crash * 200 + 1, crash * 200 + 100}), {other, deadlyPart});
+        before.onCrash(at({crash * 200 + 2, crash * 200 + 100}),
+                       {other, RequestTrait::promptPart(std::to_string(crash))});
+    }
+    CrashTracker next({});
+    for (const SuspectedRun &run : before.known(100)) {
+        next.onCrash(run.run, run.traits);
+    }
+    EXPECT_TRUE(next.isProven({deadly}));
+    EXPECT_TRUE(before.blocked() == next.blocked());
+    EXPECT_FALSE(isBlocked(next, deadlyPart));
+    next.onCrash(at({1000, 1100}), {deadlyPart});
+    EXPECT_TRUE(isBlocked(next, deadlyPart));
+    // Of too many, the newest of what several crashes have in common.
+    const auto few = before.known(2);
+    ASSERT_EQ(few.size(), 1U);
+    EXPECT_TRUE(few[0].run.endpoint == at({400, 500}).endpoint || few[0].run.endpoint == at({401, 500}).endpoint);
+}
+
 // Guards against a sound request that is blocked since endpoints end for reasons of their own.
 TEST(CrashTracker, AnAnswerClearsARequest)
 {
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -38,6 +38,7 @@
 constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
 constexpr Duration blockDuration = crashesCountFor;
 constexpr Duration watchInterval{10s};
+constexpr std::size_t maxKnownTraits = 1500; // some 50 bytes each, with their runs, in a row of 64 KiB
 
 std::vector<std::uint64_t> numbersOf(const RequestTraits &traits)
 {
@@ -330,6 +331,7 @@
 void CrashGuard::count(const Crash &crash)
 {
     this->tracker.onCrash(crash.run, crash.traits);
+    ++this->changes;
     Log::info("crash_counted",
               {{"endpoint", crash.run.endpoint.endpoint.value()},
                {"incarnation", crash.run.endpoint.incarnation},
@@ -431,6 +433,9 @@
     for (const Crash &crash : this->ownCrashes) {
         this->report(crash);
     }
+    if (!this->uplink) {
+        this->applyTracker(); // what the leader has told its deputy
+    }
 }
 
 void CrashGuard::setFollowers(Send send)
@@ -451,7 +456,9 @@
         this->ownCrashes.pop_front();
     }
     this->checkDoubtful(now);
+    const std::size_t before = this->tracker.size();
     this->tracker.expire(now);
+    this->changes += this->tracker.size() < before ? 1 : 0;
     this->inForce.expire(now);
     for (auto sent = this->watchesSent.begin(); sent != this->watchesSent.end();) {
         sent = now - sent->second > crashesCountFor ? this->watchesSent.erase(sent) : std::next(sent);
@@ -481,6 +488,7 @@
 {
     const RequestTraits served = traitsOf(message.traits);
     this->tracker.onServed(served);
+    ++this->changes;
     for (const RequestTrait &trait : served) {
         this->watchesSent.erase(trait);
     }
@@ -496,6 +504,42 @@
     }
 }
 
+peer::CrashesKnown CrashGuard::known() const
+{
+    const Instant now = steadyNow();
+    peer::CrashesKnown message;
+    for (const SuspectedRun &suspect : this->tracker.known(maxKnownTraits)) {
+        const CrashedRun &run = suspect.run;
+        message.crashes.push_back({run.endpoint.endpoint, static_cast<std::uint64_t>(run.endpoint.incarnation),
+                                   numbersOf(suspect.traits), now - run.begun, now - run.ended});
+    }
+    return message;
+}
+
+void CrashGuard::onMessage(const peer::CrashesKnown &message)
+{
+    const Instant now = steadyNow();
+    if (this->uplink) {
+        this->tracker = CrashTracker(CrashTracker::Options{}); // the leader tells its deputy all that it knows
+    }
+    for (const peer::EndpointCrashed &crash : message.crashes) {
+        const EndpointStart endpoint{crash.endpoint, static_cast<std::int64_t>(crash.incarnation)};
+        const RequestTraits traits = traitsOf(crash.traits);
+        this->tracker.onCrash({endpoint, now - crash.sinceBegin, now - crash.sinceEnd}, traits);
+    }
+    ++this->changes;
+    if (this->uplink) {
+        return;
+    }
+    for (const peer::EndpointCrashed &crash : message.crashes) {
+        this->watch(this->tracker.watchedOf(traitsOf(crash.traits)));
+    }
+    this->applyTracker();
+    Log::info("crashes_taken_over",
+              {{"runs", static_cast<std::uint64_t>(message.crashes.size())},
+               {"blocked", static_cast<std::uint64_t>(this->ownBlocks.size())}});
+}
+
 void CrashGuard::onMessage(const peer::RequestsBlocked &message)
 {
     const RequestTraits traits = traitsOf(message.traits);
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -71,6 +71,13 @@
     void setUplink(Send send);
     // Sets how to send to all hosts that follow this one.
     void setFollowers(Send send);
+    // Changes with the crashes that this host counts.
+    std::uint64_t revision() const
+    {
+        return this->changes;
+    }
+    // The crashes that may still block requests, for the next host that counts.
+    peer::CrashesKnown known() const;
     // Sends what is blocked to a host that has begun to follow this one.
     void sendBlocks(const Send &reply) const;
     void onTick(Instant now);
@@ -82,6 +89,8 @@
     // A message from a host that follows this one.
     void onReported(const Send &reply, const peer::EndpointCrashed &message);
     void onMessage(const peer::CrashCounted &message);
+    // What the leader, now or before, has counted.
+    void onMessage(const peer::CrashesKnown &message);
     void onMessage(const peer::TraitsServed &message);
     void onMessage(const peer::RequestsBlocked &message);
     void onMessage(const peer::TraitsWatched &message);
@@ -132,6 +141,7 @@
     std::deque<Crash> ownCrashes; // the last ones that this host has reported, for the next leader
     std::map<EndpointStart, std::vector<Crash>> abandoned; // suspects of endpoints that are yet to be checked
     std::deque<Doubtful> doubtful;
+    std::uint64_t changes = 0;
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, std::shared_ptr<asio::steady_timer>> unanswered; // reports; one for each waiting call
     Send uplink;
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -7,6 +7,7 @@
 #include "programs/gateway/generationforward.h"
 #include "programs/gateway/leaderlink.h"
 #include "programs/gateway/plainforward.h"
+#include "programs/gateway/savedstate.h"
 #include "programs/gateway/stageorders.h"
 #include "promise/draining.h"
 #include "wire/clock.h"
@@ -61,6 +62,14 @@
     return options;
 }
 
+SavedState::Options savedStateOptions(const GatewaySettings &settings)
+{
+    SavedState::Options options;
+    options.address = settings.store;
+    options.isFirstStart = settings.isFirstStart;
+    return options;
+}
+
 class Gateway
 {
 public:
@@ -78,6 +87,7 @@
         , admission(admissionOptions(given))
         , client(this->io, clientOptions(given, this->paths, this->traffic))
         , crashes(this->io, this->client, this->paths)
+        , saved(this->io, savedStateOptions(given), this->crashes)
         , losses(given.host, given.latestEvent)
         , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits, this->slots,
                    this->notices,  this->credits, this->client, this->crashes, this->metrics, this->losses}
@@ -127,6 +137,7 @@
     ConnectionAdmission admission;
     HttpClient client;
     CrashGuard crashes;
+    SavedState saved;
     EventLosses losses;
     GatewayMetrics metrics;
     GatewayServices services;
@@ -340,6 +351,7 @@
     if (this->links) {
         this->links->onTick(now);
     }
+    this->saved.onTick(now);
     if (this->settings.moveEngines) {
         this->orders.onTick(*this->store, now);
     }
@@ -419,6 +431,7 @@
     if (this->settings.peers.empty()) {
         this->credits.setPart(true, 1, 1);
         this->slots.setDeciding(true);
+        this->saved.setDeciding(true);
         return true;
     }
     LeaderLink::Options options;
@@ -469,6 +482,7 @@
     this->store = std::make_unique<StoreWatcher>(storeOptions, this->updates);
     if (this->links) {
         this->links->setStore(*this->store);
+        this->links->setSavedState(this->saved);
     }
     this->signals.async_wait([this](const boost::system::error_code &error, int) {
         if (!error) {
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -29,6 +29,7 @@
 constexpr Duration fleetSizeWindow{10s};
 // A message of a few bytes; until it succeeds, this host reads the store itself.
 constexpr Duration followRequestInterval{1s};
+constexpr Duration crashReportInterval{1s}; // to the deputy, of all known crashes
 
 // The deputy claims the lease of a lost leader and names the next one. A host that expects it, or the link to a leader
 // that was just named, need not read the lease: otherwise each host of the fleet would, in the same moment.
@@ -159,6 +160,7 @@
     this->isActing = this->route.isActingLeader();
     const double ownPart = 1.0 / static_cast<double>(this->hosts);
     const bool decidesForAll = this->isLeading || this->isActing;
+    this->saved->setDeciding(decidesForAll);
     this->permits.setShare(decidesForAll ? 1 : ownPart);
     this->losses.setDeciding(decidesForAll);
     this->slots.setDeciding(decidesForAll);
@@ -262,21 +264,30 @@
     this->node->sendToAll(std::move(informed), this->deputyAnnouncement());
 }
 
-void LeaderLink::reportStreams()
+void LeaderLink::reportToDeputy(Instant now)
 {
     const std::string deputy = this->deputies.deputy();
+    const bool isNew = deputy != this->informedDeputy;
+    this->informedDeputy = deputy;
     peer::StreamsBegun streams = this->gates.takeNewStreams();
-    if (deputy != this->informedDeputy) {
+    if (isNew) {
         streams = this->gates.streamsBegun();
-        this->informedDeputy = deputy;
-    }
-    if (streams.streams.empty()) {
-        return;
     }
+    const std::uint64_t revision = this->crashes.revision();
+    const bool areCrashesDue =
+        isNew ? revision != 0 : revision != this->reportedCrashes && now >= this->crashesReported + crashReportInterval;
     for (const auto &[link, address] : this->deputies.followers()) {
-        if (address == deputy) {
+        if (address != deputy) {
+            continue;
+        }
+        if (!streams.streams.empty()) {
             this->node->send(link, streams);
         }
+        if (areCrashesDue) {
+            this->reportedCrashes = revision;
+            this->crashesReported = now;
+            this->node->send(link, this->crashes.known());
+        }
     }
 }
 
@@ -423,7 +434,7 @@
     this->applyRoute(now);
     this->applyReaders(now);
     this->requestTunnelHosts(now);
-    this->reportStreams();
+    this->reportToDeputy(now);
     this->credits.onTick(now);
 }
 
@@ -648,6 +659,7 @@
                 this->losses.sendVerdict(reply);
             },
             [&](const peer::EndpointCrashed &crash) { this->crashes.onReported(reply, crash); },
+            [&](const peer::CrashesKnown &known) { this->crashes.onMessage(known); },
             [&](const peer::CrashCounted &counted) { this->crashes.onMessage(counted); },
             [&](const peer::TraitsWatched &watched) { this->crashes.onMessage(watched); },
             [&](const peer::TraitsServed &served) { this->crashes.onMessage(served); },
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -15,6 +15,7 @@
 #include "programs/gateway/endpointslots.h"
 #include "programs/gateway/eventlosses.h"
 #include "programs/gateway/placementgates.h"
+#include "programs/gateway/savedstate.h"
 #include "programs/gateway/storewatcher.h"
 #include "programs/gateway/workspacecredits.h"
 #include "promise/deputychoice.h"
@@ -50,6 +51,11 @@
     {
         this->store = &watcher;
     }
+    // Sets what saves the state of a host that decides for all. It outlives the links.
+    void setSavedState(SavedState &state)
+    {
+        this->saved = &state;
+    }
     ~LeaderLink();
     LeaderLink(const LeaderLink &) = delete;
     LeaderLink &operator=(const LeaderLink &) = delete;
@@ -102,7 +108,7 @@
     void setUplinks(const PlacementGates::Send &send);
     void announceDeputy();
     // Reports to the deputy what it would need to know in the place of this host.
-    void reportStreams();
+    void reportToDeputy(Instant now);
     peer::DeputyNamed deputyAnnouncement() const;
     void onFollowerAddressReceived(LinkId link, const peer::FollowerAddress &follower);
     // Requests hosts that open tunnels if this host needs them.
@@ -130,6 +136,7 @@
     EventLosses &losses;
     EndpointPaths &paths;
     StoreWatcher *store = nullptr;
+    SavedState *saved = nullptr;
     std::set<LinkId> followers; // links of the hosts that this one forwards the store's changes to
     ReaderChoice<LinkId> readers;
     bool isOutage = false; // neither this host nor its readers can read the store
@@ -138,6 +145,8 @@
     TunnelHostChoice<LinkId> tunnelHosts; // of this host and of those that it places for
     std::string announcedDeputy; // the deputy last announced to the followers
     std::string informedDeputy; // the deputy that knows all streams but the newest
+    std::uint64_t reportedCrashes = 0; // the revision that it knows
+    Instant crashesReported;
     std::string ownAddress;
     std::string ownTunnels;
     PlacingRoute route;
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -440,6 +440,12 @@
     visit(m.number);
 }
 
+template<typename Visitor>
+void fields(Visitor &visit, CrashesKnown &m)
+{
+    visit(m.crashes);
+}
+
 template<typename Visitor>
 void fields(Visitor &visit, CrashCounted &m)
 {
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -439,6 +439,12 @@
     std::uint64_t number = 0;
 };
 
+// From the leader to its deputy, and saved in the store: the crashes that may still block requests, with those traits
+// that count.
+struct CrashesKnown {
+    std::vector<EndpointCrashed> crashes;
+};
+
 // Leader to a gateway: reports are wanted of requests with one of these traits that are answered in full.
 struct TraitsWatched {
     std::vector<std::uint64_t> traits;
@@ -537,7 +543,7 @@
                  RequestTunnelHosts, TunnelHostsNamed, StreamsBegun, RequestCredit, CreditReply, QuotaReport,
                  QuotaUsedUp, RequestClock, ClockReply, ConfigCurrent, EndpointCrashed, TraitsWatched, TraitsServed,
                  RequestsBlocked, CrashCounted, EndpointLeaving, EventCounts, EventLoss, RequestSlot, CancelSlot,
-                 SlotReleased, EndpointOverloaded, SlotReply, EndpointLimited>;
+                 SlotReleased, EndpointOverloaded, SlotReply, EndpointLimited, CrashesKnown>;
 
 std::string encodeMessage(const Message &message);
 tl::expected<Message, WireError> decodeMessage(std::string_view bytes);
--- a/wire/testing/messages_test.cpp
+++ b/wire/testing/messages_test.cpp
@@ -33,6 +33,7 @@
         AllCells{{CellUpdate{someCell, HostId("h"), "127.0.0.1:3", 12ms, 75us, 0.25, Pieces(5), false, 7}}},
         Follow{false},
         EndpointCrashed{EndpointId("e"), 7, {1, ~0ULL}, 80ms, 20ms, 5},
+        CrashesKnown{{{EndpointId("e"), 7, {1, ~0ULL}, 80ms, 20ms, 0}}},
         CrashCounted{5},
         EndpointLeaving{EndpointId("e"), 7},
         EventCounts{70, 2},
