Streams that callers take up after all hosts were lost go on at their version

Callers saw (LOST): after all hosts had lost power, none of the streams that were taken up went on while two versions served, though engines of their version did. Cause: which version began a stream was in the memory of hosts only, and what nobody remembers is refused, rightly.

While engines of a service have several versions, the leader saves the streams that begin, once a second, in a ring of rows of the store that holds more than the life of a stream; who decides next reads them. A stream that is not there, since it began in the last second, is refused as before: nothing is guessed, and what is saved about a stream never changes. With the first further version, the streams that began before it are saved too, and told to the deputy, which knew only those that came later.

--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -87,7 +87,7 @@
         , admission(admissionOptions(given))
         , client(this->io, clientOptions(given, this->paths, this->traffic))
         , crashes(this->io, this->client, this->paths)
-        , saved(this->io, savedStateOptions(given), this->crashes)
+        , saved(this->io, savedStateOptions(given), this->gates, this->crashes)
         , losses(given.host, given.latestEvent)
         , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits, this->slots,
                    this->notices,  this->credits, this->client, this->crashes, this->metrics, this->losses}
@@ -350,6 +350,8 @@
     this->slots.onTick(now);
     if (this->links) {
         this->links->onTick(now);
+    } else {
+        this->saved.add(this->gates.takeNewStreams());
     }
     this->saved.onTick(now);
     if (this->settings.moveEngines) {
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -270,6 +270,7 @@
     const bool isNew = deputy != this->informedDeputy;
     this->informedDeputy = deputy;
     peer::StreamsBegun streams = this->gates.takeNewStreams();
+    this->saved->add(streams);
     if (isNew) {
         streams = this->gates.streamsBegun();
     }
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -107,7 +107,7 @@
     // Of all parts that ask the leader or its deputy, but the gates.
     void setUplinks(const PlacementGates::Send &send);
     void announceDeputy();
-    // Reports to the deputy what it would need to know in the place of this host.
+    // Reports to the deputy what it would need to know in the place of this host, and has it saved.
     void reportToDeputy(Instant now);
     peer::DeputyNamed deputyAnnouncement() const;
     void onFollowerAddressReceived(LinkId link, const peer::FollowerAddress &follower);
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -429,7 +429,18 @@
 
 peer::StreamsBegun PlacementGates::takeNewStreams()
 {
-    peer::StreamsBegun message = messageOf(this->newStreams);
+    const Instant now = steadyNow();
+    std::set<ServiceId> mixed;
+    for (const auto &[service, gate] : this->gates) {
+        if (this->origins.isMixed(service, now)) {
+            mixed.insert(service);
+        }
+    }
+    // Streams that began before there was a further version may be taken up as well.
+    const bool isMore =
+        !std::includes(this->mixedServices.begin(), this->mixedServices.end(), mixed.begin(), mixed.end());
+    this->mixedServices = std::move(mixed);
+    const peer::StreamsBegun message = isMore ? this->streamsBegun() : messageOf(this->newStreams);
     this->newStreams.clear();
     return message;
 }
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -144,6 +144,7 @@
     std::uint64_t seed;
     StreamOrigins origins;
     bool isRegistryCurrent = true; // when the fleet last changed
+    std::set<ServiceId> mixedServices; // with several versions, when new streams were last taken
     std::vector<BegunStream> newStreams; // of services with several versions, until they are taken
     std::map<ServiceId, Gate> gates; // of generating services of the current or an earlier configuration
     // Bounded by the number of callers' connections.
--- a/programs/gateway/savedstate.cpp
+++ b/programs/gateway/savedstate.cpp
@@ -1,18 +1,24 @@
-// One row holds all crashes that may still block requests, and is written whole when they change.
+// One row holds all crashes that may still block requests, and is written whole when they change. Streams are only
+// added: each write puts the new ones into the next of a ring of rows, so a write is as large as what is new.
 //
 // A host that begins to decide reads the rows before it writes any, or it would replace the crashes of the leader
 // before it with its own. So does each host that starts again: until it is linked to a leader it decides alone.
 //
-// What is read can only be too old. That does no harm: crashes only expire later.
+// What is read can only be too old. That does no harm: the version of a stream never changes, so a stream that is
+// missing is refused and none goes on at another version; and crashes only expire later.
 
 #include "programs/gateway/savedstate.h"
 
 #include "platform/storeclient.h"
 #include "programs/gateway/crashguard.h"
+#include "programs/gateway/placementgates.h"
 #include "wire/clock.h"
 #include "wire/coroutine.h"
 #include "wire/log.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 namespace fescuesill
 {
 namespace
@@ -20,12 +26,24 @@
 
 constexpr const char *table = "saved";
 constexpr const char *crashesKey = "crashes";
+constexpr const char *streamsPrefix = "streams-";
+
+std::string streamsKey(std::size_t row)
+{
+    return fmt::format("{}{:03}", streamsPrefix, row);
+}
+
+bool isStreamsKey(const std::string &key)
+{
+    return key.rfind(streamsPrefix, 0) == 0;
+}
 
 } // namespace
 
-SavedState::SavedState(asio::io_context &context, Options given, CrashGuard &crashGuard)
+SavedState::SavedState(asio::io_context &context, Options given, PlacementGates &placements, CrashGuard &crashGuard)
     : io(context)
     , options(std::move(given))
+    , gates(placements)
     , crashes(crashGuard)
     , mustRead(!this->options.isFirstStart)
 {
@@ -37,13 +55,35 @@
         this->mustRead = true;
         this->pauseUntil = Instant();
     }
+    if (!decides) {
+        this->pending.clear();
+    }
     this->isDeciding = decides;
 }
 
+void SavedState::add(const peer::StreamsBegun &begun)
+{
+    if (!this->isDeciding) {
+        return;
+    }
+    const Instant now = steadyNow();
+    for (const peer::StreamOrigin &origin : begun.streams) {
+        if (origin.request.value().size() <= this->options.maxIdSize) {
+            this->pending.push_back({origin, now - origin.age});
+        }
+    }
+    while (this->pending.size() > this->options.maxPending) {
+        this->pending.pop_front();
+    }
+}
+
 bool SavedState::isWriteDue(Instant now) const
 {
-    return this->isDeciding && now >= this->lastWrite + this->options.shortestInterval
-        && this->crashes.revision() != this->savedCrashes;
+    if (!this->isDeciding || now < this->lastWrite + this->options.shortestInterval) {
+        return false;
+    }
+    return this->crashes.revision() != this->savedCrashes
+        || (!this->pending.empty() && now >= this->lastWrite + this->options.streamInterval);
 }
 
 void SavedState::onTick(Instant now)
@@ -78,8 +118,11 @@
 void SavedState::read(const asio::yield_context &yield)
 {
     StoreClient store(this->io, {this->options.address});
-    const StoreRows read = store.list(table, yield);
+    StoreRows read = store.list(table, yield);
     this->mustRead = false;
+    // Oldest first, so that the newest reports are kept where there are too many.
+    std::sort(read.rows.begin(), read.rows.end(),
+              [](const StoreRow &a, const StoreRow &b) { return a.version < b.version; });
     const bool isAllSaved = this->crashes.known().crashes.empty();
     for (const StoreRow &row : read.rows) {
         this->apply(row);
@@ -93,20 +136,56 @@
 void SavedState::apply(const StoreRow &row)
 {
     const auto message = peer::decodeMessage(row.value);
+    const auto *streams = message ? std::get_if<peer::StreamsBegun>(&*message) : nullptr;
     const auto *known = message ? std::get_if<peer::CrashesKnown>(&*message) : nullptr;
-    if (known != nullptr && row.key == crashesKey) {
+    if (streams != nullptr && isStreamsKey(row.key)) {
+        this->gates.onStreamsBegun(*streams);
+        for (std::size_t number = 0; number < this->options.streamRows; ++number) {
+            if (streamsKey(number) == row.key) {
+                this->nextRow = (number + 1) % this->options.streamRows;
+            }
+        }
+    } else if (known != nullptr && row.key == crashesKey) {
         this->crashes.onMessage(*known);
     } else {
         Log::warning("saved_row_skipped", {{"key", row.key}});
     }
 }
 
+std::vector<StoreRow> SavedState::takeStreamRows(Instant now)
+{
+    std::vector<StoreRow> rows;
+    while (!this->pending.empty()) {
+        peer::StreamsBegun streams;
+        while (!this->pending.empty() && streams.streams.size() < this->options.streamsOfRow) {
+            peer::StreamOrigin origin = std::move(this->pending.front().origin);
+            origin.age = now - this->pending.front().since;
+            streams.streams.push_back(std::move(origin));
+            this->pending.pop_front();
+        }
+        rows.push_back({streamsKey(this->nextRow), peer::encodeMessage(streams)});
+        this->nextRow = (this->nextRow + 1) % this->options.streamRows;
+    }
+    return rows;
+}
+
 void SavedState::write(const asio::yield_context &yield)
 {
+    const Instant now = steadyNow();
+    const auto unsaved = this->pending;
+    std::vector<StoreRow> rows = this->takeStreamRows(now);
     const std::uint64_t revision = this->crashes.revision();
-    StoreClient store(this->io, {this->options.address});
-    store.writeAll(table, {{crashesKey, peer::encodeMessage(this->crashes.known())}}, yield);
-    this->savedCrashes = revision;
+    if (revision != this->savedCrashes) {
+        rows.push_back({crashesKey, peer::encodeMessage(this->crashes.known())});
+    }
+    try {
+        StoreClient store(this->io, {this->options.address});
+        store.writeAll(table, rows, yield);
+        this->savedCrashes = revision;
+    } catch (const StoreError &) {
+        this->pending.insert(this->pending.begin(), unsaved.begin(), unsaved.end());
+        throw;
+    }
 }
 
 } // namespace fescuesill
