Saved rows stay below the size of a row whatever their ids

1,500 traits with a run each, or 400 streams with the longest ids, were more than the 64 KiB of base64 that the store takes; found by reading.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -171,7 +171,9 @@
     RequestTraits found;
     for (const RequestTrait &trait : traits) {
         const auto suspect = this->suspects.find(trait.value());
-        if (suspect != this->suspects.end() && this->countOf(trait, suspect->second) >= this->options.watchedCrashes) {
+        const auto fewest = static_cast<std::size_t>(this->options.watchedCrashes);
+        if (suspect != this->suspects.end() && suspect->second.size() >= fewest
+            && this->countOf(trait, suspect->second) >= this->options.watchedCrashes) {
             found.push_back(trait);
         }
     }
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -38,7 +38,7 @@
 constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
 constexpr Duration blockDuration = crashesCountFor;
 constexpr Duration watchInterval{10s};
-constexpr std::size_t maxKnownTraits = 1500; // some 50 bytes each, with their runs, in a row of 64 KiB
+constexpr std::size_t maxKnownTraits = 600; // with a run each, they fill 60 KiB of base64 at most
 
 std::vector<std::uint64_t> numbersOf(const RequestTraits &traits)
 {
--- a/programs/gateway/savedstate.h
+++ b/programs/gateway/savedstate.h
@@ -42,8 +42,8 @@
         Duration retryPause{1s};
         // Rows of streams. They are overwritten in turn, so that they hold more than the time for which a stream lives.
         std::size_t streamRows = 64;
-        std::size_t streamsOfRow = 400;
-        std::size_t maxPending = 6400; // streams; beyond this the oldest are not saved
+        std::size_t streamsOfRow = 200; // below 48 KiB of base64, with the longest ids
+        std::size_t maxPending = 3200; // streams; beyond this the oldest are not saved
         std::size_t maxIdSize = 64; // streams with longer ids are not saved
     };
 
