Endpoints that are silent until the deadline and then start again count as crashed

Callers saw: a request that silences each endpoint went on to one after the other, since its calls end at their deadline, which is no crash. Cause: only an answer that breaks off, or a caller that leaves, had the endpoint looked at.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -196,6 +196,11 @@
     return true;
 }
 
+void CrashGuard::onSilent(const BrokenAnswer &answer)
+{
+    this->onDoubtful(answer.endpoint.address, suspectedBy(answer));
+}
+
 void CrashGuard::onAbandoned(const BrokenAnswer &answer)
 {
     const Crash suspected = suspectedBy(answer);
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -58,6 +58,8 @@
     // Whether the endpoint has ended with an answer that ends with its connection, so that the answer may be
     // incomplete. Reports it if so.
     bool hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
+    // The endpoint has sent nothing until the deadline. Reports it if it then turns out to have started again.
+    void onSilent(const BrokenAnswer &answer);
     // The caller has left before the answer. Finds out a moment later whether the endpoint has ended, and reports it.
     void onAbandoned(const BrokenAnswer &answer);
     // The request that was sent at `begun` has been answered in full. `wasRead`: by a prefill engine, before.
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -238,6 +238,8 @@
             services.crashes.onAbandoned(answer);
         } else if (mayHaveEnded(error)) {
             this->hasReaderEnded |= services.crashes.onBrokenOff(answer, this->call.timeLeft(), yield);
+        } else if (error.fault() == HttpFault::Timeout && !error.isKnownNotSent()) {
+            services.crashes.onSilent(answer);
         }
     }
     const bool isAtFault = !result && !this->abort.isAborted() && !this->hasNoPath;
@@ -415,8 +417,11 @@
     } catch (const HttpError &error) {
         this->onFault(error);
         this->sends -= error.isKnownNotSent() ? 1 : 0;
+        const BrokenAnswer answer{place.engine, this->call.http, this->sentAt, this->firstEventAt};
         if (this->abort.isAborted() && !error.isKnownNotSent()) {
-            services.crashes.onAbandoned({place.engine, this->call.http, this->sentAt, this->firstEventAt});
+            services.crashes.onAbandoned(answer);
+        } else if (error.fault() == HttpFault::Timeout && !error.isKnownNotSent()) {
+            services.crashes.onSilent(answer);
         }
         this->checkCaller();
         this->isCutShort = mayHaveEnded(error);
--- a/testing/process/test_crashes_remembered.py
+++ b/testing/process/test_crashes_remembered.py
@@ -1,13 +1,18 @@
 """Requests that have crashed endpoints, where the hosts that counted the crashes are lost, or much time has passed."""
 
+import contextlib
+import http.client
 import time
 import unittest
 
 from crashtest import DEADLY, MOST_CRASHES, PAUSE_SECONDS, CrashTest
+from gatewayprocess import SIZE, send
 from standin import wait_until
 
 REPEAT_SECONDS = 24  # longer than hosts wait before they send a blocked request as a trial
 SAVED_SECONDS = 0.5  # until the leader has saved what it knows
+DEADLINE_MS = 600
+SILENT_SECONDS = 1.4  # of an endpoint, from the request until it starts again
 PATHS = ("/write/1", "/look/deadly", "/book/1")
 
 
@@ -80,6 +85,23 @@
             time.sleep(1.0)
         self.assertLessEqual(self.crashes_of("/write/1"), MOST_CRASHES)
 
+    # Each guards against an endpoint that falls silent under a request, and has started again when its caller has given up.
+    def test_generations_that_silence_engines_stop(self):
+        self.check_silenced("/write/1", self.writers)
+
+    def test_plain_calls_that_silence_endpoints_stop(self):
+        self.check_silenced("/book/1", self.plain)
+
+    def check_silenced(self, path, endpoints):
+        for endpoint in endpoints:
+            endpoint.crash_delay, endpoint.down_seconds = SILENT_SECONDS, 0.0
+        gateways = self.start_linked(3)
+        for number in range(8):
+            with contextlib.suppress(http.client.HTTPException, ConnectionError):
+                send(gateways[number % 3].callers, "POST", path, DEADLY, X_Deadline_Ms=DEADLINE_MS, **SIZE)
+            time.sleep(SILENT_SECONDS)
+        self.assertLessEqual(self.crashes_of(path), MOST_CRASHES)
+
 
 if __name__ == "__main__":
     unittest.main()
