A part that ends engines that read it explains its crashes at writers as well

Cause: crashes at readers suspect each trait twice, as it is and as it is read. The pair counted as a larger set than the trait alone and explained the crashes at readers only, so those at writers were put down to the part that ran beside it, four of them with two others.

A trait that is read is told by its value now, and is left out of what crashes have in common where the trait itself is among it: whoever has the one has both.

APartThatCrashesReadersExplainsItsCrashesAtWriters fails before: the part is not blocked and the one beside it is.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -151,6 +151,11 @@
         std::set_intersection(common.begin(), common.end(), others.begin(), others.end(), std::back_inserter(both));
         common = std::move(both);
     }
+    // A request that has the property has both, and a crash at a writer shows the first only.
+    const auto isCovered = [all = common](const RequestTrait &trait) {
+        return trait.isWhenRead() && std::binary_search(all.begin(), all.end(), trait.base());
+    };
+    common.erase(std::remove_if(common.begin(), common.end(), isCovered), common.end());
     return common;
 }
 
@@ -265,8 +270,7 @@
             if (explained == explainedBy.end() || rankOf(explained->second) <= rankOf(candidate)) {
                 left.push_back(number);
             } else if (explained->second.trait.isWholeRequest() && !candidate.trait.isWholeRequest()) {
-                const RequestTrait request = explained->second.trait;
-                ofRequests[std::min(request, request.whenRead())].push_back(number);
+                ofRequests[explained->second.trait.base()].push_back(number);
             }
         }
         for (const auto &[request, numbers] : ofRequests) {
--- a/decide/requesttrait.h
+++ b/decide/requesttrait.h
@@ -28,7 +28,16 @@
     // one of them has read the prompt.
     RequestTrait whenRead() const
     {
-        return RequestTrait(this->number ^ readBits);
+        return RequestTrait(this->number | readBit);
+    }
+    bool isWhenRead() const
+    {
+        return (this->number & readBit) != 0;
+    }
+    // The property of which this one is whenRead(), or itself.
+    RequestTrait base() const
+    {
+        return RequestTrait(this->number & ~readBit);
     }
     std::uint64_t value() const
     {
@@ -50,9 +59,9 @@
 
 private:
     static constexpr std::uint64_t wholeRequestBit = 1;
-    static constexpr std::uint64_t readBits = 0x5e4d'0000'0000'0000; // any, without the lowest
+    static constexpr std::uint64_t readBit = 2;
 
-    std::uint64_t number; // a hash, but for its lowest bit
+    std::uint64_t number; // a hash, but for these bits
 };
 
 using RequestTraits = std::vector<RequestTrait>;
--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -315,6 +315,27 @@
     EXPECT_FALSE(isBlocked(tracker, "fA"));
 }
 
+// Guards against a part that ends engines that read it as well as those that write it, and whose crashes at writers are
+// put down to what ran beside it.
+TEST(CrashTracker, APartThatCrashesReadersExplainsItsCrashesAtWriters)
+{
+    CrashTracker tracker({});
+    crash(tracker, 1, {"f1"});
+    crash(tracker, 2, {"f2"});
+    for (int number = 3; number <= 6; ++number) {
+        RequestTraits traits = parts("x" + std::to_string(number));
+        for (const RequestTrait &trait : parts("x" + std::to_string(number))) {
+            traits.push_back(trait.whenRead());
+        }
+        const Instant ended = start + 1s * number;
+        tracker.onCrash({{EndpointId("reader"), number}, ended - 50ms, ended}, traits);
+    }
+    crash(tracker, 7, {"x7", "f3"});
+    crash(tracker, 8, {"x8", "f4"});
+    EXPECT_TRUE(isBlocked(tracker, "x9"));
+    EXPECT_FALSE(isBlocked(tracker, "f5"));
+}
+
 // Guards against callers who are refused since engines end for reasons of their own, all at once or one after the
 // other.
 TEST(CrashTracker, BlocksNothingWhereOtherRequestsWithThePartsAreAnswered)
