A host that links later reports the answers that clear requests, too

Callers saw: sound requests were refused though others like them were answered at a host that had started after the crashes. Cause: that host was told what is blocked and not whose answers to report; found by reading, as what is taken over from the store makes such hosts common.

test_answers_of_a_host_that_starts_later_clear_what_they_share: 503 before.

--- a/decide/requestblocks.cpp
+++ b/decide/requestblocks.cpp
@@ -150,6 +150,17 @@
     return found;
 }
 
+RequestTraits RequestBlocks::watching(Instant now) const
+{
+    RequestTraits found;
+    for (const auto &[trait, watch] : this->watched) {
+        if (now < watch.until) {
+            found.push_back(trait);
+        }
+    }
+    return found;
+}
+
 std::vector<RequestBlock> RequestBlocks::matching(const RequestTraits &traits, Instant now) const
 {
     std::vector<RequestBlock> found;
--- a/decide/requestblocks.h
+++ b/decide/requestblocks.h
@@ -76,6 +76,8 @@
     std::optional<Duration> blockedFor(const RequestTraits &traits, Instant now) const;
     // Those of the traits that were watched when the request began.
     RequestTraits watchedOf(const RequestTraits &traits, Instant begun) const;
+    // The traits whose answers are reported.
+    RequestTraits watching(Instant now) const;
     std::vector<RequestBlock> all(Instant now) const;
     // Those that block requests with these traits.
     std::vector<RequestBlock> matching(const RequestTraits &traits, Instant now) const;
--- a/decide/testing/requestblocks_test.cpp
+++ b/decide/testing/requestblocks_test.cpp
@@ -111,6 +111,8 @@
     blocks.watch({a}, start);
     EXPECT_TRUE(blocks.watchedOf({a, b}, start).empty());
     EXPECT_EQ(blocks.watchedOf({a, b}, start + 1ms), RequestTraits{a});
+    EXPECT_EQ(blocks.watching(start + 1ms), RequestTraits{a});
+    EXPECT_TRUE(blocks.watching(start + RequestBlocks::Options{}.watchedFor).empty());
     blocks.watch({a}, start + 5s); // watched on, from the first time
     EXPECT_EQ(blocks.watchedOf({a}, start + 1ms), RequestTraits{a});
     blocks.expire(start + RequestBlocks::Options{}.watchedFor);
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -74,6 +74,11 @@
     return {numbersOf(block.traits), block.left, block.untilTrial, block.trialInterval};
 }
 
+void logBlocked(const RequestTraits &traits, Duration duration)
+{
+    Log::warning("requests_blocked", {{"traits", textOf(traits)}, {"for_ms", duration.count() / 1000}});
+}
+
 RequestTraits withRead(RequestTraits traits)
 {
     const std::size_t count = traits.size();
@@ -393,13 +398,8 @@
             this->notifyFollowers(messageOf(block));
         }
     }
-    this->reportBlocked(traits, isNew);
-}
-
-void CrashGuard::reportBlocked(const RequestTraits &traits, bool isNew)
-{
     if (isNew) {
-        Log::warning("requests_blocked", {{"traits", textOf(traits)}, {"for_ms", blockDuration.count() / 1000}});
+        logBlocked(traits, blockDuration);
         this->onBlocked();
     }
 }
@@ -448,11 +448,16 @@
     this->followers = std::move(send);
 }
 
-void CrashGuard::sendBlocks(const Send &reply) const
+void CrashGuard::sendTo(const Send &reply) const
 {
-    for (const RequestBlock &block : this->inForce.all(steadyNow())) {
+    const Instant now = steadyNow();
+    for (const RequestBlock &block : this->inForce.all(now)) {
         reply(messageOf(block));
     }
+    const RequestTraits watched = this->inForce.watching(now);
+    if (!watched.empty()) {
+        reply(peer::TraitsWatched{numbersOf(watched)});
+    }
 }
 
 void CrashGuard::onTick(Instant now)
@@ -553,7 +558,10 @@
         return;
     }
     const RequestBlock block{traits, message.duration, message.untilTrial, message.trialInterval};
-    this->reportBlocked(traits, this->inForce.adopt(block, steadyNow()));
+    if (this->inForce.adopt(block, steadyNow())) {
+        logBlocked(traits, message.duration);
+        this->onBlocked();
+    }
 }
 
 void CrashGuard::onMessage(const peer::TraitsWatched &message)
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -80,8 +80,8 @@
     }
     // The crashes that may still block requests, for the next host that counts.
     peer::CrashesKnown known() const;
-    // Sends what is blocked to a host that has begun to follow this one.
-    void sendBlocks(const Send &reply) const;
+    // Sends what is blocked and watched to a host that has begun to follow this one.
+    void sendTo(const Send &reply) const;
     void onTick(Instant now);
     std::size_t blocks() const
     {
@@ -129,7 +129,6 @@
     void applyTracker();
     // Blocks them at this host and at all that follow it.
     void block(const RequestTraits &traits, Trials trials);
-    void reportBlocked(const RequestTraits &traits, bool isNew);
     void unblock(const RequestTraits &traits);
     void notifyFollowers(const peer::Message &message) const;
 
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -656,7 +656,7 @@
             [&](const peer::HeldPlacements &held) {
                 this->placementClients.insert(link);
                 this->gates.onHeldPlacements(link, held);
-                this->crashes.sendBlocks(reply);
+                this->crashes.sendTo(reply);
                 this->losses.sendVerdict(reply);
             },
             [&](const peer::EndpointCrashed &crash) { this->crashes.onReported(reply, crash); },
--- a/testing/process/test_crashes_remembered.py
+++ b/testing/process/test_crashes_remembered.py
@@ -85,6 +85,22 @@
             time.sleep(1.0)
         self.assertLessEqual(self.crashes_of("/write/1"), MOST_CRASHES)
 
+    # Guards against sound callers of a host that was not there when the crashes were, and whose answers clear nothing.
+    def test_answers_of_a_host_that_starts_later_clear_what_they_share(self):
+        for writer in self.writers:
+            writer.crashes_on = lambda request, body: body.startswith(DEADLY)
+        leader = self.start("g1")
+        for number in range(3):
+            self.ask(leader, "/write/1", DEADLY + b"%d" % number, f"f1:200,{number:x}:100")
+            time.sleep(PAUSE_SECONDS)
+        later = self.start("g2")
+        wait_until(lambda: "event=leader_reached" in later.log(), "the link")
+        wait_until(lambda: self.ask(later, "/write/1", parts="f1:200,aa:100") == 200, "a sound request")
+        time.sleep(PAUSE_SECONDS)
+        self.ask(leader, "/write/1", DEADLY + b"3", "f1:200,3:100")
+        time.sleep(PAUSE_SECONDS)
+        self.assertEqual(self.ask(leader, "/write/1", parts="f1:200,bb:100"), 200)
+
     # Each guards against an endpoint that falls silent under a request, and has started again when its caller has given up.
     def test_generations_that_silence_engines_stop(self):
         self.check_silenced("/write/1", self.writers)
