--- a/testing/process/test_crashes_remembered.py
+++ b/testing/process/test_crashes_remembered.py
@@ -13,12 +13,14 @@
 SAVED_SECONDS = 0.5  # until the leader has saved what it knows
 DEADLINE_MS = 600
 SILENT_SECONDS = 1.4  # of an endpoint, from the request until it starts again
+REPORTED_SECONDS = 1.5  # until the leader has told its deputy what it has counted
+GENERATIONS = ("/write/1", "/resume/1")
 PATHS = ("/write/1", "/look/deadly", "/book/1")
 
 
 class CrashesRememberedTest(CrashTest):
     def crashes_of(self, path):
-        return sum(endpoint.crashes for endpoint in (self.writers if path.startswith("/write") else self.plain))
+        return sum(endpoint.crashes for endpoint in (self.readers + self.writers if path in GENERATIONS else self.plain))
 
     def ask_until(self, gateways, path, crashes):
         """Sends the request until that many endpoints have ended under it in all."""
@@ -72,9 +74,33 @@
     def test_a_blocked_plain_call_stays_blocked_after_all_hosts_were_lost(self):
         self.check_remembered("/book/1", MOST_CRASHES)
 
+    def test_a_blocked_resumable_generation_stays_blocked_after_all_hosts_were_lost(self):
+        self.check_remembered("/resume/1", MOST_CRASHES)
+
+    def test_a_request_blocked_for_its_readers_stays_blocked_after_all_hosts_were_lost(self):
+        self.readers += [self.platform.endpoint("llm", "prefill") for _ in range(5)]
+        for reader in self.readers:
+            reader.crashes_on = self.is_deadly
+        for writer in self.writers:
+            writer.crashes_on = lambda request, body: False
+        self.check_remembered("/write/1", MOST_CRASHES)
+
     def test_crashes_count_after_all_hosts_were_lost(self):
         self.check_remembered("/write/1", MOST_CRASHES - 1)
 
+    # Guards against a deputy that knows nothing of the crashes that only the lost leader has seen, and can't read the store.
+    def test_crashes_that_the_leader_saw_count_at_its_deputy(self):
+        leader, *others = self.start_linked(3)
+        self.ask_until([leader], "/write/1", MOST_CRASHES - 1)
+        time.sleep(REPORTED_SECONDS)
+        self.platform.store.is_down = True
+        leader.kill()
+        wait_until(lambda: any("event=standing_in for_leader=yes" in gateway.log() for gateway in others), "the deputy")
+        for number in range(6):
+            self.ask(others[number % 2], "/write/1", DEADLY)
+            time.sleep(PAUSE_SECONDS)
+        self.assertLessEqual(self.crashes_of("/write/1"), MOST_CRASHES)
+
     # Guards against an engine that is back at its address before a host has seen that it ended.
     def test_crashes_of_engines_that_are_back_at_once_count(self):
         for writer in self.writers:
