Of sets that explain crashes equally well, the one with more crashes does

Cause: that part had run at four of six crashes and had been sent last as often as the part that caused them, so both were blocked. The first crash that a single repeated request explains, counted for parts since, was one of the four; it counts no more, since the bound holds without it (six crashes under two requests).

BlocksThePartThatAllCrashesHaveInCommon, new case: fails without the change.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -11,9 +11,9 @@
 // their caller have. So requests are blocked only if they have all the traits that the suspected ones have in common.
 // Callers who share some of these are served on, and their answers clear them. A crash that a larger set explains is
 // not counted for smaller ones, such as the first part alone. But where several whole requests were repeated, each of
-// which explains its own crashes, what they share is the simpler cause: these crashes count for a part as well, and
-// where it is only one request, the first of its crashes does. Of sets of one size, that one explains a crash whose
-// requests were more often the last to be sent: an endpoint ends as it begins to answer.
+// which explains its own crashes, what they share is the simpler cause: these crashes count for a part as well. Of sets
+// of one size, that one explains a crash whose requests were more often the last to be sent: an endpoint ends as it
+// begins to answer. Of these, the one with more crashes.
 
 #include "decide/crashtracker.h"
 
@@ -130,11 +130,16 @@
     if (!trait.isWholeRequest()) {
         return this->longestSeries(numbers);
     }
+    return static_cast<int>(this->endpointsOf(numbers).size());
+}
+
+std::set<EndpointStart> CrashTracker::endpointsOf(const RunNumbers &numbers) const
+{
     std::set<EndpointStart> endpoints;
     for (const RunNumber number : numbers) {
         endpoints.insert(this->runOf(number).run.endpoint);
     }
-    return static_cast<int>(endpoints.size());
+    return endpoints;
 }
 
 int CrashTracker::crashesToBlock(const RequestTrait &trait) const
@@ -247,16 +252,18 @@
         const RunNumbers *runs;
         std::size_t common; // number of traits
         int lastSent;
+        std::size_t crashes;
     };
     std::vector<Candidate> candidates;
     for (const RequestTrait &trait : this->frequent) {
         const RunNumbers &numbers = this->suspects.at(trait.value());
         if (this->countOf(trait, numbers) >= this->crashesToBlock(trait)) {
-            candidates.push_back({trait, &numbers, this->inCommon(numbers).size(), this->lastSent(numbers)});
+            candidates.push_back({trait, &numbers, this->inCommon(numbers).size(), this->lastSent(numbers),
+                                  this->endpointsOf(numbers).size()});
         }
     }
     const auto rankOf = [](const Candidate &candidate) {
-        return std::make_tuple(candidate.common, candidate.lastSent);
+        return std::make_tuple(candidate.common, candidate.lastSent, candidate.crashes);
     };
     std::stable_sort(candidates.begin(), candidates.end(),
                      [rankOf](const Candidate &a, const Candidate &b) { return rankOf(a) > rankOf(b); });
@@ -273,9 +280,10 @@
                 ofRequests[explained->second.trait.base()].push_back(number);
             }
         }
-        for (const auto &[request, numbers] : ofRequests) {
-            const auto end = ofRequests.size() > 1 ? numbers.end() : std::next(numbers.begin());
-            left.insert(left.end(), numbers.begin(), end);
+        if (ofRequests.size() > 1) {
+            for (const auto &[request, numbers] : ofRequests) {
+                left.insert(left.end(), numbers.begin(), numbers.end());
+            }
         }
         if (this->countOf(candidate.trait, left) < this->crashesToBlock(candidate.trait)) {
             continue;
--- a/decide/crashtracker.h
+++ b/decide/crashtracker.h
@@ -119,6 +119,7 @@
     void dropSuspect(const RequestTrait &trait);
     // How many of the runs count as crashes that the trait may have caused.
     int countOf(const RequestTrait &trait, const RunNumbers &numbers) const;
+    std::set<EndpointStart> endpointsOf(const RunNumbers &numbers) const;
     // The most of the runs of which each began after the one before had ended.
     int longestSeries(const RunNumbers &numbers) const;
     int crashesToBlock(const RequestTrait &trait) const;
--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -263,6 +263,11 @@
          "",
          "xA",
          {"fA", "f5", "A"}},
+        {"with others that share a first part and were last sent as often",
+         {{"x1"}, {"x2"}, {"f3", "x3"}, {"f4", "x4"}, {"x5", "f5"}, {"f6", "x6"}},
+         "",
+         "xA",
+         {"fA"}},
         {"the same request", {{"fx1"}, {"fx1"}, {"fx1"}}, "", "fx1", {"fx2", "f1", "x1"}},
         {"the part of a session", {{"fx1"}, {"gx1"}, {"hx1"}, {"kx1"}}, "", "zx1", {"fx2", "g1"}},
     };
