A start of an endpoint counts as one crash, however many of its answers broke off before

Cause: since answers that broke off while their endpoint ran are reported once it has started again; these had ended one after another, and each counted as a further crash.

A series of crashes has each start of an endpoint once, at its last run. The registry is looked at for five seconds after an answer instead of ten.

AStartOfAnEndpointEndsOnce fails before: the part is blocked after one crash.

--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -105,21 +105,29 @@
     }
 }
 
+// Each start of an endpoint ends once, with the last of its runs.
 int CrashTracker::longestSeries(const RunNumbers &numbers) const
 {
-    std::vector<const CrashedRun *> ordered;
-    ordered.reserve(numbers.size());
+    std::map<EndpointStart, CrashedRun> lastRuns;
     for (const RunNumber number : numbers) {
-        ordered.push_back(&this->runOf(number).run);
+        const CrashedRun &run = this->runOf(number).run;
+        CrashedRun &last = lastRuns.try_emplace(run.endpoint, run).first->second;
+        last.begun = std::max(last.begun, run.begun);
+        last.ended = std::max(last.ended, run.ended);
+    }
+    std::vector<CrashedRun> ordered;
+    ordered.reserve(lastRuns.size());
+    for (const auto &[endpoint, run] : lastRuns) {
+        ordered.push_back(run);
     }
     std::sort(ordered.begin(), ordered.end(),
-              [](const CrashedRun *a, const CrashedRun *b) { return a->ended < b->ended; });
+              [](const CrashedRun &a, const CrashedRun &b) { return a.ended < b.ended; });
     int count = 0;
     Instant lastEnd = Instant::min();
-    for (const CrashedRun *run : ordered) {
-        if (run->begun > lastEnd) {
+    for (const CrashedRun &run : ordered) {
+        if (run.begun > lastEnd) {
             ++count;
-            lastEnd = run->ended;
+            lastEnd = run.ended;
         }
     }
     return count;
--- a/decide/testing/crashtracker_test.cpp
+++ b/decide/testing/crashtracker_test.cpp
@@ -76,6 +76,19 @@
     }
 }
 
+// Guards against one endpoint whose runs broke off one after another, and that is taken for as many that ended.
+TEST(CrashTracker, AStartOfAnEndpointEndsOnce)
+{
+    CrashTracker tracker({});
+    for (int run = 0; run < 6; ++run) {
+        const Instant begun = start + 1s * run;
+        const auto request = RequestTrait::wholeRequest(std::to_string(run));
+        tracker.onCrash({{EndpointId("e"), 1}, begun, begun + 500ms}, {request, deadlyPart});
+    }
+    EXPECT_TRUE(tracker.blocked().empty());
+    EXPECT_TRUE(tracker.watchedOf({deadlyPart}).empty());
+}
+
 // Guards against a host that counts anew, after the one that has counted so far was lost.
 TEST(CrashTracker, AnotherHostGoesOnFromWhatIsKnown)
 {
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -31,9 +31,9 @@
 constexpr Duration abandonedCheckDelay{500ms};
 constexpr std::size_t maxAbandoned = 64; // calls to one endpoint
 constexpr std::size_t maxOwnCrashes = 256;
-// How long after a broken answer the registry may show that the endpoint has started again. It lists an endpoint that
-// ended for three of its heartbeats.
-constexpr Duration registryDelay{10s};
+// How long after a broken answer the registry may show that the endpoint has started again. Later, another cause is as
+// likely.
+constexpr Duration registryDelay{5s};
 constexpr std::size_t maxDoubtful = 256;
 constexpr Duration crashesCountFor = CrashTracker::Options{}.memory;
 constexpr Duration blockDuration = crashesCountFor;
