--- a/testing/process/platformtest.py
+++ b/testing/process/platformtest.py
@@ -8,6 +8,7 @@
         def test_something(self):
             gateway = self.start("g1")
             leader, other = self.start_linked(2)
+            self.lose_all([leader, other])
         other, cut = self.start_cut(is_served)
 """
 
@@ -49,6 +50,17 @@
             wait_until(lambda: "event=leader_reached" in other.log(), "the links")
         return gateways
 
+    @staticmethod
+    def lose_all(gateways):
+        """All hosts lose power at once, and start again: one leads, and the others follow it."""
+        for gateway in gateways:
+            gateway.kill()
+        for gateway in gateways:
+            gateway.start_again()
+        wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
+        wait_until(lambda: sum("event=leader_reached" in gateway.log() for gateway in gateways) == len(gateways) - 1,
+                   "the links")
+
     def start_cut(self, is_served):
         """A leader, and a host that reaches endpoints through it only, once `is_served` is true of that host."""
         paths = Paths(self.folder, "cut", self.platform.endpoints)
--- a/testing/process/test_crashes_remembered.py
+++ b/testing/process/test_crashes_remembered.py
@@ -23,31 +23,21 @@
         return sum(endpoint.crashes for endpoint in (self.readers + self.writers if path in GENERATIONS else self.plain))
 
     def ask_until(self, gateways, path, crashes):
-        """Sends the request until that many endpoints have ended under it in all."""
-        for number in range(crashes):
+        """Sends the request until that many endpoints have ended under it in all. A writer may read the prompt itself."""
+        for number in range(3 * crashes):
             if self.crashes_of(path) < crashes:
                 self.ask(gateways[number % len(gateways)], path, DEADLY)
                 time.sleep(PAUSE_SECONDS)
         self.assertGreaterEqual(self.crashes_of(path), crashes)
 
-    def lose_all(self, gateways):
-        """All hosts lose power at once, and start again."""
-        time.sleep(SAVED_SECONDS)
-        for gateway in gateways:
-            gateway.kill()
-        for gateway in gateways:
-            gateway.start_again()
-        wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
-        wait_until(lambda: sum("event=leader_reached" in gateway.log() for gateway in gateways) == len(gateways) - 1,
-                   "the links")
-        for gateway in gateways:
-            wait_until(lambda: self.ask(gateway, "/write/1") == 200, "a sound request")
-
     def check_remembered(self, path, before):
         gateways = self.start_linked(3)
         self.ask_until(gateways, path, before)
         for _ in range(2):
+            time.sleep(SAVED_SECONDS)
             self.lose_all(gateways)
+            for gateway in gateways:
+                wait_until(lambda each=gateway: self.ask(each, "/write/1") == 200, "a sound request")
             for number in range(6):
                 self.ask(gateways[number % 3], path, DEADLY)
                 time.sleep(PAUSE_SECONDS)
--- a/testing/process/test_mixed_versions.py
+++ b/testing/process/test_mixed_versions.py
@@ -107,26 +107,22 @@
         wait_until(lambda: send(other.callers, "POST", "/go-on/1", b"p", **SIZE)[0] == 200, "a new stream to begin")
         self.check_taken_up([self.take_up(other, stream, came) for stream, came in begun])
 
-    def lose_all(self, gateways):
-        """All hosts lose power at once, and start again."""
+    def begin_at(self, gateways):
+        self.all_behave("half_first")
+        return [self.begin(gateways[number % len(gateways)]) for number in range(STREAMS)]
+
+    def take_up_after_all_were_killed(self, gateways, begun):
         time.sleep(SAVED_SECONDS)
-        for gateway in gateways:
-            gateway.kill()
-        for gateway in gateways:
-            gateway.start_again()
-        for gateway in gateways:
-            wait_until(gateway.is_ready, "a host that is ready")
-        wait_until(lambda: any(gateway.leads() for gateway in gateways), "a leader")
+        self.lose_all(gateways)
+        self.all_behave("ok")
         wait_until(lambda: send(gateways[0].callers, "POST", "/go-on/1", b"p", **SIZE)[0] == 200, "a new stream to begin")
+        return [self.take_up(gateways[number % len(gateways)], *stream) for number, stream in enumerate(begun)]
 
     # Each guards against streams that no host remembers once all hosts were lost, and that are refused or joined of two versions.
     def test_streams_go_on_after_all_hosts_were_killed(self):
         gateways = self.start_linked(3)
-        self.all_behave("half_first")
-        begun = [self.begin(gateways[number % 3]) for number in range(STREAMS)]
-        self.lose_all(gateways)
-        self.all_behave("ok")
-        self.check_taken_up([self.take_up(gateways[number % 3], *stream) for number, stream in enumerate(begun)])
+        begun = self.begin_at(gateways)
+        self.check_taken_up(self.take_up_after_all_were_killed(gateways, begun))
 
     def test_streams_that_began_before_versions_were_mixed_go_on_after_all_hosts_were_killed(self):
         gateways = self.start_linked(3)
@@ -135,24 +131,18 @@
                 self.platform.remove(writer)
                 for gateway in gateways:
                     wait_until(lambda name=writer.name, log=gateway.log: f"event=endpoint_removed endpoint={name}" in log(), "the removal")
-        self.all_behave("half_first")
-        begun = [self.begin(gateways[number % 3]) for number in range(STREAMS)]
+        begun = self.begin_at(gateways)
         for writer in self.writers:
             self.platform.register(writer)
-        self.lose_all(gateways)
-        self.all_behave("ok")
-        self.check_taken_up([self.take_up(gateways[number % 3], *stream) for number, stream in enumerate(begun)])
+        self.check_taken_up(self.take_up_after_all_were_killed(gateways, begun))
 
     def test_streams_whose_version_left_before_all_hosts_were_killed_are_refused(self):
         gateways = self.start_linked(3)
-        self.all_behave("half_first")
-        begun = [self.begin(gateways[number % 3]) for number in range(STREAMS)]
+        begun = self.begin_at(gateways)
         for writer in self.writers:
             if writer.version == "v1":
                 self.platform.remove(writer)
-        self.lose_all(gateways)
-        self.all_behave("ok")
-        results = [self.take_up(gateways[number % 3], *stream) for number, stream in enumerate(begun)]
+        results = self.take_up_after_all_were_killed(gateways, begun)
         self.assertEqual([versions for _, versions in results if len(set(versions)) > 1], [])
         self.assertTrue(all(status == 503 for status, versions in results if versions[0] == "v1"), results)
 
