--- a/decide/crashtracker.cpp
+++ b/decide/crashtracker.cpp
@@ -27,7 +27,7 @@
     const auto suspect = traits.empty() ? this->suspects.end() : this->suspects.find(traits.front().value());
     return suspect != this->suspects.end()
         && std::any_of(suspect->second.begin(), suspect->second.end(), [&](RunNumber number) {
-               const Run &other = this->runOf(number);
+               const SuspectedRun &other = this->runOf(number);
                return other.run.endpoint == run.endpoint && other.traits == traits;
            });
 }
@@ -44,7 +44,7 @@
         this->forgetFirst();
     }
     const RunNumber number = this->firstRun + this->runs.size();
-    const Run &added = this->runs.emplace_back(Run{run, std::move(traits)});
+    const SuspectedRun &added = this->runs.emplace_back(SuspectedRun{run, std::move(traits)});
     Crash &crash = this->crashes[run.endpoint];
     ++crash.runs;
     crash.lastBegun = std::max(crash.lastBegun, run.begun);
@@ -99,7 +99,7 @@
             continue;
         }
         this->dropSuspect(trait);
-        for (Run &run : this->runs) {
+        for (SuspectedRun &run : this->runs) {
             run.traits.erase(std::remove(run.traits.begin(), run.traits.end(), trait), run.traits.end());
         }
     }
@@ -172,13 +172,19 @@
     return common;
 }
 
+const CrashTracker::RunNumbers &CrashTracker::runsWith(const RequestTrait &trait) const
+{
+    static const RunNumbers none;
+    const auto suspect = this->suspects.find(trait.value());
+    return suspect == this->suspects.end() ? none : suspect->second;
+}
+
 int CrashTracker::crashesUnder(const RequestTraits &traits) const
 {
     int most = 0;
     for (const RequestTrait &trait : traits) {
-        const auto suspect = this->suspects.find(trait.value());
-        if (trait.isWholeRequest() && suspect != this->suspects.end()) {
-            most = std::max(most, this->countOf(trait, suspect->second));
+        if (trait.isWholeRequest()) {
+            most = std::max(most, this->countOf(trait, this->runsWith(trait)));
         }
     }
     return most;
@@ -186,12 +192,12 @@
 
 RequestTraits CrashTracker::watchedOf(const RequestTraits &traits) const
 {
+    const int fewest = this->options.watchedCrashes;
     RequestTraits found;
     for (const RequestTrait &trait : traits) {
-        const auto suspect = this->suspects.find(trait.value());
-        const auto fewest = static_cast<std::size_t>(this->options.watchedCrashes);
-        if (suspect != this->suspects.end() && suspect->second.size() >= fewest
-            && this->countOf(trait, suspect->second) >= this->options.watchedCrashes) {
+        const RunNumbers &numbers = this->runsWith(trait);
+        // Most traits have one run, which need not be examined.
+        if (static_cast<int>(numbers.size()) >= fewest && this->countOf(trait, numbers) >= fewest) {
             found.push_back(trait);
         }
     }
@@ -209,7 +215,7 @@
 std::set<EndpointStart> CrashTracker::crashesOf(const RequestTraits &traits) const
 {
     std::set<EndpointStart> found;
-    for (const Run &run : this->runs) {
+    for (const SuspectedRun &run : this->runs) {
         if (std::includes(run.traits.begin(), run.traits.end(), traits.begin(), traits.end())) {
             found.insert(run.run.endpoint);
         }
@@ -247,9 +253,7 @@
 bool CrashTracker::isProven(const RequestTraits &traits) const
 {
     return std::any_of(traits.begin(), traits.end(), [this](const RequestTrait &trait) {
-        const auto suspect = this->suspects.find(trait.value());
-        return trait.isWholeRequest() && suspect != this->suspects.end()
-            && this->longestSeries(suspect->second) >= this->options.requestCrashes;
+        return trait.isWholeRequest() && this->longestSeries(this->runsWith(trait)) >= this->options.requestCrashes;
     });
 }
 
--- a/decide/crashtracker.h
+++ b/decide/crashtracker.h
@@ -46,7 +46,7 @@
     Instant ended;
 };
 
-// A run, and those of its traits that count.
+// A run, and what it suspects of the crash.
 struct SuspectedRun {
     CrashedRun run;
     RequestTraits traits;
@@ -99,10 +99,6 @@
     }
 
 private:
-    struct Run {
-        CrashedRun run;
-        RequestTraits traits; // in order, without those that were served since
-    };
     struct Crash {
         std::size_t runs = 0;
         Instant lastBegun = Instant::min(); // of these
@@ -110,10 +106,12 @@
     using RunNumber = std::uint64_t;
     using RunNumbers = std::vector<RunNumber>;
 
-    const Run &runOf(RunNumber number) const
+    const SuspectedRun &runOf(RunNumber number) const
     {
         return this->runs[number - this->firstRun];
     }
+    // Empty if none suspects the trait.
+    const RunNumbers &runsWith(const RequestTrait &trait) const;
     bool isKnown(const CrashedRun &run, const RequestTraits &traits) const;
     void forgetFirst();
     void dropSuspect(const RequestTrait &trait);
@@ -131,7 +129,7 @@
     std::set<EndpointStart> crashesOf(const RequestTraits &traits) const;
 
     Options options;
-    std::deque<Run> runs; // in the order of the reports
+    std::deque<SuspectedRun> runs; // in the order of the reports; their traits in order, without those served since
     RunNumber firstRun = 0;
     std::map<EndpointStart, Crash> crashes; // of the runs
     std::unordered_map<std::uint64_t, RunNumbers> suspects; // by the value of the trait
--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -74,6 +74,21 @@
     return {numbersOf(block.traits), block.left, block.untilTrial, block.trialInterval};
 }
 
+// `number`: of the report, if a reply is wanted.
+peer::EndpointCrashed messageOf(const SuspectedRun &crash, Instant now, std::uint64_t number = 0)
+{
+    const CrashedRun &run = crash.run;
+    return {run.endpoint.endpoint,   static_cast<std::uint64_t>(run.endpoint.incarnation),
+            numbersOf(crash.traits), now - run.begun,
+            now - run.ended,         number};
+}
+
+SuspectedRun crashOf(const peer::EndpointCrashed &message, Instant now)
+{
+    const EndpointStart endpoint{message.endpoint, static_cast<std::int64_t>(message.incarnation)};
+    return {{endpoint, now - message.sinceBegin, now - message.sinceEnd}, traitsOf(message.traits)};
+}
+
 void logBlocked(const RequestTraits &traits, Duration duration)
 {
     Log::warning("requests_blocked", {{"traits", textOf(traits)}, {"for_ms", duration.count() / 1000}});
@@ -106,6 +121,11 @@
         && (fault == HttpFault::Closed || fault == HttpFault::Malformed || fault == HttpFault::TooLarge);
 }
 
+bool wasSilent(const HttpError &error)
+{
+    return !error.isKnownNotSent() && error.fault() == HttpFault::Timeout;
+}
+
 CrashGuard::CrashGuard(asio::io_context &context, HttpClient &httpClient, const EndpointPaths &endpointPaths)
     : io(context)
     , client(httpClient)
@@ -123,14 +143,15 @@
 bool CrashGuard::takeTrial(const HttpCall &call)
 {
     const Instant now = steadyNow();
-    const RequestTraits traits = withRead(readTraits(call));
-    if (this->uplink || !this->inForce.takeTrial(traits, now)) {
+    const RequestTraits traits = readTraits(call);
+    const RequestTraits all = withRead(traits);
+    if (this->uplink || !this->inForce.takeTrial(all, now)) {
         return false;
     }
-    for (const RequestBlock &block : this->inForce.matching(traits, now)) {
+    for (const RequestBlock &block : this->inForce.matching(all, now)) {
         this->notifyFollowers(messageOf(block)); // the next leader makes no further trial before it is due
     }
-    Log::info("blocked_request_tried", {{"traits", textOf(readTraits(call))}});
+    Log::info("blocked_request_tried", {{"traits", textOf(traits)}});
     return true;
 }
 
@@ -143,7 +164,7 @@
 {
     const Instant now = steadyNow();
     const EndpointStart endpoint{answer.endpoint.id, answer.endpoint.incarnation};
-    Crash crash{readTraits(answer.call), {endpoint, answer.sent, now}};
+    Crash crash{{endpoint, answer.sent, now}, readTraits(answer.call)};
     if (answer.firstEvent && now - *answer.firstEvent > beginning) {
         auto &traits = crash.traits;
         const auto isPart = [](const RequestTrait &trait) {
@@ -314,10 +335,7 @@
         this->count(crash);
         return;
     }
-    const Instant now = steadyNow();
-    const CrashedRun &run = crash.run;
-    this->uplink(peer::EndpointCrashed{run.endpoint.endpoint, static_cast<std::uint64_t>(run.endpoint.incarnation),
-                                       numbersOf(crash.traits), now - run.begun, now - run.ended, number});
+    this->uplink(messageOf(crash, steadyNow(), number));
 }
 
 void CrashGuard::onServed(const HttpCall &call, Instant begun, bool wasRead)
@@ -477,9 +495,7 @@
 
 void CrashGuard::onReported(const Send &reply, const peer::EndpointCrashed &message)
 {
-    const Instant now = steadyNow();
-    const EndpointStart endpoint{message.endpoint, static_cast<std::int64_t>(message.incarnation)};
-    this->count({traitsOf(message.traits), {endpoint, now - message.sinceBegin, now - message.sinceEnd}});
+    this->count(crashOf(message, steadyNow()));
     if (message.number != 0) {
         reply(peer::CrashCounted{message.number});
     }
@@ -519,9 +535,7 @@
     const Instant now = steadyNow();
     peer::CrashesKnown message;
     for (const SuspectedRun &suspect : this->tracker.known(maxKnownTraits)) {
-        const CrashedRun &run = suspect.run;
-        message.crashes.push_back({run.endpoint.endpoint, static_cast<std::uint64_t>(run.endpoint.incarnation),
-                                   numbersOf(suspect.traits), now - run.begun, now - run.ended});
+        message.crashes.push_back(messageOf(suspect, now));
     }
     return message;
 }
@@ -533,9 +547,8 @@
         this->tracker = CrashTracker(CrashTracker::Options{}); // the leader tells its deputy all that it knows
     }
     for (const peer::EndpointCrashed &crash : message.crashes) {
-        const EndpointStart endpoint{crash.endpoint, static_cast<std::int64_t>(crash.incarnation)};
-        const RequestTraits traits = traitsOf(crash.traits);
-        this->tracker.onCrash({endpoint, now - crash.sinceBegin, now - crash.sinceEnd}, traits);
+        const Crash taken = crashOf(crash, now);
+        this->tracker.onCrash(taken.run, taken.traits);
     }
     ++this->changes;
     if (this->uplink) {
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -37,6 +37,8 @@
 
 // Whether the endpoint of a call that failed so may have ended under it.
 bool mayHaveEnded(const HttpError &error);
+// Whether the endpoint of a call that failed so has sent nothing until the deadline.
+bool wasSilent(const HttpError &error);
 
 class CrashGuard
 {
@@ -98,10 +100,7 @@
     void onMessage(const peer::TraitsWatched &message);
 
 private:
-    struct Crash {
-        RequestTraits traits;
-        CrashedRun run;
-    };
+    using Crash = SuspectedRun;
 
     static Crash suspectedBy(const BrokenAnswer &answer);
     struct Doubtful {
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -238,7 +238,7 @@
             services.crashes.onAbandoned(answer);
         } else if (mayHaveEnded(error)) {
             this->hasReaderEnded |= services.crashes.onBrokenOff(answer, this->call.timeLeft(), yield);
-        } else if (error.fault() == HttpFault::Timeout && !error.isKnownNotSent()) {
+        } else if (wasSilent(error)) {
             services.crashes.onSilent(answer);
         }
     }
@@ -420,7 +420,7 @@
         const BrokenAnswer answer{place.engine, this->call.http, this->sentAt, this->firstEventAt};
         if (this->abort.isAborted() && !error.isKnownNotSent()) {
             services.crashes.onAbandoned(answer);
-        } else if (error.fault() == HttpFault::Timeout && !error.isKnownNotSent()) {
+        } else if (wasSilent(error)) {
             services.crashes.onSilent(answer);
         }
         this->checkCaller();
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -129,7 +129,7 @@
             this->call.services.crashes.onAbandoned({endpoint, this->call.http, begin, std::nullopt});
         } else if (mayHaveEnded(error)) {
             this->reportCutShort(endpoint, begin, yield);
-        } else if (error.fault() == HttpFault::Timeout) {
+        } else if (wasSilent(error)) {
             this->call.services.crashes.onSilent({endpoint, this->call.http, begin, std::nullopt});
         }
         return SendResult::Lost;
