--- a/programs/gateway/savedstate.cpp
+++ b/programs/gateway/savedstate.cpp
@@ -17,6 +17,8 @@
 #include "wire/log.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstring>
 #include <fmt/format.h>
 
 namespace fescuesill
@@ -33,9 +35,14 @@
     return fmt::format("{}{:03}", streamsPrefix, row);
 }
 
-bool isStreamsKey(const std::string &key)
+// The row of which streamsKey() made the key.
+std::optional<std::size_t> streamsRow(const std::string &key)
 {
-    return key.rfind(streamsPrefix, 0) == 0;
+    const std::size_t begin = std::strlen(streamsPrefix);
+    std::size_t row = 0;
+    const bool isRow = key.rfind(streamsPrefix, 0) == 0
+        && std::from_chars(key.data() + begin, key.data() + key.size(), row).ec == std::errc();
+    return isRow && streamsKey(row) == key ? std::optional(row) : std::nullopt;
 }
 
 } // namespace
@@ -138,13 +145,10 @@
     const auto message = peer::decodeMessage(row.value);
     const auto *streams = message ? std::get_if<peer::StreamsBegun>(&*message) : nullptr;
     const auto *known = message ? std::get_if<peer::CrashesKnown>(&*message) : nullptr;
-    if (streams != nullptr && isStreamsKey(row.key)) {
+    const auto streamsAt = streamsRow(row.key);
+    if (streams != nullptr && streamsAt) {
         this->gates.onStreamsBegun(*streams);
-        for (std::size_t number = 0; number < this->options.streamRows; ++number) {
-            if (streamsKey(number) == row.key) {
-                this->nextRow = (number + 1) % this->options.streamRows;
-            }
-        }
+        this->nextRow = (*streamsAt + 1) % this->options.streamRows;
     } else if (known != nullptr && row.key == crashesKey) {
         this->crashes.onMessage(*known);
     } else {
--- a/programs/gateway/savedstate.h
+++ b/programs/gateway/savedstate.h
@@ -25,7 +25,6 @@
 
 class CrashGuard;
 class PlacementGates;
-class StoreClient;
 struct StoreRow;
 
 class SavedState
