--- a/review/support/world.py
+++ b/review/support/world.py
@@ -226,6 +226,10 @@
                   f" body={reply.body[:60]!r}")
         return reply
 
+    def in_spell(self, length, every):
+        """Whether a disruption of `length` seconds, which comes again each `every` seconds, is on now."""
+        return (time.monotonic() - self.start) % every < length
+
     def finish(self, broken, held):
         """Ends the script: 1 with the sentence `broken` if it is not empty, else 0."""
         self.note(f"RULE BROKEN: {broken}" if broken else f"rule held: {held}")
