--- a/review/support/world.py
+++ b/review/support/world.py
@@ -279,11 +279,6 @@
         changes = [line for line in self.log.read_text(errors="replace").splitlines() if "event=leader_changed" in line]
         return bool(changes) and " self=yes" in changes[-1]
 
-    def resident_mb(self):
-        for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1000
-        return 0
 
 
 def read_reply(connection, wait):
