--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -591,6 +591,8 @@
                {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
                {"last_fault", this->lastFault},
                {"framing", nameOf(this->framing)},
+               {"engine_stays", this->call.services.fleet.isStaying(this->engine)},
+               {"last_event", this->events.lastEvent()},
                {"unfinished_event_bytes", static_cast<std::uint64_t>(this->events.rest().size())},
                {"no_retry", nameOf(this->noRetry)},
                {"registry", this->call.services.fleet.registryVersion()},
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -405,10 +405,20 @@
         return true;
     }
     auto version = this->origins.find(request.resumes, service);
+    const bool isReported = version.has_value();
     // A follower may know of fewer versions than its leader, which is asked next.
     if (!version && !this->uplink && this->fleet.isRegistryCurrent()) {
         version = this->origins.onlyVersion(service, steadyNow());
     }
+    if (version) {
+        Log::info("stream_version_found",
+                  {{"request", request.id.value()},
+                   {"resumes", request.resumes.value()},
+                   {"version", version->value()},
+                   {"reported", isReported},
+                   {"registry", this->fleet.registryVersion()},
+                   {"registry_age_ms", this->fleet.registryAge(steadyNow()).count() / 1000}});
+    }
     request.version = version.value_or(SoftwareVersion());
     return version.has_value();
 }
