--- a/testing/process/paths.py
+++ b/testing/process/paths.py
@@ -33,6 +33,7 @@
             connection.setblocking(False)
             with contextlib.suppress(BlockingIOError):
                 connection.connect(self.silent.getsockname())
+        self.silent_address = "%s:%d" % self.silent.getsockname()  # connections to it hang
         self.closed = socket.socket()  # bound and not listening: connections to it are refused
         self.closed.bind(("127.0.0.1", 0))
         self.heal()
@@ -49,7 +50,7 @@
 
     def cut(self, kind, endpoints=None):
         lost = self.proxies if endpoints is None else [endpoint.address for endpoint in endpoints]
-        target = "%s:%d" % (self.silent if kind == "hang" else self.closed).getsockname()
+        target = self.silent_address if kind == "hang" else "%s:%d" % self.closed.getsockname()
         self.redirect(lambda address: target if address in lost else self.proxies[address].address)
         for proxy in (self.proxies[address] for address in lost):
             if kind == "hang":
--- a/testing/process/platformtest.py
+++ b/testing/process/platformtest.py
@@ -34,9 +34,9 @@
         self.platform = UserPlatform()
         self.addCleanup(self.platform.__exit__)
 
-    def start(self, name="g1", **options):
-        """A gateway that is ready, and that ends with the test."""
-        gateway = Gateway(self.folder, name, self.platform.address, **options)
+    def start(self, name="g1", store=None, **options):
+        """A gateway that is ready, and that ends with the test. `store`: an address that leads to the platform's store."""
+        gateway = Gateway(self.folder, name, store or self.platform.address, **options)
         self.addCleanup(gateway.end)
         wait_until(gateway.is_ready, "the gateway to be ready")
         return gateway
--- a/testing/process/test_broken_off_answers.py
+++ b/testing/process/test_broken_off_answers.py
@@ -21,7 +21,7 @@
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
 
 
-class BrokenOffAnswersTest(PlatformTest):
+class World(PlatformTest):
     def setUp(self):
         super().setUp()
         self.plain = [self.platform.endpoint("booking") for _ in range(2)]
@@ -46,6 +46,8 @@
         with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
             send(gateway.callers, "POST", path, b"prompt", **SIZE)
 
+
+class BrokenOffAnswersTest(World):
     # Guards against a stream that stops inside an event and is passed on as complete.
     def test_a_stream_that_ends_inside_an_event_does_not_look_complete(self):
         gateway = self.start()
--- /dev/null
+++ b/testing/process/test_ends_of_engines.py
@@ -0,0 +1,144 @@
+"""Streams without framing, which end with the connection of an engine that ends, and events that do not continue a stream."""
+
+import http.client
+import re
+import threading
+import unittest
+
+from gatewayprocess import SIZE, send
+from platformtest import PlatformTest
+from standin import wait_until
+from test_broken_off_answers import World
+from userplatform import EVENTS, events_in
+
+
+class EndsOfEnginesTest(World):
+    """Engines that end after three events of a stream without framing, which ends in order with their connection."""
+
+    def setUp(self):
+        super().setUp()
+        for writer in self.writers:
+            writer.is_framed, writer.ends_in_order = False, True
+            writer.crash_events, writer.down_seconds = 3, 30
+
+    def start(self, name="g1", **options):
+        """Without proxies between: their ports would stay when an engine ends."""
+        return PlatformTest.start(self, name, **options)
+
+    def send_to_one_that_ends(self, gateway, path="/write/1", before_end=lambda writer: None):
+        """The status and the ids of the events that the caller gets, or None in place of the status of a part."""
+        writer = self.writers[0]
+        self.platform.remove(self.writers[1])
+        wait_until(lambda: f"event=endpoint_removed endpoint={self.writers[1].name}" in gateway.log(), "the removal")
+
+        def ends(_request, _body):
+            threading.Thread(target=before_end, args=(writer,), daemon=True).start()
+            return True
+
+        writer.pause_seconds, writer.crashes_on = 0.2, ends
+        try:
+            status, _, body = send(gateway.callers, "POST", path, b"prompt", **SIZE)
+        except (http.client.IncompleteRead, ConnectionError) as torn:
+            status, body = None, getattr(torn, "partial", b"")
+        return status, [number for number, _ in events_in(body)]
+
+    def check_part(self, gateway, before_end=lambda writer: None):
+        status, events = self.send_to_one_that_ends(gateway, before_end=before_end)
+        self.assertEqual((status, events), (None, [1, 2, 3]))
+
+    def set_row(self, gateway, writer, **row):
+        self.platform.register(writer, **row)
+        wait_until(lambda: re.search(f"event=endpoint_changed endpoint={writer.name} .*leaving=yes", gateway.log()), "the row")
+
+    # Each guards against a part of a stream that looks complete since its engine ended while nobody expected it to stay, or
+    # while it could not be asked.
+    def test_a_stream_of_an_engine_that_drains_and_ends(self):
+        gateway = self.start()
+        self.check_part(gateway, lambda writer: self.set_row(gateway, writer, state="draining"))
+
+    def test_a_stream_of_an_engine_that_is_no_longer_listed_and_ends(self):
+        self.check_part(self.start(), self.platform.remove)
+
+    def test_a_stream_of_an_engine_that_says_that_it_leaves_and_ends(self):
+        self.writers[0].states_leaving = True
+        self.check_part(self.start())
+
+    def test_a_stream_of_an_engine_that_starts_again_at_once(self):
+        self.writers[0].down_seconds = 0
+        self.check_part(self.start())
+
+    def test_a_stream_of_an_engine_that_closes_its_port_last(self):
+        self.writers[0].port_seconds = 0.05
+        self.check_part(self.start())
+
+    def test_a_stream_of_an_engine_that_can_no_longer_be_reached(self):
+        gateway = World.start(self)
+        writer = self.writers[0]
+        writer.on_crash.append(lambda: gateway.paths.redirect(lambda address: gateway.paths.silent_address))
+        self.check_part(gateway)
+
+    # Guards against a resumable stream that ends with its first engine although another one could go on.
+    def test_a_resumable_stream_goes_on_when_its_engine_drains_and_ends(self):
+        gateway = self.start()
+
+        def drain(writer):
+            self.platform.register(self.writers[1])
+            self.writers[1].crashes_on = lambda request, body: False
+            self.set_row(gateway, writer, state="draining")
+
+        status, events = self.send_to_one_that_ends(gateway, "/resume/1", drain)
+        self.assertEqual((status, events), (200, list(range(1, EVENTS + 1))))
+
+    # Guards against whole streams that are broken off since their engine is leaving.
+    def test_a_whole_stream_of_an_engine_that_drains(self):
+        gateway = self.start()
+        for writer in self.writers:
+            writer.pause_seconds = 0.1
+        draining = threading.Timer(0.2, lambda: [self.set_row(gateway, writer, state="draining") for writer in self.writers])
+        draining.start()
+        status, _, body = send(gateway.callers, "POST", "/write/1", b"prompt", **SIZE)
+        draining.join()
+        self.assertEqual((status, len(events_in(body))), (200, EVENTS))
+
+    # Guards against the part of a plain answer that looks whole since its endpoint was leaving.
+    def test_a_plain_answer_of_an_endpoint_that_is_no_longer_listed_and_ends(self):
+        gateway = self.start()
+        for endpoint in self.plain:
+            endpoint.ends_in_order, endpoint.down_seconds, endpoint.crash_delay = True, 30, 0.3
+            endpoint.crashes_on = lambda request, body, gone=endpoint: self.platform.remove(gone) or True
+        self.assertEqual(send(gateway.callers, "POST", "/book/1", b"x")[0], 502)
+
+
+class EventsOutOfOrderTest(World):
+    def check_order(self, gateway, path, **headers):
+        try:
+            status, _, body = send(gateway.callers, "POST", path, b"prompt", **SIZE, **headers)
+        except (http.client.IncompleteRead, ConnectionError) as torn:
+            status, body = None, getattr(torn, "partial", b"")
+        events = [int(number) for number in re.findall(rb"id: (\d+)\n", body)]
+        begin = int(headers.get("Last_Event_Id", 0)) + 1
+        self.assertEqual(events, list(range(begin, begin + len(events))), body)
+        self.assertNotIn(b"HTTP/1.1", body)
+        if status == 200:
+            self.assertEqual(begin + len(events) - 1, EVENTS)
+
+    # Guards against events that come twice since the engine that goes on with a stream begins it anew.
+    def test_a_run_that_begins_anew_is_not_joined(self):
+        gateway = self.start()
+        for writer in self.writers:
+            writer.ignores_last_event = True
+        self.all_write("half", is_framed=True)
+        for writer in self.writers:
+            writer.on_half = lambda: [setattr(other, "behave", "ok") for other in self.writers]
+        self.check_order(gateway, "/resume/1")
+        self.check_order(gateway, "/resume/1", Last_Event_Id=3, Resumes="none")
+
+    # Guards against a second answer that is taken for events of the stream before it.
+    def test_a_second_answer_is_not_joined(self):
+        gateway = self.start()
+        self.all_write("extra")
+        self.check_order(gateway, "/write/1")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -16,7 +16,9 @@
 An endpoint crashes under the requests for which `crashes_on(request, body)` is true, once it begins to answer, and at each
 crash(): its connections end, its port refuses new ones, and after `down_seconds` it is back as a new incarnation. A prefill
 engine crashes under them as it reads their prompts. With `crash_delay` it crashes that much later; with `crash_events`, a
-decode engine after so many events; with `ends_in_order`, connections end in order whatever was sent on them.
+decode engine after so many events; with `ends_in_order`, connections end in order whatever was sent on them; with
+`port_seconds`, its port refuses connections only so long after its connections have ended. A decode engine that
+`ignores_last_event` begins each stream anew; one that is `extra` sends a second answer after an unframed stream.
 
 It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
 With `places`, a plain endpoint serves that many calls at once, each for `serve_seconds`, and turns further ones away.
@@ -183,11 +185,12 @@
         self.connections.discard(request)
         super().shutdown_request(request)
 
-    def crash(self, resets):
-        """Ends as a process does: the port refuses connections at once, and open ones end in order or are reset."""
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
-        for connection in list(self.connections):
+    def crash(self, resets, port_seconds=0.0):
+        """Ends as a process does: the port refuses connections at once or later, and open ones end in order or are reset."""
+        open_connections = list(self.connections)
+        if port_seconds == 0:
+            self.refuse()
+        for connection in open_connections:
             with contextlib.suppress(OSError):
                 if resets:
                     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -195,9 +198,15 @@
                     os.close(connection.detach())
                 else:
                     connection.shutdown(socket.SHUT_RDWR)
+        time.sleep(port_seconds)
+        self.refuse()
         self.shutdown()
         self.server_close()
 
+    def refuse(self):
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request, client_address):
         error = sys.exc_info()[1]
         is_closed = isinstance(error, OSError) and error.errno == errno.EBADF  # by crash()
@@ -286,6 +295,8 @@
         self.crash_delay = 0.0
         self.crash_events = 0
         self.ends_in_order = False
+        self.port_seconds = 0.0
+        self.ignores_last_event = False
         self.crashing = threading.Lock()
         self.on_crash, self.on_back = [], []  # called when its port refuses connections, and when it listens again
         super().__init__()
@@ -297,7 +308,7 @@
             for called in self.on_crash:
                 called()
             # Nothing tells a plain unframed answer that ends in order from a whole one, nor a stream between two events.
-            self.http.crash(resets=not self.ends_in_order and (self.stage is None or not self.is_framed))
+            self.http.crash(not self.ends_in_order and (self.stage is None or not self.is_framed), self.port_seconds)
             threading.Thread(target=self.come_back, daemon=True).start()
 
     def crash_under(self, request):
@@ -343,6 +354,8 @@
         elif request.path.startswith(("/hold-drop/", "/kv-handle/")):
             self.released.append(request.path)
             request.reply(200, {})
+        elif request.path == "/report":
+            request.reply(200, {"stage": self.stage, "models": [], "busy": False, "sequence": 0, "born": 1 + self.crashes})
         elif request.headers.get("X-Stage") == "prefill":
             if self.crashes_on(request, body):
                 self.crash_under(request)
@@ -432,7 +445,7 @@
             request.close_connection = True
             self.on_half()
             return
-        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        first = 1 if self.ignores_last_event else int(request.headers.get("Last-Event-Id", 0)) + 1
         request.send_response_only(200)
         for name, value in {**headers, **request.more_headers}.items():
             request.send_header(name, value)
@@ -470,6 +483,8 @@
             time.sleep(self.pause_seconds)
         if is_framed:
             request.wfile.write(b"0\r\n\r\n")
+        elif self.behave == "extra":
+            request.wfile.write(self.head(request.headers.get("X-Request-Id")) + f"id: 1\ndata: {self.name}\n\n".encode())
         request.close_connection = not is_framed
 
 
