An answer that ends with its connection is whole only if its endpoint is seen to live on

Cause: the kernel closes the connections of a process that ends in order, so the end of a connection says nothing about the stream. The gateway asked whether the engine had ended only where the engine's row said that it stays, and took only a port that refuses for an end. An engine that leaves, whose row is gone or that has said that it leaves was not asked; one that could not be reached, or closed its port a moment after its connections, counted as alive.

Now the endpoint must be seen to live on: its port accepts connections 150 ms after the end of a stream, and its report does not name another start. Otherwise the answer is broken off, and a resumable stream goes on elsewhere. Ends of endpoints that leave are no crashes. Plain answers likewise, without the wait.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -1,9 +1,14 @@
 // An answer that breaks off has many causes. Only an endpoint that has ended counts, which shows at once: its port
 // refuses connections, from other hosts as well. One that is back before it is looked at is found in the registry.
+//
+// The kernel closes the connections of a process that ends in order. So an answer that ends with its connection is
+// whole only if its endpoint is seen to live on: one that leaves, is no longer listed or can't be reached may have
+// ended too.
 
 #include "programs/gateway/crashguard.h"
 
 #include "platform/calldialect.h"
+#include "platform/enginedialect.h"
 #include "wire/clock.h"
 #include "wire/coroutine.h"
 #include "wire/log.h"
@@ -19,6 +24,8 @@
 constexpr Duration replyLimit{100ms}; // a leader that takes longer has no processor time
 // When the endpoint of a call whose caller has left is looked at. Later, an endpoint that has ended may be back.
 constexpr Duration abandonedCheckDelay{500ms};
+// How long a process that exits may take from closing its first connection to closing its port.
+constexpr Duration exitTime{150ms};
 constexpr std::size_t maxAbandoned = 64; // calls to one endpoint
 
 } // namespace
@@ -36,12 +43,13 @@
 }
 
 CrashGuard::CrashGuard(asio::io_context &context, HttpClient &httpClient, const EndpointPaths &endpointPaths,
-                       CrashExchange &crashExchange, DoubtfulCrashes::Lookup lookup)
+                       CrashExchange &crashExchange, DoubtfulCrashes::Lookup endpointLookup)
     : io(context)
     , client(httpClient)
     , paths(endpointPaths)
     , exchange(crashExchange)
-    , doubtful(std::move(lookup))
+    , lookup(endpointLookup)
+    , doubtful(std::move(endpointLookup))
 {
     this->exchange.setCountedHandler([this](std::uint64_t number) { this->onCounted(number); });
 }
@@ -106,16 +114,51 @@
     return true;
 }
 
-bool CrashGuard::hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield)
+bool CrashGuard::hasOutlived(const BrokenAnswer &answer, bool isStaying, Duration limit,
+                             const asio::yield_context &yield)
 {
-    if (this->client.probe(answer.endpoint.address, limit, yield) != Liveness::Ended) {
-        return false;
+    const Instant until = steadyNow() + limit;
+    if (answer.firstEvent) {
+        asio::steady_timer timer(this->io, std::min(exitTime, limit));
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+    const Liveness found = this->client.probe(answer.endpoint.address, until - steadyNow(), yield);
+    if (found == Liveness::Running && this->isSameStart(answer.endpoint, until - steadyNow(), yield)) {
+        return true;
     }
     const Crash crash = suspectedBy(answer);
     Log::info("endpoint_ended_with_answer",
-              {{"endpoint", answer.endpoint.id.value()}, {"traits", textOf(crash.traits)}});
-    this->reportAndWait(crash, limit, yield);
-    return true;
+              {{"endpoint", answer.endpoint.id.value()},
+               {"liveness", nameOf(found)},
+               {"stays", isStaying},
+               {"traits", textOf(crash.traits)}});
+    if (isStaying && found == Liveness::Unknown) {
+        this->doubtful.add(answer.endpoint.address, crash);
+    } else if (isStaying) {
+        this->reportAndWait(crash, until - steadyNow(), yield);
+    }
+    return false;
+}
+
+bool CrashGuard::isSameStart(const EndpointRecord &endpoint, Duration limit, const asio::yield_context &yield)
+{
+    const auto listed = this->lookup(endpoint.address);
+    const bool isOther = std::any_of(listed.begin(), listed.end(), [&endpoint](const EndpointRecord &other) {
+        return other.id == endpoint.id && other.incarnation != endpoint.incarnation;
+    });
+    if (isOther || endpoint.part == EndpointPart::Plain) {
+        return !isOther;
+    }
+    try {
+        const HttpResponse response = this->client.call(endpoint.address, reportRequest(endpoint.id),
+                                                        {std::min(limit, replyLimit), Reuse::Never}, yield);
+        const auto start = readStart(response);
+        return isOfExpected(response) && (!start || endpoint.incarnation == 0 || *start == endpoint.incarnation);
+    } catch (const HttpError &error) {
+        Log::info("report_unavailable", {{"endpoint", endpoint.id.value()}, {"reason", error.what()}});
+        return true; // it accepts connections
+    }
 }
 
 void CrashGuard::onSilent(const BrokenAnswer &answer)
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -53,9 +53,9 @@
     void onBrokenOff(const BrokenAnswer &answer);
     // The same, and waits for the result and until it has been counted, but not longer than the limit.
     bool onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
-    // Whether the endpoint has ended with an answer that ends with its connection, so that the answer may be
-    // incomplete. Reports it if so.
-    bool hasEndedWith(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
+    // Whether this start of the endpoint lives on after an answer that has ended with its connection; otherwise the
+    // answer may be incomplete. Unless the endpoint was expected to leave, reports it if it has ended.
+    bool hasOutlived(const BrokenAnswer &answer, bool isStaying, Duration limit, const asio::yield_context &yield);
     // The endpoint has sent nothing until the deadline. Reports it if it then turns out to have started again.
     void onSilent(const BrokenAnswer &answer);
     // The caller has left before the answer. Finds out a moment later whether the endpoint has ended, and reports it.
@@ -70,6 +70,8 @@
 
     static Crash suspectedBy(const BrokenAnswer &answer);
 
+    // Whether the endpoint at the address is not known to be another start than the one that answered.
+    bool isSameStart(const EndpointRecord &endpoint, Duration limit, const asio::yield_context &yield);
     // Reports the crash if there is no endpoint any more at the address.
     bool confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
     void checkAbandoned(const EndpointStart &endpoint, const std::string &address, const asio::yield_context &yield);
@@ -81,6 +83,7 @@
     HttpClient &client;
     const EndpointPaths &paths;
     CrashExchange &exchange;
+    DoubtfulCrashes::Lookup lookup;
     std::map<EndpointStart, std::vector<Crash>> abandoned; // suspects of endpoints that are yet to be checked
     DoubtfulCrashes doubtful;
     std::uint64_t lastNumber = 0;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -337,7 +337,8 @@
     StreamRelay relay(this->call, this->abort, this->events);
     if (!relay.run(
             stream, [this] { this->recordEvents(); }, yield)) {
-        this->lastFault = "an event without an end";
+        this->lastFault =
+            this->events.hasStrayBytes() ? "events that do not continue the stream" : "an event without an end";
         return Outcome::Broken;
     }
     if (this->events.isInsideEvent() || this->framing == BodyFraming::Connection) {
@@ -365,8 +366,8 @@
     }
     const auto &services = this->call.services;
     const BrokenAnswer answer{at, this->call.http, this->sentAt, this->firstEventAt};
-    if (this->framing == BodyFraming::Connection && services.fleet.isStaying(at.id)
-        && services.crashes.hasEndedWith(answer, this->call.timeLeft(), yield)) {
+    if (this->framing == BodyFraming::Connection
+        && !services.crashes.hasOutlived(answer, services.fleet.isStaying(at.id), this->call.timeLeft(), yield)) {
         this->lastFault = this->engine.value() + " ended with its answer";
         return false;
     }
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -150,7 +150,7 @@
         ended(EndpointOutcome::Failed);
         return SendResult::Lost;
     }
-    if (response.framing == BodyFraming::Connection && this->hasEndedWith(endpoint, begin, yield)) {
+    if (response.framing == BodyFraming::Connection && !this->hasOutlived(endpoint, begin, yield)) {
         this->lastFault = endpoint.id.value() + " ended with its answer";
         ended(EndpointOutcome::Failed);
         return SendResult::Lost;
@@ -180,12 +180,11 @@
     }
 }
 
-bool PlainForward::hasEndedWith(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield)
+bool PlainForward::hasOutlived(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield)
 {
     const auto &services = this->call.services;
-    return services.fleet.isStaying(endpoint.id)
-        && services.crashes.hasEndedWith({endpoint, this->call.http, begun, std::nullopt}, this->call.timeLeft(),
-                                         yield);
+    return services.crashes.hasOutlived({endpoint, this->call.http, begun, std::nullopt},
+                                        services.fleet.isStaying(endpoint.id), this->call.timeLeft(), yield);
 }
 
 std::optional<NoRetry> PlainForward::claimRetry(SendResult sent)
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -42,8 +42,8 @@
                   const asio::yield_context &yield);
     SendResult send(const EndpointRecord &endpoint, const asio::yield_context &yield);
     void reportCutShort(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield);
-    // Whether the endpoint has ended with an answer that ends with its connection. One that is leaving ends in order.
-    bool hasEndedWith(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield);
+    // Whether the endpoint lives on after an answer that has ended with its connection.
+    bool hasOutlived(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield);
     // Takes a retry from the budget and returns nothing, or returns why there is no retry.
     std::optional<NoRetry> claimRetry(SendResult sent);
     // The endpoints that the call was not sent to.
