The version of an unreported stream is inferred only from a registry that was read after the request

Cause: onlyVersion() trusted the list of engines while the registry counted as readable. A host that has stood still, or has lost the host that forwards the registry, does not know yet that its list is old; it decides alone 1.4 s after the cut, before its first own read has come. Whether the list was complete was kept as a state (registry lost or not) that is sampled when something changes, not as the instant until which all changes are known. Class: a decision on the age of knowledge that the holder of the knowledge cannot judge.

Now a request whose stream nobody has reported waits for a read of the registry that begins after it came; every engine is listed before a host uses it, so that read shows the version if the stream is alive. If the read fails, the request is refused as not run. Gaps in which an engine may have come and gone unseen (a list after the first, the removal of a row that was never seen, the same at the host that forwards the registry) are counted where they occur, so a loss and a return within one turn are not missed; an outage without a gap no longer refuses such streams for 45 s. A stream of another service is no longer inferred at all.

--- a/decide/streamorigins.cpp
+++ b/decide/streamorigins.cpp
@@ -1,9 +1,17 @@
 // A wrong answer mixes versions in a stream, so whatever is not known counts as unknown: a stream that no host has
 // reported here, while several versions may have begun it, and any such stream for some time after this host has
-// started or could not read the lists, since it has not seen which versions served before.
+// started or may have missed changes of the lists, since it has not seen which versions served before.
+//
+// A list that is read without a gap is still no evidence of the present: a host that was frozen or cut off has not
+// noticed it yet, while other hosts may have begun streams at engines that it does not list. Each engine is listed
+// before any host uses it. So where the version is inferred, the lists must have been complete at some instant after
+// the caller asked, which is after the stream began.
 
 #include "decide/streamorigins.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace fescuesill
 {
 
@@ -26,6 +34,15 @@
 }
 
 void StreamOrigins::onBegun(const BegunStream &stream, Instant now)
+{
+    const bool isNew = this->streams.find(stream.request) == this->streams.end();
+    this->onKnown(stream, now);
+    if (isNew && this->isMixed(stream.service, now) && this->newStreams.size() < this->options.maxStreams) {
+        this->newStreams.push_back(stream);
+    }
+}
+
+void StreamOrigins::onKnown(const BegunStream &stream, Instant now)
 {
     this->expire(now);
     this->streams[stream.request] = stream;
@@ -73,6 +90,29 @@
     }
 }
 
+void StreamOrigins::onConfirmed(Instant at)
+{
+    this->confirmedAt = std::max(this->confirmedAt.value_or(at), at);
+}
+
+VersionLookup StreamOrigins::lookUp(const RequestId &request, const ServiceId &service, Instant asked,
+                                    Instant now) const
+{
+    const auto stream = this->streams.find(request);
+    if (stream != this->streams.end()) {
+        // A route may lead to another service than the one that began the stream.
+        return stream->second.service == service ? VersionLookup(version_lookup::Found{stream->second.version, true})
+                                                 : VersionLookup(version_lookup::Unknown{});
+    }
+    const auto only = this->onlyVersion(service, now);
+    if (!only) {
+        return version_lookup::Unknown{};
+    }
+    const bool isConfirmed = this->confirmedAt && *this->confirmedAt >= asked;
+    return isConfirmed ? VersionLookup(version_lookup::Found{*only, false})
+                       : VersionLookup(version_lookup::Unconfirmed{});
+}
+
 std::optional<SoftwareVersion> StreamOrigins::find(const RequestId &request, const ServiceId &service) const
 {
     const auto stream = this->streams.find(request);
@@ -108,4 +148,24 @@
     return found;
 }
 
+bool StreamOrigins::isMoreMixed(Instant now)
+{
+    std::set<ServiceId> mixed;
+    for (const auto &[service, versions] : this->services) {
+        if (this->possible(versions, now).size() > 1) {
+            mixed.insert(service);
+        }
+    }
+    const bool isMore =
+        !std::includes(this->mixedServices.begin(), this->mixedServices.end(), mixed.begin(), mixed.end());
+    this->mixedServices = std::move(mixed);
+    return isMore;
+}
+
+std::vector<BegunStream> StreamOrigins::takeNew(Instant now)
+{
+    std::vector<BegunStream> taken = std::exchange(this->newStreams, {});
+    return this->isMoreMixed(now) ? this->begun(now) : taken;
+}
+
 } // namespace fescuesill
--- a/decide/testing/streamorigins_test.cpp
+++ b/decide/testing/streamorigins_test.cpp
@@ -129,6 +129,72 @@
     }
 }
 
+// Guards against a version that is inferred from a list that is older than the stream, by a host that stood still or
+// was cut off when another version joined.
+TEST(StreamOrigins, InferNoVersionFromAListThatIsOlderThanTheRequest)
+{
+    StreamOrigins origins({});
+    origins.onListed(llm, {v1}, start);
+    const RequestId unreported("u");
+    const Instant now = start + 60s;
+    const Instant asked = start + 1h; // of another clock
+    const auto lookUp = [&](Instant when) {
+        return origins.lookUp(unreported, llm, when, now);
+    };
+    EXPECT_TRUE(std::holds_alternative<version_lookup::Unconfirmed>(lookUp(asked)));
+    origins.onConfirmed(asked - 1us);
+    EXPECT_TRUE(std::holds_alternative<version_lookup::Unconfirmed>(lookUp(asked)));
+    origins.onConfirmed(asked);
+    ASSERT_TRUE(std::holds_alternative<version_lookup::Found>(lookUp(asked)));
+    EXPECT_EQ(std::get<version_lookup::Found>(lookUp(asked)).version, v1);
+    EXPECT_FALSE(std::get<version_lookup::Found>(lookUp(asked)).isReported);
+    origins.onConfirmed(asked - 1us); // the answer to an earlier check
+    EXPECT_TRUE(std::holds_alternative<version_lookup::Found>(lookUp(asked)));
+    origins.onListed(llm, {v1, v2}, now); // what the check found
+    EXPECT_TRUE(std::holds_alternative<version_lookup::Unknown>(lookUp(asked)));
+}
+
+TEST(StreamOrigins, NeedNoConfirmationOfWhatWasReported)
+{
+    StreamOrigins origins({});
+    origins.onListed(llm, {v1, v2}, start);
+    origins.onBegun(stream("a", v2, start), start);
+    const VersionLookup found = origins.lookUp(RequestId("a"), llm, start, start);
+    ASSERT_TRUE(std::holds_alternative<version_lookup::Found>(found));
+    EXPECT_EQ(std::get<version_lookup::Found>(found).version, v2);
+    EXPECT_TRUE(std::get<version_lookup::Found>(found).isReported);
+}
+
+// Guards against a stream that goes on at the only version of a service that did not begin it.
+TEST(StreamOrigins, InferNoVersionOfAStreamOfAnotherService)
+{
+    StreamOrigins origins({});
+    const ServiceId other("other");
+    origins.onListed(other, {v1}, start);
+    origins.onBegun(stream("a", v1, start + 50s), start + 50s);
+    origins.onConfirmed(start + 1h);
+    const VersionLookup found = origins.lookUp(RequestId("a"), other, start + 1h, start + 60s);
+    EXPECT_TRUE(std::holds_alternative<version_lookup::Unknown>(found));
+}
+
+// Guards against a deputy that does not know the streams that began before there was a further version.
+TEST(StreamOrigins, ReportAllStreamsOnceThereAreSeveralVersions)
+{
+    StreamOrigins origins({});
+    origins.onListed(llm, {v1}, start);
+    origins.onBegun(stream("a", v1, start), start);
+    EXPECT_TRUE(origins.takeNew(start).empty());
+    origins.onListed(llm, {v1, v2}, start + 1s);
+    EXPECT_EQ(origins.takeNew(start + 1s).size(), 1U);
+    origins.onBegun(stream("b", v2, start + 2s), start + 2s);
+    origins.onBegun(stream("b", v2, start + 2s), start + 2s); // reported by two hosts
+    origins.onKnown(stream("c", v2, start + 2s), start + 2s);
+    const std::vector<BegunStream> taken = origins.takeNew(start + 2s);
+    ASSERT_EQ(taken.size(), 1U);
+    EXPECT_EQ(taken.front().request, RequestId("b"));
+    EXPECT_TRUE(origins.takeNew(start + 3s).empty());
+}
+
 // Guards against a caller that takes up the stream of another workspace.
 TEST(StreamOrigins, KnowsWhoseStreamItIs)
 {
--- a/programs/gateway/fleetview.cpp
+++ b/programs/gateway/fleetview.cpp
@@ -71,10 +71,12 @@
             [&](const store_update::Removed &removed) {
                 this->reportMissing(this->registry.onRemoved(removed.id, now));
             },
+            [&](const store_update::Unreadable &row) { this->reportMissing(this->registry.onUnreadable(row.id, now)); },
+            [&](const store_update::Missed &) { this->registry.onMissed(); },
             [&](const store_update::Lost &) { this->registry.onStoreLost(now); },
             [&](const store_update::Restored &restored) { this->registry.onStoreRecovered(restored.lastFailure, now); },
             [&](const auto &) {
-            }}, // handled by LeaderLink
+            }}, // handled by LeaderLink or by PlacementGates
         update);
 }
 
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -74,6 +74,11 @@
     {
         return !this->registry.isOutdated();
     }
+    // How often changes of the registry may have been missed.
+    std::uint64_t registryGaps() const
+    {
+        return this->registry.gaps();
+    }
     std::set<SoftwareVersion> versions(const ServiceId &service) const
     {
         return this->registry.versions(service);
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -167,6 +167,9 @@
             this->links->onUpdate(*leaderUpdate);
         } else if (const auto *reads = std::get_if<store_update::OwnReads>(&*update)) {
             this->links->onUpdate(*reads);
+        } else if (const auto *check = std::get_if<store_update::RegistryChecked>(&*update)) {
+            this->gates.onFleetChanged(); // by what the check found
+            this->gates.onRegistryChecked(check->at);
         } else {
             this->fleet.apply(*update, steadyNow());
         }
@@ -483,6 +486,7 @@
     storeOptions.isFirstStart = this->settings.isFirstStart;
     storeOptions.keyLimit = this->settings.isRevocationStrict ? this->settings.keyLimit : Duration(0);
     this->store = std::make_unique<StoreWatcher>(storeOptions, this->updates);
+    this->gates.setRegistryCheck([this] { this->store->checkRegistry(); });
     if (this->links) {
         this->links->setStore(*this->store);
         this->links->setSavedState(this->saved);
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -9,6 +9,9 @@
 // A stream stays at the version of the first engine that reserves a place for it, so a version that was reported once
 // is final. It is known to the host that began the stream, to the leader and to the leader's deputy, and hosts report
 // what they know to each leader that they follow next.
+//
+// The version of a stream that nobody has reported is inferred only by a host that decides, and only from a registry
+// that was read after the request came. Such requests wait for a check of the registry.
 
 #include "programs/gateway/placementgates.h"
 
@@ -16,6 +19,7 @@
 #include "wire/clock.h"
 #include "wire/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fescuesill
@@ -121,9 +125,8 @@
 void PlacementGates::onFleetChanged()
 {
     const auto &config = this->fleet.activeConfig();
-    const bool wasCurrent = this->isRegistryCurrent;
-    this->isRegistryCurrent = this->fleet.isRegistryCurrent();
-    if (!wasCurrent || !this->isRegistryCurrent) {
+    const std::uint64_t gaps = this->fleet.registryGaps();
+    if (std::exchange(this->registryGaps, gaps) != gaps) {
         this->origins.onOutdated(steadyNow());
     }
     if (config) {
@@ -261,13 +264,18 @@
         return;
     }
     // Each host knows its own streams best; the leader, those of the others.
-    const bool isVersionKnown = this->findVersion(local.service, local.request);
+    const VersionState version = this->findVersion(local.service, local.request, local.asked);
     if (!this->uplink) {
-        Gate &gate = this->gate(local.service);
-        if (!isVersionKnown) {
-            this->decide(local, RejectGeneration{request.id, Duration(0), Duration(0), RejectReason::NoVersion});
+        if (version == VersionState::Unknown) {
+            this->rejectUnknown(local);
+            return;
+        }
+        if (version == VersionState::Unconfirmed) {
+            local.isUnconfirmed = true;
+            this->checkRegistry();
             return;
         }
+        Gate &gate = this->gate(local.service);
         const bool wasCharged = local.request.isCharged;
         if (const auto rejected = this->charge(local.request)) {
             this->decide(local, *rejected);
@@ -291,6 +299,7 @@
     const auto local = std::make_shared<LocalGeneration>(this->io);
     local->service = service;
     local->request = request;
+    local->asked = bootNow();
     this->localGenerations[request.id] = local;
     this->submit(*local);
     return this->nextDecision(request.id, yield);
@@ -385,7 +394,8 @@
     }
     const LocalGeneration &local = *found->second;
     if (!version.isEmpty()) {
-        this->onBegun({id, service, version, steadyNow(), local.request.workspace});
+        const Instant now = steadyNow();
+        this->origins.onBegun({id, service, version, now, local.request.workspace}, now);
     }
     this->send(peer::PlacementReport{id, service, peer::PlacementEvent::Reserved, Tokens(0), version});
     Gate &gate = this->gate(service);
@@ -396,70 +406,116 @@
     }
 }
 
-bool PlacementGates::findVersion(const ServiceId &service, GenerationRequest &request) const
+PlacementGates::VersionState PlacementGates::findVersion(const ServiceId &service, GenerationRequest &request,
+                                                         Instant asked) const
 {
     if (request.isTakenUp && this->origins.isOfAnother(request.resumes, request.workspace)) {
-        return false;
+        return VersionState::Unknown;
     }
     if (!request.isTakenUp || !request.version.isEmpty()) {
-        return true;
+        return VersionState::Known;
     }
-    auto version = this->origins.find(request.resumes, service);
-    const bool isReported = version.has_value();
-    // A follower may know of fewer versions than its leader, which is asked next.
-    if (!version && !this->uplink && this->fleet.isRegistryCurrent()) {
-        version = this->origins.onlyVersion(service, steadyNow());
+    const VersionLookup lookUp = this->origins.lookUp(request.resumes, service, asked, steadyNow());
+    if (std::holds_alternative<version_lookup::Unconfirmed>(lookUp) && this->fleet.isRegistryCurrent()) {
+        return VersionState::Unconfirmed;
     }
-    if (version) {
-        Log::info("stream_version_found",
-                  {{"request", request.id.value()},
-                   {"resumes", request.resumes.value()},
-                   {"version", version->value()},
-                   {"reported", isReported},
-                   {"registry", this->fleet.registryVersion()},
-                   {"registry_age_ms", this->fleet.registryAge(steadyNow()).count() / 1000}});
+    const auto *found = std::get_if<version_lookup::Found>(&lookUp);
+    // A follower may know of fewer versions than its leader, which is asked next.
+    if (found == nullptr || (this->uplink && !found->isReported)) {
+        return VersionState::Unknown;
     }
-    request.version = version.value_or(SoftwareVersion());
-    return version.has_value();
+    Log::info("stream_version_found",
+              {{"request", request.id.value()},
+               {"resumes", request.resumes.value()},
+               {"version", found->version.value()},
+               {"reported", found->isReported},
+               {"registry", this->fleet.registryVersion()}});
+    request.version = found->version;
+    return VersionState::Known;
 }
 
-void PlacementGates::onBegun(const BegunStream &stream)
+void PlacementGates::rejectUnknown(LocalGeneration &local)
 {
-    const Instant now = steadyNow();
-    this->origins.onBegun(stream, now);
-    if (this->origins.isMixed(stream.service, now)) {
-        this->newStreams.push_back(stream);
+    const RequestId &id = local.request.id;
+    Log::info("stream_version_unknown", {{"request", id.value()}, {"resumes", local.request.resumes.value()}});
+    this->decide(local, RejectGeneration{id, Duration(0), Duration(0), RejectReason::NoVersion});
+}
+
+void PlacementGates::rejectUnknown(const Send &reply, const peer::RequestPlacement &message) const
+{
+    Log::info("stream_version_unknown", {{"request", message.request.value()}, {"resumes", message.resumes.value()}});
+    reply(peer::RejectPlacement{message.request, Duration(0), RejectReason::NoVersion});
+}
+
+void PlacementGates::setRegistryCheck(std::function<void()> check)
+{
+    this->checkRegistry = std::move(check);
+}
+
+// A request that came after the check began waits for the next one, which it has asked for.
+void PlacementGates::onRegistryChecked(std::optional<Instant> at)
+{
+    if (at) {
+        this->origins.onConfirmed(*at);
+    }
+    for (const auto &[id, local] : this->localGenerations) {
+        if (!local->isUnconfirmed || (at && local->asked > *at)) {
+            continue;
+        }
+        local->isUnconfirmed = false;
+        if (at || this->uplink || this->isSuspended) {
+            this->submit(*local);
+        } else {
+            this->rejectUnknown(*local);
+        }
+    }
+    for (UnconfirmedRequest &waiting : std::exchange(this->unconfirmed, {})) {
+        if (at && waiting.asked > *at) {
+            this->unconfirmed.push_back(std::move(waiting));
+        } else if (at) {
+            this->submitRemote(waiting.link, waiting.reply, waiting.message, waiting.asked);
+        } else {
+            this->rejectUnknown(waiting.reply, waiting.message);
+        }
     }
 }
 
+void PlacementGates::forgetUnconfirmed(const RequestId &id)
+{
+    this->unconfirmed.erase(
+        std::remove_if(this->unconfirmed.begin(), this->unconfirmed.end(),
+                       [&id](const UnconfirmedRequest &waiting) { return waiting.message.request == id; }),
+        this->unconfirmed.end());
+}
+
 peer::StreamsBegun PlacementGates::streamsBegun() const
 {
     return messageOf(this->origins.begun(steadyNow()));
 }
 
 peer::StreamsBegun PlacementGates::takeNewStreams()
+{
+    return messageOf(this->origins.takeNew(steadyNow()));
+}
+
+void PlacementGates::onStreamsBegun(const peer::StreamsBegun &message)
 {
     const Instant now = steadyNow();
-    std::set<ServiceId> mixed;
-    for (const auto &[service, gate] : this->gates) {
-        if (this->origins.isMixed(service, now)) {
-            mixed.insert(service);
+    for (const peer::StreamOrigin &stream : message.streams) {
+        const BegunStream begun{stream.request, stream.service, stream.version, now - stream.age, stream.workspace};
+        if (this->uplink) { // from the leader, to its deputy
+            this->origins.onKnown(begun, now);
+        } else {
+            this->origins.onBegun(begun, now);
         }
     }
-    // Streams that began before there was a further version may be taken up as well.
-    const bool isMore =
-        !std::includes(this->mixedServices.begin(), this->mixedServices.end(), mixed.begin(), mixed.end());
-    this->mixedServices = std::move(mixed);
-    peer::StreamsBegun message = isMore ? this->streamsBegun() : messageOf(this->newStreams);
-    this->newStreams.clear();
-    return message;
 }
 
-void PlacementGates::onStreamsBegun(const peer::StreamsBegun &message)
+void PlacementGates::onStreamsSaved(const peer::StreamsBegun &message)
 {
     const Instant now = steadyNow();
     for (const peer::StreamOrigin &stream : message.streams) {
-        this->origins.onBegun({stream.request, stream.service, stream.version, now - stream.age, stream.workspace},
+        this->origins.onKnown({stream.request, stream.service, stream.version, now - stream.age, stream.workspace},
                               now);
     }
 }
@@ -551,6 +607,11 @@
 }
 
 void PlacementGates::onPlacementRequested(LinkId link, const Send &reply, const peer::RequestPlacement &message)
+{
+    this->submitRemote(link, reply, message, bootNow());
+}
+
+void PlacementGates::submitRemote(LinkId link, const Send &reply, const peer::RequestPlacement &message, Instant asked)
 {
     const Instant now = steadyNow();
     GenerationRequest request;
@@ -574,9 +635,14 @@
     request.workspace = message.workspace;
     request.cost = message.cost;
     request.isCharged = message.isCharged;
-    if (!this->findVersion(message.service, request)) {
-        Log::info("stream_version_unknown", {{"request", request.id.value()}, {"resumes", request.resumes.value()}});
-        reply(peer::RejectPlacement{request.id, Duration(0), RejectReason::NoVersion});
+    const VersionState version = this->findVersion(message.service, request, asked);
+    if (version == VersionState::Unknown) {
+        this->rejectUnknown(reply, message);
+        return;
+    }
+    if (version == VersionState::Unconfirmed) {
+        this->unconfirmed.push_back({link, reply, message, asked});
+        this->checkRegistry();
         return;
     }
     if (const auto rejected = this->charge(request)) {
@@ -597,11 +663,15 @@
         const auto remote = this->remoteGenerations.find(message.request);
         const WorkspaceId workspace =
             remote == this->remoteGenerations.end() ? WorkspaceId() : remote->second.workspace;
-        this->onBegun({message.request, message.service, message.version, steadyNow(), workspace});
+        const Instant now = steadyNow();
+        this->origins.onBegun({message.request, message.service, message.version, now, workspace}, now);
     }
     this->apply(this->gate(message.service), message.request, message.event, message.output);
     const bool isEnd =
         message.event == peer::PlacementEvent::Ended || message.event == peer::PlacementEvent::EndedByFault;
+    if (isEnd) {
+        this->forgetUnconfirmed(message.request);
+    }
     const auto remote = this->remoteGenerations.find(message.request);
     if (isEnd && remote != this->remoteGenerations.end()) {
         this->refundUnoffered(remote->second); // its caller has gone while it waited
@@ -627,6 +697,9 @@
 // only the link broke, the host reports its placements again when it reconnects.
 void PlacementGates::onFollowerLost(LinkId link)
 {
+    this->unconfirmed.erase(std::remove_if(this->unconfirmed.begin(), this->unconfirmed.end(),
+                                           [link](const UnconfirmedRequest &waiting) { return waiting.link == link; }),
+                            this->unconfirmed.end());
     for (auto remote = this->remoteGenerations.begin(); remote != this->remoteGenerations.end();) {
         const auto current = remote++;
         if (current->second.link == link) {
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -9,6 +9,8 @@
 //     gates.setUplink([&](const peer::Message &message) { ... });    // another host is the leader, or its deputy
 //     gates.suspend();                                               // it was lost, and a deputy may take over soon
 //     gates.setUplink({});                                           // there is none: this host decides alone
+//     gates.setRegistryCheck([&] { ... });                           // reads the registry, then calls the next one
+//     gates.onRegistryChecked(at);                                   // all changes until then are known
 //
 // Every host also tracks its own generations in a gate, so that it can decide alone at any time. It then sees only its
 // own part of the load, and engines refuse more often.
@@ -51,6 +53,11 @@
     void wakeWaiting();
     // Engines were added, removed or changed.
     void onFleetChanged();
+    // Sets how to have the registry read. onRegistryChecked() follows each call.
+    void setRegistryCheck(std::function<void()> check);
+    // All changes of the registry until `at`, of the clock that also advances while the host is suspended, have been
+    // applied. Empty if it can't be read: then the requests that wait for it are rejected.
+    void onRegistryChecked(std::optional<Instant> at);
     // Sums over all services.
     std::size_t waiting() const;
     std::size_t placed() const;
@@ -78,6 +85,8 @@
     void onPlacementReport(LinkId link, const peer::PlacementReport &message);
     void onHeldPlacements(LinkId link, const peer::HeldPlacements &message);
     void onStreamsBegun(const peer::StreamsBegun &message);
+    // What an earlier leader has saved.
+    void onStreamsSaved(const peer::StreamsBegun &message);
     // The streams that this host knows of, for another host; empty while each service has a single version.
     peer::StreamsBegun streamsBegun() const;
     // Those that were reported since the last call.
@@ -98,7 +107,9 @@
         GenerationRequest request;
         EngineId engine; // where it is placed; empty while it waits
         Instant since;
+        Instant asked; // when the request came, of the clock that also advances while the host is suspended
         bool isAtLeader = false; // the request waits for a decision of the leader
+        bool isUnconfirmed = false; // it waits for a check of the registry
         bool isChargedHere = false; // to its workspace, until an engine is offered: from then on the caller refunds it
     };
     // One generation of another host, placed by this one.
@@ -110,6 +121,13 @@
         QuotaUnits cost = {};
         bool isChargedHere = false; // until an engine is offered: from then on the other host refunds it
     };
+    // A request of another host that waits for a check of the registry.
+    struct UnconfirmedRequest {
+        LinkId link{};
+        Send reply;
+        peer::RequestPlacement message;
+        Instant asked; // as in LocalGeneration
+    };
     struct Gate {
         Gate(asio::io_context &io, std::uint64_t seed)
             : core(GenerationGate::Options{}, seed)
@@ -134,18 +152,26 @@
     void refundUnoffered(RemoteGeneration &remote);
     void apply(Gate &gate, const RequestId &id, peer::PlacementEvent event, Tokens output);
     void send(const peer::PlacementReport &message);
-    // Sets the version of a stream that its caller takes up. Returns false if it is unknown.
-    bool findVersion(const ServiceId &service, GenerationRequest &request) const;
-    void onBegun(const BegunStream &stream);
+    // Sets the version of a stream that its caller takes up, if this host knows it.
+    enum class VersionState {
+        Known, // or not needed
+        Unconfirmed,
+        Unknown,
+    };
+    VersionState findVersion(const ServiceId &service, GenerationRequest &request, Instant asked) const;
+    void rejectUnknown(LocalGeneration &local);
+    void rejectUnknown(const Send &reply, const peer::RequestPlacement &message) const;
+    void submitRemote(LinkId link, const Send &reply, const peer::RequestPlacement &message, Instant asked);
+    void forgetUnconfirmed(const RequestId &id);
 
     asio::io_context &io;
     FleetView &fleet;
     WorkspaceCredits &credits;
     std::uint64_t seed;
     StreamOrigins origins;
-    bool isRegistryCurrent = true; // when the fleet last changed
-    std::set<ServiceId> mixedServices; // with several versions, when new streams were last taken
-    std::vector<BegunStream> newStreams; // of services with several versions, until they are taken
+    std::uint64_t registryGaps = 0; // when the fleet last changed
+    std::function<void()> checkRegistry;
+    std::vector<UnconfirmedRequest> unconfirmed; // bounded like remoteGenerations
     std::map<ServiceId, Gate> gates; // of generating services of the current or an earlier configuration
     // Bounded by the number of callers' connections.
     std::unordered_map<RequestId, std::shared_ptr<LocalGeneration>> localGenerations;
--- a/programs/gateway/recentrows.cpp
+++ b/programs/gateway/recentrows.cpp
@@ -28,6 +28,11 @@
     }
 }
 
+void RecentRows::onGap(std::int64_t version)
+{
+    this->gapEnd = std::max(this->gapEnd, version);
+}
+
 bool RecentRows::covers(std::int64_t version) const
 {
     return this->since && version >= *this->since && version <= this->newest;
@@ -36,7 +41,7 @@
 peer::RegistryUpdate RecentRows::after(std::int64_t version) const
 {
     const auto first = static_cast<std::uint64_t>(version);
-    peer::RegistryUpdate update{first, static_cast<std::uint64_t>(this->newest), {}};
+    peer::RegistryUpdate update{first, static_cast<std::uint64_t>(this->newest), {}, version < this->gapEnd};
     for (const peer::RegistryRow &row : this->rows) {
         if (row.version > first) {
             update.rows.push_back(row);
--- a/programs/gateway/recentrows.h
+++ b/programs/gateway/recentrows.h
@@ -29,6 +29,8 @@
 
     void restart(std::int64_t version);
     void add(const std::vector<peer::RegistryRow> &rows, std::int64_t before, std::int64_t version);
+    // Rows may have come and gone unseen up to that version.
+    void onGap(std::int64_t version);
     // Whether all changes after that version are held; false if the version is too old or newer than the newest held.
     bool covers(std::int64_t version) const;
     peer::RegistryUpdate after(std::int64_t version) const;
@@ -37,6 +39,7 @@
     std::deque<peer::RegistryRow> rows;
     std::optional<std::int64_t> since; // all changes after this version are held; empty before the first
     std::int64_t newest = 0;
+    std::int64_t gapEnd = 0;
 };
 
 } // namespace fescuesill
--- a/programs/gateway/registryrelay.cpp
+++ b/programs/gateway/registryrelay.cpp
@@ -2,6 +2,9 @@
 // is compared with the rows known here and forwarded as changes: if each follower had to list the table as well, a
 // store that drops its history would be called twice by each host of the fleet.
 //
+// A list does not show rows that came and went since the last read. Followers are notified of that as well, since a
+// host that may have missed an endpoint infers nothing about the versions that served.
+//
 // An update starts where the last one ended, since the store's version moves on without changes of this table.
 
 #include "programs/gateway/registryrelay.h"
@@ -44,10 +47,16 @@
         this->forwarded = version;
     } else {
         this->recent.add(changed, *this->newest, version);
+        this->recent.onGap(version);
     }
     this->newest = std::max(this->newest.value_or(version), version);
 }
 
+void RegistryRelay::onGap(std::int64_t version)
+{
+    this->recent.onGap(version);
+}
+
 void RegistryRelay::onChanged(const std::vector<StoreRow> &rows, std::int64_t before, std::int64_t version)
 {
     std::vector<peer::RegistryRow> changed;
@@ -71,7 +80,7 @@
     }
     const bool isGap = !this->recent.covers(this->forwarded);
     peer::RegistryUpdate update = this->recent.after(isGap ? *this->newest : this->forwarded);
-    if (update.rows.empty() && !isGap) {
+    if (update.rows.empty() && !isGap && !update.hasGap) {
         return std::nullopt;
     }
     this->forwarded = *this->newest;
--- a/programs/gateway/registryrelay.h
+++ b/programs/gateway/registryrelay.h
@@ -28,6 +28,8 @@
 
     void onListed(const std::vector<StoreRow> &rows, std::int64_t version);
     void onChanged(const std::vector<StoreRow> &rows, std::int64_t before, std::int64_t version);
+    // The host that forwards to this one has missed changes up to that version.
+    void onGap(std::int64_t version);
     // The changes since the last update to all followers; empty if there are none. If more rows changed than are kept,
     // the update starts at the current version, and followers that are behind it read the table themselves.
     std::optional<peer::RegistryUpdate> nextUpdate();
--- a/programs/gateway/savedstate.cpp
+++ b/programs/gateway/savedstate.cpp
@@ -157,7 +157,7 @@
     const auto *known = message ? std::get_if<peer::CrashesKnown>(&*message) : nullptr;
     const auto streamsAt = streamsRow(row.key);
     if (streams != nullptr && streamsAt && areAgesValid(*streams)) {
-        this->gates.onStreamsBegun(*streams);
+        this->gates.onStreamsSaved(*streams);
         this->nextRow = (*streamsAt + 1) % this->options.streamRows;
     } else if (known != nullptr && row.key == crashesKey) {
         this->crashes.onMessage(*known, steadyNow());
--- a/programs/gateway/storeupdate.h
+++ b/programs/gateway/storeupdate.h
@@ -34,6 +34,18 @@
 struct Removed {
     EndpointId id;
 };
+// The row of that key names no endpoint.
+struct Unreadable {
+    EndpointId id;
+};
+// Endpoints may have come and gone since the last update without being in one.
+struct Missed {
+};
+// The answer to StoreWatcher::checkRegistry(), after the changes that the check found. Empty if the registry can't be
+// read: then the check has failed.
+struct RegistryChecked {
+    std::optional<Instant> at; // all changes until then are known; of the clock that also advances while suspended
+};
 // The current leader, according to the last read of the lease; empty if none is known.
 struct Leader {
     std::optional<LeaseRow> holder;
@@ -63,7 +75,8 @@
 
 using StoreUpdate =
     std::variant<store_update::Config, store_update::Listed, store_update::Changed, store_update::Removed,
-                 store_update::Lost, store_update::Restored, store_update::Leader, store_update::PeerUpdate,
-                 store_update::LeaderUpdate, store_update::OwnReads, store_update::ConfigCurrent>;
+                 store_update::Unreadable, store_update::Missed, store_update::RegistryChecked, store_update::Lost,
+                 store_update::Restored, store_update::Leader, store_update::PeerUpdate, store_update::LeaderUpdate,
+                 store_update::OwnReads, store_update::ConfigCurrent>;
 
 } // namespace fescuesill
--- a/programs/gateway/storewatcher.cpp
+++ b/programs/gateway/storewatcher.cpp
@@ -336,7 +336,13 @@
     StoreRows read = isWhole ? store.list(name, yield) : store.follow(name, *followed.version, wait, yield);
     this->endRead(table);
     this->onReadSucceeded(table);
-    // Updates from other hosts may have arrived meanwhile, and their rows may be newer than those of this reply.
+    this->takeRead(table, std::move(read), isWhole);
+}
+
+void StoreWatcher::takeRead(Table table, StoreRows read, bool isWhole)
+{
+    FollowedTable &followed = this->stateOf(table);
+    // Other updates may have arrived meanwhile, and their rows may be newer than those of this reply.
     const std::int64_t before = followed.version.value_or(0);
     if (read.version < before) {
         return;
@@ -348,6 +354,42 @@
     this->takeRows(table, read.rows, isWhole, before);
 }
 
+std::optional<Instant> StoreWatcher::checkOnce(StoreClient &store, const asio::yield_context &yield)
+{
+    const Instant begin = bootNow();
+    if (!this->registry.version) {
+        return std::nullopt; // the list is still to come, or to come again
+    }
+    try {
+        StoreRows read = store.follow(registryTable, *this->registry.version, Duration(0), yield);
+        if (!this->registry.version) {
+            return std::nullopt;
+        }
+        this->takeRead(Table::Registry, std::move(read), false);
+        return begin;
+    } catch (const StoreError &error) {
+        Log::info("registry_check_failed", {{"reason", error.what()}});
+        return std::nullopt;
+    }
+}
+
+void StoreWatcher::checkRegistry()
+{
+    asio::post(this->io, [this] {
+        this->isCheckWanted = true;
+        if (std::exchange(this->isChecking, true)) {
+            return;
+        }
+        startCoroutine(this->io, [this](const asio::yield_context &yield) {
+            StoreClient store(this->io, {this->options.address, replyLimit});
+            while (std::exchange(this->isCheckWanted, false) && !this->isStopping) {
+                this->push(store_update::RegistryChecked{this->checkOnce(store, yield)});
+            }
+            this->isChecking = false;
+        });
+    });
+}
+
 void StoreWatcher::takeRows(Table table, const std::vector<StoreRow> &rows, bool isWhole, std::int64_t before)
 {
     if (table == Table::Config) {
@@ -388,15 +430,20 @@
 void StoreWatcher::takeList(const std::vector<StoreRow> &rows)
 {
     store_update::Listed listed;
+    std::vector<EndpointId> unreadable;
     for (const StoreRow &row : rows) {
         auto record = decodeRegistryRow(row.key, row.value);
         if (!record) {
             Log::warning("registry_row_skipped", {{"key", row.key}, {"reason", record.error().text}});
+            unreadable.emplace_back(row.key);
             continue;
         }
         listed.records.push_back(std::move(*record));
     }
     this->push(std::move(listed));
+    for (EndpointId &id : unreadable) {
+        this->push(store_update::Unreadable{std::move(id)});
+    }
 }
 
 void StoreWatcher::takeRow(Table table, const StoreRow &row)
@@ -415,7 +462,7 @@
     if (!record) {
         // Whoever wrote the row, this id no longer names a usable endpoint.
         Log::warning("registry_row_skipped", {{"key", row.key}, {"reason", record.error().text}});
-        this->push(store_update::Removed{EndpointId(row.key)});
+        this->push(store_update::Unreadable{EndpointId(row.key)});
         return;
     }
     this->push(store_update::Changed{std::move(*record)});
--- a/programs/gateway/storewatcher.h
+++ b/programs/gateway/storewatcher.h
@@ -23,7 +23,9 @@
 namespace fescuesill
 {
 
+class StoreClient;
 class StoreError;
+struct StoreRows;
 
 class StoreWatcher
 {
@@ -78,6 +80,8 @@
     void onReaderUpdate(const peer::ConfigUpdate &update);
     // No host that follows this one can read the store either.
     void onNoReader();
+    // Reads the registry at once and pushes store_update::RegistryChecked after what it finds.
+    void checkRegistry();
     // Adds a host that follows this one and has all changes up to `version`.
     void addFollower(LinkId link, std::uint64_t version);
     // Time since this thread last read the registry or received an update of it.
@@ -135,6 +139,9 @@
     }
     void follow(Table table, const asio::yield_context &yield);
     void followOnce(Table table, StoreClient &store, const asio::yield_context &yield);
+    void takeRead(Table table, StoreRows read, bool isWhole);
+    // Returns when all changes were known, or nothing if the registry can't be read.
+    std::optional<Instant> checkOnce(StoreClient &store, const asio::yield_context &yield);
     bool waitBeforeRead(Table table, const asio::yield_context &yield);
     bool waitWhileRelayed(Table table, const asio::yield_context &yield);
     void beginRead(Table table, Duration expected);
@@ -200,6 +207,8 @@
     bool hasSentConfig = false; // to the leader, since this host reads for it
     std::deque<peer::ConfigUpdate> recentConfigs; // the latest changes, for a leader that has missed them
     bool areReadsReported = true; // as working, to the forwarding thread
+    bool isChecking = false; // the registry, by checkRegistry()
+    bool isCheckWanted = false; // another one, since the current check began too early
     bool isOutage = false; // neither this host nor one that it is linked to can read the registry
     std::thread thread;
 };
--- a/programs/gateway/storewatcherupdates.cpp
+++ b/programs/gateway/storewatcherupdates.cpp
@@ -227,6 +227,10 @@
             rows.push_back({row.key, row.value, version, row.isRemoved});
         }
     }
+    if (update.hasGap) {
+        this->relay.onGap(static_cast<std::int64_t>(update.version));
+        this->push(store_update::Missed{});
+    }
     this->registry.version = std::max(has, static_cast<std::int64_t>(update.version));
     this->takeRows(Table::Registry, rows, false, has);
 }
--- a/programs/gateway/testing/registryrelay_test.cpp
+++ b/programs/gateway/testing/registryrelay_test.cpp
@@ -74,6 +74,25 @@
     EXPECT_EQ(rows, (Rows{{"a", "value 4"}, {"b", "value 11"}, {"d", "value 12"}}));
 }
 
+// Guards against followers that take their table for complete although the host that forwards it has missed rows.
+TEST(RegistryRelay, NotifiesFollowersOfRowsThatMayHaveComeAndGone)
+{
+    RegistryRelay relay;
+    relay.onListed({row("a", 4)}, 9);
+    relay.onListed({row("a", 4)}, 13);
+    const auto update = relay.nextUpdate();
+    ASSERT_TRUE(update);
+    EXPECT_TRUE(update->hasGap);
+    EXPECT_FALSE(relay.nextUpdate());
+    EXPECT_TRUE(relay.changesAfter(9)->hasGap);
+    EXPECT_FALSE(relay.changesAfter(13)->hasGap);
+    relay.onChanged({row("b", 15)}, 13, 15);
+    EXPECT_FALSE(relay.nextUpdate()->hasGap);
+    relay.onGap(17); // by a host that reads for this one
+    relay.onChanged({row("b", 17)}, 15, 17);
+    EXPECT_TRUE(relay.nextUpdate()->hasGap);
+}
+
 // Guards against new followers that read the store for a second because they listed it later than the leader.
 TEST(RegistryRelay, KeepsAFollowerThatIsAheadUntilItHasCaughtUp)
 {
--- a/programs/gateway/testing/storewatcher_test.cpp
+++ b/programs/gateway/testing/storewatcher_test.cpp
@@ -747,5 +747,50 @@
     EXPECT_LT(steadyNow() - named, 1s);
 }
 
+bool hasBeenChecked(const StoreUpdate &update, Instant since)
+{
+    const auto *check = std::get_if<store_update::RegistryChecked>(&update);
+    return check != nullptr && check->at && *check->at >= since;
+}
+
+// Guards against a check that confirms the registry without the changes before it.
+TEST(StoreWatcher, ChecksTheRegistryAfterItsChanges)
+{
+    FakeStore store;
+    store.add("e1");
+    Updates updates;
+    const RunningWatcher watcher = watch(store, neverLeading, updates);
+    ASSERT_TRUE(updates.waitFor<store_update::Listed>());
+    store.remove("e1");
+    const Instant since = bootNow();
+    watcher->checkRegistry();
+    bool isRemoved = false;
+    ASSERT_TRUE(updates.waitFor([&](const StoreUpdate &update) {
+        isRemoved = isRemoved || std::holds_alternative<store_update::Removed>(update);
+        return hasBeenChecked(update, since);
+    }));
+    EXPECT_TRUE(isRemoved);
+}
+
+// Guards against a request that waits for a check that was under way when it came, or for one that has failed.
+TEST(StoreWatcher, AnswersEachCheckOfTheRegistry)
+{
+    FakeStore store;
+    Updates updates;
+    const RunningWatcher watcher = watch(store, neverLeading, updates);
+    ASSERT_TRUE(updates.waitFor<store_update::Listed>());
+    store.set(FakeStore::Feed::Silent);
+    watcher->checkRegistry();
+    ASSERT_TRUE(updates.waitFor([](const StoreUpdate &update) {
+        const auto *check = std::get_if<store_update::RegistryChecked>(&update);
+        return check != nullptr && !check->at;
+    }));
+    store.set(FakeStore::Feed::Working);
+    watcher->checkRegistry();
+    const Instant since = bootNow();
+    watcher->checkRegistry();
+    EXPECT_TRUE(updates.waitFor([&](const StoreUpdate &update) { return hasBeenChecked(update, since); }));
+}
+
 } // namespace
 } // namespace fescuesill
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -34,6 +34,8 @@
 std::vector<MissingEndpoint> EndpointRegistry::onListed(const std::vector<EndpointRecord> &records, Instant now)
 {
     std::vector<MissingEndpoint> missing;
+    this->missed += this->hasList ? 1 : 0;
+    this->hasList = true;
     std::set<EndpointId> listed;
     for (const EndpointRecord &record : records) {
         listed.insert(record.id);
@@ -50,6 +52,7 @@
 
 void EndpointRegistry::onChanged(const EndpointRecord &record, Instant)
 {
+    this->unreadable.erase(record.id);
     Entry &entry = this->entries[record.id];
     entry = Entry{record, std::nullopt};
     const auto left = this->leavingStarts.find(record.id);
@@ -87,11 +90,24 @@
 {
     const auto found = this->entries.find(id);
     if (found == this->entries.end()) {
+        // A change that is followed by another one of its row may not be reported by itself.
+        this->missed += this->unreadable.erase(id) == 0 ? 1 : 0;
         return {};
     }
     return {this->onMissing(found, now)};
 }
 
+std::vector<MissingEndpoint> EndpointRegistry::onUnreadable(const EndpointId &id, Instant now)
+{
+    const auto found = this->entries.find(id);
+    auto missing = found == this->entries.end() ? std::vector<MissingEndpoint>()
+                                                : std::vector<MissingEndpoint>{this->onMissing(found, now)};
+    if (this->unreadable.size() < this->options.maxUnreadable) {
+        this->unreadable.insert(id);
+    }
+    return missing;
+}
+
 void EndpointRegistry::onStoreLost(Instant)
 {
     this->isStoreLost = true;
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -14,6 +14,7 @@
 #include "fescuesill/ids.h"
 #include "fescuesill/units.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -61,6 +62,7 @@
         Duration returnGrace{2s};
         // Starts of endpoints that have said that they are leaving; the newest is remembered instead of any other.
         std::size_t maxLeaving = 4096;
+        std::size_t maxUnreadable = 4096; // rows that are remembered; the removal of any other counts as a gap
         // The longest that such an endpoint may be used after the table was last known to be unavailable. The recovery
         // may be noticed late, and an endpoint that left during the outage never returns.
         Duration useLimit{2750ms};
@@ -71,9 +73,11 @@
     {
     }
 
-    // Return the endpoints that are newly missing.
+    // Return the endpoints that are newly missing. Any list but the first one follows a gap.
     std::vector<MissingEndpoint> onListed(const std::vector<EndpointRecord> &records, Instant now);
     std::vector<MissingEndpoint> onRemoved(const EndpointId &id, Instant now);
+    // The row of this id names no endpoint. Its removal will be no sign of an endpoint that was missed.
+    std::vector<MissingEndpoint> onUnreadable(const EndpointId &id, Instant now);
     void onChanged(const EndpointRecord &record, Instant now);
     // This start of the endpoint has said that it is leaving, whatever the table says. Returns whether that is new.
     bool onLeavingStated(const EndpointId &id, std::int64_t incarnation);
@@ -87,6 +91,16 @@
     std::vector<const EndpointRecord *> usable(const ServiceId &service) const;
     // Null if the endpoint is unknown.
     const EndpointRecord *find(const EndpointId &id) const;
+    // Endpoints may have come and gone without a change that was passed to this object.
+    void onMissed()
+    {
+        ++this->missed;
+    }
+    // How often changes of the table may have been missed since the first list, so that endpoints came and went unseen.
+    std::uint64_t gaps() const
+    {
+        return this->missed;
+    }
     // The table is unavailable.
     bool isOutdated() const
     {
@@ -122,8 +136,11 @@
     std::map<EndpointId, Entry> entries;
     // Starts that have said that they are leaving, also those that are missing: their rows may return unchanged.
     Starts leavingStarts;
+    std::set<EndpointId> unreadable;
     bool isStoreLost = false;
     std::optional<Instant> graceEnd; // of the last recovery
+    bool hasList = false;
+    std::uint64_t missed = 0;
 };
 
 } // namespace fescuesill
--- a/promise/testing/endpointregistry_test.cpp
+++ b/promise/testing/endpointregistry_test.cpp
@@ -158,5 +158,33 @@
     EXPECT_TRUE(registry.mayUse(record("a", 2)));
 }
 
+// Guards against a host that takes its list for complete although endpoints came and went unseen.
+TEST(EndpointRegistry, CountsTheGapsInWhichEndpointsMayHaveComeAndGone)
+{
+    EndpointRegistry registry({});
+    registry.onListed({record("a")}, start);
+    registry.onChanged(record("b"), start);
+    registry.onRemoved(EndpointId("b"), start);
+    EXPECT_EQ(registry.gaps(), 0U);
+    registry.onRemoved(EndpointId("c"), start); // never seen
+    EXPECT_EQ(registry.gaps(), 1U);
+    registry.onListed({record("a")}, start);
+    EXPECT_EQ(registry.gaps(), 2U);
+    registry.onMissed();
+    EXPECT_EQ(registry.gaps(), 3U);
+}
+
+TEST(EndpointRegistry, TakesNoRowOfAnotherWriterForAMissedEndpoint)
+{
+    EndpointRegistry registry({});
+    registry.onListed({record("a")}, start);
+    EXPECT_TRUE(registry.onUnreadable(EndpointId("odd"), start).empty());
+    EXPECT_EQ(registry.onUnreadable(EndpointId("a"), start).size(), 1U);
+    EXPECT_TRUE(registry.usable(service).empty());
+    registry.onRemoved(EndpointId("odd"), start);
+    registry.onRemoved(EndpointId("a"), start);
+    EXPECT_EQ(registry.gaps(), 0U);
+}
+
 } // namespace
 } // namespace fescuesill
--- a/wire/messages.cpp
+++ b/wire/messages.cpp
@@ -285,6 +285,7 @@
     visit(m.after);
     visit(m.version);
     visit(m.rows);
+    visit(m.hasGap);
 }
 
 template<typename Visitor>
--- a/wire/messages.h
+++ b/wire/messages.h
@@ -280,11 +280,12 @@
 };
 
 // Leader to a gateway, or from a gateway that reads for the leader: the rows of the registry that changed after version
-// `after` of the store, up to `version`.
+// `after` of the store, up to `version`. With `hasGap`, rows may have come and gone in between without being in `rows`.
 struct RegistryUpdate {
     std::uint64_t after = 0;
     std::uint64_t version = 0;
     std::vector<RegistryRow> rows;
+    bool hasGap = false;
 };
 
 // Leader to a gateway, or from a gateway that reads for the leader: the row of the configuration has this version. If
--- a/wire/testing/messages_placing_test.cpp
+++ b/wire/testing/messages_placing_test.cpp
@@ -178,10 +178,11 @@
 TEST(PlacingMessages, CarryArbitraryBytesInARow)
 {
     const std::string bytes("\xff\x00\x80{", 4);
-    const RegistryUpdate news = passedOn(RegistryUpdate{4, 9, {{5, "k", bytes, false}, {9, "gone", "", true}}});
+    const RegistryUpdate news = passedOn(RegistryUpdate{4, 9, {{5, "k", bytes, false}, {9, "gone", "", true}}, true});
     ASSERT_EQ(news.rows.size(), 2U);
     EXPECT_EQ(news.rows[0].value, bytes);
     EXPECT_TRUE(news.rows[1].isRemoved);
+    EXPECT_TRUE(news.hasGap);
 }
 
 } // namespace
