Hosts report their streams to the leader as soon as there are several versions

Cause: streams are reported to a deputy and to the next leader only while there are several versions, and whether there are is judged at the moment of the change of leader. Streams that began while there was one version were reported to the lost leader only; when another version joined afterwards, nobody reported them.

Now a host that learns of a further version reports the streams that began before it followed this leader; the leader was told of the others by their reservations.

--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -8,7 +8,7 @@
 //
 // A stream stays at the version of the first engine that reserves a place for it, so a version that was reported once
 // is final. It is known to the host that began the stream, to the leader and to the leader's deputy, and hosts report
-// what they know to each leader that they follow next.
+// what they know to each leader that they follow next, or as soon as they learn that there are several versions.
 //
 // The version of a stream that nobody has reported is inferred only by a host that decides, and only from a registry
 // that was read after the request came. Such requests wait for a check of the registry.
@@ -20,6 +20,7 @@
 #include "wire/log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace fescuesill
@@ -495,7 +496,16 @@
 
 peer::StreamsBegun PlacementGates::takeNewStreams()
 {
-    return messageOf(this->origins.takeNew(steadyNow()));
+    const std::vector<BegunStream> taken = this->origins.takeNew(steadyNow());
+    if (this->uplink) {
+        std::vector<BegunStream> earlier;
+        std::copy_if(taken.begin(), taken.end(), std::back_inserter(earlier),
+                     [this](const BegunStream &stream) { return stream.since < this->uplinkSince; });
+        if (!earlier.empty()) {
+            this->uplink(messageOf(earlier));
+        }
+    }
+    return messageOf(taken);
 }
 
 void PlacementGates::onStreamsBegun(const peer::StreamsBegun &message)
@@ -549,6 +559,7 @@
                                        local->request.maxOutput, now - local->since});
             }
         }
+        this->uplinkSince = now;
         this->uplink(held);
         const peer::StreamsBegun begun = this->streamsBegun();
         if (!begun.streams.empty()) {
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -89,7 +89,8 @@
     void onStreamsSaved(const peer::StreamsBegun &message);
     // The streams that this host knows of, for another host; empty while each service has a single version.
     peer::StreamsBegun streamsBegun() const;
-    // Those that were reported since the last call.
+    // Those that were reported since the last call. Reports to the host that this one follows those that it may not
+    // know.
     peer::StreamsBegun takeNewStreams();
     void onFollowerLost(LinkId link);
 
@@ -178,6 +179,7 @@
     // Bounded by the callers' connections of all hosts.
     std::unordered_map<RequestId, RemoteGeneration> remoteGenerations;
     Send uplink;
+    Instant uplinkSince;
     bool isSuspended = false;
     double share = 1;
 };
--- a/testing/process/test_out_of_step.py
+++ b/testing/process/test_out_of_step.py
@@ -16,7 +16,7 @@
 from paths import Paths  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from standin import wait_until  # noqa: E402
-from test_mixed_versions import GOES_ON_SHARE, World  # noqa: E402
+from test_mixed_versions import GOES_ON_SHARE, NOTICE_SECONDS, World  # noqa: E402
 
 STREAMS = 6
 HOSTS = 3
@@ -125,6 +125,19 @@
         time.sleep(LINK_SILENCE_SECONDS)
         self.check_goes_on(gateways[0], begun)
 
+    # Guards against streams that are refused since the host that stands in for the leader does not know them: they began
+    # while there was one version, and nobody told it when another one joined.
+    def test_streams_from_before_the_leader_was_lost_and_a_version_joined(self):
+        leader, deputy, follower = self.start_hosts()
+        for writer in self.writers:
+            writer.behave = "half_first"
+        begun = [self.begin(follower) for _ in range(STREAMS)]
+        leader.kill()
+        wait_until(lambda: deputy.leads() and follower.log().count("event=leader_reached") == 2, "the next leader")
+        self.join_new_version([deputy, follower])
+        time.sleep(NOTICE_SECONDS)
+        self.check_goes_on(deputy, begun)
+
 
 if __name__ == "__main__":
     unittest.main()
