--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -28,6 +28,9 @@
 namespace
 {
 
+// After the start of a fleet, engines are listed within this. Until a later list, versions may have come and gone.
+constexpr Duration firstListLimit{5s};
+
 void logDecision(const GateAction &action, const GateView &view, const FleetView &fleet)
 {
     const auto waiting = static_cast<std::uint64_t>(view.waiting);
@@ -100,6 +103,7 @@
     , credits(workspaceCredits)
     , seed(number)
     , origins(originOptions(isFirstStart))
+    , startedAt(bootNow())
 {
 }
 
@@ -130,6 +134,10 @@
     if (std::exchange(this->registryGaps, gaps) != gaps) {
         this->origins.onOutdated(steadyNow());
     }
+    if (this->fleet.isInitialised() && !std::exchange(this->hasListed, true)
+        && bootNow() - this->startedAt > firstListLimit) {
+        this->origins.onOutdated(steadyNow());
+    }
     if (config) {
         for (const auto &[id, service] : config->services) {
             if (service.engines) {
--- a/programs/gateway/placementgates.h
+++ b/programs/gateway/placementgates.h
@@ -170,6 +170,8 @@
     WorkspaceCredits &credits;
     std::uint64_t seed;
     StreamOrigins origins;
+    Instant startedAt; // of the clock that also advances while the host is suspended
+    bool hasListed = false; // the versions of the first configuration
     std::uint64_t registryGaps = 0; // when the fleet last changed
     std::function<void()> checkRegistry;
     std::vector<UnconfirmedRequest> unconfirmed; // bounded like remoteGenerations
