A version that joins and leaves between two looks at the registry is remembered

Callers would see: a stream of two versions.

Cause: the versions of a service were sampled after all changes of a batch had been applied. The registry now keeps each version that was listed since it was last asked.

Evidence: StreamDays.NoStreamGoesOnAfterAVersionThatCameAndWent and EndpointRegistry.KnowsTheVersionsOfEnginesThatCameAndWent.

--- a/decide/streamorigins.cpp
+++ b/decide/streamorigins.cpp
@@ -15,10 +15,14 @@
 namespace fescuesill
 {
 
-void StreamOrigins::onListed(const ServiceId &service, const std::set<SoftwareVersion> &versions, Instant now)
+void StreamOrigins::onListed(const ServiceId &service, const std::set<SoftwareVersion> &versions,
+                             const std::set<SoftwareVersion> &seen, Instant now)
 {
     const auto [found, isNew] = this->services.try_emplace(service, Versions{now, {}});
     auto &lastListed = found->second.lastListed;
+    for (const SoftwareVersion &version : seen) {
+        lastListed[version].reset();
+    }
     for (auto &[version, last] : lastListed) {
         if (versions.count(version) == 0 && !last) {
             last = now;
--- a/decide/streamorigins.h
+++ b/decide/streamorigins.h
@@ -72,7 +72,13 @@
     }
 
     // Sets the versions of all engines that the service lists, also of those that are leaving.
-    void onListed(const ServiceId &service, const std::set<SoftwareVersion> &versions, Instant now);
+    void onListed(const ServiceId &service, const std::set<SoftwareVersion> &versions, Instant now)
+    {
+        this->onListed(service, versions, versions, now);
+    }
+    // The same. `seen`: all versions that were listed since the last call, also those that are listed no more.
+    void onListed(const ServiceId &service, const std::set<SoftwareVersion> &versions,
+                  const std::set<SoftwareVersion> &seen, Instant now);
     void onBegun(const BegunStream &stream, Instant now);
     // The same for one that other hosts know already, so that it is not among the new ones.
     void onKnown(const BegunStream &stream, Instant now);
--- a/programs/gateway/fleetview.h
+++ b/programs/gateway/fleetview.h
@@ -83,6 +83,11 @@
     {
         return this->registry.versions(service);
     }
+    // The versions that were listed since the last call, also of engines that have left since.
+    std::set<SoftwareVersion> takeSeenVersions(const ServiceId &service)
+    {
+        return this->registry.takeSeenVersions(service);
+    }
     std::vector<EndpointRecord> endpointsAt(const std::string &address) const;
     // Whether this host may send requests of others to that address.
     bool mayRelayTo(const std::string &address) const;
--- a/programs/gateway/placementgates.cpp
+++ b/programs/gateway/placementgates.cpp
@@ -141,7 +141,10 @@
     if (config) {
         for (const auto &[id, service] : config->services) {
             if (service.engines) {
-                this->origins.onListed(id, this->fleet.versions(id), steadyNow());
+                const std::set<SoftwareVersion> listed = this->fleet.versions(id);
+                std::set<SoftwareVersion> seen = this->fleet.takeSeenVersions(id);
+                seen.insert(listed.begin(), listed.end());
+                this->origins.onListed(id, listed, seen, steadyNow());
             }
         }
     }
--- a/programs/gateway/testing/streamdays.cpp
+++ b/programs/gateway/testing/streamdays.cpp
@@ -320,7 +320,8 @@
     if (std::exchange(host.gaps, host.registry->gaps()) != host.registry->gaps()) {
         host.origins->onOutdated(this->steady(host));
     }
-    host.origins->onListed(service, host.registry->versions(service), this->steady(host));
+    host.origins->onListed(service, host.registry->versions(service), host.registry->takeSeenVersions(service),
+                           this->steady(host));
 }
 
 EndpointRecord recordOf(const std::string &id, const std::string &version)
--- a/programs/gateway/testing/streamdays_test.cpp
+++ b/programs/gateway/testing/streamdays_test.cpp
@@ -18,6 +18,9 @@
     std::uint64_t count = 150;
 };
 
+// On which a version came and went between two reads.
+constexpr std::uint64_t foundSeed = 2945;
+
 Seeds seedsToPlay()
 {
     Seeds seeds;
@@ -54,6 +57,14 @@
     }
 }
 
+// Guards against a version that joined and left between two reads of the registry, and was not seen.
+TEST_F(StreamDays, NoStreamGoesOnAfterAVersionThatCameAndWent)
+{
+    const StreamDay day = StreamDay::drawn(foundSeed);
+    const StreamDayResult result = play(day);
+    EXPECT_EQ(result.joined, 0) << day.text() << result.history;
+}
+
 // Guards against streams that are refused though engines of their version serve.
 TEST_F(StreamDays, StreamsGoOnWhereEnginesOfTheirVersionServe)
 {
--- a/promise/endpointregistry.cpp
+++ b/promise/endpointregistry.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace fescuesill
 {
@@ -53,6 +54,9 @@
 void EndpointRegistry::onChanged(const EndpointRecord &record, Instant)
 {
     this->unreadable.erase(record.id);
+    if (record.part != EndpointPart::Plain) {
+        this->noteVersion(record);
+    }
     Entry &entry = this->entries[record.id];
     entry = Entry{record, std::nullopt};
     const auto left = this->leavingStarts.find(record.id);
@@ -66,6 +70,26 @@
     }
 }
 
+void EndpointRegistry::noteVersion(const EndpointRecord &record)
+{
+    if (this->seenVersions.size() >= this->options.maxSeenServices && this->seenVersions.count(record.service) == 0) {
+        this->seenVersions.clear();
+        ++this->missed;
+    }
+    this->seenVersions[record.service].insert(record.version);
+}
+
+std::set<SoftwareVersion> EndpointRegistry::takeSeenVersions(const ServiceId &service)
+{
+    const auto seen = this->seenVersions.find(service);
+    if (seen == this->seenVersions.end()) {
+        return {};
+    }
+    std::set<SoftwareVersion> taken = std::move(seen->second);
+    this->seenVersions.erase(seen);
+    return taken;
+}
+
 bool EndpointRegistry::onLeavingStated(const EndpointId &id, std::int64_t incarnation)
 {
     const auto known = this->leavingStarts.find(id);
--- a/promise/endpointregistry.h
+++ b/promise/endpointregistry.h
@@ -62,6 +62,7 @@
         Duration returnGrace{2s};
         // Starts of endpoints that have said that they are leaving; the newest is remembered instead of any other.
         std::size_t maxLeaving = 4096;
+        std::size_t maxSeenServices = 4096; // whose versions wait to be taken; the loss of more counts as a gap
         std::size_t maxUnreadable = 4096; // rows that are remembered; the removal of any other counts as a gap
         // The longest that such an endpoint may be used after the table was last known to be unavailable. The recovery
         // may be noticed late, and an endpoint that left during the outage never returns.
@@ -108,6 +109,8 @@
     }
     // The versions of the service's engines, also of those that are leaving.
     std::set<SoftwareVersion> versions(const ServiceId &service) const;
+    // The versions of all its engines that were listed since the last call, also of those that have left since.
+    std::set<SoftwareVersion> takeSeenVersions(const ServiceId &service);
     // The endpoints with this address, also those that are leaving.
     std::vector<const EndpointRecord *> at(const std::string &address) const;
     // Whether new work may still be sent to this incarnation of an endpoint.
@@ -130,6 +133,7 @@
     using Starts = std::map<EndpointId, std::int64_t>;
 
     bool isWithinGrace(Instant now) const;
+    void noteVersion(const EndpointRecord &record);
     MissingEndpoint onMissing(std::map<EndpointId, Entry>::iterator entry, Instant now);
 
     Options options;
@@ -137,6 +141,7 @@
     // Starts that have said that they are leaving, also those that are missing: their rows may return unchanged.
     Starts leavingStarts;
     std::set<EndpointId> unreadable;
+    std::map<ServiceId, std::set<SoftwareVersion>> seenVersions; // until they are taken
     bool isStoreLost = false;
     std::optional<Instant> graceEnd; // of the last recovery
     bool hasList = false;
--- a/promise/testing/endpointregistry_test.cpp
+++ b/promise/testing/endpointregistry_test.cpp
@@ -186,5 +186,23 @@
     EXPECT_EQ(registry.gaps(), 0U);
 }
 
+// Guards against a version that joins and leaves between two looks at the list, and counts as never seen.
+TEST(EndpointRegistry, KnowsTheVersionsOfEnginesThatCameAndWent)
+{
+    EndpointRegistry registry({});
+    EndpointRecord engine = record("a");
+    engine.part = EndpointPart::Decode;
+    engine.version = SoftwareVersion("v1");
+    registry.onListed({engine}, start);
+    EXPECT_EQ(registry.takeSeenVersions(service), std::set<SoftwareVersion>{engine.version});
+    EXPECT_TRUE(registry.takeSeenVersions(service).empty());
+    engine.id = EndpointId("b");
+    engine.version = SoftwareVersion("v2");
+    registry.onChanged(engine, start);
+    registry.onRemoved(engine.id, start);
+    EXPECT_EQ(registry.versions(service), std::set<SoftwareVersion>{SoftwareVersion("v1")});
+    EXPECT_EQ(registry.takeSeenVersions(service), std::set<SoftwareVersion>{engine.version});
+}
+
 } // namespace
 } // namespace fescuesill
