--- a/testing/process/gatewayprocess.py
+++ b/testing/process/gatewayprocess.py
@@ -26,6 +26,7 @@
                             f"ready = {self.ready}\npeers = {self.peers}\ntunnels = {self.tunnels}\n"
                             f"[store]\naddress = {store}\n"
                             f"lease_ms = 1500\n[stop]\n{stop}{more}")
+        self.settings = settings
         program = "gateway-with-test-paths" if paths else "fescuesill-gateway"
         self.environment = paths.environment if paths else None
         super().__init__(binary(program), "--config", settings, environment=self.environment)
@@ -33,6 +34,7 @@
     def start_again(self):
         """At the same addresses; ends the process first where it still runs."""
         self.end()
+        self.settings.write_text(self.settings.read_text().replace("first_start = yes", "first_start = no"))
         super().__init__(*self.command, environment=self.environment)
 
     def is_ready(self):
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -6,7 +6,7 @@
 
 Processes are stopped, frozen, killed and started again by signals; what goes to the store and to plain endpoints goes
 through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; engines of two
-software versions serve, and callers take up streams that broke off; endpoints crash, also under requests that crash each
+software versions serve, one of which may join while a host stands still, and callers take up streams that broke off; endpoints crash, also under requests that crash each
 that answers them, break off, also within answers that end with their connection, fall silent, refuse, add bytes and state
 limits, ask hosts for rest, say that they leave, send without an end; entries lapse and come back, configurations
 change, keys are revoked while their callers go on, the store loses answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py,
@@ -46,6 +46,7 @@
 VARIANTS = {"unframed": ("unframed", "unframed_reset"), "half": ("half", "half_reset", "empty")}
 WRITER_VERSIONS = ("v1", "v2", "v1")
 UNFRAMED_SHARE = 0.5  # of the decode engines: their streams end with their connection
+IN_ORDER_SHARE = 0.5  # of them: their connections end in order when they end
 MOST_ROUTES_MORE = 3000  # a whole configuration of them is some 600 KB
 SLOW_BYTES_PER_SECOND = (150_000, 1_000_000)  # of a host's link to the store
 MOST_LIMIT = 20.0  # calls a second
@@ -57,6 +58,7 @@
 DEADLY = "dead"  # what is called so, in a prompt or a path, crashes each endpoint that begins to answer it
 MOST_CRASHES = {"/write/": 5 + 3, "/look/": 3 + 3}  # by a part of a prompt, and by a request; each with three more
 DEADLY_TRIES = 14
+ENDS_AFTER_SECONDS = 1.5  # a decode engine whose entry is gone or draining for longer has left
 LATE_RUNS_SECONDS = 1.0  # a call that was refused must not run later either
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
@@ -77,6 +79,11 @@
         framing_chance = random.Random(f"{seed}-framing")  # of its own, so that seeds keep their other faults
         for writer in self.writers:
             writer.is_framed = framing_chance.random() >= UNFRAMED_SHARE
+            writer.ends_in_order = framing_chance.random() < IN_ORDER_SHARE
+        self.join_chance = random.Random(f"{seed}-join")
+        self.joining = self.join_chance.choice((None, self.writers[1]))  # the only engine of its version
+        if self.joining:
+            self.platform.remove(self.joining)
         self.routes = ROUTES
         self.workspaces = Workspaces()
         self.configuring = threading.Lock()
@@ -85,7 +92,8 @@
         self.path_chance = random.Random(f"{seed}-paths")  # of its own, so that seeds keep their other faults
         self.key_chance = random.Random(f"{seed}-keys")
         self.paths = [Paths(folder, f"g{number}", self.platform.endpoints) for number in range(hosts)]
-        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, paths=paths, more=SETTINGS + LOAD_SETTINGS)
+        self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, first_start=True, paths=paths,
+                                 more=SETTINGS + LOAD_SETTINGS)
                          for number, (store, paths) in enumerate(zip(self.stores, self.paths))]
         self.busy = [threading.Lock() for _ in self.gateways]  # a process has one fault of its own at a time
         for number, endpoint in enumerate(self.platform.endpoints):
@@ -105,7 +113,7 @@
         self.callers.start()
         end = time.monotonic() + seconds
         faults = [threading.Thread(target=fault, args=(end,), daemon=True)
-                  for fault in (self.path_faults, self.key_faults, self.crash_faults, self.need_faults)]
+                  for fault in (self.path_faults, self.key_faults, self.crash_faults, self.need_faults, self.join_fault)]
         for fault in faults:
             fault.start()
         while time.monotonic() < end:
@@ -235,6 +243,24 @@
                 endpoint.states_leaving = False
                 endpoint.crash()  # it comes back as a new start
 
+    def join_fault(self, end):
+        """A version joins while a host stands still and has a slow store."""
+        if not self.joining:
+            return
+        chance = self.join_chance
+        time.sleep(chance.uniform(0, max(0, end - time.monotonic()) / 2))
+        number = chance.randrange(len(self.gateways))
+        gateway, store, lasts = self.gateways[number], self.stores[number], chance.uniform(0.1, LONGEST_FAULT_SECONDS)
+        with self.busy[number]:
+            self.note("join of", self.joining.name, "while", gateway.name, "stands still", f"{lasts:.2f}")
+            store.mode = "delay"
+            gateway.send(signal.SIGSTOP)
+            self.platform.register(self.joining, born=int(time.time() * 1000))
+            time.sleep(lasts)
+            gateway.send(signal.SIGCONT)
+            time.sleep(LONGEST_FAULT_SECONDS / 2)
+            store.mode = "pass"
+
     def send_deadly(self, gateway, path, name):
         """A request that crashes who answers it: by its first part, no two alike, or by all of it, each the same."""
         self.own_calls.append(f"deadly-{len(self.own_calls)}")
@@ -314,6 +340,9 @@
         else:
             self.platform.register(endpoint, state="draining")
         time.sleep(lasts)
+        if endpoint.stage == "decode" and lasts > ENDS_AFTER_SECONDS:
+            endpoint.crash()  # it leaves as announced, and comes back
+            return
         self.platform.register(endpoint, born=int(time.time() * 1000))
 
     def platform_fault(self, chance, lasts):
