An engine that has ended with its answer is reported at once

The check of an answer that ends with its connection waited before it looked, so ends under streams came 150 ms late and dated as of then, after the next end. It looks at once, and again a moment later only where the port still accepts.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -118,47 +118,52 @@
                              const asio::yield_context &yield)
 {
     const Instant until = steadyNow() + limit;
-    if (answer.firstEvent) {
-        asio::steady_timer timer(this->io, std::min(exitTime, limit));
+    const Crash crash = suspectedBy(answer);
+    const std::string &address = answer.endpoint.address;
+    Liveness found = this->client.probe(address, limit, yield);
+    if (found == Liveness::Running && answer.firstEvent) {
+        asio::steady_timer timer(this->io, std::min(exitTime, until - steadyNow()));
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
+        found = this->reportedLiveness(answer.endpoint, until - steadyNow(), yield);
     }
-    const Liveness found = this->client.probe(answer.endpoint.address, until - steadyNow(), yield);
-    if (found == Liveness::Running && this->isSameStart(answer.endpoint, until - steadyNow(), yield)) {
+    if (found == Liveness::Running && this->isSameStart(answer.endpoint)) {
         return true;
     }
-    const Crash crash = suspectedBy(answer);
     Log::info("endpoint_ended_with_answer",
               {{"endpoint", answer.endpoint.id.value()},
                {"liveness", nameOf(found)},
                {"stays", isStaying},
                {"traits", textOf(crash.traits)}});
     if (isStaying && found == Liveness::Unknown) {
-        this->doubtful.add(answer.endpoint.address, crash);
+        this->doubtful.add(address, crash);
     } else if (isStaying) {
         this->reportAndWait(crash, until - steadyNow(), yield);
     }
     return false;
 }
 
-bool CrashGuard::isSameStart(const EndpointRecord &endpoint, Duration limit, const asio::yield_context &yield)
+bool CrashGuard::isSameStart(const EndpointRecord &endpoint) const
 {
     const auto listed = this->lookup(endpoint.address);
-    const bool isOther = std::any_of(listed.begin(), listed.end(), [&endpoint](const EndpointRecord &other) {
+    return std::none_of(listed.begin(), listed.end(), [&endpoint](const EndpointRecord &other) {
         return other.id == endpoint.id && other.incarnation != endpoint.incarnation;
     });
-    if (isOther || endpoint.part == EndpointPart::Plain) {
-        return !isOther;
-    }
+}
+
+Liveness CrashGuard::reportedLiveness(const EndpointRecord &endpoint, Duration limit, const asio::yield_context &yield)
+{
+    const Instant until = steadyNow() + limit;
     try {
-        const HttpResponse response = this->client.call(endpoint.address, reportRequest(endpoint.id),
-                                                        {std::min(limit, replyLimit), Reuse::Never}, yield);
-        const auto start = readStart(response);
-        return isOfExpected(response) && (!start || endpoint.incarnation == 0 || *start == endpoint.incarnation);
+        const HttpResponse report = this->client.call(endpoint.address, reportRequest(endpoint.id),
+                                                      {std::min(limit, replyLimit), Reuse::Never}, yield);
+        const auto start = readStart(report);
+        const bool isSame = !start || endpoint.incarnation == 0 || *start == endpoint.incarnation;
+        return isOfExpected(report) && isSame ? Liveness::Running : Liveness::Ended;
     } catch (const HttpError &error) {
         Log::info("report_unavailable", {{"endpoint", endpoint.id.value()}, {"reason", error.what()}});
-        return true; // it accepts connections
     }
+    return this->client.probe(endpoint.address, until - steadyNow(), yield);
 }
 
 void CrashGuard::onSilent(const BrokenAnswer &answer)
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -70,8 +70,10 @@
 
     static Crash suspectedBy(const BrokenAnswer &answer);
 
-    // Whether the endpoint at the address is not known to be another start than the one that answered.
-    bool isSameStart(const EndpointRecord &endpoint, Duration limit, const asio::yield_context &yield);
+    // Whether the registry names no other start of the endpoint than the one that answered.
+    bool isSameStart(const EndpointRecord &endpoint) const;
+    // Whether that start of the engine runs, by its report, or by its port where it gives none.
+    Liveness reportedLiveness(const EndpointRecord &endpoint, Duration limit, const asio::yield_context &yield);
     // Reports the crash if there is no endpoint any more at the address.
     bool confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
     void checkAbandoned(const EndpointStart &endpoint, const std::string &address, const asio::yield_context &yield);
