--- a/programs/gateway/testing/streamdays.cpp
+++ b/programs/gateway/testing/streamdays.cpp
@@ -34,8 +34,6 @@
 constexpr Duration silence{900ms}; // of a link, until it counts as lost
 constexpr Duration deputyWait{500ms}; // until a host that has lost its leader decides alone
 constexpr Duration readPause{500ms}; // after the loss of the host that forwards the registry
-constexpr Duration pollInterval{500ms}; // at most
-constexpr Duration deputyInterval{100ms};
 constexpr Duration saveInterval{1s};
 constexpr Duration storeTime{4ms};
 constexpr Duration readLimit{600ms};
@@ -125,6 +123,7 @@
             }
         }
         std::vector<StoreRow> rows;
+        rows.reserve(last.size());
         for (const auto &[key, row] : last) {
             rows.push_back(row);
         }
@@ -249,7 +248,7 @@
     void takeUp(const StreamPtr &stream, int triesLeft, bool isCounted);
     void submit(std::size_t index, const TakeUpPtr &request);
     void decide(std::size_t index, const TakeUpPtr &request, Instant asked);
-    void answer(const TakeUpPtr &request, std::size_t decider, std::optional<std::string> version);
+    void answer(const TakeUpPtr &request, std::size_t decider, const std::optional<std::string> &version);
     bool mustGoOn(const StreamPtr &stream, std::size_t host) const;
 
     StreamDay day;
@@ -775,7 +774,7 @@
         found);
 }
 
-void World::answer(const TakeUpPtr &request, std::size_t decider, std::optional<std::string> version)
+void World::answer(const TakeUpPtr &request, std::size_t decider, const std::optional<std::string> &version)
 {
     const auto engine = version ? this->engineOf(this->hosts[decider], version) : std::nullopt;
     const auto deliver = [this, request, engine] {
