--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -114,7 +114,7 @@
     return true;
 }
 
-bool CrashGuard::hasOutlived(const BrokenAnswer &answer, bool isStaying, Duration limit,
+bool CrashGuard::hasOutlived(const BrokenAnswer &answer, EndpointStanding standing, Duration limit,
                              const asio::yield_context &yield)
 {
     const Instant until = steadyNow() + limit;
@@ -125,7 +125,9 @@
         asio::steady_timer timer(this->io, std::min(exitTime, until - steadyNow()));
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
-        found = this->reportedLiveness(answer.endpoint, until - steadyNow(), yield);
+        const Duration left = until - steadyNow();
+        found = standing.isResting ? this->client.probe(address, left, yield)
+                                   : this->reportedLiveness(answer.endpoint, left, yield);
     }
     if (found == Liveness::Running && this->isSameStart(answer.endpoint)) {
         return true;
@@ -133,11 +135,11 @@
     Log::info("endpoint_ended_with_answer",
               {{"endpoint", answer.endpoint.id.value()},
                {"liveness", nameOf(found)},
-               {"stays", isStaying},
+               {"stays", standing.isStaying},
                {"traits", textOf(crash.traits)}});
-    if (isStaying && found == Liveness::Unknown) {
+    if (standing.isStaying && found == Liveness::Unknown) {
         this->doubtful.add(address, crash);
-    } else if (isStaying) {
+    } else if (standing.isStaying) {
         this->reportAndWait(crash, until - steadyNow(), yield);
     }
     return false;
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -37,6 +37,12 @@
 // Whether the endpoint of a call that failed so has sent nothing until the deadline.
 bool wasSilent(const HttpError &error);
 
+// What this host knows of an endpoint whose answer has ended.
+struct EndpointStanding {
+    bool isStaying = true; // it is listed, and not known to be leaving
+    bool isResting = false; // it wants no request from this host
+};
+
 class CrashGuard
 {
 public:
@@ -54,8 +60,10 @@
     // The same, and waits for the result and until it has been counted, but not longer than the limit.
     bool onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
     // Whether this start of the endpoint lives on after an answer that has ended with its connection; otherwise the
-    // answer may be incomplete. Unless the endpoint was expected to leave, reports it if it has ended.
-    bool hasOutlived(const BrokenAnswer &answer, bool isStaying, Duration limit, const asio::yield_context &yield);
+    // answer may be incomplete. Unless the endpoint was expected to leave, reports it if it has ended. Sends no request
+    // to one that rests.
+    bool hasOutlived(const BrokenAnswer &answer, EndpointStanding standing, Duration limit,
+                     const asio::yield_context &yield);
     // The endpoint has sent nothing until the deadline. Reports it if it then turns out to have started again.
     void onSilent(const BrokenAnswer &answer);
     // The caller has left before the answer. Finds out a moment later whether the endpoint has ended, and reports it.
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -9,6 +9,11 @@
 namespace fescuesill
 {
 
+EndpointStanding standingOf(FleetView &fleet, const EndpointId &endpoint)
+{
+    return {fleet.isStaying(endpoint), fleet.rests().isResting(endpoint)};
+}
+
 const char *nameOf(NoRetry reason)
 {
     switch (reason) {
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -24,6 +24,8 @@
 // For a call that waits for endpoints that have turned this host away; they may serve other hosts.
 constexpr Duration retryAfterInRest{100ms};
 
+EndpointStanding standingOf(FleetView &fleet, const EndpointId &endpoint);
+
 struct GatewayServices {
     const GatewaySettings &settings;
     asio::io_context &io;
