--- a/decide/streamorigins.cpp
+++ b/decide/streamorigins.cpp
@@ -102,19 +102,18 @@
 VersionLookup StreamOrigins::lookUp(const RequestId &request, const ServiceId &service, Instant asked,
                                     Instant now) const
 {
-    const auto stream = this->streams.find(request);
-    if (stream != this->streams.end()) {
-        // A route may lead to another service than the one that began the stream.
-        return stream->second.service == service ? VersionLookup(version_lookup::Found{stream->second.version, true})
-                                                 : VersionLookup(version_lookup::Unknown{});
+    if (const auto reported = this->find(request, service)) {
+        return version_lookup::Found{*reported, true};
     }
+    const bool isOfOtherService = this->streams.count(request) > 0; // the route has been moved or split anew
     const auto only = this->onlyVersion(service, now);
-    if (!only) {
+    if (isOfOtherService || !only) {
         return version_lookup::Unknown{};
     }
-    const bool isConfirmed = this->confirmedAt && *this->confirmedAt >= asked;
-    return isConfirmed ? VersionLookup(version_lookup::Found{*only, false})
-                       : VersionLookup(version_lookup::Unconfirmed{});
+    if (!this->confirmedAt || *this->confirmedAt < asked) {
+        return version_lookup::Unconfirmed{};
+    }
+    return version_lookup::Found{*only, false};
 }
 
 std::optional<SoftwareVersion> StreamOrigins::find(const RequestId &request, const ServiceId &service) const
