The end of an answer is judged by the endpoint's port and row, without a report

A stand-in that knows no report takes the request for a run, and its row names a new start as soon. So the check stays what it was for endpoints that stay: a connection to the port.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -8,7 +8,6 @@
 #include "programs/gateway/crashguard.h"
 
 #include "platform/calldialect.h"
-#include "platform/enginedialect.h"
 #include "wire/clock.h"
 #include "wire/coroutine.h"
 #include "wire/log.h"
@@ -114,7 +113,7 @@
     return true;
 }
 
-bool CrashGuard::hasOutlived(const BrokenAnswer &answer, EndpointStanding standing, Duration limit,
+bool CrashGuard::hasOutlived(const BrokenAnswer &answer, bool isStaying, Duration limit,
                              const asio::yield_context &yield)
 {
     const Instant until = steadyNow() + limit;
@@ -125,9 +124,7 @@
         asio::steady_timer timer(this->io, std::min(exitTime, until - steadyNow()));
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
-        const Duration left = until - steadyNow();
-        found = standing.isResting ? this->client.probe(address, left, yield)
-                                   : this->reportedLiveness(answer.endpoint, left, yield);
+        found = this->client.probe(address, until - steadyNow(), yield);
     }
     if (found == Liveness::Running && this->isSameStart(answer.endpoint)) {
         return true;
@@ -135,16 +132,17 @@
     Log::info("endpoint_ended_with_answer",
               {{"endpoint", answer.endpoint.id.value()},
                {"liveness", nameOf(found)},
-               {"stays", standing.isStaying},
+               {"stays", isStaying},
                {"traits", textOf(crash.traits)}});
-    if (standing.isStaying && found == Liveness::Unknown) {
+    if (isStaying && found == Liveness::Unknown) {
         this->doubtful.add(address, crash);
-    } else if (standing.isStaying) {
+    } else if (isStaying) {
         this->reportAndWait(crash, until - steadyNow(), yield);
     }
     return false;
 }
 
+// One that is back before it is looked at has written its row by then.
 bool CrashGuard::isSameStart(const EndpointRecord &endpoint) const
 {
     const auto listed = this->lookup(endpoint.address);
@@ -153,21 +151,6 @@
     });
 }
 
-Liveness CrashGuard::reportedLiveness(const EndpointRecord &endpoint, Duration limit, const asio::yield_context &yield)
-{
-    const Instant until = steadyNow() + limit;
-    try {
-        const HttpResponse report = this->client.call(endpoint.address, reportRequest(endpoint.id),
-                                                      {std::min(limit, replyLimit), Reuse::Never}, yield);
-        const auto start = readStart(report);
-        const bool isSame = !start || endpoint.incarnation == 0 || *start == endpoint.incarnation;
-        return isOfExpected(report) && isSame ? Liveness::Running : Liveness::Ended;
-    } catch (const HttpError &error) {
-        Log::info("report_unavailable", {{"endpoint", endpoint.id.value()}, {"reason", error.what()}});
-    }
-    return this->client.probe(endpoint.address, until - steadyNow(), yield);
-}
-
 void CrashGuard::onSilent(const BrokenAnswer &answer)
 {
     this->doubtful.add(answer.endpoint.address, suspectedBy(answer));
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -37,12 +37,6 @@
 // Whether the endpoint of a call that failed so has sent nothing until the deadline.
 bool wasSilent(const HttpError &error);
 
-// What this host knows of an endpoint whose answer has ended.
-struct EndpointStanding {
-    bool isStaying = true; // it is listed, and not known to be leaving
-    bool isResting = false; // it wants no request from this host
-};
-
 class CrashGuard
 {
 public:
@@ -60,10 +54,8 @@
     // The same, and waits for the result and until it has been counted, but not longer than the limit.
     bool onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
     // Whether this start of the endpoint lives on after an answer that has ended with its connection; otherwise the
-    // answer may be incomplete. Unless the endpoint was expected to leave, reports it if it has ended. Sends no request
-    // to one that rests.
-    bool hasOutlived(const BrokenAnswer &answer, EndpointStanding standing, Duration limit,
-                     const asio::yield_context &yield);
+    // answer may be incomplete. Unless the endpoint was expected to leave, reports it if it has ended.
+    bool hasOutlived(const BrokenAnswer &answer, bool isStaying, Duration limit, const asio::yield_context &yield);
     // The endpoint has sent nothing until the deadline. Reports it if it then turns out to have started again.
     void onSilent(const BrokenAnswer &answer);
     // The caller has left before the answer. Finds out a moment later whether the endpoint has ended, and reports it.
@@ -80,8 +72,6 @@
 
     // Whether the registry names no other start of the endpoint than the one that answered.
     bool isSameStart(const EndpointRecord &endpoint) const;
-    // Whether that start of the engine runs, by its report, or by its port where it gives none.
-    Liveness reportedLiveness(const EndpointRecord &endpoint, Duration limit, const asio::yield_context &yield);
     // Reports the crash if there is no endpoint any more at the address.
     bool confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
     void checkAbandoned(const EndpointStart &endpoint, const std::string &address, const asio::yield_context &yield);
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -9,11 +9,6 @@
 namespace fescuesill
 {
 
-EndpointStanding standingOf(FleetView &fleet, const EndpointId &endpoint)
-{
-    return {fleet.isStaying(endpoint), fleet.rests().isResting(endpoint)};
-}
-
 const char *nameOf(NoRetry reason)
 {
     switch (reason) {
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -24,9 +24,6 @@
 // For a call that waits for endpoints that have turned this host away; they may serve other hosts.
 constexpr Duration retryAfterInRest{100ms};
 
-// What this host knows of the endpoint now.
-EndpointStanding standingOf(FleetView &fleet, const EndpointId &endpoint);
-
 struct GatewayServices {
     const GatewaySettings &settings;
     asio::io_context &io;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -367,7 +367,7 @@
     const auto &services = this->call.services;
     const BrokenAnswer answer{at, this->call.http, this->sentAt, this->firstEventAt};
     if (this->framing == BodyFraming::Connection
-        && !services.crashes.hasOutlived(answer, standingOf(services.fleet, at.id), this->call.timeLeft(), yield)) {
+        && !services.crashes.hasOutlived(answer, services.fleet.isStaying(at.id), this->call.timeLeft(), yield)) {
         this->lastFault = this->engine.value() + " ended with its answer";
         return false;
     }
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -184,7 +184,7 @@
 {
     const auto &services = this->call.services;
     return services.crashes.hasOutlived({endpoint, this->call.http, begun, std::nullopt},
-                                        standingOf(services.fleet, endpoint.id), this->call.timeLeft(), yield);
+                                        services.fleet.isStaying(endpoint.id), this->call.timeLeft(), yield);
 }
 
 std::optional<NoRetry> PlainForward::claimRetry(SendResult sent)
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -274,7 +274,6 @@
         self.name = name
         self.stage = stage
         self.version = version  # of its software
-        self.born = 1  # as its row says
         self.behave = "ok"
         self.limit = None  # the requests a second that its answers name
         self.is_framed = True
@@ -319,7 +318,6 @@
 
     def come_back(self):
         time.sleep(self.down_seconds)
-        self.born = 1 + self.crashes
         self.listen(self.port)
         self.crashing.release()
         for called in self.on_back:
@@ -356,8 +354,6 @@
         elif request.path.startswith(("/hold-drop/", "/kv-handle/")):
             self.released.append(request.path)
             request.reply(200, {})
-        elif request.path == "/report":
-            request.reply(200, {"stage": self.stage, "models": [], "busy": False, "sequence": 0, "born": self.born})
         elif request.headers.get("X-Stage") == "prefill":
             if self.crashes_on(request, body):
                 self.crash_under(request)
@@ -532,7 +528,6 @@
     def register(self, endpoint, state="ready", **other):
         row = {"service": endpoint.service, "address": endpoint.address, "zone": "a", "version": endpoint.version,
                "slots": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1, **other}
-        endpoint.born = row["born"]
         if endpoint.stage:
             row["stage"] = endpoint.stage
         self.store.put("servers", endpoint.name, json.dumps(row).encode())
