--- a/testing/process/test_ends_of_engines.py
+++ b/testing/process/test_ends_of_engines.py
@@ -100,12 +100,20 @@
         draining.join()
         self.assertEqual((status, len(events_in(body))), (200, EVENTS))
 
-    # Guards against the part of a plain answer that looks whole since its endpoint was leaving.
+    # Each guards against the part of a plain answer that looks whole: its endpoint was leaving, or closes its port last.
     def test_a_plain_answer_of_an_endpoint_that_is_no_longer_listed_and_ends(self):
+        self.check_plain(self.platform.remove)
+
+    def test_a_plain_answer_of_an_endpoint_that_closes_its_port_last(self):
+        for endpoint in self.plain:
+            endpoint.port_seconds = 0.05
+        self.check_plain(lambda endpoint: None)
+
+    def check_plain(self, before_end):
         gateway = self.start()
         for endpoint in self.plain:
             endpoint.ends_in_order, endpoint.down_seconds, endpoint.crash_delay = True, 30, 0.3
-            endpoint.crashes_on = lambda request, body, gone=endpoint: self.platform.remove(gone) or True
+            endpoint.crashes_on = lambda request, body, ending=endpoint: before_end(ending) or True
         self.assertEqual(send(gateway.callers, "POST", "/book/1", b"x")[0], 502)
 
 
