A reply ends at its deadline however fast its bytes arrive

Cause: the deadline was only given to tcp_stream as an expiry, which ends an operation that waits. A read that finds bytes completes without a wait, so the time left was never compared with zero. Neither the relay alone nor the writes to the caller: HttpClient::call(), with its size limits raised, read on past a deadline of 200 ms until memory ended after 118 s, with no caller behind it. All reads of a reply pass HttpConnection::fill(), so the deadline is compared there.

HttpClient.EndsAtTheDeadlineAlthoughBytesKeepArriving and the ways "events" and "chunks" of test_bytes_without_end failed before: engines sent for 20.8 s under a deadline of 2 s. The tests now also check for how long each endpoint went on sending.

--- a/testing/process/gatewayprocess.py
+++ b/testing/process/gatewayprocess.py
@@ -44,14 +44,20 @@
         return "event=leader_changed leader=" in self.log() and " self=yes" in self.log()
 
 
-def send(address, method, path, body=None, host="shop.example", **headers):
-    """Status, headers and body; a body that breaks off raises http.client.IncompleteRead."""
+def send(address, method, path, body=None, host="shop.example", keeps_body=True, **headers):
+    """Status, headers and body; a body that breaks off raises http.client.IncompleteRead. Without `keeps_body` the body is
+    read to its end, and only its last bytes are returned."""
     name, port = address.split(":")
     connection = http.client.HTTPConnection(name, int(port), timeout=20)
     try:
         named = {key.replace("_", "-"): str(value) for key, value in headers.items()}
         connection.request(method, path, body, {"Host": host, "X-Request-Id": next(ids), "X-Deadline-Ms": "4000", **named})
         reply = connection.getresponse()
-        return reply.status, dict(reply.getheaders()), reply.read()
+        if keeps_body:
+            return reply.status, dict(reply.getheaders()), reply.read()
+        last = b""
+        while part := reply.read(1 << 16):
+            last = part
+        return reply.status, dict(reply.getheaders()), last
     finally:
         connection.close()
--- a/testing/process/test_bytes_without_end.py
+++ b/testing/process/test_bytes_without_end.py
@@ -35,11 +35,11 @@
 
     @staticmethod
     def ask(gateway, path):
-        """The status, 0 where the answer breaks off, and the seconds that it took."""
+        """The status, 0 where the answer breaks off, and the seconds that it took. What arrives is not kept."""
         begin = time.monotonic()
         status = 0
         with contextlib.suppress(OSError, http.client.HTTPException, ValueError):
-            status = send(gateway.callers, "GET" if path.startswith("/look/") else "POST", path, b"x",
+            status = send(gateway.callers, "GET" if path.startswith("/look/") else "POST", path, b"x", keeps_body=False,
                           X_Deadline_Ms=DEADLINE_MS, **SIZE)[0]
         return status, time.monotonic() - begin
 
@@ -57,8 +57,15 @@
             self.assertLess(peak_memory_kb(gateway) - before, MOST_MEMORY_KB, way)
             for endpoint in endpoints:
                 endpoint.endless = {}
+            self.check_held(endpoints, way)
         wait_until(lambda: self.ask(gateway, path)[0] == 200, "sound answers")
 
+    def check_held(self, endpoints, way):
+        """No endpoint worked for an answer for longer than its call was due."""
+        time.sleep(LATE_SECONDS)  # in which connections that have been closed are noticed
+        for endpoint in endpoints:
+            self.assertLess(max(endpoint.held_seconds, default=0), DEADLINE_MS / 1000 + LATE_SECONDS, way)
+
     # Each guards against a host whose memory or time an endpoint takes by sending without an end.
     def test_a_plain_call(self):
         self.check(self.start(), "/book/1", self.plain, ["plain"])
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -23,7 +23,8 @@
 It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
 With `places`, a plain endpoint serves that many calls at once, each for `serve_seconds`, and turns further ones away.
 With `states_leaving`, all its answers say that it leaves. `arrivals` has the time and kind of each request. The kinds of
-requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS. Those
+requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS;
+`held_seconds` has how long each of these went on. Those
 in `head_bytes` get so many bytes of the head of an answer, with `framing` as its last header, and the end of the connection.
 """
 
@@ -51,6 +52,8 @@
     "error body": (b"HTTP/1.1 500 No\r\n%s\r\n", b"x" * 16384),
     "chunk line": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5;", b"x" * 16384),
     "trailer": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Another: " + b"x" * 500 + b"\r\n"),
+    "events": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", b"data: x\n\n" * 2048),
+    "chunks": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", b"4000\r\n" + b"data: x\n\n\n" * 1638 + b"1234\r\n"),
     "event": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\ndata: ", b"x" * 16384),
 }
 SLOW_SECONDS = 0.6  # of an answer, longer than the target of a route
@@ -297,6 +300,7 @@
         self.ends_in_order = False
         self.port_seconds = 0.0
         self.ignores_last_event = False
+        self.held_seconds = []
         self.crashing = threading.Lock()
         self.on_crash, self.on_back = [], []  # called when its port refuses connections, and when it listens again
         super().__init__()
@@ -341,7 +345,11 @@
         if expected not in (None, self.name):
             request.reply(421, {}, {"X-Instance-Id": self.name})
         elif self.kind_of(request) in self.endless:
-            self.send_without_end(request, *ENDLESS[self.endless[self.kind_of(request)]])
+            begin = time.monotonic()
+            try:
+                self.send_without_end(request, *ENDLESS[self.endless[self.kind_of(request)]])
+            finally:
+                self.held_seconds.append(time.monotonic() - begin)
         elif self.kind_of(request) in self.head_bytes:
             self.send_part_of_head(request, self.head_bytes[self.kind_of(request)])
         elif self.kind_of(request) in self.rests:
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -1,6 +1,10 @@
 // The body is parsed into a thread-local scratch buffer. This is safe because parsing is synchronous, so no other
 // coroutine of the thread runs in between. Beast's composed read operations are not used for the body: they need a
 // buffer for each stream while it waits, which with 10,000 streams would be most of the memory that streams use.
+//
+// The expiry of a tcp_stream ends an operation that waits. A read that finds bytes does not wait and completes at any
+// time, so a server that keeps sending would be read past every deadline. All reads of a reply pass fill(), which
+// therefore compares the deadline with the clock itself.
 
 #include "wire/httpconnection.h"
 
@@ -158,6 +162,10 @@
     if (this->buffer.size() > maxUnparsed) {
         throw HttpError(HttpFault::TooLarge, false, fmt::format("{}: bytes without an end", this->address));
     }
+    if (std::chrono::steady_clock::now() >= deadline) {
+        throw HttpError(HttpFault::Timeout, false,
+                        fmt::format("read {}: no time left after {} bytes", this->address, this->received));
+    }
     boost::system::error_code error;
     this->stream.expires_at(deadline);
     const auto space = this->buffer.prepare(readSize);
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -156,7 +156,8 @@
 private:
     // Begins to read a reply, of which only the head is sent if the request was HEAD.
     void expectReply(bool isHead);
-    // Throws TooLarge if more has arrived than one element of a reply takes, such as the line before a chunk.
+    // Throws TooLarge if more has arrived than one element of a reply takes, such as the line before a chunk, and
+    // Timeout at the deadline, whatever has arrived.
     void fill(SteadyTime deadline, const asio::yield_context &yield);
     void unframe(std::string_view received);
     void parse(std::string &out);
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -1,5 +1,6 @@
 #include "wire/httpclient.h"
 
+#include "wire/clock.h"
 #include "wire/platformclient.h"
 #include "wire/testing/servedthread.h"
 #include "wire/url.h"
@@ -454,6 +455,64 @@
     }
 }
 
+// Sends a reply whose body has no end, in pieces that are always there to be read.
+std::string serveWithoutEnd(asio::io_context &io)
+{
+    return serveOnce(io, [](auto &socket, const asio::yield_context &yield) {
+        const std::string piece(1 << 16, '\n');
+        boost::system::error_code error;
+        asio::async_write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\n")), yield[error]);
+        while (!error) {
+            asio::async_write(socket, asio::buffer(piece), yield[error]);
+        }
+    });
+}
+
+constexpr Duration readLimit{200ms};
+constexpr Duration lateness{500ms}; // of the end of a read, on a busy machine
+constexpr Duration watched{2s}; // how long a read without an end is watched
+
+// Guards against a limit that ends only reads that wait: bytes that are always there are read past the deadline.
+TEST(HttpClient, EndsAtTheDeadlineAlthoughBytesKeepArriving)
+{
+    using Read = std::function<void(HttpClient &, const std::string &, const asio::yield_context &)>;
+    const CallOptions opening{2s, Reuse::Never};
+    const std::pair<const char *, Read> reads[] = {
+        {"call",
+         [](auto &client, auto &address, auto &yield) {
+             client.call(address, {}, {readLimit, Reuse::Never}, yield);
+         }},
+        {"readAll",
+         [&](auto &client, auto &address, auto &yield) {
+             client.open(address, {}, opening, yield).readAll(readLimit, yield);
+         }},
+        {"readOnce",
+         [&](auto &client, auto &address, auto &yield) {
+             LineStream stream = client.open(address, {}, opening, yield);
+             const Instant begin = steadyNow();
+             std::string bytes;
+             while (steadyNow() < begin + watched && stream.readOnce(bytes, begin + readLimit - steadyNow(), yield)) {
+                 bytes.clear();
+             }
+         }},
+    };
+    for (const auto &[name, read] : reads) {
+        runCoroutine([&, name = name, &run = read](asio::io_context &io, const asio::yield_context &yield) {
+            HttpClient::Options options;
+            options.bodyLimit = options.bufferedLimit = Bytes(512 << 20);
+            HttpClient client(io, options);
+            const Instant begin = steadyNow();
+            try {
+                run(client, serveWithoutEnd(io), yield);
+                ADD_FAILURE() << name;
+            } catch (const HttpError &error) {
+                EXPECT_EQ(error.fault(), HttpFault::Timeout) << name << ": " << error.what();
+            }
+            EXPECT_LT(steadyNow() - begin, readLimit + lateness) << name;
+        });
+    }
+}
+
 TEST(HttpClient, ReadsLinesHoweverTheyAreSplit)
 {
     const ServedThread served({}, [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
