A line is waited for no longer than its limit, however slowly it grows

LineStream::read() began its limit anew with each byte, so an engine that sent a byte of a line now and then was waited for up to a mebibyte of them, where the entry meant to read the stream again after a second of silence. The limit counts from the begin of the wait.

--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -408,6 +408,7 @@
 
 bool LineStream::read(std::string &lines, Duration limit, const asio::yield_context &yield)
 {
+    const SteadyTime deadline = std::chrono::steady_clock::now() + limit;
     std::string &text = this->connection->partial;
     const auto lineLimit = static_cast<std::size_t>(this->connection->pool->options.lineLimit.value());
     while (true) {
@@ -420,7 +421,7 @@
         if (text.size() > lineLimit) {
             throw HttpError(HttpFault::TooLarge, false, "line too long");
         }
-        if (!this->connection->readSome(text, std::chrono::steady_clock::now() + limit, yield)) {
+        if (!this->connection->readSome(text, deadline, yield)) {
             return false;
         }
     }
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -178,8 +178,8 @@
     // Returns the rest of the body, for replies whose status is not 200.
     std::string readAll(Duration deadline, const asio::yield_context &yield);
     // Waits for at least one whole line and returns all that have arrived, each with its line feed. Returns false at
-    // the end of the body; a last line without a line feed is dropped. Throws Timeout if no byte arrives within the
-    // limit.
+    // the end of the body; a last line without a line feed is dropped. Throws Timeout if no whole line arrives within
+    // the limit.
     bool read(std::string &lines, Duration limit, const asio::yield_context &yield);
     // Waits for at least one byte of the body and appends all that have arrived. Returns false at the end of the body.
     bool readSome(std::string &out, Duration limit, const asio::yield_context &yield);
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -513,6 +513,28 @@
     }
 }
 
+// Guards against a line that is waited for as long as its bytes come slowly.
+TEST(HttpClient, EndsTheWaitForALineThatKeepsGrowing)
+{
+    runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
+        const std::string address = serveOnce(io, [&io](auto &socket, const asio::yield_context &inner) {
+            boost::system::error_code error;
+            asio::async_write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\n")), inner[error]);
+            for (Duration sent{0}; sent < watched && !error; sent += 20ms) {
+                asio::steady_timer pause(io, 20ms);
+                pause.async_wait(inner[error]);
+                asio::async_write(socket, asio::buffer("x", 1), inner[error]);
+            }
+        });
+        HttpClient client(io, {});
+        LineStream stream = client.open(address, {}, {2s, Reuse::Never}, yield);
+        const Instant begin = steadyNow();
+        std::string lines;
+        EXPECT_THROW(stream.read(lines, readLimit, yield), HttpError);
+        EXPECT_LT(steadyNow() - begin, readLimit + lateness);
+    });
+}
+
 TEST(HttpClient, ReadsLinesHoweverTheyAreSplit)
 {
     const ServedThread served({}, [](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
