A reply that its caller takes too slowly ends at the deadline, and frees its engine

A write to a caller was bounded by the stall limit, 20 s for each, so a caller that stopped reading held its engine for up to 20 s past the timeout of the route, and an engine whose stream had failed was held while what had arrived of it was written. Read, then shown by test_a_caller_that_stops_reading, which failed before.

Every reply has the deadline of its call: ServerConnection::send(), which all writes pass, ends at the stall limit or at the deadline, whichever is first. The relay closes the connection to the engine before it writes what is held.

--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -232,6 +232,7 @@
                             reply,           *route,  chooseService(*route, first),
                             config->version, nullptr, config->workspaces.has_value(),
                             arrival};
+    reply.setDeadline(forwarded.deadline());
     const CallerIdentity caller = identify(*config, this->fleet.configAge(bootNow()), this->keyTrust(), *route,
                                            config->workspaces ? readKey(call) : PresentedKey());
     if (const auto *member = std::get_if<caller_identity::Member>(&caller)) {
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -309,6 +309,7 @@
                                                            const asio::yield_context &yield)
 {
     const std::string body = answer.readAll(this->call.timeLeft(), yield);
+    answer.close();
     if (this->isStarted) {
         return Outcome::Broken;
     }
@@ -663,6 +664,9 @@
         if (this->sends == 0) {
             this->refund();
         }
+        if (this->call.timeLeft() <= 0ms) {
+            this->lastFault = "not accepted by the caller before the deadline";
+        }
         this->report(peer::PlacementEvent::Ended);
         this->logEnd("caller_gone");
         throw;
--- a/programs/gateway/streamrelay.cpp
+++ b/programs/gateway/streamrelay.cpp
@@ -33,6 +33,7 @@
     } catch (const HttpError &error) {
         fault = error; // handled below: a coroutine must not be suspended inside of a handler
     }
+    stream.close(); // the engine needs not wait while the caller takes what is held
     if (fault) {
         this->take(onEvents);
         if (!this->abort.isAborted()) {
--- a/programs/gateway/streamrelay.h
+++ b/programs/gateway/streamrelay.h
@@ -24,7 +24,8 @@
 
     // Relays until the end of the body, after which events may still be held. Returns false if an event has no end or
     // does not continue the stream.
-    // Rethrows the HttpError of a broken answer. In both cases all whole events have been written.
+    // Rethrows the HttpError of a broken answer, such as one that has not ended at the deadline. In both cases all
+    // whole events have been written. The connection to the engine is closed in every case.
     bool run(LineStream &stream, const OnEvents &onEvents, const asio::yield_context &yield);
     // Writes what is held.
     void flush(const asio::yield_context &yield);
--- a/testing/process/test_bytes_without_end.py
+++ b/testing/process/test_bytes_without_end.py
@@ -5,10 +5,11 @@
 import http.client
 import pathlib
 import re
+import socket
 import time
 import unittest
 
-from gatewayprocess import SIZE, send
+from gatewayprocess import SIZE, ids, send
 from platformtest import PlatformTest
 from standin import wait_until
 from userplatform import ENDLESS, route
@@ -85,6 +86,43 @@
     def test_a_stream_that_goes_on(self):
         self.check(self.start(), "/resume/1", self.writers, ["generate"])
 
+    # Each guards against an engine that is held past the deadline since the caller takes little of what it sends, or nothing.
+    def test_a_caller_that_reads_slowly(self):
+        self.check_slow_caller(self.start(), pause=0.02)
+
+    def test_a_caller_that_stops_reading(self):
+        self.check_slow_caller(self.start(), pause=DEADLINE_MS / 1000 + 2 * LATE_SECONDS)
+
+    def test_a_caller_that_stops_reading_through_another_host(self):
+        gateway = self.start_cut(lambda gateway: self.ask(gateway, "/look/1")[0] == 200)[1]
+        self.check_slow_caller(gateway, pause=DEADLINE_MS / 1000 + 2 * LATE_SECONDS)
+
+    def check_slow_caller(self, gateway, pause):
+        for way in ("events", "chunks"):
+            for writer in self.writers:
+                writer.endless = {"generate": way}
+            with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
+                list(callers.map(lambda _: self.read_slowly(gateway, pause), range(CALLERS)))
+            asked = [writer for writer in self.writers if writer.held_seconds]
+            self.assertTrue(asked, way)
+            self.check_held(asked, way)
+
+    @staticmethod
+    def read_slowly(gateway, pause):
+        """A generation whose caller takes some kilobytes after each pause, and leaves two seconds after its deadline."""
+        host, port = gateway.callers.split(":")
+        with socket.socket() as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            connection.connect((host, int(port)))
+            headers = {"Host": "shop.example", "X-Request-Id": next(ids), "X-Deadline-Ms": DEADLINE_MS, "Content-Length": 1,
+                       **{name.replace("_", "-"): value for name, value in SIZE.items()}}
+            lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            connection.sendall(f"POST /write/1 HTTP/1.1\r\n{lines}\r\nx".encode())
+            end = time.monotonic() + DEADLINE_MS / 1000 + 2 * LATE_SECONDS
+            with contextlib.suppress(OSError):
+                while time.monotonic() < end and connection.recv(16384):
+                    time.sleep(pause)
+
     def test_through_another_host(self):
         other, cut = self.start_cut(lambda gateway: self.ask(gateway, "/look/1")[0] == 200)
         before = peak_memory_kb(other)
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -184,6 +184,11 @@
     this->connection.watchForClose(std::move(callback));
 }
 
+void HttpReply::setDeadline(Instant deadline)
+{
+    this->connection.replyDeadline = std::chrono::steady_clock::time_point(deadline.time_since_epoch());
+}
+
 void HttpReply::closeAfterReply()
 {
     this->connection.keepAlive = false;
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -10,8 +10,8 @@
 //     });
 //
 // A stream is written in parts. It has no buffer: write() waits until the kernel has accepted the data, so a slow
-// caller delays only its own stream and uses no memory. A caller that accepts no data for stallLimit is treated as
-// disconnected.
+// caller delays only its own stream and uses no memory. A caller that accepts no data for stallLimit, or has not
+// accepted all of it at the deadline of the response, is treated as disconnected.
 //
 //     reply.onCallerGone([&] { lines.close(); });
 //     reply.startStream(200, yield);
@@ -43,7 +43,8 @@
     std::string_view header(std::string_view name) const;
 };
 
-// Thrown when the caller has closed its connection, or has read nothing for stallLimit.
+// Thrown when the caller has closed its connection, has read nothing for stallLimit, or reads too slowly for the
+// deadline.
 class CallerGone : public std::runtime_error
 {
 public:
@@ -81,6 +82,9 @@
     // sending half has the same effect, but callers of this protocol don't do that. An empty function removes the
     // callback.
     void onCallerGone(std::function<void()> callback);
+    // Until when the caller must have accepted what is written; without one, until stallLimit after each write. A write
+    // that starts later must be accepted at once.
+    void setDeadline(Instant deadline);
     bool isStarted() const;
     // Closes the connection after this response, so that the caller connects next to a host that is not stopping.
     void closeAfterReply();
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -15,6 +15,7 @@
 
 #include "wire/refusaljson.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -134,6 +135,7 @@
     }
     this->started = false;
     this->isChunked = true;
+    this->replyDeadline = std::chrono::steady_clock::time_point::max();
     this->id = this->newRequestId();
     const auto parser = std::make_unique<RequestParser>();
     beast::error_code error;
@@ -230,7 +232,8 @@
     if (data.empty()) {
         return;
     }
-    this->stream.expires_after(this->server->options.stallLimit);
+    const auto stalled = std::chrono::steady_clock::now() + this->server->options.stallLimit;
+    this->stream.expires_at(std::min(stalled, this->replyDeadline));
     asio::async_write(this->stream, asio::buffer(data.data(), data.size()), yield[error]);
     if (error) {
         throw CallerGone();
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -88,6 +88,7 @@
     bool isChunked = true;
     bool keepAlive = true;
     bool isIdle = false; // waiting for the first byte of a request
+    std::chrono::steady_clock::time_point replyDeadline = std::chrono::steady_clock::time_point::max();
 
 private:
     // Returns nothing if the connection has ended or the request was refused.
--- a/wire/testing/httpserver_test.cpp
+++ b/wire/testing/httpserver_test.cpp
@@ -1,5 +1,6 @@
 #include "wire/httpserver.h"
 
+#include "wire/clock.h"
 #include "wire/testing/servedthread.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -156,6 +157,64 @@
     EXPECT_LT(written.get_future().get(), maxPiecesInKernelBuffers);
 }
 
+// Guards against a stream that goes on past its deadline, and holds its engine, for as long as its caller takes some of
+// it now and then.
+TEST(HttpServer, EndsAReplyAtItsDeadlineHoweverSlowlyItIsRead)
+{
+    constexpr Duration limit{300ms};
+    constexpr Duration lateness{500ms};
+    constexpr Duration watched{3s};
+    std::promise<Duration> ended;
+    const ServedThread served({}, [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        const Instant begin = steadyNow();
+        const std::string piece(1 << 16, 'x');
+        reply.setDeadline(begin + limit);
+        try {
+            reply.startStream(200, yield);
+            while (steadyNow() < begin + watched) {
+                reply.write(piece, yield);
+            }
+        } catch (const CallerGone &) {
+        }
+        ended.set_value(steadyNow() - begin);
+        reply.abort();
+    });
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::address_v4::loopback(), served.port()});
+    asio::write(socket, asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+    auto result = ended.get_future();
+    std::vector<char> bytes(1 << 15);
+    boost::system::error_code error;
+    while (result.wait_for(std::chrono::milliseconds(10)) != std::future_status::ready && !error) {
+        socket.read_some(asio::buffer(bytes), error);
+    }
+    EXPECT_LT(result.get(), limit + lateness);
+}
+
+// Guards against a limit on slow replies that outlives its call: the next one on the connection has none.
+TEST(HttpServer, TheDeadlineOfAReplyEndsWithIt)
+{
+    const ServedThread served({}, [](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+        if (call.target == "/first") {
+            reply.setDeadline(steadyNow());
+            reply.send(200, "first", yield);
+            return;
+        }
+        reply.startStream(200, yield);
+        for (int piece = 0; piece < 64; ++piece) { // more than the kernel buffers
+            reply.write(std::string(1 << 18, 'x'), yield);
+        }
+        reply.finish("last", yield);
+    });
+    RawConnection raw(served.port());
+    raw.send("GET /first HTTP/1.1\r\n\r\n");
+    EXPECT_NE(raw.readUntil("first").find("200 OK"), std::string::npos);
+    raw.send("GET /second HTTP/1.1\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    EXPECT_NE(raw.readToEnd().find("last\r\n0\r\n\r\n"), std::string::npos);
+}
+
 // How a connection without keep-alive ended for its caller after it sent this request: eof or a reset.
 boost::system::error_code endOf(const ServedThread &served, std::string_view request)
 {
