A request is read no longer than its limit however fast its bytes arrive, and a chunk's line is bounded

The line before a chunk has no limit in the parser, so such a caller could fill the memory of a host. The server now reads by itself, and fill(), which all reads of a request pass, checks the time and what the parser left.

The timer's handler could also run after the request was read, and then cancelled the wait that notices a caller that leaves; a timer that is set aside never does.

--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -1,7 +1,8 @@
 // One coroutine for each connection repeats these steps: wait for a byte, read a header and a body, and pass the call
 // to the handler, which writes the response. Every wait has a time limit. The limit on a header or body starts with its
 // first byte and later bytes don't extend it, so a caller that sends one byte a second times out as early as one that
-// sends nothing.
+// sends nothing. A timer can only end a read that waits, so fill() also checks whether it has expired: the reads of a
+// caller that keeps sending never wait.
 //
 // Responses are first written with a synchronous non-blocking write. The kernel nearly always accepts all of the data,
 // and a pass through the reactor for each token would cost more than the token itself. Only the rest is written
@@ -17,7 +18,6 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 
 namespace fescuesill
 {
@@ -25,6 +25,7 @@
 {
 
 constexpr std::size_t firstReadSize = 2048; // bytes; holds most requests completely
+constexpr std::size_t bodyReadSize = 8192; // in one read of a longer body
 
 std::string_view viewOf(beast::string_view text)
 {
@@ -92,7 +93,7 @@
     parser.header_limit(static_cast<std::uint32_t>(options.headerLimit.value()));
     parser.body_limit(static_cast<std::uint64_t>(options.bodyLimit.value()));
     this->startReadTimer(options.headerLimitTime);
-    std::size_t count = http::async_read_header(this->stream, this->buffer, parser, yield[error]);
+    this->readUntil(&RequestParser::is_header_done, parser, error, yield);
     if (!error && hasUnknownCoding(parser)) {
         error = http::error::bad_transfer_encoding;
     }
@@ -101,16 +102,56 @@
     }
     if (!error && !parser.is_done()) {
         this->startReadTimer(options.bodyLimitTime);
-        count += http::async_read(this->stream, this->buffer, parser, yield[error]);
+        this->readUntil(&RequestParser::is_done, parser, error, yield);
     }
-    countReceived(this->server->options.traffic, count);
-    this->readTimer.cancel();
+    this->readTimer.expires_at(std::chrono::steady_clock::time_point::max());
     if (error && this->isTimedOut) {
         error = beast::error::timeout;
     }
     return !error;
 }
 
+// What the parser leaves is an element that is incomplete, such as the line before a chunk.
+void ServerConnection::readUntil(bool (RequestParser::*isComplete)() const, RequestParser &parser,
+                                 beast::error_code &error, const asio::yield_context &yield)
+{
+    while (!error && !(parser.*isComplete)()) {
+        std::size_t used = 0;
+        if (this->buffer.size() > 0) {
+            used = parser.put(this->buffer.data(), error);
+            this->buffer.consume(used);
+        }
+        if (error == http::error::need_more) {
+            error = {};
+            used = 0;
+        }
+        if (!error && used == 0) {
+            this->fill(parser, error, yield);
+        }
+    }
+}
+
+void ServerConnection::fill(RequestParser &parser, beast::error_code &error, const asio::yield_context &yield)
+{
+    const auto unparsedLimit = static_cast<std::size_t>(this->server->options.headerLimit.value());
+    if (this->isTimedOut) {
+        error = beast::error::timeout;
+        return;
+    }
+    if (this->buffer.size() > unparsedLimit) {
+        error = http::error::header_limit;
+        return;
+    }
+    const std::size_t size = parser.is_header_done() ? bodyReadSize : firstReadSize;
+    const std::size_t count = this->stream.async_read_some(this->buffer.prepare(size), yield[error]);
+    this->buffer.commit(count);
+    countReceived(this->server->options.traffic, count);
+    if (error == asio::error::eof) {
+        error = {};
+        parser.put_eof(error);
+    }
+}
+
 // The timeout of tcp_stream closes the socket, so a caller that is too slow could not be sent a refusal. This timer
 // only cancels the read.
 void ServerConnection::startReadTimer(Duration limit)
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -96,6 +96,10 @@
     void handle(HttpCall &call, const asio::yield_context &yield);
     bool awaitByte(const asio::yield_context &yield);
     bool readHeaderAndBody(RequestParser &parser, beast::error_code &error, const asio::yield_context &yield);
+    // Reads until the request is complete as far as `isComplete`, to an error, or until the read timer expires.
+    void readUntil(bool (RequestParser::*isComplete)() const, RequestParser &parser, beast::error_code &error,
+                   const asio::yield_context &yield);
+    void fill(RequestParser &parser, beast::error_code &error, const asio::yield_context &yield);
     void onReadable();
     void startReadTimer(Duration limit);
 
--- a/wire/testing/httpserver_test.cpp
+++ b/wire/testing/httpserver_test.cpp
@@ -3,6 +3,8 @@
 #include "wire/clock.h"
 #include "wire/testing/servedthread.h"
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -157,6 +159,42 @@
     EXPECT_LT(written.get_future().get(), maxPiecesInKernelBuffers);
 }
 
+// Guards against a request that holds its connection past its time limit since another of its bytes arrives at the
+// moment in which the limit passes.
+TEST(HttpServer, TimesOutRequestsHoweverTheirBytesArrive)
+{
+    constexpr int callers = 200;
+    HttpServer::Options options = smallLimits();
+    options.headerLimit = options.bodyLimit = Bytes(1 << 20);
+    std::atomic<int> handled{0};
+    const ServedThread served(options, [&](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+        ++handled;
+        echo(call, reply, yield);
+    });
+    asio::io_context io;
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> open;
+    for (int i = 0; i < callers; ++i) {
+        open.push_back(std::make_unique<asio::ip::tcp::socket>(io));
+        open.back()->connect({asio::ip::address_v4::loopback(), served.port()});
+        const std::string head =
+            i % 2 == 0 ? "GET / HTTP/1.1\r\nX: " : "POST / HTTP/1.1\r\nContent-Length: 999999\r\n\r\n";
+        asio::write(*open.back(), asio::buffer(head));
+    }
+    const auto end = std::chrono::steady_clock::now() + options.headerLimitTime + std::chrono::milliseconds(800);
+    while (!open.empty() && std::chrono::steady_clock::now() < end) {
+        for (auto &socket : open) {
+            boost::system::error_code error;
+            socket->send(asio::buffer("x", 1), 0, error);
+            if (error) {
+                socket.reset();
+            }
+        }
+        open.erase(std::remove(open.begin(), open.end(), nullptr), open.end());
+    }
+    EXPECT_EQ(open.size(), 0U);
+    EXPECT_EQ(handled, 0);
+}
+
 // Guards against a stream that goes on past its deadline, and holds its engine, for as long as its caller takes some of
 // it now and then.
 TEST(HttpServer, EndsAReplyAtItsDeadlineHoweverSlowlyItIsRead)
@@ -215,6 +253,24 @@
     EXPECT_NE(raw.readToEnd().find("last\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a caller that takes the memory of a host with the line before a chunk, which may have any length.
+TEST(HttpServer, RefusesALineBeforeAChunkThatDoesNotEnd)
+{
+    const ServedThread served(smallLimits(), echo);
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::address_v4::loopback(), served.port()});
+    std::string text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;";
+    constexpr std::size_t mostAccepted = 32 << 20; // bytes, what the kernel buffers included
+    std::size_t sent = 0;
+    boost::system::error_code error;
+    while (!error && sent < mostAccepted) {
+        sent += asio::write(socket, asio::buffer(text), error);
+        text.assign(1 << 16, 'x');
+    }
+    EXPECT_LT(sent, mostAccepted);
+}
+
 // How a connection without keep-alive ended for its caller after it sent this request: eof or a reset.
 boost::system::error_code endOf(const ServedThread &served, std::string_view request)
 {
