--- a/testing/process/test_bytes_without_end.py
+++ b/testing/process/test_bytes_without_end.py
@@ -12,7 +12,7 @@
 from gatewayprocess import SIZE, ids, send
 from platformtest import PlatformTest
 from standin import wait_until
-from userplatform import ENDLESS, route
+from userplatform import ENDLESS, ENDLESS_EVENTS, route
 
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
           route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True)]
@@ -47,7 +47,7 @@
     def check(self, gateway, path, endpoints, kinds, served=False):
         """Each of `kinds` of requests at the endpoints is answered without an end, in each of the ways."""
         before = peak_memory_kb(gateway)
-        for way in ENDLESS:
+        for way in (*ENDLESS, *ENDLESS_EVENTS):
             for endpoint in endpoints:
                 endpoint.endless = {kind: way for kind in kinds}
             with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
@@ -98,7 +98,7 @@
         self.check_slow_caller(gateway, pause=DEADLINE_MS / 1000 + 2 * LATE_SECONDS)
 
     def check_slow_caller(self, gateway, pause):
-        for way in ("events", "chunks"):
+        for way in ENDLESS_EVENTS:
             for writer in self.writers:
                 writer.endless = {"generate": way}
             with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -23,9 +23,9 @@
 It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
 With `places`, a plain endpoint serves that many calls at once, each for `serve_seconds`, and turns further ones away.
 With `states_leaving`, all its answers say that it leaves. `arrivals` has the time and kind of each request. The kinds of
-requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS;
-`held_seconds` has how long each of these went on. Those
-in `head_bytes` get so many bytes of the head of an answer, with `framing` as its last header, and the end of the connection.
+requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS or
+ENDLESS_EVENTS; `held_seconds` has how long each of these went on. Those in `head_bytes` get so many bytes of the head of an
+answer, with `framing` as its last header, and the end of the connection.
 """
 
 import base64
@@ -52,9 +52,12 @@
     "error body": (b"HTTP/1.1 500 No\r\n%s\r\n", b"x" * 16384),
     "chunk line": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5;", b"x" * 16384),
     "trailer": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Another: " + b"x" * 500 + b"\r\n"),
+    "event": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\ndata: ", b"x" * 16384),
+}
+# The same with bytes that look like the events of a stream.
+ENDLESS_EVENTS = {
     "events": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", b"data: x\n\n" * 2048),
     "chunks": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", b"4000\r\n" + b"data: x\n\n\n" * 1638 + b"1234\r\n"),
-    "event": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\ndata: ", b"x" * 16384),
 }
 SLOW_SECONDS = 0.6  # of an answer, longer than the target of a route
 STALL_SECONDS = 3
@@ -347,7 +350,7 @@
         elif self.kind_of(request) in self.endless:
             begin = time.monotonic()
             try:
-                self.send_without_end(request, *ENDLESS[self.endless[self.kind_of(request)]])
+                self.send_without_end(request, *{**ENDLESS, **ENDLESS_EVENTS}[self.endless[self.kind_of(request)]])
             finally:
                 self.held_seconds.append(time.monotonic() - begin)
         elif self.kind_of(request) in self.head_bytes:
