--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -43,6 +43,19 @@
 
 } // namespace
 
+const char *nameOf(EndEvidence evidence)
+{
+    switch (evidence) {
+    case EndEvidence::None:
+        return "none";
+    case EndEvidence::Framing:
+        return "framing";
+    case EndEvidence::Port:
+        return "port";
+    }
+    return "none";
+}
+
 const EngineTraits &GenerationForward::traits() const
 {
     static const EngineTraits none;
@@ -372,6 +385,7 @@
         this->lastFault = this->engine.value() + " ended with its answer";
         return false;
     }
+    this->endEvidence = this->framing == BodyFraming::Connection ? EndEvidence::Port : EndEvidence::Framing;
     return true;
 }
 
@@ -388,6 +402,7 @@
     ++this->sends;
     this->hasNoPath = false;
     this->isCutShort = false;
+    this->endEvidence = EndEvidence::None;
     this->firstEventAt.reset();
     this->sentAt = steadyNow();
     try {
@@ -593,6 +608,7 @@
                {"took_ms", (steadyNow() - this->call.arrival).count() / 1000},
                {"last_fault", this->lastFault},
                {"framing", nameOf(this->framing)},
+               {"end_evidence", nameOf(this->endEvidence)},
                {"engine_stays", this->call.services.fleet.isStaying(this->engine)},
                {"last_event", this->events.lastEvent()},
                {"unfinished_event_bytes", static_cast<std::uint64_t>(this->events.rest().size())},
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -12,6 +12,14 @@
 namespace fescuesill
 {
 
+// What showed that the body of an answer was a whole stream.
+enum class EndEvidence {
+    None,
+    Framing, // its length or its last chunk
+    Port, // the engine's port accepted connections after it
+};
+const char *nameOf(EndEvidence evidence);
+
 class GenerationForward
 {
 public:
@@ -87,6 +95,7 @@
     std::optional<Duration> blockedFor; // the request, since such requests crash engines
     std::string lastFault;
     BodyFraming framing = BodyFraming::Length; // of the last response of a decode engine
+    EndEvidence endEvidence = EndEvidence::None; // of that response
     bool isCutShort = false; // the engine ended the last answer before it was whole
     bool hasReaderEnded = false; // an engine ended while it read the prompt
     bool hasNoPath = false; // the last fault is that this host reaches no endpoint
