--- a/testing/process/test_ends_of_engines.py
+++ b/testing/process/test_ends_of_engines.py
@@ -12,7 +12,7 @@
 from userplatform import EVENTS, events_in
 
 
-class EndsOfEnginesTest(World):
+class EndsOfEnginesWorld(World):
     """Engines that end after three events of a stream without framing, which ends in order with their connection."""
 
     def setUp(self):
@@ -50,6 +50,8 @@
         self.platform.register(writer, **row)
         wait_until(lambda: re.search(f"event=endpoint_changed endpoint={writer.name} .*leaving=yes", gateway.log()), "the row")
 
+
+class EndsOfEnginesTest(EndsOfEnginesWorld):
     # Each guards against a part of a stream that looks complete since its engine ended while nobody expected it to stay, or
     # while it could not be asked.
     def test_a_stream_of_an_engine_that_drains_and_ends(self):
@@ -117,6 +119,77 @@
         self.assertEqual(send(gateway.callers, "POST", "/book/1", b"x")[0], 502)
 
 
+class EndsSeenOnlyInReportsTest(EndsOfEnginesWorld):
+    """The port of an engine that has ended accepts connections on: it closes late, a proxy stays, or another engine is there."""
+
+    def start_behind_proxy(self, closes_in_order=False):
+        gateway = World.start(self)
+        for proxy in gateway.paths.proxies.values():
+            proxy.closes_in_order = closes_in_order
+        return gateway
+
+    def check_late_port(self, seconds, before_end=lambda writer: None):
+        self.writers[0].port_seconds = seconds
+        self.check_part(self.start(), before_end)
+
+    # Each guards against a part of a stream that looks whole since something accepts connections at its engine's address.
+    def test_a_stream_of_an_engine_that_ends_behind_a_proxy(self):
+        self.check_part(self.start_behind_proxy())
+
+    def test_a_stream_of_an_engine_that_ends_behind_a_proxy_that_closes_in_order(self):
+        self.check_part(self.start_behind_proxy(closes_in_order=True))
+
+    def test_a_stream_of_an_engine_that_closes_its_port_some_time_later(self):
+        self.check_late_port(0.4)
+
+    def test_a_stream_of_an_engine_that_closes_its_port_much_later(self):
+        self.check_late_port(1.5)
+
+    def test_a_stream_of_an_engine_that_drains_and_closes_its_port_much_later(self):
+        gateway = self.start()
+        self.writers[0].port_seconds = 1.5
+        self.check_part(gateway, lambda writer: self.set_row(gateway, writer, state="draining"))
+
+    def test_a_stream_of_an_engine_that_is_no_longer_listed_and_closes_its_port_much_later(self):
+        self.check_late_port(1.5, self.platform.remove)
+
+    def test_a_stream_of_an_engine_whose_address_another_one_has_taken(self):
+        gateway, writer = self.start_behind_proxy(), self.writers[0]
+        writer.down_seconds = 0.02
+        writer.on_crash.append(lambda: setattr(writer, "name", "i-another"))
+        self.check_part(gateway)
+
+    def test_a_stream_of_an_engine_that_is_back_before_its_row_says_so(self):
+        gateway, writer = self.start_behind_proxy(), self.writers[0]
+        writer.down_seconds = 0.02
+        writer.on_back.clear()
+        self.check_part(gateway)
+
+    # Guards against a part of a stream that looks whole although its living engine has made more events of it.
+    def test_a_stream_that_a_living_engine_ends_early(self):
+        gateway, writer = self.start(), self.writers[0]
+        self.platform.remove(self.writers[1])
+        wait_until(lambda: f"event=endpoint_removed endpoint={self.writers[1].name}" in gateway.log(), "the removal")
+        writer.behave, writer.breaks_at = "short", 4
+        self.check_incomplete(gateway, "/write/1")
+
+    # Guards against a resumable stream that ends with its first engine, whose port stays, although another one could go on.
+    def test_a_resumable_stream_goes_on_when_its_engine_ends_behind_a_proxy(self):
+        self.check_goes_on(self.start_behind_proxy())
+
+    def test_a_resumable_stream_goes_on_when_its_engine_closes_its_port_much_later(self):
+        self.writers[0].port_seconds = 1.5
+        self.check_goes_on(self.start())
+
+    def check_goes_on(self, gateway):
+        def add_another(_writer):
+            self.writers[1].crashes_on = lambda request, body: False
+            self.platform.register(self.writers[1])
+
+        status, events = self.send_to_one_that_ends(gateway, "/resume/1", add_another)
+        self.assertEqual((status, events), (200, list(range(1, EVENTS + 1))))
+
+
 class EventsOutOfOrderTest(World):
     def check_order(self, gateway, path, **headers):
         try:
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -8,8 +8,8 @@
 It knows nothing of the product's code. Behaviours of an endpoint: ok, error, full, cut, mute, reset (before any byte),
 other_id, encoded, extra,
 unframed (no length, ends with its connection), unframed_reset (resets the connection in the middle), unframed_stall (stops
-in the middle). Of a decode engine also half: it breaks off within the event `breaks_at`; half_reset: it resets its connection
-there; half_first: it breaks off so only streams that it begins; stall: it stops before its third event; empty: it closes
+in the middle). Of a decode engine also half: it breaks off within the event `breaks_at`; short: it ends the stream in order
+before that event, and its report says that it has made one more; half_reset: it resets its connection there; half_first: it breaks off so only streams that it begins; stall: it stops before its third event; empty: it closes
 the connection before an event; and lost: it runs and answers nothing. With `is_framed` off, its streams have neither a
 length nor chunks and end with their connection. It sends `burst` events at once, and pauses `pause_seconds` after them.
 
@@ -17,12 +17,13 @@
 crash(): its connections end, its port refuses new ones, and after `down_seconds` it is back as a new incarnation. A prefill
 engine crashes under them as it reads their prompts. With `crash_delay` it crashes that much later; with `crash_events`, a
 decode engine after so many events; with `ends_in_order`, connections end in order whatever was sent on them; with
-`port_seconds`, its port refuses connections only so long after its connections have ended. A decode engine that
-`ignores_last_event` begins each stream anew; one that is `extra` sends a second answer after an unframed stream.
+`port_seconds`, its port refuses connections only so long after its connections have ended, and until then nobody answers on
+new ones. A decode engine that `ignores_last_event` begins each stream anew; one that is `extra` sends a second answer after an unframed stream.
 
 It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
 With `places`, a plain endpoint serves that many calls at once, each for `serve_seconds`, and turns further ones away.
-With `states_leaving`, all its answers say that it leaves. `arrivals` has the time and kind of each request. The kinds of
+With `states_leaving`, all its answers say that it leaves. Engines answer GET /report, unless `knows_report` is off; after a
+stream they answer nothing for `silent_seconds`. `arrivals` has the time and kind of each request. The kinds of
 requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS or
 ENDLESS_EVENTS; `held_seconds` has how long each of these went on. Those in `head_bytes` get so many bytes of the head of an
 answer, with `framing` as its last header, and the end of the connection.
@@ -302,6 +303,11 @@
         self.crash_events = 0
         self.ends_in_order = False
         self.port_seconds = 0.0
+        self.is_exiting = False
+        self.born = 1  # of the current start, as its row says
+        self.runs = {}  # the events made of each stream that it runs
+        self.knows_report = True
+        self.silent_seconds, self.silent_until = 0.0, 0.0
         self.ignores_last_event = False
         self.held_seconds = []
         self.crashing = threading.Lock()
@@ -315,7 +321,9 @@
             for called in self.on_crash:
                 called()
             # Answers without framing are reset, unless they are to look whole but for the end of their endpoint.
+            self.is_exiting = self.port_seconds > 0
             self.http.crash(not self.ends_in_order and (self.stage is None or not self.is_framed), self.port_seconds)
+            self.is_exiting = False
             threading.Thread(target=self.come_back, daemon=True).start()
 
     def crash_under(self, request):
@@ -325,6 +333,8 @@
 
     def come_back(self):
         time.sleep(self.down_seconds)
+        self.born = 1 + self.crashes
+        self.runs.clear()
         self.listen(self.port)
         self.crashing.release()
         for called in self.on_back:
@@ -335,11 +345,31 @@
             return "hold"
         if request.path.startswith(("/hold-drop/", "/kv-handle/")):
             return "release"
+        if self.is_report(request):
+            return "report"
         if request.headers.get("X-Stage") == "prefill":
             return "prefill"
         return "generate" if self.stage == "decode" else "plain"
 
+    def is_report(self, request):
+        return self.stage is not None and request.command == "GET" and request.path == "/report"
+
+    def report(self, request):
+        if not self.knows_report:
+            request.reply(404, {})
+            return
+        runs = [[run, 100, events, 5] for run, events in list(self.runs.items())]
+        request.reply(200, {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False,
+                            "sequence": 1, "queued": 0, "running": len(runs), "kv_used": 0, "kv_total": 60000,
+                            "kv_handles": 0, "born": self.born, "runs": runs}, {"Content-Type": "application/json"})
+
     def handle(self, request, body):
+        if self.is_exiting:
+            while self.is_exiting:
+                time.sleep(0.01)
+            reset(request)
+            return
+        time.sleep(max(0.0, self.silent_until - time.monotonic()))
         self.asked.append((request.command, request.path))
         self.arrivals.append((time.monotonic(), self.kind_of(request)))
         if self.states_leaving:
@@ -358,6 +388,8 @@
         elif self.kind_of(request) in self.rests:
             request.reply(503, {}, {"X-Not-Executed": "1", "Retry-After": str(self.rest_seconds),
                                     "X-Request-Id": request.headers.get("X-Request-Id", "")})
+        elif self.is_report(request):
+            self.report(request)
         elif request.path == "/hold-take":
             self.reservations += 1
             full = self.behave == "full"
@@ -371,7 +403,12 @@
             else:
                 request.reply(200, {"handle": "k1", "tokens": 10, "version": 1})
         elif self.stage == "decode":
+            run = request.headers.get("X-Request-Id")
+            self.runs[run] = 0
             self.generate(request, body)
+            self.silent_until = time.monotonic() + self.silent_seconds
+            if self.behave != "short":
+                self.runs.pop(run, None)
         else:
             self.answer(request, body)
 
@@ -470,6 +507,10 @@
             if behave == "empty" and number == first:
                 request.close_connection = True
                 return
+            if behave == "short" and number == self.breaks_at:
+                self.runs[request.headers.get("X-Request-Id")] = number - first + 1
+                request.close_connection = True
+                return
             if behave == "stall" and number == 3:
                 self.on_half()
                 time.sleep(STALL_SECONDS)
@@ -482,6 +523,7 @@
             request.wfile.write(pending)
             request.wfile.flush()
             pending = b""
+            self.runs[request.headers.get("X-Request-Id")] = number - first + 1
             if breaks_off:
                 if behave == "half_reset":
                     time.sleep(0.02)
@@ -538,7 +580,8 @@
 
     def register(self, endpoint, state="ready", **other):
         row = {"service": endpoint.service, "address": endpoint.address, "zone": "a", "version": endpoint.version,
-               "slots": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1, **other}
+               "slots": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": endpoint.born, **other}
+        endpoint.born = row["born"]
         if endpoint.stage:
             row["stage"] = endpoint.stage
         self.store.put("servers", endpoint.name, json.dumps(row).encode())
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -6,6 +6,7 @@
     proxy.links = (Link(40_000), Link(40_000))  # what all connections share, to the target and back
     proxy.reset()                  # all open connections at once
     proxy.go_down(), proxy.come_up()  # new connections are refused
+    proxy.closes_in_order = True   # new connections while its target refuses them, which it resets otherwise
 
 Modes: pass; delay (each piece waits 200 ms); one_way (nothing comes back); silent (nothing goes either way); refuse (new
 connections are reset).
@@ -19,6 +20,7 @@
 
 DELAY_SECONDS = 0.2
 SLOW_PIECES_PER_SECOND = 20
+CLOSING_SECONDS = 1.0
 MODES = ("delay", "one_way", "silent", "refuse")
 
 
@@ -43,6 +45,7 @@
         host, port = target.split(":")
         self.target = (host, int(port))
         self.mode = "pass"
+        self.closes_in_order = False
         self.bytes_per_second = None
         self.links = None
         self.pairs = []
@@ -75,7 +78,10 @@
                     callee = socket.create_connection(self.target, timeout=5)
                     callee.settimeout(None)
                 except OSError:
-                    reset(caller)
+                    if self.closes_in_order:
+                        threading.Thread(target=close_in_order, args=(caller,), daemon=True).start()
+                    else:
+                        reset(caller)
                     continue
                 self.pairs.append((caller, callee))
                 threading.Thread(target=self.carry, args=(caller, callee), daemon=True).start()
@@ -129,6 +135,16 @@
         self.reset()
 
 
+def close_in_order(connection):
+    """Reads what has come first: the kernel resets a connection that is closed with bytes left to read."""
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_WR)
+        connection.settimeout(CLOSING_SECONDS)
+        while connection.recv(65536):
+            pass
+    connection.close()
+
+
 def reset(connection):
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
