A stream that ends with its connection is whole only if its engine answers after the end

Cause: the kernel closes the connections of a process that ends in order, so the gateway asked whether the engine had outlived its stream, and took a port that accepted connections at once and 150 ms later for that. Absence of contrary evidence was taken for evidence: a process may close its port after its connections, and a proxy, another engine or a new start may accept connections in its place.

Now such a stream is whole only if the same start of its engine answers GET /report on a connection opened after the end, 500 ms later at the earliest, since an exiting process may still answer for a moment. The start that the report states must be that of the row; a report that lists the run with more events than were relayed shows that the stream is short. No answer, 421, another start or the error of a proxy are no evidence; the request is repeated for 2 s, or 300 ms where the stream may go on elsewhere. Engines that rest are asked after their rest, those with a limit with a permit, and at most one request per engine is in flight. All events are written before; only the end waits. CrashGuard keeps the check of the port for plain answers.

The tests of whole streams guard against the cost: behind a proxy, resumable, of an engine that is silent for 1 s, rests, has a limit or knows no report.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -3,7 +3,7 @@
 //
 // The kernel closes the connections of a process that ends in order. So an answer that ends with its connection is
 // whole only if its endpoint is seen to live on: one that leaves, is no longer listed or can't be reached may have
-// ended too.
+// ended too. Of a plain endpoint only its port shows that; StreamEnds asks engines themselves.
 
 #include "programs/gateway/crashguard.h"
 
@@ -23,8 +23,6 @@
 constexpr Duration replyLimit{100ms}; // a leader that takes longer has no processor time
 // When the endpoint of a call whose caller has left is looked at. Later, an endpoint that has ended may be back.
 constexpr Duration abandonedCheckDelay{500ms};
-// How long a process that exits may take from closing its first connection to closing its port.
-constexpr Duration exitTime{150ms};
 constexpr std::size_t maxAbandoned = 64; // calls to one endpoint
 
 } // namespace
@@ -77,10 +75,9 @@
 
 CrashGuard::Crash CrashGuard::suspectedBy(const BrokenAnswer &answer)
 {
-    const Instant now = steadyNow();
     const EndpointStart endpoint{answer.endpoint.id, answer.endpoint.incarnation};
-    const auto written = answer.firstEvent ? std::optional<Duration>(now - *answer.firstEvent) : std::nullopt;
-    return {{endpoint, answer.sent, now}, suspectedTraits(readTraits(answer.call), written, answer.isReading)};
+    const auto written = answer.firstEvent ? std::optional<Duration>(answer.ended - *answer.firstEvent) : std::nullopt;
+    return {{endpoint, answer.sent, answer.ended}, suspectedTraits(readTraits(answer.call), written, answer.isReading)};
 }
 
 bool CrashGuard::onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield)
@@ -117,29 +114,28 @@
                              const asio::yield_context &yield)
 {
     const Instant until = steadyNow() + limit;
-    const Crash crash = suspectedBy(answer);
-    const std::string &address = answer.endpoint.address;
-    Liveness found = this->client.probe(address, limit, yield);
-    if (found == Liveness::Running && answer.firstEvent) {
-        asio::steady_timer timer(this->io, std::min(exitTime, until - steadyNow()));
-        boost::system::error_code ignored;
-        timer.async_wait(yield[ignored]);
-        found = this->client.probe(address, until - steadyNow(), yield);
-    }
+    const Liveness found = this->client.probe(answer.endpoint.address, limit, yield);
     if (found == Liveness::Running && this->isSameStart(answer.endpoint)) {
         return true;
     }
+    this->onEndedWithAnswer(answer, found, isStaying, until - steadyNow(), yield);
+    return false;
+}
+
+void CrashGuard::onEndedWithAnswer(const BrokenAnswer &answer, Liveness found, bool isStaying, Duration limit,
+                                   const asio::yield_context &yield)
+{
+    const Crash crash = suspectedBy(answer);
     Log::info("endpoint_ended_with_answer",
               {{"endpoint", answer.endpoint.id.value()},
                {"liveness", nameOf(found)},
                {"stays", isStaying},
                {"traits", textOf(crash.traits)}});
     if (isStaying && found == Liveness::Unknown) {
-        this->doubtful.add(address, crash);
+        this->doubtful.add(answer.endpoint.address, crash);
     } else if (isStaying) {
-        this->reportAndWait(crash, until - steadyNow(), yield);
+        this->reportAndWait(crash, limit, yield);
     }
-    return false;
 }
 
 // One that is back before it is looked at has written its row by then.
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -13,6 +13,7 @@
 #include "decide/endpointpaths.h"
 #include "programs/gateway/crashexchange.h"
 #include "programs/gateway/doubtfulcrashes.h"
+#include "wire/clock.h"
 #include "wire/httpclient.h"
 #include "wire/httpserver.h"
 
@@ -30,6 +31,7 @@
     Instant sent; // to the endpoint
     std::optional<Instant> firstEvent; // of this endpoint's part of a generation
     bool isReading = false; // the endpoint was to read the prompt only
+    Instant ended = steadyNow(); // the answer
 };
 
 // Whether the endpoint of a call that failed so may have ended under it.
@@ -53,9 +55,14 @@
     void onBrokenOff(const BrokenAnswer &answer);
     // The same, and waits for the result and until it has been counted, but not longer than the limit.
     bool onBrokenOff(const BrokenAnswer &answer, Duration limit, const asio::yield_context &yield);
-    // Whether this start of the endpoint lives on after an answer that has ended with its connection; otherwise the
-    // answer may be incomplete. Unless the endpoint was expected to leave, reports it if it has ended.
+    // Whether the port of the endpoint accepts connections after an answer that has ended with its connection;
+    // otherwise the answer may be incomplete. Unless the endpoint was expected to leave, reports it if it has ended.
     bool hasOutlived(const BrokenAnswer &answer, bool isStaying, Duration limit, const asio::yield_context &yield);
+    // The same, where it is known what is left of this start of the endpoint, and that the answer may be incomplete.
+    void onEndedWithAnswer(const BrokenAnswer &answer, Liveness found, bool isStaying, Duration limit,
+                           const asio::yield_context &yield);
+    // Whether the registry names no other start of the endpoint than the one that answered.
+    bool isSameStart(const EndpointRecord &endpoint) const;
     // The endpoint has sent nothing until the deadline. Reports it if it then turns out to have started again.
     void onSilent(const BrokenAnswer &answer);
     // The caller has left before the answer. Finds out a moment later whether the endpoint has ended, and reports it.
@@ -70,8 +77,6 @@
 
     static Crash suspectedBy(const BrokenAnswer &answer);
 
-    // Whether the registry names no other start of the endpoint than the one that answered.
-    bool isSameStart(const EndpointRecord &endpoint) const;
     // Reports the crash if there is no endpoint any more at the address.
     bool confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
     void checkAbandoned(const EndpointStart &endpoint, const std::string &address, const asio::yield_context &yield);
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -14,6 +14,7 @@
 #include "programs/gateway/gatewaymetrics.h"
 #include "programs/gateway/gatewaysettings.h"
 #include "programs/gateway/placementgates.h"
+#include "programs/gateway/streamends.h"
 #include "programs/gateway/workspacecredits.h"
 
 namespace fescuesill
@@ -35,6 +36,7 @@
     WorkspaceCredits &credits;
     HttpClient &client;
     CrashGuard &crashes;
+    StreamEnds &ends;
     GatewayMetrics &metrics;
     EventLosses &losses;
 };
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -88,10 +88,11 @@
         , client(this->io, clientOptions(given, this->paths, this->traffic))
         , crashes(this->io, this->client, this->paths, this->exchange,
                   [this](const std::string &address) { return this->fleet.endpointsAt(address); })
+        , ends(this->io, this->client, this->fleet, this->permits, this->notices, this->crashes)
         , saved(this->io, savedStateOptions(given), this->gates, this->exchange)
         , losses(given.host, given.latestEvent)
-        , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits, this->slots,
-                   this->notices,  this->credits, this->client, this->crashes, this->metrics, this->losses}
+        , services{this->settings, this->io,     this->fleet,   this->gates, this->permits, this->slots, this->notices,
+                   this->credits,  this->client, this->crashes, this->ends,  this->metrics, this->losses}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
@@ -138,6 +139,7 @@
     HttpClient client;
     CrashExchange exchange;
     CrashGuard crashes;
+    StreamEnds ends;
     SavedState saved;
     EventLosses losses;
     GatewayMetrics metrics;
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -8,7 +8,7 @@
 //
 // The end of a body is not yet the end of its stream: an engine that crashes closes its connections in order, and a
 // body without a length or chunks ends with its connection. So a stream is complete only if it also ends after an
-// event and, if it ends with its connection, its engine has not ended with it.
+// event and, if it ends with its connection, its engine is seen to live on (streamends.h).
 
 #include "programs/gateway/generationforward.h"
 
@@ -43,19 +43,6 @@
 
 } // namespace
 
-const char *nameOf(EndEvidence evidence)
-{
-    switch (evidence) {
-    case EndEvidence::None:
-        return "none";
-    case EndEvidence::Framing:
-        return "framing";
-    case EndEvidence::Port:
-        return "port";
-    }
-    return "none";
-}
-
 const EngineTraits &GenerationForward::traits() const
 {
     static const EngineTraits none;
@@ -358,7 +345,7 @@
     if (this->events.isInsideEvent() || this->framing == BodyFraming::Connection) {
         relay.flush(yield); // the checks of the end may take long
     }
-    if (!this->hasEnded(at, this->eventsProduced > eventsBefore, yield)) {
+    if (!this->hasEnded(at, eventsBefore, yield)) {
         return Outcome::Broken;
     }
     this->call.services.crashes.onServed(this->call.http, this->sentAt, !this->isSelfPrefilled);
@@ -366,27 +353,51 @@
     return Outcome::Whole;
 }
 
-bool GenerationForward::hasEnded(const EndpointRecord &at, bool hasEvents, const asio::yield_context &yield)
+bool GenerationForward::hasEnded(const EndpointRecord &at, std::int64_t eventsBefore, const asio::yield_context &yield)
 {
     if (this->events.isInsideEvent()) {
         this->lastFault = this->engine.value() + " ended its answer inside an event";
         this->isCutShort = true;
         return false;
     }
-    if (this->framing == BodyFraming::Connection && !hasEvents) {
+    if (this->framing != BodyFraming::Connection) {
+        this->endEvidence = EndEvidence::Framing;
+        return true;
+    }
+    if (this->eventsProduced == eventsBefore) {
         this->lastFault = this->engine.value() + " closed the connection without an event";
         this->isCutShort = true;
         return false;
     }
+    return this->hasEngineOutlived(at, eventsBefore, yield);
+}
+
+bool GenerationForward::hasEngineOutlived(const EndpointRecord &at, std::int64_t eventsBefore,
+                                          const asio::yield_context &yield)
+{
     const auto &services = this->call.services;
     const BrokenAnswer answer{at, this->call.http, this->sentAt, this->firstEventAt};
-    if (this->framing == BodyFraming::Connection
-        && !services.crashes.hasOutlived(answer, services.fleet.isStaying(at.id), this->call.timeLeft(), yield)) {
-        this->lastFault = this->engine.value() + " ended with its answer";
-        return false;
+    const bool isStaying = services.fleet.isStaying(at.id);
+    const bool isFromFirstEvent = this->call.head.lastEvent.empty() && eventsBefore == 0;
+    const bool mayResume = this->call.route.isResumable && this->sends < this->call.route.attempts;
+    const StreamEnd end = services.ends.judge({at, this->call.head.id,
+                                               isFromFirstEvent ? std::optional(this->eventsProduced) : std::nullopt,
+                                               mayResume, this->call.deadline()},
+                                              this->abort, yield);
+    this->endEvidence = end.evidence;
+    if (end.evidence != EndEvidence::None) {
+        return true;
+    }
+    if (this->abort.isAborted()) {
+        services.crashes.onAbandoned(answer);
+        throw CallerGone();
+    }
+    this->lastFault =
+        this->engine.value() + (end.isShort ? " ended its answer before its last event" : " ended with its answer");
+    if (!end.isShort) {
+        services.crashes.onEndedWithAnswer(answer, end.liveness, isStaying, this->call.timeLeft(), yield);
     }
-    this->endEvidence = this->framing == BodyFraming::Connection ? EndEvidence::Port : EndEvidence::Framing;
-    return true;
+    return false;
 }
 
 GenerationForward::Outcome GenerationForward::generate(const Place &place, const std::optional<Prefill> &prefilled,
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -12,14 +12,6 @@
 namespace fescuesill
 {
 
-// What showed that the body of an answer was a whole stream.
-enum class EndEvidence {
-    None,
-    Framing, // its length or its last chunk
-    Port, // the engine's port accepted connections after it
-};
-const char *nameOf(EndEvidence evidence);
-
 class GenerationForward
 {
 public:
@@ -66,7 +58,9 @@
     Outcome generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
     Outcome relay(LineStream &events, const EndpointRecord &engine, const asio::yield_context &yield);
     // Whether a body that has ended by its framing is a whole stream. Otherwise sets the last fault.
-    bool hasEnded(const EndpointRecord &engine, bool hasEvents, const asio::yield_context &yield);
+    bool hasEnded(const EndpointRecord &engine, std::int64_t eventsBefore, const asio::yield_context &yield);
+    // The same for one that has ended with its connection.
+    bool hasEngineOutlived(const EndpointRecord &engine, std::int64_t eventsBefore, const asio::yield_context &yield);
     Outcome forwardError(LineStream &answer, const AnswerHead &head, const asio::yield_context &yield);
     void reportLostResult(const Place &place);
     void release(const Place &place, const std::optional<Prefill> &prefill);
--- a/testing/process/test_ends_of_engines.py
+++ b/testing/process/test_ends_of_engines.py
@@ -1,5 +1,6 @@
 """Streams without framing, which end with the connection of an engine that ends, and events that do not continue a stream."""
 
+import contextlib
 import http.client
 import re
 import threading
@@ -190,6 +191,77 @@
         self.assertEqual((status, events), (200, list(range(1, EVENTS + 1))))
 
 
+class WholeUnframedStreamsTest(EndsOfEnginesWorld):
+    """Whole streams that end with their connection, of engines that live on."""
+
+    def setUp(self):
+        super().setUp()
+        self.writer = self.writers[0]
+        self.writer.pause_seconds = 0.1
+        self.platform.remove(self.writers[1])
+
+    def check_whole(self, gateway, evidence="report", path="/write/1"):
+        status, _, body = send(gateway.callers, "POST", path, b"prompt", **SIZE)
+        self.assertEqual((status, [number for number, _ in events_in(body)]), (200, list(range(1, EVENTS + 1))))
+        wait_until(lambda: "outcome=whole" in gateway.log(), "the end")
+        ends = re.findall(r"outcome=whole .*end_evidence=(\w+)", gateway.log())
+        self.assertEqual(set(ends), {evidence})
+
+    # Each guards against whole streams that are broken off since their engine could not be asked at once.
+    def test_behind_a_proxy(self):
+        self.check_whole(World.start(self))
+
+    def test_on_a_resumable_route(self):
+        self.check_whole(self.start(), path="/resume/1")
+
+    def test_of_an_engine_that_falls_silent_after_it(self):
+        self.writer.silent_seconds = 1.0
+        self.check_whole(self.start())
+
+    def test_of_an_engine_with_a_limit(self):
+        gateway = self.start()
+        self.writer.limit = 2
+        for _ in range(3):
+            self.check_whole(gateway)
+
+    def test_of_an_engine_that_knows_no_report(self):
+        self.writer.knows_report = False
+        self.check_whole(self.start(), evidence="answer")
+
+    # Guards against a request to an engine that has asked this host for rest, too.
+    def test_of_an_engine_that_rests(self):
+        gateway = self.start()
+        asked = []
+
+        def ask_for_rest():
+            self.writer.rests, self.writer.rest_seconds = frozenset(["hold"]), 1.5
+            with contextlib.suppress(ConnectionError, http.client.HTTPException):
+                send(gateway.callers, "POST", "/write/2", b"prompt", X_Deadline_Ms=200, **SIZE)
+            asked.append(next(at for at, kind in self.writer.arrivals[1:] if kind == "hold"))
+
+        second = threading.Timer(0.25, ask_for_rest)
+        second.start()
+        self.check_whole(gateway)
+        second.join()
+        in_rest = [kind for at, kind in self.writer.arrivals if asked[0] + 0.2 < at < asked[0] + 1.5]
+        self.assertEqual(in_rest, [])
+
+    # Guards against a request for each of the streams that end at an engine that is slow to answer.
+    def test_of_many_streams_at_once(self):
+        gateway = self.start()
+        self.writer.silent_seconds = 1.0
+        results = []
+        threads = [threading.Thread(target=lambda: results.append(send(gateway.callers, "POST", "/write/1", b"p", **SIZE)))
+                   for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([(status, len(events_in(body))) for status, _, body in results], [(200, EVENTS)] * 6)
+        reports = sum(kind == "report" for _, kind in self.writer.arrivals)
+        self.assertLess(reports, len(threads))
+
+
 class EventsOutOfOrderTest(World):
     def check_order(self, gateway, path, **headers):
         try:
