--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -58,7 +58,9 @@
     Outcome generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
     Outcome relay(LineStream &events, const EndpointRecord &engine, const asio::yield_context &yield);
     // Whether a body that has ended by its framing is a whole stream. Otherwise sets the last fault.
-    bool hasEnded(const EndpointRecord &engine, bool hasEvents, const asio::yield_context &yield);
+    bool hasEnded(const EndpointRecord &engine, std::int64_t eventsBefore, const asio::yield_context &yield);
+    // The same for one that has ended with its connection.
+    bool hasEngineOutlived(const EndpointRecord &engine, std::int64_t eventsBefore, const asio::yield_context &yield);
     Outcome forwardError(LineStream &answer, const AnswerHead &head, const asio::yield_context &yield);
     void reportLostResult(const Place &place);
     void release(const Place &place, const std::optional<Prefill> &prefill);
@@ -87,6 +89,7 @@
     std::optional<Duration> blockedFor; // the request, since such requests crash engines
     std::string lastFault;
     BodyFraming framing = BodyFraming::Length; // of the last response of a decode engine
+    EndEvidence endEvidence = EndEvidence::None; // of that response
     bool isCutShort = false; // the engine ended the last answer before it was whole
     bool hasReaderEnded = false; // an engine ended while it read the prompt
     bool hasNoPath = false; // the last fault is that this host reaches no endpoint
--- a/testing/process/test_ends_of_engines.py
+++ b/testing/process/test_ends_of_engines.py
@@ -1,5 +1,6 @@
 """Streams without framing, which end with the connection of an engine that ends, and events that do not continue a stream."""
 
+import contextlib
 import http.client
 import re
 import threading
@@ -12,7 +13,7 @@
 from userplatform import EVENTS, events_in
 
 
-class EndsOfEnginesTest(World):
+class EndsOfEnginesWorld(World):
     """Engines that end after three events of a stream without framing, which ends in order with their connection."""
 
     def setUp(self):
@@ -50,6 +51,8 @@
         self.platform.register(writer, **row)
         wait_until(lambda: re.search(f"event=endpoint_changed endpoint={writer.name} .*leaving=yes", gateway.log()), "the row")
 
+
+class EndsOfEnginesTest(EndsOfEnginesWorld):
     # Each guards against a part of a stream that looks complete since its engine ended while nobody expected it to stay, or
     # while it could not be asked.
     def test_a_stream_of_an_engine_that_drains_and_ends(self):
@@ -117,6 +120,148 @@
         self.assertEqual(send(gateway.callers, "POST", "/book/1", b"x")[0], 502)
 
 
+class EndsSeenOnlyInReportsTest(EndsOfEnginesWorld):
+    """The port of an engine that has ended accepts connections on: it closes late, a proxy stays, or another engine is there."""
+
+    def start_behind_proxy(self, closes_in_order=False):
+        gateway = World.start(self)
+        for proxy in gateway.paths.proxies.values():
+            proxy.closes_in_order = closes_in_order
+        return gateway
+
+    def check_late_port(self, seconds, before_end=lambda writer: None):
+        self.writers[0].port_seconds = seconds
+        self.check_part(self.start(), before_end)
+
+    # Each guards against a part of a stream that looks whole since something accepts connections at its engine's address.
+    def test_a_stream_of_an_engine_that_ends_behind_a_proxy(self):
+        self.check_part(self.start_behind_proxy())
+
+    def test_a_stream_of_an_engine_that_ends_behind_a_proxy_that_closes_in_order(self):
+        self.check_part(self.start_behind_proxy(closes_in_order=True))
+
+    def test_a_stream_of_an_engine_that_closes_its_port_some_time_later(self):
+        self.check_late_port(0.4)
+
+    def test_a_stream_of_an_engine_that_closes_its_port_much_later(self):
+        self.check_late_port(1.5)
+
+    def test_a_stream_of_an_engine_that_drains_and_closes_its_port_much_later(self):
+        gateway = self.start()
+        self.writers[0].port_seconds = 1.5
+        self.check_part(gateway, lambda writer: self.set_row(gateway, writer, state="draining"))
+
+    def test_a_stream_of_an_engine_that_is_no_longer_listed_and_closes_its_port_much_later(self):
+        self.check_late_port(1.5, self.platform.remove)
+
+    def test_a_stream_of_an_engine_whose_address_another_one_has_taken(self):
+        gateway, writer = self.start_behind_proxy(), self.writers[0]
+        writer.down_seconds = 0.02
+        writer.on_crash.append(lambda: setattr(writer, "name", "i-another"))
+        self.check_part(gateway)
+
+    def test_a_stream_of_an_engine_that_is_back_before_its_row_says_so(self):
+        gateway, writer = self.start_behind_proxy(), self.writers[0]
+        writer.down_seconds = 0.02
+        writer.on_back.clear()
+        self.check_part(gateway)
+
+    # Guards against a part of a stream that looks whole although its living engine has made more events of it.
+    def test_a_stream_that_a_living_engine_ends_early(self):
+        gateway, writer = self.start(), self.writers[0]
+        self.platform.remove(self.writers[1])
+        wait_until(lambda: f"event=endpoint_removed endpoint={self.writers[1].name}" in gateway.log(), "the removal")
+        writer.behave, writer.breaks_at = "short", 4
+        self.check_incomplete(gateway, "/write/1")
+
+    # Guards against a resumable stream that ends with its first engine, whose port stays, although another one could go on.
+    def test_a_resumable_stream_goes_on_when_its_engine_ends_behind_a_proxy(self):
+        self.check_goes_on(self.start_behind_proxy())
+
+    def test_a_resumable_stream_goes_on_when_its_engine_closes_its_port_much_later(self):
+        self.writers[0].port_seconds = 1.5
+        self.check_goes_on(self.start())
+
+    def check_goes_on(self, gateway):
+        def add_another(_writer):
+            self.writers[1].crashes_on = lambda request, body: False
+            self.platform.register(self.writers[1])
+
+        status, events = self.send_to_one_that_ends(gateway, "/resume/1", add_another)
+        self.assertEqual((status, events), (200, list(range(1, EVENTS + 1))))
+
+
+class WholeUnframedStreamsTest(EndsOfEnginesWorld):
+    """Whole streams that end with their connection, of engines that live on."""
+
+    def setUp(self):
+        super().setUp()
+        self.writer = self.writers[0]
+        self.writer.pause_seconds = 0.1
+        self.platform.remove(self.writers[1])
+
+    def check_whole(self, gateway, evidence="report", path="/write/1"):
+        status, _, body = send(gateway.callers, "POST", path, b"prompt", **SIZE)
+        self.assertEqual((status, [number for number, _ in events_in(body)]), (200, list(range(1, EVENTS + 1))))
+        wait_until(lambda: "outcome=whole" in gateway.log(), "the end")
+        ends = re.findall(r"outcome=whole .*end_evidence=(\w+)", gateway.log())
+        self.assertEqual(set(ends), {evidence})
+
+    # Each guards against whole streams that are broken off since their engine could not be asked at once.
+    def test_behind_a_proxy(self):
+        self.check_whole(World.start(self))
+
+    def test_on_a_resumable_route(self):
+        self.check_whole(self.start(), path="/resume/1")
+
+    def test_of_an_engine_that_falls_silent_after_it(self):
+        self.writer.silent_seconds = 1.0
+        self.check_whole(self.start())
+
+    def test_of_an_engine_with_a_limit(self):
+        gateway = self.start()
+        self.writer.limit = 2
+        for _ in range(3):
+            self.check_whole(gateway)
+
+    def test_of_an_engine_that_knows_no_report(self):
+        self.writer.knows_report = False
+        self.check_whole(self.start(), evidence="answer")
+
+    # Guards against a request to an engine that has asked this host for rest, too.
+    def test_of_an_engine_that_rests(self):
+        gateway = self.start()
+        asked = []
+
+        def ask_for_rest():
+            self.writer.rests, self.writer.rest_seconds = frozenset(["hold"]), 1.5
+            with contextlib.suppress(ConnectionError, http.client.HTTPException):
+                send(gateway.callers, "POST", "/write/2", b"prompt", X_Deadline_Ms=200, **SIZE)
+            asked.append(next(at for at, kind in self.writer.arrivals[1:] if kind == "hold"))
+
+        second = threading.Timer(0.25, ask_for_rest)
+        second.start()
+        self.check_whole(gateway)
+        second.join()
+        in_rest = [kind for at, kind in self.writer.arrivals if asked[0] + 0.2 < at < asked[0] + 1.5]
+        self.assertEqual(in_rest, [])
+
+    # Guards against a request for each of the streams that end at an engine that is slow to answer.
+    def test_of_many_streams_at_once(self):
+        gateway = self.start()
+        self.writer.silent_seconds = 1.0
+        results = []
+        threads = [threading.Thread(target=lambda: results.append(send(gateway.callers, "POST", "/write/1", b"p", **SIZE)))
+                   for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([(status, len(events_in(body))) for status, _, body in results], [(200, EVENTS)] * 6)
+        reports = sum(kind == "report" for _, kind in self.writer.arrivals)
+        self.assertLess(reports, len(threads))
+
+
 class EventsOutOfOrderTest(World):
     def check_order(self, gateway, path, **headers):
         try:
