A connection that is slow to open decides nothing about the end of a stream

A lost packet delays a connection by a second, which counted as no evidence at once: whole streams were broken off. Only a port that refuses connections ends the search for evidence early.

--- a/programs/gateway/streamends.cpp
+++ b/programs/gateway/streamends.cpp
@@ -91,7 +91,7 @@
     const Instant latest = stream.deadline - endTime;
     const Instant ended = steadyNow();
     const Liveness port = this->client.probe(engine.address, std::max<Duration>(latest - ended, 0ms), yield);
-    if (port != Liveness::Running) {
+    if (port == Liveness::Ended) { // a lost packet delays a connection as well, so anything else decides nothing
         return {EndEvidence::None, port};
     }
     const Duration limit = stream.mayResume ? searchLimitIfResumable : searchLimit;
