A call that waits while its host stops is not sent late in the grace period, and none is cut off without an answer

Callers saw, in a planned stop in calm, that requests were taken, passed on late in the grace period, and cut off at its end without an answer, among them some that may not be repeated.

Cause: Draining decided at admission only. A call that was admitted in time could wait for a place at an engine, for a slot of an overloaded endpoint, or for the verdict on an endpoint that had crashed, and was then sent whenever that came, however little of the grace period was left. A call that still waited at its end was cut off too, and so was a call whose endpoint is silent beyond it.

Now each send asks Draining: from half of the grace period on, nothing is sent any more, neither for the first time nor again, unless the caller has its answer at the latest before the end anyway. Calls that wait are woken and refused as not run, with 0.1 s to come back; those that were sent get the answer of a failure. Half a second before the end, calls without the beginning of an answer are answered 504 (or 503, where nothing was sent). Streams that have begun go on.

Gateways in tests may be given `announce`; its default there is as before.

--- a/programs/gateway/endpointslots.cpp
+++ b/programs/gateway/endpointslots.cpp
@@ -104,6 +104,15 @@
     return reply.endpoint.isEmpty() ? this->deny(reply.retryAfter) : this->hold(number, reply.endpoint, false);
 }
 
+void EndpointSlots::endWaits(const std::function<bool(Instant)> &isToEnd)
+{
+    for (const auto &[number, call] : this->waiting) {
+        if (isToEnd(call->request.usefulUntil)) {
+            call->timer.cancel();
+        }
+    }
+}
+
 // One call in flight to each limited endpoint, so that every host gets something and all together stay within what an
 // endpoint can queue.
 SlotClaim EndpointSlots::takeWithoutLeader(const SlotRequest &request)
--- a/programs/gateway/endpointslots.h
+++ b/programs/gateway/endpointslots.h
@@ -91,6 +91,8 @@
     // Waits until the call has a slot, can't have one in time, or is aborted. The ticket in the request is not used.
     SlotClaim take(const SlotRequest &request, CallAbort &abort, const asio::yield_context &yield);
     void onOverload(const EndpointId &endpoint);
+    // Ends the waits of those calls of this host for which this is true of the time until which they are useful.
+    void endWaits(const std::function<bool(Instant usefulUntil)> &isToEnd);
 
     // Sets how to send to the leader or its deputy; empty if neither can be reached.
     void setUplink(Send send);
--- a/programs/gateway/forwarding.cpp
+++ b/programs/gateway/forwarding.cpp
@@ -28,6 +28,8 @@
         return "no_path";
     case NoRetry::Blocked:
         return "blocked";
+    case NoRetry::Stopping:
+        return "stopping";
     }
     return "none";
 }
@@ -72,6 +74,16 @@
     }
 }
 
+bool ForwardedCall::maySend() const
+{
+    return this->services.draining.sends(steadyNow(), this->deadline());
+}
+
+void ForwardedCall::refuseStopping(const asio::yield_context &yield) const
+{
+    this->refuse(stoppingRefusal(), NoRetry::Stopping, yield);
+}
+
 void ForwardedCall::refuseBlocked(Duration blockedFor, const asio::yield_context &yield) const
 {
     this->refuse({RefusalCode::Blocked, RunState::NotRun, "requests like this one crash endpoints", blockedFor},
@@ -97,6 +109,13 @@
     sendRefusal(this->reply, this->head.id, refusal, yield);
 }
 
+Refusal stoppingRefusal()
+{
+    Refusal refusal = drainingRefusal();
+    refusal.retryAfter = retryAfterWhenStopping;
+    return refusal;
+}
+
 void sendRefusal(HttpReply &reply, const RequestId &id, const Refusal &refusal, const asio::yield_context &yield)
 {
     std::vector<HttpHeader> headers = {{"Content-Type", "application/json"}, {"X-Request-Id", id.value()}};
--- a/programs/gateway/forwarding.h
+++ b/programs/gateway/forwarding.h
@@ -15,6 +15,7 @@
 #include "programs/gateway/gatewaysettings.h"
 #include "programs/gateway/placementgates.h"
 #include "programs/gateway/workspacecredits.h"
+#include "promise/draining.h"
 
 namespace fescuesill
 {
@@ -23,6 +24,7 @@
 constexpr Duration retryAfterWithoutPath{100ms};
 // For a call that waits for endpoints that have turned this host away; they may serve other hosts.
 constexpr Duration retryAfterInRest{100ms};
+constexpr Duration retryAfterWhenStopping{100ms}; // the next connection goes to another host
 
 struct GatewayServices {
     const GatewaySettings &settings;
@@ -37,6 +39,7 @@
     CrashGuard &crashes;
     GatewayMetrics &metrics;
     EventLosses &losses;
+    const Draining &draining;
 };
 
 // Why a call that failed at one endpoint was not retried at another.
@@ -49,6 +52,7 @@
     Budget, // this host's retry budget for the service is exhausted
     NoPath, // no endpoint can be reached from this host
     Blocked, // requests like this one crash endpoints
+    Stopping, // this host stops, and would cut the call off
 };
 const char *nameOf(NoRetry reason);
 
@@ -79,11 +83,16 @@
     {
         return this->isTrial && !wasTried ? std::nullopt : this->services.crashes.blockedFor(this->http);
     }
+    // Whether it may still be sent to an endpoint while this host stops.
+    bool maySend() const;
+    void refuseStopping(const asio::yield_context &yield) const;
     void refuseBlocked(Duration blockedFor, const asio::yield_context &yield) const;
     // Replies with an error of the gateway, and logs its reason and why no other endpoint was tried.
     void refuse(const Refusal &refusal, NoRetry noRetry, const asio::yield_context &yield) const;
 };
 
+// For a call that this host doesn't run since it stops.
+Refusal stoppingRefusal();
 // Writes a refusal to the caller: its status, its body and the time to retry after.
 void sendRefusal(HttpReply &reply, const RequestId &id, const Refusal &refusal, const asio::yield_context &yield);
 
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -16,6 +16,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <list>
 #include <random>
 
 namespace fescuesill
@@ -30,7 +31,6 @@
 constexpr Duration retryAfterWithoutConfig{1s}; // a newly started host reads its configuration within this
 // For a call with a key while the store can't be read, so that other hosts can't admit it either.
 constexpr Duration retryAfterInOutage{1s};
-constexpr Duration retryAfterWhenStopping{100ms}; // the next connection goes to another host
 constexpr Bytes requestLineAllowance{4 << 10}; // for the request line, added to the limit on headers
 
 HttpClient::Options clientOptions(const GatewaySettings &settings, EndpointPaths &paths, Traffic &traffic)
@@ -90,8 +90,9 @@
                   [this](const std::string &address) { return this->fleet.endpointsAt(address); })
         , saved(this->io, savedStateOptions(given), this->gates, this->exchange)
         , losses(given.host, given.latestEvent)
-        , services{this->settings, this->io,      this->fleet,  this->gates,   this->permits, this->slots,
-                   this->notices,  this->credits, this->client, this->crashes, this->metrics, this->losses}
+        , services{this->settings, this->io,      this->fleet,   this->gates,  this->permits,
+                   this->slots,    this->notices, this->credits, this->client, this->crashes,
+                   this->metrics,  this->losses,  this->draining}
         , orders(this->services, [this](const peer::EngineChanging &change) { this->onChanging(change); })
         , draining(Draining::Options{given.announce, given.grace})
         , timer(this->io)
@@ -122,9 +123,11 @@
     void checkEndpoints(Instant now);
     bool admitsConnection();
     void measureUse(Instant now);
+    void endCalls(Instant now);
 
     const GatewaySettings &settings;
     std::uint64_t seed;
+    std::list<std::function<void()>> graceOverHandlers; // of the calls in progress, whose coroutines end with `io`
     asio::io_context io{1};
     FleetView fleet;
     WorkspaceCredits credits;
@@ -256,7 +259,10 @@
 template<typename Forward>
 void Gateway::run(Forward forward, const ForwardedCall &call, const asio::yield_context &yield)
 {
-    const auto returnUnsent = [&] {
+    const auto onGraceOver =
+        this->graceOverHandlers.insert(this->graceOverHandlers.end(), [&forward] { forward.onGraceOver(); });
+    const auto end = [&] {
+        this->graceOverHandlers.erase(onGraceOver);
         if (call.isTrial && !forward.hasSent()) {
             this->crashes.returnTrial(call.http);
         }
@@ -264,10 +270,10 @@
     try {
         forward.run(yield);
     } catch (const std::exception &) { // the caller has gone
-        returnUnsent();
+        end();
         throw;
     }
-    returnUnsent();
+    end();
 }
 
 KeyTrust Gateway::keyTrust() const
@@ -303,9 +309,7 @@
     }
     // A generation takes seconds. One admitted late in the grace period would be cut off when the period ends.
     if (!this->draining.admits(steadyNow())) {
-        Refusal refusal = drainingRefusal();
-        refusal.retryAfter = retryAfterWhenStopping;
-        sendRefusal(reply, readRequestId(call), refusal, yield);
+        sendRefusal(reply, readRequestId(call), stoppingRefusal(), yield);
         return;
     }
     ++this->inProgress;
@@ -367,6 +371,7 @@
     this->draining.onWork({this->inProgress + tunnelsOpen, 0, 0});
     if (!this->draining.admits(now)) {
         this->callers->closeIdle();
+        this->endCalls(now);
     }
     if (this->draining.mayExit(now)) {
         this->io.stop();
@@ -375,6 +380,22 @@
     this->armTick();
 }
 
+// Calls that wait are refused while their callers can still be served elsewhere. What has no answer when the grace
+// period ends gets one, since the end of its connection would tell its caller nothing.
+void Gateway::endCalls(Instant now)
+{
+    if (this->draining.sends(now, Instant::max())) {
+        return;
+    }
+    this->gates.wakeWaiting();
+    this->slots.endWaits([&](Instant usefulUntil) { return !this->draining.sends(now, usefulUntil); });
+    if (this->draining.isOver(now)) {
+        for (const auto &onGraceOver : this->graceOverHandlers) {
+            onGraceOver();
+        }
+    }
+}
+
 bool Gateway::admitsConnection()
 {
     return this->callers->openConnections() < this->settings.connections && this->admission.admits(steadyNow());
--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -176,7 +176,7 @@
     while (!action || std::holds_alternative<TryReserve>(*action)) {
         this->isCharged = this->isCharged || (action && this->call.workspace != nullptr);
         this->checkCaller();
-        if (this->isBlocked()) {
+        if (this->mustNotSend()) {
             return std::nullopt;
         }
         if (!action) {
@@ -207,10 +207,10 @@
     return std::nullopt;
 }
 
-bool GenerationForward::isBlocked()
+bool GenerationForward::mustNotSend()
 {
     this->blockedFor = this->call.blockedFor(this->sends > 0 || this->hasReaderEnded);
-    return this->blockedFor.has_value();
+    return this->blockedFor || !this->call.maySend();
 }
 
 std::optional<GenerationForward::Prefill> GenerationForward::prefillAt(const EndpointRecord &engine,
@@ -275,7 +275,7 @@
         const bool isLimited = this->call.services.permits.take(id, yield) > 0ms;
         this->checkCaller();
         const auto found = fleet.usable(id);
-        if (!found || this->isBlocked()) {
+        if (!found || this->mustNotSend()) {
             return std::nullopt;
         }
         if (isLimited) {
@@ -485,7 +485,7 @@
         }
         this->isSelfPrefilled = !prefilled;
         this->times.prefilled = steadyNow() - this->call.arrival;
-        if (this->isBlocked()) {
+        if (this->mustNotSend()) {
             this->release(*place, prefilled);
             return Outcome::NoPlacement;
         }
@@ -615,7 +615,7 @@
     }
     this->logEnd(this->mayHaveRun ? "failed" : "refused");
     if (this->mayHaveRun) {
-        const bool isLate = this->call.timeLeft() <= 0ms;
+        const bool isLate = this->isGraceOver || this->call.timeLeft() <= 0ms;
         this->call.refuse({isLate ? RefusalCode::OutcomeUnknown : RefusalCode::EndpointFailed, RunState::MayHaveRun,
                            this->lastFault, std::nullopt},
                           this->noRetry, yield);
@@ -629,6 +629,10 @@
         this->call.refuseCredit(*this->noCredit, yield);
         return;
     }
+    if (!this->call.maySend()) {
+        this->call.refuseStopping(yield);
+        return;
+    }
     const std::string reason = this->lastFault.empty() ? "no engine has room in time" : this->lastFault;
     const Duration retryLater = std::max<Duration>(this->retryAfter.value_or(minRetryAfter), minRetryAfter);
     this->call.refuse(
@@ -659,6 +663,7 @@
         }
         this->report(peer::PlacementEvent::Ended);
         this->finish(ended, yield);
+        return;
     } catch (const CallerGone &) {
         this->call.reply.onCallerGone({});
         if (this->sends == 0) {
@@ -668,8 +673,22 @@
             this->lastFault = "not accepted by the caller before the deadline";
         }
         this->report(peer::PlacementEvent::Ended);
-        this->logEnd("caller_gone");
-        throw;
+        if (!this->isGraceOver || this->call.reply.isStarted()) {
+            this->logEnd("caller_gone");
+            throw;
+        }
+    }
+    this->mayHaveRun = this->mayHaveRun || this->sends > 0;
+    this->lastFault = "this host stops before the answer";
+    this->finish(Outcome::Broken, yield);
+}
+
+void GenerationForward::onGraceOver()
+{
+    if (!this->isStarted && !this->hasRun) {
+        this->isGraceOver = true;
+        this->abort.abort();
+        this->call.services.gates.cancelWait(this->call.head.id);
     }
 }
 
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -22,6 +22,8 @@
     }
 
     void run(const asio::yield_context &yield);
+    // Ends a call without the beginning of an answer, which is then answered: this host is about to be killed.
+    void onGraceOver();
     // Whether an engine may have got a part of the call.
     bool hasSent() const
     {
@@ -49,8 +51,8 @@
 
     Outcome tryOnce(const asio::yield_context &yield);
     std::optional<Place> reserve(const asio::yield_context &yield);
-    // Whether the request has been blocked meanwhile. Then it must not be sent.
-    bool isBlocked();
+    // Whether the request has been blocked meanwhile, or has waited until this host can't finish it before it stops.
+    bool mustNotSend();
     void reportCutShort(const EndpointRecord &engine, const asio::yield_context &yield);
     std::optional<Place> reserveAt(const EndpointRecord &engine, const asio::yield_context &yield);
     std::optional<Prefill> prefill(const Place &place, const asio::yield_context &yield);
@@ -81,6 +83,7 @@
 
     const ForwardedCall &call;
     CallAbort abort;
+    bool isGraceOver = false;
     EventRelay events;
     std::optional<Duration> retryAfter;
     std::optional<CreditDecision> noCredit; // why the workspace's quota allows no call now
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -191,6 +191,9 @@
 
 std::optional<NoRetry> PlainForward::claimRetry(SendResult sent)
 {
+    if (this->isGraceOver) {
+        return sent == SendResult::Answered ? NoRetry::None : NoRetry::Stopping;
+    }
     if (this->abort.isAborted()) {
         return NoRetry::CallerGone;
     }
@@ -242,7 +245,10 @@
 void PlainForward::refuse(SendResult last, const asio::yield_context &yield)
 {
     if (this->mayHaveRun) {
-        const bool isLate = this->call.timeLeft() <= 0ms;
+        const bool isLate = this->isGraceOver || this->call.timeLeft() <= 0ms;
+        if (this->isGraceOver) {
+            this->lastFault = "this host stops before the answer";
+        }
         this->call.refuse({isLate ? RefusalCode::OutcomeUnknown : RefusalCode::EndpointFailed, RunState::MayHaveRun,
                            this->lastFault, std::nullopt},
                           this->noRetry, yield);
@@ -252,6 +258,10 @@
         this->call.refuseBlocked(*blocked, yield);
         return;
     }
+    if (!this->call.maySend()) {
+        this->call.refuseStopping(yield);
+        return;
+    }
     if (this->slotDeniedFor) {
         this->call.refuse({RefusalCode::Overloaded, RunState::NotRun, "no slot of an overloaded endpoint in time",
                            *this->slotDeniedFor},
@@ -295,7 +305,7 @@
     if (!this->mayHaveRun && !this->answered) {
         this->call.services.credits.refund(this->call.caller().workspace, this->call.cost());
     }
-    if (this->abort.isAborted()) {
+    if (this->hasCallerGone()) {
         this->call.services.metrics.onPlainEnd("caller_gone", steadyNow() - this->call.arrival);
         this->logCallerGone();
         throw CallerGone();
@@ -328,6 +338,10 @@
             this->noRetry = NoRetry::Blocked;
             break;
         }
+        if (!this->call.maySend()) { // since it has waited
+            this->noRetry = NoRetry::Stopping;
+            break;
+        }
         this->tried.push_back(endpoint->id);
         if (this->sends > 0) {
             this->call.services.metrics.onRetry();
--- a/programs/gateway/plainforward.h
+++ b/programs/gateway/plainforward.h
@@ -18,6 +18,12 @@
     }
 
     void run(const asio::yield_context &yield);
+    // Ends the call, which is then answered if it has no answer yet: this host is about to be killed.
+    void onGraceOver()
+    {
+        this->isGraceOver = true;
+        this->abort.abort();
+    }
     // Whether an endpoint may have got the call.
     bool hasSent() const
     {
@@ -46,6 +52,10 @@
     bool hasOutlived(const EndpointRecord &endpoint, Instant begun, const asio::yield_context &yield);
     // Takes a retry from the budget and returns nothing, or returns why there is no retry.
     std::optional<NoRetry> claimRetry(SendResult sent);
+    bool hasCallerGone() const
+    {
+        return this->abort.isAborted() && !this->isGraceOver;
+    }
     // The endpoints that the call was not sent to.
     std::vector<EndpointCandidate> untried() const;
     Duration tryLimit() const;
@@ -56,6 +66,7 @@
 
     const ForwardedCall &call;
     CallAbort abort;
+    bool isGraceOver = false;
     std::vector<EndpointId> tried;
     std::optional<Duration> limitedFor; // until one of the endpoints that were passed over may take a call
     SlotClaim slot; // of the endpoint that the call is sent to
--- a/promise/draining.cpp
+++ b/promise/draining.cpp
@@ -1,5 +1,7 @@
 #include "promise/draining.h"
 
+#include <algorithm>
+
 // Order matters. First the health check fails while new requests are still admitted: the load balancer needs some
 // seconds to notice, and until then it sends callers here that an early refusal would turn away for no reason. Then no
 // new request is admitted and running ones are completed. Past the limit, streams are ended with their resume token,
@@ -7,6 +9,10 @@
 // reply cannot be moved, so the process waits for it: no limit ends a request. Finally, work that outlives a request is
 // completed: a ledger row without its answer would leave a booking unresolved, and an unconfirmed cancellation would
 // leave engine memory allocated.
+//
+// Some supervisors kill the process at the limit. A request that has waited until half of the time is over is then
+// refused, also if an endpoint becomes free: sent so late, it would be cut off while it runs, and its caller could not
+// know whether it ran. A request whose deadline comes before the limit is answered in any case.
 
 namespace fescuesill
 {
@@ -54,6 +60,20 @@
     return current == DrainPhase::Serving || current == DrainPhase::Announcing;
 }
 
+bool Draining::sends(Instant now, Instant deadline) const
+{
+    if (!this->started) {
+        return true;
+    }
+    const Instant lastSend = *this->started + std::max<Duration>(this->options.announce, this->options.limit / 2);
+    return now < lastSend || deadline <= *this->started + this->options.limit - this->options.lastAnswers;
+}
+
+bool Draining::isOver(Instant now) const
+{
+    return this->started && now >= *this->started + this->options.limit - this->options.lastAnswers;
+}
+
 bool Draining::handsOverCells() const
 {
     return this->started.has_value();
--- a/promise/draining.h
+++ b/promise/draining.h
@@ -6,6 +6,8 @@
 //     draining.start(now);                                   // SIGTERM or POST /drain
 //     draining.onWork(DrainWork{requests, cells, duties});     // whenever the counts change
 //     draining.isReady(); draining.admits(now);               // /readyz; a new request
+//     draining.sends(now, deadline);                          // each time a request is to go to an endpoint
+//     draining.isOver(now);                                   // answer what is unanswered before the process is killed
 //     draining.moves(now);                                    // end movable streams with their resume token
 //     draining.mayExit(now);
 
@@ -38,8 +40,11 @@
     struct Options {
         // How long the load balancer takes to see /readyz fail. Refusing earlier would turn requests away needlessly.
         Duration announce{3s};
-        // After this, streams are moved to other entries with their resume tokens.
+        // After this, streams are moved to other entries with their resume tokens. A process that its supervisor kills
+        // is killed then.
         Duration limit{60s};
+        // Before the limit, to answer what has no answer yet.
+        Duration lastAnswers{500ms};
     };
 
     explicit Draining(Options options);
@@ -50,6 +55,11 @@
     DrainPhase phase(Instant now) const;
     bool isReady() const;
     bool admits(Instant now) const;
+    // Whether a request that was admitted may be sent to an endpoint now. `deadline`: when its caller has an answer at
+    // the latest.
+    bool sends(Instant now, Instant deadline) const;
+    // Whether the process is about to be killed.
+    bool isOver(Instant now) const;
     // Cells are transferred to their next owner as soon as the shutdown begins.
     bool handsOverCells() const;
     bool moves(Instant now) const;
--- a/promise/testing/orphanfinder_test.cpp
+++ b/promise/testing/orphanfinder_test.cpp
@@ -116,5 +116,30 @@
     EXPECT_FALSE(draining.mayExit(start + 1s));
 }
 
+// Guards against a request that has waited, is sent to an endpoint late in the grace period, and is cut off at its end.
+TEST(Draining, SendsNoRequestThatTheEndOfTheGracePeriodMayCutOff)
+{
+    Draining draining({3s, 8s, 300ms});
+    EXPECT_TRUE(draining.sends(start, start + 1h));
+    EXPECT_FALSE(draining.isOver(start + 1h));
+    draining.start(start);
+    EXPECT_TRUE(draining.sends(start + 3999ms, start + 14s));
+    EXPECT_FALSE(draining.sends(start + 4s, start + 14s));
+    EXPECT_TRUE(draining.sends(start + 4s, start + 7700ms)); // answered in any case
+    EXPECT_FALSE(draining.sends(start + 4s, start + 7701ms));
+    EXPECT_FALSE(draining.isOver(start + 7699ms));
+    EXPECT_TRUE(draining.isOver(start + 7700ms)); // in time for the last answers
+}
+
+// Guards against requests that are admitted, and then refused because they may not be sent.
+TEST(Draining, SendsWhileItAdmits)
+{
+    Draining draining({5s, 8s, 300ms});
+    draining.start(start);
+    EXPECT_TRUE(draining.admits(start + 4999ms));
+    EXPECT_TRUE(draining.sends(start + 4999ms, start + 14s));
+    EXPECT_FALSE(draining.sends(start + 5s, start + 14s));
+}
+
 } // namespace
 } // namespace fescuesill
--- a/testing/process/gatewayprocess.py
+++ b/testing/process/gatewayprocess.py
@@ -15,12 +15,13 @@
 
 
 class Gateway(Process):
-    def __init__(self, folder, name, store, grace=None, first_start=False, paths=None, process="", more=""):
+    def __init__(self, folder, name, store, grace=None, first_start=False, paths=None, process="", more="",
+                 announce="300ms"):
         self.name = name
         self.paths = paths  # a paths.Paths, or None where all connections go straight to the endpoints
         self.callers, self.ready, self.peers, self.tunnels = (free_address() for _ in range(4))
         settings = pathlib.Path(folder) / f"{name}.ini"
-        stop = "announce = 300ms\n" + (f"grace_s = {grace}\n" if grace else "")
+        stop = f"announce = {announce}\n" + (f"grace_s = {grace}\n" if grace else "")
         settings.write_text(f"[process]\nhost = {name}\ndata_centre = a\n"
                             f"first_start = {'yes' if first_start else 'no'}\n{process}[listen]\ncallers = {self.callers}\n"
                             f"ready = {self.ready}\npeers = {self.peers}\ntunnels = {self.tunnels}\n"
--- /dev/null
+++ b/testing/process/test_late_in_the_grace.py
@@ -0,0 +1,137 @@
+"""A planned stop of one host in calm: calls that are at work, wait or begin again when the end of the grace is near."""
+
+import http.client
+import signal
+import threading
+import time
+import unittest
+
+from gatewayprocess import SIZE, send
+from platformtest import PlatformTest
+from standin import call_steadily, wait_until
+from userplatform import route
+
+GRACE_SECONDS = 4  # from SIGTERM to SIGKILL
+ANNOUNCE_SECONDS = 1  # from SIGTERM until calls are refused
+LATE_SECONDS = 2.5  # after SIGTERM: what begins now would be cut off
+LONG = {"timeout_ms": 14000, "target_latency_ms": 6000}
+PATIENCE_MS = 14000
+ROUTES = [route("/full/", "stream", "full", **LONG), route("/late/", "stream", "late", **LONG),
+          route("/again/", "safe", "again", max_attempts=2, **LONG), route("/mute/", "unsafe", "mute", **LONG),
+          route("/short/", "unsafe", "short", **LONG)]
+# Of the calls of each kind: full and late wait for an engine, that comes free late; again are at an endpoint that crashes late,
+# or at one that is silent; mute are silent beyond the grace.
+STATUSES = {"full": (503,), "late": (503,), "again": (502, 504), "mute": (504,), "short": (200,)}
+KINDS = tuple(STATUSES)
+CALLS = 3  # of each kind, at each host
+SLOTS, SLOT_SECONDS, SLOT_CALLS = 6, 1.5, 40  # of an endpoint that can't serve all calls before the end of the grace
+LONG_EVENTS, LONG_PAUSE_SECONDS = 30, 0.1
+
+
+class Call(threading.Thread):
+    """`status` is None where the connection ended without a complete answer."""
+
+    def __init__(self, gateway, kind):
+        super().__init__(daemon=True)
+        self.gateway, self.kind = gateway, kind
+        self.status, self.headers, self.body, self.took = None, {}, b"", None
+        self.path = f"/{kind}/{id(self):x}"
+        self.start()
+
+    def run(self):
+        begin = time.monotonic()
+        size = SIZE if self.kind in ("full", "late") else {}
+        try:
+            self.status, self.headers, self.body = send(self.gateway.callers, "POST", self.path, b"x",
+                                                        X_Deadline_Ms=PATIENCE_MS, **size)
+        except (OSError, http.client.HTTPException):
+            pass
+        self.took = time.monotonic() - begin
+
+
+class LateInTheGraceTest(PlatformTest):
+    def setUp(self):
+        super().setUp()
+        self.full, self.late = (self.platform.endpoint(service, "decode") for service in ("full", "late"))
+        self.full.behave = self.late.behave = "full"
+        self.gateways = []
+        self.late.events, self.late.pause_seconds = LONG_EVENTS, LONG_PAUSE_SECONDS
+        self.again = [self.platform.endpoint("again") for _ in range(2)]
+        mute, short = self.platform.endpoint("mute"), self.platform.endpoint("short")
+        short.behave = "slow"
+        for endpoint in [*self.again, mute]:
+            endpoint.behave = "mute"
+        self.platform.configure(ROUTES)
+
+    def runs_of(self, call):
+        return sum(run["path"] == call.path for endpoint in self.platform.endpoints for run in endpoint.seen)
+
+    def stop(self, stopping):
+        """The calls to the host that stops, and those to the other. The first is killed at the end of its grace."""
+        other = next(gateway for gateway in self.gateways if gateway is not stopping)
+        calls = [Call(stopping, kind) for kind in KINDS for _ in range(CALLS)]
+        time.sleep(0.3)
+        stopping.send(signal.SIGTERM)
+        begin = time.monotonic()
+        calls += [Call(stopping, kind) for kind in KINDS for _ in range(CALLS)]
+        others = [Call(other, kind) for kind in ("late", "short") for _ in range(CALLS)]
+        time.sleep(LATE_SECONDS)
+        self.late.behave = "ok"
+        self.again[0].crash()
+        time.sleep(max(0, begin + GRACE_SECONDS - time.monotonic()))
+        stopping.kill()
+        for call in calls + others:
+            call.join()
+        return calls, others
+
+    def check(self, stopped):
+        self.gateways = self.start_linked(2, grace=GRACE_SECONDS, announce=f"{ANNOUNCE_SECONDS}s")
+        stopping = self.gateways[stopped]
+        calls, others = self.stop(stopping)
+        for call in calls:
+            runs, is_refused = self.runs_of(call), call.status == 503
+            with self.subTest(kind=call.kind, status=call.status, runs=runs, took=call.took):
+                self.assertIn(call.status, STATUSES[call.kind])
+                self.assertLessEqual(runs, 0 if is_refused else 1)
+                if is_refused:
+                    self.assertIn(b'"not_run"', call.body)
+                    self.assertLess(float(call.headers["Retry-After"]), 0.5)
+                    self.assertLess(call.took, GRACE_SECONDS - 1)
+        self.assertTrue(any(call.status == 502 for call in calls if call.kind == "again"))
+        for call in others:
+            with self.subTest(kind=call.kind, at="the other host", took=call.took):
+                self.assertEqual((call.status, self.runs_of(call)), (200, 1))
+
+    # Guards against calls that wait or begin again while their host stops, reach an endpoint so late that the end of the
+    # grace cuts them off, or are cut off while they wait.
+    def test_calls_at_a_host_that_stops_are_answered_or_not_run(self):
+        self.check(1)
+
+    # The same at the host that places the calls of the other.
+    def test_calls_at_a_leader_that_stops_are_answered_or_not_run(self):
+        self.check(0)
+
+    # The same for calls that wait for a slot of an overloaded endpoint.
+    def test_calls_that_wait_for_a_slot_are_answered_or_not_run(self):
+        endpoint = next(endpoint for endpoint in self.platform.endpoints if endpoint.service == "short")
+        endpoint.behave, endpoint.places, endpoint.serve_seconds = "ok", threading.Semaphore(SLOTS), 0.05
+        gateway = self.start(grace=GRACE_SECONDS, announce=f"{ANNOUNCE_SECONDS}s",
+                             more="[endpoints]\nshared_slots = yes\n")
+        wait_until(gateway.leads, "a leader")
+        call_steadily([lambda: send(gateway.callers, "POST", "/short/load", b"x")], 200, 2)
+        self.assertIn("event=endpoint_limited", gateway.log())
+        endpoint.serve_seconds = SLOT_SECONDS
+        calls = [Call(gateway, "short") for _ in range(SLOT_CALLS)]
+        time.sleep(0.3)
+        gateway.send(signal.SIGTERM)
+        time.sleep(GRACE_SECONDS)
+        gateway.kill()
+        for call in calls:
+            call.join()
+            with self.subTest(status=call.status, runs=self.runs_of(call), took=call.took):
+                self.assertIn((call.status, self.runs_of(call)), ((200, 1), (503, 0)))
+        self.assertEqual({call.status for call in calls}, {200, 503})
+
+
+if __name__ == "__main__":
+    unittest.main()
