--- a/testing/process/test_late_in_the_grace.py
+++ b/testing/process/test_late_in_the_grace.py
@@ -1,12 +1,15 @@
 """A planned stop of one host in calm: calls that are at work, wait or begin again when the end of the grace is near."""
 
+import collections
+import contextlib
 import http.client
 import signal
+import socket
 import threading
 import time
 import unittest
 
-from gatewayprocess import SIZE, send
+from gatewayprocess import SIZE, ids, send
 from platformtest import PlatformTest
 from standin import call_steadily, wait_until
 from userplatform import route
@@ -25,6 +28,9 @@
 KINDS = tuple(STATUSES)
 CALLS = 3  # of each kind, at each host
 SLOTS, SLOT_SECONDS, SLOT_CALLS = 6, 1.5, 40  # of an endpoint that can't serve all calls before the end of the grace
+KEPT_CALLERS = 12  # on kept connections
+READING_SECONDS = 2.5  # of a slow caller
+WHOLE_BYTES = 2 << 20  # more than a slow caller has taken when the process ends
 LONG_EVENTS, LONG_PAUSE_SECONDS = 30, 0.1
 
 
@@ -133,5 +139,111 @@
         self.assertEqual({call.status for call in calls}, {200, 503})
 
 
+class ArrivingTest(PlatformTest):
+    """Requests on kept connections, and requests that arrive slowly, until the process has gone."""
+
+    def setUp(self):
+        super().setUp()
+        self.endpoint = self.platform.endpoint("short")
+        self.platform.configure([route("/short/", "unsafe", "short", **LONG)])
+        self.answers = []  # path, status or None, body
+        self.ended = threading.Event()
+
+    def runs_of(self, path):
+        return sum(run["path"] == path for run in self.endpoint.seen)
+
+    def call_on(self, connection, path, part_seconds):
+        connection.putrequest("POST", path, skip_host=True)
+        for name, value in {"Host": "shop.example", "X-Request-Id": next(ids), "X-Deadline-Ms": "4000",
+                            "Content-Length": "10"}.items():
+            connection.putheader(name, value)
+        connection.endheaders()
+        for _ in range(10):
+            time.sleep(part_seconds)
+            connection.send(b"x")
+        reply = connection.getresponse()
+        return reply.status, reply.read()
+
+    def call_until_ended(self, address, number, part_seconds):
+        host, port = address.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        made = 0
+        while not self.ended.is_set():
+            made += 1
+            path = f"/short/{number}-{made}"
+            try:
+                status, body = self.call_on(connection, path, part_seconds)
+            except (OSError, http.client.HTTPException):
+                connection.close()
+                status, body = None, b""
+                time.sleep(0.05)
+            self.answers.append((path, status, body))
+        connection.close()
+
+    def stop_under_load(self, gateway):
+        threads = [threading.Thread(target=self.call_until_ended, args=(gateway.callers, number, part_seconds))
+                   for number, part_seconds in enumerate([0] * KEPT_CALLERS + [0.02, 0.05, 0.1, 0.2, 0.3] * 4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(1)
+        gateway.send(signal.SIGTERM)
+        begin = time.monotonic()
+        gateway.process.wait(timeout=GRACE_SECONDS)
+        took = time.monotonic() - begin
+        self.ended.set()
+        for thread in threads:
+            thread.join()
+        counted = collections.Counter((status, self.runs_of(path)) for path, status, _ in self.answers)
+        self.assertEqual(set(counted) - {(200, 1), (503, 0), (None, 0)}, set(), counted)
+        self.assertGreater(counted[503, 0], 0)
+        return took
+
+    # Guards against a request whose head or body arrives through the end of admission, and is run without an answer.
+    def test_requests_that_arrive_slowly_are_answered_or_not_run(self):
+        gateway = self.start(grace=GRACE_SECONDS, announce=f"{ANNOUNCE_SECONDS}s")
+        self.assertLess(self.stop_under_load(gateway), GRACE_SECONDS / 2)
+
+    # The same with calls of 0.6 s, while the store can't be reached.
+    def test_requests_at_a_host_that_stops_while_the_store_is_away(self):
+        self.endpoint.behave = "slow"
+        gateway = self.start(grace=GRACE_SECONDS, announce=f"{ANNOUNCE_SECONDS}s")
+        self.platform.store.is_down = True
+        self.stop_under_load(gateway)
+
+    # Guards against a process that ends before a slow caller has taken its answer.
+    def test_a_slow_caller_gets_its_whole_answer(self):
+        whole = b"y" * WHOLE_BYTES
+        self.endpoint.answer = lambda request, body: request.reply(200, whole, self.endpoint.note(request, body))
+        gateway = self.start(grace=GRACE_SECONDS, announce=f"{ANNOUNCE_SECONDS}s")
+        results = []
+
+        def read_slowly():
+            host, port = gateway.callers.split(":")
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+            caller.connect((host, int(port)))
+            caller.sendall(b"POST /short/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 9000\r\n"
+                           b"Content-Length: 0\r\n\r\n" % next(ids).encode())
+            count = 0
+            with contextlib.suppress(OSError):
+                while count < len(whole) and (part := caller.recv(1 << 20)):
+                    count += len(part)
+                    time.sleep(READING_SECONDS * len(part) / len(whole))
+            results.append(count)
+            caller.close()
+
+        threads = [threading.Thread(target=read_slowly) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.2)
+        gateway.send(signal.SIGTERM)
+        begin = time.monotonic()
+        gateway.process.wait(timeout=GRACE_SECONDS)
+        self.assertLess(time.monotonic() - begin, READING_SECONDS)
+        for thread in threads:
+            thread.join()
+        self.assertTrue(all(count > len(whole) for count in results), results)
+
+
 if __name__ == "__main__":
     unittest.main()
