A resumable stream that has begun goes on at another engine also late in the grace period

If the end of the period cuts such a stream, its caller takes it up at another host all the same, so nothing is lost by the attempt. What may not be sent any more takes nothing of the retry budget either.

--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -210,7 +210,8 @@
 bool GenerationForward::mustNotSend()
 {
     this->blockedFor = this->call.blockedFor(this->sends > 0 || this->hasReaderEnded);
-    return this->blockedFor || !this->call.maySend();
+    // A stream that has begun may go on: if it is cut off, its caller takes it up at another host.
+    return this->blockedFor || (!this->isStarted && !this->call.maySend());
 }
 
 std::optional<GenerationForward::Prefill> GenerationForward::prefillAt(const EndpointRecord &engine,
@@ -550,6 +551,9 @@
     if (!mayRestart && !(ended == Outcome::Broken && this->call.route.isResumable)) {
         return NoRetry::NotRepeatable;
     }
+    if (!this->isStarted && !this->call.maySend()) {
+        return NoRetry::Stopping;
+    }
     const int allowed = std::max(this->call.route.attempts, mayRestart ? 2 : 1);
     if (this->sends >= allowed) {
         return NoRetry::Attempts;
--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -203,6 +203,9 @@
     if (sent == SendResult::NoPath) {
         return NoRetry::NoPath;
     }
+    if (!this->call.maySend()) {
+        return sent == SendResult::Answered ? NoRetry::None : NoRetry::Stopping;
+    }
     if (sent == SendResult::NeverSent) {
         const bool mayConnect = this->tried.size() < static_cast<std::size_t>(maxConnectAttempts);
         return mayConnect ? std::nullopt : std::optional(NoRetry::Attempts);
--- a/testing/process/test_late_in_the_grace.py
+++ b/testing/process/test_late_in_the_grace.py
@@ -12,7 +12,7 @@
 from gatewayprocess import SIZE, ids, send
 from platformtest import PlatformTest
 from standin import call_steadily, wait_until
-from userplatform import route
+from userplatform import events_in, route
 
 GRACE_SECONDS = 4  # from SIGTERM to SIGKILL
 ANNOUNCE_SECONDS = 1  # from SIGTERM until calls are refused
@@ -21,10 +21,13 @@
 PATIENCE_MS = 14000
 ROUTES = [route("/full/", "stream", "full", **LONG), route("/late/", "stream", "late", **LONG),
           route("/again/", "safe", "again", max_attempts=2, **LONG), route("/mute/", "unsafe", "mute", **LONG),
-          route("/short/", "unsafe", "short", **LONG)]
+          route("/short/", "unsafe", "short", **LONG),
+          route("/resume/", "stream", "resume", max_attempts=2, resumable=True, **LONG)]
 # Of the calls of each kind: full and late wait for an engine, that comes free late; again are at an endpoint that crashes late,
-# or at one that is silent; mute are silent beyond the grace.
-STATUSES = {"full": (503,), "late": (503,), "again": (502, 504), "mute": (504,), "short": (200,)}
+# or at one that is silent; mute are silent beyond the grace; resume are
+# streams that break off late.
+STATUSES = {"full": (503,), "late": (503,), "again": (502, 504), "mute": (504,), "short": (200,),
+            "resume": (200,)}
 KINDS = tuple(STATUSES)
 CALLS = 3  # of each kind, at each host
 SLOTS, SLOT_SECONDS, SLOT_CALLS = 6, 1.5, 40  # of an endpoint that can't serve all calls before the end of the grace
@@ -46,7 +49,7 @@
 
     def run(self):
         begin = time.monotonic()
-        size = SIZE if self.kind in ("full", "late") else {}
+        size = SIZE if self.kind in ("full", "late", "resume") else {}
         try:
             self.status, self.headers, self.body = send(self.gateway.callers, "POST", self.path, b"x",
                                                         X_Deadline_Ms=PATIENCE_MS, **size)
@@ -65,6 +68,9 @@
         self.again = [self.platform.endpoint("again") for _ in range(2)]
         mute, short = self.platform.endpoint("mute"), self.platform.endpoint("short")
         short.behave = "slow"
+        for _ in range(2):
+            engine = self.platform.endpoint("resume", "decode")
+            engine.behave, engine.events, engine.pause_seconds, engine.breaks_at = "half_first", 28, LONG_PAUSE_SECONDS, 26
         for endpoint in [*self.again, mute]:
             endpoint.behave = "mute"
         self.platform.configure(ROUTES)
@@ -91,14 +97,17 @@
         return calls, others
 
     def check(self, stopped):
-        self.gateways = self.start_linked(2, grace=GRACE_SECONDS, announce=f"{ANNOUNCE_SECONDS}s")
+        self.gateways = self.start_linked(2, grace=GRACE_SECONDS, announce=f"{ANNOUNCE_SECONDS}s",
+                                          more="[retries]\nsaved = 20\n")
         stopping = self.gateways[stopped]
         calls, others = self.stop(stopping)
         for call in calls:
             runs, is_refused = self.runs_of(call), call.status == 503
             with self.subTest(kind=call.kind, status=call.status, runs=runs, took=call.took):
                 self.assertIn(call.status, STATUSES[call.kind])
-                self.assertLessEqual(runs, 0 if is_refused else 1)
+                self.assertLessEqual(runs, 0 if is_refused else 2 if call.kind == "resume" else 1)
+                if call.kind == "resume":
+                    self.assertEqual([number for number, _ in events_in(call.body)], list(range(1, 29)))
                 if is_refused:
                     self.assertIn(b'"not_run"', call.body)
                     self.assertLess(float(call.headers["Retry-After"]), 0.5)
