Soak proxies: ports that stay without their target, links between gateways, nothing after lost bytes

A proxy may now stay up without its target and reset, close or hold what connects. Its port is its own while it refuses connections; before, a connection that left from the same port could take it ("Address already in use" in come_up, seen once).

ProxyTest also shows that an end in order comes after all bytes, and that a cut, a reset or an end after lost bytes is never an end in order.

Paths.add_links leads the connections to other gateways through proxies.

--- a/testing/process/paths.py
+++ b/testing/process/paths.py
@@ -8,6 +8,7 @@
     paths.cut("hang", endpoints)  # only to these
     paths.heal()
     paths.limit(40_000)        # bytes a second, each way, of all connections together
+    paths.add_links([other.peers])  # their proxies are in `links`, which cut() and heal() leave as they are
 """
 
 import contextlib
@@ -25,6 +26,7 @@
     def __init__(self, folder, name, endpoints):
         self.file = pathlib.Path(folder) / f"{name}.paths"
         self.proxies = {endpoint.address: Proxy(endpoint.address) for endpoint in endpoints}
+        self.links = {}
         self.silent = socket.socket()
         self.silent.bind(("127.0.0.1", 0))
         self.silent.listen(0)
@@ -43,7 +45,9 @@
         return {"FESCUESILL_TEST_PATHS": str(self.file)}
 
     def redirect(self, target_of):
-        lines = "".join(f"{address} {target_of(address)}\n" for address in self.proxies)
+        targets = {address: target_of(address) for address in self.proxies}
+        targets.update((address, proxy.address) for address, proxy in self.links.items())
+        lines = "".join(f"{address} {target}\n" for address, target in targets.items())
         fresh = self.file.with_suffix(".new")
         fresh.write_text(lines)
         fresh.replace(self.file)
@@ -58,6 +62,11 @@
             elif kind == "reset":
                 proxy.reset()
 
+    def add_links(self, addresses):
+        """To other gateways, through proxies from the next connection on."""
+        self.links.update((address, Proxy(address)) for address in addresses)
+        self.heal()
+
     def limit(self, bytes_per_second):
         links = (Link(bytes_per_second), Link(bytes_per_second))
         for proxy in self.proxies.values():
@@ -71,7 +80,7 @@
         self.redirect(lambda address: self.proxies[address].address)
 
     def end(self):
-        for proxy in self.proxies.values():
+        for proxy in (*self.proxies.values(), *self.links.values()):
             proxy.end()
         for each in (self.silent, self.closed, *self.filling):
             each.close()
--- a/testing/process/test_soak.py
+++ b/testing/process/test_soak.py
@@ -1,6 +1,7 @@
 """Short runs of the fault soak with fixed seeds, each seed that ever failed, and the judge of the soak itself."""
 
 import pathlib
+import socket
 import sys
 import unittest
 
@@ -10,6 +11,9 @@
 import soak  # noqa: E402  pylint: disable=wrong-import-position
 import workspaces  # noqa: E402  pylint: disable=wrong-import-position
 from callers import Call  # noqa: E402  pylint: disable=wrong-import-position
+import proxy as soak_proxy  # noqa: E402  pylint: disable=wrong-import-position
+from proxy import Proxy  # noqa: E402  pylint: disable=wrong-import-position
+from standin import wait_until  # noqa: E402  pylint: disable=wrong-import-position
 
 SEEDS = (1, 2)
 # Each with a line on its cause.
@@ -111,6 +115,85 @@
         self.assertTrue(self.check(Call("", "safe", 401, key=steady)))
 
 
+class ProxyTest(unittest.TestCase):
+    def setUp(self):
+        self.target = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.target.close)
+        self.proxy = Proxy("127.0.0.1:%d" % self.target.getsockname()[1])
+        self.addCleanup(self.proxy.end)
+
+    def connect(self):
+        return self.connect_with_timeout(5)
+
+    def connect_with_timeout(self, seconds):
+        caller = socket.create_connection(("127.0.0.1", self.proxy.port), timeout=seconds)
+        self.addCleanup(caller.close)
+        return caller
+
+    def connect_through(self):
+        caller = self.connect()
+        callee, _ = self.target.accept()
+        self.addCleanup(callee.close)
+        return caller, callee
+
+    def test_passes_on_an_end_in_order_after_all_bytes(self):
+        for mode in ("pass", "delay"):
+            caller, callee = self.connect_through()
+            self.proxy.mode = mode
+            callee.sendall(b"part")
+            callee.close()
+            self.assertEqual(caller.makefile("rb").read(), b"part")
+
+    # Each guards against answers that look whole, or whose parts are joined, since the proxy lost bytes of them.
+    def test_an_end_after_lost_bytes_is_a_reset(self):
+        for mode in ("silent", "one_way"):
+            caller, callee = self.connect_through()
+            self.proxy.mode = mode
+            callee.sendall(b"lost")
+            wait_until(lambda: self.proxy.lost, "the loss")
+            self.proxy.mode = "pass"
+            callee.close()
+            self.assertRaises(ConnectionError, caller.recv, 10)
+
+    def test_nothing_is_passed_on_after_lost_bytes(self):
+        caller, callee = self.connect_through()
+        self.proxy.mode = "silent"
+        callee.sendall(b"lost")
+        wait_until(lambda: self.proxy.lost, "the loss")
+        self.proxy.mode = "pass"
+        callee.sendall(b"more")
+        callee.close()
+        self.assertRaises(ConnectionError, caller.recv, 10)
+
+    def test_a_reset_is_passed_on(self):
+        caller, callee = self.connect_through()
+        soak_proxy.reset(callee)
+        self.assertRaises(ConnectionError, caller.recv, 10)
+
+    def test_its_own_reset_is_no_end_in_order(self):
+        caller, callee = self.connect_through()
+        callee.sendall(b"part")
+        self.assertEqual(caller.recv(10), b"part")
+        self.proxy.reset()
+        self.assertRaises(ConnectionError, caller.recv, 10)
+
+    def test_a_port_that_stays_without_its_target(self):
+        self.target.close()
+        self.proxy.without_target = "close"
+        self.assertEqual(self.connect().recv(10), b"")
+        self.proxy.without_target = "reset"
+        self.assertRaises(ConnectionError, lambda: self.connect().recv(10))
+        self.proxy.without_target = "hold"
+        caller = self.connect_with_timeout(0.1)
+        self.assertRaises(TimeoutError, caller.recv, 10)
+        self.proxy.go_down()
+        caller.settimeout(5)
+        self.assertRaises(ConnectionError, caller.recv, 10)
+        self.assertRaises(ConnectionError, self.connect)
+        self.proxy.come_up()
+        self.assertRaises(TimeoutError, self.connect_with_timeout(0.1).recv, 10)
+
+
 class SoakTest(unittest.TestCase):
     # Faults of all kinds overlap for some seconds while callers go on. Whatever they are told must be true, whatever they
     # get whole, and everybody is served once the faults are over.
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -6,9 +6,11 @@
     proxy.links = (Link(40_000), Link(40_000))  # what all connections share, to the target and back
     proxy.reset()                  # all open connections at once
     proxy.go_down(), proxy.come_up()  # new connections are refused
+    proxy.without_target = "close"  # what becomes of new connections while the target listens no more
 
 Modes: pass; delay (each piece waits 200 ms); one_way (nothing comes back); silent (nothing goes either way); refuse (new
-connections are reset).
+connections are reset). Without a target, new connections are reset, closed in order (close), or held open without an
+answer until the port goes down or up (hold).
 """
 
 import contextlib
@@ -18,8 +20,10 @@
 import time
 
 DELAY_SECONDS = 0.2
+BACKLOG = 256
 SLOW_PIECES_PER_SECOND = 20
 MODES = ("delay", "one_way", "silent", "refuse")
+WITHOUT_TARGET = ("reset", "close", "hold")
 
 
 class Link:
@@ -43,26 +47,52 @@
         host, port = target.split(":")
         self.target = (host, int(port))
         self.mode = "pass"
+        self.without_target = "reset"
+        self.held = []
+        self.is_up, self.has_ended = True, False
+        self.moving = threading.Lock()
         self.bytes_per_second = None
         self.links = None
         self.pairs = []
         self.lost = set()  # connections that end with a reset
-        self.listen(0)
+        self.listener = listen_somewhere()
         self.port = self.listener.getsockname()[1]
+        self.start()
         self.address = "127.0.0.1:%d" % self.port
 
-    def listen(self, port):
-        self.listener = socket.create_server(("127.0.0.1", port), backlog=256)
+    def start(self):
         threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
     def go_down(self):
-        """Its port refuses connections, as that of a target that has ended does."""
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
+        """Its port refuses connections, as that of a target that has ended does. It stays its own."""
+        with self.moving:
+            self.is_up = False
+            with contextlib.suppress(OSError):
+                self.listener.shutdown(socket.SHUT_RDWR)
+            self.reset_held()
 
     def come_up(self):
-        self.listen(self.port)
+        with self.moving:
+            if not self.is_up and not self.has_ended:
+                self.listener.listen(BACKLOG)
+                self.start()
+            self.is_up = True
+            self.reset_held()
+
+    def reset_held(self):
+        held, self.held = self.held, []
+        for caller in held:
+            reset(caller)
+
+    def turn_away(self, caller):
+        """What a port does that stays although its target has ended."""
+        with self.moving:
+            if self.without_target == "hold" and self.is_up:
+                self.held.append(caller)
+            elif self.without_target == "close":
+                caller.close()
+            else:
+                reset(caller)
 
     def accept(self, listener):
         with contextlib.suppress(OSError):
@@ -75,7 +105,7 @@
                     callee = socket.create_connection(self.target, timeout=5)
                     callee.settimeout(None)
                 except OSError:
-                    reset(caller)
+                    self.turn_away(caller)
                     continue
                 self.pairs.append((caller, callee))
                 threading.Thread(target=self.carry, args=(caller, callee), daemon=True).start()
@@ -93,10 +123,12 @@
             self.pairs.remove((caller, callee))
 
     def pump(self, source, sink, is_back):
+        has_lost = False
         try:
             while data := source.recv(self.piece_size()):
-                if self.mode == "silent" or (is_back and self.mode == "one_way"):
-                    self.lost |= {source, sink}  # TCP never delivers an end after bytes that were lost
+                if has_lost or self.mode == "silent" or (is_back and self.mode == "one_way"):
+                    has_lost = True
+                    self.lost |= {source, sink}  # TCP never delivers bytes or an end after bytes that were lost
                     continue
                 if self.mode == "delay":
                     time.sleep(DELAY_SECONDS)
@@ -125,10 +157,22 @@
                 reset(end)
 
     def end(self):
-        self.listener.close()
+        with self.moving:
+            self.has_ended = True
+            self.listener.close()
+            self.reset_held()
         self.reset()
 
 
+def listen_somewhere():
+    """Bound to a port by its number: a socket that was bound to any port loses it when it listens no more."""
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as found:
+            port = found.getsockname()[1]
+        with contextlib.suppress(OSError):  # another one has it by now
+            return socket.create_server(("127.0.0.1", port), backlog=BACKLOG)
+
+
 def reset(connection):
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
