Soak: engines that end within their streams behind ports that close late or stay

The soak missed it, since its proxies went down with their engines. Now, by random streams of their own: a decode engine's port closes with it, 0.05 to 1.5 s later, or stays, and meanwhile resets, closes or holds connections without an answer; engines end while they write, also one after the other; links between gateways and to engines are delayed, silenced, cut one way, refused and reset; signals and configurations come in series; a fifth of the seeds has 6 to 8 hosts and 12 engines. Promises are also checked where an earlier check of a run failed, which stopped it before.

--- a/testing/process/test_soak.py
+++ b/testing/process/test_soak.py
@@ -20,6 +20,7 @@
 SEEDS_THAT_FAILED = (
     101,  # the end of an outage of the store noticed seconds late
     718,  # a generation refused as not run after an attempt that was sent
+    5124,  # streams that end with the connection of an engine whose port stays open look whole
 )
 SECONDS = 4
 
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -1,15 +1,20 @@
 #!/usr/bin/env python3
 """Random faults against gateways as processes, with callers that go on all the while.
 
-    soak.py --build build --seed 7 --seconds 10          one run
-    soak.py --build build --rounds 50                    new seeds, each printed before its run
+    soak.py --seed 7 --seconds 10              one run, with $FESCUESILL_BUILD
+    soak.py --first-seed 1000 --rounds 50      a line for each seed; faults and logs of those that failed are kept
+    soak.py --rounds 50                        the same with new seeds
+
+Some seeds have many hosts and engines, unless --hosts is given.
 
 Processes are stopped, frozen, killed and started again by signals; what goes to the store and to plain endpoints goes
 through proxies that delay, silence, cut one way, refuse and reset; hosts lose their paths to endpoints; engines of two
-software versions serve, one of which may join while a host stands still, and callers take up streams that broke off; endpoints crash, also under requests that crash each
-that answers them, break off, also within answers that end with their connection, fall silent, refuse, add bytes and state
+software versions serve, one of which may join while a host stands still, and callers take up streams that broke off; endpoints
+crash, also under requests that crash each that answers them, break off, also within answers that end with their connection, fall silent, refuse, add bytes and state
 limits, ask hosts for rest, say that they leave, send without an end; entries lapse and come back, configurations
-change, keys are revoked while their callers go on, the store loses answers and forgets. Faults overlap. A run fails if a promise to a caller was broken (checker.py,
+change, keys are revoked while their callers go on, the store loses answers and forgets. Links between gateways and to
+engines are harmed too, and engines end within their streams, behind ports that close late or that stay, as a proxy's does.
+Signals and configurations come in series. Faults overlap. A run fails if a promise to a caller was broken (checker.py,
 workspaces.py), or if not everybody is served again after the last fault.
 """
 
@@ -33,9 +38,9 @@
 from checker import check  # noqa: E402
 from gatewayprocess import SIZE, Gateway, send  # noqa: E402
 from paths import KINDS, Paths  # noqa: E402
-from proxy import MODES, Proxy  # noqa: E402
+from proxy import MODES, WITHOUT_TARGET, Proxy  # noqa: E402
 from standin import wait_until  # noqa: E402
-from userplatform import ENDLESS, UserPlatform, route  # noqa: E402
+from userplatform import ENDLESS, EVENTS, UserPlatform, route  # noqa: E402
 from workspaces import SETTINGS, Workspaces  # noqa: E402
 
 LOAD_SETTINGS = "[streams]\nlatest_event_ms = 200\n[endpoints]\nshared_slots = yes\n"
@@ -47,6 +52,16 @@
 WRITER_VERSIONS = ("v1", "v2", "v1")
 UNFRAMED_SHARE = 0.5  # of the decode engines: their streams end with their connection
 IN_ORDER_SHARE = 0.5  # of them: their connections end in order when they end
+PORTS = ("down", "late", "stays")  # of an engine that ends, as its hosts see it
+PORT_SECONDS = (0.05, 1.5)  # from the end of an engine's connections to that of its port
+PAUSE_SECONDS = (0.02, 0.05, 0.1)  # between events
+ENDED_SECONDS = (0.1, 2.0)  # of an engine that ended within its streams
+MOST_WAIT_SECONDS = 0.5  # for a stream to end
+SERIES_SHARE = 0.3
+LARGE_SHARE = 0.2  # of the seeds
+SMALL_SIZE = (3, 3, 2)  # hosts, decode and prefill engines
+FINDINGS_SHOWN = 3  # in the line of a seed
+LARGE_HOSTS, LARGE_ENGINES = (6, 8), (9, 3)
 MOST_ROUTES_MORE = 3000  # a whole configuration of them is some 600 KB
 SLOW_BYTES_PER_SECOND = (150_000, 1_000_000)  # of a host's link to the store
 MOST_LIMIT = 20.0  # calls a second
@@ -65,7 +80,9 @@
 
 
 class Soak:
-    def __init__(self, seed, hosts, folder):
+    def __init__(self, seed, size, folder, do_ports_last_in_checks=False):
+        hosts, writers, readers = size
+        self.do_ports_last, self.do_ports_last_in_checks = True, do_ports_last_in_checks
         self.chance = random.Random(seed)
         self.platform = UserPlatform()
         self.plain = [self.platform.endpoint("booking") for _ in range(3)]
@@ -74,8 +91,9 @@
             self.proxies.append(Proxy(endpoint.address))
             endpoint.address = self.proxies[-1].address
             self.platform.register(endpoint)
-        self.readers = [self.platform.endpoint("llm", "prefill") for _ in range(2)]
-        self.writers = [self.platform.endpoint("llm", "decode", version) for version in WRITER_VERSIONS]
+        self.readers = [self.platform.endpoint("llm", "prefill") for _ in range(readers)]
+        versions = WRITER_VERSIONS + ("v1",) * (writers - len(WRITER_VERSIONS))
+        self.writers = [self.platform.endpoint("llm", "decode", version) for version in versions]
         framing_chance = random.Random(f"{seed}-framing")  # of its own, so that seeds keep their other faults
         for writer in self.writers:
             writer.is_framed = framing_chance.random() >= UNFRAMED_SHARE
@@ -95,17 +113,25 @@
         self.gateways = [Gateway(folder, f"g{number}", store.address, GRACE_SECONDS, first_start=True, paths=paths,
                                  more=SETTINGS + LOAD_SETTINGS)
                          for number, (store, paths) in enumerate(zip(self.stores, self.paths))]
+        for paths, gateway in zip(self.paths, self.gateways):
+            paths.add_links([address for other in self.gateways if other is not gateway
+                             for address in (other.peers, other.tunnels)])
         self.busy = [threading.Lock() for _ in self.gateways]  # a process has one fault of its own at a time
         for number, endpoint in enumerate(self.platform.endpoints):
             endpoint.crashes_on = self.is_deadly
             for proxy in self.proxies_of(number, endpoint):
-                endpoint.on_crash.append(proxy.go_down)
                 endpoint.on_back.insert(0, proxy.come_up)
+                if endpoint not in self.writers:
+                    endpoint.on_crash.append(proxy.go_down)
+        self.port_chance = random.Random(f"{seed}-ports")
+        self.ports = [self.port_of(writer) for writer in self.writers]
+        self.link_chance, self.series_chance = random.Random(f"{seed}-links"), random.Random(f"{seed}-series")
         self.crash_chance = random.Random(f"{seed}-crashes")
         self.need_chance = random.Random(f"{seed}-needs")
         self.callers = Callers(self.gateways, seed, count=3 * hosts, key_for=self.workspaces.key_for)
         self.own_calls = []
-        self.log = []
+        self.log = [f"{writer.name}: {'framed' if writer.is_framed else 'unframed'}, port {port}"
+                    for writer, port in zip(self.writers, self.ports)]
 
     def play(self, seconds):
         for gateway in self.gateways:
@@ -113,7 +139,8 @@
         self.callers.start()
         end = time.monotonic() + seconds
         faults = [threading.Thread(target=fault, args=(end,), daemon=True)
-                  for fault in (self.path_faults, self.key_faults, self.crash_faults, self.need_faults, self.join_fault)]
+                  for fault in (self.path_faults, self.key_faults, self.crash_faults, self.need_faults, self.join_fault,
+                                self.end_faults, self.link_faults, self.series_faults)]
         for fault in faults:
             fault.start()
         while time.monotonic() < end:
@@ -125,19 +152,54 @@
             time.sleep(self.chance.uniform(0.05, 0.6))
         for fault in faults:
             fault.join()
-        self.check_recovery()
-        self.check_crashing("/write/")
-        self.check_crashing("/look/")
-        self.check_leaving()
+        findings = self.findings_of(self.check_recovery)
+        if not findings:  # the other checks need everybody to be served
+            self.do_ports_last = self.do_ports_last_in_checks
+            findings += self.findings_of(self.check_crashing, "/write/") + self.findings_of(self.check_crashing, "/look/")
+            findings += self.findings_of(self.check_leaving)
         self.callers.stop()
         time.sleep(LATE_RUNS_SECONDS)
-        findings = check(self.callers.calls, self.platform.endpoints, self.own_calls)
+        findings += check(self.callers.calls, self.platform.endpoints, self.own_calls)
         return findings + self.workspaces.check(self.callers.calls, self.platform.endpoints)
 
+    @staticmethod
+    def findings_of(check_one, *arguments):
+        try:
+            check_one(*arguments)
+        except AssertionError as error:
+            return [str(error)]
+        return []
+
     def proxies_of(self, number, endpoint):
         own = [proxy for proxy in self.proxies[number:number + 1] if endpoint in self.plain]
         return own + [paths.proxies[endpoint.address] for paths in self.paths]
 
+    def port_of(self, writer):
+        """How the port of a decode engine ends, once it has ended. Its proxies pass on an end in order, and resets."""
+        chance = self.port_chance
+        kind, seconds, without_target = chance.choice(PORTS), chance.uniform(*PORT_SECONDS), chance.choice(WITHOUT_TARGET)
+        if kind != "down":
+            writer.ends_in_order = True
+        if not writer.is_framed:
+            writer.pause_seconds = chance.choice(PAUSE_SECONDS)
+        for proxy in (paths.proxies[writer.address] for paths in self.paths):
+            proxy.without_target = without_target
+            writer.on_crash.append(lambda ending=proxy: self.end_port(writer, ending, kind, seconds))
+        return f"{kind} {seconds:.2f} {without_target}" if kind == "late" else f"{kind} {without_target}"
+
+    def end_port(self, writer, proxy, kind, seconds):
+        if kind == "down" or not self.do_ports_last:
+            proxy.go_down()
+        elif kind == "late":
+            timer = threading.Timer(seconds, self.end_port_of_start, (writer, writer.crashes, proxy))
+            timer.daemon = True
+            timer.start()
+
+    @staticmethod
+    def end_port_of_start(writer, start, proxy):
+        if writer.crashing.locked() and writer.crashes == start:
+            proxy.go_down()
+
     @staticmethod
     def is_deadly(request, _):
         parts = [part.split(":")[0] for part in request.headers.get("X-Prompt-Prefix", "").split(",")]
@@ -174,14 +236,22 @@
     def proxy_fault(self, proxy, chance, lasts):
         mode = chance.choice(MODES + ("reset",))
         self.note("proxy", proxy.address, mode, f"{lasts:.2f}")
+        self.harm([proxy], mode, lasts)
+
+    @staticmethod
+    def harm(proxies, mode, lasts):
+        for proxy in proxies:
+            if mode == "reset":
+                proxy.reset()
+            else:
+                proxy.mode = mode
         if mode == "reset":
-            proxy.reset()
             return
-        proxy.mode = mode
         time.sleep(lasts)
-        proxy.mode = "pass"
-        if mode != "delay":
-            proxy.reset()  # what was lost on the way leaves no half messages behind
+        for proxy in proxies:
+            proxy.mode = "pass"
+            if mode != "delay":
+                proxy.reset()  # what was lost on the way leaves no half messages behind
 
     def store_fault(self, chance, lasts):
         proxies = chance.sample(self.stores, chance.randint(1, len(self.stores)))
@@ -222,6 +292,57 @@
             else:
                 self.send_deadly(chance.choice(self.gateways), kind, "during")
 
+    def end_faults(self, end):
+        """Decode engines end while they write, one or one after the other: first of all those whose answers end with their
+        connection."""
+        chance = self.port_chance
+        writers = [writer for writer in self.writers if not writer.is_framed] or self.writers
+        while time.monotonic() < end:
+            time.sleep(chance.uniform(0, 1))
+            ending = chance.sample(writers, chance.randint(1, len(writers)) if chance.random() < SERIES_SHARE else 1)
+            for writer in ending:
+                writer.down_seconds = chance.uniform(*ENDED_SECONDS)
+                self.wait_for_stream(writer)
+                time.sleep(chance.uniform(0, EVENTS * writer.pause_seconds))
+                self.note("end of", writer.name, f"{writer.down_seconds:.2f}")
+                writer.crash()
+        for writer in writers:
+            writer.down_seconds = min(writer.down_seconds, DOWN_SECONDS[1])
+
+    @staticmethod
+    def wait_for_stream(writer):
+        before = len(writer.seen)
+        with contextlib.suppress(AssertionError):  # nobody calls it
+            wait_until(lambda: len(writer.seen) > before, "a stream", MOST_WAIT_SECONDS)
+
+    def link_faults(self, end):
+        """Links between gateways, or from gateways to decode engines, are harmed, a few or all of them."""
+        chance = self.link_chance
+        between = [proxy for paths in self.paths for proxy in paths.links.values()]
+        to_engines = [paths.proxies[writer.address] for paths in self.paths for writer in self.writers]
+        while time.monotonic() < end:
+            time.sleep(chance.uniform(0, 2))
+            links = chance.choice((between, to_engines)) if between else to_engines
+            harmed = chance.sample(links, chance.randint(1, len(links)))
+            mode, lasts = chance.choice(MODES + ("reset",)), chance.uniform(0.1, LONGEST_FAULT_SECONDS / 2)
+            self.note("links", "to engines" if links is to_engines else "between hosts", len(harmed), mode, f"{lasts:.2f}")
+            self.harm(harmed, mode, lasts)
+
+    def series_faults(self, end):
+        """Signals to several hosts and configurations, each soon after the last."""
+        chance = self.series_chance
+        while time.monotonic() < end:
+            time.sleep(chance.uniform(0, 5))
+            signals = []
+            for _ in range(chance.randint(2, max(2, len(self.gateways) // 2))):
+                arguments = (random.Random(chance.random()), chance.uniform(0.1, 1))
+                signals.append(threading.Thread(target=self.signal_fault, args=arguments, daemon=True))
+                signals[-1].start()
+                self.configure()
+                time.sleep(chance.uniform(0, 0.3))
+            for each in signals:
+                each.join()
+
     def need_faults(self, end):
         """Endpoints ask for rest, say that they leave, or send without an end."""
         chance = self.need_chance
@@ -409,10 +530,18 @@
         self.platform.__exit__()
 
 
-def run(seed, seconds, hosts, keep=None):
-    """The findings; where there are any, the faults and the gateways' logs are kept in that folder."""
+def size_of(seed):
+    """Hosts, decode and prefill engines."""
+    chance = random.Random(f"{seed}-size")
+    return (chance.randint(*LARGE_HOSTS), *LARGE_ENGINES) if chance.random() < LARGE_SHARE else SMALL_SIZE
+
+
+def run(seed, seconds, hosts=None, keep=None, do_ports_last_in_checks=False):
+    """The findings; where there are any, the faults and the gateways' logs are kept in that folder. Without `hosts`, the
+    seed decides on the size."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, hosts, folder)
+        soak = Soak(seed, size_of(seed) if hosts is None else (hosts, *SMALL_SIZE[1:]), folder,
+                    do_ports_last_in_checks)
         try:
             return play(soak, seed, seconds, keep)
         finally:
@@ -422,10 +551,11 @@
 def play(soak, seed, seconds, keep):
     try:
         findings = soak.play(seconds)
-        served = sum(call.status == 200 and call.is_whole for call in soak.callers.calls)
-        print(f"soak: seed {seed}: {len(soak.callers.calls)} calls, {served} served, {len(findings)} findings", flush=True)
     except AssertionError as error:
         findings = [str(error)]
+    served = sum(call.status == 200 and call.is_whole for call in soak.callers.calls)
+    print(f"soak: seed {seed}: {len(soak.gateways)} hosts, {len(soak.callers.calls)} calls, {served} served, "
+          f"{len(findings)} findings" + "".join(f" | {finding}" for finding in findings[:FINDINGS_SHOWN]), flush=True)
     if findings and keep:
         store = pathlib.Path(keep) / f"seed-{seed}"
         store.mkdir(parents=True, exist_ok=True)
@@ -438,20 +568,23 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seed", type=int)
+    parser.add_argument("--first-seed", type=int)
     parser.add_argument("--rounds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8)
-    parser.add_argument("--hosts", type=int, default=3)
+    parser.add_argument("--hosts", type=int, help="with three decode engines; by default the seed decides")
+    parser.add_argument("--ports-last", action="store_true",
+                        help="ports close late or stay also while the ends under requests that crash engines are counted")
     parser.add_argument("--keep", default="soak-findings", help="folder for the logs of a run that failed")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # ends the gateways, which would call ports of a later run
-    failed = 0
-    for _ in range(options.rounds):
+    failed = []
+    for number in range(options.rounds):
         seed = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 31)
-        findings = run(seed, options.seconds, options.hosts, options.keep)
-        for finding in findings:
-            print(f"soak: seed {seed}: {finding}", flush=True)
-        failed += bool(findings)
-    print(f"soak: {options.rounds} rounds, {failed} failed")
+        if options.first_seed is not None:
+            seed = options.first_seed + number
+        if run(seed, options.seconds, options.hosts, options.keep, options.ports_last):
+            failed.append(seed)
+    print(f"soak: {options.rounds} rounds, {len(failed)} failed", *failed)
     return 1 if failed else 0
 
 
