--- a/testing/process/test_ends_of_engines.py
+++ b/testing/process/test_ends_of_engines.py
@@ -123,10 +123,10 @@
 class EndsSeenOnlyInReportsTest(EndsOfEnginesWorld):
     """The port of an engine that has ended accepts connections on: it closes late, a proxy stays, or another engine is there."""
 
-    def start_behind_proxy(self, closes_in_order=False):
+    def start_behind_proxy(self, without_target="reset"):
         gateway = World.start(self)
         for proxy in gateway.paths.proxies.values():
-            proxy.closes_in_order = closes_in_order
+            proxy.without_target = without_target
         return gateway
 
     def check_late_port(self, seconds, before_end=lambda writer: None):
@@ -138,7 +138,7 @@
         self.check_part(self.start_behind_proxy())
 
     def test_a_stream_of_an_engine_that_ends_behind_a_proxy_that_closes_in_order(self):
-        self.check_part(self.start_behind_proxy(closes_in_order=True))
+        self.check_part(self.start_behind_proxy(without_target="close"))
 
     def test_a_stream_of_an_engine_that_closes_its_port_some_time_later(self):
         self.check_late_port(0.4)
