--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -59,6 +59,12 @@
     "events": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", b"data: x\n\n" * 2048),
     "chunks": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", b"4000\r\n" + b"data: x\n\n\n" * 1638 + b"1234\r\n"),
 }
+# The same with bytes that look like rows of the store; "pages" are answers with an end, each of which names a further one.
+ENDLESS_ROWS = {
+    "rows": (b"HTTP/1.1 200 OK\r\n\r\n{\"ver\": 9, \"rows\": [{}", b",{}" * 4096),
+    "lists": (b"HTTP/1.1 200 OK\r\n\r\n", b"[" * 16384),
+}
+PAGE_ROWS = 500
 SLOW_SECONDS = 0.6  # of an answer, longer than the target of a route
 STALL_SECONDS = 3
 ENDLESS_SECONDS = 20  # longer than any call waits
@@ -174,6 +180,24 @@
     request.close_connection = True
 
 
+def send_without_end(request, begin, more):
+    request.close_connection = True
+    headers = b"X-Request-Id: %s\r\n" % request.headers.get("X-Request-Id", "").encode()
+    request.wfile.write(begin.replace(b"%s", headers))
+    end = time.monotonic() + ENDLESS_SECONDS
+    while time.monotonic() < end:
+        request.wfile.write(more)
+
+
+def page_of_many(query):
+    """Rows from the key on that was asked for, older than any other, and that there are more."""
+    first = int(re.sub(r"\D", "", query.get("from", "")) or 0)
+    value = base64.b64encode(b"x" * 1500).decode()
+    rows = [{"table": query.get("table", ""), "part": "", "key": f"k{number:012}", "ver": 1, "value": value}
+            for number in range(first + 1, first + 1 + PAGE_ROWS)]
+    return {"rows": rows, "ver": 1, "now_ms": 1, "truncated": True}
+
+
 class QuietServer(http.server.ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 256
@@ -247,6 +271,7 @@
         self.lost_answers = 0  # of the next writes: done, and the connection closed without a word
         self.configs_sent = 0  # whole configurations
         self.calls = []  # path and table of each
+        self.endless = None  # the way, of ENDLESS or ENDLESS_ROWS, in which it answers without an end
         super().__init__()
 
     def silence_open_connections(self):
@@ -266,6 +291,10 @@
         self.configs_sent += any(row["key"] == "config" for row in answer[1].get("rows", ()))
         if request.client_address in self.silent:
             self.ended.wait()
+        elif self.endless == "pages":
+            request.reply(*((410, {}) if url.path == "/rows-feed" else (200, page_of_many(query))))
+        elif self.endless:
+            send_without_end(request, *{**ENDLESS, **ENDLESS_ROWS}[self.endless])
         elif url.path == "/rows-tx" and self.lost_answers > 0:
             self.lost_answers -= 1
             request.close_connection = True
@@ -350,7 +379,7 @@
         elif self.kind_of(request) in self.endless:
             begin = time.monotonic()
             try:
-                self.send_without_end(request, *{**ENDLESS, **ENDLESS_EVENTS}[self.endless[self.kind_of(request)]])
+                send_without_end(request, *{**ENDLESS, **ENDLESS_EVENTS}[self.endless[self.kind_of(request)]])
             finally:
                 self.held_seconds.append(time.monotonic() - begin)
         elif self.kind_of(request) in self.head_bytes:
@@ -375,15 +404,6 @@
         else:
             self.answer(request, body)
 
-    @staticmethod
-    def send_without_end(request, begin, more):
-        request.close_connection = True
-        headers = b"X-Request-Id: %s\r\n" % request.headers.get("X-Request-Id", "").encode()
-        request.wfile.write(begin.replace(b"%s", headers))
-        end = time.monotonic() + ENDLESS_SECONDS
-        while time.monotonic() < end:
-            request.wfile.write(more)
-
     def head(self, request_id):
         headers = f"X-Request-Id: {request_id}\r\nContent-Type: text/event-stream\r\n{self.framing}"
         return f"HTTP/1.1 200 OK\r\n{headers}\r\n".encode()
@@ -546,10 +566,10 @@
     def remove(self, endpoint):
         self.store.put("servers", endpoint.name, None)
 
-    def configure(self, routes, workspaces=None):
-        """`workspaces`: of workspace(); without them callers need no key."""
+    def configure(self, routes, workspaces=None, slots=6):
+        """`workspaces`: of workspace(); without them callers need no key. `slots`: of an engine."""
         self.version += 3
-        engine = {"slots": 6, "kv_capacity_tokens": 60000, "kv_hold_s": 0.5, "hold_ms": 2000.0, "stride": 50}
+        engine = {"slots": slots, "kv_capacity_tokens": 60000, "kv_hold_s": 0.5, "hold_ms": 2000.0, "stride": 50}
         services = [{"name": name, "health_path": "/health", "max_connections": 96, **({"engine": engine} if engines else {})}
                     for name, engines in sorted(self.services)]
         config = {"version": self.version, "routes": routes, "services": services,
