Replies that are read whole share their memory, and count until they are destroyed

HttpClient bounds the sum of replies that are being read as a whole. Beyond it the call failed whose reply grew just then, also a sound one of some kilobytes beside endless ones; and a reply stopped counting as soon as it was whole, though a caller that reads slowly keeps it until the deadline of its call.

Now a call fails beyond the limit only if its reply takes more than an equal share, so the sum stays below twice the limit, and an HttpResponse counts until its last copy is destroyed.

--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -308,10 +308,11 @@
     const auto bodyDeadline = [&] {
         return options.body ? std::min(bodyEnd, std::chrono::steady_clock::now() + options.body->idle) : deadline;
     };
-    ReplyBound bound(*this->pool);
+    const auto bound = std::make_shared<ReplyBound>(this->pool);
     while (connection->readSome(response.body, bodyDeadline(), yield)) {
-        bound.check(address, response.body.size());
+        bound->check(address, response.body.size());
     }
+    response.bound = bound;
     connection->setAbort(nullptr);
     this->pool->release(std::move(connection));
     return response;
@@ -397,11 +398,11 @@
 std::string LineStream::readAll(Duration deadline, const asio::yield_context &yield)
 {
     const SteadyTime end = std::chrono::steady_clock::now() + deadline;
-    ReplyBound bound(*this->connection->pool);
+    this->connection->bound = std::make_unique<ReplyBound>(this->connection->pool);
     std::string body = std::move(this->connection->partial);
     this->connection->partial.clear();
     while (this->connection->readSome(body, end, yield)) {
-        bound.check(this->connection->address, body.size());
+        this->connection->bound->check(this->connection->address, body.size());
     }
     return body;
 }
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -57,11 +57,14 @@
 };
 const char *nameOf(BodyFraming framing);
 
+class ReplyBound;
+
 struct HttpResponse {
     int status = 0;
     std::vector<HttpHeader> headers;
     std::string body;
     BodyFraming framing = BodyFraming::Length;
+    std::shared_ptr<const ReplyBound> bound = {}; // counts the body towards the limit of its client
 
     // Returns an empty view if there is no such header. Names are case-insensitive.
     std::string_view header(std::string_view name) const;
@@ -154,7 +157,6 @@
 
 class EndpointPaths;
 class HttpClient;
-class ReplyBound;
 
 // What a new connection shows of the process at an address.
 enum class Liveness {
@@ -211,8 +213,9 @@
         Duration idleLimit{4s}; // shorter than the keep-alive of common servers: reuse rarely finds a closed connection
         Duration connectLimit{1s}; // links between data centres take milliseconds; a lost SYN is resent after 1 s
         Bytes bodyLimit{16 << 20}; // of a whole reply; a larger one is an endpoint fault
-        // Of all replies together that are being read as a whole. Beyond it, the call whose reply grows fails: an
-        // endpoint that sends bytes without end must not take the memory of all others.
+        // Of all replies together that are read as a whole, until the last copy of each HttpResponse is destroyed.
+        // Beyond it, a call fails whose reply takes more than an equal share of it: an endpoint that sends bytes
+        // without end must take neither the memory of all others nor their replies.
         Bytes bufferedLimit{64 << 20};
         Bytes lineLimit{1 << 20}; // of one line of a stream
         // Decides whether connections are opened directly or through another host (tunnelserver.h). If null, directly.
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -296,11 +296,13 @@
 
 void ReplyBound::check(const std::string &address, std::size_t size)
 {
-    this->pool.buffered += size - this->counted;
+    this->pool->buffered += size - this->counted;
     this->counted = size;
-    const HttpClient::Options &options = this->pool.options;
-    if (size > static_cast<std::size_t>(options.bodyLimit.value())
-        || this->pool.buffered > static_cast<std::size_t>(options.bufferedLimit.value())) {
+    const HttpClient::Options &options = this->pool->options;
+    // Replies below their share take as much as the limit together at most, so the sum stays below twice the limit.
+    const auto limit = static_cast<std::size_t>(options.bufferedLimit.value());
+    const bool isOverShare = this->pool->buffered > limit && size > limit / this->pool->replies;
+    if (size > static_cast<std::size_t>(options.bodyLimit.value()) || isOverShare) {
         throw HttpError(HttpFault::TooLarge, false, fmt::format("{}: reply too large", address));
     }
 }
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -61,7 +61,8 @@
     asio::io_context &io;
     Options options;
     std::size_t open = 0;
-    std::size_t buffered = 0; // bytes of replies that are being read as a whole
+    std::size_t replies = 0; // that are read as a whole
+    std::size_t buffered = 0; // bytes of these
     // One queue for each address that was ever called. Addresses come from the declaration, so there are few.
     std::unordered_map<std::string, std::deque<IdleConnection>> idle;
 };
@@ -69,26 +70,28 @@
 // The status and the headers of a reply, without what its parser knows of its body.
 HttpResponse headOf(const http::response_header<> &parsed);
 
-// Bounds a reply that is being read as a whole, and counts it towards those of all calls.
+// Bounds a reply that is read as a whole, and counts it towards those of all calls while it exists.
 class ReplyBound
 {
 public:
-    explicit ReplyBound(HttpClient::Pool &owner)
-        : pool(owner)
+    explicit ReplyBound(std::shared_ptr<HttpClient::Pool> owner)
+        : pool(std::move(owner))
     {
+        ++this->pool->replies;
     }
     ~ReplyBound()
     {
-        this->pool.buffered -= this->counted;
+        --this->pool->replies;
+        this->pool->buffered -= this->counted;
     }
     ReplyBound(const ReplyBound &) = delete;
     ReplyBound &operator=(const ReplyBound &) = delete;
 
-    // Throws HttpError if the reply, or all of them together, are too large.
+    // Throws HttpError if the reply is too large, or if all of them together are and this is more than its share.
     void check(const std::string &address, std::size_t size);
 
 private:
-    HttpClient::Pool &pool;
+    std::shared_ptr<HttpClient::Pool> pool;
     std::size_t counted = 0;
 };
 
@@ -138,6 +141,7 @@
 
     std::shared_ptr<HttpClient::Pool> pool;
     std::string address;
+    std::unique_ptr<ReplyBound> bound; // of a body that LineStream::readAll() has returned
     std::string partial; // body bytes read but not yet returned, such as the start of an incomplete line
     bool reused = false;
     bool isTunnelled = false; // the other host ends it soon after the deadline of its call
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -455,6 +455,70 @@
     }
 }
 
+// Replies to all connections with a body of so many bytes, or with its begin only.
+std::string serveBodies(asio::io_context &io, std::size_t sent, std::size_t stated)
+{
+    const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    const auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(io, any);
+    asio::spawn(io, [&io, acceptor, sent, stated](const asio::yield_context &yield) {
+        std::vector<asio::ip::tcp::socket> sockets;
+        boost::system::error_code error;
+        while (!error) {
+            asio::ip::tcp::socket socket(io);
+            acceptor->async_accept(socket, yield[error]);
+            const std::string reply =
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(stated) + "\r\n\r\n" + std::string(sent, 'x');
+            asio::async_write(socket, asio::buffer(reply), yield[error]);
+            sockets.push_back(std::move(socket));
+        }
+    });
+    return "127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+}
+
+HttpClient::Options withBufferedLimit(std::size_t limit)
+{
+    HttpClient::Options options;
+    options.bufferedLimit = Bytes(static_cast<std::int64_t>(limit));
+    return options;
+}
+
+// Guards against sound replies that fail since endless ones take all that may be buffered.
+TEST(HttpClient, ServesSmallRepliesWhileLargeOnesTakeAllThatMayBeBuffered)
+{
+    runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
+        HttpClient client(io, withBufferedLimit(64 << 10));
+        const std::string large = serveBodies(io, 31 << 10, 1 << 20);
+        const std::string small = serveBodies(io, 4 << 10, 4 << 10);
+        for (int call = 0; call < 2; ++call) {
+            asio::spawn(io, [&](const asio::yield_context &inner) {
+                EXPECT_THROW(client.call(large, {}, {1s, Reuse::Never}, inner), HttpError);
+            });
+        }
+        asio::steady_timer timer(io, 300ms); // in which the large ones arrive as far as they do
+        timer.async_wait(yield);
+        EXPECT_EQ(client.call(small, {}, {1s, Reuse::Never}, yield).body.size(), 4U << 10);
+        timer.expires_after(1s);
+        timer.async_wait(yield);
+        io.stop(); // the servers run on
+    });
+}
+
+// Guards against whole replies without a bound together, of which callers take nothing.
+TEST(HttpClient, CountsTheBytesOfAReplyUntilItIsDestroyed)
+{
+    runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
+        HttpClient client(io, withBufferedLimit(64 << 10));
+        const std::string address = serveBodies(io, 40 << 10, 40 << 10);
+        {
+            const HttpResponse held = client.call(address, {}, {1s, Reuse::Never}, yield);
+            EXPECT_THROW(client.call(address, {}, {1s, Reuse::Never}, yield), HttpError);
+            EXPECT_EQ(held.body.size(), 40U << 10);
+        }
+        EXPECT_EQ(client.call(address, {}, {1s, Reuse::Never}, yield).status, 200);
+        io.stop(); // the server runs on
+    });
+}
+
 // Sends a reply whose body has no end, in pieces that are always there to be read.
 std::string serveWithoutEnd(asio::io_context &io)
 {
