A stream goes on only at the start of an engine whose version is known

Callers of resumable routes could get the events of two software versions in one stream: an engine that has crashed may start again under its id with another version, and serves before a host has read its new row (its store is silent or slow, or the host stood still). A stream that began there was recorded under the version of the earlier start, and went on at an engine of that version; and a stream of the earlier version could go on there.

Seen on the code before, with processes: one engine of three starts again with v2 while the store of the hosts is silent.

Cause: a row was taken for a fact about the process behind the address, while it is one about the start that wrote it. X-Expect-Instance names an id, which several starts may have. The row and the engine's report both name the start.

So a host that has a place for a stream that may go on asks the engine for its report. If it is another start than its row says, or does not answer, a stream that has begun goes on elsewhere; one that begins gets no version, so that this host does not go on with it, and others only by what they infer from a later read of the registry. Engines that state no start are trusted as before. It costs one probe and one connection for each resumable stream; other routes ask nothing.

The stand-in of the users' engines takes GET /report for a report, and no longer for a run. It says that an order is in progress: it can't change its stage, and a gateway that gets a valid report from an idle engine orders it to. The rows that it writes name its current start also when a test registers it anew.

--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -79,7 +79,7 @@
     request.usefulUntil = std::min(this->call.deadline(), request.arrival + patience) - prefillTime;
     request.dataCentre = this->call.services.settings.dataCentre;
     request.avoid = this->avoid;
-    request.excluded = this->restingEngines();
+    request.excluded = this->excludedEngines();
     request.promptName = size.uniquePart;
     request.version = this->streamVersion;
     request.isTakenUp = !this->call.head.lastEvent.empty();
@@ -90,9 +90,9 @@
     return request;
 }
 
-std::vector<EngineId> GenerationForward::restingEngines() const
+std::vector<EngineId> GenerationForward::excludedEngines() const
 {
-    std::vector<EngineId> engines;
+    std::vector<EngineId> engines = this->otherStarts;
     for (const EndpointId &resting : this->call.services.fleet.rests().all()) {
         engines.emplace_back(resting.value());
     }
@@ -123,7 +123,7 @@
 {
     const auto &services = this->call.services;
     const bool isResting = services.fleet.rests().isResting(decode);
-    services.gates.setExcluded(this->call.head.id, this->restingEngines());
+    services.gates.setExcluded(this->call.head.id, this->excludedEngines());
     this->report(isResting ? peer::PlacementEvent::Declined : peer::PlacementEvent::Full);
 }
 
@@ -145,14 +145,21 @@
             decode.address, request, {services.settings.reservationLimit, Reuse::Never, &this->abort}, yield);
         services.notices.onAnswer(decode, response);
         if (const auto reservation = readReservation(response)) {
-            if (this->call.route.isResumable || !this->call.head.lastEvent.empty()) {
-                this->streamVersion = decode.version;
+            Place place{decode, *reservation, {}};
+            const bool isAllowed = this->checkVersion(place, yield);
+            if (!isAllowed || this->abort.isAborted()) {
+                this->release(place, std::nullopt);
+                this->checkCaller();
+                this->otherStarts.emplace_back(decode.id.value());
+                services.gates.setExcluded(this->call.head.id, this->excludedEngines());
+                this->report(peer::PlacementEvent::Declined);
+                return std::nullopt;
             }
             services.gates.reportReserved(this->call.service, this->call.head.id, this->streamVersion);
-            return Place{decode, *reservation, {}};
+            return place;
         }
         this->lastFault = "no room at " + decode.id.value();
-        services.gates.setExcluded(this->call.head.id, this->restingEngines());
+        services.gates.setExcluded(this->call.head.id, this->excludedEngines());
         this->report(peer::PlacementEvent::Full);
     } catch (const HttpError &error) {
         this->checkCaller(); // if the caller cancelled the call, the engine is not at fault
@@ -164,6 +171,50 @@
     return std::nullopt;
 }
 
+// An engine may start again under its id with another version, and serve before its row is read here.
+GenerationForward::EngineStart GenerationForward::startOf(const EndpointRecord &at, const asio::yield_context &yield)
+{
+    const auto &services = this->call.services;
+    if (at.incarnation == 0) {
+        return EngineStart::Listed;
+    }
+    const Duration limit = std::min(services.settings.reservationLimit, this->call.timeLeft());
+    try {
+        const HttpResponse report =
+            services.client.call(at.address, reportRequest(at.id), {limit, Reuse::Never, &this->abort}, yield);
+        services.notices.onAnswer(at, report);
+        const auto stated = readIncarnation(report);
+        return !stated || *stated == at.incarnation ? EngineStart::Listed : EngineStart::Other;
+    } catch (const HttpError &error) {
+        this->lastFault = error.what();
+        return EngineStart::Unknown;
+    }
+}
+
+bool GenerationForward::checkVersion(const Place &place, const asio::yield_context &yield)
+{
+    const bool goesOn = !this->streamVersion.isEmpty() || !this->call.head.lastEvent.empty();
+    if (!goesOn && !this->call.route.isResumable) {
+        return true;
+    }
+    const EngineStart start = this->startOf(place.engine, yield);
+    if (start != EngineStart::Listed) {
+        Log::info("engine_start_unconfirmed",
+                  {{"request", this->call.head.id.value()},
+                   {"engine", place.engine.id.value()},
+                   {"incarnation", place.engine.incarnation},
+                   {"is_other", start == EngineStart::Other}});
+    }
+    if (start == EngineStart::Listed) {
+        this->streamVersion = place.engine.version;
+    } else if (goesOn) {
+        this->lastFault = place.engine.id.value() + " may have started again with another version";
+        return false;
+    }
+    this->isVersionUnknown = start != EngineStart::Listed;
+    return true;
+}
+
 std::optional<GenerationForward::Place> GenerationForward::reserve(const asio::yield_context &yield)
 {
     const auto &services = this->call.services;
@@ -547,7 +598,8 @@
         return NoRetry::NoTime;
     }
     const bool mayRestart = ended == Outcome::NotRun && !this->isStarted;
-    if (!mayRestart && !(ended == Outcome::Broken && this->call.route.isResumable)) {
+    const bool mayGoOn = this->call.route.isResumable && (!this->isVersionUnknown || this->eventsProduced == 0);
+    if (!mayRestart && !(ended == Outcome::Broken && mayGoOn)) {
         return NoRetry::NotRepeatable;
     }
     const int allowed = std::max(this->call.route.attempts, mayRestart ? 2 : 1);
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -41,6 +41,12 @@
         ReservationId reservation;
         EngineId prefill; // chosen by the gate; empty if it chose none
     };
+    // Whether an engine is the start that its row describes, by what it says itself.
+    enum class EngineStart {
+        Listed, // or the row or the engine states no start
+        Other,
+        Unknown, // it did not say
+    };
     struct Prefill {
         EndpointId engine;
         std::string address;
@@ -53,6 +59,9 @@
     bool isBlocked();
     void reportCutShort(const EndpointRecord &engine, const asio::yield_context &yield);
     std::optional<Place> reserveAt(const EndpointRecord &engine, const asio::yield_context &yield);
+    EngineStart startOf(const EndpointRecord &engine, const asio::yield_context &yield);
+    // Whether the reserved place may be used. Fixes the version of a stream that begins there.
+    bool checkVersion(const Place &place, const asio::yield_context &yield);
     std::optional<Prefill> prefill(const Place &place, const asio::yield_context &yield);
     std::optional<Prefill> prefillAt(const EndpointRecord &engine, const asio::yield_context &yield);
     Outcome generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
@@ -66,7 +75,8 @@
     // Takes a retry from the budget and returns nothing, or returns why there is no retry.
     std::optional<NoRetry> claimRetry(Outcome ended);
     GenerationRequest placementRequest() const;
-    std::vector<EngineId> restingEngines() const;
+    // Those that rest, and those that may be of another version than their rows say.
+    std::vector<EngineId> excludedEngines() const;
     PromptKey promptKey() const;
     void report(peer::PlacementEvent event);
     void reportUnused(const EndpointId &engine);
@@ -91,11 +101,13 @@
     bool hasReaderEnded = false; // an engine ended while it read the prompt
     bool hasNoPath = false; // the last fault is that this host reaches no endpoint
     NoRetry noRetry = NoRetry::None; // why the last fault was not retried
+    std::vector<EngineId> otherStarts; // engines that may have started again since their rows were written
     EngineId avoid; // the engine that failed during the last attempt
     EndpointId engine; // the decode engine of the current or last attempt
     SoftwareVersion version; // of that engine
     // The only version that may go on with a resumable stream; empty until a place is reserved.
     SoftwareVersion streamVersion;
+    bool isVersionUnknown = false; // of the stream that begins at the reserved place
     std::int64_t eventsProduced = 0; // complete events received so far
     Instant sentAt; // of the last request to a decode engine
     std::optional<Instant> firstEventAt; // of the answer to it
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -21,6 +21,8 @@
 `ignores_last_event` begins each stream anew; one that is `extra` sends a second answer after an unframed stream.
 
 It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
+An engine reports that an order is in progress, so that it gets no other one: it can't change its stage. Events bear its
+`signature`, at first its name.
 With `places`, a plain endpoint serves that many calls at once, each for `serve_seconds`, and turns further ones away.
 With `states_leaving`, all its answers say that it leaves. `arrivals` has the time and kind of each request. The kinds of
 requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS or
@@ -280,6 +282,8 @@
         self.name = name
         self.stage = stage
         self.version = version  # of its software
+        self.signature = name  # of the events that it writes
+        self.born = 1  # changes with each start
         self.behave = "ok"
         self.limit = None  # the requests a second that its answers name
         self.is_framed = True
@@ -325,6 +329,7 @@
 
     def come_back(self):
         time.sleep(self.down_seconds)
+        self.born = 1 + self.crashes
         self.listen(self.port)
         self.crashing.release()
         for called in self.on_back:
@@ -335,6 +340,8 @@
             return "hold"
         if request.path.startswith(("/hold-drop/", "/kv-handle/")):
             return "release"
+        if request.path == "/report":
+            return "report"
         if request.headers.get("X-Stage") == "prefill":
             return "prefill"
         return "generate" if self.stage == "decode" else "plain"
@@ -365,6 +372,8 @@
         elif request.path.startswith(("/hold-drop/", "/kv-handle/")):
             self.released.append(request.path)
             request.reply(200, {})
+        elif request.path == "/report" and self.stage:
+            request.reply(200, {"stage": self.stage, "models": [], "busy": True, "sequence": 0, "born": self.born})
         elif request.headers.get("X-Stage") == "prefill":
             if self.crashes_on(request, body):
                 self.crash_under(request)
@@ -465,7 +474,7 @@
             if is_deadly and number - first >= self.crash_events:
                 self.crash_under(request)
                 return
-            event = f"id: {number}\ndata: {self.name}\n\n".encode()
+            event = f"id: {number}\ndata: {self.signature}\n\n".encode()
             behave = self.behave
             if behave == "empty" and number == first:
                 request.close_connection = True
@@ -493,7 +502,7 @@
         if is_framed:
             request.wfile.write(b"0\r\n\r\n")
         elif self.behave == "extra":
-            request.wfile.write(self.head(request.headers.get("X-Request-Id")) + f"id: 1\ndata: {self.name}\n\n".encode())
+            request.wfile.write(self.head(request.headers.get("X-Request-Id")) + f"id: 1\ndata: {self.signature}\n\n".encode())
         request.close_connection = not is_framed
 
 
@@ -530,7 +539,7 @@
     def endpoint(self, service, stage=None, version="v1"):
         made = Endpoint(f"i-{len(self.endpoints)}", stage, version)
         made.service = service
-        made.on_back.append(lambda: self.register(made, born=1 + made.crashes))
+        made.on_back.append(lambda: self.register(made))
         self.endpoints.append(made)
         self.services.add((service, stage is not None))
         self.register(made)
@@ -538,7 +547,7 @@
 
     def register(self, endpoint, state="ready", **other):
         row = {"service": endpoint.service, "address": endpoint.address, "zone": "a", "version": endpoint.version,
-               "slots": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1, **other}
+               "slots": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": endpoint.born, **other}
         if endpoint.stage:
             row["stage"] = endpoint.stage
         self.store.put("servers", endpoint.name, json.dumps(row).encode())
