--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -21,6 +21,8 @@
 new ones. A decode engine that `ignores_last_event` begins each stream anew; one that is `extra` sends a second answer after an unframed stream.
 
 It turns away the kinds of requests in `rests` (plain, hold, prefill, generate) with 503 and asks for `rest_seconds` of rest.
+An engine reports that an order is in progress, so that it gets no other one: it can't change its stage. Events bear its
+`signature`, at first its name.
 With `places`, a plain endpoint serves that many calls at once, each for `serve_seconds`, and turns further ones away.
 With `states_leaving`, all its answers say that it leaves. Engines answer GET /report, unless `knows_report` is off; after a
 stream they answer nothing for `silent_seconds`. `arrivals` has the time and kind of each request. The kinds of
@@ -310,6 +312,8 @@
         self.name = name
         self.stage = stage
         self.version = version  # of its software
+        self.signature = name  # of the events that it writes
+        self.born = 1  # changes with each start
         self.behave = "ok"
         self.limit = None  # the requests a second that its answers name
         self.is_framed = True
@@ -388,7 +392,7 @@
             request.reply(404, {})
             return
         runs = [[run, 100, events, 5] for run, events in list(self.runs.items())]
-        request.reply(200, {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False,
+        request.reply(200, {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}], "busy": True,
                             "sequence": 1, "queued": 0, "running": len(runs), "kv_used": 0, "kv_total": 60000,
                             "kv_handles": 0, "born": self.born, "runs": runs}, {"Content-Type": "application/json"})
 
@@ -522,7 +526,7 @@
             if is_deadly and number - first >= self.crash_events:
                 self.crash_under(request)
                 return
-            event = f"id: {number}\ndata: {self.name}\n\n".encode()
+            event = f"id: {number}\ndata: {self.signature}\n\n".encode()
             behave = self.behave
             if behave == "empty" and number == first:
                 request.close_connection = True
@@ -555,7 +559,7 @@
         if is_framed:
             request.wfile.write(b"0\r\n\r\n")
         elif self.behave == "extra":
-            request.wfile.write(self.head(request.headers.get("X-Request-Id")) + f"id: 1\ndata: {self.name}\n\n".encode())
+            request.wfile.write(self.head(request.headers.get("X-Request-Id")) + f"id: 1\ndata: {self.signature}\n\n".encode())
         request.close_connection = not is_framed
 
 
@@ -592,7 +596,7 @@
     def endpoint(self, service, stage=None, version="v1"):
         made = Endpoint(f"i-{len(self.endpoints)}", stage, version)
         made.service = service
-        made.on_back.append(lambda: self.register(made, born=1 + made.crashes))
+        made.on_back.append(lambda: self.register(made))
         self.endpoints.append(made)
         self.services.add((service, stage is not None))
         self.register(made)
