--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -45,6 +45,8 @@
 import time
 import urllib.parse
 
+from standin import free_address
+
 EVENTS = 6
 # How an answer without an end begins, and what it goes on with.
 ENDLESS = {
@@ -249,9 +251,9 @@
 
 class Server:
     def __init__(self):
-        self.listen(0)
-        self.port = self.http.server_address[1]
-        self.address = f"127.0.0.1:{self.port}"
+        self.address = free_address()  # no connection takes its port while the server is down
+        self.port = int(self.address.split(":")[1])
+        self.listen(self.port)
 
     def listen(self, port):
         self.http = QuietServer(("127.0.0.1", port), Handler)
