--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -171,48 +171,40 @@
     return std::nullopt;
 }
 
-// An engine may start again under its id with another version, and serve before its row is read here.
-GenerationForward::EngineStart GenerationForward::startOf(const EndpointRecord &at, const asio::yield_context &yield)
+// An engine may start again under its id with another version, and serve before its row is read here. Only what it
+// states itself shows that; a report that is lost shows nothing.
+bool GenerationForward::isOtherStart(EndpointRecord &at, const asio::yield_context &yield)
 {
-    const auto &services = this->call.services;
     if (at.incarnation == 0) {
-        return EngineStart::Listed;
+        return false;
     }
-    const Duration limit = std::min(services.settings.reservationLimit, this->call.timeLeft());
-    try {
-        const HttpResponse report =
-            services.client.call(at.address, reportRequest(at.id), {limit, Reuse::Never, &this->abort}, yield);
-        services.notices.onAnswer(at, report);
-        const EngineLife life = readEngineLife(report);
-        const bool isOther = !life.isOfExpected || (life.start && *life.start != at.incarnation);
-        return isOther ? EngineStart::Other : EngineStart::Listed;
-    } catch (const HttpError &error) {
-        this->lastFault = error.what();
-        return EngineStart::Unknown;
+    const Duration limit = std::min(this->call.services.settings.reservationLimit, this->call.timeLeft());
+    const auto stated = this->call.services.ends.startOf(at, limit, this->abort, yield);
+    if (!stated || *stated == at.incarnation) {
+        return false;
     }
+    Log::info("engine_start_differs",
+              {{"request", this->call.head.id.value()},
+               {"engine", at.id.value()},
+               {"listed", at.incarnation},
+               {"stated", *stated}});
+    at.incarnation = *stated;
+    return true;
 }
 
-bool GenerationForward::checkVersion(const Place &place, const asio::yield_context &yield)
+bool GenerationForward::checkVersion(Place &place, const asio::yield_context &yield)
 {
     const bool goesOn = !this->streamVersion.isEmpty() || !this->call.head.lastEvent.empty();
     if (!goesOn && !this->call.route.isResumable) {
         return true;
     }
-    const EngineStart start = this->startOf(place.engine, yield);
-    if (start != EngineStart::Listed) {
-        Log::info("engine_start_unconfirmed",
-                  {{"request", this->call.head.id.value()},
-                   {"engine", place.engine.id.value()},
-                   {"incarnation", place.engine.incarnation},
-                   {"is_other", start == EngineStart::Other}});
-    }
-    if (start == EngineStart::Listed) {
+    this->isVersionUnknown = this->isOtherStart(place.engine, yield);
+    if (!this->isVersionUnknown) {
         this->streamVersion = place.engine.version;
     } else if (goesOn) {
-        this->lastFault = place.engine.id.value() + " may have started again with another version";
+        this->lastFault = place.engine.id.value() + " has started again, maybe with another version";
         return false;
     }
-    this->isVersionUnknown = start != EngineStart::Listed;
     return true;
 }
 
@@ -432,7 +424,8 @@
     const BrokenAnswer answer{at, this->call.http, this->sentAt, this->firstEventAt};
     const bool isStaying = services.fleet.isStaying(at.id);
     const bool isFromFirstEvent = this->call.head.lastEvent.empty() && eventsBefore == 0;
-    const bool mayResume = this->call.route.isResumable && this->sends < this->call.route.attempts;
+    const bool mayResume = this->call.route.isResumable && !this->isVersionUnknown
+        && this->sends < this->call.route.attempts && services.fleet.budget(this->call.service).left() >= 1;
     const StreamEnd end = services.ends.judge({at, this->call.head.id,
                                                isFromFirstEvent ? std::optional(this->eventsProduced) : std::nullopt,
                                                mayResume, this->call.deadline()},
@@ -494,7 +487,11 @@
             this->isStarted = true;
             this->call.reply.startForward(head.status, head.headers, yield);
         }
-        return this->relay(stream, place.engine, yield);
+        EndpointRecord engine = place.engine;
+        if (this->framing == BodyFraming::Connection) {
+            this->isOtherStart(engine, yield); // the end of the stream is judged by the start that sends it
+        }
+        return this->relay(stream, engine, yield);
     } catch (const HttpError &error) {
         this->onFault(error);
         this->sends -= error.isKnownNotSent() ? 1 : 0;
--- a/programs/gateway/generationforward.h
+++ b/programs/gateway/generationforward.h
@@ -43,12 +43,6 @@
         ReservationId reservation;
         EngineId prefill; // chosen by the gate; empty if it chose none
     };
-    // Whether an engine is the start that its row describes, by what it says itself.
-    enum class EngineStart {
-        Listed, // or the row or the engine states no start
-        Other,
-        Unknown, // it did not say
-    };
     struct Prefill {
         EndpointId engine;
         std::string address;
@@ -61,9 +55,10 @@
     bool mustNotSend();
     void reportCutShort(const EndpointRecord &engine, const asio::yield_context &yield);
     std::optional<Place> reserveAt(const EndpointRecord &engine, const asio::yield_context &yield);
-    EngineStart startOf(const EndpointRecord &engine, const asio::yield_context &yield);
+    // Whether the engine states another start than its record, which then names that start.
+    bool isOtherStart(EndpointRecord &engine, const asio::yield_context &yield);
     // Whether the reserved place may be used. Fixes the version of a stream that begins there.
-    bool checkVersion(const Place &place, const asio::yield_context &yield);
+    bool checkVersion(Place &place, const asio::yield_context &yield);
     std::optional<Prefill> prefill(const Place &place, const asio::yield_context &yield);
     std::optional<Prefill> prefillAt(const EndpointRecord &engine, const asio::yield_context &yield);
     Outcome generate(const Place &place, const std::optional<Prefill> &prefill, const asio::yield_context &yield);
--- a/programs/gateway/streamends.cpp
+++ b/programs/gateway/streamends.cpp
@@ -5,7 +5,8 @@
 //
 // A process that exits may still answer for a moment after it has closed its connections, so the request waits for that
 // long. All events have been written to the caller by then; only the end of the stream is held back. A port that
-// refuses connections shows at once that the engine has ended.
+// refuses connections shows at once that the engine has ended. Where another engine can go on, an engine that closes or
+// resets connections is asked for a shorter time than one that is silent, which a sound one may be for a second.
 //
 // At most one request to an engine is in flight. Streams that end meanwhile share the next one.
 
@@ -26,9 +27,9 @@
 constexpr Duration retryInterval{100ms};
 // How long evidence is sought. A sound engine may be silent for a second.
 constexpr Duration searchLimit{2s};
-constexpr Duration searchLimitIfResumable{300ms}; // another engine goes on meanwhile
+constexpr Duration searchLimitIfResumable{300ms}; // of an engine that is not silent
 constexpr Duration requestLimit{1s};
-constexpr Duration requestTime{200ms}; // of an ordinary request, which the wait before it leaves
+constexpr Duration requestTime{200ms}; // of an ordinary request
 constexpr Duration endTime{50ms}; // to write the end of the stream before the deadline
 
 } // namespace
@@ -94,13 +95,16 @@
     if (port == Liveness::Ended) { // a lost packet delays a connection as well, so anything else decides nothing
         return {EndEvidence::None, port};
     }
-    const Duration limit = stream.mayResume ? searchLimitIfResumable : searchLimit;
-    const Instant due = std::max(ended, std::min(ended + exitTime, latest - requestTime));
+    const Instant due = ended + exitTime;
+    if (due >= latest) {
+        return {};
+    }
     this->waitUntil(due, yield);
-    if (!this->waitForRest(engine.id, stream.mayResume ? due + limit : latest - requestTime, yield)) {
+    if (!this->waitForRest(engine.id, stream.mayResume ? due + searchLimitIfResumable : latest - requestTime, yield)) {
         return {};
     }
-    const Instant until = std::min(latest, steadyNow() + limit);
+    const Instant begun = steadyNow();
+    const Instant until = std::min(latest, begun + searchLimit);
     while (!abort.isAborted()) {
         const auto reply = this->ask(engine, due, until, yield);
         if (reply && reply->life) {
@@ -109,7 +113,8 @@
         if (reply && reply->port == Liveness::Ended) {
             return {EndEvidence::None, Liveness::Ended};
         }
-        if (steadyNow() + retryInterval >= until) {
+        const bool isLimited = stream.mayResume && !(reply && reply->isSilent);
+        if (steadyNow() + retryInterval >= (isLimited ? std::min(until, begun + searchLimitIfResumable) : until)) {
             break;
         }
         this->waitUntil(steadyNow() + retryInterval, yield);
@@ -120,8 +125,9 @@
 StreamEnd StreamEnds::conclude(const EndedStream &stream, const EngineLife &life) const
 {
     const std::int64_t start = stream.engine.incarnation;
-    const bool isOther = !life.isOfExpected || (life.start && start != 0 && *life.start != start);
-    if (isOther || !this->crashes.isSameStart(stream.engine)) {
+    const bool isCompared = life.start && start != 0;
+    const bool isSame = isCompared ? *life.start == start : this->crashes.isSameStart(stream.engine);
+    if (!life.isOfExpected || !isSame) {
         return {EndEvidence::None, Liveness::Ended};
     }
     const auto run = std::find_if(life.runs.begin(), life.runs.end(),
@@ -131,7 +137,7 @@
     if (isShort) {
         return {EndEvidence::None, Liveness::Running, true};
     }
-    return {life.start ? EndEvidence::Report : EndEvidence::Answer, Liveness::Running};
+    return {isCompared ? EndEvidence::Report : EndEvidence::Answer, Liveness::Running};
 }
 
 std::optional<StreamEnds::Reply> StreamEnds::ask(const EndpointRecord &engine, Instant due, Instant until,
@@ -154,11 +160,19 @@
     }
     const auto query = std::make_shared<Query>();
     this->queries[key] = query;
-    query->reply = this->send(engine, until, yield);
-    this->queries.erase(key);
-    for (const auto &timer : query->waiting) {
-        timer->cancel();
+    const auto end = [this, &key, &query] {
+        this->queries.erase(key);
+        for (const auto &timer : query->waiting) {
+            timer->cancel();
+        }
+    };
+    try {
+        query->reply = this->send(engine, until, yield);
+    } catch (const std::exception &) {
+        end();
+        throw;
     }
+    end();
     return query->reply;
 }
 
@@ -183,13 +197,14 @@
         return std::nullopt;
     }
     try {
-        const EngineLife life = this->readLife(engine, limit, yield);
-        if (life.isOfEngine) {
+        const EngineLife life = this->readLife(engine, {limit, Reuse::Never}, yield);
+        if (life.isAnswered || !life.isOfExpected) {
             reply.life = life;
             return reply;
         }
-        Log::info("engine_report_failed", {{"endpoint", engine.id.value()}, {"reason", "the answer of a proxy"}});
+        Log::info("engine_report_failed", {{"endpoint", engine.id.value()}, {"reason", "refused"}});
     } catch (const HttpError &error) {
+        reply.isSilent = error.fault() == HttpFault::Timeout;
         reply.port = this->client.probe(engine.address, std::max<Duration>(until - steadyNow(), 0ms), yield);
         Log::info("engine_report_failed",
                   {{"endpoint", engine.id.value()}, {"reason", error.what()}, {"liveness", nameOf(reply.port)}});
@@ -198,10 +213,11 @@
 }
 
 // The body is read only if it is a report: anything else may have no end.
-EngineLife StreamEnds::readLife(const EndpointRecord &engine, Duration limit, const asio::yield_context &yield)
+EngineLife StreamEnds::readLife(const EndpointRecord &engine, const CallOptions &options,
+                                const asio::yield_context &yield)
 {
-    const Instant until = steadyNow() + limit;
-    LineStream answer = this->client.open(engine.address, reportRequest(engine.id), {limit, Reuse::Never}, yield);
+    const Instant until = steadyNow() + options.deadline;
+    LineStream answer = this->client.open(engine.address, reportRequest(engine.id), options, yield);
     HttpResponse response = answer.head();
     this->notices.onAnswer(engine, response);
     if (mayBeReport(response)) {
@@ -211,4 +227,15 @@
     return readEngineLife(response);
 }
 
+std::optional<std::int64_t> StreamEnds::startOf(const EndpointRecord &engine, Duration limit, CallAbort &abort,
+                                                const asio::yield_context &yield)
+{
+    try {
+        return this->readLife(engine, {limit, Reuse::Never, &abort}, yield).start;
+    } catch (const HttpError &error) {
+        Log::info("engine_report_failed", {{"endpoint", engine.id.value()}, {"reason", error.what()}});
+        return std::nullopt;
+    }
+}
+
 } // namespace fescuesill
--- a/programs/gateway/streamends.h
+++ b/programs/gateway/streamends.h
@@ -54,6 +54,10 @@
 
     // Waits for evidence, at most until shortly before the deadline. Returns early without any if the call is aborted.
     StreamEnd judge(const EndedStream &stream, const CallAbort &abort, const asio::yield_context &yield);
+    // The start that the engine states now, as in EndpointRecord::incarnation; empty if it states none or doesn't
+    // answer.
+    std::optional<std::int64_t> startOf(const EndpointRecord &engine, Duration limit, CallAbort &abort,
+                                        const asio::yield_context &yield);
 
 private:
     // What one request for a report has shown.
@@ -61,6 +65,7 @@
         Instant begun;
         std::optional<EngineLife> life; // empty if there was no answer
         Liveness port = Liveness::Running; // after a request that had no answer
+        bool isSilent = false; // there was neither an answer nor an end of the connection
     };
     // A request that is in progress, and the streams that wait for it.
     struct Query {
@@ -73,7 +78,7 @@
     std::optional<Reply> ask(const EndpointRecord &engine, Instant due, Instant until,
                              const asio::yield_context &yield);
     std::optional<Reply> send(const EndpointRecord &engine, Instant until, const asio::yield_context &yield);
-    EngineLife readLife(const EndpointRecord &engine, Duration limit, const asio::yield_context &yield);
+    EngineLife readLife(const EndpointRecord &engine, const CallOptions &options, const asio::yield_context &yield);
     StreamEnd conclude(const EndedStream &stream, const EngineLife &life) const;
     // Whether the engine takes requests from this host again before `latest`; waits until then.
     bool waitForRest(const EndpointId &engine, Instant latest, const asio::yield_context &yield);
--- a/promise/draining.cpp
+++ b/promise/draining.cpp
@@ -6,9 +6,9 @@
 // seconds to notice, and until then it sends callers here that an early refusal would turn away for no reason. Then no
 // new request is admitted and running ones are completed. Past the limit, streams are ended with their resume token,
 // with which any other entry continues them; the engine keeps generating meanwhile. A request with a single unstreamed
-// reply cannot be moved, so the process waits for it: no limit ends a request. Finally, work that outlives a request is
-// completed: a ledger row without its answer would leave a booking unresolved, and an unconfirmed cancellation would
-// leave engine memory allocated.
+// reply cannot be moved, so the process waits for it; only a caller of isOver() ends it. Finally, work that outlives a
+// request is completed: a ledger row without its answer would leave a booking unresolved, and an unconfirmed
+// cancellation would leave engine memory allocated.
 //
 // Some supervisors kill the process at the limit. A request that has waited until half of the time is over is then
 // refused, also if an endpoint becomes free: sent so late, it would be cut off while it runs, and its caller could not
--- a/testing/process/test_bytes_without_end_at_once.py
+++ b/testing/process/test_bytes_without_end_at_once.py
@@ -12,8 +12,8 @@
 from userplatform import ENDLESS, ENDLESS_EVENTS, route
 
 ROUTES = [route("/book/", "unsafe", "booking"), route("/look/", "safe", "booking", max_attempts=2),
-          route("/write/", "stream", "llm"), route("/sound/", "unsafe", "sound"),
-          route("/sound-write/", "stream", "sound-llm")]
+          route("/write/", "stream", "llm"), route("/resume/", "stream", "llm", max_attempts=2, resumable=True),
+          route("/sound/", "unsafe", "sound"), route("/sound-write/", "stream", "sound-llm")]
 WAYS = (*ENDLESS, *ENDLESS_EVENTS)
 CALLERS = 300
 DEADLINE_MS = 2000
@@ -92,6 +92,12 @@
     def test_prompts_that_are_read(self):
         self.check("/write/1", "prefill", "prefill")
 
+    def test_generations(self):
+        self.check("/write/1", "generate", "decode")
+
+    def test_streams_that_go_on(self):
+        self.check("/resume/1", "generate", "decode")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/process/test_ends_of_engines.py
+++ b/testing/process/test_ends_of_engines.py
@@ -4,10 +4,12 @@
 import http.client
 import re
 import threading
+import time
 import unittest
 
 from gatewayprocess import SIZE, send
 from platformtest import PlatformTest
+from proxy import Proxy
 from standin import wait_until
 from test_broken_off_answers import World
 from userplatform import EVENTS, events_in
@@ -161,11 +163,45 @@
         self.check_part(gateway)
 
     def test_a_stream_of_an_engine_that_is_back_before_its_row_says_so(self):
+        self.check_back_unseen(lambda writer: None)
+
+    def test_a_stream_of_an_engine_that_is_back_and_knows_no_report(self):
+        self.check_back_unseen(lambda writer: setattr(writer, "report_status", 404))
+
+    def test_a_stream_of_an_engine_that_is_back_and_turns_requests_away(self):
+        self.check_back_unseen(lambda writer: setattr(writer, "report_status", 503))
+
+    def test_a_stream_of_an_engine_whose_proxy_answers_for_it(self):
+        self.check_back_unseen(lambda writer: setattr(writer, "report_status", 502))
+
+    def test_a_stream_of_an_engine_that_is_back_and_rests(self):
+        def rest(writer):
+            writer.rests, writer.rest_seconds = frozenset(["report"]), 0.2
+
+        self.check_back_unseen(rest)
+
+    def check_back_unseen(self, prepare):
         gateway, writer = self.start_behind_proxy(), self.writers[0]
         writer.down_seconds = 0.02
         writer.on_back.clear()
+        writer.on_crash = [lambda: prepare(writer)]
         self.check_part(gateway)
 
+    # Guards against a part that looks whole since its engine, which is exiting, was asked too soon for want of time.
+    def test_a_stream_that_ends_shortly_before_its_deadline(self):
+        gateway, writer = self.start(), self.writers[0]
+        self.platform.remove(self.writers[1])
+        wait_until(lambda: f"event=endpoint_removed endpoint={self.writers[1].name}" in gateway.log(), "the removal")
+        writer.pause_seconds, writer.events, generate = 0.2, 3, writer.generate
+
+        def generate_and_exit(request, body):
+            generate(request, body)
+            threading.Timer(0.3, writer.crash).start()
+
+        writer.generate = generate_and_exit
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            send(gateway.callers, "POST", "/write/1", b"prompt", X_Deadline_Ms=900, **SIZE)
+
     # Guards against a part of a stream that looks whole although its living engine has made more events of it.
     def test_a_stream_that_a_living_engine_ends_early(self):
         gateway, writer = self.start(), self.writers[0]
@@ -224,10 +260,42 @@
         for _ in range(3):
             self.check_whole(gateway)
 
-    def test_of_an_engine_that_knows_no_report(self):
-        self.writer.knows_report = False
+    def test_of_an_engine_whose_report_states_no_start(self):
+        self.writer.states_start = False
         self.check_whole(self.start(), evidence="answer")
 
+    def test_of_an_engine_that_started_again_before_it_while_the_store_was_silent(self):
+        for path in ("/write/1", "/resume/1"):
+            with self.subTest(path):
+                store = Proxy(self.platform.address)
+                self.addCleanup(store.end)
+                gateway = self.start(f"g-{path[1:-2]}", store=store.address)
+                store.mode = "silent"
+                is_back = threading.Event()
+                self.writer.on_back.append(is_back.set)
+                self.writer.down_seconds = 0.1
+                self.writer.crash()
+                self.assertTrue(is_back.wait(5))
+                self.check_whole(gateway, path=path)
+                self.assertNotIn("event=endpoint_ended_with_answer", gateway.log())
+
+    def test_on_a_resumable_route_of_engines_that_fall_silent_after_it(self):
+        self.platform.register(self.writers[1])
+        for writer in self.writers:
+            writer.silent_seconds, writer.pause_seconds = 1.0, 0.1
+        self.check_whole(self.start(), path="/resume/1")
+
+    def test_of_an_engine_that_did_not_report_its_start_at_first(self):
+        report, asked = self.writer.report, []
+
+        def report_late(request):
+            asked.append(request)
+            time.sleep(0.5 if len(asked) == 1 else 0)
+            report(request)
+
+        self.writer.report, self.writer.silent_seconds = report_late, 1.0
+        self.check_whole(self.start(), path="/resume/1")
+
     # Guards against a request to an engine that has asked this host for rest, too.
     def test_of_an_engine_that_rests(self):
         gateway = self.start()
@@ -253,12 +321,14 @@
         results = []
         threads = [threading.Thread(target=lambda: results.append(send(gateway.callers, "POST", "/write/1", b"p", **SIZE)))
                    for _ in range(6)]
+        begin = time.monotonic()
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
         self.assertEqual([(status, len(events_in(body))) for status, _, body in results], [(200, EVENTS)] * 6)
-        reports = sum(kind == "report" for _, kind in self.writer.arrivals)
+        first_end = begin + EVENTS * self.writer.pause_seconds
+        reports = sum(kind == "report" and at > first_end for at, kind in self.writer.arrivals)
         self.assertLess(reports, len(threads))
 
 
--- a/testing/process/test_engines_started_again.py
+++ b/testing/process/test_engines_started_again.py
@@ -104,6 +104,16 @@
         results = self.take_up_all(gateways, begun)
         self.assertTrue(all(status == 200 and len(versions) == EVENTS for status, versions in results), results)
 
+    # Guards against streams of the version before that go on there since its report is lost.
+    def test_streams_that_go_on_there_while_its_report_is_refused(self):
+        gateways = self.start_hosts()
+        self.behave("full", "half_first")
+        begun = self.begin_all(gateways)
+        self.one.report_status = 502
+        self.start_again_unseen()
+        self.behave("ok", "full")
+        self.take_up_all(gateways, begun)
+
     # Guards against streams that are refused for good since their engine started again with the version that it had.
     def test_streams_that_begin_there_at_the_same_version_go_on_when_the_row_is_read(self):
         gateways = self.start_linked(2, store=self.proxy.address, first_start=True)
--- a/testing/process/test_keys.py
+++ b/testing/process/test_keys.py
@@ -120,7 +120,7 @@
         process = self.cluster.run(binary("fescuesill-scheduler"), "--config", str(path))
         status = wait_until(lambda: call("GET", admin, "/status")[1], "the scheduler to answer")
         self.assertIn("peers_open", json.dumps(status["degraded"]))
-        self.assertIn("event=peers_open", process.log())
+        wait_until(lambda: "event=peers_open" in process.log(), "the log line")
 
 
 if __name__ == "__main__":
--- a/testing/process/test_mixed_versions.py
+++ b/testing/process/test_mixed_versions.py
@@ -82,6 +82,18 @@
             results.append(self.take_up(gateways[(number + 1) % 3], stream, came))
         self.check_taken_up(results)
 
+    # Guards against streams that nobody can take up since a report was lost when they began.
+    def test_streams_go_on_whose_engines_did_not_report_at_first(self):
+        gateways = self.start_linked(2)
+        for writer in self.writers:
+            writer.report_status = 503
+        self.all_behave("half_first")
+        begun = [self.begin(gateways[number % 2]) for number in range(STREAMS)]
+        time.sleep(NOTICE_SECONDS)
+        for writer in self.writers:
+            writer.report_status = 200
+        self.check_taken_up([self.take_up(gateways[(number + 1) % 2], *each) for number, each in enumerate(begun)])
+
     # Guards against a stream that can be taken up only while the host that began it lives.
     def test_a_stream_goes_on_after_its_host_was_killed(self):
         self.check_killed([1])
--- a/testing/process/test_rest.py
+++ b/testing/process/test_rest.py
@@ -38,9 +38,16 @@
         return status, headers, time.monotonic() - begin
 
     def used(self, gateway, path, endpoints):
-        """The one of the endpoints to which calls go now."""
-        wait_until(lambda: self.ask(gateway, path)[0] == 200 and any(each.arrivals for each in endpoints), "a call")
-        return max(endpoints, key=lambda each: each.arrivals[-1][0] if each.arrivals else 0)
+        """The one of the endpoints to which calls go now, three in a row."""
+        latest = []
+
+        def is_steady():
+            if self.ask(gateway, path)[0] == 200 and any(each.arrivals for each in endpoints):
+                latest.append(max(endpoints, key=lambda each: each.arrivals[-1][0] if each.arrivals else 0))
+            return len(latest) >= 3 and len(set(latest[-3:])) == 1
+
+        wait_until(is_steady, "calls to one of them")
+        return latest[-1]
 
     def load(self, gateway, path, seconds):
         return call_steadily([lambda: self.ask(gateway, path)], CALLS_PER_SECOND, seconds)
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -24,8 +24,8 @@
 An engine reports that an order is in progress, so that it gets no other one: it can't change its stage. Events bear its
 `signature`, at first its name.
 With `places`, a plain endpoint serves that many calls at once, each for `serve_seconds`, and turns further ones away.
-With `states_leaving`, all its answers say that it leaves. Engines answer GET /report, unless `knows_report` is off; after a
-stream they answer nothing for `silent_seconds`. `arrivals` has the time and kind of each request. The kinds of
+With `states_leaving`, all its answers say that it leaves. Engines answer GET /report with `report_status`, and state their start
+in it unless `states_start` is off; after a stream they answer nothing for `silent_seconds`. `arrivals` has the time and kind of each request. The kinds of
 requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS or
 ENDLESS_EVENTS; `held_seconds` has how long each of these went on. Those in `head_bytes` get so many bytes of the head of an
 answer, with `framing` as its last header, and the end of the connection.
@@ -341,7 +341,7 @@
         self.is_exiting = False
         self.born = 1  # of the current start, as its row says
         self.runs = {}  # the events made of each stream that it runs
-        self.knows_report = True
+        self.report_status, self.states_start = 200, True
         self.silent_seconds, self.silent_until = 0.0, 0.0
         self.ignores_last_event = False
         self.held_seconds = []
@@ -390,13 +390,14 @@
         return self.stage is not None and request.command == "GET" and request.path == "/report"
 
     def report(self, request):
-        if not self.knows_report:
-            request.reply(404, {})
+        if self.report_status != 200:
+            request.reply(self.report_status, {}, {"X-Not-Executed": "1"})
             return
         runs = [[run, 100, events, 5] for run, events in list(self.runs.items())]
         request.reply(200, {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}], "busy": True,
                             "sequence": 1, "queued": 0, "running": len(runs), "kv_used": 0, "kv_total": 60000,
-                            "kv_handles": 0, "born": self.born, "runs": runs}, {"Content-Type": "application/json"})
+                            "kv_handles": 0, "runs": runs, **({"born": self.born} if self.states_start else {})},
+                      {"Content-Type": "application/json"})
 
     def handle(self, request, body):
         if self.is_exiting:
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -366,7 +366,8 @@
             return Liveness::Running;
         }
     } catch (const HttpError &error) {
-        isRefused = isRefused || (!isDirect && error.fault() == HttpFault::Connect);
+        const bool hadTime = std::chrono::steady_clock::now() < deadline;
+        isRefused = isRefused || (!isDirect && hadTime && error.fault() == HttpFault::Connect);
     }
     return isRefused ? Liveness::Ended : Liveness::Unknown;
 }
--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -201,6 +201,17 @@
     });
 }
 
+// Guards against an endpoint that counts as ended since there was no time to connect to it.
+TEST(TunnelServer, AProbeWithoutTimeShowsNothing)
+{
+    runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
+        World world(io, Ending::Waits);
+        EXPECT_STREQ(nameOf(world.client->probe(world.endpoint, 1s, yield)), "running");
+        EXPECT_STREQ(nameOf(world.client->probe(world.endpoint, 0ms, yield)), "unknown");
+        world.end();
+    });
+}
+
 TEST(TunnelServer, TellsWhatWasNotSent)
 {
     struct Case {
