--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -208,6 +208,9 @@
         World world(io, Ending::Waits);
         EXPECT_STREQ(nameOf(world.client->probe(world.endpoint, 1s, yield)), "running");
         EXPECT_STREQ(nameOf(world.client->probe(world.endpoint, 0ms, yield)), "unknown");
+        while (world.ended < world.accepted) {
+            world.wait(10ms, yield);
+        }
         world.end();
     });
 }
