Tests: the stand-ins send endless answers through one table of ways

The entry tests' engine front called send_without_end() as a member of Endpoint, which it no longer is, so an endless answer of a front ended with AttributeError. The table ENDLESS_ANSWERS replaces the merge at each use, and a second 'born' of Endpoint goes.

--- a/testing/process/enginefront.py
+++ b/testing/process/enginefront.py
@@ -10,7 +10,7 @@
 import http.client
 import threading
 
-from userplatform import ENDLESS, ENDLESS_EVENTS, Endpoint, Server
+from userplatform import ENDLESS_ANSWERS, Server, send_without_end
 
 CUT_BYTES = 400
 DOWN_SECONDS = 1.0
@@ -32,7 +32,7 @@
             self.http.crash(resets=True)
             threading.Timer(DOWN_SECONDS, lambda: self.listen(self.port)).start()
         elif way:
-            Endpoint.send_without_end(request, *{**ENDLESS, **ENDLESS_EVENTS}[way])
+            send_without_end(request, *ENDLESS_ANSWERS[way])
         else:
             self.forward(request, body)
 
--- a/testing/process/test_engines_without_end_own_hosts.py
+++ b/testing/process/test_engines_without_end_own_hosts.py
@@ -10,7 +10,7 @@
 from smallfleet import SmallFleet
 from standin import call, wait_until
 from test_bytes_without_end import peak_memory_kb
-from userplatform import ENDLESS, ENDLESS_EVENTS
+from userplatform import ENDLESS_ANSWERS
 
 CALLERS = 8
 LONGEST_CALL_SECONDS = 12
@@ -43,7 +43,7 @@
         wait_until(lambda: self.ask()[0] == 200, "a sound call")
         processes = [self.fleet.entries[0], self.fleet.scheduler]
         before = [peak_memory_kb(process) for process in processes]
-        for way in (*ENDLESS, *ENDLESS_EVENTS):
+        for way in ENDLESS_ANSWERS:
             for name in engines:
                 self.fronts[name].endless = dict.fromkeys(paths, way)
             with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -70,6 +70,7 @@
     "lists": (b"HTTP/1.1 200 OK\r\n\r\n", b"[" * 16384),
 }
 PAGE_ROWS = 500
+ENDLESS_ANSWERS = {**ENDLESS, **ENDLESS_EVENTS}
 SLOW_SECONDS = 0.6  # of an answer, longer than the target of a route
 STALL_SECONDS = 3
 ENDLESS_SECONDS = 20  # longer than any call waits
@@ -315,7 +316,6 @@
         self.stage = stage
         self.version = version  # of its software
         self.signature = name  # of the events that it writes
-        self.born = 1  # changes with each start
         self.behave = "ok"
         self.limit = None  # the requests a second that its answers name
         self.is_framed = True
@@ -416,7 +416,7 @@
         elif self.kind_of(request) in self.endless:
             begin = time.monotonic()
             try:
-                send_without_end(request, *{**ENDLESS, **ENDLESS_EVENTS}[self.endless[self.kind_of(request)]])
+                send_without_end(request, *ENDLESS_ANSWERS[self.endless[self.kind_of(request)]])
             finally:
                 self.held_seconds.append(time.monotonic() - begin)
         elif self.kind_of(request) in self.head_bytes:
