HttpServer: a caller has its end soon after the deadline, however slowly it reads

Cause: what the kernel has accepted for a caller counted as delivered. It takes megabytes for each connection, more as it grows its buffers, and goes on delivering them after a close. Where the way to the callers carries less than the engines send, that is seconds of bytes. Nothing bounded it, and nothing looked at it again.

Now the send buffer of each connection is bounded, for all connections of a server together as well. A reply that the other end of its connection has not acknowledged 0.1 s after the end of its writes (a whole reply may be written until 0.15 s after the deadline) ends with a reset, which discards the rest; so does a write that waits at the deadline. Until then a connection ends in order after all that was written, also when a stream is broken off. All replies pass ServerConnection. New log lines reply_received_late and reply_reset tell when a caller had its answer from when it was written.

--- a/programs/gateway/plainforward.cpp
+++ b/programs/gateway/plainforward.cpp
@@ -21,8 +21,6 @@
 // A full endpoint has about two dozen calls of 15 ms queued, which complete in less than this.
 constexpr Duration retryAfterWhenFull{100ms};
 constexpr Duration retryAfterWhenNone{1s}; // without any endpoint; endpoints come and go within seconds
-// A whole answer holds no endpoint, and a caller that can't know whether its call ran is worse off than a late one.
-constexpr Duration answerMargin{250ms};
 constexpr int maxConnectAttempts = 4; // to unreachable endpoints, for one call
 constexpr int firstServerError = 500;
 
@@ -241,7 +239,6 @@
                {"no_retry", nameOf(this->noRetry)},
                {"registry", this->call.services.fleet.registryVersion()},
                {"took_ms", (steadyNow() - this->call.arrival).count() / 1000}});
-    this->call.reply.setDeadline(this->call.deadline() + answerMargin);
     this->call.reply.forward(answer.head.status, answer.response.body, answer.head.headers, yield);
 }
 
--- /dev/null
+++ b/testing/process/test_slow_callers.py
@@ -0,0 +1,179 @@
+"""Callers that take less than engines send, by themselves or behind a slow link."""
+
+import contextlib
+import itertools
+import json
+import os
+import socket
+import threading
+import time
+import unittest
+
+from endlessplatform import EndlessEndpoints, call_once, process_kind
+from gatewayprocess import SIZE
+from platformtest import PlatformTest
+from standin import wait_until
+from userplatform import ENDLESS_EVENTS, route
+
+ROUTES = [route("/write/", "stream", "llm", timeout_ms=2000), route("/book/", "unsafe", "booking", timeout_ms=2000),
+          route("/resume/", "stream", "llm", timeout_ms=2000, max_attempts=2, resumable=True)]
+SLOTS = 64
+DEADLINE_SECONDS = 2.0
+LATE_SECONDS = 0.5  # after the deadline, within which a caller must have its end
+CALLERS = 8
+LINK_BYTES_A_SECOND = 2_000_000
+MANY_TOKENS = {"X_Token_Count": "100,4000000"}  # any number of events is within the caller's limit
+
+
+class SlowLink:
+    """A proxy in a process of its own, that passes so many bytes a second on each connection to callers."""
+
+    def __init__(self, target, bytes_a_second):
+        self.pipe, child = process_kind.Pipe()
+        self.process = process_kind.Process(target=self.serve, args=(child, target, bytes_a_second), daemon=True)
+        self.process.start()
+        self.address = self.pipe.recv()
+
+    @staticmethod
+    def serve(pipe, target, rate):
+        listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        pipe.send(f"127.0.0.1:{listener.getsockname()[1]}")
+        while True:
+            caller = listener.accept()[0]
+            host, port = target.split(":")
+            gateway = socket.create_connection((host, int(port)))
+            for source, sink, limit in ((caller, gateway, None), (gateway, caller, rate)):
+                threading.Thread(target=SlowLink.copy, args=(source, sink, limit), daemon=True).start()
+
+    @staticmethod
+    def copy(source, sink, rate):
+        with contextlib.suppress(OSError):
+            while data := source.recv(1 << 16):
+                sink.sendall(data)
+                time.sleep(len(data) / rate if rate else 0)
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+    def end(self):
+        self.process.terminate()
+        self.process.join()
+
+
+class SlowCallers:
+    """So many calls at once, in a process of their own. Each reads `size` bytes, then pauses."""
+
+    ids = (f"{number:016x}" for number in itertools.count(os.getpid() << 32))
+
+    def __init__(self, address, path, size, pause, more=None):
+        self.pipe, child = process_kind.Pipe()
+        names = [next(self.ids) for _ in range(CALLERS)]
+        self.process = process_kind.Process(target=self.call, args=(child, address, path, size, pause, more or {}, names),
+                                            daemon=True)
+        self.process.start()
+
+    @staticmethod
+    def call(pipe, address, path, size, pause, more, names):
+        ends = []
+        threads = [threading.Thread(target=lambda name=name: ends.append(SlowCallers.read(address, path, size, pause, more, name)))
+                   for name in names]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        pipe.send(ends)
+
+    @staticmethod
+    def read(address, path, size, pause, more, name):
+        """The status, the seconds until the connection ended, and whether the answer looked whole."""
+        host, port = address.split(":")
+        headers = {"Host": "shop.example", "X-Request-Id": name, "X-Deadline-Ms": 10_000, "Content-Length": 1,
+                   "Connection": "close", **{key.replace("_", "-"): value for key, value in {**SIZE, **more}.items()}}
+        lines = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
+        first, last, is_whole = b"", b"", False
+        with socket.socket() as connection:
+            connection.connect((host, int(port)))
+            connection.settimeout(10)
+            connection.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\nx".encode())
+            begin = time.monotonic()
+            with contextlib.suppress(OSError):
+                while (data := connection.recv(size)) and time.monotonic() < begin + 10:
+                    first = first or data
+                    last = (last + data)[-16:]
+                    time.sleep(pause)
+                is_whole = last.endswith(b"\r\n0\r\n\r\n")
+        return int(first[9:12] or 0), time.monotonic() - begin, is_whole
+
+    def ends(self):
+        ends = self.pipe.recv()
+        self.process.join()
+        return ends
+
+
+class SlowCallersTest(PlatformTest):
+    def setUp(self):
+        super().setUp()
+        self.platform.endpoint("llm", "prefill")
+        self.platform.endpoint("booking")
+
+    def serve_endless(self):
+        """Two engines in a process of their own. Returns what sets the way in which they answer."""
+        names = ["e-1", "e-2"]
+        engines = EndlessEndpoints(names, "decode")
+        self.addCleanup(engines.end)
+        self.platform.services.add(("llm", True))
+        for name, address in zip(names, engines.addresses):
+            row = {"service": "llm", "address": address, "zone": "a", "version": "v1", "slots": SLOTS, "state": "ready",
+                   "cold_remaining_ms": 0, "sequence": 1, "born": 1, "stage": "decode"}
+            self.platform.store.put("servers", name, json.dumps(row).encode())
+        self.platform.configure(ROUTES, slots=SLOTS)
+        return lambda way: engines.set([{"generate": way}] * len(names))
+
+    @staticmethod
+    def is_serving(gateway):
+        return call_once(gateway.callers, "/book/1", 2000)[0] == 200
+
+    def check(self, gateway, path, link=None, more=None):
+        """All callers get the beginning of an answer, and its end in time."""
+        wait_until(lambda: self.is_serving(gateway), "sound calls")
+        address, size, pause = (link.address, 1 << 20, 0) if link else (gateway.callers, 1 << 14, 0.02)
+        ends = SlowCallers(address, path, size, pause, more).ends()
+        self.assertEqual([status for status, _, _ in ends], [200] * CALLERS)
+        self.assertEqual([end for end in ends if end[1] > DEADLINE_SECONDS + LATE_SECONDS or end[2]], [])
+
+    def check_each_way(self, path, bytes_a_second=None, more=None):
+        set_way = self.serve_endless()
+        for way in ENDLESS_EVENTS:
+            gateway = self.start(f"g-{way}")  # a host sends little to engines that have failed
+            link = SlowLink(gateway.callers, bytes_a_second) if bytes_a_second else None
+            with self.subTest(way):
+                set_way(way)
+                self.check(gateway, path, link, more)
+            if link:
+                link.end()
+            gateway.kill()
+
+    # Each guards against a caller that has its end long after the deadline, or an end that looks whole, since bytes that an
+    # engine sends without an end wait for it.
+    def test_callers_that_read_slowly(self):
+        self.check_each_way("/write/1")
+
+    def test_callers_that_read_slowly_and_asked_for_much(self):
+        self.check_each_way("/write/1", more=MANY_TOKENS)
+
+    def test_callers_that_read_slowly_of_streams_that_go_on(self):
+        self.check_each_way("/resume/1", more=MANY_TOKENS)
+
+    def test_callers_behind_a_slow_link(self):
+        self.check_each_way("/write/1", LINK_BYTES_A_SECOND)
+
+    def test_callers_of_a_host_that_reaches_engines_through_another(self):
+        engines = [self.platform.endpoint("llm", "decode") for _ in range(2)]
+        self.platform.configure(ROUTES, slots=SLOTS)
+        cut = self.start_cut(self.is_serving)[1]
+        for engine in engines:
+            engine.endless = {"generate": "rising"}
+        self.check(cut, "/write/1", more=MANY_TOKENS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -35,6 +35,7 @@
 import contextlib
 import errno
 import http.server
+import itertools
 import json
 import os
 import re
@@ -63,6 +64,10 @@
 ENDLESS_EVENTS = {
     "events": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", b"data: x\n\n" * 2048),
     "chunks": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", b"4000\r\n" + b"data: x\n\n\n" * 1638 + b"1234\r\n"),
+    "text": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", b"bytes of nobody\n\n" * 2048),
+    "comments": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", b": still here\n\n" * 2048),
+    "rising": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n",
+               lambda block: b"".join(b"id: %d\ndata: %s\n\n" % (block * 32 + number, b"x" * 500) for number in range(2, 34))),
 }
 # The same with bytes that look like rows of the store; "pages" are answers with an end, each of which names a further one.
 ENDLESS_ROWS = {
@@ -191,8 +196,10 @@
     headers = b"X-Request-Id: %s\r\n" % request.headers.get("X-Request-Id", "").encode()
     request.wfile.write(begin.replace(b"%s", headers))
     end = time.monotonic() + ENDLESS_SECONDS
-    while time.monotonic() < end:
-        request.wfile.write(more)
+    for block in itertools.count():
+        if time.monotonic() > end:
+            break
+        request.wfile.write(more(block) if callable(more) else more)
 
 
 def page_of_many(query):
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -99,6 +99,7 @@
     text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
     text += body;
     this->connection.started = true;
+    this->connection.startReply(ReplyKind::Whole);
     this->connection.send(text, yield);
 }
 
@@ -154,6 +155,7 @@
     text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
     text += body;
     this->connection.started = true;
+    this->connection.startReply(ReplyKind::Whole);
     this->connection.send(text, yield);
 }
 
@@ -170,13 +172,14 @@
     }
     text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
     this->connection.started = true;
+    this->connection.startReply(ReplyKind::Stream);
     this->connection.send(text, yield);
 }
 
 void HttpReply::abort()
 {
     this->connection.keepAlive = false;
-    this->connection.close();
+    this->connection.abort();
 }
 
 void HttpReply::onCallerGone(std::function<void()> callback)
@@ -325,7 +328,7 @@
 {
     for (ServerConnection *connection : this->state->connections) {
         if (connection->isIdle) {
-            connection->close();
+            connection->endIdle();
         }
     }
 }
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -9,9 +9,10 @@
 //         reply.send(200, R"({"ok":true})", yield);
 //     });
 //
-// A stream is written in parts. It has no buffer: write() waits until the kernel has accepted the data, so a slow
-// caller delays only its own stream and uses no memory. A caller that accepts no data for stallLimit, or has not
-// accepted all of it at the deadline of the response, is treated as disconnected.
+// A stream is written in parts. It has no buffer of its own: write() waits until the kernel has accepted the data, of
+// which it holds a bounded part, so a slow caller delays only its own stream. A caller that accepts no data for
+// stallLimit, or has not accepted all of it at the deadline of the response, is treated as disconnected: its connection
+// is reset. So is one whose caller has not received all of a complete response soon after the deadline.
 //
 //     reply.onCallerGone([&] { lines.close(); });
 //     reply.startStream(200, yield);
@@ -82,8 +83,9 @@
     // sending half has the same effect, but callers of this protocol don't do that. An empty function removes the
     // callback.
     void onCallerGone(std::function<void()> callback);
-    // Until when the caller must have accepted what is written; without one, until stallLimit after each write. A write
-    // that starts later must be accepted at once.
+    // Until when the caller must have accepted what is written, and shortly after which it must have received it;
+    // without one, until stallLimit after each write. A write that starts later must be accepted at once. A response
+    // that is written as a whole has a little longer.
     void setDeadline(Instant deadline);
     bool isStarted() const;
     // Closes the connection after this response, so that the caller connects next to a host that is not stopping.
@@ -110,6 +112,8 @@
         Duration bodyLimitTime{20s}; // 4 MiB at 2 Mbit/s, the slowest workshop link
         Duration idleLimit{60s}; // between two requests on one connection
         Duration stallLimit{20s}; // for one write; frees engine memory held for a caller that reads nothing
+        // What the kernel buffers for all callers together; each has an equal share, and some KB at most.
+        Bytes sendBuffers{64 << 20};
         std::function<RequestId()> newRequestId = {};
         // Determines the id of a call, for example from a header. If set, newRequestId is used only for requests that
         // could not be read.
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -8,12 +8,20 @@
 // and a pass through the reactor for each token would cost more than the token itself. Only the rest is written
 // asynchronously.
 //
+// What the kernel has accepted is not yet with the caller. The kernel would hold megabytes for a caller that reads
+// slowly and deliver them long after the deadline, also after a close. So the send buffer of each connection is
+// bounded, and a reply that the caller has not received in full shortly after its deadline ends with a reset, which
+// discards the rest. Until then connections end in order, after all that was written. Acknowledgements are those of the
+// other end of the TCP connection: what a proxy, or the caller's kernel, holds beyond it can't be seen or discarded
+// from here.
+//
 // While the handler runs, a wait for the socket to become readable detects a caller that disconnects: a read of zero
 // bytes is the end of the connection. If bytes arrive instead (a pipelined request), the wait is not renewed, and a
 // disconnect is detected only by the next write.
 
 #include "wire/serverconnection.h"
 
+#include "wire/log.h"
 #include "wire/refusaljson.h"
 
 #include <algorithm>
@@ -26,6 +34,20 @@
 
 constexpr std::size_t firstReadSize = 2048; // bytes; holds most requests completely
 constexpr std::size_t bodyReadSize = 8192; // in one read of a longer body
+// After its deadline. A whole reply holds no endpoint, and a caller that can't know whether its call ran is worse off
+// than with a late one.
+constexpr std::chrono::milliseconds wholeReplyMargin(150);
+// For the acknowledgement of what was written last. With the margin above, half of the 0.5 s in which a caller must
+// have its end; the rest is for what its own kernel holds.
+constexpr std::chrono::milliseconds acknowledgementTime(100);
+constexpr std::chrono::milliseconds slowDelivery(100); // a reply that is received later is followed and logged
+constexpr std::chrono::milliseconds deliveryCheck(20); // between two looks at it
+constexpr std::chrono::milliseconds firstDeliveryCheck(1); // after the end of a connection; the next ones double
+// Of one connection; the kernel doubles them for its own bookkeeping. Events come in small pieces, and what is buffered
+// of them is late. For a whole reply they bound the throughput: this much in one round trip.
+constexpr std::size_t streamSendBuffer = 64 << 10;
+constexpr std::size_t wholeSendBuffer = 256 << 10;
+constexpr std::size_t smallestSendBuffer = 4 << 10;
 
 std::string_view viewOf(beast::string_view text)
 {
@@ -224,6 +246,7 @@
         }
     }
     this->watchForClose({});
+    this->watchDelivery();
 }
 
 void ServerConnection::serve(const asio::yield_context &yield)
@@ -239,24 +262,138 @@
     } catch (const CallerGone &) {
         // The caller disconnected while its request was being refused; nothing is reserved for it.
     }
-    if (!this->isInUnframedBody) { // a shutdown would end the connection in order
+    this->finish(yield);
+}
+
+void ServerConnection::startReply(ReplyKind kind)
+{
+    this->replyKind = kind;
+    const auto all = static_cast<std::size_t>(this->server->options.sendBuffers.value());
+    const std::size_t share = all / std::max<std::size_t>(this->server->connections.size(), 1);
+    const std::size_t most = kind == ReplyKind::Stream ? streamSendBuffer : wholeSendBuffer;
+    const auto size = static_cast<int>(std::clamp(share, smallestSendBuffer, most));
+    if (size != this->sendBuffer) {
         boost::system::error_code ignored;
+        this->stream.socket().set_option(asio::socket_base::send_buffer_size(size), ignored);
+        this->sendBuffer = size;
+    }
+}
+
+std::chrono::steady_clock::time_point ServerConnection::writeLimit() const
+{
+    const auto stalled = std::chrono::steady_clock::now() + this->server->options.stallLimit;
+    if (this->replyDeadline == std::chrono::steady_clock::time_point::max()) {
+        return stalled;
+    }
+    const bool isWhole = this->replyKind == ReplyKind::Whole;
+    return std::min(stalled, this->replyDeadline + (isWhole ? wholeReplyMargin : std::chrono::milliseconds(0)));
+}
+
+std::chrono::steady_clock::time_point ServerConnection::deliveryLimit() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    return std::max(this->writeLimit(), now) + acknowledgementTime;
+}
+
+void ServerConnection::watchDelivery()
+{
+    if (!this->keepAlive || !this->delivery.hasUnreceived()) {
+        return;
+    }
+    const bool isWatched = this->delivery.next() != nullptr;
+    this->delivery.expect({this->id, std::chrono::steady_clock::now(), this->deliveryLimit()});
+    if (!isWatched) {
+        this->armDeliveryTimer(slowDelivery);
+    }
+}
+
+bool ServerConnection::checkDelivery()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const Delivery::Reply &reply : this->delivery.takeReceived()) {
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - reply.written);
+        if (took > slowDelivery && this->stream.socket().is_open()) {
+            Log::info("reply_received_late", {{"request", reply.id.value()}, {"after_ms", took.count()}});
+        }
+    }
+    const Delivery::Reply *next = this->delivery.next();
+    if (next == nullptr || !this->stream.socket().is_open()) {
+        return false;
+    }
+    if (next->limit > now) {
+        return true;
+    }
+    Log::info("reply_reset",
+              {{"request", next->id.value()},
+               {"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - next->written).count()},
+               {"unreceived_bytes", static_cast<std::uint64_t>(this->delivery.unreceived())},
+               {"written_bytes", this->delivery.written()}});
+    this->setResetOnClose(true);
+    this->close();
+    return false;
+}
+
+void ServerConnection::armDeliveryTimer(std::chrono::steady_clock::duration wait)
+{
+    const Delivery::Reply *next = this->delivery.next();
+    this->deliveryTimer.expires_at(std::min(next->limit, std::chrono::steady_clock::now() + wait));
+    this->deliveryTimer.async_wait([weak = this->weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && self->checkDelivery()) {
+            self->armDeliveryTimer(deliveryCheck);
+        }
+    });
+}
+
+void ServerConnection::finish(const asio::yield_context &yield)
+{
+    boost::system::error_code ignored;
+    if (!this->isInUnframedBody) { // a shutdown would end the connection in order
         this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        this->delivery.expect({this->id, std::chrono::steady_clock::now(), this->deliveryLimit()});
+        auto wait = firstDeliveryCheck;
+        while (this->checkDelivery()) {
+            this->deliveryTimer.expires_at(
+                std::min(this->delivery.next()->limit, std::chrono::steady_clock::now() + wait));
+            this->deliveryTimer.async_wait(yield[ignored]);
+            wait = std::min(wait * 2, deliveryCheck);
+        }
     }
+    this->deliveryTimer.cancel();
     this->close();
 }
 
-void ServerConnection::startUnframedBody()
+void ServerConnection::setResetOnClose(bool resets)
 {
     boost::system::error_code ignored;
-    this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    this->stream.socket().set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
+void ServerConnection::abort()
+{
+    if (this->isInUnframedBody || !this->delivery.hasUnreceived()) {
+        this->close();
+        return;
+    }
+    boost::system::error_code ignored;
+    this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+void ServerConnection::endIdle()
+{
+    boost::system::error_code ignored;
+    this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+void ServerConnection::startUnframedBody()
+{
+    this->setResetOnClose(true);
     this->isInUnframedBody = true;
 }
 
 void ServerConnection::endUnframedBody()
 {
-    boost::system::error_code ignored;
-    this->stream.socket().set_option(asio::socket_base::linger(false, 0), ignored);
+    this->setResetOnClose(false);
     this->isInUnframedBody = false;
 }
 
@@ -270,15 +407,18 @@
         throw CallerGone();
     }
     data.remove_prefix(error ? 0 : sent);
+    this->delivery.onWritten(error ? 0 : sent);
     if (data.empty()) {
         return;
     }
-    const auto stalled = std::chrono::steady_clock::now() + this->server->options.stallLimit;
-    this->stream.expires_at(std::min(stalled, this->replyDeadline));
-    asio::async_write(this->stream, asio::buffer(data.data(), data.size()), yield[error]);
+    this->stream.expires_at(this->writeLimit());
+    this->setResetOnClose(true); // by the expiry, at which the kernel still holds a buffer full
+    const std::size_t rest = asio::async_write(this->stream, asio::buffer(data.data(), data.size()), yield[error]);
+    this->delivery.onWritten(rest);
     if (error) {
         throw CallerGone();
     }
+    this->setResetOnClose(this->isInUnframedBody);
 }
 
 void ServerConnection::refuse(const Refusal &refusal, const asio::yield_context &yield)
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -2,6 +2,7 @@
 
 // One caller's connection, and the state of the server that it belongs to. Internal to HttpServer.
 
+#include "wire/delivery.h"
 #include "wire/httpserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -47,6 +48,11 @@
     std::unordered_set<ServerConnection *> connections;
 };
 
+enum class ReplyKind {
+    Whole, // written at once
+    Stream,
+};
+
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
@@ -54,6 +60,8 @@
         : server(std::move(owner))
         , stream(std::move(socket))
         , readTimer(this->server->io)
+        , deliveryTimer(this->server->io)
+        , delivery(this->stream.socket())
     {
         this->server->connections.insert(this);
     }
@@ -66,6 +74,8 @@
 
     void serve(const asio::yield_context &yield);
     void refuse(const Refusal &refusal, const asio::yield_context &yield);
+    // Bounds what the kernel holds of the reply that begins, and sets its limits.
+    void startReply(ReplyKind kind);
     void send(std::string_view data, const asio::yield_context &yield);
     // Sets the callback of HttpReply::onCallerGone().
     void watchForClose(std::function<void()> callback);
@@ -74,6 +84,11 @@
         boost::system::error_code ignored;
         this->stream.socket().close(ignored);
     }
+    // Ends the connection within a reply. The caller still gets what was written before, unless the body has no
+    // framing.
+    void abort();
+    // Ends a connection that waits for a request. The caller still gets what was written before.
+    void endIdle();
     // Around a body without chunks, which ends with the connection: until it has ended, closing the connection, also by
     // the end of this process, resets it.
     void startUnframedBody();
@@ -102,10 +117,26 @@
     void fill(RequestParser &parser, beast::error_code &error, const asio::yield_context &yield);
     void onReadable();
     void startReadTimer(Duration limit);
+    // Until when the caller must have accepted, and until when it must have received, what is written now.
+    std::chrono::steady_clock::time_point writeLimit() const;
+    std::chrono::steady_clock::time_point deliveryLimit() const;
+    // Follows the reply that was written last until the caller has received it, or resets the connection at its limit.
+    void watchDelivery();
+    // Returns false if nothing is to be received any more, or the connection was reset.
+    bool checkDelivery();
+    void armDeliveryTimer(std::chrono::steady_clock::duration wait);
+    // Ends the connection in order, once the caller has received all that was written.
+    void finish(const asio::yield_context &yield);
+    // Closing the socket from now on resets the connection, or ends it in order again.
+    void setResetOnClose(bool resets);
 
     std::shared_ptr<HttpServer::State> server;
     beast::tcp_stream stream;
     asio::steady_timer readTimer;
+    asio::steady_timer deliveryTimer;
+    Delivery delivery;
+    ReplyKind replyKind = ReplyKind::Whole;
+    int sendBuffer = 0; // bytes, as last set; 0 before
     beast::flat_buffer buffer;
     std::function<void()> callerGoneCallback;
     bool isWatching = false;
--- a/wire/testing/httpserver_test.cpp
+++ b/wire/testing/httpserver_test.cpp
@@ -236,6 +236,188 @@
     EXPECT_LT(result.get(), limit + lateness);
 }
 
+constexpr Duration slowLateness{500ms}; // after the deadline, within which a caller must have its end
+
+// What a caller got that takes some KB after each pause, and when its connection ended.
+struct SlowRead {
+    Duration took{0};
+    std::string received;
+    bool wasReset = false;
+
+    bool isWhole() const
+    {
+        const std::size_t head = this->received.find("\r\n\r\n");
+        const std::size_t length = this->received.find("Content-Length: ");
+        if (length < head) {
+            return this->received.size() - head - 4 == std::stoul(this->received.substr(length + 16));
+        }
+        return this->received.find("Transfer-Encoding") < head
+            ? this->received.substr(this->received.size() - 5) == "0\r\n\r\n"
+            : !this->wasReset;
+    }
+};
+
+SlowRead readSlowly(const ServedThread &served, std::string_view request, Duration firstPause = Duration(0))
+{
+    constexpr std::size_t piece = 1 << 14;
+    constexpr std::chrono::milliseconds pause(20);
+    constexpr int receiveBuffer = 1 << 14;
+    constexpr Duration longest{4s};
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+    socket.connect({asio::ip::address_v4::loopback(), served.port()});
+    asio::write(socket, asio::buffer(request));
+    const Instant begin = steadyNow();
+    std::this_thread::sleep_for(firstPause);
+    SlowRead read;
+    std::vector<char> bytes(piece);
+    boost::system::error_code error;
+    while (!error && steadyNow() < begin + longest) {
+        const std::size_t count = socket.read_some(asio::buffer(bytes), error);
+        read.received.append(bytes.data(), count);
+        if (!error) {
+            std::this_thread::sleep_for(pause);
+        }
+    }
+    read.took = steadyNow() - begin;
+    read.wasReset = error == asio::error::connection_reset;
+    return read;
+}
+
+struct SlowCase {
+    const char *name;
+    const char *request;
+    std::function<void(HttpReply &, const asio::yield_context &)> answer;
+};
+
+void streamOf(std::size_t size, HttpReply &reply, const asio::yield_context &yield)
+{
+    const std::string piece(1 << 14, 'x');
+    reply.startStream(200, yield);
+    for (std::size_t sent = 0; sent < size; sent += piece.size()) {
+        reply.write(piece, yield);
+    }
+    reply.finish(yield);
+}
+
+// Each is more than the kernel buffers in this server's share.
+std::vector<SlowCase> slowCases(std::size_t size)
+{
+    const auto stream = [size](HttpReply &reply, const asio::yield_context &yield) {
+        streamOf(size, reply, yield);
+    };
+    const auto whole = [size](HttpReply &reply, const asio::yield_context &yield) {
+        reply.send(200, std::string(size, 'x'), yield);
+    };
+    return {
+        {"a stream in chunks", "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", stream},
+        {"a stream without framing", "GET / HTTP/1.0\r\n\r\n", stream},
+        {"a whole reply", "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", whole},
+    };
+}
+
+// Guards against a reply that reaches its caller long after its deadline, out of the kernel's buffers.
+TEST(HttpServer, EndsForACallerThatReadsSlowlySoonAfterTheDeadline)
+{
+    constexpr Duration limit{300ms};
+    constexpr std::size_t size = 2 << 20; // less than the kernel buffers by itself
+    for (const SlowCase &one : slowCases(size)) {
+        const ServedThread served({}, [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+            reply.setDeadline(steadyNow() + limit);
+            one.answer(reply, yield);
+        });
+        const SlowRead read = readSlowly(served, one.request);
+        EXPECT_LT(read.took, limit + slowLateness) << one.name;
+        EXPECT_FALSE(read.isWhole()) << one.name;
+        EXPECT_GT(read.received.size(), 0U) << one.name;
+    }
+}
+
+// Guards against a sound reply that is cut although its caller takes it before the deadline.
+TEST(HttpServer, DeliversToACallerThatReadsSlowlyUntilTheDeadline)
+{
+    constexpr Duration limit{3s};
+    constexpr std::size_t size = 1 << 20;
+    for (const SlowCase &one : slowCases(size)) {
+        const ServedThread served({}, [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+            reply.setDeadline(steadyNow() + limit);
+            one.answer(reply, yield);
+        });
+        EXPECT_TRUE(readSlowly(served, one.request).isWhole()) << one.name;
+    }
+}
+
+// Guards against a complete reply that waits in the kernel's buffers without a limit, since its connection is kept.
+TEST(HttpServer, ResetsAKeptConnectionWhoseReplyWasNotReceivedInTime)
+{
+    constexpr Duration limit{200ms};
+    const ServedThread served({}, [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        reply.setDeadline(steadyNow() + limit);
+        reply.send(200, std::string(1 << 17, 'x'), yield);
+    });
+    const SlowRead read = readSlowly(served, "GET / HTTP/1.1\r\n\r\n", limit + slowLateness);
+    EXPECT_TRUE(read.wasReset);
+    EXPECT_FALSE(read.isWhole());
+    EXPECT_LT(read.took, limit + 2 * slowLateness);
+}
+
+// Guards against events that were written before a stream broke off and don't reach a caller that reads slowly.
+TEST(HttpServer, DeliversWhatWasWrittenBeforeAnAbort)
+{
+    constexpr std::size_t size = 3 << 14;
+    const ServedThread served({}, [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        reply.setDeadline(steadyNow() + Duration(3s));
+        reply.startStream(200, yield);
+        reply.write(std::string(size, 'x'), yield);
+        reply.abort();
+    });
+    const SlowRead read = readSlowly(served, "GET / HTTP/1.1\r\n\r\n");
+    EXPECT_GT(read.received.size(), size);
+    EXPECT_FALSE(read.isWhole());
+}
+
+// Bytes that the kernel takes for a caller that reads nothing, and that has a small buffer itself.
+std::size_t bufferedFor(const HttpServer::Options &options, int otherConnections)
+{
+    std::promise<std::size_t> written;
+    const ServedThread served(options, [&](HttpCall &, HttpReply &reply, const asio::yield_context &yield) {
+        const std::string piece(1 << 10, 'x');
+        std::size_t size = 0;
+        try {
+            for (reply.startStream(200, yield);; size += piece.size()) {
+                reply.write(piece, yield);
+            }
+        } catch (const CallerGone &) {
+            written.set_value(size);
+            throw;
+        }
+    });
+    asio::io_context io;
+    std::vector<asio::ip::tcp::socket> others;
+    for (int i = 0; i <= otherConnections; ++i) {
+        others.emplace_back(io, asio::ip::tcp::v4());
+        others.back().set_option(asio::socket_base::receive_buffer_size(1 << 12));
+        others.back().connect({asio::ip::address_v4::loopback(), served.port()});
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50)); // until all are accepted
+    asio::write(others.back(), asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+    return written.get_future().get();
+}
+
+// Guards against a host whose memory callers take that ask for much and read nothing.
+TEST(HttpServer, BoundsWhatTheKernelBuffersForCallers)
+{
+    constexpr std::size_t largestOfOne = 1 << 18;
+    HttpServer::Options options;
+    options.stallLimit = 200ms;
+    const std::size_t alone = bufferedFor(options, 0);
+    EXPECT_LT(alone, largestOfOne);
+    options.sendBuffers = Bytes(1 << 17);
+    EXPECT_LT(bufferedFor(options, 15), alone / 2);
+}
+
 // Guards against a limit on slow replies that outlives its call: the next one on the connection has none.
 TEST(HttpServer, TheDeadlineOfAReplyEndsWithIt)
 {
