HttpServer: replies that were received leave the list of those on the way with the next reply

They left it at the next check only, up to 0.2 s later, so a caller with many short requests on a far connection could have some thousand of them listed. Looked at less often: a connection that ends after 4 ms and later, a reply after 0.2 s.

--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -40,9 +40,9 @@
 // For the acknowledgement of what was written last. With the margin above, half of the 0.5 s in which a caller must
 // have its end; the rest is for what its own kernel holds.
 constexpr std::chrono::milliseconds acknowledgementTime(100);
-constexpr std::chrono::milliseconds slowDelivery(100); // a reply that is received later is followed and logged
+constexpr std::chrono::milliseconds slowDelivery(200); // a reply that is received later is followed and logged
 constexpr std::chrono::milliseconds deliveryCheck(20); // between two looks at it
-constexpr std::chrono::milliseconds firstDeliveryCheck(1); // after the end of a connection; the next ones double
+constexpr std::chrono::milliseconds firstDeliveryCheck(4); // after the end of a connection; the next ones double
 // Of one connection; the kernel doubles them for its own bookkeeping. Events come in small pieces, and what is buffered
 // of them is late. For a whole reply they bound the throughput: this much in one round trip.
 constexpr std::size_t streamSendBuffer = 64 << 10;
@@ -297,10 +297,10 @@
 
 void ServerConnection::watchDelivery()
 {
+    const bool isWatched = this->checkDelivery();
     if (!this->keepAlive || !this->delivery.hasUnreceived()) {
         return;
     }
-    const bool isWatched = this->delivery.next() != nullptr;
     this->delivery.expect({this->id, std::chrono::steady_clock::now(), this->deliveryLimit()});
     if (!isWatched) {
         this->armDeliveryTimer(slowDelivery);
