--- a/testing/process/test_slow_callers.py
+++ b/testing/process/test_slow_callers.py
@@ -18,6 +18,7 @@
 ROUTES = [route("/write/", "stream", "llm", timeout_ms=2000), route("/book/", "unsafe", "booking", timeout_ms=2000),
           route("/resume/", "stream", "llm", timeout_ms=2000, max_attempts=2, resumable=True)]
 SLOTS = 64
+LARGE_EVENTS, LARGE_EVENT_BYTES = 40, 16000  # a stream of 0.6 MB, which takes a slow caller some 0.8 s
 DEADLINE_SECONDS = 2.0
 LATE_SECONDS = 0.5  # after the deadline, within which a caller must have its end
 CALLERS = 8
@@ -174,6 +175,20 @@
             engine.endless = {"generate": "rising"}
         self.check(cut, "/write/1", more=MANY_TOKENS)
 
+    # Guards against a sound stream that is cut although its caller takes all of it before the deadline.
+    def test_sound_streams_of_callers_that_read_slowly(self):
+        engines = [self.platform.endpoint("llm", "decode") for _ in range(2)]
+        self.platform.configure(ROUTES, slots=SLOTS)
+        gateway = self.start()
+        wait_until(lambda: self.is_serving(gateway), "sound calls")
+        for is_framed in (True, False):
+            for engine in engines:
+                engine.is_framed, engine.pause_seconds = is_framed, 0.0
+                engine.events, engine.signature = LARGE_EVENTS, "x" * LARGE_EVENT_BYTES
+            with self.subTest(is_framed=is_framed):
+                ends = SlowCallers(gateway.callers, "/write/1", 1 << 14, 0.02).ends()
+                self.assertEqual([(status, is_whole) for status, _, is_whole in ends], [(200, True)] * CALLERS)
+
 
 if __name__ == "__main__":
     unittest.main()
