HttpServer: a planned stop need not wait for a slow caller's whole answer

The bound of 256 KiB on the buffer of a whole answer kept a process that stops until a slow caller had taken all but that much: test_a_slow_caller_gets_its_whole_answer (2 MB at 0.8 MB/s, grace 4 s) had it stop after 1.9 to 2.0 s in place of 1.1 s, and once, beside a load of 30, after 4.0 s, with the answer at risk. Its end is still bounded by the reset.

--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -44,9 +44,9 @@
 constexpr std::chrono::milliseconds deliveryCheck(20); // between two looks at it
 constexpr std::chrono::milliseconds firstDeliveryCheck(4); // after the end of a connection; the next ones double
 // Of one connection; the kernel doubles them for its own bookkeeping. Events come in small pieces, and what is buffered
-// of them is late. For a whole reply they bound the throughput: this much in one round trip.
+// of them is late. A whole reply is in memory anyway, and the kernel still delivers it after this process has stopped.
 constexpr std::size_t streamSendBuffer = 64 << 10;
-constexpr std::size_t wholeSendBuffer = 256 << 10;
+constexpr std::size_t wholeSendBuffer = 4 << 20;
 constexpr std::size_t smallestSendBuffer = 4 << 10;
 
 std::string_view viewOf(beast::string_view text)
