--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -42,7 +42,8 @@
 constexpr Duration releaseLimit{1s}; // for releasing a reservation or a result; both expire without it
 constexpr int statusOk = 200;
 
-// An event holds one token or more. The rest is for events without a token, such as the usage at the end.
+// An event holds one token or more. The rest is for events without a token, such as the usage at the end. A number of
+// tokens that no engine reaches states no limit.
 std::int64_t maxEventsOf(const CallHead &head)
 {
     constexpr std::int64_t eventsPerToken = 2;
@@ -639,7 +640,7 @@
         return NoRetry::NoTime;
     }
     if (this->events.fault() == RelayFault::TooMany) {
-        return NoRetry::NotRepeatable;
+        return NoRetry::NotRepeatable; // the caller has more than it asked for
     }
     const bool mayRestart = ended == Outcome::NotRun && !this->isStarted;
     const bool mayGoOn = this->call.route.isResumable && (!this->isVersionUnknown || this->eventsProduced == 0);
