--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -112,8 +112,7 @@
         Duration bodyLimitTime{20s}; // 4 MiB at 2 Mbit/s, the slowest workshop link
         Duration idleLimit{60s}; // between two requests on one connection
         Duration stallLimit{20s}; // for one write; frees engine memory held for a caller that reads nothing
-        // What the kernel buffers for all callers together. Each has an equal share, up to 64 KiB of a stream and 4 MiB
-        // of a whole response.
+        // What the kernel buffers for all callers together: an equal share each, up to 4 MiB (64 KiB of a stream).
         Bytes sendBuffers{64 << 20};
         std::function<RequestId()> newRequestId = {};
         // Determines the id of a call, for example from a header. If set, newRequestId is used only for requests that
