--- a/testing/process/test_slow_callers.py
+++ b/testing/process/test_slow_callers.py
@@ -1,4 +1,11 @@
-"""Callers that take less than engines send, by themselves or behind a slow link."""
+"""Callers that take less than engines send, by themselves or behind a slow link.
+
+    link = SlowLink(gateway.callers, bytes_a_second=2_000_000)
+    callers = SlowCallers(link.address, "/write/1", size=1 << 14, pause=0.02)
+    for status, took, is_whole in callers.ends(): ...
+
+Both run in processes of their own, so that the test's own work slows neither.
+"""
 
 import contextlib
 import itertools
