--- a/wire/testing/httpserver_test.cpp
+++ b/wire/testing/httpserver_test.cpp
@@ -302,7 +302,7 @@
     reply.finish(yield);
 }
 
-// Each is more than the kernel buffers in this server's share.
+// The ways to write a reply of this size.
 std::vector<SlowCase> slowCases(std::size_t size)
 {
     const auto stream = [size](HttpReply &reply, const asio::yield_context &yield) {
