HttpServer, EventRelay: one place each for the start of a reply, its expected delivery and an end in order

No change of behaviour. The three ways to start a reply noted it themselves beside startReply(); the limit on delivery and its timer were set in two places; a connection was shut down in three; an incomplete event was measured twice.

--- a/promise/eventrelay.cpp
+++ b/promise/eventrelay.cpp
@@ -211,14 +211,12 @@
         return {};
     }
     this->pending.append(bytes);
-    const std::size_t end = endOfLastEvent(this->pending);
-    if (end == std::string_view::npos) {
-        this->found = this->pending.size() > maxPendingBytes ? RelayFault::TooLong : RelayFault::None;
-        return {};
+    std::string whole;
+    if (const std::size_t end = endOfLastEvent(this->pending); end != std::string_view::npos) {
+        whole = this->pending.substr(0, end);
+        this->pending.erase(0, end);
+        whole.resize(this->recordEvents(whole));
     }
-    std::string whole = this->pending.substr(0, end);
-    this->pending.erase(0, end);
-    whole.resize(this->recordEvents(whole));
     if (this->found != RelayFault::None) {
         this->pending.clear();
     } else if (this->pending.size() > maxPendingBytes) {
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -98,7 +98,6 @@
     appendHeaders(text, headers);
     text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
     text += body;
-    this->connection.started = true;
     this->connection.startReply(ReplyKind::Whole);
     this->connection.send(text, yield);
 }
@@ -154,7 +153,6 @@
     appendHeaders(text, headers);
     text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
     text += body;
-    this->connection.started = true;
     this->connection.startReply(ReplyKind::Whole);
     this->connection.send(text, yield);
 }
@@ -171,7 +169,6 @@
         this->connection.startUnframedBody();
     }
     text += this->connection.keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
-    this->connection.started = true;
     this->connection.startReply(ReplyKind::Stream);
     this->connection.send(text, yield);
 }
@@ -328,7 +325,7 @@
 {
     for (ServerConnection *connection : this->state->connections) {
         if (connection->isIdle) {
-            connection->endIdle();
+            connection->endInOrder();
         }
     }
 }
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -267,6 +267,7 @@
 
 void ServerConnection::startReply(ReplyKind kind)
 {
+    this->started = true;
     this->replyKind = kind;
     const auto all = static_cast<std::size_t>(this->server->options.sendBuffers.value());
     const std::size_t share = all / std::max<std::size_t>(this->server->connections.size(), 1);
@@ -289,10 +290,15 @@
     return std::min(stalled, this->replyDeadline + (isWhole ? wholeReplyMargin : std::chrono::milliseconds(0)));
 }
 
-std::chrono::steady_clock::time_point ServerConnection::deliveryLimit() const
+void ServerConnection::expectDelivery()
 {
     const auto now = std::chrono::steady_clock::now();
-    return std::max(this->writeLimit(), now) + acknowledgementTime;
+    this->delivery.expect({this->id, now, std::max(this->writeLimit(), now) + acknowledgementTime});
+}
+
+void ServerConnection::setDeliveryTimer(std::chrono::steady_clock::duration wait)
+{
+    this->deliveryTimer.expires_at(std::min(this->delivery.next()->limit, std::chrono::steady_clock::now() + wait));
 }
 
 void ServerConnection::watchDelivery()
@@ -301,7 +307,7 @@
     if (!this->keepAlive || !this->delivery.hasUnreceived()) {
         return;
     }
-    this->delivery.expect({this->id, std::chrono::steady_clock::now(), this->deliveryLimit()});
+    this->expectDelivery();
     if (!isWatched) {
         this->armDeliveryTimer(slowDelivery);
     }
@@ -335,8 +341,7 @@
 
 void ServerConnection::armDeliveryTimer(std::chrono::steady_clock::duration wait)
 {
-    const Delivery::Reply *next = this->delivery.next();
-    this->deliveryTimer.expires_at(std::min(next->limit, std::chrono::steady_clock::now() + wait));
+    this->setDeliveryTimer(wait);
     this->deliveryTimer.async_wait([weak = this->weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
         if (!error && self && self->checkDelivery()) {
@@ -349,12 +354,11 @@
 {
     boost::system::error_code ignored;
     if (!this->isInUnframedBody) { // a shutdown would end the connection in order
-        this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-        this->delivery.expect({this->id, std::chrono::steady_clock::now(), this->deliveryLimit()});
+        this->endInOrder();
+        this->expectDelivery();
         auto wait = firstDeliveryCheck;
         while (this->checkDelivery()) {
-            this->deliveryTimer.expires_at(
-                std::min(this->delivery.next()->limit, std::chrono::steady_clock::now() + wait));
+            this->setDeliveryTimer(wait);
             this->deliveryTimer.async_wait(yield[ignored]);
             wait = std::min(wait * 2, deliveryCheck);
         }
@@ -373,13 +377,12 @@
 {
     if (this->isInUnframedBody || !this->delivery.hasUnreceived()) {
         this->close();
-        return;
+    } else {
+        this->endInOrder();
     }
-    boost::system::error_code ignored;
-    this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
-void ServerConnection::endIdle()
+void ServerConnection::endInOrder()
 {
     boost::system::error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -74,7 +74,7 @@
 
     void serve(const asio::yield_context &yield);
     void refuse(const Refusal &refusal, const asio::yield_context &yield);
-    // Bounds what the kernel holds of the reply that begins, and sets its limits.
+    // Notes that a reply has been started, and bounds what the kernel holds of it.
     void startReply(ReplyKind kind);
     void send(std::string_view data, const asio::yield_context &yield);
     // Sets the callback of HttpReply::onCallerGone().
@@ -87,8 +87,8 @@
     // Ends the connection within a reply. The caller still gets what was written before, unless the body has no
     // framing.
     void abort();
-    // Ends a connection that waits for a request. The caller still gets what was written before.
-    void endIdle();
+    // Ends the connection for the caller after all that was written; serve() then closes it.
+    void endInOrder();
     // Around a body without chunks, which ends with the connection: until it has ended, closing the connection, also by
     // the end of this process, resets it.
     void startUnframedBody();
@@ -117,13 +117,15 @@
     void fill(RequestParser &parser, beast::error_code &error, const asio::yield_context &yield);
     void onReadable();
     void startReadTimer(Duration limit);
-    // Until when the caller must have accepted, and until when it must have received, what is written now.
+    // Until when the caller must have accepted what is written now.
     std::chrono::steady_clock::time_point writeLimit() const;
-    std::chrono::steady_clock::time_point deliveryLimit() const;
     // Follows the reply that was written last until the caller has received it, or resets the connection at its limit.
     void watchDelivery();
     // Returns false if nothing is to be received any more, or the connection was reset.
     bool checkDelivery();
+    // The caller is to receive all that was written so far soon after the write limit.
+    void expectDelivery();
+    void setDeliveryTimer(std::chrono::steady_clock::duration wait);
     void armDeliveryTimer(std::chrono::steady_clock::duration wait);
     // Ends the connection in order, once the caller has received all that was written.
     void finish(const asio::yield_context &yield);
