Tests: one piece each for a process of the test, calls at once, the text of a request, and endless endpoints that the platform lists

test_slow_callers repeated what endlessplatform and test_bytes_without_end_at_once have: the pipe and the process, threads that make calls at once, the request's head, the rows of endpoints in another process. Both now call the same. Assertions and bounds are as they were. SlowLink stays beside the soak's Proxy: that one resets what it still has when its source is reset, this one passes it on, which is the harder case here.

--- a/testing/process/endlessplatform.py
+++ b/testing/process/endlessplatform.py
@@ -35,11 +35,54 @@
     return status, time.monotonic() - begin
 
 
-class EndlessEndpoints:
-    def __init__(self, names, stage=None):
-        self.pipe, child = process_kind.Pipe()
-        self.process = process_kind.Process(target=self.serve, args=(child, names, stage), daemon=True)
+def request_text(path, request_id, deadline_ms, **more):
+    """A request for the last answer on its connection. Names of headers are written with _ for -."""
+    headers = {"Host": "shop.example", "X-Request-Id": request_id, "X-Deadline-Ms": deadline_ms, "Content-Length": 1,
+               "Connection": "close", **{name.replace("_", "-"): value for name, value in {**SIZE, **more}.items()}}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    method = "GET" if path.startswith("/look/") else "POST"
+    return f"{method} {path} HTTP/1.1\r\n{lines}\r\nx".encode()
+
+
+class Child:
+    """A process that does `work` with one end of a pipe; `pipe` is the other one."""
+
+    def __init__(self, work, *arguments):
+        self.pipe, end = process_kind.Pipe()
+        self.process = process_kind.Process(target=work, args=(end, *arguments), daemon=True)
         self.process.start()
+
+    def end(self):
+        self.process.terminate()
+        self.process.join()
+
+
+class CallsAtOnce(Child):
+    """So many calls at once, each of call(request_id)."""
+
+    def __init__(self, call, count):
+        super().__init__(self.make, call, count)
+
+    @staticmethod
+    def make(pipe, call, count):
+        ids = (f"{number:016x}" for number in itertools.count(os.getpid() << 32))
+        answers = []
+        threads = [threading.Thread(target=lambda: answers.append(call(next(ids)))) for _ in range(count)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        pipe.send(answers)
+
+    def answers(self):
+        answers = self.pipe.recv()
+        self.process.join()
+        return answers
+
+
+class EndlessEndpoints(Child):
+    def __init__(self, names, stage=None):
+        super().__init__(self.serve, names, stage)
         self.addresses = self.pipe.recv()
 
     @staticmethod
@@ -59,49 +102,21 @@
         self.pipe.send(ways)
         return self.pipe.recv()
 
-    def end(self):
-        self.process.terminate()
-        self.process.join()
-
-
-class Callers:
-    """So many calls at once."""
 
+class Callers(CallsAtOnce):
     def __init__(self, address, path, count, deadline_ms):
-        self.pipe, child = process_kind.Pipe()
-        self.process = process_kind.Process(target=self.call, args=(child, address, path, count, deadline_ms), daemon=True)
-        self.process.start()
-
-    @staticmethod
-    def call(pipe, address, path, count, deadline_ms):
-        ids = (f"{number:016x}" for number in itertools.count(os.getpid() << 32))
-        answers = []
-        threads = [threading.Thread(target=lambda: answers.append(Callers.drain(address, path, next(ids), deadline_ms)))
-                   for _ in range(count)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        pipe.send(answers)
+        super().__init__(lambda request_id: self.drain(address, path, request_id, deadline_ms), count)
 
     @staticmethod
     def drain(address, path, request_id, deadline_ms):
         """The status of one call, 0 for none, and the seconds until its connection ended."""
         host, port = address.split(":")
-        headers = {"Host": "shop.example", "X-Request-Id": request_id, "X-Deadline-Ms": deadline_ms, "Content-Length": 1,
-                   "Connection": "close", **{name.replace("_", "-"): value for name, value in SIZE.items()}}
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        method = "GET" if path.startswith("/look/") else "POST"
+        text = request_text(path, request_id, deadline_ms)
         begin = time.monotonic()
         answer = b""
         with contextlib.suppress(OSError), socket.create_connection((host, int(port)), timeout=LONGEST_SECONDS) as connection:
-            connection.sendall(f"{method} {path} HTTP/1.1\r\n{lines}\r\nx".encode())
+            connection.sendall(text)
             buffer = bytearray(1 << 18)
             while count := connection.recv_into(buffer):
                 answer = answer or bytes(buffer[:min(count, 12)])
         return int(answer[9:12] or 0), time.monotonic() - begin
-
-    def answers(self):
-        answers = self.pipe.recv()
-        self.process.join()
-        return answers
--- a/testing/process/platformtest.py
+++ b/testing/process/platformtest.py
@@ -12,6 +12,7 @@
         other, cut = self.start_cut(is_served)
 """
 
+import json
 import pathlib
 import sys
 import tempfile
@@ -20,6 +21,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
 
 # pylint: disable=wrong-import-position
+from endlessplatform import EndlessEndpoints  # noqa: E402
 from gatewayprocess import Gateway  # noqa: E402
 from paths import Paths  # noqa: E402
 from standin import wait_until  # noqa: E402
@@ -41,6 +43,17 @@
         wait_until(gateway.is_ready, "the gateway to be ready")
         return gateway
 
+    def start_endless(self, service, names, stage, slots):
+        """Endpoints in a process of their own, which ends with the test; the platform lists them as ready."""
+        endpoints = EndlessEndpoints(names, stage)
+        self.addCleanup(endpoints.end)
+        self.platform.services.add((service, stage is not None))
+        for name, address in zip(names, endpoints.addresses):
+            row = {"service": service, "address": address, "zone": "a", "version": "v1", "slots": slots, "state": "ready",
+                   "cold_remaining_ms": 0, "sequence": 1, "born": 1, **({"stage": stage} if stage else {})}
+            self.platform.store.put("servers", name, json.dumps(row).encode())
+        return endpoints
+
     def start_linked(self, count, **options):
         """The leader first; all others are linked to it."""
         gateways = [self.start(f"g{number}", **options) for number in range(1, count + 1)]
--- a/testing/process/test_bytes_without_end_at_once.py
+++ b/testing/process/test_bytes_without_end_at_once.py
@@ -1,11 +1,10 @@
 """Hundreds of calls at once whose endpoints send bytes without an end, beside calls that sound endpoints serve."""
 
-import json
 import pathlib
 import threading
 import unittest
 
-from endlessplatform import Callers, EndlessEndpoints, call_once
+from endlessplatform import Callers, call_once
 from platformtest import PlatformTest
 from standin import wait_until
 from test_bytes_without_end import peak_memory_kb
@@ -37,14 +36,7 @@
     def endless_endpoints(self, service, stage):
         """One for each of the ways."""
         names = [f"e-{stage or service}-{number}" for number in range(len(WAYS))]
-        endpoints = EndlessEndpoints(names, stage)
-        self.addCleanup(endpoints.end)
-        self.platform.services.add((service, stage is not None))
-        for name, address in zip(names, endpoints.addresses):
-            row = {"service": service, "address": address, "zone": "a", "version": "v1", "slots": SLOTS, "state": "ready",
-                   "cold_remaining_ms": 0, "sequence": 1, "born": 1, **({"stage": stage} if stage else {})}
-            self.platform.store.put("servers", name, json.dumps(row).encode())
-        return endpoints
+        return self.start_endless(service, names, stage, SLOTS)
 
     @staticmethod
     def open_files(gateway):
--- a/testing/process/test_slow_callers.py
+++ b/testing/process/test_slow_callers.py
@@ -2,22 +2,18 @@
 
     link = SlowLink(gateway.callers, bytes_a_second=2_000_000)
     callers = SlowCallers(link.address, "/write/1", size=1 << 14, pause=0.02)
-    for status, took, is_whole in callers.ends(): ...
+    for status, took, is_whole in callers.answers(): ...
 
 Both run in processes of their own, so that the test's own work slows neither.
 """
 
 import contextlib
-import itertools
-import json
-import os
 import socket
 import threading
 import time
 import unittest
 
-from endlessplatform import EndlessEndpoints, call_once, process_kind
-from gatewayprocess import SIZE
+from endlessplatform import CallsAtOnce, Child, call_once, request_text
 from platformtest import PlatformTest
 from standin import wait_until
 from userplatform import ENDLESS_EVENTS, route
@@ -33,13 +29,11 @@
 MANY_TOKENS = {"X_Token_Count": "100,4000000"}  # any number of events is within the caller's limit
 
 
-class SlowLink:
-    """A proxy in a process of its own, that passes so many bytes a second on each connection to callers."""
+class SlowLink(Child):
+    """A proxy that passes so many bytes a second on each connection to callers, and all that it has before an end."""
 
     def __init__(self, target, bytes_a_second):
-        self.pipe, child = process_kind.Pipe()
-        self.process = process_kind.Process(target=self.serve, args=(child, target, bytes_a_second), daemon=True)
-        self.process.start()
+        super().__init__(self.serve, target, bytes_a_second)
         self.address = self.pipe.recv()
 
     @staticmethod
@@ -62,46 +56,23 @@
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
 
-    def end(self):
-        self.process.terminate()
-        self.process.join()
 
-
-class SlowCallers:
-    """So many calls at once, in a process of their own. Each reads `size` bytes, then pauses."""
-
-    ids = (f"{number:016x}" for number in itertools.count(os.getpid() << 32))
+class SlowCallers(CallsAtOnce):
+    """Each reads `size` bytes, then pauses."""
 
     def __init__(self, address, path, size, pause, more=None):
-        self.pipe, child = process_kind.Pipe()
-        names = [next(self.ids) for _ in range(CALLERS)]
-        self.process = process_kind.Process(target=self.call, args=(child, address, path, size, pause, more or {}, names),
-                                            daemon=True)
-        self.process.start()
+        super().__init__(lambda request_id: self.read(address, request_text(path, request_id, 10_000, **(more or {})), size, pause),
+                         CALLERS)
 
     @staticmethod
-    def call(pipe, address, path, size, pause, more, names):
-        ends = []
-        threads = [threading.Thread(target=lambda name=name: ends.append(SlowCallers.read(address, path, size, pause, more, name)))
-                   for name in names]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        pipe.send(ends)
-
-    @staticmethod
-    def read(address, path, size, pause, more, name):
+    def read(address, text, size, pause):
         """The status, the seconds until the connection ended, and whether the answer looked whole."""
         host, port = address.split(":")
-        headers = {"Host": "shop.example", "X-Request-Id": name, "X-Deadline-Ms": 10_000, "Content-Length": 1,
-                   "Connection": "close", **{key.replace("_", "-"): value for key, value in {**SIZE, **more}.items()}}
-        lines = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
         first, last, is_whole = b"", b"", False
         with socket.socket() as connection:
             connection.connect((host, int(port)))
             connection.settimeout(10)
-            connection.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\nx".encode())
+            connection.sendall(text)
             begin = time.monotonic()
             with contextlib.suppress(OSError):
                 while (data := connection.recv(size)) and time.monotonic() < begin + 10:
@@ -111,11 +82,6 @@
                 is_whole = last.endswith(b"\r\n0\r\n\r\n")
         return int(first[9:12] or 0), time.monotonic() - begin, is_whole
 
-    def ends(self):
-        ends = self.pipe.recv()
-        self.process.join()
-        return ends
-
 
 class SlowCallersTest(PlatformTest):
     def setUp(self):
@@ -126,13 +92,7 @@
     def serve_endless(self):
         """Two engines in a process of their own. Returns what sets the way in which they answer."""
         names = ["e-1", "e-2"]
-        engines = EndlessEndpoints(names, "decode")
-        self.addCleanup(engines.end)
-        self.platform.services.add(("llm", True))
-        for name, address in zip(names, engines.addresses):
-            row = {"service": "llm", "address": address, "zone": "a", "version": "v1", "slots": SLOTS, "state": "ready",
-                   "cold_remaining_ms": 0, "sequence": 1, "born": 1, "stage": "decode"}
-            self.platform.store.put("servers", name, json.dumps(row).encode())
+        engines = self.start_endless("llm", names, "decode", SLOTS)
         self.platform.configure(ROUTES, slots=SLOTS)
         return lambda way: engines.set([{"generate": way}] * len(names))
 
@@ -144,7 +104,7 @@
         """All callers get the beginning of an answer, and its end in time."""
         wait_until(lambda: self.is_serving(gateway), "sound calls")
         address, size, pause = (link.address, 1 << 20, 0) if link else (gateway.callers, 1 << 14, 0.02)
-        ends = SlowCallers(address, path, size, pause, more).ends()
+        ends = SlowCallers(address, path, size, pause, more).answers()
         self.assertEqual([status for status, _, _ in ends], [200] * CALLERS)
         self.assertEqual([end for end in ends if end[1] > DEADLINE_SECONDS + LATE_SECONDS or end[2]], [])
 
@@ -193,7 +153,7 @@
                 engine.is_framed, engine.pause_seconds = is_framed, 0.0
                 engine.events, engine.signature = LARGE_EVENTS, "x" * LARGE_EVENT_BYTES
             with self.subTest(is_framed=is_framed):
-                ends = SlowCallers(gateway.callers, "/write/1", 1 << 14, 0.02).ends()
+                ends = SlowCallers(gateway.callers, "/write/1", 1 << 14, 0.02).answers()
                 self.assertEqual([(status, is_whole) for status, _, is_whole in ends], [(200, True)] * CALLERS)
 
 
