HttpClient: a forwarded body is written from where its call holds it

Cause: the body was copied into the request to the endpoint and again into the text that is written, and both copies lived until the head of the reply. Why this works: HttpRequest refers to the body of the call, and bodies over 16 KiB are written from there in the same operation as the head, so whether anything was sent is still known from the bytes that the write transferred. Bodies of ordinary calls stay one buffer with their head. WritesASharedBodyOfAnySize covers both sides of the limit.

--- a/programs/entry/plaincall.cpp
+++ b/programs/entry/plaincall.cpp
@@ -72,7 +72,8 @@
 
 HttpRequest PlainCall::forwarded() const
 {
-    HttpRequest request{this->call.method, this->call.target, this->call.body};
+    HttpRequest request{this->call.method, this->call.target};
+    request.sharedBody = this->call.body;
     request.headers.push_back({"X-Workspace", this->workspace.value()});
     request.headers.push_back({"X-Request-Id", this->call.id.value()});
     const std::string_view key = this->call.header("Idempotency-Key");
@@ -176,6 +177,8 @@
     job.call.repeat = !this->call.header("X-Repeat").empty();
     job.call.endpointDeadline = this->plain.deadline;
     job.request = this->forwarded();
+    job.request.body = this->call.body; // the job may outlive the call
+    job.request.sharedBody = {};
     job.endpoints = this->addresses();
     const auto pending = std::make_shared<Pending>(this->services.io);
     job.reply = [pending, &io = this->services.io](const LedgerJob::Answer &answer) {
--- a/wire/httpclient.cpp
+++ b/wire/httpclient.cpp
@@ -1,6 +1,6 @@
 // A call takes a connection (a pooled one if reuse is allowed and one is available), writes the whole request, and
-// feeds the received bytes to Beast's parser as they arrive. The request is written from one flat buffer, so nothing
-// was sent exactly if the write transferred no bytes.
+// feeds the received bytes to Beast's parser as they arrive. The request is written by one operation, a large body from
+// where its owner holds it, so nothing was sent exactly if the write transferred no bytes.
 //
 // The client may learn only after the write that the server had closed a pooled connection. If reuse is allowed, the
 // call may be retried, and it is retried once on a new connection. Otherwise each call uses a new connection.
@@ -24,6 +24,7 @@
 
 constexpr int maxTunnelAttempts = 3; // for one connection
 constexpr Duration checkLimit{1s}; // for a direct connection and then a tunnel
+constexpr std::size_t mostCopied = 16 << 10; // bytes of a body that are written in one piece with the head
 constexpr int statusOk = 200;
 // Replies of a TunnelServer: the endpoint can't be reached from there either, or is unknown there.
 constexpr int statusBadGateway = 502;
@@ -48,10 +49,13 @@
     }
 }
 
-std::string serialize(const std::string &address, const HttpRequest &request)
+SerializedRequest serialize(const std::string &address, const HttpRequest &request)
 {
-    std::string text;
-    text.reserve(256 + request.body.size());
+    const std::string_view body = request.content();
+    const bool isCopied = body.size() <= mostCopied;
+    SerializedRequest made;
+    std::string &text = made.head;
+    text.reserve(256 + (isCopied ? body.size() : 0));
     fmt::format_to(std::back_inserter(text), "{} {} HTTP/1.1\r\n", request.method, request.target);
     if (!request.isForwarded) {
         fmt::format_to(std::back_inserter(text), "Host: {}\r\n", address);
@@ -59,16 +63,20 @@
     for (const HttpHeader &header : request.headers) {
         fmt::format_to(std::back_inserter(text), "{}: {}\r\n", header.name, header.value);
     }
-    const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+    const bool hasBody = !body.empty() || request.method == "POST" || request.method == "PUT";
     if (hasBody) {
         if (!request.isForwarded) {
             text += "Content-Type: application/json\r\n";
         }
-        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", request.body.size());
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", body.size());
     }
     text += "\r\n";
-    text += request.body;
-    return text;
+    if (isCopied) {
+        text += body;
+    } else {
+        made.body = body;
+    }
+    return made;
 }
 
 } // namespace
@@ -257,7 +265,7 @@
     throw HttpError(HttpFault::NoPath, true, fmt::format("connect {}: no endpoint can be reached from here", address));
 }
 
-std::unique_ptr<HttpConnection> HttpClient::Pool::exchange(const std::string &address, const std::string &request,
+std::unique_ptr<HttpConnection> HttpClient::Pool::exchange(const std::string &address, const SerializedRequest &request,
                                                            bool isHead, const CallOptions &options, SteadyTime deadline,
                                                            const asio::yield_context &yield)
 {
--- a/wire/httpclient.h
+++ b/wire/httpclient.h
@@ -47,6 +47,14 @@
     // The request is forwarded: its headers are the original caller's, including Host and Content-Type, and only
     // Content-Length is added.
     bool isForwarded = false;
+    // In place of `body`: a body that another object holds, until the call or the stream has been opened. Large bodies
+    // are not copied.
+    std::string_view sharedBody = {};
+
+    std::string_view content() const
+    {
+        return this->sharedBody.empty() ? std::string_view(this->body) : this->sharedBody;
+    }
 };
 
 // What marks the end of a response body.
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -139,7 +139,7 @@
     this->parser->skip(isHead);
 }
 
-void HttpConnection::send(const std::string &request, bool isHead, SteadyTime deadline,
+void HttpConnection::send(const SerializedRequest &request, bool isHead, SteadyTime deadline,
                           const asio::yield_context &yield)
 {
     this->expectReply(isHead);
@@ -149,7 +149,9 @@
 
     boost::system::error_code error;
     this->stream.expires_at(deadline);
-    const std::size_t sent = asio::async_write(this->stream, asio::buffer(request), yield[error]);
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(request.head), asio::buffer(request.body)};
+    const std::size_t sent = request.body.empty() ? asio::async_write(this->stream, parts[0], yield[error])
+                                                  : asio::async_write(this->stream, parts, yield[error]);
     countSent(this->pool->options.traffic, sent);
     if (error) {
         throw HttpError(faultOf(error), sent == 0, fmt::format("send {}: {}", this->address, error.message()),
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -24,6 +24,12 @@
 using tcp = asio::ip::tcp;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
+// A request as it is written. The body is empty where the head holds all of it.
+struct SerializedRequest {
+    std::string head;
+    std::string_view body = {};
+};
+
 struct IdleConnection {
     std::unique_ptr<HttpConnection> connection;
     SteadyTime since;
@@ -54,7 +60,7 @@
                                               const asio::yield_context &yield);
     std::unique_ptr<HttpConnection> connectThroughTunnel(const std::string &address, CallAbort *abort,
                                                          SteadyTime deadline, const asio::yield_context &yield);
-    std::unique_ptr<HttpConnection> exchange(const std::string &address, const std::string &request, bool isHead,
+    std::unique_ptr<HttpConnection> exchange(const std::string &address, const SerializedRequest &request, bool isHead,
                                              const CallOptions &options, SteadyTime deadline,
                                              const asio::yield_context &yield);
 
@@ -120,7 +126,7 @@
     // reply; empty if there was none.
     std::optional<int> openTunnel(const std::string &host, SteadyTime deadline, SteadyTime callDeadline,
                                   const asio::yield_context &yield);
-    void send(const std::string &request, bool isHead, SteadyTime deadline, const asio::yield_context &yield);
+    void send(const SerializedRequest &request, bool isHead, SteadyTime deadline, const asio::yield_context &yield);
     void readHeader(SteadyTime deadline, const asio::yield_context &yield);
     // Reads from the socket once, and appends what has arrived of the body: nothing, if that was a part of the framing
     // only. Returns false if the body is already complete.
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -58,6 +58,23 @@
     EXPECT_FALSE(target.query("bad"));
 }
 
+// Guards against a forwarded body that is held once more for each call.
+TEST(HttpClient, WritesASharedBodyOfAnySize)
+{
+    const ServedThread served({}, [](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+        reply.send(200, call.body, yield);
+    });
+    for (const std::size_t size : {1U, 16U << 10, (16U << 10) + 1, 1U << 20}) {
+        const std::string body(size, 'b');
+        runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+            HttpClient client(io, {});
+            HttpRequest request{"POST", "/"};
+            request.sharedBody = body;
+            EXPECT_EQ(client.call(served.address(), request, {}, yield).body, body);
+        });
+    }
+}
+
 TEST(HttpClient, ReusesAConnectionOnlyIfAllowed)
 {
     const ServedThread served(
