PeerNode: clients that are no peers hold little memory and few descriptors

What callers saw: at the port for links of a gateway or a scheduler, 60 clients took 264 MB (a body by HTTP), 266 to 278 MB (fragments) and 263 MB (one message) of a host that states 64 MB, and 800 that send nothing as many descriptors. Cause: the library reads up to 32 MB of body with the request that opens a link; a link without a key accepted messages of 8 MB from whoever opened it; nothing bounded connections that have not become links. Fix: an opening request has no body; the messages of an accepted link are limited to 4 KiB until one of them was valid (the first one of our programs names its sender); connections count towards the limit on links from the start, and the one that has been open for longest is closed for a new one, with a metric and a bounded log line.

--- a/programs/scheduler/peerduty.cpp
+++ b/programs/scheduler/peerduty.cpp
@@ -64,6 +64,7 @@
         node.listen = this->options.address;
         node.keys = this->options.keys;
         node.host = this->options.host;
+        node.maxLinks = this->options.links;
         PeerNode::Handlers handlers;
         handlers.opened = [this](LinkId link) {
             this->onOpened(link);
@@ -403,6 +404,7 @@
         made.followers = this->entries->followerCount();
         made.traffic = this->probes->traffic();
         made.refusedLinks = this->node->refusedLinks();
+        made.replacedConnections = this->node->replacedConnections();
         made.hasRefusedLately = this->node->hasRefusedLately();
         made.tableReachable = this->tableReachable;
         made.tableReadAge = this->reading.age(now);
--- a/programs/scheduler/peerduty.h
+++ b/programs/scheduler/peerduty.h
@@ -59,6 +59,7 @@
     std::size_t followers = 0; // entries that take their news here
     ProbeTraffic traffic;
     std::uint64_t refusedLinks = 0;
+    std::uint64_t replacedConnections = 0;
     bool hasRefusedLately = false; // a link, for want of a proof
     bool tableReachable = false; // by the last read of this host itself
     std::optional<Duration> tableReadAge; // of the youngest read by anyone that is known of here
@@ -72,6 +73,7 @@
         DataCentreId dataCentre;
         std::string address; // of links and probes
         std::shared_ptr<const KeyRing> keys = {}; // null: links and probes prove nothing
+        std::size_t links = 2048; // of entries and schedulers
         std::vector<std::string> seeds; // other schedulers, for a start while the platform is down
         Membership::Options membership;
         ConfigStore::Options config;
--- a/programs/scheduler/schedulerstatus.cpp
+++ b/programs/scheduler/schedulerstatus.cpp
@@ -132,6 +132,9 @@
               .Add({}))
     , linksRefused(
           family(*registry, "fescuesill_links_refused", "Links that failed to prove their key since the start").Add({}))
+    , linksReplaced(family(*registry, "fescuesill_link_connections_replaced",
+                           "Connections closed for new ones before they became links")
+                        .Add({}))
     , probesRefused(family(*registry, "fescuesill_probes_refused", "Probes refused since the start, by cause"))
     , cellRequests(family(*registry, "fescuesill_cell_requests", "Requests waiting or running in an owned cell"))
     , cellFreePieces(family(*registry, "fescuesill_cell_free_pieces", "Decode memory neither used nor reserved"))
@@ -158,6 +161,7 @@
     this->probeSentBytes.Set(static_cast<double>(peers.traffic.sentBytes));
     this->probeReceivedBytes.Set(static_cast<double>(peers.traffic.receivedBytes));
     this->linksRefused.Set(static_cast<double>(peers.refusedLinks));
+    this->linksReplaced.Set(static_cast<double>(peers.replacedConnections));
     for (std::size_t cause = 0; cause < datagramFaults; ++cause) {
         const Labels labels{{"cause", faultName(static_cast<DatagramFault>(cause))}};
         this->probesRefused.Add(labels).Set(static_cast<double>(peers.traffic.refused[cause]));
--- a/programs/scheduler/schedulerstatus.h
+++ b/programs/scheduler/schedulerstatus.h
@@ -48,6 +48,7 @@
     prometheus::Gauge &sweepDeleted;
     prometheus::Gauge &sweepMalformed;
     prometheus::Gauge &linksRefused;
+    prometheus::Gauge &linksReplaced;
     prometheus::Family<prometheus::Gauge> &probesRefused;
     prometheus::Family<prometheus::Gauge> &cellRequests;
     prometheus::Family<prometheus::Gauge> &cellFreePieces;
--- a/wire/peernode.cpp
+++ b/wire/peernode.cpp
@@ -4,6 +4,7 @@
 #include "wire/clock.h"
 #include "wire/linkguard.h"
 #include "wire/log.h"
+#include "wire/refusallog.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <list>
 #include <map>
 #include <thread>
 
@@ -28,6 +30,10 @@
 // peer would not answer, and reported as closed. An outgoing link is then reopened on a new connection, which recovers
 // from a middlebox that dropped its state of the old one.
 //
+// Whoever connects can hold memory before it has shown that it is one of our programs. So an opening request has no
+// body, connections that have not become links are limited together with the links, and the messages of an accepted
+// link are small until one of them was valid.
+//
 // With a key, a link is reported open only after the handshake of its LinkGuard has succeeded, and every message passes
 // through the guard.
 
@@ -47,6 +53,7 @@
     std::string address; // outgoing only
     bool isOutgoing = false;
     bool isOpen = false;
+    bool isTrusted = false; // has sent a valid message
     Handle handle;
     Clock::time_point lastReceived;
     Clock::time_point lastSent;
@@ -66,10 +73,31 @@
         this->prepare(this->server, [this](const Handle &handle) { this->onAccepted(handle); });
         this->prepare(this->client, [this](const Handle &handle) { this->onConnected(handle); });
         this->server.set_reuse_addr(true);
+        this->server.set_max_http_body_size(0);
+        this->server.set_max_message_size(std::min(this->options.maxFirstMessageBytes, this->options.maxMessageBytes));
+        this->server.set_tcp_pre_init_handler([this](const Handle &handle) { this->onConnecting(handle); });
         this->server.set_validate_handler(
             [this](const Handle &) { return this->links.size() < this->options.maxLinks; });
     }
 
+    // Connections that have ended stay in the list until the next one comes.
+    void onConnecting(const Handle &handle)
+    {
+        this->opening.remove_if(
+            [this](const Handle &other) { return other.expired() || this->byHandle.count(other) > 0; });
+        this->opening.push_back(handle);
+        while (this->opening.size() > 1 && this->opening.size() + this->links.size() > this->options.maxLinks) {
+            error_code gone;
+            const auto connection = this->server.get_con_from_hdl(this->opening.front(), gone);
+            this->opening.pop_front();
+            if (connection) {
+                ++this->replaced;
+                this->replacements.note(this->options.listen, "too many connections", steadyNow());
+                connection->terminate(websocketpp::error::make_error_code(websocketpp::error::general));
+            }
+        }
+    }
+
     template<typename Endpoint, typename OnOpen>
     void prepare(Endpoint &endpoint, OnOpen onOpen)
     {
@@ -295,6 +323,11 @@
             this->terminate(id);
             return;
         }
+        Link &link = this->links[id];
+        if (!link.isTrusted && !link.isOutgoing && !this->guard) {
+            this->limitMessages(link, this->options.maxMessageBytes);
+        }
+        link.isTrusted = true;
         this->handlers.received(id, std::move(*message));
     }
 
@@ -415,6 +448,9 @@
     std::map<LinkId, Link> links;
     std::map<Handle, LinkId, std::owner_less<Handle>> byHandle;
     std::optional<LinkGuard> guard;
+    std::list<Handle> opening; // accepted connections that are no links yet, in the order in which they came
+    std::atomic<std::uint64_t> replaced{0};
+    RefusalLog replacements{"peer_connection_replaced"};
     std::thread thread;
 };
 
@@ -508,6 +544,11 @@
     return this->impl->guard ? this->impl->guard->refused() : 0;
 }
 
+std::uint64_t PeerNode::replacedConnections() const
+{
+    return this->impl->replaced;
+}
+
 bool PeerNode::hasRefusedLately() const
 {
     return this->impl->guard && this->impl->guard->hasRefusedLately(steadyNow());
--- a/wire/peernode.h
+++ b/wire/peernode.h
@@ -42,10 +42,14 @@
         Duration reconnectPause = 200ms;
         // A declaration of 600 engines takes about 100 KB. No valid message is far larger.
         std::size_t maxMessageBytes = 8 * 1024 * 1024;
+        // Until the other end of an accepted link has sent a valid message. The first one of our programs says who
+        // opened the link.
+        std::size_t maxFirstMessageBytes = 4 * 1024;
         // Limit on the bytes queued for a peer. Beyond it the link is closed, so that a slow peer cannot exhaust the
         // memory.
         std::size_t maxQueuedBytes = 16 * 1024 * 1024;
-        // Several times the links of 340 entries in one data centre.
+        // Several times the links of 340 entries in one data centre. Connections that have not become links count as
+        // well; the one that has been open for longest is closed for a new one.
         std::size_t maxLinks = 2048;
         // With a key, both ends of a link prove that they hold it before messages are accepted or sent
         // (wire/linkguard.h).
@@ -78,6 +82,8 @@
     // The number of links that failed the handshake since the start, and whether one did within the last half minute.
     std::uint64_t refusedLinks() const;
     bool hasRefusedLately() const;
+    // The number of connections that were closed for new ones before they became links.
+    std::uint64_t replacedConnections() const;
 
     // The event loop of the node, for timers and sockets of the same component.
     boost::asio::io_context &context();
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -254,5 +254,86 @@
     clientSeen.opened.get_future().get();
 }
 
+// Sends the bytes of a client that is none of our programs, and reads to the end of its connection.
+void sendToTheEnd(const std::string &address, const std::string &bytes)
+{
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(endpointOf(address));
+    boost::system::error_code failed;
+    asio::write(socket, asio::buffer(bytes), failed);
+    std::array<char, 512> answer{};
+    while (!failed) {
+        socket.read_some(asio::buffer(answer), failed);
+    }
+}
+
+// Guards against bytes that a node holds for clients that are none of our programs: each of these is closed before its
+// end has come.
+TEST(PeerNode, HoldsLittleForClientsThatAreNoPeers)
+{
+    const std::string upgrade = "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                                "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
+    const std::string address = freeAddress();
+    Seen serverSeen;
+    auto server = PeerNode::create(quickOptions(address), handlersOf(serverSeen)).value();
+    server->start();
+    sendToTheEnd(address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nx");
+    sendToTheEnd(address, upgrade + std::string("\x82\xff\0\0\0\0\0\x10\0\0\0\0\0\0", 14) + "x");
+    Seen clientSeen;
+    auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
+    client->start();
+    const LinkId link = client->connect(address);
+    clientSeen.opened.get_future().get();
+    client->send(link, peer::Hello{HostId("a"), DataCentreId("d"), true});
+    serverSeen.received.get_future().get();
+}
+
+// Guards against a limit for clients that are no peers, that would also hold for the messages of peers.
+TEST(PeerNode, AcceptsLargeMessagesAfterTheFirst)
+{
+    const std::string address = freeAddress();
+    Seen clientSeen;
+    std::atomic<int> received = 0;
+    PeerNode::Handlers handlers;
+    handlers.opened = handlers.closed = [](LinkId) {
+    };
+    handlers.received = [&](LinkId, const peer::Message &) {
+        ++received;
+    };
+    auto server = PeerNode::create(quickOptions(address), std::move(handlers)).value();
+    auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
+    server->start();
+    client->start();
+    const LinkId link = client->connect(address);
+    clientSeen.opened.get_future().get();
+    client->send(link, peer::Hello{HostId("a"), DataCentreId("d"), true});
+    ASSERT_TRUE(eventually([&] { return received == 1; }));
+    client->send(link, peer::Hello{HostId(std::string(1 << 20, 'h')), DataCentreId("d"), true});
+    EXPECT_TRUE(eventually([&] { return received == 2; }));
+}
+
+// Guards against connections that send nothing and keep the links of other hosts out.
+TEST(PeerNode, ReplacesConnectionsThatHaveNotBecomeLinks)
+{
+    const std::string address = freeAddress();
+    PeerNode::Options options = quickOptions(address);
+    options.maxLinks = 2;
+    Seen serverSeen;
+    Seen clientSeen;
+    auto server = PeerNode::create(options, handlersOf(serverSeen)).value();
+    server->start();
+    asio::io_context context;
+    std::vector<tcp::socket> silent;
+    for (int i = 0; i < 5; ++i) {
+        silent.emplace_back(context).connect(endpointOf(address));
+    }
+    ASSERT_TRUE(eventually([&] { return server->replacedConnections() == 3; }));
+    auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
+    client->start();
+    client->connect(address);
+    clientSeen.opened.get_future().get();
+}
+
 } // namespace
 } // namespace fescuesill
