TunnelServer: connections that request nothing are bounded, and so is what the kernel holds of a tunnel

What other hosts saw: 800 clients that send nothing took 822 descriptors of a gateway at its port for tunnels, more than the 400 that its host states, for a second each, so that neither tunnels nor endpoints got one. Cause: only open tunnels were counted. The receive buffers of both ends could grow to the kernel's maximum, megabytes each, while the other end reads slowly. Fix: a limit on connections whose request has not arrived; the one that has been open for longest is closed for a new one, with a metric and a bounded log line. Receive buffers have 64 KiB.

--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -38,6 +38,7 @@
         TunnelServer::Options options;
         options.address = "127.0.0.1:0";
         options.tunnels = 2;
+        options.openings = 4;
         options.isEndpoint = [this](const std::string &address) {
             return this->isKnown && address != "127.0.0.1:9";
         };
@@ -375,5 +376,22 @@
     });
 }
 
+// Guards against connections that send nothing and keep the tunnels of other hosts out.
+TEST(TunnelServer, ReplacesConnectionsThatRequestNothing)
+{
+    runCoroutine([](asio::io_context &io, const asio::yield_context &yield) {
+        World world(io, Ending::Closes);
+        std::vector<tcp::socket> silent;
+        for (int i = 0; i < 10; ++i) {
+            silent.emplace_back(io).async_connect(
+                tcp::endpoint(asio::ip::make_address("127.0.0.1"), world.server->port()), yield);
+        }
+        EXPECT_EQ(world.call(yield).body, "whole");
+        EXPECT_GT(world.server->replaced(), 0);
+        silent.clear();
+        world.end();
+    });
+}
+
 } // namespace
 } // namespace fescuesill
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -13,6 +13,7 @@
 #include "wire/connectionreport.h"
 #include "wire/httpconnection.h"
 #include "wire/log.h"
+#include "wire/refusallog.h"
 #include "wire/tunnelframes.h"
 
 #include <algorithm>
@@ -27,6 +28,7 @@
 #include <boost/beast/http/read.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <list>
 
 namespace fescuesill
 {
@@ -41,6 +43,7 @@
 constexpr std::uint32_t headerLimit = 4096; // bytes; the request has three short lines
 constexpr std::uint32_t replyHeaderLimit = 16 << 10; // bytes; as for the host that sends the call
 constexpr int listenBacklog = 256;
+constexpr int receiveBuffer = 64 << 10; // bytes that the kernel holds of each end while the other one reads slowly
 constexpr Duration acceptRetryDelay{50ms}; // gives time for descriptors to be closed
 
 std::optional<Duration> readMillis(std::string_view text)
@@ -64,6 +67,8 @@
     }
 
     void accept();
+    // Closes the connection that has been open for longest without a request, if there are too many.
+    void limitOpenings();
 
     asio::io_context &io;
     Options options;
@@ -71,6 +76,9 @@
     tcp::acceptor acceptor;
     asio::steady_timer acceptRetryTimer;
     std::size_t tunnels = 0;
+    std::list<Connection *> openings; // in the order in which they came
+    std::uint64_t replaced = 0;
+    RefusalLog replacements{"tunnel_connection_replaced"};
 };
 
 class TunnelServer::Connection : public std::enable_shared_from_this<TunnelServer::Connection>
@@ -86,11 +94,17 @@
     ~Connection()
     {
         this->server->tunnels -= this->isAdmitted ? 1 : 0;
+        this->server->openings.remove(this);
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
     void serve(const asio::yield_context &yield);
+    void close()
+    {
+        boost::system::error_code ignored;
+        this->host.socket().close(ignored);
+    }
 
 private:
     struct Request {
@@ -173,6 +187,7 @@
     if (!error) {
         boost::system::error_code ignored;
         this->endpoint.socket().set_option(tcp::no_delay(true), ignored);
+        this->endpoint.socket().set_option(asio::socket_base::receive_buffer_size(receiveBuffer), ignored);
     }
     return !error;
 }
@@ -292,6 +307,7 @@
 {
     this->begin = steadyNow();
     const auto request = this->read(yield);
+    this->server->openings.remove(this);
     if (!request) {
         return;
     }
@@ -327,6 +343,8 @@
                 boost::system::error_code ignored;
                 socket.set_option(tcp::no_delay(true), ignored);
                 const auto connection = std::make_shared<Connection>(self, std::move(socket));
+                self->openings.push_back(connection.get());
+                self->limitOpenings();
                 startCoroutine(self->io, [connection](const asio::yield_context &yield) { connection->serve(yield); });
                 self->accept();
                 return;
@@ -341,6 +359,16 @@
         });
 }
 
+void TunnelServer::State::limitOpenings()
+{
+    while (this->openings.size() > this->options.openings) {
+        this->openings.front()->close();
+        this->openings.pop_front();
+        ++this->replaced;
+        this->replacements.note(this->options.address, "too many connections", steadyNow());
+    }
+}
+
 tl::expected<std::unique_ptr<TunnelServer>, WireError> TunnelServer::create(asio::io_context &io, Options options,
                                                                             EndpointPaths &paths)
 {
@@ -353,6 +381,7 @@
         const tcp::endpoint endpoint(asio::ip::make_address(address->ip), address->port);
         state->acceptor.open(endpoint.protocol());
         state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        state->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBuffer)); // inherited by connections
         state->acceptor.bind(endpoint);
         state->acceptor.listen(listenBacklog);
     } catch (const boost::system::system_error &error) {
@@ -379,6 +408,11 @@
     return this->state->tunnels;
 }
 
+std::uint64_t TunnelServer::replaced() const
+{
+    return this->state->replaced;
+}
+
 std::uint16_t TunnelServer::port() const
 {
     return this->state->acceptor.local_endpoint().port();
--- a/wire/tunnelserver.h
+++ b/wire/tunnelserver.h
@@ -35,6 +35,9 @@
     struct Options {
         std::string address = {}; // IP:PORT; port 0 lets the kernel choose
         std::size_t tunnels = 256; // maximum; each takes two descriptors and some 30 KB
+        // Connections whose CONNECT request has not arrived; the one that has been open for longest is closed for a new
+        // one.
+        std::size_t openings = 64;
         Duration requestLimit{1s}; // until the CONNECT request has arrived
         Duration connectLimit{150ms}; // to an endpoint
         Duration maxLifetime{10min}; // of one tunnel, whatever the other host requests
@@ -56,6 +59,8 @@
 
     // Open tunnels.
     std::size_t tunnels() const;
+    // Connections that were closed for new ones before their request had arrived.
+    std::uint64_t replaced() const;
     std::uint16_t port() const;
 
 private:
