AdminServer: bodies are read only for commands, few at once, and idle clients yield

What operators saw: 60 clients with bodies of 1 MiB, one byte short, took 74 MB at the port for metrics of a scheduler, with POST and with GET, of a host that states 64 MB; 64 clients that send nothing kept scrapers out for up to 30 s. Cause: the body of every request was read, also of one that only reads, up to 2 MiB for each of 64 connections; beyond 64 a new connection was closed, whoever it was. Fix: a GET or HEAD with a body is answered 413 and closed; at most four bodies are read at once; the connection whose last request came first, and the body that has been arriving for longest, yield to new ones (metric, bounded log line).

--- a/wire/adminserver.cpp
+++ b/wire/adminserver.cpp
@@ -17,6 +17,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <atomic>
+#include <list>
 #include <sstream>
 #include <thread>
 
@@ -38,9 +39,13 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
-// Only scrapers and operators connect here, so few connections are needed. The bound keeps a broken scraper that never
-// closes its connections from exhausting the file descriptors.
-constexpr int maxConnections = 64;
+// Only scrapers and operators connect here, so few connections are needed. The one whose last request came first is
+// closed for a new one: neither a scraper that never closes its connections nor clients that send nothing keep others
+// out.
+constexpr std::size_t maxConnections = 64;
+// Bodies that are read at the same time. Configuration records come one after the other; the body that has been
+// arriving for longest yields.
+constexpr std::size_t maxBodies = 4;
 // Holds a record of the declaration, whose text is at most 512 KB, with its JSON escapes; other requests have small
 // bodies. A body is read only after the proof in the header has been checked, so that an unauthenticated client can't
 // fill the memory of this process.
@@ -48,6 +53,10 @@
 // Idle connections are closed, so that dead scrapers don't count towards maxConnections.
 constexpr auto idleLimit = std::chrono::seconds(30);
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
+// More than the longest header that the parser takes and one read.
+constexpr std::size_t maxUnparsedBytes = 128 << 10;
+
+using Streams = std::list<beast::tcp_stream *>;
 
 } // namespace
 
@@ -60,6 +69,11 @@
                       .Name("fescuesill_admin_commands_refused_total")
                       .Help("Commands without an operator's proof, by cause")
                       .Register(*this->registry))
+        , replaced(prometheus::BuildCounter()
+                       .Name("fescuesill_admin_connections_replaced_total")
+                       .Help("Connections closed for new ones")
+                       .Register(*this->registry)
+                       .Add({}))
     {
     }
 
@@ -100,7 +114,8 @@
                 Log::warning("admin_accept_failed", {{"error", failed.message()}});
                 asio::steady_timer retryTimer(this->context, acceptRetryDelay);
                 retryTimer.async_wait(yield[failed]);
-            } else if (this->connections < maxConnections) {
+            } else {
+                this->closeOldest(this->open, maxConnections);
                 asio::spawn(this->context, [this, socket](const asio::yield_context &inner) {
                     this->serve(std::move(*socket), inner);
                 });
@@ -108,45 +123,79 @@
         }
     }
 
+    // Until fewer than `most` are left. They are closed at once, and leave the list when their coroutines end.
+    void closeOldest(Streams &streams, std::size_t most)
+    {
+        while (streams.size() >= most) {
+            boost::system::error_code ignored;
+            this->replaced.Increment();
+            this->replacements.note(this->options.address, "too many connections", steadyNow());
+            streams.front()->socket().close(ignored);
+            streams.pop_front();
+        }
+    }
+
     void serve(tcp::socket socket, const asio::yield_context &yield)
     {
-        ++this->connections;
         beast::tcp_stream stream(std::move(socket));
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxUnparsedBytes);
         boost::system::error_code failed;
-        for (;;) {
+        this->open.push_back(&stream);
+        bool isKept = true;
+        while (isKept) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(maxBodyBytes);
             stream.expires_after(idleLimit);
             http::async_read_header(stream, buffer, parser, yield[failed]);
-            if (failed) {
-                break;
-            }
-            const std::optional<OperatorFault> fault = this->faultOf(parser.get());
-            if (fault) {
-                this->recordRefusal(stream.socket(), *fault);
-            } else {
+            if (!failed && !parser.is_done() && this->mayReadBody(parser.get())) {
+                this->closeOldest(this->bodies, maxBodies);
+                this->bodies.push_back(&stream);
                 http::async_read(stream, buffer, parser, yield[failed]);
+                this->bodies.remove(&stream);
             }
             if (failed) {
                 break;
             }
-            HttpResponse response = fault ? refusal(parser.get(), *fault) : this->answer(parser.get());
-            response.keep_alive(!fault && parser.get().keep_alive());
+            this->open.remove(&stream);
+            this->open.push_back(&stream);
+            HttpResponse response = this->respond(parser, stream.socket());
+            isKept = parser.is_done() && response.result() != http::status::unauthorized && parser.get().keep_alive();
+            response.keep_alive(isKept);
             response.prepare_payload();
             http::async_write(stream, response, yield[failed]);
-            if (failed || !response.keep_alive()) {
-                break;
-            }
+            isKept = isKept && !failed;
         }
+        this->open.remove(&stream);
         stream.socket().shutdown(tcp::socket::shutdown_both, failed);
-        --this->connections;
+    }
+
+    static bool isRead(const HttpRequest &request)
+    {
+        return request.method() == http::verb::get || request.method() == http::verb::head;
+    }
+
+    bool mayReadBody(const HttpRequest &request) const
+    {
+        return !isRead(request) && !this->faultOf(request);
+    }
+
+    HttpResponse respond(const http::request_parser<http::string_body> &parser, const tcp::socket &socket)
+    {
+        if (const auto fault = this->faultOf(parser.get())) {
+            this->recordRefusal(socket, *fault);
+            return refusal(parser.get(), *fault);
+        }
+        if (!parser.is_done()) {
+            HttpResponse response(http::status::payload_too_large, parser.get().version());
+            response.body() = "a request that reads has no body\n";
+            return response;
+        }
+        return this->answer(parser.get());
     }
 
     std::optional<OperatorFault> faultOf(const HttpRequest &request) const
     {
-        const bool isRead = request.method() == http::verb::get || request.method() == http::verb::head;
-        if (isRead || !this->options.operators) {
+        if (isRead(request) || !this->options.operators) {
             return std::nullopt;
         }
         const OperatorCommand command{this->options.host, this->options.process, std::string(request.method_string()),
@@ -221,9 +270,12 @@
     asio::io_context context{1};
     tcp::acceptor acceptor;
     prometheus::Family<prometheus::Counter> &refused;
+    prometheus::Counter &replaced;
     RefusalLog refusals{"admin_command_refused"};
+    RefusalLog replacements{"admin_connection_replaced"};
     std::atomic<bool> ready{false};
-    int connections = 0;
+    Streams open; // in the order of their last request
+    Streams bodies; // of these, those whose body is being read
     std::thread thread;
 };
 
