HttpServer: what all callers together hold is bounded by the memory of the host

What callers saw: a crowd that sends large requests, most of them short of their end, ended the process of a gateway: it ran out of memory, and the calls of all others ended with it. Cause: the server bounded each request and never the sum. connections x body limit is 6 GB at a gateway; a body was reserved as announced; bytes behind a running request lay in the kernel, up to its maximum for each connection; idle connections kept others out. The port of the readiness check had the same limits as that of callers. Fix: RequestBudget counts what has arrived, what the handler holds, what the kernel holds behind a running request and what a caller has not accepted. Once it is used up, the connection yields that holds most for longest: an arriving request is refused as not run, with Retry-After. A connection that waits is closed for a new one. The limits come from the memory and the descriptors of the settings (memory_mb, max_files) or else of the machine. Large blocks go back to the system when they are freed.

--- a/programs/gateway/gatewaymetrics.cpp
+++ b/programs/gateway/gatewaymetrics.cpp
@@ -162,6 +162,14 @@
     put("slots_granted", static_cast<double>(now.slots.granted));
     put("slots_denied", static_cast<double>(now.slots.denied));
     put("endpoints_limited", static_cast<double>(now.slots.limited));
+    put("caller_connections", static_cast<double>(now.requests.connections));
+    put("request_memory_bytes", static_cast<double>(now.requests.held.value()));
+    put("request_memory_limit_bytes", static_cast<double>(now.requests.limit.value()));
+    put("callers_dropped", static_cast<double>(now.requests.dropped));
+    put("callers_replaced", static_cast<double>(now.requests.replaced));
+    put("requests_refused_for_memory", static_cast<double>(now.requests.refused));
+    put("link_connections_replaced", static_cast<double>(now.linksReplaced));
+    put("tunnel_connections_replaced", static_cast<double>(now.tunnelsReplaced));
     put("log_lines_left_out", static_cast<double>(Log::droppedLines()));
 }
 
--- a/programs/gateway/gatewaymetrics.h
+++ b/programs/gateway/gatewaymetrics.h
@@ -9,6 +9,7 @@
 
 #include "decide/endpointpaths.h"
 #include "decide/eventbatch.h"
+#include "decide/requestbudget.h"
 #include "fescuesill/errors.h"
 #include "fescuesill/ids.h"
 #include "programs/gateway/endpointslots.h"
@@ -44,6 +45,10 @@
     bool isLossSeen = false; // packets are being lost, and events are held to be written together
     std::size_t requestsBlocked = 0; // sets of traits whose requests are refused since they crash endpoints
     SlotCounts slots; // of overloaded plain endpoints
+    RequestBudget::Counts requests; // of callers: the memory that they hold, and who yielded for it
+    // Connections of other hosts that were closed for new ones before they had said what they want.
+    std::uint64_t linksReplaced = 0;
+    std::uint64_t tunnelsReplaced = 0;
 };
 
 class GatewayMetrics
--- a/programs/gateway/gatewayprogram.cpp
+++ b/programs/gateway/gatewayprogram.cpp
@@ -31,13 +31,18 @@
 constexpr Duration retryAfterWithoutConfig{1s}; // a newly started host reads its configuration within this
 // For a call with a key while the store can't be read, so that other hosts can't admit it either.
 constexpr Duration retryAfterInOutage{1s};
+constexpr std::size_t checkConnections = 32; // of the balancer, and of who reads the metrics
+constexpr Bytes checkBodyLimit{4 << 10}; // their requests have no body
 constexpr Bytes requestLineAllowance{4 << 10}; // for the request line, added to the limit on headers
 
-HttpClient::Options clientOptions(const GatewaySettings &settings, EndpointPaths &paths, Traffic &traffic)
+HttpClient::Options clientOptions(const GatewaySettings &settings, const MemoryPlan &plan, EndpointPaths &paths,
+                                  Traffic &traffic)
 {
     HttpClient::Options options = HttpClient::Options::forEndpoints();
     options.connections =
-        settings.connections * 2; // a call uses one connection to an endpoint at a time, and more for releases
+        plan.connections * 2; // a call uses one connection to an endpoint at a time, and more for releases
+    options.bufferedLimit = plan.replies;
+    options.bodyLimit = std::min(options.bodyLimit, plan.replies);
     options.connectLimit = settings.connectLimit;
     options.idlePerAddress = 0;
     options.paths = &paths;
@@ -75,6 +80,7 @@
 public:
     explicit Gateway(const GatewaySettings &given)
         : settings(given)
+        , plan(MemoryPlan::of(given.resources, given.connections))
         , seed(std::random_device()())
         , fleet(given.dataCentre, {given.retryShare, given.retriesSaved, given.retriesSaved}, given.contactLimit,
                 this->seed)
@@ -85,7 +91,7 @@
         , notices(this->fleet, this->gates)
         , paths(EndpointPaths::Options{}, this->seed + 3)
         , admission(admissionOptions(given))
-        , client(this->io, clientOptions(given, this->paths, this->traffic))
+        , client(this->io, clientOptions(given, this->plan, this->paths, this->traffic))
         , crashes(this->io, this->client, this->paths, this->exchange,
                   [this](const std::string &address) { return this->fleet.endpointsAt(address); })
         , ends(this->io, this->client, this->fleet, this->permits, this->notices, this->crashes)
@@ -127,6 +133,7 @@
     void endCalls(Instant now);
 
     const GatewaySettings &settings;
+    MemoryPlan plan;
     std::uint64_t seed;
     std::list<std::function<void()>> graceOverHandlers; // of the calls in progress, whose coroutines end with `io`
     asio::io_context io{1};
@@ -205,6 +212,10 @@
     HttpServer::Options limits;
     limits.headerLimit = config->limits.header + requestLineAllowance;
     limits.bodyLimit = config->limits.body;
+    if (const Bytes most(this->plan.requests.value() / 2); limits.bodyLimit > most) {
+        Log::warning("body_limit_above_memory",
+                     {{"limit", limits.bodyLimit.value()}, {"memory_for_two", most.value()}});
+    }
     limits.headerLimitTime = config->limits.headerTime;
     limits.idleLimit = config->limits.idle;
     this->callers->setLimits(limits);
@@ -333,7 +344,8 @@
              config && config->workspaces ? this->fleet.configAge(bootNow()) : std::nullopt, this->store->registryAge(),
              this->links && this->links->leads(), this->gates.isFollowing(), this->paths.isCutOff(),
              this->paths.counts(), this->admission.linkShare(), this->admission.leftUnread(), this->losses.isSeen(),
-             this->exchange.blocks(), this->slots.counts()});
+             this->exchange.blocks(), this->slots.counts(), this->callers->budget(),
+             this->links ? this->links->replacedConnections() : 0, this->tunnels ? this->tunnels->replaced() : 0});
         reply.send(200, this->metrics.text(), yield, {{"Content-Type", "text/plain; version=0.0.4"}});
         return;
     }
@@ -400,7 +412,7 @@
 
 bool Gateway::admitsConnection()
 {
-    return this->callers->openConnections() < this->settings.connections && this->admission.admits(steadyNow());
+    return this->admission.admits(steadyNow());
 }
 
 void Gateway::measureUse(Instant now)
@@ -436,6 +448,8 @@
     }
     TunnelServer::Options options;
     options.address = this->settings.tunnels;
+    options.tunnels = this->plan.tunnels;
+    options.openings = this->plan.tunnels;
     options.connectLimit = this->settings.connectLimit;
     options.traffic = &this->traffic;
     options.isEndpoint = [this](const std::string &address) {
@@ -466,6 +480,7 @@
     }
     LeaderLink::Options options;
     options.listen = this->settings.peers;
+    options.links = this->plan.links;
     options.tunnels = this->settings.tunnels;
     auto opened = LeaderLink::create(this->io, options, this->gates, this->permits, this->slots, this->notices,
                                      this->credits, this->exchange, this->losses, this->paths);
@@ -481,7 +496,9 @@
 {
     HttpServer::Options options;
     options.address = this->settings.callers;
-    options.connections = this->settings.connections;
+    options.connections = this->plan.connections;
+    options.requestMemory = this->plan.requests;
+    options.sendBuffers = this->plan.sendBuffers;
     options.requestIdOf = readRequestId;
     options.admits = [this] {
         return this->admitsConnection();
@@ -492,6 +509,10 @@
     });
     HttpServer::Options readyOptions;
     readyOptions.address = this->settings.ready;
+    readyOptions.connections = checkConnections;
+    readyOptions.requestMemory = this->plan.checks;
+    readyOptions.sendBuffers = this->plan.checks;
+    readyOptions.bodyLimit = checkBodyLimit;
     auto openedReady =
         HttpServer::create(this->io, readyOptions, [this](HttpCall &call, HttpReply &reply, const auto &yield) {
             this->answerReady(call, reply, yield);
--- a/programs/gateway/gatewaysettings.cpp
+++ b/programs/gateway/gatewaysettings.cpp
@@ -33,6 +33,7 @@
     settings.reservationLimit = reader->duration("endpoints", "reservation", settings.reservationLimit, {1ms, 1min});
     settings.sharedSlots = reader->flag("endpoints", "shared_slots", settings.sharedSlots);
     settings.connections = static_cast<std::size_t>(reader->number("limits", "connections", 1500, {1, 30000}));
+    settings.resources = readProcessResources(*reader, 1);
     // Every send after the first counts against the budget, also if the endpoint refuses it. A fifth is kept in reserve
     // for hosts that have just started or stopped, whose counts differ.
     const double allowed = reader->fraction("retries", "fleet_share", 0.2, {0, 100});
--- a/programs/gateway/gatewaysettings.h
+++ b/programs/gateway/gatewaysettings.h
@@ -9,6 +9,7 @@
 #include "declare/settings.h"
 #include "fescuesill/ids.h"
 #include "wire/log.h"
+#include "wire/processresources.h"
 
 #include <optional>
 
@@ -39,7 +40,8 @@
     Duration reservationLimit{300ms}; // for a reservation, which is one short call
     // Whether the leader caps the calls in flight to an overloaded plain endpoint from all hosts together.
     bool sharedSlots = false;
-    std::size_t connections = 1500; // maximum, from callers
+    std::size_t connections = 1500; // maximum, from callers, if memory and descriptors suffice
+    ProcessResources resources;
     // Retries as a share of calls, and how many may accumulate. The limit applies to the whole fleet, and hosts do not
     // coordinate on it, so each host keeps to its own part.
     double retryShare = 0.16;
--- a/programs/gateway/leaderlink.cpp
+++ b/programs/gateway/leaderlink.cpp
@@ -89,6 +89,7 @@
     node.listen = options.listen;
     node.heartbeat = options.heartbeat;
     node.silence = options.silence;
+    node.maxLinks = options.links;
     auto created = PeerNode::create(node, std::move(handlers));
     if (!created) {
         return tl::make_unexpected(created.error());
--- a/programs/gateway/leaderlink.h
+++ b/programs/gateway/leaderlink.h
@@ -34,6 +34,7 @@
 public:
     struct Options {
         std::string listen; // IP:PORT
+        std::size_t links = PeerNode::Options{}.maxLinks;
         std::string tunnels; // IP:PORT at which this host opens tunnels to endpoints; empty if it does not
         // A leader that hangs or is unreachable is detected within this time, and this host then places the generations
         // that wait there. Otherwise they would lose a fifth of the caller's target.
@@ -72,6 +73,11 @@
     }
     // This host is stopping and places for no other host from now on.
     void onStopping();
+    // Connections at the port for links that were closed for new ones before they became links.
+    std::uint64_t replacedConnections() const
+    {
+        return this->node->replacedConnections();
+    }
     // Called periodically.
     void onTick(Instant now);
     void stop();
--- a/programs/scheduler/schedulerprogram.cpp
+++ b/programs/scheduler/schedulerprogram.cpp
@@ -143,6 +143,7 @@
         options.membership.period = settings.probePeriod;
         options.config.freshness = settings.freshness;
         options.keys = settings.keys.fleet;
+        options.links = MemoryPlan::of(settings.resources, 0).links;
         return options;
     }
 
--- a/programs/scheduler/schedulersettings.h
+++ b/programs/scheduler/schedulersettings.h
@@ -8,6 +8,7 @@
 #include "declare/keysettings.h"
 #include "fescuesill/ids.h"
 #include "wire/log.h"
+#include "wire/processresources.h"
 
 namespace fescuesill
 {
@@ -22,6 +23,7 @@
     std::string platform;
     std::vector<std::string> seeds;
     LogLevel logLevel = LogLevel::Info;
+    ProcessResources resources;
     Duration enginePoll{0};
     Duration streamPoll{0};
     Duration resumeGrace{0};
--- /dev/null
+++ b/testing/process/test_crowds.py
@@ -0,0 +1,157 @@
+"""Crowds of callers that hold what they have sent: heads, empty lines and bodies without their end, at each port of a gateway."""
+
+import threading
+import time
+import unittest
+
+from crowd import Crowd
+from gatewayprocess import SIZE, send
+from held import Held
+from platformtest import PlatformTest
+from standin import wait_until
+from userplatform import route
+
+ROUTES = [route("/book/", "unsafe", "booking"), route("/slow/", "unsafe", "slow", timeout_ms=8000),
+          route("/write/", "stream", "llm")]
+BODY_BYTES = 4 << 20  # the largest that the configuration allows
+MEMORY_MB = 64  # of the host, as its settings state
+MAX_FILES = 400
+CALLERS = 60
+HOLD_SECONDS = 3
+SLOW_SECONDS = 2
+LIMITS = f"[limits]\nmemory_mb = {MEMORY_MB}\nmax_files = {MAX_FILES}\n"
+
+
+class CrowdsTest(PlatformTest):
+    def setUp(self):
+        super().setUp()
+        self.platform.endpoint("booking")
+        slow = self.platform.endpoint("slow")
+        slow.places, slow.serve_seconds = threading.Semaphore(1000), SLOW_SECONDS
+        self.platform.endpoint("llm", "prefill")
+        self.platform.endpoint("llm", "decode")
+        self.platform.configure(ROUTES, limits={"max_body_bytes": BODY_BYTES})
+        self.gateway = self.start(more=LIMITS)
+
+    def is_served(self, body=b"x"):
+        return send(self.gateway.callers, "POST", "/book/1", body, **SIZE)[0] == 200
+
+    def check(self, form, address=None, path="/book/1", callers=CALLERS, body_bytes=BODY_BYTES):
+        """The process lives within the stated limits, and serves others while the crowd holds on and afterwards."""
+        gateway = self.gateway
+        wait_until(self.is_served, "an answer before")
+        held = Held(gateway.pid, [gateway.callers, gateway.ready, gateway.peers, gateway.tunnels])
+        crowd = Crowd([address or gateway.callers], form, callers, path, body_bytes)
+        try:
+            time.sleep(HOLD_SECONDS)
+            wait_until(self.is_served, "an answer beside the crowd")
+        finally:
+            crowd.end()
+        wait_until(self.is_served, "an answer after the crowd")
+        wait_until(lambda: self.is_served(b"x" * BODY_BYTES), "an answer to the largest request")
+        held.end()
+        self.assertTrue(gateway.is_running())
+        print(f"{form}: {held.peak_bytes / 1e6:.0f} MB, {held.peak_files} files", flush=True)
+        self.assertLess(held.peak_bytes, MEMORY_MB << 20)
+        self.assertLess(held.peak_files, MAX_FILES)
+
+    # Each guards against a host whose memory or descriptors such callers use up.
+    def test_heads_without_end(self):
+        self.check("head without end")
+
+    def test_headers_without_end(self):
+        self.check("header without end")
+
+    def test_heads_over_the_limit(self):
+        self.check("head over the limit")
+
+    def test_empty_lines_before_a_request(self):
+        self.check("empty lines")
+
+    def test_empty_lines_between_requests(self):
+        self.check("empty lines between")
+
+    def test_bodies_by_length(self):
+        self.check("body by length")
+
+    def test_bodies_in_pieces(self):
+        self.check("body in pieces")
+
+    def test_bodies_after_100_continue(self):
+        self.check("body after continue")
+
+    def test_whole_bodies(self):
+        self.check("whole body", path="/slow/1")
+
+    def test_whole_bodies_in_a_row(self):
+        self.check("whole bodies in a row", path="/slow/1", body_bytes=BODY_BYTES // 8)
+
+    def test_prompts_of_generations(self):
+        self.check("body by length", path="/write/1")
+
+    def test_whole_prompts_of_generations(self):
+        self.check("whole body", path="/write/1")
+
+    def test_one_chunk(self):
+        self.check("one chunk")
+
+    def test_large_chunks(self):
+        self.check("large chunks")
+
+    def test_tiny_chunks(self):
+        self.check("tiny chunks")
+
+    def test_chunk_lines_without_end(self):
+        self.check("chunk line without end")
+
+    def test_trailers_without_end(self):
+        self.check("trailer without end")
+
+    def test_connections_that_send_nothing(self):
+        self.check("nothing", callers=2 * MAX_FILES)
+
+    # The same at the port of the readiness check.
+    def test_bodies_at_the_readiness_port(self):
+        self.check("body by length", self.gateway.ready)
+
+    def test_chunks_at_the_readiness_port(self):
+        self.check("one chunk", self.gateway.ready)
+
+    def test_heads_at_the_readiness_port(self):
+        self.check("head without end", self.gateway.ready)
+
+    def test_connections_at_the_readiness_port(self):
+        self.check("nothing", self.gateway.ready, callers=2 * MAX_FILES)
+
+    # The same at the port for links of other hosts.
+    def test_bodies_at_the_port_for_links(self):
+        self.check("body by length", self.gateway.peers)
+
+    def test_heads_at_the_port_for_links(self):
+        self.check("head without end", self.gateway.peers)
+
+    def test_empty_lines_at_the_port_for_links(self):
+        self.check("empty lines", self.gateway.peers)
+
+    def test_messages_at_the_port_for_links(self):
+        self.check("websocket message", self.gateway.peers)
+
+    def test_fragments_at_the_port_for_links(self):
+        self.check("websocket fragments", self.gateway.peers)
+
+    def test_connections_at_the_port_for_links(self):
+        self.check("nothing", self.gateway.peers, callers=2 * MAX_FILES)
+
+    # The same at the port for tunnels.
+    def test_bodies_at_the_port_for_tunnels(self):
+        self.check("body by length", self.gateway.tunnels)
+
+    def test_heads_at_the_port_for_tunnels(self):
+        self.check("head without end", self.gateway.tunnels)
+
+    def test_connections_at_the_port_for_tunnels(self):
+        self.check("nothing", self.gateway.tunnels, callers=2 * MAX_FILES)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -623,15 +623,16 @@
     def remove(self, endpoint):
         self.store.put("servers", endpoint.name, None)
 
-    def configure(self, routes, workspaces=None, slots=6):
-        """`workspaces`: of workspace(); without them callers need no key. `slots`: of an engine."""
+    def configure(self, routes, workspaces=None, slots=6, limits=None):
+        """`workspaces`: of workspace(); without them callers need no key. `slots`: of an engine. `limits`: of callers, in place of
+        the ordinary ones."""
         self.version += 3
         engine = {"slots": slots, "kv_capacity_tokens": 60000, "kv_hold_s": 0.5, "hold_ms": 2000.0, "stride": 50}
         services = [{"name": name, "health_path": "/health", "max_connections": 96, **({"engine": engine} if engines else {})}
                     for name, engines in sorted(self.services)]
         config = {"version": self.version, "routes": routes, "services": services,
                   "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
-                             "idle_timeout_ms": 15000}}
+                             "idle_timeout_ms": 15000, **(limits or {})}}
         if workspaces is not None:
             config["tenants"] = workspaces
         self.store.put("op", "config", json.dumps(config).encode())
--- a/wire/daemon.cpp
+++ b/wire/daemon.cpp
@@ -6,11 +6,24 @@
 
 #include <iostream>
 
+#include <malloc.h>
+
 namespace fescuesill
 {
 namespace
 {
 
+// Blocks of this size and more go back to the system as soon as they are freed. By itself the allocator would raise the
+// limit with the first large block, and keep what a crowd of large requests has once taken.
+constexpr int leastMappedBlock = 1 << 20; // bytes
+
+void returnLargeBlocks()
+{
+#ifdef __GLIBC__
+    ::mallopt(M_MMAP_THRESHOLD, leastMappedBlock);
+#endif
+}
+
 enum ExitCode {
     Success = 0,
     Failure = 1,
@@ -45,6 +58,7 @@
 
 int runDaemon(const Daemon &daemon, int argc, char **argv, const RunWithSettings &run)
 {
+    returnLargeBlocks();
     try {
         cxxopts::Options options = commandLine(daemon);
         const auto given = options.parse(argc, argv);
--- a/wire/httpserver.cpp
+++ b/wire/httpserver.cpp
@@ -19,6 +19,7 @@
 
 constexpr int listenBacklog = 1024; // connections that may arrive in a burst before the accept loop runs
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50); // gives time for descriptors to be closed
+constexpr auto unreadCheck = std::chrono::milliseconds(100); // a link of 1 Gbit/s brings 12 MB meanwhile
 
 constexpr std::string_view reasonOf(int status)
 {
@@ -206,6 +207,8 @@
     if (this->options.reusePort) {
         this->acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
     }
+    const auto receiveBuffer = static_cast<int>(this->options.receiveBuffer.value());
+    this->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBuffer)); // inherited by connections
     this->acceptor.bind(this->endpoint);
     this->acceptor.listen(listenBacklog);
     this->endpoint = this->acceptor.local_endpoint(); // with the port that the kernel chose, if it was to
@@ -251,7 +254,8 @@
 void HttpServer::State::startConnection(tcp::socket socket)
 {
     boost::system::error_code ignored;
-    if (this->options.admits && !this->options.admits()) {
+    const bool hasRoom = this->makeRoom();
+    if (this->options.admits && (!hasRoom || !this->options.admits())) {
         socket.close(ignored);
         this->stopListening();
         return;
@@ -259,7 +263,7 @@
     socket.non_blocking(true, ignored);
     socket.set_option(tcp::no_delay(true), ignored);
     const auto connection = std::make_shared<ServerConnection>(this->shared_from_this(), std::move(socket));
-    if (this->connections.size() <= this->options.connections) {
+    if (hasRoom) {
         startCoroutine(this->io, [connection](const asio::yield_context &yield) { connection->serve(yield); });
         return;
     }
@@ -275,6 +279,63 @@
     });
 }
 
+bool HttpServer::State::makeRoom()
+{
+    if (!this->budget.isFull()) {
+        return true;
+    }
+    const Instant now = steadyNow();
+    const auto replaced = this->budget.nextToReplace(now);
+    if (!replaced) {
+        return false;
+    }
+    this->noteDrop("too many connections");
+    this->budget.onIdle(*replaced, now); // it takes a moment to end, and must not be chosen again meanwhile
+    this->connections.at(*replaced)->drop();
+    return true;
+}
+
+void HttpServer::State::dropBeyondBudget()
+{
+    const Instant now = steadyNow();
+    while (const auto dropped = this->budget.nextToDrop(now)) {
+        this->noteDrop("memory used up");
+        this->budget.onIdle(*dropped, now);
+        this->connections.at(*dropped)->drop();
+    }
+}
+
+void HttpServer::State::noteDrop(std::string_view cause)
+{
+    this->drops.note(this->options.address, cause, steadyNow());
+    if (this->options.onDropped) {
+        this->options.onDropped(cause);
+    }
+}
+
+void HttpServer::State::watchUnread()
+{
+    if (this->isWatchingUnread || this->isClosed) {
+        return;
+    }
+    this->isWatchingUnread = true;
+    this->unreadTimer.expires_after(unreadCheck);
+    this->unreadTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+        self->isWatchingUnread = false;
+        if (error) {
+            return;
+        }
+        bool hasUnread = false;
+        for (const auto &[id, connection] : self->connections) {
+            hasUnread = connection->countUnread() || hasUnread;
+        }
+        self->dropBeyondBudget();
+        if (hasUnread) {
+            self->watchUnread();
+        }
+    });
+}
+
 tl::expected<std::unique_ptr<HttpServer>, WireError> HttpServer::create(asio::io_context &io, Options options,
                                                                         Handler handler)
 {
@@ -312,6 +373,11 @@
     return this->state->connections.size();
 }
 
+RequestBudget::Counts HttpServer::budget() const
+{
+    return this->state->budget.counts();
+}
+
 void HttpServer::setLimits(const Options &limits)
 {
     this->state->options.headerLimit = limits.headerLimit;
@@ -323,7 +389,7 @@
 
 void HttpServer::closeIdle()
 {
-    for (ServerConnection *connection : this->state->connections) {
+    for (const auto &[id, connection] : this->state->connections) {
         if (connection->isIdle) {
             connection->endInOrder();
         }
@@ -350,7 +416,8 @@
     this->state->isClosed = true;
     this->state->acceptor.close(ignored);
     this->state->acceptRetryTimer.cancel();
-    for (ServerConnection *connection : this->state->connections) {
+    this->state->unreadTimer.cancel();
+    for (const auto &[id, connection] : this->state->connections) {
         connection->close();
     }
 }
--- a/wire/httpserver.h
+++ b/wire/httpserver.h
@@ -14,11 +14,15 @@
 // stallLimit, or has not accepted all of it at the deadline of the response, is treated as disconnected: its connection
 // is reset. So is one whose caller has not received all of a complete response soon after the deadline.
 //
+// What all connections together hold for their callers is bounded (decide/requestbudget.h). Beyond the bound, a request
+// that is arriving is refused as not run, or a connection is closed.
+//
 //     reply.onCallerGone([&] { lines.close(); });
 //     reply.startStream(200, yield);
 //     while (lines.read(batch, limit, yield)) { reply.write(events(batch), yield); }
 //     reply.finish(yield);
 
+#include "decide/requestbudget.h"
 #include "fescuesill/errors.h"
 #include "fescuesill/ids.h"
 #include "wire/coroutine.h"
@@ -114,14 +118,23 @@
         Duration stallLimit{20s}; // for one write; frees engine memory held for a caller that reads nothing
         // What the kernel buffers for all callers together: an equal share each, up to 4 MiB (64 KiB of a stream).
         Bytes sendBuffers{64 << 20};
+        // Of the requests of all connections, from their first byte until they have been answered.
+        Bytes requestMemory{256 << 20};
+        // How often the handler holds a body while it serves the call, the body of the call itself included.
+        int bodyCopies = 1;
+        Bytes receiveBuffer{64 << 10}; // what the kernel buffers of one caller that is not read
         std::function<RequestId()> newRequestId = {};
         // Determines the id of a call, for example from a header. If set, newRequestId is used only for requests that
         // could not be read.
         std::function<RequestId(const HttpCall &)> requestIdOf = {};
         std::function<void(const Refusal &)> onRefused = {}; // called for every refusal, to count them
+        // Called with the cause for every connection that was closed, and every request that was refused, since memory
+        // or connections are used up.
+        std::function<void(std::string_view)> onDropped = {};
         // Whether a connection that was just accepted is read; always if empty. One that is not is closed unread, and
         // the server stops listening until listen(), so that callers are refused and go to another host: what they
-        // would send takes the link of this one, read or not.
+        // would send takes the link of this one, read or not. The same holds for one beyond `connections`; without this
+        // function it is refused.
         std::function<bool()> admits = {};
         Traffic *traffic = nullptr; // counts the bytes of all connections, if set
     };
@@ -134,6 +147,8 @@
 
     std::uint16_t port() const;
     std::size_t openConnections() const;
+    // What the connections hold, and how many were closed or refused for it.
+    RequestBudget::Counts budget() const;
     // Closes the connections that are waiting for a request, so that their callers reconnect to hosts that are not
     // stopping.
     void closeIdle();
--- /dev/null
+++ b/wire/processresources.h
@@ -0,0 +1,20 @@
+#pragma once
+
+// The memory and the descriptors that a process may use: those of its settings, or else of its machine.
+//
+//     [limits]
+//     memory_mb = 110
+//     max_files = 4100
+//
+//     settings.resources = readProcessResources(reader, 1);     // before reader.finish()
+
+#include "decide/memoryplan.h"
+#include "declare/settings.h"
+
+namespace fescuesill
+{
+
+// `programs`: that share the memory of the machine where the settings name none.
+ProcessResources readProcessResources(SettingsReader &reader, int programs);
+
+} // namespace fescuesill
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -15,6 +15,10 @@
 // other end of the TCP connection: what a proxy, or the caller's kernel, holds beyond it can't be seen or discarded
 // from here.
 //
+// What has arrived of a request is counted in the budget of the server with each read. If it is used up, the budget
+// names the connections to drop, maybe this one. A read that waits is cancelled for it, like by the timer, and the
+// request is refused. Bytes that arrive while the handler runs stay in the kernel and are counted from time to time.
+//
 // While the handler runs, a wait for the socket to become readable detects a caller that disconnects: a read of zero
 // bytes is the end of the connection. If bytes arrive instead (a pipelined request), the wait is not renewed, and a
 // disconnect is detected only by the next write.
@@ -48,12 +52,21 @@
 constexpr std::size_t streamSendBuffer = 64 << 10;
 constexpr std::size_t wholeSendBuffer = 4 << 20;
 constexpr std::size_t smallestSendBuffer = 4 << 10;
+constexpr Duration retryAfterDrop{1s}; // the requests that hold the memory have ended, or another host is chosen
+constexpr std::chrono::seconds
+    droppedReplyTime(1); // for a caller to receive the refusal of a request that it still sends
+constexpr std::size_t headerCopies = 2; // as received, and parsed
 
 std::string_view viewOf(beast::string_view text)
 {
     return {text.data(), text.size()};
 }
 
+Refusal outOfMemory()
+{
+    return {RefusalCode::Overloaded, RunState::NotRun, "requests take all memory of this host", retryAfterDrop};
+}
+
 // The refusal of an invalid request. Returns nothing if the connection has merely ended.
 std::optional<Refusal> refusalFor(const beast::error_code &error)
 {
@@ -104,7 +117,7 @@
     const std::size_t count = this->stream.async_read_some(this->buffer.prepare(firstReadSize), yield[error]);
     this->isIdle = false;
     this->buffer.commit(count);
-    countReceived(this->server->options.traffic, count);
+    fescuesill::countReceived(this->server->options.traffic, count);
     return !error;
 }
 
@@ -130,7 +143,7 @@
     if (error && this->isTimedOut) {
         error = beast::error::timeout;
     }
-    return !error;
+    return !error && !this->isDropped;
 }
 
 // What the parser leaves is an element that is incomplete, such as the line before a chunk.
@@ -142,6 +155,7 @@
         if (this->buffer.size() > 0) {
             used = parser.put(this->buffer.data(), error);
             this->buffer.consume(used);
+            this->headerBytes += parser.is_header_done() ? 0 : used;
         }
         if (error == http::error::need_more) {
             error = {};
@@ -156,6 +170,13 @@
 void ServerConnection::fill(RequestParser &parser, beast::error_code &error, const asio::yield_context &yield)
 {
     const auto unparsedLimit = static_cast<std::size_t>(this->server->options.headerLimit.value());
+    if (!this->isDropped) {
+        this->countReceived(parser);
+    }
+    if (this->isDropped) {
+        error = asio::error::operation_aborted;
+        return;
+    }
     if (this->isTimedOut) {
         error = beast::error::timeout;
         return;
@@ -167,13 +188,58 @@
     const std::size_t size = parser.is_header_done() ? bodyReadSize : firstReadSize;
     const std::size_t count = this->stream.async_read_some(this->buffer.prepare(size), yield[error]);
     this->buffer.commit(count);
-    countReceived(this->server->options.traffic, count);
+    fescuesill::countReceived(this->server->options.traffic, count);
     if (error == asio::error::eof) {
         error = {};
         parser.put_eof(error);
     }
 }
 
+void ServerConnection::countReceived(const RequestParser &parser)
+{
+    const std::size_t all = this->buffer.capacity() + headerCopies * this->headerBytes + parser.get().body().capacity();
+    this->server->budget.onReceived(this->held, Bytes(static_cast<std::int64_t>(all)), steadyNow());
+    this->server->dropBeyondBudget();
+}
+
+void ServerConnection::refuseUnread(const Refusal &refusal, std::unique_ptr<RequestParser> parser,
+                                    const asio::yield_context &yield)
+{
+    this->keepAlive = false;
+    this->isReceiving = false;
+    parser.reset();
+    this->buffer.clear();
+    this->buffer.shrink_to_fit();
+    this->server->budget.onIdle(this->held, steadyNow());
+    this->replyDeadline = std::chrono::steady_clock::now() + droppedReplyTime;
+    this->refuse(refusal, yield);
+}
+
+void ServerConnection::drop()
+{
+    this->isDropped = true;
+    if (this->isReceiving) {
+        boost::system::error_code ignored;
+        this->stream.socket().cancel(ignored);
+        return;
+    }
+    if (this->isRunning) {
+        this->setResetOnClose(true); // the response must not look complete
+    }
+    this->close();
+}
+
+bool ServerConnection::countUnread()
+{
+    boost::system::error_code error;
+    const std::size_t unread = this->stream.socket().available(error);
+    if (!this->isRunning || error) {
+        return false;
+    }
+    this->server->budget.onUnread(this->held, Bytes(static_cast<std::int64_t>(unread)));
+    return unread > 0;
+}
+
 // The timeout of tcp_stream closes the socket, so a caller that is too slow could not be sent a refusal. This timer
 // only cancels the read.
 void ServerConnection::startReadTimer(Duration limit)
@@ -200,15 +266,18 @@
     this->isChunked = true;
     this->replyDeadline = std::chrono::steady_clock::time_point::max();
     this->id = this->newRequestId();
-    const auto parser = std::make_unique<RequestParser>();
+    this->headerBytes = 0;
+    this->isReceiving = true;
+    auto parser = std::make_unique<RequestParser>();
     beast::error_code error;
     if (!this->readHeaderAndBody(*parser, error, yield)) {
         this->keepAlive = false;
-        if (const auto refusal = refusalFor(error)) {
-            this->refuse(*refusal, yield);
+        if (const auto refusal = this->isDropped ? outOfMemory() : refusalFor(error)) {
+            this->refuseUnread(*refusal, std::move(parser), yield);
         }
         return std::nullopt;
     }
+    this->isReceiving = false;
     auto &message = parser->get();
     this->keepAlive = message.keep_alive();
     this->isChunked = message.version() >= 11;
@@ -228,12 +297,21 @@
     if (this->buffer.size() == 0) {
         this->buffer.shrink_to_fit();
     }
+    const std::size_t copies = static_cast<std::size_t>(this->server->options.bodyCopies);
+    const std::size_t all = this->buffer.capacity() + headerCopies * this->headerBytes + copies * call.body.capacity();
+    if (!this->server->budget.start(this->held, Bytes(static_cast<std::int64_t>(all)), steadyNow())) {
+        this->server->noteDrop("memory used up by running requests");
+        call = {};
+        this->refuseUnread(outOfMemory(), std::move(parser), yield);
+        return std::nullopt;
+    }
     return call;
 }
 
 void ServerConnection::handle(HttpCall &call, const asio::yield_context &yield)
 {
     HttpReply reply(*this);
+    this->isRunning = true;
     try {
         this->server->handler(call, reply, yield);
     } catch (const CallerGone &) {
@@ -246,6 +324,8 @@
         }
     }
     this->watchForClose({});
+    this->isRunning = false;
+    this->server->budget.onIdle(this->held, steadyNow());
     this->watchDelivery();
 }
 
@@ -416,8 +496,11 @@
     }
     this->stream.expires_at(this->writeLimit());
     this->setResetOnClose(true); // by the expiry, at which the kernel still holds a buffer full
+    this->server->budget.onUnsent(this->held, Bytes(static_cast<std::int64_t>(data.size())), steadyNow());
+    this->server->dropBeyondBudget();
     const std::size_t rest = asio::async_write(this->stream, asio::buffer(data.data(), data.size()), yield[error]);
     this->delivery.onWritten(rest);
+    this->server->budget.onUnsent(this->held, Bytes(0), steadyNow());
     if (error) {
         throw CallerGone();
     }
@@ -460,7 +543,11 @@
     char byte = 0;
     boost::system::error_code error;
     const std::size_t count = this->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    if (error == asio::error::would_block || count > 0) {
+    if (count > 0) {
+        this->server->watchUnread();
+        return;
+    }
+    if (error == asio::error::would_block) {
         return;
     }
     const auto callback = std::move(this->callerGoneCallback);
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -2,17 +2,19 @@
 
 // One caller's connection, and the state of the server that it belongs to. Internal to HttpServer.
 
+#include "wire/clock.h"
 #include "wire/delivery.h"
 #include "wire/httpserver.h"
+#include "wire/receivedbody.h"
+#include "wire/refusallog.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace fescuesill
 {
@@ -20,7 +22,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = http::request_parser<ReceivedBody>;
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
     State(asio::io_context &context, Options limits, Handler serve)
@@ -29,6 +31,8 @@
         , handler(std::move(serve))
         , acceptor(context)
         , acceptRetryTimer(context)
+        , budget(budgetOptions(this->options))
+        , unreadTimer(context)
     {
     }
 
@@ -37,6 +41,13 @@
     void stopListening();
     void accept();
     void startConnection(tcp::socket socket);
+    // Closes a connection that waits, if there are as many as there may be. Returns whether one more may be opened.
+    bool makeRoom();
+    // Closes connections until what the others hold is within the limit.
+    void dropBeyondBudget();
+    void noteDrop(std::string_view cause);
+    // Counts what arrives for connections whose requests are running, as long as there is any.
+    void watchUnread();
 
     asio::io_context &io;
     Options options;
@@ -45,7 +56,20 @@
     tcp::endpoint endpoint;
     bool isClosed = false;
     asio::steady_timer acceptRetryTimer;
-    std::unordered_set<ServerConnection *> connections;
+    RequestBudget budget;
+    std::unordered_map<ConnectionId, ServerConnection *> connections;
+    asio::steady_timer unreadTimer;
+    bool isWatchingUnread = false;
+    RefusalLog drops{"caller_dropped"};
+
+private:
+    static RequestBudget::Options budgetOptions(const Options &options)
+    {
+        RequestBudget::Options budget;
+        budget.limit = options.requestMemory;
+        budget.connections = options.connections;
+        return budget;
+    }
 };
 
 enum class ReplyKind {
@@ -62,12 +86,14 @@
         , readTimer(this->server->io)
         , deliveryTimer(this->server->io)
         , delivery(this->stream.socket())
+        , held(this->server->budget.open(steadyNow()))
     {
-        this->server->connections.insert(this);
+        this->server->connections[this->held] = this;
     }
     ~ServerConnection()
     {
-        this->server->connections.erase(this);
+        this->server->budget.close(this->held);
+        this->server->connections.erase(this->held);
     }
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
@@ -84,6 +110,10 @@
         boost::system::error_code ignored;
         this->stream.socket().close(ignored);
     }
+    // Ends the connection since memory or connections are used up. A request that is arriving is refused.
+    void drop();
+    // Counts what the kernel holds of further requests while one is running. Returns false if none is.
+    bool countUnread();
     // Ends the connection within a reply. The caller still gets what was written before, unless the body has no
     // framing.
     void abort();
@@ -115,6 +145,10 @@
     void readUntil(bool (RequestParser::*isComplete)() const, RequestParser &parser, beast::error_code &error,
                    const asio::yield_context &yield);
     void fill(RequestParser &parser, beast::error_code &error, const asio::yield_context &yield);
+    // Counts what the request holds so far, and drops connections if it is too much.
+    void countReceived(const RequestParser &parser);
+    // Refuses a request that is not run. Frees it first, since the caller may take time to receive the refusal.
+    void refuseUnread(const Refusal &refusal, std::unique_ptr<RequestParser> parser, const asio::yield_context &yield);
     void onReadable();
     void startReadTimer(Duration limit);
     // Until when the caller must have accepted what is written now.
@@ -141,9 +175,14 @@
     int sendBuffer = 0; // bytes, as last set; 0 before
     beast::flat_buffer buffer;
     std::function<void()> callerGoneCallback;
+    ConnectionId held; // in the budget
+    std::size_t headerBytes = 0; // of the request that is being read
     bool isWatching = false;
     bool isInUnframedBody = false;
     bool isTimedOut = false; // the time limit on a header or body was exceeded
+    bool isReceiving = false;
+    bool isRunning = false;
+    bool isDropped = false;
 };
 
 } // namespace fescuesill
--- a/wire/testing/httpserver_test.cpp
+++ b/wire/testing/httpserver_test.cpp
@@ -1,6 +1,7 @@
 #include "wire/httpserver.h"
 
 #include "wire/clock.h"
+#include "wire/receivedbody.h"
 #include "wire/testing/servedthread.h"
 
 #include <algorithm>
@@ -9,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <future>
 #include <gtest/gtest.h>
 
@@ -542,5 +544,125 @@
     EXPECT_NE(answer.find("Retry-After: 1"), std::string::npos) << answer;
 }
 
+constexpr std::int64_t largeBody = 64 << 10;
+
+HttpServer::Options smallMemory()
+{
+    HttpServer::Options options = smallLimits();
+    options.bodyLimit = Bytes(largeBody);
+    options.headerLimitTime = options.bodyLimitTime = 60s;
+    options.requestMemory = Bytes(largeBody * 3 / 2);
+    return options;
+}
+
+std::string largeRequest(std::int64_t sent)
+{
+    return "POST /large HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(largeBody) + "\r\n\r\n"
+        + std::string(static_cast<std::size_t>(sent), 'x');
+}
+
+// Guards against requests that stop short of their end and hold the memory of a host.
+TEST(HttpServer, RefusesAStalledRequestAsNotRunOnceMemoryIsUsedUp)
+{
+    const ServedThread served(smallMemory(), echo);
+    RawConnection stalled(served.port());
+    stalled.send(largeRequest(largeBody - 1));
+    std::this_thread::sleep_for(100ms);
+    RawConnection ordinary(served.port());
+    ordinary.send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    EXPECT_NE(ordinary.readToEnd().find("GET /a "), std::string::npos);
+    RawConnection large(served.port());
+    large.send(largeRequest(largeBody));
+    EXPECT_NE(large.readToEnd().find("200 OK"), std::string::npos);
+    const std::string answer = stalled.readToEnd();
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503") << answer;
+    EXPECT_NE(answer.find("Retry-After: 1"), std::string::npos) << answer;
+    EXPECT_NE(answer.find(R"("run":"not_run")"), std::string::npos) << answer;
+}
+
+// Guards against large requests that run for long and keep ordinary ones out.
+TEST(HttpServer, ServesOrdinaryRequestsBesideALargeOneThatRuns)
+{
+    HttpServer::Options options = smallMemory();
+    options.connections = 8;
+    const ServedThread served(options, [](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+        if (call.target == "/large") {
+            asio::steady_timer endpoint(asio::get_associated_executor(yield.handler_), 1s);
+            endpoint.async_wait(yield);
+        }
+        reply.send(200, call.target, yield);
+    });
+    RawConnection first(served.port());
+    first.send(largeRequest(largeBody));
+    std::this_thread::sleep_for(100ms);
+    RawConnection second(served.port());
+    second.send(largeRequest(largeBody));
+    EXPECT_EQ(second.readToEnd().substr(0, 12), "HTTP/1.1 503");
+    RawConnection ordinary(served.port());
+    ordinary.send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    EXPECT_EQ(ordinary.readToEnd().substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(first.readToEnd().substr(0, 12), "HTTP/1.1 200");
+}
+
+// Guards against bytes that the kernel holds for connections whose requests are running.
+TEST(HttpServer, ResetsACallerWhoseFurtherRequestsFillTheMemory)
+{
+    HttpServer::Options options = smallMemory();
+    options.requestMemory = Bytes(32 << 10);
+    std::atomic<bool> isGone = false;
+    const ServedThread served(options, [&](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
+        if (call.target == "/slow") {
+            asio::steady_timer endpoint(asio::get_associated_executor(yield.handler_), 60s);
+            reply.onCallerGone([&] { endpoint.cancel(); });
+            boost::system::error_code cancelled;
+            endpoint.async_wait(yield[cancelled]);
+            isGone = true;
+        }
+        reply.send(200, call.target, yield);
+    });
+    RawConnection calm(served.port());
+    calm.send("GET /slow HTTP/1.1\r\n\r\n");
+    RawConnection flooding(served.port());
+    flooding.send("GET /slow HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    flooding.send(largeRequest(largeBody / 2));
+    EXPECT_EQ(flooding.readToEnd(), "");
+    RawConnection ordinary(served.port());
+    ordinary.send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    EXPECT_EQ(ordinary.readToEnd().substr(0, 12), "HTTP/1.1 200");
+}
+
+// Guards against connections that send nothing and keep others out.
+TEST(HttpServer, ReplacesAConnectionThatWaitsOnceAllAreOpen)
+{
+    HttpServer::Options options = smallLimits();
+    options.connections = 1;
+    const ServedThread served(options, echo);
+    RawConnection silent(served.port());
+    std::this_thread::sleep_for(1200ms);
+    RawConnection next(served.port());
+    next.send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    EXPECT_NE(next.readToEnd().find("GET /a "), std::string::npos);
+    EXPECT_EQ(silent.readToEnd(), "");
+}
+
+// Guards against memory that is taken for the announced length of a body.
+TEST(ReceivedBody, GrowsAsBytesArrive)
+{
+    boost::beast::http::request_parser<ReceivedBody> parser;
+    parser.body_limit(4 << 20);
+    boost::system::error_code error;
+    const std::string head = "POST / HTTP/1.1\r\nContent-Length: 4194304\r\n\r\n";
+    parser.put(asio::buffer(head), error);
+    ASSERT_FALSE(error);
+    EXPECT_LT(parser.get().body().capacity(), 64);
+    const std::string piece(1000, 'x');
+    for (std::size_t sent = piece.size(); sent <= 50 * piece.size(); sent += piece.size()) {
+        parser.put(asio::buffer(piece), error);
+        EXPECT_EQ(parser.get().body().size(), sent);
+        EXPECT_LE(parser.get().body().capacity(), 2 * sent);
+    }
+}
+
 } // namespace
 } // namespace fescuesill
