Entry: callers hold no more than the memory of the host allows, also as parsed values

What callers saw: the same crowds at an entry took 260 to 276 MB of a host that states 64 MB, 160 MB in chunks of one byte, and 392 MB with bodies of many values. The parsed form of a body takes many times the memory of its text where it is a list of numbers. Fix: each I/O thread has its part of the memory and descriptors; a body of more than 262,144 names and values is refused as not run; body_bytes may take at most half of a thread's memory for requests.

--- a/programs/entry/entrymetrics.cpp
+++ b/programs/entry/entrymetrics.cpp
@@ -53,6 +53,10 @@
                    .Help("Mean time of one token of an answer after the first")
                    .Register(registry))
     , refused(BuildCounter().Name("fescuesill_refused_total").Help("Refusals by code").Register(registry))
+    , dropped(BuildCounter()
+                  .Name("fescuesill_callers_dropped_total")
+                  .Help("Callers that yielded since memory or connections were used up, by cause")
+                  .Register(registry))
     , wasted(BuildCounter()
                  .Name("fescuesill_wasted_prefill_tokens_total")
                  .Help("Prompt tokens read whose result was not used")
@@ -117,6 +121,11 @@
     this->refused.Add({{"code", std::string(codeName(refusal.code))}}).Increment();
 }
 
+void EntryMetrics::onDropped(std::string_view cause)
+{
+    this->dropped.Add({{"cause", std::string(cause)}}).Increment();
+}
+
 void EntryMetrics::onCallEnd(const ServiceId &service, const char *outcome)
 {
     this->calls.Add({{"service", service.value()}, {"outcome", outcome}}).Increment();
--- a/programs/entry/entrymetrics.h
+++ b/programs/entry/entrymetrics.h
@@ -39,6 +39,8 @@
 
     void onModelEnd(const ServiceId &service, const ServiceClass &serviceClass, const ModelOutcome &outcome);
     void onRefused(const Refusal &refusal);
+    // A caller's connection was closed, or its request refused, since memory or connections are used up.
+    void onDropped(std::string_view cause);
     void onCallEnd(const ServiceId &service, const char *outcome);
     void onWasted(Tokens prompt, WasteCause cause);
     void onAskedAway(const CellId &cell, bool isAfterRefusal);
@@ -58,6 +60,7 @@
     Histograms &firstToken;
     Histograms &perToken;
     Counters &refused;
+    Counters &dropped;
     Counters &wasted;
     Counters &calls;
     Counters &askedAway;
--- a/programs/entry/entrysettings.cpp
+++ b/programs/entry/entrysettings.cpp
@@ -1,7 +1,22 @@
 #include "programs/entry/entrysettings.h"
 
+#include <algorithm>
+
 namespace fescuesill
 {
+namespace
+{
+
+constexpr int programsOfHost = 2; // an entry and a scheduler
+
+} // namespace
+
+MemoryPlan EntrySettings::planOfThread() const
+{
+    const auto threads = static_cast<std::int64_t>(this->ioThreads);
+    return MemoryPlan::of({Bytes(this->resources.memory.value() / threads), this->resources.files / this->ioThreads},
+                          std::max<std::size_t>(this->connections / this->ioThreads, 1));
+}
 
 tl::expected<EntrySettings, DeclareError> EntrySettings::fromFile(const std::string &path)
 {
@@ -20,6 +35,7 @@
     settings.connections = static_cast<std::size_t>(reader->number("limits", "connections", 20000, {10, 30000}));
     settings.requests = static_cast<std::size_t>(reader->number("limits", "requests", 10000, {1, 20000}));
     settings.bodyLimit = Bytes(reader->number("limits", "body_bytes", 4 << 20, {1024, 64 << 20}));
+    settings.resources = readProcessResources(*reader, programsOfHost);
     settings.stallLimit = reader->duration("limits", "stall", 20s, {100ms, 10min});
     settings.silence = reader->duration("engines", "silence", 1s, {50ms, 1min});
     settings.freshness = reader->duration("scheduler", "freshness", 10s, {1s, 10min});
@@ -28,6 +44,10 @@
     settings.drainLimit = reader->duration("drain", "limit", 60s, {0s, 1h});
     settings.logLevel = *Log::parseLevel(reader->choice("log", "level", "info", {"debug", "info", "warning", "error"}));
     settings.keys = readKeySettings(*reader, {settings.scheduler, settings.admin});
+    if (const Bytes most(settings.planOfThread().requests.value() / 2); settings.bodyLimit > most) {
+        reader->fault("limits", "body_bytes", std::to_string(settings.bodyLimit.value()),
+                      "at most " + std::to_string(most.value()) + ", half of a thread's memory for requests");
+    }
     if (auto faults = reader->finish(); !faults.empty()) {
         return tl::make_unexpected(DeclareError{std::move(faults)});
     }
--- a/programs/entry/modelrequest.cpp
+++ b/programs/entry/modelrequest.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t bytesPerToken = 4;
 constexpr std::int64_t mostOutput = 1 << 20;
+// Names and values of one body. A parsed value takes several times the memory of its text.
+constexpr std::size_t mostValues = 1 << 18;
 
 tl::unexpected<Refusal> refused(const std::string &text)
 {
@@ -81,7 +83,14 @@
 
 tl::expected<ModelRequest, Refusal> ModelRequest::parse(Kind kind, std::string_view body)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    std::size_t values = 0;
+    const auto isKept = [&values](int /*depth*/, Json::parse_event_t /*event*/, Json & /*value*/) {
+        return ++values <= mostValues;
+    };
+    const Json json = Json::parse(body, isKept, false);
+    if (values > mostValues) {
+        return refused("body has too many values");
+    }
     if (!json.is_object()) {
         return refused("body is not a JSON object");
     }
--- a/programs/entry/shard.cpp
+++ b/programs/entry/shard.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t mostEvents = 16384;
 constexpr std::size_t mostNameLength = 64;
 constexpr Duration configurationRetry{2s};
+constexpr int bodyCopies = 3; // the body or its prompt, the call to an endpoint, and that call as it is written
 constexpr const char *unnamedWorkspace = "default";
 
 bool isName(std::string_view text)
@@ -129,7 +130,11 @@
     HttpServer::Options options;
     options.address = settings.callers;
     options.reusePort = true;
-    options.connections = std::max<std::size_t>(settings.connections / settings.ioThreads, 1);
+    const MemoryPlan plan = settings.planOfThread();
+    options.connections = plan.connections;
+    options.requestMemory = plan.requests;
+    options.sendBuffers = plan.sendBuffers;
+    options.bodyCopies = bodyCopies;
     options.bodyLimit = settings.bodyLimit;
     options.stallLimit = settings.stallLimit;
     options.newRequestId = [this] {
@@ -138,6 +143,9 @@
     options.onRefused = [this](const Refusal &refusal) {
         this->services.metrics.onRefused(refusal);
     };
+    options.onDropped = [this](std::string_view cause) {
+        this->services.metrics.onDropped(cause);
+    };
     auto created = HttpServer::create(this->io, options,
                                       [this](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
                                           this->handle(call, reply, yield);
--- a/programs/entry/testing/modelrequest_test.cpp
+++ b/programs/entry/testing/modelrequest_test.cpp
@@ -51,6 +51,20 @@
     }
 }
 
+// Guards against a body whose values take many times the memory of its text.
+TEST(ModelRequest, RefusesABodyOfTooManyValues)
+{
+    std::string zeros = "0";
+    for (int i = 0; i < (1 << 18); ++i) {
+        zeros += ",0";
+    }
+    const auto request = ModelRequest::parse(ModelRequest::Kind::Completion,
+                                             R"({"model":"m","prompt":"x","logit_bias":[)" + zeros + "]}");
+    ASSERT_FALSE(request);
+    EXPECT_EQ(request.error().code, RefusalCode::BadRequest);
+    EXPECT_EQ(request.error().text, "body has too many values");
+}
+
 // Two logs with the same preamble must share the hashes of its blocks and no other.
 TEST(ModelRequest, HashesNameEqualPrefixes)
 {
