HttpServer: the handler of a call that was dropped for its pipelined bytes is notified

Callers saw nothing of it: the endpoint went on working for a caller whose connection had been reset, until the deadline of the call. The wait for the caller to close ends with the first byte of a further request, so only the drop itself can notify the handler. ResetsACallerWhoseFurtherRequestsFillTheMemory now waits for it; before, its handler ran for 60 s.

--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -30,6 +30,7 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <utility>
 
 namespace fescuesill
 {
@@ -53,8 +54,8 @@
 constexpr std::size_t wholeSendBuffer = 4 << 20;
 constexpr std::size_t smallestSendBuffer = 4 << 10;
 constexpr Duration retryAfterDrop{1s}; // the requests that hold the memory have ended, or another host is chosen
-constexpr std::chrono::seconds
-    droppedReplyTime(1); // for a caller to receive the refusal of a request that it still sends
+// For a caller to receive the refusal of a request that it may still be sending.
+constexpr std::chrono::seconds unreadRefusalTime(1);
 constexpr std::size_t headerCopies = 2; // as received, and parsed
 
 std::string_view viewOf(beast::string_view text)
@@ -211,7 +212,7 @@
     this->buffer.clear();
     this->buffer.shrink_to_fit();
     this->server->budget.onIdle(this->held, steadyNow());
-    this->replyDeadline = std::chrono::steady_clock::now() + droppedReplyTime;
+    this->replyDeadline = std::chrono::steady_clock::now() + unreadRefusalTime;
     this->refuse(refusal, yield);
 }
 
@@ -227,6 +228,9 @@
         this->setResetOnClose(true); // the response must not look complete
     }
     this->close();
+    if (const auto callback = std::exchange(this->callerGoneCallback, {})) {
+        callback(); // the wait for the caller to close has ended with its pipelined bytes
+    }
 }
 
 bool ServerConnection::countUnread()
--- a/wire/testing/httpserver_test.cpp
+++ b/wire/testing/httpserver_test.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/clock.h"
 #include "wire/receivedbody.h"
+#include "wire/testing/loopback.h"
 #include "wire/testing/servedthread.h"
 
 #include <algorithm>
@@ -604,29 +605,35 @@
     EXPECT_EQ(first.readToEnd().substr(0, 12), "HTTP/1.1 200");
 }
 
-// Guards against bytes that the kernel holds for connections whose requests are running.
+// Guards against bytes that the kernel holds for connections whose requests are running, and against endpoints that
+// work on for a caller that was dropped for it.
 TEST(HttpServer, ResetsACallerWhoseFurtherRequestsFillTheMemory)
 {
     HttpServer::Options options = smallMemory();
     options.requestMemory = Bytes(32 << 10);
-    std::atomic<bool> isGone = false;
+    std::atomic<int> notified = 0;
     const ServedThread served(options, [&](HttpCall &call, HttpReply &reply, const asio::yield_context &yield) {
         if (call.target == "/slow") {
             asio::steady_timer endpoint(asio::get_associated_executor(yield.handler_), 60s);
-            reply.onCallerGone([&] { endpoint.cancel(); });
+            reply.onCallerGone([&] {
+                endpoint.cancel();
+                ++notified;
+            });
             boost::system::error_code cancelled;
             endpoint.async_wait(yield[cancelled]);
-            isGone = true;
         }
         reply.send(200, call.target, yield);
     });
-    RawConnection calm(served.port());
-    calm.send("GET /slow HTTP/1.1\r\n\r\n");
+    std::optional<RawConnection> calm(std::in_place, served.port());
+    calm->send("GET /slow HTTP/1.1\r\n\r\n");
     RawConnection flooding(served.port());
     flooding.send("GET /slow HTTP/1.1\r\n\r\n");
     std::this_thread::sleep_for(100ms);
     flooding.send(largeRequest(largeBody / 2));
     EXPECT_EQ(flooding.readToEnd(), "");
+    EXPECT_TRUE(eventually([&] { return notified == 1; }));
+    calm.reset();
+    EXPECT_TRUE(eventually([&] { return notified == 2; }));
     RawConnection ordinary(served.port());
     ordinary.send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
     EXPECT_EQ(ordinary.readToEnd().substr(0, 12), "HTTP/1.1 200");
