ProcessResources: limits of the control group and of the process count, too

A process whose control group or resource limits allow less than the machine has would take the machine's memory for its own, and be killed within its budget. The least of them is the default of memory_mb.

--- a/wire/processresources.h
+++ b/wire/processresources.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// The memory and the descriptors that a process may use: those of its settings, or else of its machine.
+// The memory and the descriptors that a process may use: those of its settings, or else of its machine, its control
+// group and its resource limits.
 //
 //     [limits]
 //     memory_mb = 110
