--- a/testing/process/test_crowds.py
+++ b/testing/process/test_crowds.py
@@ -1,27 +1,23 @@
 """Crowds of callers that hold what they have sent: heads, empty lines and bodies without their end, at each port of a gateway."""
 
 import threading
-import time
 import unittest
 
 from crowd import Crowd
+from crowdtest import CrowdChecks, Limits
 from gatewayprocess import SIZE, send
-from held import Held
 from platformtest import PlatformTest
-from standin import wait_until
 from userplatform import route
 
 ROUTES = [route("/book/", "unsafe", "booking"), route("/slow/", "unsafe", "slow", timeout_ms=8000),
           route("/write/", "stream", "llm")]
 BODY_BYTES = 4 << 20  # the largest that the configuration allows
-MEMORY_MB, MAX_FILES = 64, 400  # of the host, as its settings state
 CALLERS = 60
-HOLD_SECONDS = 3
 SLOW_SECONDS = 2
 
 
-class CrowdTest(PlatformTest):
-    memory_mb, max_files = MEMORY_MB, MAX_FILES
+class CrowdTest(CrowdChecks, PlatformTest):
+    limits = Limits(memory_mb=64, max_files=400)  # of the host, as its settings state
 
     def setUp(self):
         super().setUp()
@@ -31,29 +27,17 @@
         self.platform.endpoint("llm", "prefill")
         self.platform.endpoint("llm", "decode")
         self.platform.configure(ROUTES, limits={"max_body_bytes": BODY_BYTES})
-        self.gateway = self.start(more=f"[limits]\nmemory_mb = {self.memory_mb}\nmax_files = {self.max_files}\n")
+        self.gateway = self.start(more=f"[limits]\nmemory_mb = {self.limits.memory_mb}\n"
+                                       f"max_files = {self.limits.max_files}\n")
 
     def is_served(self, body=b"x"):
         return send(self.gateway.callers, "POST", "/book/1", body, **SIZE)[0] == 200
 
     def check(self, form, address=None, path="/book/1", callers=CALLERS, body_bytes=BODY_BYTES):
-        """The process lives within the stated limits, and serves others while the crowd holds on and afterwards."""
         gateway = self.gateway
-        wait_until(self.is_served, "an answer before")
-        held = Held(gateway.pid, [gateway.callers, gateway.ready, gateway.peers, gateway.tunnels])
-        crowd = Crowd([address or gateway.callers], form, callers, path, body_bytes)
-        try:
-            time.sleep(HOLD_SECONDS)
-            wait_until(self.is_served, "an answer beside the crowd")
-        finally:
-            crowd.end()
-        wait_until(self.is_served, "an answer after the crowd")
-        wait_until(lambda: self.is_served(b"x" * BODY_BYTES), "an answer to the largest request")
-        held.end()
-        self.assertTrue(gateway.is_running())
-        print(f"{form}: {held.peak_bytes / 1e6:.0f} MB, {held.peak_files} files", flush=True)
-        self.assertLess(held.peak_bytes, self.memory_mb << 20)
-        self.assertLess(held.peak_files, self.max_files)
+        self.check_crowd(gateway, [gateway.callers, gateway.ready, gateway.peers, gateway.tunnels],
+                         lambda: Crowd([address or gateway.callers], form, callers, path, body_bytes), self.limits,
+                         self.is_served, [lambda: self.is_served(b"x" * BODY_BYTES)])
 
 
 class CrowdsTest(CrowdTest):
@@ -110,7 +94,7 @@
         self.check("trailer without end")
 
     def test_connections_that_send_nothing(self):
-        self.check("nothing", callers=2 * MAX_FILES)
+        self.check("nothing", callers=2 * self.limits.max_files)
 
     # The same at the port of the readiness check.
     def test_bodies_at_the_readiness_port(self):
@@ -123,7 +107,7 @@
         self.check("head without end", self.gateway.ready)
 
     def test_connections_at_the_readiness_port(self):
-        self.check("nothing", self.gateway.ready, callers=2 * MAX_FILES)
+        self.check("nothing", self.gateway.ready, callers=2 * self.limits.max_files)
 
     # The same at the port for links of other hosts.
     def test_bodies_at_the_port_for_links(self):
@@ -142,7 +126,7 @@
         self.check("websocket fragments", self.gateway.peers)
 
     def test_connections_at_the_port_for_links(self):
-        self.check("nothing", self.gateway.peers, callers=2 * MAX_FILES)
+        self.check("nothing", self.gateway.peers, callers=2 * self.limits.max_files)
 
     # The same at the port for tunnels.
     def test_bodies_at_the_port_for_tunnels(self):
@@ -152,13 +136,13 @@
         self.check("head without end", self.gateway.tunnels)
 
     def test_connections_at_the_port_for_tunnels(self):
-        self.check("nothing", self.gateway.tunnels, callers=2 * MAX_FILES)
+        self.check("nothing", self.gateway.tunnels, callers=2 * self.limits.max_files)
 
 
 class CrowdsOfOrdinarySizeTest(CrowdTest):
     """At a host of the smallest size that is in use, with as many callers as come to it at most."""
 
-    memory_mb, max_files = 110, 4100
+    limits = Limits(memory_mb=110, max_files=4100)
     crowd = {"path": "/slow/1", "callers": 1400, "body_bytes": 55_000}
 
     # Each guards against a host that runs out of memory though each of its callers keeps to the limits.
--- a/testing/process/test_crowds_own_hosts.py
+++ b/testing/process/test_crowds_own_hosts.py
@@ -1,25 +1,22 @@
 """Crowds of callers that hold what they have sent, at each port of an entry and a scheduler."""
 
 import json
-import time
 import unittest
 
 from cluster import MODEL, Cluster
 from crowd import Crowd
-from held import Held
-from standin import call, wait_until
+from crowdtest import CrowdChecks, Limits
+from standin import call
 
-MEMORY_MB = 64  # of each process, as its settings state
-MAX_FILES = 400
+LIMITS = Limits(memory_mb=64, max_files=400)  # of each process, as its settings state
 BODY_BYTES = 4 << 20  # the largest that the settings allow
 CALLERS = 60
-HOLD_SECONDS = 3
-LIMITS = {"limits": {"memory_mb": MEMORY_MB, "max_files": MAX_FILES}}
 
 
-class CrowdsOfOwnHostsTest(unittest.TestCase):
+class CrowdsOfOwnHostsTest(CrowdChecks, unittest.TestCase):
     def setUp(self):
-        self.cluster = Cluster(hosts=("athens",), settings={"entry": {**LIMITS, "threads": {"io": 1}}, "scheduler": LIMITS})
+        limits = {"limits": LIMITS._asdict()}
+        self.cluster = Cluster(hosts=("athens",), settings={"entry": {**limits, "threads": {"io": 1}}, "scheduler": limits})
         self.addCleanup(self.cluster.end)
         self.cluster.start()
         self.host = self.cluster.hosts[0]
@@ -34,25 +31,14 @@
         status, reply = call("POST", self.host.callers, "/v1/completions", body)
         return status == 413 and "context" in json.dumps(reply)
 
+    def are_metrics_served(self):
+        return all(call("GET", port, "/healthz")[0] == 200 for port in (self.host.entry_admin, self.host.scheduler_admin))
+
     def check(self, process, address, form, path="/v1/completions", callers=CALLERS, body_bytes=BODY_BYTES):
-        """The process lives within the stated limits, and serves others while the crowd holds on and afterwards."""
-        wait_until(self.is_served, "an answer before")
-        held = Held(process.pid, [self.host.callers, self.host.entry_admin, self.host.peers, self.host.scheduler_admin])
-        crowd = Crowd([address], form, callers, path, body_bytes)
-        try:
-            time.sleep(HOLD_SECONDS)
-            wait_until(self.is_served, "an answer beside the crowd")
-        finally:
-            crowd.end()
-        wait_until(self.is_served, "an answer after the crowd")
-        wait_until(self.is_largest_served, "an answer to the largest request")
-        for port in (self.host.entry_admin, self.host.scheduler_admin):
-            wait_until(lambda port=port: call("GET", port, "/healthz")[0] == 200, "the port of the metrics")
-        held.end()
-        self.assertTrue(process.is_running())
-        print(f"{form}: {held.peak_bytes / 1e6:.0f} MB, {held.peak_files} files", flush=True)
-        self.assertLess(held.peak_bytes, MEMORY_MB << 20)
-        self.assertLess(held.peak_files, MAX_FILES)
+        host = self.host
+        self.check_crowd(process, [host.callers, host.entry_admin, host.peers, host.scheduler_admin],
+                         lambda: Crowd([address], form, callers, path, body_bytes), LIMITS, self.is_served,
+                         [self.is_largest_served, self.are_metrics_served])
 
     def check_callers(self, form, **more):
         self.check(self.host.entry, self.host.callers, form, **more)
@@ -86,7 +72,7 @@
         self.check_callers("tiny chunks")
 
     def test_connections_that_send_nothing(self):
-        self.check_callers("nothing", callers=2 * MAX_FILES)
+        self.check_callers("nothing", callers=2 * LIMITS.max_files)
 
     def test_prompts_of_many_values(self):
         self.check_callers("many values")
@@ -96,7 +82,7 @@
         self.check(self.host.entry, self.host.entry_admin, "body by length", path="/config", body_bytes=1 << 20)
 
     def test_connections_at_the_admin_port_of_the_entry(self):
-        self.check(self.host.entry, self.host.entry_admin, "nothing", callers=2 * MAX_FILES)
+        self.check(self.host.entry, self.host.entry_admin, "nothing", callers=2 * LIMITS.max_files)
 
     def test_bodies_at_the_admin_port_of_the_scheduler(self):
         self.check(self.host.scheduler, self.host.scheduler_admin, "body by length", path="/config", body_bytes=1 << 20)
@@ -108,7 +94,7 @@
         self.check(self.host.scheduler, self.host.scheduler_admin, "head without end")
 
     def test_connections_at_the_admin_port_of_the_scheduler(self):
-        self.check(self.host.scheduler, self.host.scheduler_admin, "nothing", callers=2 * MAX_FILES)
+        self.check(self.host.scheduler, self.host.scheduler_admin, "nothing", callers=2 * LIMITS.max_files)
 
     # The same at the port for links of entries and other schedulers.
     def test_bodies_at_the_port_for_links(self):
@@ -124,7 +110,7 @@
         self.check(self.host.scheduler, self.host.peers, "websocket fragments")
 
     def test_connections_at_the_port_for_links(self):
-        self.check(self.host.scheduler, self.host.peers, "nothing", callers=2 * MAX_FILES)
+        self.check(self.host.scheduler, self.host.peers, "nothing", callers=2 * LIMITS.max_files)
 
 
 if __name__ == "__main__":
--- a/wire/receivedbody.h
+++ b/wire/receivedbody.h
@@ -24,8 +24,8 @@
         return body.size();
     }
 
-    // The names of the functions are those that Beast calls.
-    class reader
+    // The names are those that Beast uses.
+    class reader // NOLINT(readability-identifier-naming)
     {
     public:
         template<bool isRequest, class Fields>
