MemoryPlan, RequestBudget: a crowd of small requests is not refused

What callers saw: a host of 110 MB took 880 connections where it took 1,500 before, and closed others unread, although 1,400 small requests at once take 40 MB (a trial with 512 MB). Cause: each connection had 16 KiB set aside, which only one with a request needs. Fix: 12 KiB for a connection; 10 KiB more are counted in the budget for each request from its first byte on, so that memory goes to connections or to bodies as it is needed.

--- a/decide/memoryplan.cpp
+++ b/decide/memoryplan.cpp
@@ -1,7 +1,7 @@
-// Shares of the memory: a sixth for the requests of callers, an eighth each for their connections and for links of
+// Shares of the memory: a fifth for the requests of callers, a sixth for their connections, an eighth for links of
 // other hosts, and a sixteenth each for tunnels and for replies of endpoints, which are held twice while they are
-// forwarded. The rest is the program's own, what the allocator takes beyond the size of requests that grow and end, as
-// much again, and what the kernel receives for connections before they are read.
+// forwarded. The rest is the program's own, what the allocator takes beyond the size of requests that grow and end,
+// half as much again, and what the kernel receives for connections before they are read.
 //
 // Each request that runs takes a connection to an endpoint beside that of its caller, and a tunnel takes two. So
 // callers may take half of the descriptors that remain once links, tunnels, the store, checks and files have theirs.
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr std::int64_t connectionBytes = 16 << 10; // stack, parser, headers
+constexpr std::int64_t connectionBytes = 12 << 10; // without a request: the stack and its object
 constexpr std::int64_t linkBytes = 28 << 10; // buffers
 constexpr std::int64_t tunnelBytes = 40 << 10; // stacks and buffers, both ways
 constexpr std::size_t mostLinks = 2048; // several times the links of 340 entries in one data centre
@@ -44,8 +44,8 @@
     const std::size_t reserved = files / 4 + std::min(mostOtherFiles, files / 8);
     MemoryPlan plan;
     plan.connections =
-        std::max(least, std::min({connections, fitting(partOf(memory, 8), connectionBytes), (files - reserved) / 2}));
-    plan.requests = partOf(memory, 6);
+        std::max(least, std::min({connections, fitting(partOf(memory, 6), connectionBytes), (files - reserved) / 2}));
+    plan.requests = partOf(memory, 5);
     plan.checks = partOf(memory, 64);
     plan.replies = std::min(mostReplies, partOf(memory, 16));
     plan.sendBuffers = std::min(mostSendBuffers, partOf(memory, 8));
--- a/testing/process/test_crowds.py
+++ b/testing/process/test_crowds.py
@@ -155,6 +155,13 @@
     def test_heads_without_end(self):
         self.check("head without end", **self.crowd)
 
+    # Guards against a host that refuses some of a crowd of small requests although it has the memory.
+    def test_small_requests_are_not_refused(self):
+        self.check("whole body", **{**self.crowd, "body_bytes": 1000})
+        metrics = send(self.gateway.ready, "GET", "/metrics")[2].decode()
+        for name in ("callers_dropped", "requests_refused_for_memory"):
+            self.assertIn(f'fescuesill_gateway_state{{of="{name}"}} 0', metrics)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wire/serverconnection.cpp
+++ b/wire/serverconnection.cpp
@@ -59,6 +59,7 @@
 constexpr std::chrono::seconds unreadRefusalTime(1);
 constexpr std::size_t mostDiscarded = 256 << 10; // bytes; more than the receive buffer holds
 constexpr std::size_t headerCopies = 2; // as received, and parsed
+constexpr std::size_t requestOverhead = 10 << 10; // bytes: the parser, more of the stack, a connection to an endpoint
 
 std::string_view viewOf(beast::string_view text)
 {
@@ -198,10 +199,15 @@
     }
 }
 
+Bytes ServerConnection::requestBytes(std::size_t body) const
+{
+    const std::size_t all = requestOverhead + this->buffer.capacity() + headerCopies * this->headerBytes + body;
+    return Bytes(static_cast<std::int64_t>(all));
+}
+
 void ServerConnection::countReceived(const RequestParser &parser)
 {
-    const std::size_t all = this->buffer.capacity() + headerCopies * this->headerBytes + parser.get().body().capacity();
-    this->server->budget.onReceived(this->held, Bytes(static_cast<std::int64_t>(all)), steadyNow());
+    this->server->budget.onReceived(this->held, this->requestBytes(parser.get().body().capacity()), steadyNow());
     this->server->dropBeyondBudget();
 }
 
@@ -313,9 +319,8 @@
     if (this->buffer.size() == 0) {
         this->buffer.shrink_to_fit();
     }
-    const std::size_t copies = static_cast<std::size_t>(this->server->options.bodyCopies);
-    const std::size_t all = this->buffer.capacity() + headerCopies * this->headerBytes + copies * call.body.capacity();
-    if (!this->server->budget.start(this->held, Bytes(static_cast<std::int64_t>(all)), steadyNow())) {
+    const auto copies = static_cast<std::size_t>(this->server->options.bodyCopies);
+    if (!this->server->budget.start(this->held, this->requestBytes(copies * call.body.capacity()), steadyNow())) {
         this->server->noteDrop("memory used up by running requests");
         call = {};
         this->refuseUnread(outOfMemory(), std::move(parser), yield);
--- a/wire/serverconnection.h
+++ b/wire/serverconnection.h
@@ -145,6 +145,8 @@
     void readUntil(bool (RequestParser::*isComplete)() const, RequestParser &parser, beast::error_code &error,
                    const asio::yield_context &yield);
     void fill(RequestParser &parser, beast::error_code &error, const asio::yield_context &yield);
+    // What a request holds with so many bytes of its body.
+    Bytes requestBytes(std::size_t body) const;
     // Counts what the request holds so far, and drops connections if it is too much.
     void countReceived(const RequestParser &parser);
     // Discards what the kernel holds of a request that is refused, which also keeps the close from being a reset.
