Tests: the limits of a process are lowered for a gateway, not for the test program

Lowering RLIMIT_DATA within wire_test made the thread sanitizer fail to map memory. The same check, on the limit that a gateway states in its metrics under ulimit -d, is test_memory_is_no_more_than_the_process_may_use.

--- a/testing/process/test_crowds.py
+++ b/testing/process/test_crowds.py
@@ -1,5 +1,6 @@
 """Crowds of callers that hold what they have sent: heads, empty lines and bodies without their end, at each port of a gateway."""
 
+import re
 import threading
 import unittest
 
@@ -7,6 +8,7 @@
 from crowdtest import CrowdChecks, Limits
 from gatewayprocess import SIZE, send
 from platformtest import PlatformTest
+from standin import wait_until
 from userplatform import route
 
 ROUTES = [route("/book/", "unsafe", "booking"), route("/slow/", "unsafe", "slow", timeout_ms=8000),
@@ -139,6 +141,21 @@
         self.check("nothing", self.gateway.tunnels, callers=2 * self.limits.max_files)
 
 
+class ProcessLimitsTest(PlatformTest):
+    # Guards against a process that counts on the memory of a machine of which it may use a part.
+    def test_memory_is_no_more_than_the_process_may_use(self):
+        self.platform.endpoint("booking")
+        self.platform.configure(ROUTES[:1])
+        gateway = self.start()
+        gateway.command = ["sh", "-c", f"ulimit -d {300 << 10} && exec \"$@\"", "sh", *gateway.command]
+        gateway.start_again()
+        wait_until(gateway.is_ready, "the gateway to be ready")
+        metrics = send(gateway.ready, "GET", "/metrics")[2].decode()
+        limit = float(re.search(r'of="request_memory_limit_bytes"} (\S+)', metrics).group(1))
+        self.assertLessEqual(limit, 300 << 20)
+        self.assertGreater(limit, 0)
+
+
 class CrowdsOfOrdinarySizeTest(CrowdTest):
     """At a host of the smallest size that is in use, with as many callers as come to it at most."""
 
