AdminServer: an operator's proof is checked once, before the body is read

Since it was checked again after the body had arrived, so that a command whose proof expired meanwhile was refused with 401 although its body had been read.

--- a/wire/adminserver.cpp
+++ b/wire/adminserver.cpp
@@ -133,7 +133,7 @@
         }
     }
 
-    // Until fewer than `most` are left. They are closed at once, and leave the list when their coroutines end.
+    // Until fewer than `most` are left. Their coroutines end with the reads or writes that fail.
     void closeOldest(Streams &streams, std::size_t most)
     {
         while (streams.size() >= most) {
@@ -157,7 +157,8 @@
             parser.body_limit(maxBodyBytes);
             stream.expires_after(idleLimit);
             http::async_read_header(stream, buffer, parser, yield[failed]);
-            if (!failed && !parser.is_done() && this->mayReadBody(parser.get())) {
+            const auto fault = failed ? std::nullopt : this->faultOf(parser.get());
+            if (!failed && !fault && !parser.is_done() && !isRead(parser.get())) {
                 this->closeOldest(this->bodies, maxBodies);
                 this->bodies.push_back(&stream);
                 http::async_read(stream, buffer, parser, yield[failed]);
@@ -168,7 +169,7 @@
             }
             this->open.remove(&stream);
             this->open.push_back(&stream);
-            HttpResponse response = this->respond(parser, stream.socket());
+            HttpResponse response = this->respond(parser, fault, stream.socket());
             isKept = parser.is_done() && response.result() != http::status::unauthorized && parser.get().keep_alive();
             response.keep_alive(isKept);
             response.prepare_payload();
@@ -184,14 +185,10 @@
         return request.method() == http::verb::get || request.method() == http::verb::head;
     }
 
-    bool mayReadBody(const HttpRequest &request) const
+    HttpResponse respond(const http::request_parser<http::string_body> &parser,
+                         const std::optional<OperatorFault> &fault, const tcp::socket &socket)
     {
-        return !isRead(request) && !this->faultOf(request);
-    }
-
-    HttpResponse respond(const http::request_parser<http::string_body> &parser, const tcp::socket &socket)
-    {
-        if (const auto fault = this->faultOf(parser.get())) {
+        if (fault) {
             this->recordRefusal(socket, *fault);
             return refusal(parser.get(), *fault);
         }
