One place each: what a process holds, clients that are no peers, forms of a crowd, programs of an own host

held.py serves the tests of endless bytes as well; sendToTheEnd, the opening of a link and the frame of a megabyte are one for PeerNode and Keys; forms of a crowd are named where they are defined. No assertion changes.

--- a/programs/entry/entrysettings.cpp
+++ b/programs/entry/entrysettings.cpp
@@ -4,13 +4,6 @@
 
 namespace fescuesill
 {
-namespace
-{
-
-constexpr int programsOfHost = 2; // an entry and a scheduler
-
-} // namespace
-
 MemoryPlan EntrySettings::planOfThread() const
 {
     const auto threads = static_cast<std::int64_t>(this->ioThreads);
@@ -35,7 +28,7 @@
     settings.connections = static_cast<std::size_t>(reader->number("limits", "connections", 20000, {10, 30000}));
     settings.requests = static_cast<std::size_t>(reader->number("limits", "requests", 10000, {1, 20000}));
     settings.bodyLimit = Bytes(reader->number("limits", "body_bytes", 4 << 20, {1024, 64 << 20}));
-    settings.resources = readProcessResources(*reader, programsOfHost);
+    settings.resources = readProcessResources(*reader, programsOfOwnHost);
     settings.stallLimit = reader->duration("limits", "stall", 20s, {100ms, 10min});
     settings.silence = reader->duration("engines", "silence", 1s, {50ms, 1min});
     settings.freshness = reader->duration("scheduler", "freshness", 10s, {1s, 10min});
--- a/programs/scheduler/schedulersettings.cpp
+++ b/programs/scheduler/schedulersettings.cpp
@@ -4,13 +4,6 @@
 
 namespace fescuesill
 {
-namespace
-{
-
-constexpr int programsOfHost = 2; // an entry and a scheduler
-
-} // namespace
-
 tl::expected<SchedulerSettings, DeclareError> SchedulerSettings::fromFile(const std::string &path)
 {
     auto reader = SettingsReader::fromFile(path);
@@ -28,7 +21,7 @@
     settings.seeds = reader->addresses("peers", "seeds");
     settings.probePeriod = reader->duration("peers", "probe_period", 1s, {100ms, 1min});
     settings.freshness = reader->duration("peers", "freshness", 10s, {1s, 10min});
-    settings.resources = readProcessResources(*reader, programsOfHost);
+    settings.resources = readProcessResources(*reader, programsOfOwnHost);
     settings.enginePoll = reader->duration("engines", "load_poll", 250ms, {10ms, 10s});
     settings.streamPoll = reader->duration("engines", "stream_poll", 2s, {50ms, 1min});
     settings.resumeGrace = reader->duration("resume", "grace", 15s, {100ms, 10min});
--- a/testing/process/crowd.py
+++ b/testing/process/crowd.py
@@ -20,6 +20,7 @@
 SEND_BYTES = 1 << 16  # in one turn of a caller
 AGAIN_SECONDS = 0.02  # after a connection that was refused
 LINE = b"X-Another: " + b"x" * 500 + b"\r\n"
+FORMS = {}
 
 
 def request_head(path, request_id, *lines):
@@ -28,88 +29,112 @@
     return f"POST {path} HTTP/1.1\r\n".encode() + "".join(f"{line}\r\n" for line in names).encode()
 
 
+def form(function):
+    """Names a way to send: its function yields what a caller sends, for a path, an id and the size of a body."""
+    FORMS[function.__name__.replace("_", " ")] = function
+    return function
+
+
+@form
 def head_without_end(path, request_id, _bytes):
     yield request_head(path, request_id)
     yield from itertools.repeat(LINE)
 
 
+@form
 def header_without_end(path, request_id, _bytes):
     yield request_head(path, request_id) + b"X-Long: "
     yield from itertools.repeat(b"x" * PIECE)
 
 
+@form
 def head_over_the_limit(path, request_id, _bytes):
     yield request_head(path, request_id) + LINE * 200
 
 
+@form
 def empty_lines(_path, _request_id, _bytes):
     yield from itertools.repeat(b"\r\n" * (PIECE // 2))
 
 
+@form
 def empty_lines_between(path, request_id, _bytes):
     yield request_head(path, request_id, "Content-Length: 1") + b"\r\nx"
     yield from itertools.repeat(b"\r\n" * (PIECE // 2))
 
 
+@form
 def body_by_length(path, request_id, size, *lines):
     yield request_head(path, request_id, f"Content-Length: {size}", *lines) + b"\r\n"
     yield b"x" * (size - 1)
 
 
+@form
 def body_in_pieces(path, request_id, size):
     yield request_head(path, request_id, f"Content-Length: {size}") + b"\r\n"
     yield from itertools.repeat(b"x" * PIECE, size // PIECE - 1)
     yield b"x" * (PIECE - 1)
 
 
+@form
 def body_after_continue(path, request_id, size):
     yield from body_by_length(path, request_id, size, "Expect: 100-continue")
 
 
+@form
 def whole_body(path, request_id, size):
     yield request_head(path, request_id, f"Content-Length: {size}") + b"\r\n" + b"x" * size
 
 
+@form
 def whole_bodies_in_a_row(path, request_id, size):
     yield from itertools.repeat(b"".join(whole_body(path, request_id, size)))
 
 
+@form
 def one_chunk(path, request_id, size):
     yield request_head(path, request_id, "Transfer-Encoding: chunked") + b"\r\n"
     yield f"{size:x}\r\n".encode() + b"x" * (size - 1)
 
 
+@form
 def large_chunks(path, request_id, size):
     yield request_head(path, request_id, "Transfer-Encoding: chunked") + b"\r\n"
     part = size // 8
     yield from itertools.repeat(f"{part:x}\r\n".encode() + b"x" * part + b"\r\n", 8)  # and no last chunk
 
 
+@form
 def tiny_chunks(path, request_id, size):
     yield request_head(path, request_id, "Transfer-Encoding: chunked") + b"\r\n"
     yield from itertools.repeat(b"1\r\nx\r\n" * 1024, size // 1024)
 
 
+@form
 def chunk_line_without_end(path, request_id, _bytes):
     yield request_head(path, request_id, "Transfer-Encoding: chunked") + b"\r\n5;"
     yield from itertools.repeat(b"x" * PIECE)
 
 
+@form
 def trailer_without_end(path, request_id, _bytes):
     yield request_head(path, request_id, "Transfer-Encoding: chunked") + b"\r\n0\r\n"
     yield from itertools.repeat(LINE)
 
 
+@form
 def many_values(path, request_id, size):
     """A body whose values take many times the memory of its text once they are parsed."""
     text = b'{"prompt":[' + b"0," * (size // 2 - 16)
     yield request_head(path, request_id, f"Content-Length: {len(text) + 4}") + b"\r\n" + text + b"0]}\n"
 
 
+@form
 def read_with_a_body(path, request_id, size):
     yield from (part.replace(b"POST", b"GET", 1) for part in body_by_length(path, request_id, size))
 
 
+@form
 def nothing(_path, _request_id, _bytes):
     return iter(())
 
@@ -119,12 +144,14 @@
             "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n").encode()
 
 
+@form
 def websocket_message(_path, _request_id, size):
     """One message, one byte short of its end."""
     yield websocket_opening("/")
     yield bytes([0x82, 0xFF]) + size.to_bytes(8, "big") + b"\0\0\0\0" + b"x" * (size - 1)
 
 
+@form
 def websocket_fragments(_path, _request_id, size):
     """One message in many fragments, the last of which never comes."""
     yield websocket_opening("/")
@@ -132,10 +159,6 @@
         yield bytes([0x02 if number == 0 else 0x00, 0xFE]) + PIECE.to_bytes(2, "big") + b"\0\0\0\0" + b"x" * PIECE
 
 
-FORMS = {name.replace("_", " "): form for name, form in list(globals().items())
-         if callable(form) and getattr(form, "__module__", "") == __name__ and name not in ("request_head", "websocket_opening", "Child")}
-
-
 class Caller:
     def __init__(self, crowd, address, request_id):
         self.crowd, self.request_id = crowd, request_id
--- a/testing/process/held.py
+++ b/testing/process/held.py
@@ -13,6 +13,16 @@
 EVERY_SECONDS = 0.05
 
 
+def memory_kb(pid, field):
+    """VmRSS: now; VmHWM: at its peak."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    return int(re.search(rf"{field}:\s+(\d+) kB", status).group(1))
+
+
+def open_files(pid):
+    return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
+
+
 def unread_bytes(ports):
     """Of all connections to these local ports."""
     total = 0
@@ -32,11 +42,9 @@
         self.start()
 
     def look(self):
-        status = pathlib.Path(f"/proc/{self.pid}/status").read_text(encoding="ascii")
-        own = int(re.search(r"VmRSS:\s+(\d+) kB", status).group(1)) * 1024
-        peak = int(re.search(r"VmHWM:\s+(\d+) kB", status).group(1)) * 1024
-        self.peak_bytes = max(self.peak_bytes, peak, own + unread_bytes(self.ports))
-        self.peak_files = max(self.peak_files, len(list(pathlib.Path(f"/proc/{self.pid}/fd").iterdir())))
+        now = memory_kb(self.pid, "VmRSS") * 1024 + unread_bytes(self.ports)
+        self.peak_bytes = max(self.peak_bytes, memory_kb(self.pid, "VmHWM") * 1024, now)
+        self.peak_files = max(self.peak_files, open_files(self.pid))
 
     def run(self):
         while not self.stopped.wait(EVERY_SECONDS):
--- a/testing/process/test_bytes_without_end.py
+++ b/testing/process/test_bytes_without_end.py
@@ -3,13 +3,12 @@
 import concurrent.futures
 import contextlib
 import http.client
-import pathlib
-import re
 import socket
 import time
 import unittest
 
 from gatewayprocess import SIZE, ids, send
+from held import memory_kb
 from platformtest import PlatformTest
 from standin import wait_until
 from userplatform import ENDLESS, ENDLESS_EVENTS, route
@@ -23,7 +22,7 @@
 
 
 def peak_memory_kb(process):
-    return int(re.search(r"VmHWM:\s+(\d+) kB", pathlib.Path(f"/proc/{process.pid}/status").read_text()).group(1))
+    return memory_kb(process.pid, "VmHWM")
 
 
 class BytesWithoutEndTest(PlatformTest):
--- a/testing/process/test_bytes_without_end_at_once.py
+++ b/testing/process/test_bytes_without_end_at_once.py
@@ -1,10 +1,10 @@
 """Hundreds of calls at once whose endpoints send bytes without an end, beside calls that sound endpoints serve."""
 
-import pathlib
 import threading
 import unittest
 
 from endlessplatform import Callers, call_once
+from held import open_files
 from platformtest import PlatformTest
 from standin import wait_until
 from test_bytes_without_end import peak_memory_kb
@@ -38,17 +38,13 @@
         names = [f"e-{stage or service}-{number}" for number in range(len(WAYS))]
         return self.start_endless(service, names, stage, SLOTS)
 
-    @staticmethod
-    def open_files(gateway):
-        return len(list(pathlib.Path(f"/proc/{gateway.pid}/fd").iterdir()))
-
     def check(self, path, kind, stage):
         """Hundreds of callers are answered or broken off in time, and those of sound endpoints are served."""
         gateway = self.start()
         for sound_path in SOUND_PATHS:
             wait_until(lambda sound_path=sound_path: call_once(gateway.callers, sound_path, SOUND_DEADLINE_MS)[0] == 200,
                        "sound answers")
-        files = self.open_files(gateway)
+        files = open_files(gateway.pid)
         self.endless[stage].set([{kind: way} for way in WAYS])
         sound = []
         ended = threading.Event()
@@ -68,7 +64,7 @@
         self.assertEqual([answer for answer in sound if answer[0] != 200], [])
         self.assertLess(max(took for _, took in answers), DEADLINE_MS / 1000 + LATE_SECONDS)
         self.assertLess(peak_memory_kb(gateway), MOST_MEMORY_KB)
-        wait_until(lambda: self.open_files(gateway) <= files, "all connections to be closed", LATE_SECONDS)
+        wait_until(lambda: open_files(gateway.pid) <= files, "all connections to be closed", LATE_SECONDS)
         self.assertLess(max(self.endless[stage].set([{}] * len(WAYS))), DEADLINE_MS / 1000 + LATE_SECONDS)
 
     # Each guards against a host whose memory or time hundreds of endless answers take from the calls of others.
--- a/wire/processresources.h
+++ b/wire/processresources.h
@@ -15,6 +15,8 @@
 namespace fescuesill
 {
 
+constexpr int programsOfOwnHost = 2; // an entry and a scheduler
+
 // `programs`: that share the memory of the machine where the settings name none.
 ProcessResources readProcessResources(SettingsReader &reader, int programs);
 
--- a/wire/testing/keys_test.cpp
+++ b/wire/testing/keys_test.cpp
@@ -68,8 +68,6 @@
     std::unique_ptr<PeerNode> node; // declared last, so it is destroyed before the counters that its thread uses
 };
 
-const std::string upgrade = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-                            "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
 const peer::Message hello = peer::Hello{HostId("a"), DataCentreId("d"), true};
 
 // A client on the internal network without the fleet's key connects to a scheduler, and so does a host configured with
@@ -137,7 +135,7 @@
     for (int i = 0; i < connections; ++i) {
         sockets.push_back(std::make_unique<tcp::socket>(context));
         sockets.back()->connect(endpointOf(address));
-        asio::write(*sockets.back(), asio::buffer(upgrade));
+        asio::write(*sockets.back(), asio::buffer(websocketUpgrade));
     }
     Node entry("", ringOf("a"));
     entry.node->connect(address);
@@ -160,17 +158,8 @@
 {
     const std::string address = freeAddress();
     const Node scheduler(address, ringOf("a"));
-    asio::io_context context;
-    tcp::socket socket(context);
-    socket.connect(endpointOf(address));
-    // The header of a masked binary frame of 2^20 bytes, and the first 700 bytes of its payload.
-    const std::string frame = upgrade + std::string("\x82\xff\0\0\0\0\0\x10\0\0\0\0\0\0", 14);
-    asio::write(socket, asio::buffer(frame + std::string(700, 'x')));
-    boost::system::error_code failed;
-    std::array<char, 1024> answer{};
-    while (!failed) {
-        socket.read_some(asio::buffer(answer), failed);
-    }
+    // The header of a masked binary frame, and the first 700 bytes of its payload.
+    sendToTheEnd(address, websocketUpgrade + megabyteFrame + std::string(700, 'x'));
     EXPECT_EQ(scheduler.node->refusedLinks(), 0U); // closed before the handshake timed out
     EXPECT_EQ(scheduler.opened, 0);
 }
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -239,47 +239,23 @@
     Seen clientSeen;
     auto server = PeerNode::create(quickOptions(address), handlersOf(serverSeen)).value();
     server->start();
-    asio::io_context context;
-    tcp::socket socket(context);
-    socket.connect(endpointOf(address));
-    asio::write(socket, asio::buffer(std::string("\x00\xff nonsense \r\n\r\n", 16)));
-    std::array<char, 512> answer{};
-    boost::system::error_code failed;
-    while (!failed) {
-        socket.read_some(asio::buffer(answer), failed);
-    }
+    sendToTheEnd(address, std::string("\x00\xff nonsense \r\n\r\n", 16));
     auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
     client->start();
     client->connect(address);
     clientSeen.opened.get_future().get();
 }
 
-// Sends the bytes of a client that is none of our programs, and reads to the end of its connection.
-void sendToTheEnd(const std::string &address, const std::string &bytes)
-{
-    asio::io_context context;
-    tcp::socket socket(context);
-    socket.connect(endpointOf(address));
-    boost::system::error_code failed;
-    asio::write(socket, asio::buffer(bytes), failed);
-    std::array<char, 512> answer{};
-    while (!failed) {
-        socket.read_some(asio::buffer(answer), failed);
-    }
-}
-
 // Guards against bytes that a node holds for clients that are none of our programs: each of these is closed before its
 // end has come.
 TEST(PeerNode, HoldsLittleForClientsThatAreNoPeers)
 {
-    const std::string upgrade = "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-                                "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
     const std::string address = freeAddress();
     Seen serverSeen;
     auto server = PeerNode::create(quickOptions(address), handlersOf(serverSeen)).value();
     server->start();
     sendToTheEnd(address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nx");
-    sendToTheEnd(address, upgrade + std::string("\x82\xff\0\0\0\0\0\x10\0\0\0\0\0\0", 14) + "x");
+    sendToTheEnd(address, websocketUpgrade + megabyteFrame + "x");
     Seen clientSeen;
     auto client = PeerNode::create(quickOptions(""), handlersOf(clientSeen)).value();
     client->start();
