ReplyHead: a head that HTTP does not allow is no reply

Cause: the parser of the library takes any three digits as a status, and each reader of replies believed a head as it was parsed. A status below 200 other than 1xx, or above 599, was passed on by plain calls, generations and tunnels, and 101 was read as an interim reply although no request asks for an upgrade. A host that carries a tunnel took notices (Server-Leaving) from such heads.

ReplyHead (wire/replyhead, no I/O) holds what a head may say: version, status, names and values. It can't be made from another one, and HttpConnection and TunnelServer take status, headers and framing from it only. So plain calls, streams, reads of prompts, reservations, reports, orders, the store, replies of tunnels, entries and schedulers all pass it. A head that fails is reported like other replies that are not HTTP: the attempt ended unknown, and the connection is closed.

Names with a blank or a control byte were refused already, on each path; their tests stay. So were links between hosts (PeerNode.OpensNoLinkOnABrokenAnswer): only 101 opens one.

--- a/testing/process/enginefront.py
+++ b/testing/process/enginefront.py
@@ -2,6 +2,7 @@
 
     front = EngineFront(engine.address)
     front.endless = {"/v1/prefill": "body"}  # paths whose requests are answered without an end, and the way of ENDLESS
+    front.heads = {"/v1/decode": b"HTTP/1.1 200 OK\r\n..."}  # paths whose answers get this head in place of their own
     front.cuts_streams = True                # soon after they have begun
     front.crashes_on = lambda path, body: b"deadly" in body  # its port refuses connections then, for DOWN_SECONDS
 """
@@ -20,6 +21,7 @@
     def __init__(self, engine):
         self.engine = engine
         self.endless = {}
+        self.heads = {}
         self.cuts_streams = False
         self.crashes_on = lambda path, body: False
         self.crashes = 0
@@ -41,9 +43,13 @@
         with contextlib.closing(connection):
             connection.request(request.command, request.path, body, {"Content-Type": "application/json"})
             answer = connection.getresponse()
-            request.send_response_only(answer.status)
-            request.send_header("Connection", "close")
-            request.end_headers()
+            head = next((head for path, head in self.heads.items() if request.path.startswith(path)), None)
+            if head:
+                request.wfile.write(head)
+            else:
+                request.send_response_only(answer.status)
+                request.send_header("Connection", "close")
+                request.end_headers()
             request.close_connection = True
             sent = 0
             while data := answer.read1():
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -28,7 +28,8 @@
 in it unless `states_start` is off; after a stream they answer nothing for `silent_seconds`. `arrivals` has the time and kind of each request. The kinds of
 requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS or
 ENDLESS_EVENTS; `held_seconds` has how long each of these went on. Those in `head_bytes` get so many bytes of the head of an
-answer, with `framing` as its last header, and the end of the connection.
+answer, with `framing` as its last header, and the end of the connection. Those in `raw` get these bytes, with the id of their
+request for %s, and the end of the connection; so do all calls of the store with its `raw`.
 """
 
 import base64
@@ -191,6 +192,11 @@
     request.close_connection = True
 
 
+def send_raw(request, answer):
+    request.close_connection = True
+    request.wfile.write(answer.replace(b"%s", request.headers.get("X-Request-Id", "").encode()))
+
+
 def send_without_end(request, begin, more):
     request.close_connection = True
     headers = b"X-Request-Id: %s\r\n" % request.headers.get("X-Request-Id", "").encode()
@@ -285,6 +291,7 @@
         self.configs_sent = 0  # whole configurations
         self.calls = []  # path and table of each
         self.endless = None  # the way, of ENDLESS or ENDLESS_ROWS, in which it answers without an end
+        self.raw = None  # begins each answer, in place of its head
         super().__init__()
 
     def silence_open_connections(self):
@@ -308,6 +315,8 @@
             request.reply(*((410, {}) if url.path == "/rows-feed" else (200, page_of_many(query))))
         elif self.endless:
             send_without_end(request, *{**ENDLESS, **ENDLESS_ROWS}[self.endless])
+        elif self.raw:
+            send_raw(request, self.raw + json.dumps(answer[1]).encode())
         elif url.path == "/rows-tx" and self.lost_answers > 0:
             self.lost_answers -= 1
             request.close_connection = True
@@ -336,6 +345,7 @@
         self.endless = {}  # the way, by the kind of request
         self.head_bytes = {}  # by the kind of request
         self.framing = ""  # a header of that answer, or none
+        self.raw = {}  # by the kind of request
         self.reservations = 0
         self.on_half = lambda: None  # called when it broke off
         self.crashes_on = lambda request, body: False
@@ -428,6 +438,9 @@
                 self.held_seconds.append(time.monotonic() - begin)
         elif self.kind_of(request) in self.head_bytes:
             self.send_part_of_head(request, self.head_bytes[self.kind_of(request)])
+        elif self.kind_of(request) in self.raw:
+            self.note(request, body)
+            send_raw(request, self.raw[self.kind_of(request)])
         elif self.kind_of(request) in self.rests:
             request.reply(503, {}, {"X-Not-Executed": "1", "Retry-After": str(self.rest_seconds),
                                     "X-Request-Id": request.headers.get("X-Request-Id", "")})
--- a/wire/httpconnection.cpp
+++ b/wire/httpconnection.cpp
@@ -5,10 +5,14 @@
 // The expiry of a tcp_stream ends an operation that waits. A read that finds bytes does not wait and completes at any
 // time, so a server that keeps sending would be read past every deadline. All reads of a reply pass fill(), which
 // therefore compares the deadline with the clock itself.
+//
+// The parser returns the bytes of a body that arrive together with their head before the head has been checked. They
+// stay in `partial`, which nobody reads after readHeader() has failed.
 
 #include "wire/httpconnection.h"
 
 #include "wire/address.h"
+#include "wire/log.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -117,20 +121,28 @@
     if (!error) {
         http::async_read_header(this->stream, this->buffer, reply, yield[error]);
     }
-    const int status = error ? 0 : static_cast<int>(reply.get().result_int());
-    const bool isFramed = reply.get()[tunnelFramingHeader] == tunnelFraming;
+    if (error) {
+        return std::nullopt;
+    }
+    const auto checked = headOf(reply, reply.get());
+    if (!checked) {
+        Log::info("tunnel_reply_bad", {{"host", host}, {"reason", checked.error().what()}});
+        return std::nullopt;
+    }
+    const bool isFramed = checked->response().header(tunnelFramingHeader) == tunnelFraming;
     // The endpoint sends nothing before a request, so bytes after the reply are not part of this protocol.
-    if (error || (status == statusOk && (!isFramed || this->buffer.size() > 0))) {
+    if (checked->status() == statusOk && (!isFramed || this->buffer.size() > 0)) {
         return std::nullopt;
     }
     this->isTunnelled = true;
     this->address = fmt::format("{} through {}", this->address, host);
-    return status;
+    return checked->status();
 }
 
 void HttpConnection::expectReply(bool isHead)
 {
     this->isToHead = isHead;
+    this->head.reset();
     this->parser.emplace();
     this->parser->header_limit(headerLimit);
     // Not boost::none: with it, Boost 1.74 reports any body as over the limit if the header arrives in its own packet.
@@ -243,7 +255,12 @@
             this->fill(deadline, yield);
             this->parse(this->partial);
         }
-        if (this->parser->get().result_int() / 100 != 1) { // Beast does not know all of them by name
+        auto checked = headOf(*this->parser, this->parser->get());
+        if (!checked) {
+            throw HttpError(HttpFault::Malformed, false, fmt::format("{}: {}", this->address, checked.error().what()));
+        }
+        if (!checked->isInterim()) {
+            this->head = std::move(*checked);
             return;
         }
         this->expectReply(this->isToHead); // the reply itself is still to come
@@ -309,25 +326,24 @@
     }
 }
 
-HttpResponse headOf(const http::response_header<> &parsed)
+tl::expected<ReplyHead, WireError> headOf(const http::basic_parser<false> &parser,
+                                          const http::response_header<> &parsed)
 {
-    HttpResponse head;
-    head.status = static_cast<int>(parsed.result_int());
+    ParsedHead head{parsed.version(), static_cast<int>(parsed.result_int())};
+    if (parser.chunked()) {
+        head.framing = BodyFraming::Chunks;
+    } else if (parser.need_eof()) {
+        head.framing = BodyFraming::Connection;
+    }
     for (const auto &field : parsed) {
         head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    return head;
+    return ReplyHead::create(std::move(head));
 }
 
 HttpResponse HttpConnection::response() const
 {
-    HttpResponse response = headOf(this->parser->get());
-    if (this->parser->chunked()) {
-        response.framing = BodyFraming::Chunks;
-    } else if (this->parser->need_eof()) {
-        response.framing = BodyFraming::Connection;
-    }
-    return response;
+    return this->head->response();
 }
 
 bool HttpConnection::isIdleAndOpen()
--- a/wire/httpconnection.h
+++ b/wire/httpconnection.h
@@ -4,6 +4,7 @@
 
 #include "decide/endpointpaths.h"
 #include "wire/httpclient.h"
+#include "wire/replyhead.h"
 #include "wire/tunnelframes.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -73,8 +74,9 @@
     std::unordered_map<std::string, std::deque<IdleConnection>> idle;
 };
 
-// The status and the headers of a reply, without what its parser knows of its body.
-HttpResponse headOf(const http::response_header<> &parsed);
+// The head that a parser has read, if it is one of HTTP.
+tl::expected<ReplyHead, WireError> headOf(const http::basic_parser<false> &parser,
+                                          const http::response_header<> &parsed);
 
 // Bounds a reply that is read as a whole, and counts it towards those of all calls while it exists.
 class ReplyBound
@@ -133,6 +135,7 @@
     bool readSome(std::string &out, SteadyTime deadline, const asio::yield_context &yield);
     // Waits for bytes on the socket without reading them. Returns false if the limit expires first.
     bool waitReadable(Duration limit, const asio::yield_context &yield);
+    // The reply whose head readHeader() has read, without its body.
     HttpResponse response() const;
 
     // Sets the handle whose abort() closes this connection; null removes it.
@@ -155,7 +158,7 @@
 
     int status() const
     {
-        return static_cast<int>(this->parser->get().result_int());
+        return this->head->status();
     }
     void close()
     {
@@ -176,6 +179,7 @@
     beast::flat_buffer buffer;
     TunnelFrames frames;
     std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<ReplyHead> head; // of the current reply, once it has been read and checked
     bool atEnd = false;
     bool isToHead = false; // the request was HEAD
     CallAbort *abort = nullptr;
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -433,6 +433,62 @@
     }
 }
 
+// Guards against a reply whose head HTTP does not allow, in one piece or in many, and against the reuse of its
+// connection.
+TEST(HttpClient, AReplyWhoseHeadIsNotAllowedIsNone)
+{
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string replies[] = {
+        "HTTP/1.1 000 Status\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 099 Status\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 600 Status\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 999 Status\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound,
+        "HTTP/1.1 000 Status\r\n\r\n" + sound,
+        "HTTP/1.1 103 Early Hints\r\nX Other: 1\r\n\r\n" + sound,
+        "HTTP/1.1 200 OK\r\nX Other: 1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nX-\x01Other: 1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
+    };
+    for (const std::string &reply : replies) {
+        for (const std::size_t piece : {std::size_t{1000}, std::size_t{1}}) {
+            for (const bool isStream : {false, true}) {
+                runCoroutine([&](asio::io_context &io, const asio::yield_context &yield) {
+                    bool isReused = false;
+                    const std::string address = serveOnce(io, [&](auto &socket, const asio::yield_context &inner) {
+                        std::array<char, 1024> request{};
+                        boost::system::error_code closed; // by the client
+                        socket.async_read_some(asio::buffer(request), inner);
+                        for (std::size_t at = 0; at < reply.size() && !closed; at += piece) {
+                            asio::async_write(socket, asio::buffer(reply.substr(at, piece)), inner[closed]);
+                        }
+                        isReused = socket.async_read_some(asio::buffer(request), inner[closed]) > 0;
+                    });
+                    HttpClient client(io, {});
+                    const auto ask = [&] {
+                        if (isStream) {
+                            client.open(address, {}, {}, yield);
+                        } else {
+                            client.call(address, {}, {}, yield);
+                        }
+                    };
+                    std::optional<HttpError> fault;
+                    try {
+                        ask();
+                    } catch (const HttpError &error) {
+                        fault = error;
+                    }
+                    ASSERT_TRUE(fault) << reply;
+                    EXPECT_EQ(fault->fault(), HttpFault::Malformed) << reply;
+                    EXPECT_FALSE(fault->isKnownNotSent()) << reply;
+                    EXPECT_THROW(ask(), HttpError) << reply;
+                    EXPECT_FALSE(isReused) << reply;
+                });
+            }
+        }
+    }
+}
+
 // Guards against a server that takes the memory of its caller by sending bytes without an end.
 TEST(HttpClient, EndsRepliesWithoutAnEnd)
 {
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -6,13 +6,18 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
+#include <openssl/evp.h>
+#include <openssl/sha.h>
 
 #include <array>
 #include <atomic>
 #include <future>
 #include <mutex>
 #include <set>
+#include <sys/socket.h>
 #include <thread>
 #include <vector>
 
@@ -311,5 +316,79 @@
     clientSeen.opened.get_future().get();
 }
 
+// The value of Sec-WebSocket-Accept for the key of this request.
+std::string acceptedKey(const std::string &request)
+{
+    const std::string name = "Sec-WebSocket-Key: ";
+    const std::size_t begin = request.find(name) + name.size();
+    const std::string key = request.substr(begin, request.find('\r', begin) - begin);
+    const std::string text = key + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"; // RFC 6455, 1.3
+    std::array<unsigned char, SHA_DIGEST_LENGTH> digest{};
+    SHA1(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
+    std::array<unsigned char, 2 * SHA_DIGEST_LENGTH> encoded{};
+    const int size = EVP_EncodeBlock(encoded.data(), digest.data(), SHA_DIGEST_LENGTH);
+    return {encoded.begin(), encoded.begin() + size};
+}
+
+// Whether a link opens at a peer that answers the handshake with this line and header.
+bool opensWith(const std::string &line, const std::string &header)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::atomic<bool> isOpened = false;
+    std::atomic<int> answers = 0;
+    std::thread peer([&] {
+        boost::system::error_code closed; // the acceptor, at the end of the test
+        while (!closed) {
+            tcp::socket socket(io);
+            acceptor.accept(socket, closed);
+            boost::system::error_code ended; // the client's connection
+            asio::streambuf buffer;
+            const std::size_t count = closed ? 0 : asio::read_until(socket, buffer, "\r\n\r\n", ended);
+            if (count == 0) {
+                continue;
+            }
+            const std::string request(asio::buffers_begin(buffer.data()), asio::buffers_begin(buffer.data()) + count);
+            const std::string answer = line + "\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n" + header
+                + "Sec-WebSocket-Accept: " + acceptedKey(request) + "\r\n\r\n";
+            asio::write(socket, asio::buffer(answer), ended);
+            std::array<char, 16> bytes{};
+            while (!ended && !isOpened) {
+                socket.read_some(asio::buffer(bytes), ended);
+            }
+            ++answers;
+        }
+    });
+    PeerNode::Handlers handlers;
+    handlers.opened = [&](LinkId) {
+        isOpened = true;
+    };
+    handlers.received = [](LinkId, const peer::Message &) {
+    };
+    handlers.closed = [](LinkId) {
+    };
+    auto client = PeerNode::create(quickOptions(""), std::move(handlers)).value();
+    client->start();
+    client->connect("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    EXPECT_TRUE(eventually([&] { return isOpened || answers >= 2; }));
+    client->stop();
+    client.reset();
+    ::shutdown(acceptor.native_handle(), SHUT_RDWR); // ends the wait for a further connection
+    peer.join();
+    return isOpened;
+}
+
+// Guards against a link that opens on an answer that HTTP does not allow.
+TEST(PeerNode, OpensNoLinkOnABrokenAnswer)
+{
+    const std::string switches = "HTTP/1.1 101 Switching Protocols";
+    EXPECT_TRUE(opensWith(switches, ""));
+    EXPECT_FALSE(opensWith("HTTP/1.1 000 Switching Protocols", ""));
+    EXPECT_FALSE(opensWith("HTTP/1.1 200 OK", ""));
+    EXPECT_FALSE(opensWith(switches, "X Other: 1\r\n"));
+    EXPECT_FALSE(opensWith(switches, "X-\x01Other: 1\r\n"));
+    EXPECT_FALSE(opensWith(switches, "X\tOther: 1\r\n"));
+}
+
 } // namespace
 } // namespace fescuesill
--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -45,6 +45,9 @@
         options.accepts = [this] {
             return this->accepts;
         };
+        options.onReply = [this](const std::string &, const HttpResponse &head) {
+            this->noticed.push_back(head.status);
+        };
         this->server = *TunnelServer::create(context, options, this->serverPaths);
         this->clientPaths.setTunnelHosts({this->tunnels()});
         this->clientPaths.onConnectFailed("127.0.0.1:1", Instant());
@@ -86,6 +89,8 @@
     bool accepts = true;
     int accepted = 0; // connections at the endpoint
     int ended = 0; // of these, seen closed by the other side
+    std::string answer = "HTTP/1.1 200 OK\r\n\r\nwhole"; // without a length: the body ends with the connection
+    std::vector<int> noticed; // statuses of the heads that the other host read as it passed them on
 
 private:
     void serveEndpoint(const asio::yield_context &yield)
@@ -107,9 +112,7 @@
         std::array<char, 1024> bytes{};
         socket.async_read_some(asio::buffer(bytes), yield[error]);
         if (this->ending != Ending::Waits && !error) {
-            // Without a length: the body ends with the connection.
-            const std::string text = "HTTP/1.1 200 OK\r\n\r\nwhole";
-            asio::async_write(socket, asio::buffer(text), yield[error]);
+            asio::async_write(socket, asio::buffer(this->answer), yield[error]);
             this->wait(20ms, yield);
         }
         if (this->ending == Ending::Resets) {
@@ -165,6 +168,32 @@
     });
 }
 
+// Guards against a notice that the other host takes from a head that HTTP does not allow.
+TEST(TunnelServer, NotesHeadsOfRepliesOnly)
+{
+    const struct {
+        std::string answer;
+        std::vector<int> noticed;
+    } cases[] = {
+        {"HTTP/1.1 200 OK\r\n\r\nwhole", {200}},
+        {"HTTP/1.1 503 Service Unavailable\r\n\r\nwhole", {503}},
+        {"HTTP/1.1 000 Status\r\n\r\nwhole", {}},
+        {"HTTP/1.1 999 Status\r\n\r\nwhole", {}},
+        {"HTTP/1.1 200 OK\r\nX Other: 1\r\n\r\nwhole", {}},
+        {"HTTP/1.1 200 OK\r\nX-\x01Other: 1\r\n\r\nwhole", {}},
+    };
+    for (const auto &each : cases) {
+        runCoroutine([&each](asio::io_context &io, const asio::yield_context &yield) {
+            World world(io, Ending::Closes);
+            world.answer = each.answer;
+            const bool isReply = !each.noticed.empty();
+            EXPECT_EQ(!faultOf(world, yield), isReply) << each.answer;
+            EXPECT_EQ(world.noticed, each.noticed) << each.answer;
+            world.end();
+        });
+    }
+}
+
 // Guards against endpoints that work on for callers who have left.
 TEST(TunnelServer, EndsWithTheCall)
 {
@@ -282,6 +311,9 @@
         {"the host ended within the head of a frame", opened + framed + tunnelEnd().substr(1), HttpFault::Closed},
         {"no frames", opened + answer, HttpFault::Malformed},
         {"a host without frames", "HTTP/1.1 200 OK\r\n\r\n" + answer, HttpFault::NoPath},
+        {"no status", "HTTP/1.1 000 OK\r\nTunnel-Framing: length\r\n\r\n" + framed + tunnelEnd(), HttpFault::NoPath},
+        {"a blank in a name", "HTTP/1.1 200 OK\r\nX Other: 1\r\nTunnel-Framing: length\r\n\r\n" + framed + tunnelEnd(),
+         HttpFault::NoPath},
     };
     for (const Case &one : cases) {
         runCoroutine([&one](asio::io_context &io, const asio::yield_context &yield) {
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -279,11 +279,11 @@
     parser.header_limit(replyHeaderLimit);
     boost::system::error_code error;
     parser.put(asio::buffer(this->head), error);
-    if (parser.is_header_done()) {
-        this->server->options.onReply(this->address, headOf(parser.get()));
+    const auto checked = parser.is_header_done() ? std::optional(headOf(parser, parser.get())) : std::nullopt;
+    if (checked && checked->has_value()) {
+        this->server->options.onReply(this->address, (*checked)->response());
     }
-    this->isHeadRead =
-        parser.is_header_done() || (error && error != http::error::need_more) || this->head.size() > replyHeaderLimit;
+    this->isHeadRead = checked || (error && error != http::error::need_more) || this->head.size() > replyHeaderLimit;
     if (this->isHeadRead) {
         this->head = {};
     }
