ReplyHead: a reply whose framing can't be read is no reply

Callers saw: the bytes of a body as they came, sizes of chunks among them, as the whole body with a length of our own, where the head named a transfer coding other than chunks (identity, gzip, an unknown one, chunks twice or followed by another coding). The body was not the engine's.

Cause: the parser looks for "chunked" as the only or last coding of one field and otherwise ignores Transfer-Encoding, and it reads chunks of HTTP/1.0.

A transfer coding is now valid if it is chunks alone, of HTTP/1.1, without a length, and if the parser reads chunks. Lengths must agree, by their values. Requests accept no other coding, so nothing that is legal is refused.

--- a/testing/process/test_broken_heads.py
+++ b/testing/process/test_broken_heads.py
@@ -32,12 +32,27 @@
     "no name": (OK, ": 1\r\n"),
     "control byte in a value": (OK, "X-Other: \x01\r\n"),
 }
-BROKEN = {**STATUSES, **NAMES}
+FRAMINGS = {
+    "identity": (OK, "Transfer-Encoding: identity\r\n"),
+    "gzip": (OK, "Transfer-Encoding: gzip\r\n"),
+    "unknown coding": (OK, "Transfer-Encoding: xchunked\r\n"),
+    "chunked, gzip": (OK, f"{CHUNKED}, gzip\r\n"),
+    "gzip, then chunked": (OK, f"Transfer-Encoding: gzip\r\n{CHUNKED}\r\n"),
+    "gzip, chunked": (OK, "Transfer-Encoding: gzip, chunked\r\n"),
+    "chunked twice": (OK, f"{CHUNKED}, chunked\r\n"),
+    "chunks of HTTP/1.0": ("HTTP/1.0 200 OK", f"{CHUNKED}\r\n"),
+    "coding and length": (OK, "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n"),
+    "two lengths": (OK, "Content-Length: 5\r\nContent-Length: 6\r\n"),
+    "version 2.0": ("HTTP/2.0 200 OK", ""),
+}
+BROKEN = {**STATUSES, **NAMES, **FRAMINGS}
 EVENT = "id: 1\ndata: broken\n\n"
 
 
 def answer(form, body, more=""):
+    """A broken answer: its body in a chunk where the head names any coding."""
     line, field = BROKEN[form]
+    body = f"{len(body):x}\r\n{body}\r\n0\r\n\r\n" if "Transfer-Encoding" in field else body
     return f"{line}\r\nX-Request-Id: %s\r\n{STAMP}{more}{field}\r\n{body}".encode("latin-1")
 
 
@@ -148,7 +163,7 @@
     # Guards against rows of the store that come with such a head.
     def test_the_store(self):
         gateway = self.start()
-        for form in ("status 000", "blank in a name"):
+        for form in ("status 000", "blank in a name", "gzip", "chunked, gzip"):
             self.platform.server.raw = answer(form, "").split(b"\r\n\r\n")[0] + b"\r\n\r\n"
             calls = len(self.platform.server.calls)
             self.platform.configure([*ROUTES, route("/new/", "unsafe", "booking")])
@@ -205,7 +220,7 @@
             wait_until(lambda: call("POST", fleet.entry, "/v1/completions", ask, {"X-Workspace": "w"})[0] == 200, "an answer")
             # A stream is also read from where it runs, once its first answer was none.
             kinds = (["/v1/prefill"], ["/v1/decode", "/v1/streams"])
-            for paths, form in itertools.product(kinds, ("status 000", "blank in a name")):
+            for paths, form in itertools.product(kinds, ("gzip", "identity", "unknown coding", "status 000")):
                 for front in fronts.values():
                     front.heads = dict.fromkeys(paths, "\r\n".join(BROKEN[form]).encode() + b"\r\n")
                 status, body = call("POST", fleet.entry, "/v1/completions", ask, {"X-Workspace": "w"})
--- a/wire/testing/httpclient_test.cpp
+++ b/wire/testing/httpclient_test.cpp
@@ -446,9 +446,14 @@
         "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound,
         "HTTP/1.1 000 Status\r\n\r\n" + sound,
         "HTTP/1.1 103 Early Hints\r\nX Other: 1\r\n\r\n" + sound,
+        "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: gzip\r\n\r\n" + sound,
         "HTTP/1.1 200 OK\r\nX Other: 1\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/1.1 200 OK\r\nX-\x01Other: 1\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
     };
     for (const std::string &reply : replies) {
         for (const std::size_t piece : {std::size_t{1000}, std::size_t{1}}) {
--- a/wire/testing/replyhead_test.cpp
+++ b/wire/testing/replyhead_test.cpp
@@ -73,6 +73,64 @@
     }
 }
 
+// Guards against a body that is cut or decoded in another way than the server meant.
+TEST(ReplyHead, HasAFramingThatTheClientReads)
+{
+    constexpr auto length = BodyFraming::Length;
+    constexpr auto chunks = BodyFraming::Chunks;
+    constexpr auto connection = BodyFraming::Connection;
+    const std::string coding = "Transfer-Encoding";
+    const std::string size = "Content-Length";
+    const struct {
+        unsigned version;
+        BodyFraming framing;
+        Headers headers;
+        bool isValid;
+    } cases[] = {
+        {11, length, {{size, "5"}}, true},
+        {10, length, {{size, "5"}}, true},
+        {11, connection, {}, true},
+        {11, length, {{size, "5"}, {"content-length", "5"}}, true},
+        {11, length, {{size, "5, 5"}}, true},
+        {11, length, {{size, "5, 05"}}, true},
+        {11, length, {{size, "18446744073709551615"}}, true},
+        {11, length, {{size, "5"}, {size, "6"}}, false},
+        {11, length, {{size, "5, 6"}}, false},
+        {11, length, {{size, ""}}, false},
+        {11, length, {{size, ","}}, false},
+        {11, length, {{size, "+5"}}, false},
+        {11, length, {{size, "-5"}}, false},
+        {11, length, {{size, "5 5"}}, false},
+        {11, length, {{size, "0x5"}}, false},
+        {11, length, {{size, "18446744073709551616"}}, false},
+        {11, chunks, {{coding, "chunked"}}, true},
+        {11, chunks, {{"transfer-encoding", " ChunkeD\t"}}, true},
+        {11, chunks, {{coding, ", chunked ,"}}, true},
+        {11, chunks, {}, false},
+        {11, connection, {{coding, "chunked"}}, false},
+        {10, chunks, {{coding, "chunked"}}, false},
+        {11, chunks, {{coding, "chunked"}, {size, "5"}}, false},
+        {11, connection, {{coding, ""}}, false},
+        {11, connection, {{coding, "identity"}}, false},
+        {11, connection, {{coding, "gzip"}}, false},
+        {11, connection, {{coding, "xchunked"}}, false},
+        {11, connection, {{coding, "chunked;q=1"}}, false},
+        {11, connection, {{coding, "chunked, gzip"}}, false},
+        {11, chunks, {{coding, "gzip, chunked"}}, false},
+        {11, chunks, {{coding, "gzip"}, {coding, "chunked"}}, false},
+        {11, chunks, {{coding, "chunked, chunked"}}, false},
+        {11, chunks, {{coding, "chunked"}, {coding, "chunked"}}, false},
+        {11, length, {{coding, "gzip"}, {size, "5"}}, false},
+    };
+    for (const auto &each : cases) {
+        std::string shown = std::to_string(each.version) + " " + nameOf(each.framing);
+        for (const HttpHeader &header : each.headers) {
+            shown += ", " + header.name + ": " + header.value;
+        }
+        EXPECT_EQ(isValid({each.version, 200, each.framing, each.headers}), each.isValid) << shown;
+    }
+}
+
 // What a reply without a body says of its length is of the reply that it stands for.
 TEST(ReplyHead, MayHaveALengthWithoutABody)
 {
--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -181,6 +181,7 @@
         {"HTTP/1.1 999 Status\r\n\r\nwhole", {}},
         {"HTTP/1.1 200 OK\r\nX Other: 1\r\n\r\nwhole", {}},
         {"HTTP/1.1 200 OK\r\nX-\x01Other: 1\r\n\r\nwhole", {}},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nwhole", {}},
     };
     for (const auto &each : cases) {
         runCoroutine([&each](asio::io_context &io, const asio::yield_context &yield) {
@@ -314,6 +315,9 @@
         {"no status", "HTTP/1.1 000 OK\r\nTunnel-Framing: length\r\n\r\n" + framed + tunnelEnd(), HttpFault::NoPath},
         {"a blank in a name", "HTTP/1.1 200 OK\r\nX Other: 1\r\nTunnel-Framing: length\r\n\r\n" + framed + tunnelEnd(),
          HttpFault::NoPath},
+        {"an unknown coding",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTunnel-Framing: length\r\n\r\n" + framed + tunnelEnd(),
+         HttpFault::NoPath},
     };
     for (const Case &one : cases) {
         runCoroutine([&one](asio::io_context &io, const asio::yield_context &yield) {
