TunnelServer: notes the reply behind interim ones

Hosts saw: a host that carries a tunnel took the first head of an answer for its reply. With an interim reply before it, what the reply said (Server-Leaving, Server-Limit) was not noted there, and what the interim one said was.

Cause: TunnelServer read one head, where HttpConnection reads on after each interim one. It now does the same.

--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -177,6 +177,8 @@
     } cases[] = {
         {"HTTP/1.1 200 OK\r\n\r\nwhole", {200}},
         {"HTTP/1.1 503 Service Unavailable\r\n\r\nwhole", {503}},
+        {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n\r\nwhole", {201}},
+        {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Status\r\n\r\nwhole", {}},
         {"HTTP/1.1 000 Status\r\n\r\nwhole", {}},
         {"HTTP/1.1 999 Status\r\n\r\nwhole", {}},
         {"HTTP/1.1 200 OK\r\nX Other: 1\r\n\r\nwhole", {}},
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -274,16 +274,26 @@
         return;
     }
     this->head += received;
-    http::response_parser<http::empty_body> parser;
-    parser.skip(true);
-    parser.header_limit(replyHeaderLimit);
-    boost::system::error_code error;
-    parser.put(asio::buffer(this->head), error);
-    const auto checked = parser.is_header_done() ? std::optional(headOf(parser, parser.get())) : std::nullopt;
-    if (checked && checked->has_value()) {
-        this->server->options.onReply(this->address, (*checked)->response());
+    while (!this->isHeadRead) {
+        http::response_parser<http::empty_body> parser;
+        parser.skip(true);
+        parser.header_limit(replyHeaderLimit);
+        boost::system::error_code error;
+        const std::size_t used = parser.put(asio::buffer(this->head), error);
+        if (!parser.is_header_done()) {
+            this->isHeadRead = (error && error != http::error::need_more) || this->head.size() > replyHeaderLimit;
+            break;
+        }
+        const auto checked = headOf(parser, parser.get());
+        if (checked && checked->isInterim()) {
+            this->head.erase(0, used);
+            continue;
+        }
+        if (checked) {
+            this->server->options.onReply(this->address, checked->response());
+        }
+        this->isHeadRead = true;
     }
-    this->isHeadRead = checked || (error && error != http::error::need_more) || this->head.size() > replyHeaderLimit;
     if (this->isHeadRead) {
         this->head = {};
     }
