TunnelServer: a reset that a failed write has seen first is no end

Callers saw: an engine answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Straight from the host it held.

Cause: a tunnel writes to the endpoint and reads from it at the same time. The kernel reports a reset once, to whichever comes first. If a write took the error and its handler was queued behind the read, the read returned the end of a connection that was closed in order, and the host sent the end of the answer before it learned of the failed write. Direct calls write first and then read, so the write's error ends them.

At the end of the endpoint's connection TunnelServer now asks whether it is still connected: one that the other side has closed in order is, one that was reset is not, whoever took the error.

--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -29,7 +29,8 @@
 requests in `endless` are answered with bytes that do not end before the caller closes, in one of the ways of ENDLESS or
 ENDLESS_EVENTS; `held_seconds` has how long each of these went on. Those in `head_bytes` get so many bytes of the head of an
 answer, with `framing` as its last header, and the end of the connection. Those in `raw` get these bytes, with the id of their
-request for %s, and the end of the connection; so do all calls of the store with its `raw`.
+request for %s, and the end of the connection; so do all calls of the store with its `raw`. With `early`, an endpoint that gets an upload
+answers once it has read a part of it, without a length, and resets the connection.
 """
 
 import base64
@@ -80,6 +81,8 @@
 SLOW_SECONDS = 0.6  # of an answer, longer than the target of a route
 STALL_SECONDS = 3
 ENDLESS_SECONDS = 20  # longer than any call waits
+LONG_UPLOAD = 1 << 20  # bytes
+EARLY_PART = b"id: 1\ndata: a part\n\n"  # of a plain answer, or a whole event of a stream
 
 
 def events_in(body):
@@ -168,9 +171,9 @@
 
     def handle_any(self):
         length = int(self.headers.get("Content-Length", 0))
-        body = self.rfile.read(length)
         with contextlib.suppress(ConnectionError):
-            self.server.owner.handle(self, body)
+            if not self.server.owner.answers_early(self, length):
+                self.server.owner.handle(self, self.rfile.read(length))
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_any
 
@@ -274,6 +277,9 @@
         self.http.owner = self
         threading.Thread(target=self.http.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True).start()
 
+    def answers_early(self, request, length):  # pylint: disable=unused-argument
+        return False
+
     def end(self):
         self.http.shutdown()
         self.http.server_close()
@@ -346,6 +352,7 @@
         self.head_bytes = {}  # by the kind of request
         self.framing = ""  # a header of that answer, or none
         self.raw = {}  # by the kind of request
+        self.early = None  # the share of an upload that is read, and the seconds from the answer to the reset
         self.reservations = 0
         self.on_half = lambda: None  # called when it broke off
         self.crashes_on = lambda request, body: False
@@ -416,6 +423,17 @@
                             "kv_handles": 0, "runs": runs, **({"born": self.born} if self.states_start else {})},
                       {"Content-Type": "application/json"})
 
+    def answers_early(self, request, length):
+        if self.early is None or length < LONG_UPLOAD:
+            return False
+        share, seconds = self.early
+        request.rfile.read(int(length * share))
+        self.asked.append((request.command, request.path))
+        request.wfile.write(self.head(request.headers.get("X-Request-Id")) + EARLY_PART)
+        time.sleep(seconds)
+        reset(request)
+        return True
+
     def handle(self, request, body):
         if self.is_exiting:
             while self.is_exiting:
--- a/wire/tunnelserver.cpp
+++ b/wire/tunnelserver.cpp
@@ -46,6 +46,15 @@
 constexpr int receiveBuffer = 64 << 10; // bytes that the kernel holds of each end while the other one reads slowly
 constexpr Duration acceptRetryDelay{50ms}; // gives time for descriptors to be closed
 
+// Whether an end that was read is that of a connection that was reset. A write that fails at the same time takes the
+// error, and a read then returns an end as if the connection had been closed in order.
+bool wasReset(const tcp::socket &socket)
+{
+    boost::system::error_code error;
+    socket.remote_endpoint(error); // a connection that was closed in order by the other side still has one
+    return error.failed();
+}
+
 std::optional<Duration> readMillis(std::string_view text)
 {
     std::int64_t millis = 0;
@@ -245,7 +254,7 @@
     boost::system::error_code error;
     while (!this->hasEnded) {
         const std::size_t count = this->endpoint.socket().async_read_some(asio::buffer(buffer), yield[error]);
-        const bool isEnd = error == asio::error::eof;
+        const bool isEnd = error == asio::error::eof && !wasReset(this->endpoint.socket());
         if (error && !isEnd) {
             this->end("endpoint lost", true);
             return;
