--- a/testing/process/test_broken_heads.py
+++ b/testing/process/test_broken_heads.py
@@ -160,6 +160,17 @@
             self.ask(cut, "/book/1")
         self.assertNotIn("event=endpoint_states_leaving", other.log() + cut.log())
 
+    # Guards against an answer that names another request too, and is taken for the one to this request.
+    def test_answers_that_name_two_requests(self):
+        gateway = self.start()
+        head = f"{OK}\r\nX-Request-Id: %s\r\nX-Request-Id: another\r\n{STAMP}\r\n{EVENT}".encode()
+        for path, endpoints, kind in (("/book/1", self.plain, "plain"), ("/write/1", self.writers, "generate")):
+            self.set_raw(endpoints, {kind: head})
+            status, headers, body = self.ask(gateway, path)
+            self.assertEqual(status, 502)
+            self.assertNotIn("X-Server-Stamp", headers)
+            self.assertNotIn(b"broken", body)
+
     # Guards against rows of the store that come with such a head.
     def test_the_store(self):
         gateway = self.start()
