--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -349,8 +349,9 @@
                 continue;
             }
             const std::string request(asio::buffers_begin(buffer.data()), asio::buffers_begin(buffer.data()) + count);
-            const std::string answer = line + "\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n" + header
-                + "Sec-WebSocket-Accept: " + acceptedKey(request) + "\r\n\r\n";
+            std::string answer = line + "\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n";
+            answer += header;
+            answer += "Sec-WebSocket-Accept: " + acceptedKey(request) + "\r\n\r\n";
             asio::write(socket, asio::buffer(answer), ended);
             std::array<char, 16> bytes{};
             while (!ended && !isOpened) {
