CrashGuard: looks again at ports that close after their connections

Cause: after a broken answer CrashGuard connects to the endpoint once, at once. A process that ends may close its port some milliseconds after its connections; the probe then finds it running, and only the registry shows the end, seconds later, when its row is gone or of a later start. Until then each such request ends another engine.

A port that still accepts connections is now looked at again, ten times within 2.3 s, in the background and once at a time for each start of an endpoint. When it is closed, the doubtful crashes there are reported, unless the endpoint had said that it leaves.

--- a/programs/gateway/crashguard.cpp
+++ b/programs/gateway/crashguard.cpp
@@ -1,6 +1,10 @@
 // An answer that breaks off has many causes. Only an endpoint that has ended counts, which shows at once: its port
 // refuses connections, from other hosts as well. One that is back before it is looked at is found in the registry.
 //
+// A process that ends may close its port later than its connections. The registry shows that only some seconds after,
+// in which its requests may end one endpoint after the other. So a port that still accepts connections after a broken
+// answer is looked at again for a while.
+//
 // The kernel closes the connections of a process that ends in order. So an answer that ends with its connection is
 // whole only if its endpoint is seen to live on: one that leaves, is no longer listed or can't be reached may have
 // ended too. Of a plain endpoint only its port shows that; StreamEnds asks engines themselves.
@@ -24,6 +28,9 @@
 // When the endpoint of a call whose caller has left is looked at. Later, an endpoint that has ended may be back.
 constexpr Duration abandonedCheckDelay{500ms};
 constexpr std::size_t maxAbandoned = 64; // calls to one endpoint
+// Until a port is first looked at again; each further pause is half as long again.
+constexpr Duration firstPortPause{20ms};
+constexpr int portLooks = 10; // within 2.3 s
 
 } // namespace
 
@@ -104,12 +111,49 @@
                {"traits", textOf(suspected.traits)}});
     if (found != Liveness::Ended) {
         this->doubtful.add(address, suspected);
+        if (found == Liveness::Running) {
+            this->watchPort(suspected.run.endpoint, address);
+        }
         return false;
     }
     this->reportAndWait(suspected, limit, yield);
     return true;
 }
 
+void CrashGuard::watchPort(const EndpointStart &endpoint, const std::string &address)
+{
+    if (!this->watched.insert(endpoint).second) {
+        return;
+    }
+    startCoroutine(this->io, [this, endpoint, address](const asio::yield_context &yield) {
+        const bool hasEnded = this->closesPort(address, yield);
+        this->watched.erase(endpoint);
+        const std::vector<Crash> crashes = hasEnded ? this->doubtful.takeOf(endpoint) : std::vector<Crash>();
+        for (const Crash &crash : crashes) {
+            this->exchange.report(crash, steadyNow());
+        }
+        Log::info("endpoint_port_watched",
+                  {{"endpoint", endpoint.endpoint.value()},
+                   {"incarnation", endpoint.incarnation},
+                   {"closed", hasEnded},
+                   {"calls", static_cast<std::uint64_t>(crashes.size())}});
+    });
+}
+
+bool CrashGuard::closesPort(const std::string &address, const asio::yield_context &yield)
+{
+    Duration pause = firstPortPause;
+    for (int look = 0; look < portLooks; ++look, pause += pause / 2) {
+        asio::steady_timer timer(this->io, pause);
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+        if (this->client.probe(address, probeLimit, yield) == Liveness::Ended) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool CrashGuard::hasOutlived(const BrokenAnswer &answer, bool isStaying, Duration limit,
                              const asio::yield_context &yield)
 {
--- a/programs/gateway/crashguard.h
+++ b/programs/gateway/crashguard.h
@@ -20,6 +20,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace fescuesill
 {
@@ -79,6 +80,9 @@
 
     // Reports the crash if there is no endpoint any more at the address.
     bool confirm(const std::string &address, const Crash &suspected, Duration limit, const asio::yield_context &yield);
+    // Looks at the port of an endpoint again for a while, and reports the doubtful crashes there once it is closed.
+    void watchPort(const EndpointStart &endpoint, const std::string &address);
+    bool closesPort(const std::string &address, const asio::yield_context &yield);
     void checkAbandoned(const EndpointStart &endpoint, const std::string &address, const asio::yield_context &yield);
     // Reports the crash and waits for the reply.
     void reportAndWait(const Crash &crash, Duration limit, const asio::yield_context &yield);
@@ -91,6 +95,7 @@
     DoubtfulCrashes::Lookup lookup;
     std::map<EndpointStart, std::vector<Crash>> abandoned; // suspects of endpoints that are yet to be checked
     DoubtfulCrashes doubtful;
+    std::set<EndpointStart> watched; // endpoints whose ports are looked at again
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, std::shared_ptr<asio::steady_timer>> unanswered; // reports; one for each waiting call
 };
--- a/programs/gateway/doubtfulcrashes.cpp
+++ b/programs/gateway/doubtfulcrashes.cpp
@@ -62,4 +62,20 @@
     return confirmed;
 }
 
+std::vector<SuspectedRun> DoubtfulCrashes::takeOf(const EndpointStart &endpoint)
+{
+    std::vector<SuspectedRun> taken;
+    std::deque<Doubt> left;
+    for (Doubt &doubt : this->doubts) {
+        this->hasEnded(doubt); // notes whether it leaves
+        if (doubt.run.run.endpoint == endpoint && !doubt.wasLeaving) {
+            taken.push_back(std::move(doubt.run));
+        } else {
+            left.push_back(std::move(doubt));
+        }
+    }
+    this->doubts = std::move(left);
+    return taken;
+}
+
 } // namespace fescuesill
--- a/programs/gateway/doubtfulcrashes.h
+++ b/programs/gateway/doubtfulcrashes.h
@@ -29,6 +29,8 @@
     void add(const std::string &address, const SuspectedRun &run);
     // Those whose endpoints have ended. They and the ones that are too old are kept no longer.
     std::vector<SuspectedRun> takeConfirmed(Instant now);
+    // Those of an endpoint whose port has closed, unless it had said that it leaves. They are kept no longer.
+    std::vector<SuspectedRun> takeOf(const EndpointStart &endpoint);
 
 private:
     struct Doubt {
--- a/programs/gateway/testing/doubtfulcrashes_test.cpp
+++ b/programs/gateway/testing/doubtfulcrashes_test.cpp
@@ -63,5 +63,22 @@
     EXPECT_TRUE(doubtful.takeConfirmed(start + 3s).empty());
 }
 
+// Guards against a crash of another start or endpoint, or a planned stop, that is reported as the port of one closes.
+TEST(DoubtfulCrashes, AClosedPortConfirmsThoseOfItsEndpoint)
+{
+    std::vector<EndpointRecord> listed{record("e", 5)};
+    DoubtfulCrashes doubtful([&listed](const std::string &) { return listed; });
+    const EndpointStart ended{EndpointId("e"), 5};
+    for (const EndpointStart &endpoint :
+         {ended, EndpointStart{EndpointId("e"), 4}, EndpointStart{EndpointId("f"), 5}, ended}) {
+        doubtful.add(address, {{endpoint, start, start + 1s}, {}});
+    }
+    EXPECT_EQ(doubtful.takeOf(ended).size(), 2U);
+    EXPECT_TRUE(doubtful.takeOf(ended).empty());
+    doubtful.add(address, {{ended, start, start + 1s}, {}});
+    listed = {record("e", 5, true)};
+    EXPECT_TRUE(doubtful.takeOf(ended).empty());
+}
+
 } // namespace
 } // namespace fescuesill
--- a/testing/process/test_crashing_requests.py
+++ b/testing/process/test_crashing_requests.py
@@ -17,6 +17,7 @@
 TRIAL_SECONDS = 20  # from the block until a request is sent all the same
 BACK_SECONDS = 5  # for the next trial, after one that was not sent
 MOST_PART_CRASHES = 5  # under requests that share a part of their prompts
+DOWN_SECONDS = 4.0  # of an engine, until a row of the registry shows that it has ended
 
 
 class CrashingRequestsTest(CrashTest):
@@ -118,6 +119,24 @@
             writer.is_framed = False
         self.check_part_stops(self.start_linked(2))
 
+    def check_part_stops_with_late_ports(self, seconds):
+        self.writers += [self.platform.endpoint("llm", "decode") for _ in range(6)]
+        for writer in self.writers:
+            writer.crashes_on = self.is_deadly
+            writer.port_seconds, writer.down_seconds = seconds, DOWN_SECONDS
+        self.check_part_stops(self.start_linked(3))
+
+    # Each guards against engines that end one after the other until the registry shows it, since their ports close later than
+    # their connections.
+    def test_requests_with_a_part_that_crashes_engines_stop_although_ports_close_after_connections(self):
+        self.check_part_stops_with_late_ports(0.01)
+
+    def test_requests_with_a_part_that_crashes_engines_stop_although_ports_close_late(self):
+        self.check_part_stops_with_late_ports(0.1)
+
+    def test_requests_with_a_part_that_crashes_engines_stop_although_ports_close_seconds_late(self):
+        self.check_part_stops_with_late_ports(2.0)
+
     # Guards against a part that all requests share, and that is blocked with the one that crashes engines.
     def test_sound_requests_with_the_same_first_part_are_served(self):
         gateways = self.start_linked(3)
