--- a/wire/testing/tunnelserver_test.cpp
+++ b/wire/testing/tunnelserver_test.cpp
@@ -89,6 +89,7 @@
     bool accepts = true;
     int accepted = 0; // connections at the endpoint
     int ended = 0; // of these, seen closed by the other side
+    int replying = 0; // of these, that the endpoint still serves
     std::string answer = "HTTP/1.1 200 OK\r\n\r\nwhole"; // without a length: the body ends with the connection
     std::vector<int> noticed; // statuses of the heads that the other host read as it passed them on
 
@@ -103,7 +104,11 @@
                 return;
             }
             ++this->accepted;
-            startCoroutine(this->io, [this, socket](const asio::yield_context &inner) { this->reply(*socket, inner); });
+            ++this->replying;
+            startCoroutine(this->io, [this, socket](const asio::yield_context &inner) {
+                this->reply(*socket, inner);
+                --this->replying;
+            });
         }
     }
     void reply(tcp::socket &socket, const asio::yield_context &yield)
@@ -192,6 +197,9 @@
             const bool isReply = !each.noticed.empty();
             EXPECT_EQ(!faultOf(world, yield), isReply) << each.answer;
             EXPECT_EQ(world.noticed, each.noticed) << each.answer;
+            while (world.replying > 0) { // a caller that refuses the head does not wait for the endpoint
+                world.wait(10ms, yield);
+            }
             world.end();
         });
     }
