Answers that name another request say nothing of this one

Cause: what an answer states was used before, or without, its id. A refusal was believed whatever id it had, and the result of a prefill was never compared.

The stand-in states the id with prefills, as the users' engines do.

--- a/programs/gateway/generationforward.cpp
+++ b/programs/gateway/generationforward.cpp
@@ -291,9 +291,14 @@
             services.client.call(engine.address, request,
                                  {std::min(this->call.timeLeft(), prefillLimit), Reuse::Never, &this->abort}, yield);
         services.notices.onAnswer(engine, response);
-        services.permits.onAnswer(engine.id, readLimit(response), sent);
-        result = readPrefillResult(response);
-        this->lastFault = result ? "" : "prefill refused by " + engine.id.value();
+        const AnswerHead head = readAnswerHead(response, this->call.head.id);
+        if (head.isForThisCall) {
+            services.permits.onAnswer(engine.id, head.limit, sent);
+            result = readPrefillResult(response);
+            this->lastFault = result ? "" : "prefill refused by " + engine.id.value();
+        } else {
+            this->lastFault = "prefill by " + engine.id.value() + ": not the answer to this call";
+        }
     } catch (const HttpError &error) {
         this->onFault(error);
         const BrokenAnswer answer{engine, this->call.http, sent, std::nullopt, true};
--- a/testing/process/userplatform.py
+++ b/testing/process/userplatform.py
@@ -475,7 +475,8 @@
             if self.crashes_on(request, body):
                 self.crash_under(request)
             else:
-                request.reply(200, {"handle": "k1", "tokens": 10, "version": 1})
+                request.reply(200, {"handle": "k1", "tokens": 10, "version": 1},
+                              {"X-Request-Id": request.headers.get("X-Request-Id", "")})
         elif self.stage == "decode":
             run = request.headers.get("X-Request-Id")
             self.runs[run] = 0
