Links stay open while a message arrives that takes longer than their silence

A link between hosts was closed as silent, and reopened, as often as a message was sent on it that takes longer than `silence` to arrive: only whole messages counted as received. Seen under the thread sanitizer on arm64, where 1 MiB takes longer than the 200 ms of a test; on a slow path 8 MiB in 4 s do.

PeerNode now asks the kernel once a heartbeat how many bytes have arrived and whether some are unread. Its sender receives nothing meanwhile, since its pings wait behind the message, so an accepted link sends a pong of its own. A kernel that does not tell leaves all as it was, and a peer that stands still is found as before: nothing arrives from it.

--- a/wire/peernode.cpp
+++ b/wire/peernode.cpp
@@ -4,6 +4,7 @@
 #include "wire/clock.h"
 #include "wire/linkguard.h"
 #include "wire/log.h"
+#include "wire/receivedbytes.h"
 #include "wire/refusallog.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +31,10 @@
 // peer would not answer, and reported as closed. An outgoing link is then reopened on a new connection, which recovers
 // from a middlebox that dropped its state of the old one.
 //
+// A large message may take longer than `silence` on a slow path, so bytes of a message that is not yet whole count as
+// received. Its sender receives nothing meanwhile, since its pings wait behind the message, so an accepted link sends a
+// pong without a ping.
+//
 // Whoever connects can hold memory before it has shown that it is one of our programs. So an opening request has no
 // body, connections that have not become links are limited together with the links, and the messages of an accepted
 // link are small until one of them was valid.
@@ -57,6 +62,7 @@
     Handle handle;
     Clock::time_point lastReceived;
     Clock::time_point lastSent;
+    std::uint64_t receivedBytes = 0; // when it was last checked
 };
 
 } // namespace
@@ -407,12 +413,36 @@
         return now - std::min(link.lastReceived, link.lastSent) >= this->options.heartbeat;
     }
 
+    // Bytes that have come since the last check, which was a heartbeat ago.
+    void noteArrivals(Link &link, Clock::time_point now)
+    {
+        this->withConnection(link, [this, &link, now](auto &connection) {
+            auto &socket = connection.get_raw_socket();
+            boost::system::error_code ignored;
+            const std::uint64_t received = receivedBytes(socket.native_handle());
+            const bool isArriving = received != link.receivedBytes || socket.available(ignored) > 0;
+            link.receivedBytes = received;
+            const auto lastCheck = now - this->options.heartbeat;
+            if (!isArriving || link.lastReceived > lastCheck) {
+                return;
+            }
+            link.lastReceived = lastCheck;
+            if (!link.isOutgoing) {
+                error_code failed;
+                connection.pong("", failed);
+            }
+        });
+    }
+
     // Runs once per heartbeat.
     void checkLinks()
     {
         const auto now = Clock::now();
         std::vector<LinkId> silent;
         for (auto &[id, link] : this->links) {
+            if (link.isOpen) {
+                this->noteArrivals(link, now);
+            }
             if (link.isOpen && now - link.lastReceived > this->options.silence) {
                 silent.push_back(id);
             } else if (link.isOpen && link.isOutgoing && this->isIdle(link, now)) {
--- a/wire/testing/peernode_test.cpp
+++ b/wire/testing/peernode_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -294,6 +295,45 @@
     EXPECT_TRUE(eventually([&] { return received == 2; }));
 }
 
+// Guards against a link that is closed as silent while a message arrives that takes longer than that. Its sender, which
+// gets no answers to pings that wait behind the message, must not take the link for silent either.
+TEST(PeerNode, KeepsALinkWhileALongMessageArrives)
+{
+    constexpr int parts = 12;
+    const std::string address = freeAddress();
+    Seen seen;
+    auto server = PeerNode::create(quickOptions(address), handlersOf(seen)).value();
+    server->start();
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(endpointOf(address));
+    asio::write(socket,
+                asio::buffer("GET / HTTP/1.1\r\nHost: " + address
+                             + "\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+                               "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"));
+    asio::streambuf head;
+    asio::read_until(socket, head, "\r\n\r\n");
+    seen.opened.get_future().get();
+
+    const std::string message =
+        peer::encodeMessage(peer::Hello{HostId(std::string(600, 'h')), DataCentreId("d"), true});
+    const auto size = static_cast<std::uint16_t>(message.size());
+    const unsigned char start[] = {
+        0x82, 0xfe, static_cast<unsigned char>(size >> 8), static_cast<unsigned char>(size & 0xff), 0, 0,
+        0,    0}; // the mask changes nothing
+    asio::write(socket, asio::buffer(start));
+    for (int part = 0; part < parts; ++part) {
+        const std::size_t from = message.size() * part / parts;
+        const std::size_t to = message.size() * (part + 1) / parts;
+        std::this_thread::sleep_for(50ms);
+        asio::write(socket, asio::buffer(message.data() + from, to - from));
+    }
+    EXPECT_EQ(std::get<peer::Hello>(seen.received.get_future().get()).host, HostId(std::string(600, 'h')));
+    std::array<unsigned char, 2> pong{};
+    asio::read(socket, asio::buffer(pong));
+    EXPECT_EQ(pong, (std::array<unsigned char, 2>{0x8a, 0}));
+}
+
 // Guards against connections that send nothing and keep the links of other hosts out.
 TEST(PeerNode, ReplacesConnectionsThatHaveNotBecomeLinks)
 {
