--- a/review/harness2/unframed.py
+++ b/review/harness2/unframed.py
@@ -1,17 +1,13 @@
-"""Plain endpoints as processes (6/endpoint.py), whose answers have neither a length nor chunks, and calls to them."""
+"""Plain endpoints as processes (endpoint.py), whose answers have neither a length nor chunks, and calls to them."""
 
 import pathlib
 import subprocess
 import sys
 import time
 
+from endpoint import ANSWER
 from harness import Client, new_id
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "6"))
-
-# pylint: disable=wrong-import-position
-from endpoint import ANSWER  # noqa: E402
-
 DEADLINE_MS = 1500
 
 
@@ -20,7 +16,7 @@
         self.scene, self.store, self.name, self.path = scene, store, f"i-{number:08x}", path
         self.runs = pathlib.Path(scene.temporary.name) / f"{self.name}.runs"
         self.runs.touch()
-        command = [sys.executable, str(pathlib.Path(__file__).resolve().parents[1] / "6" / "endpoint.py"), str(path.target_port), self.name,
+        command = [sys.executable, str(pathlib.Path(__file__).with_name("endpoint.py")), str(path.target_port), self.name,
                    str(self.runs)]
         self.process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
 
