--- a/review/harness2/harness.py
+++ b/review/harness2/harness.py
@@ -393,7 +393,9 @@
 
 
 def run(folder, play):
-    """play(scene) returns whether the rule held. Exits with 0, 1 or 2 as the issue says."""
+    """play(scene) returns whether the rule held. Exits with 0, 1 or 2 as the issue says. All processes end with it, also where
+    it is ended by SIGTERM."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         with Scene(folder) as scene:
             held = play(scene)
